Workspace, common data and the borders to the platform and the records

Cause: the packages need one set of entity references, verdicts, times and dispatch messages before they can be written side by side.

Before: nothing. After: the workspace builds, formatter, linter and the properties of verdicts and request ids pass.

Conclusion: references are 32-bit hashes of names, so that messages stay small without agreement; a collision is to be refused when a record is accepted.

--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,29 @@
+//! Common data of all oleanderplank packages.
+//!
+//! The package holds entity references, the [`Verdict`] type, monotonic time and the messages of
+//! dispatch, and no behaviour beyond what keeps these types consistent. Every other package
+//! depends on it and it depends on none of them. docs/DESIGN.md tells how the packages fit.
+
+mod dispatch;
+mod entity;
+mod hash;
+mod instance;
+mod report;
+mod request;
+mod time;
+mod verdict;
+
+pub mod prelude;
+
+pub use dispatch::{
+    EndKind, GrantNotice, PrefixHash, ReleaseNotice, ShedNotice, ShedReason, Ticket,
+};
+pub use entity::{
+    AdapterId, BackendId, CentreId, ClassId, CustomerId, ModelId, PoolId, Revision, StopId, Tier,
+};
+pub use hash::{FastMap, FastSet};
+pub use instance::{InstanceId, ParseInstanceError};
+pub use report::{CacheEvent, EngineRole, LoadReport, LoadedModel};
+pub use request::{ParseRequestError, RequestId};
+pub use time::{MonoTime, Span};
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/records/src/lib.rs
@@ -0,0 +1,8 @@
+//! Operators' records: customers, request classes, priorities, backend servers, planned stops.
+
+mod data;
+
+pub use data::{
+    BackendKind, BackendRecord, ClassRecord, CustomerRecord, PriorityRecord, RecordSet,
+    ServiceRoute, StopRecord, StopTarget, WantedState,
+};
--- /dev/null
+++ b/crates/service/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder page; the module docs arrive with the code.
