Platform client, call budget and stand-in

Cause: everything that must last lives in the platform's key-value service, and a write whose answer is lost must not look like one that never ran. The client sends each call once and tells not-run from unknown: the HTTP library reports a connection that closes after the request as a connect error without a cause, so only connect errors with a cause are not-run. The rustls provider is installed in the client's thread, since the connector panics when two providers are compiled in.

--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,418 @@
+//! The HTTP client of the platform's services.
+//!
+//! The HTTP library's client belongs to one thread, so a thread of its own runs it and calls
+//! reach it over a channel. A call is sent once: nothing here repeats it. The error tells
+//! whether it may have taken effect: a connection that was never made, a refusal by the budget
+//! and an answer with a known error are "not run", and everything that is seen after the
+//! request may have been written is "unknown" for a write.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use std::{io, thread};
+
+use bytes::Bytes;
+use oleander_base::prelude::*;
+use parking_lot::Mutex;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::budget::{BudgetLimits, CallBudget, CallClass, CallKind};
+use crate::client_thread::{CallJob, RawAnswer, run_client};
+use crate::store::{
+    BoxFuture, Expected, KeyValueStore, LeaseGrant, LeaseId, ListPage, StoreEntry, StoreError,
+    VmEntry, VmList, WatchBatch,
+};
+use crate::wire::{
+    DeleteBody, EmptyBody, GetAnswer, GetBody, GrantAnswer, GrantBody, LeaseBody, ListAnswer,
+    ListBody, PutBody, VmsAnswer, WatchAnswer, WatchBody, WireError, WirePath, WireValue,
+    WriteAnswer,
+};
+
+/// The largest value that the service holds, in bytes.
+pub const VALUE_LIMIT: usize = 1024 * 1024;
+
+/// The most calls that wait for an answer at a time.
+const IN_FLIGHT_LIMIT: u64 = 1024;
+
+/// How to reach the platform's services.
+#[derive(Debug, Clone)]
+pub struct ClientSettings {
+    /// The address of the services.
+    pub address: SocketAddr,
+    /// How long a connection may take.
+    pub connect_timeout: Duration,
+    /// How long a call may take; a watch may take its wait on top.
+    pub call_timeout: Duration,
+    /// How many calls this process may make.
+    pub limits: BudgetLimits,
+}
+
+impl ClientSettings {
+    /// Returns the usual settings for an address.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            connect_timeout: Duration::from_millis(500),
+            call_timeout: Duration::from_secs(2),
+            limits: BudgetLimits::default(),
+        }
+    }
+}
+
+/// What a client has done so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ClientCounters {
+    /// Reads that were sent.
+    pub reads: u64,
+    /// Writes that were sent.
+    pub writes: u64,
+    /// Calls that our own budget refused.
+    pub refused: u64,
+    /// Calls that failed, of those that were sent.
+    pub failed: u64,
+    /// Writes whose outcome was unknown.
+    pub unknown: u64,
+}
+
+#[derive(Debug, Default)]
+struct CounterCells {
+    reads: AtomicU64,
+    writes: AtomicU64,
+    refused: AtomicU64,
+    failed: AtomicU64,
+    unknown: AtomicU64,
+    in_flight: AtomicU64,
+}
+
+#[derive(Debug)]
+struct ClientShared {
+    settings: ClientSettings,
+    jobs: mpsc::UnboundedSender<CallJob>,
+    budget: Mutex<CallBudget>,
+    counters: CounterCells,
+    began: Instant,
+}
+
+/// A client of the platform's services; clones share the connections and the budget.
+#[derive(Debug, Clone)]
+pub struct PlatformClient {
+    shared: Arc<ClientShared>,
+    class: CallClass,
+}
+
+impl PlatformClient {
+    /// Starts the client's thread and returns a handle; no connection is made yet.
+    pub fn open(settings: ClientSettings) -> io::Result<Self> {
+        let (jobs, queue) = mpsc::unbounded_channel();
+        let connect_timeout = settings.connect_timeout;
+        thread::Builder::new()
+            .name("platform-client".to_owned())
+            .spawn(move || run_client(queue, connect_timeout))?;
+        let shared = ClientShared {
+            budget: Mutex::new(CallBudget::new(settings.limits)),
+            settings,
+            jobs,
+            counters: CounterCells::default(),
+            began: Instant::now(),
+        };
+        Ok(Self {
+            shared: Arc::new(shared),
+            class: CallClass::Claim,
+        })
+    }
+
+    /// Returns a handle whose calls take their tokens as this class.
+    #[must_use]
+    pub fn with_class(&self, class: CallClass) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            class,
+        }
+    }
+
+    /// Returns what all clones of this client have done so far.
+    pub fn counters(&self) -> ClientCounters {
+        let cells = &self.shared.counters;
+        ClientCounters {
+            reads: cells.reads.load(Ordering::Relaxed),
+            writes: cells.writes.load(Ordering::Relaxed),
+            refused: cells.refused.load(Ordering::Relaxed),
+            failed: cells.failed.load(Ordering::Relaxed),
+            unknown: cells.unknown.load(Ordering::Relaxed),
+        }
+    }
+
+    async fn call<B: Serialize, A: DeserializeOwned>(
+        &self,
+        plan: CallPlan,
+        body: &B,
+    ) -> Result<A, StoreError> {
+        let shared = &*self.shared;
+        shared.admit(plan)?;
+        let counter = match plan.kind {
+            CallKind::Read => &shared.counters.reads,
+            CallKind::Write => &shared.counters.writes,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+        let outcome = shared.send(plan, body).await;
+        shared.note_outcome(&outcome);
+        outcome
+    }
+
+    fn plan(&self, path: &'static str, kind: CallKind) -> CallPlan {
+        CallPlan {
+            path,
+            kind,
+            class: self.class,
+            timeout: self.shared.settings.call_timeout,
+        }
+    }
+
+    fn lease_plan(&self, path: &'static str) -> CallPlan {
+        CallPlan {
+            class: CallClass::Lease,
+            ..self.plan(path, CallKind::Write)
+        }
+    }
+}
+
+/// How one call is made.
+#[derive(Debug, Clone, Copy)]
+struct CallPlan {
+    path: &'static str,
+    kind: CallKind,
+    class: CallClass,
+    timeout: Duration,
+}
+
+impl ClientShared {
+    fn now(&self) -> MonoTime {
+        MonoTime(Span::from(self.began.elapsed()).0)
+    }
+
+    fn admit(&self, plan: CallPlan) -> Result<(), StoreError> {
+        let full = self.counters.in_flight.load(Ordering::Relaxed) >= IN_FLIGHT_LIMIT;
+        let taken = if full {
+            Err(plan.timeout)
+        } else {
+            self.budget.lock().take(self.now(), plan.class, plan.kind)
+        };
+        taken.map_err(|retry_after| {
+            self.counters.refused.fetch_add(1, Ordering::Relaxed);
+            StoreError::OverBudget { retry_after }
+        })
+    }
+
+    async fn send<B: Serialize, A: DeserializeOwned>(
+        &self,
+        plan: CallPlan,
+        body: &B,
+    ) -> Result<A, StoreError> {
+        let body = serde_json::to_vec(body).map_err(|error| StoreError::Unavailable {
+            reason: error.to_string(),
+        })?;
+        let (reply, answer) = oneshot::channel();
+        let job = CallJob {
+            url: format!("http://{}{}", self.settings.address, plan.path),
+            is_watch: plan.path == WirePath::WATCH,
+            body: Bytes::from(body),
+            timeout: plan.timeout,
+            reply,
+        };
+        self.jobs.send(job).map_err(|_| StoreError::Unavailable {
+            reason: "the client's thread has ended".to_owned(),
+        })?;
+        let gauge = InFlightGauge::new(&self.counters.in_flight);
+        let raw = answer.await;
+        drop(gauge);
+        match raw {
+            Ok(raw) => read_answer(plan.kind, raw),
+            Err(_) => Err(lost(plan.kind, "the client's thread has ended")),
+        }
+    }
+
+    fn note_outcome<A>(&self, outcome: &Result<A, StoreError>) {
+        let Err(error) = outcome else { return };
+        self.counters.failed.fetch_add(1, Ordering::Relaxed);
+        match error {
+            StoreError::Unknown { .. } => {
+                self.counters.unknown.fetch_add(1, Ordering::Relaxed);
+            }
+            StoreError::OverBudget { retry_after } => {
+                self.budget.lock().pause(self.now(), *retry_after);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Counts a call in flight until it is dropped, also when its caller gives up.
+struct InFlightGauge<'a>(&'a AtomicU64);
+
+impl<'a> InFlightGauge<'a> {
+    fn new(cell: &'a AtomicU64) -> Self {
+        cell.fetch_add(1, Ordering::Relaxed);
+        Self(cell)
+    }
+}
+
+impl Drop for InFlightGauge<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Returns the error of a call of which only a failure after the send is known.
+fn lost(kind: CallKind, reason: &str) -> StoreError {
+    let reason = reason.to_owned();
+    match kind {
+        CallKind::Read => StoreError::Unavailable { reason },
+        CallKind::Write => StoreError::Unknown { reason },
+    }
+}
+
+fn read_answer<A: DeserializeOwned>(kind: CallKind, raw: RawAnswer) -> Result<A, StoreError> {
+    match raw {
+        RawAnswer::NotSent(reason) => Err(StoreError::Unavailable { reason }),
+        RawAnswer::Lost(reason) => Err(lost(kind, &reason)),
+        RawAnswer::Answered { status: 200, body } => {
+            serde_json::from_slice(&body).map_err(|error| lost(kind, &error.to_string()))
+        }
+        RawAnswer::Answered { status, body } => match serde_json::from_slice::<WireError>(&body) {
+            Ok(error) if error.status() == status => Err(error.into()),
+            _ => Err(lost(kind, &format!("the service answered with {status}"))),
+        },
+    }
+}
+
+impl KeyValueStore for PlatformClient {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<StoreEntry>, StoreError>> {
+        Box::pin(async move {
+            let body = GetBody {
+                key: key.to_owned(),
+            };
+            let plan = self.plan(WirePath::GET, CallKind::Read);
+            let answer: GetAnswer = self.call(plan, &body).await?;
+            Ok(answer.entry.map(Into::into))
+        })
+    }
+
+    fn list<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Option<&'a str>,
+    ) -> BoxFuture<'a, Result<ListPage, StoreError>> {
+        Box::pin(async move {
+            let body = ListBody {
+                prefix: prefix.to_owned(),
+                after: after.map(str::to_owned),
+            };
+            let plan = self.plan(WirePath::LIST, CallKind::Read);
+            let answer: ListAnswer = self.call(plan, &body).await?;
+            Ok(answer.into())
+        })
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Expected,
+        value: Bytes,
+        lease: Option<LeaseId>,
+    ) -> BoxFuture<'a, Result<Revision, StoreError>> {
+        Box::pin(async move {
+            if value.len() > VALUE_LIMIT {
+                return Err(StoreError::TooLarge {
+                    size: value.len(),
+                    limit: VALUE_LIMIT,
+                });
+            }
+            let body = PutBody {
+                key: key.to_owned(),
+                expected: expected.into(),
+                value: WireValue(value),
+                lease: lease.map(|lease| lease.0),
+            };
+            let plan = self.plan(WirePath::PUT, CallKind::Write);
+            let answer: WriteAnswer = self.call(plan, &body).await?;
+            Ok(answer.revision)
+        })
+    }
+
+    fn delete<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Expected,
+    ) -> BoxFuture<'a, Result<Revision, StoreError>> {
+        Box::pin(async move {
+            let body = DeleteBody {
+                key: key.to_owned(),
+                expected: expected.into(),
+            };
+            let plan = self.plan(WirePath::DELETE, CallKind::Write);
+            let answer: WriteAnswer = self.call(plan, &body).await?;
+            Ok(answer.revision)
+        })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Revision,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<WatchBatch, StoreError>> {
+        Box::pin(async move {
+            let body = WatchBody {
+                prefix: prefix.to_owned(),
+                after,
+                wait_ms: wait.as_millis() as u64,
+            };
+            let mut plan = self.plan(WirePath::WATCH, CallKind::Read);
+            plan.timeout += wait;
+            let answer: WatchAnswer = self.call(plan, &body).await?;
+            Ok(answer.into())
+        })
+    }
+
+    fn grant_lease(&self, time_to_live: Duration) -> BoxFuture<'_, Result<LeaseGrant, StoreError>> {
+        Box::pin(async move {
+            let body = GrantBody {
+                ttl_ms: time_to_live.as_millis() as u64,
+            };
+            let plan = self.lease_plan(WirePath::GRANT);
+            let answer: GrantAnswer = self.call(plan, &body).await?;
+            Ok(answer.into())
+        })
+    }
+
+    fn renew_lease(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
+        Box::pin(async move {
+            let body = LeaseBody { lease: lease.0 };
+            let plan = self.lease_plan(WirePath::RENEW);
+            let EmptyBody {} = self.call(plan, &body).await?;
+            Ok(())
+        })
+    }
+
+    fn revoke_lease(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
+        Box::pin(async move {
+            let body = LeaseBody { lease: lease.0 };
+            let plan = self.lease_plan(WirePath::REVOKE);
+            let EmptyBody {} = self.call(plan, &body).await?;
+            Ok(())
+        })
+    }
+}
+
+impl VmList for PlatformClient {
+    fn read(&self) -> BoxFuture<'_, Result<Vec<VmEntry>, StoreError>> {
+        Box::pin(async move {
+            let plan = self.plan(WirePath::VMS, CallKind::Read);
+            let answer: VmsAnswer = self.call(plan, &EmptyBody {}).await?;
+            Ok(answer.vms.into_iter().map(Into::into).collect())
+        })
+    }
+}
--- /dev/null
+++ b/crates/platform/src/client_thread.rs
@@ -0,0 +1,143 @@
+//! The thread that runs the HTTP library's client.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use log::error;
+use ntex::SharedCfg;
+use ntex::client::error::{ClientError, ConnectError};
+use ntex::client::{Client, Connector};
+use ntex::io::IoConfig;
+use ntex::rt::{DefaultRuntime, System};
+use ntex::time::Millis;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+/// The largest answer that is read, in bytes.
+const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+/// Connections for ordinary calls.
+const CALL_CONNECTIONS: usize = 32;
+/// Connections for waiting watches, which must not hold up ordinary calls.
+const WATCH_CONNECTIONS: usize = 16;
+/// How long an unused connection is kept, in seconds; shorter than the usual server's limit, so
+/// that a call rarely meets a connection that the server is closing.
+const KEEP_ALIVE_SECONDS: u16 = 3;
+
+/// One call on its way to the thread.
+#[derive(Debug)]
+pub(crate) struct CallJob {
+    pub(crate) url: String,
+    pub(crate) is_watch: bool,
+    pub(crate) body: Bytes,
+    pub(crate) timeout: Duration,
+    pub(crate) reply: oneshot::Sender<RawAnswer>,
+}
+
+/// What became of a call.
+#[derive(Debug)]
+pub(crate) enum RawAnswer {
+    /// The request was never written.
+    NotSent(String),
+    /// The request may have been written, and no whole answer came.
+    Lost(String),
+    /// A whole answer came.
+    Answered { status: u16, body: Bytes },
+}
+
+/// Runs calls until every handle of the client is gone.
+pub(crate) fn run_client(queue: mpsc::UnboundedReceiver<CallJob>, connect_timeout: Duration) {
+    // The connector also prepares TLS, and panics if the process has not chosen a provider. An
+    // error means that the process has chosen one already.
+    let _ = rustls::crypto::ring::default_provider().install_default();
+    System::new("platform-client", DefaultRuntime).block_on(serve_calls(queue, connect_timeout));
+}
+
+async fn serve_calls(mut queue: mpsc::UnboundedReceiver<CallJob>, connect_timeout: Duration) {
+    let calls = build_client(connect_timeout, CALL_CONNECTIONS).await;
+    let watches = build_client(connect_timeout, WATCH_CONNECTIONS).await;
+    let (Some(calls), Some(watches)) = (calls, watches) else {
+        return;
+    };
+    let (calls, watches) = (Rc::new(calls), Rc::new(watches));
+    while let Some(job) = queue.recv().await {
+        let client = if job.is_watch { &watches } else { &calls };
+        let client = Rc::clone(client);
+        ntex::rt::spawn(async move { run_job(&client, job).await });
+    }
+}
+
+async fn build_client(connect_timeout: Duration, connections: usize) -> Option<Client> {
+    let millis = u32::try_from(connect_timeout.as_millis()).unwrap_or(u32::MAX);
+    let io = IoConfig::new().set_connect_timeout(Millis(millis));
+    let connector = Connector::default()
+        .limit(connections)
+        .keep_alive(ntex::time::Seconds(KEEP_ALIVE_SECONDS));
+    let client = Client::builder()
+        .connector::<()>(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .response_payload_limit(ANSWER_LIMIT)
+        .build(SharedCfg::new("platform-client").add(io))
+        .await;
+    match client {
+        Ok(client) => Some(client),
+        Err(error) => {
+            error!("the platform's client cannot be built: {error}");
+            None
+        }
+    }
+}
+
+async fn run_job(client: &Client, mut job: CallJob) {
+    let limit = job.timeout;
+    let body = std::mem::take(&mut job.body);
+    let answer = tokio::select! {
+        answer = timeout(limit, send_request(client, &job.url, body)) => answer,
+        () = job.reply.closed() => return,
+    };
+    let answer = answer.unwrap_or_else(|_| RawAnswer::Lost(format!("no answer in {limit:?}")));
+    // A caller that has given up needs no answer.
+    let _ = job.reply.send(answer);
+}
+
+async fn send_request(client: &Client, url: &str, body: Bytes) -> RawAnswer {
+    let request = client.post(url).content_type("application/json");
+    let response = match request.send_body(body.to_vec()).await {
+        Ok(response) => response,
+        Err(error) => return failed_send(&error),
+    };
+    let status = response.status().as_u16();
+    match response.body().limit(ANSWER_LIMIT).await {
+        Ok(body) => RawAnswer::Answered {
+            status,
+            body: Bytes::copy_from_slice(&body),
+        },
+        Err(error) => RawAnswer::Lost(error.to_string()),
+    }
+}
+
+/// Tells a connection that was never made from one that closed after the request.
+///
+/// The library reports a connection that closes before the answer as a connect error without a
+/// cause, so only connect errors with a cause are certain.
+fn failed_send(error: &ClientError) -> RawAnswer {
+    let reason = error.to_string();
+    let never_connected = matches!(
+        error,
+        ClientError::Url(_)
+            | ClientError::Connect(
+                ConnectError::Resolver(_)
+                    | ConnectError::NoRecords
+                    | ConnectError::Timeout
+                    | ConnectError::Unresolved
+                    | ConnectError::SslIsNotSupported
+                    | ConnectError::Disconnected(Some(_))
+            )
+    );
+    if never_connected {
+        RawAnswer::NotSent(reason)
+    } else {
+        RawAnswer::Lost(reason)
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/common/mod.rs
@@ -0,0 +1,46 @@
+//! What the tests of this package share.
+
+#![allow(dead_code)]
+
+use std::future::Future;
+use std::time::Duration;
+
+use oleander_platform::{BudgetLimits, ClientSettings, PlatformClient};
+use oleander_standin::{PlatformSettings, PlatformStandIn};
+
+/// How often a condition is looked at.
+const POLL: Duration = Duration::from_millis(5);
+/// How many times it is looked at before the test fails.
+const POLL_LIMIT: usize = 6_000;
+
+pub(crate) fn bind_standin() -> PlatformStandIn {
+    PlatformStandIn::bind(PlatformSettings::default()).unwrap()
+}
+
+pub(crate) fn open_client(standin: &PlatformStandIn) -> PlatformClient {
+    let mut settings = ClientSettings::new(standin.address());
+    settings.limits = BudgetLimits {
+        reads_per_second: 1_000.0,
+        writes_per_second: 1_000.0,
+    };
+    PlatformClient::open(settings).unwrap()
+}
+
+pub(crate) fn block_on<F: Future>(future: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(future)
+}
+
+pub(crate) async fn wait_until(condition: impl Fn() -> bool) {
+    for _ in 0..POLL_LIMIT {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    panic!("the condition did not come true");
+}
--- /dev/null
+++ b/crates/standin/src/platform_core.rs
@@ -0,0 +1,196 @@
+//! The parts of the platform's stand-in that its handlers share.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use oleander_base::prelude::*;
+use oleander_platform::wire::{WatchAnswer, WatchBody, WireError, WireVm};
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use crate::platform::PlatformSettings;
+use crate::platform_faults::{FaultPlan, FaultState, PlatformCounters, RateLimit};
+use crate::platform_state::StoreState;
+
+#[derive(Debug)]
+struct RateState {
+    reads: RateLimit,
+    writes: RateLimit,
+}
+
+/// One version of the VM list and when it was set.
+#[derive(Debug)]
+struct VmVersion {
+    set: MonoTime,
+    vms: Vec<WireVm>,
+}
+
+/// What all handlers share, each part under its own lock.
+#[derive(Debug)]
+pub(crate) struct PlatformCore {
+    settings: PlatformSettings,
+    began: Instant,
+    state: Mutex<StoreState>,
+    faults: Mutex<FaultState>,
+    rates: Mutex<RateState>,
+    counters: Mutex<PlatformCounters>,
+    vms: Mutex<VecDeque<VmVersion>>,
+    changed: watch::Sender<u64>,
+    open: watch::Sender<bool>,
+}
+
+impl PlatformCore {
+    pub(crate) fn new(settings: PlatformSettings) -> Self {
+        let state = StoreState::new(
+            settings.history_limit,
+            settings.value_limit,
+            settings.page_entries,
+        );
+        let rates = RateState {
+            reads: RateLimit::new(settings.reads_per_second),
+            writes: RateLimit::new(settings.writes_per_second),
+        };
+        Self {
+            settings,
+            began: Instant::now(),
+            state: Mutex::new(state),
+            faults: Mutex::new(FaultState::new(FaultPlan::default())),
+            rates: Mutex::new(rates),
+            counters: Mutex::new(PlatformCounters::default()),
+            vms: Mutex::new(VecDeque::new()),
+            changed: watch::channel(0).0,
+            open: watch::channel(true).0,
+        }
+    }
+
+    pub(crate) fn now(&self) -> MonoTime {
+        MonoTime(Span::from(self.began.elapsed()).0)
+    }
+
+    pub(crate) fn set_faults(&self, plan: FaultPlan) {
+        *self.faults.lock() = FaultState::new(plan);
+    }
+
+    pub(crate) fn faults(&self) -> FaultPlan {
+        self.faults.lock().plan.clone()
+    }
+
+    pub(crate) fn drops_answer(&self) -> bool {
+        self.faults.lock().drops_answer()
+    }
+
+    pub(crate) fn counters(&self) -> PlatformCounters {
+        self.counters.lock().clone()
+    }
+
+    pub(crate) fn count(&self, note: impl FnOnce(&mut PlatformCounters)) {
+        note(&mut self.counters.lock());
+    }
+
+    pub(crate) fn compact(&self) {
+        self.state.lock().compact();
+        self.wake_watches();
+    }
+
+    pub(crate) fn revision(&self) -> Revision {
+        self.state.lock().revision()
+    }
+
+    pub(crate) fn dump(&self) -> String {
+        self.state.lock().dump()
+    }
+
+    /// Ends every waiting watch, so that the server can stop.
+    pub(crate) fn close_watches(&self) {
+        self.open.send_replace(false);
+    }
+
+    pub(crate) fn open_watches(&self) {
+        self.open.send_replace(true);
+    }
+
+    /// Takes a token of the rate for a read or a write.
+    pub(crate) fn take_rate(&self, is_write: bool) -> Result<(), WireError> {
+        let now = self.now();
+        let mut rates = self.rates.lock();
+        let limit = if is_write {
+            &mut rates.writes
+        } else {
+            &mut rates.reads
+        };
+        limit
+            .take(now)
+            .map_err(|retry_after_ms| WireError::RateLimited { retry_after_ms })
+    }
+
+    /// Runs one call on the data, after the leases that have run out are gone.
+    pub(crate) fn with_state<T>(&self, call: impl FnOnce(&mut StoreState, MonoTime) -> T) -> T {
+        let now = self.now();
+        let mut state = self.state.lock();
+        let before = state.revision();
+        state.expire(now);
+        let result = call(&mut state, now);
+        let is_changed = state.revision() != before;
+        drop(state);
+        if is_changed {
+            self.wake_watches();
+        }
+        result
+    }
+
+    /// Waits for changes as a watch asks for them.
+    pub(crate) async fn wait_changes(&self, body: &WatchBody) -> Result<WatchAnswer, WireError> {
+        let mut changed = self.changed.subscribe();
+        let mut open = self.open.subscribe();
+        let deadline = tokio::time::sleep(Duration::from_millis(body.wait_ms));
+        tokio::pin!(deadline);
+        loop {
+            changed.borrow_and_update();
+            let found = self.with_state(|state, _| {
+                let found = state.changes(&body.prefix, body.after);
+                found.map(|answer| (answer, state.revision()))
+            });
+            let (answer, revision) = found?;
+            if let Some(answer) = answer {
+                return Ok(answer);
+            }
+            let is_over = tokio::select! {
+                result = changed.changed() => result.is_err(),
+                () = &mut deadline => true,
+                _ = open.wait_for(|open| !open) => true,
+            };
+            if is_over {
+                return Ok(WatchAnswer {
+                    events: Vec::new(),
+                    revision: revision.max(body.after),
+                });
+            }
+        }
+    }
+
+    pub(crate) fn set_vms(&self, vms: Vec<WireVm>) {
+        let set = self.now();
+        self.vms.lock().push_back(VmVersion { set, vms });
+    }
+
+    /// Returns the newest list that is at least as old as the lag.
+    pub(crate) fn lagging_vms(&self) -> Vec<WireVm> {
+        let now = self.now();
+        let lag = Span::from(self.settings.vm_lag);
+        let mut versions = self.vms.lock();
+        while versions
+            .get(1)
+            .is_some_and(|next| now.since(next.set) >= lag)
+        {
+            versions.pop_front();
+        }
+        match versions.front() {
+            Some(version) if now.since(version.set) >= lag => version.vms.clone(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn wake_watches(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+}
