Records: schemas, documents, checks and the board

Cause: records must be in force everywhere and never revert, whatever order the store and the peers deliver them in, and old and new schema versions live side by side. One table states the fields of each version; reading, checking and describing use it. The board orders deliveries by the store's revision only and knows up to where it is informed, so that a dropped tombstone cannot let a record come back.

--- /dev/null
+++ b/crates/records/src/check.rs
@@ -0,0 +1,294 @@
+//! The check of a change against the records in force, before it is written.
+//!
+//! A document alone was checked when it was read. What is checked here concerns other records:
+//! references, names whose 32-bit references are equal, API keys and addresses in use, and the
+//! sum of the minimum shares. A change that races another one may still leave a reference
+//! without its record; the readers of the records live with that, and the board lists it.
+
+use std::fmt::Display;
+
+use oleander_base::StopId;
+use oleander_base::prelude::*;
+
+use crate::data::{
+    BackendKind, BackendRecord, ClassRecord, CustomerRecord, PriorityRecord, RecordSet, StopRecord,
+    StopTarget,
+};
+use crate::document::{RecordBody, RecordDocument};
+use crate::error::{CheckError, FieldFault};
+use crate::key::{RecordKey, RecordKind};
+
+/// The largest sum of the classes' minimum shares; the rest goes by tier.
+pub const MINIMUM_SHARE_SUM: f64 = 0.5;
+
+/// A change that an operator wants.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RecordChange {
+    /// Writes a record.
+    Put(Box<RecordDocument>),
+    /// Deletes a record.
+    Delete(RecordKey),
+}
+
+impl RecordChange {
+    /// Returns the key of the record.
+    pub fn key(&self) -> &RecordKey {
+        match self {
+            Self::Put(document) => &document.key,
+            Self::Delete(key) => key,
+        }
+    }
+}
+
+/// Checks a change against the records in force and returns everything that is wrong.
+pub fn check(set: &RecordSet, change: &RecordChange) -> Result<(), Vec<CheckError>> {
+    let mut finder = FaultFinder {
+        set,
+        key: change.key(),
+        faults: Vec::new(),
+    };
+    match change {
+        RecordChange::Put(document) => finder.check_body(&document.body),
+        RecordChange::Delete(key) => finder.check_delete(key),
+    }
+    if finder.faults.is_empty() {
+        return Ok(());
+    }
+    Err(finder.faults)
+}
+
+struct FaultFinder<'a> {
+    set: &'a RecordSet,
+    key: &'a RecordKey,
+    faults: Vec<CheckError>,
+}
+
+impl FaultFinder<'_> {
+    fn check_body(&mut self, body: &RecordBody) {
+        match body {
+            RecordBody::Customer(record) => self.check_customer(record),
+            RecordBody::Class(record) => self.check_class(record),
+            RecordBody::Priority(record) => self.check_priority(record),
+            RecordBody::Backend(record) => self.check_backend(record),
+            RecordBody::Stop(record) => self.check_stop(record),
+        }
+    }
+
+    fn check_customer(&mut self, record: &CustomerRecord) {
+        let id = CustomerId::from_name(&record.name);
+        let found = self.set.customers.get(&id).map(|found| &found.name);
+        self.check_reference(&record.name, found);
+        self.check_class_name("default_class", &record.default_class);
+        for hash in &record.key_hashes {
+            let holder = self
+                .set
+                .customers
+                .values()
+                .find(|other| other.name != record.name && other.key_hashes.contains(hash));
+            if let Some(holder) = holder {
+                let wanted = format!("a key that customer {} does not have", holder.name);
+                self.fault("key_hashes", hash, wanted);
+            }
+        }
+    }
+
+    fn check_class(&mut self, record: &ClassRecord) {
+        let id = ClassId::from_name(&record.name);
+        let found = self.set.classes.get(&id).map(|found| &found.name);
+        self.check_reference(&record.name, found);
+        if record.patience_ms < record.first_token_target_ms {
+            let wanted = format!("at least the target of {} ms", record.first_token_target_ms);
+            self.fault("patience_ms", &record.patience_ms, wanted);
+        }
+        let others = self.set.classes.values();
+        let others = others.filter(|other| other.name != record.name);
+        let taken: f64 = others.map(|other| other.minimum_share).sum();
+        if taken + record.minimum_share > MINIMUM_SHARE_SUM + 1e-9 {
+            let left = (MINIMUM_SHARE_SUM - taken).max(0.0);
+            let wanted =
+                format!("at most {left:.3}, as all classes together may have {MINIMUM_SHARE_SUM}");
+            self.fault("minimum_share", &record.minimum_share, wanted);
+        }
+    }
+
+    fn check_priority(&mut self, record: &PriorityRecord) {
+        self.check_class_name("class", &record.class);
+        if let Some(name) = &record.customer
+            && !self
+                .set
+                .customers
+                .contains_key(&CustomerId::from_name(name))
+        {
+            self.fault("customer", name, "the name of a customer record");
+        }
+        let twin = self.set.priorities.values().find(|other| {
+            other.name != record.name
+                && other.customer == record.customer
+                && other.class == record.class
+        });
+        if let Some(twin) = twin {
+            let wanted = format!(
+                "another class or customer, as priority {} has these",
+                twin.name
+            );
+            self.fault("class", &record.class, wanted);
+        }
+    }
+
+    fn check_backend(&mut self, record: &BackendRecord) {
+        let id = BackendId::from_name(&record.name);
+        let found = self.set.backends.get(&id).map(|found| &found.name);
+        self.check_reference(&record.name, found);
+        let twin = self
+            .set
+            .backends
+            .values()
+            .find(|other| other.name != record.name && other.address == record.address);
+        if let Some(twin) = twin {
+            let wanted = format!("an address that backend {} does not have", twin.name);
+            self.fault("address", &record.address, wanted);
+        }
+        match record.kind {
+            BackendKind::Engine => self.check_engine(record),
+            BackendKind::Service => self.check_service(record),
+        }
+        for name in &record.serves {
+            self.check_model_name(name);
+        }
+    }
+
+    fn check_engine(&mut self, record: &BackendRecord) {
+        if record.serves.is_empty() {
+            self.fault("serves", "[]", "at least one model name");
+        }
+        if !record.routes.is_empty() {
+            let count = record.routes.len();
+            self.fault(
+                "routes",
+                &count,
+                "no routes, which only a plain service has",
+            );
+        }
+        if let Some(wanted) = &record.wanted
+            && !record.serves.contains(&wanted.model)
+        {
+            self.fault(
+                "wanted.model",
+                &wanted.model,
+                "one of the names in `serves`",
+            );
+        }
+    }
+
+    fn check_service(&mut self, record: &BackendRecord) {
+        if record.serves.len() != 1 {
+            let names = record.serves.join(", ");
+            self.fault("serves", &names, "the one name of the plain service");
+        }
+        if record.wanted.is_some() {
+            self.fault(
+                "wanted",
+                "a table",
+                "left out, as only an engine takes orders",
+            );
+        }
+    }
+
+    /// Two models whose references are equal would share a queue.
+    fn check_model_name(&mut self, name: &str) {
+        let id = ModelId::from_name(name);
+        let names = self.set.backends.values().flat_map(|other| &other.serves);
+        let twin = names
+            .filter(|other| other.as_str() != name)
+            .find(|other| ModelId::from_name(other) == id);
+        if let Some(twin) = twin {
+            let wanted = format!("another name, as its reference is that of {twin}");
+            self.fault("serves", name, wanted);
+        }
+    }
+
+    fn check_stop(&mut self, record: &StopRecord) {
+        let id = StopId::from_name(&record.name);
+        let found = self.set.stops.get(&id).map(|found| &found.name);
+        self.check_reference(&record.name, found);
+        let mut backends = self.set.backends.values();
+        let is_known = match &record.target {
+            StopTarget::Backend(name) => backends.any(|backend| &backend.name == name),
+            StopTarget::Centre(name) => backends.any(|backend| &backend.centre == name),
+            StopTarget::Entry(_) => true,
+        };
+        match &record.target {
+            StopTarget::Backend(name) if !is_known => {
+                self.fault("target.name", name, "the name of a backend record");
+            }
+            StopTarget::Centre(name) if !is_known => {
+                self.fault(
+                    "target.name",
+                    name,
+                    "a data centre that has a backend record",
+                );
+            }
+            _ => {}
+        }
+    }
+
+    fn check_delete(&mut self, key: &RecordKey) {
+        for user in users(self.set, key) {
+            let wanted = "no longer named by other records before it is deleted";
+            self.fault("name", &format!("in use by {user}"), wanted);
+        }
+    }
+
+    fn check_class_name(&mut self, field: &str, name: &str) {
+        if !self.set.classes.contains_key(&ClassId::from_name(name)) {
+            self.fault(field, name, "the name of a class record");
+        }
+    }
+
+    /// Two names with the same reference cannot both be in force.
+    fn check_reference(&mut self, name: &str, found: Option<&String>) {
+        if let Some(found) = found.filter(|found| *found != name) {
+            let wanted = format!("another name, as its reference is that of {found}");
+            self.fault("name", name, wanted);
+        }
+    }
+
+    fn fault(&mut self, field: &str, value: &(impl Display + ?Sized), wanted: impl Into<String>) {
+        self.faults.push(CheckError {
+            key: self.key.clone(),
+            fault: FieldFault {
+                field: field.to_owned(),
+                value: format!("`{value}`"),
+                wanted: wanted.into(),
+            },
+        });
+    }
+}
+
+/// Returns the records that name this one.
+fn users(set: &RecordSet, key: &RecordKey) -> Vec<String> {
+    let name = &key.name;
+    let mut users = Vec::new();
+    match key.kind {
+        RecordKind::Class => {
+            let customers = set.customers.values();
+            let customers = customers.filter(|customer| &customer.default_class == name);
+            users.extend(customers.map(|customer| format!("customer {}", customer.name)));
+            let priorities = set.priorities.values();
+            let priorities = priorities.filter(|priority| &priority.class == name);
+            users.extend(priorities.map(|priority| format!("priority {}", priority.name)));
+        }
+        RecordKind::Customer => {
+            let priorities = set.priorities.values();
+            let priorities = priorities.filter(|priority| priority.customer.as_ref() == Some(name));
+            users.extend(priorities.map(|priority| format!("priority {}", priority.name)));
+        }
+        RecordKind::Backend => {
+            let target = StopTarget::Backend(name.clone());
+            let stops = set.stops.values().filter(|stop| stop.target == target);
+            users.extend(stops.map(|stop| format!("stop {}", stop.name)));
+        }
+        RecordKind::Priority | RecordKind::Stop => {}
+    }
+    users
+}
--- a/crates/records/src/data.rs
+++ b/crates/records/src/data.rs
@@ -10,6 +10,8 @@
 use oleander_base::{EngineRole, StopId};
 use serde::{Deserialize, Serialize};
 
+use crate::key_index::KeyIndex;
+
 /// A customer: who may call, and how much of the fleet they may use.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct CustomerRecord {
@@ -156,6 +158,9 @@
     pub backends: BTreeMap<BackendId, BackendRecord>,
     /// Planned stops by reference.
     pub stops: BTreeMap<StopId, StopRecord>,
+    /// Customers by API key; [`RecordSet::customer_by_key`] searches every customer without it.
+    #[serde(skip)]
+    pub key_index: KeyIndex,
 }
 
 impl RecordSet {
--- /dev/null
+++ b/crates/records/src/document.rs
@@ -0,0 +1,262 @@
+//! Documents: the text of a record and what it says.
+//!
+//! A document keeps every field that it came with, also those that this program does not know,
+//! so that an edit by an old program passes them on. It is written in JSON or TOML by operators
+//! and stored as JSON.
+
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+use crate::data::{BackendRecord, ClassRecord, CustomerRecord, PriorityRecord, StopRecord};
+use crate::error::{FieldFault, RecordError};
+use crate::fields::{check_fields, fill_defaults, shown, unknown_fields};
+use crate::key::{RecordKey, RecordKind};
+use crate::schema::{FieldSchema, SchemaCatalog};
+
+/// The largest document in bytes.
+pub const DOCUMENT_LIMIT: usize = 64 * 1024;
+
+/// The field that holds the schema version.
+const SCHEMA_FIELD: &str = "schema";
+/// The field in which a writer leaves a random mark, to recognise its own write.
+const WRITE_ID_FIELD: &str = "write_id";
+/// Why the conversion to JSON cannot fail.
+const PLAIN_DATA: &str = "a map of plain values has a JSON form";
+
+/// What a document says.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RecordBody {
+    /// A customer.
+    Customer(CustomerRecord),
+    /// A request class.
+    Class(ClassRecord),
+    /// A priority.
+    Priority(PriorityRecord),
+    /// A backend server.
+    Backend(BackendRecord),
+    /// A planned stop.
+    Stop(StopRecord),
+}
+
+/// A document that was read without an error.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RecordDocument {
+    /// The key that it belongs under.
+    pub key: RecordKey,
+    /// The schema version that it states.
+    pub version: u32,
+    /// What it says, as far as this program knows its fields.
+    pub body: RecordBody,
+    fields: Map<String, Value>,
+}
+
+/// Reads a document in JSON or TOML with the schemas that this program knows.
+pub fn parse_document(kind: RecordKind, text: &[u8]) -> Result<RecordDocument, RecordError> {
+    parse_with(&SchemaCatalog::current(), kind, text)
+}
+
+/// Reads a document with the schemas of a catalog.
+pub fn parse_with(
+    catalog: &SchemaCatalog,
+    kind: RecordKind,
+    text: &[u8],
+) -> Result<RecordDocument, RecordError> {
+    if text.len() > DOCUMENT_LIMIT {
+        return Err(RecordError::TooLong {
+            size: text.len(),
+            limit: DOCUMENT_LIMIT,
+        });
+    }
+    RecordDocument::from_fields(catalog, kind, parse_text(text)?)
+}
+
+impl RecordDocument {
+    /// Reads a document from its fields.
+    pub fn from_fields(
+        catalog: &SchemaCatalog,
+        kind: RecordKind,
+        fields: Map<String, Value>,
+    ) -> Result<Self, RecordError> {
+        let version = read_version(catalog, kind, &fields)?;
+        let schema = catalog.schema(kind, version);
+        let mut faults = Vec::new();
+        check_fields(schema.fields, &fields, "", &mut faults);
+        if !faults.is_empty() {
+            return Err(RecordError::Fields(faults));
+        }
+        let mut filled = fields.clone();
+        drop_unknown(schema.fields, &mut filled);
+        fill_defaults(catalog.schema(kind, u32::MAX).fields, &mut filled);
+        let body = read_body(kind, Value::Object(filled))?;
+        let key = RecordKey {
+            kind,
+            name: body.name().to_owned(),
+        };
+        Ok(Self {
+            key,
+            version,
+            body,
+            fields,
+        })
+    }
+
+    /// Returns the fields as they were written, with those that are not known.
+    pub fn fields(&self) -> &Map<String, Value> {
+        &self.fields
+    }
+
+    /// Returns the mark that the writer left.
+    pub fn write_id(&self) -> Option<&str> {
+        self.fields.get(WRITE_ID_FIELD).and_then(Value::as_str)
+    }
+
+    /// Returns the same document with a writer's mark.
+    #[must_use]
+    pub fn with_write_id(mut self, mark: &str) -> Self {
+        self.fields.insert(WRITE_ID_FIELD.to_owned(), mark.into());
+        self
+    }
+
+    /// Returns the document with some fields replaced; a null removes one. All others are kept.
+    pub fn edited(
+        &self,
+        catalog: &SchemaCatalog,
+        changes: &Map<String, Value>,
+    ) -> Result<Self, RecordError> {
+        let mut fields = self.fields.clone();
+        for (name, value) in changes {
+            if value.is_null() {
+                fields.remove(name);
+            } else {
+                fields.insert(name.clone(), value.clone());
+            }
+        }
+        Self::from_fields(catalog, self.key.kind, fields)
+    }
+
+    /// Returns the fields that its own schema version does not have, if this program knows it.
+    pub fn unknown_fields(&self, catalog: &SchemaCatalog) -> Vec<String> {
+        if self.version > catalog.newest(self.key.kind) {
+            return Vec::new();
+        }
+        let schema = catalog.schema(self.key.kind, self.version);
+        let mut unknown = unknown_fields(schema.fields, &self.fields, "");
+        unknown.retain(|name| name != SCHEMA_FIELD && name != WRITE_ID_FIELD);
+        unknown
+    }
+
+    /// Returns the stored form.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(&self.fields).expect(PLAIN_DATA)
+    }
+
+    /// Returns the form for operators who write TOML.
+    pub fn to_toml(&self) -> String {
+        let mut fields = self.fields.clone();
+        remove_nulls(&mut fields);
+        toml::to_string_pretty(&fields).expect("a map without nulls has a TOML form")
+    }
+}
+
+impl RecordBody {
+    /// Returns the name that the record states.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Customer(record) => &record.name,
+            Self::Class(record) => &record.name,
+            Self::Priority(record) => &record.name,
+            Self::Backend(record) => &record.name,
+            Self::Stop(record) => &record.name,
+        }
+    }
+}
+
+fn read_version(
+    catalog: &SchemaCatalog,
+    kind: RecordKind,
+    fields: &Map<String, Value>,
+) -> Result<u32, RecordError> {
+    let newest = catalog.newest(kind);
+    let wanted = format!("the version of the {kind} schema, such as {newest}");
+    let Some(value) = fields.get(SCHEMA_FIELD) else {
+        return Err(RecordError::field(SCHEMA_FIELD, "nothing", wanted));
+    };
+    let version = value.as_u64().and_then(|number| u32::try_from(number).ok());
+    match version {
+        Some(version) if version > 0 => Ok(version),
+        _ => Err(RecordError::field(SCHEMA_FIELD, shown(value), wanted)),
+    }
+}
+
+/// Removes what the document's version does not have, so that it cannot take effect by chance.
+fn drop_unknown(fields: &[FieldSchema], values: &mut Map<String, Value>) {
+    values.retain(|name, _| fields.iter().any(|field| field.name == name));
+}
+
+fn read_body(kind: RecordKind, fields: Value) -> Result<RecordBody, RecordError> {
+    Ok(match kind {
+        RecordKind::Customer => RecordBody::Customer(read_fields(fields)?),
+        RecordKind::Class => RecordBody::Class(read_fields(fields)?),
+        RecordKind::Priority => RecordBody::Priority(read_fields(fields)?),
+        RecordKind::Backend => RecordBody::Backend(read_fields(fields)?),
+        RecordKind::Stop => RecordBody::Stop(read_fields(fields)?),
+    })
+}
+
+fn read_fields<T: DeserializeOwned>(fields: Value) -> Result<T, RecordError> {
+    serde_json::from_value(fields).map_err(|error| {
+        RecordError::Fields(vec![FieldFault {
+            field: "record".to_owned(),
+            value: "not readable".to_owned(),
+            wanted: error.to_string(),
+        }])
+    })
+}
+
+fn parse_text(text: &[u8]) -> Result<Map<String, Value>, RecordError> {
+    let is_json = text.trim_ascii_start().first() == Some(&b'{');
+    if is_json {
+        return serde_json::from_slice(text).map_err(|error| RecordError::Syntax {
+            line: error.line(),
+            column: error.column(),
+            message: error.to_string(),
+        });
+    }
+    let text = std::str::from_utf8(text).map_err(|error| RecordError::Syntax {
+        line: 1,
+        column: error.valid_up_to() + 1,
+        message: "the text is not UTF-8".to_owned(),
+    })?;
+    toml::from_str(text).map_err(|error| {
+        let offset = error.span().map_or(0, |span| span.start);
+        let (line, column) = place(text, offset);
+        RecordError::Syntax {
+            line,
+            column,
+            message: error.message().to_owned(),
+        }
+    })
+}
+
+fn place(text: &str, offset: usize) -> (usize, usize) {
+    let before = &text[..text.floor_char_boundary(offset)];
+    let line = before.matches('\n').count() + 1;
+    let start = before.rfind('\n').map_or(0, |index| index + 1);
+    (line, before[start..].chars().count() + 1)
+}
+
+fn remove_nulls(fields: &mut Map<String, Value>) {
+    fields.retain(|_, value| !value.is_null());
+    for value in fields.values_mut() {
+        match value {
+            Value::Object(group) => remove_nulls(group),
+            Value::Array(list) => {
+                list.retain(|value| !value.is_null());
+                list.iter_mut()
+                    .filter_map(Value::as_object_mut)
+                    .for_each(remove_nulls);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/records/src/fields.rs
@@ -0,0 +1,153 @@
+//! Checks of a document's fields against its schema.
+
+use std::net::SocketAddr;
+
+use serde_json::{Map, Value};
+
+use crate::error::FieldFault;
+use crate::key::is_name;
+use crate::schema::{FieldForm, FieldNeed, FieldSchema};
+
+/// The most bytes of a value that an error shows.
+const SHOWN_BYTES: usize = 60;
+
+/// Adds a fault for each field that the schema does not allow.
+pub(crate) fn check_fields(
+    fields: &[FieldSchema],
+    values: &Map<String, Value>,
+    path: &str,
+    faults: &mut Vec<FieldFault>,
+) {
+    for field in fields {
+        let place = format!("{path}{}", field.name);
+        match values.get(field.name) {
+            None | Some(Value::Null) => {
+                if field.need == FieldNeed::Required {
+                    faults.push(missing(&place, field));
+                }
+            }
+            Some(value) => check_value(&field.form, value, &place, faults),
+        }
+    }
+}
+
+/// Fills in the defaults of fields that are not there.
+pub(crate) fn fill_defaults(fields: &[FieldSchema], values: &mut Map<String, Value>) {
+    for field in fields {
+        let is_missing = values.get(field.name).is_none_or(Value::is_null);
+        if is_missing {
+            if let FieldNeed::Default(text) = field.need {
+                let value = serde_json::from_str(text).expect("a default is valid JSON");
+                values.insert(field.name.to_owned(), value);
+            }
+            continue;
+        }
+        match (&field.form, values.get_mut(field.name)) {
+            (FieldForm::Group(inner), Some(Value::Object(group))) => fill_defaults(inner, group),
+            (FieldForm::GroupList(inner), Some(Value::Array(groups))) => {
+                let groups = groups.iter_mut().filter_map(Value::as_object_mut);
+                groups.for_each(|group| fill_defaults(inner, group));
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Returns the paths of the fields that the schema does not know.
+pub(crate) fn unknown_fields(
+    fields: &[FieldSchema],
+    values: &Map<String, Value>,
+    path: &str,
+) -> Vec<String> {
+    let mut unknown = Vec::new();
+    for (name, value) in values {
+        let place = format!("{path}{name}");
+        let Some(field) = fields.iter().find(|field| field.name == name) else {
+            unknown.push(place);
+            continue;
+        };
+        match (&field.form, value) {
+            (FieldForm::Group(inner), Value::Object(group)) => {
+                unknown.extend(unknown_fields(inner, group, &format!("{place}.")));
+            }
+            (FieldForm::GroupList(inner), Value::Array(groups)) => {
+                let groups = groups.iter().filter_map(Value::as_object);
+                for (index, group) in groups.enumerate() {
+                    unknown.extend(unknown_fields(inner, group, &format!("{place}[{index}].")));
+                }
+            }
+            _ => {}
+        }
+    }
+    unknown
+}
+
+fn missing(place: &str, field: &FieldSchema) -> FieldFault {
+    FieldFault {
+        field: place.to_owned(),
+        value: "nothing".to_owned(),
+        wanted: field.form.to_string(),
+    }
+}
+
+fn check_value(form: &FieldForm, value: &Value, place: &str, faults: &mut Vec<FieldFault>) {
+    match (form, value) {
+        (FieldForm::Group(inner), Value::Object(group)) => {
+            check_fields(inner, group, &format!("{place}."), faults);
+        }
+        (FieldForm::GroupList(inner), Value::Array(groups)) => {
+            for (index, group) in groups.iter().enumerate() {
+                let place = format!("{place}[{index}]");
+                check_value(&FieldForm::Group(inner), group, &place, faults);
+            }
+        }
+        _ if fits(form, value) => {}
+        _ => faults.push(FieldFault {
+            field: place.to_owned(),
+            value: shown(value),
+            wanted: form.to_string(),
+        }),
+    }
+}
+
+fn fits(form: &FieldForm, value: &Value) -> bool {
+    match form {
+        FieldForm::Text => value.as_str().is_some_and(|text| !text.is_empty()),
+        FieldForm::Name => value.as_str().is_some_and(is_name),
+        FieldForm::NameList => is_list(value, is_name),
+        FieldForm::HashList => is_list(value, is_hash),
+        FieldForm::Address => value
+            .as_str()
+            .is_some_and(|text| text.parse::<SocketAddr>().is_ok()),
+        FieldForm::Flag => value.is_boolean(),
+        FieldForm::Number { low, high, above } => value
+            .as_f64()
+            .is_some_and(|number| (number > *low || !above && number == *low) && number <= *high),
+        FieldForm::Whole { low, high } => value
+            .as_u64()
+            .is_some_and(|number| (*low..=*high).contains(&number)),
+        FieldForm::Choice(words) => value.as_str().is_some_and(|text| words.contains(&text)),
+        FieldForm::Group(_) | FieldForm::GroupList(_) => false,
+    }
+}
+
+fn is_list(value: &Value, fits: fn(&str) -> bool) -> bool {
+    let fits = |entry: &Value| entry.as_str().is_some_and(fits);
+    value.as_array().is_some_and(|list| list.iter().all(fits))
+}
+
+fn is_hash(text: &str) -> bool {
+    let is_digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    text.len() == 64 && text.bytes().all(is_digit)
+}
+
+/// Returns a value as an error shows it.
+pub(crate) fn shown(value: &Value) -> String {
+    let mut text = value.to_string();
+    if text.len() > SHOWN_BYTES {
+        let cut = text.floor_char_boundary(SHOWN_BYTES);
+        text.truncate(cut);
+        text.push_str("...");
+    }
+    text
+}
--- /dev/null
+++ b/crates/records/src/key_index.rs
@@ -0,0 +1,108 @@
+//! Finding the customer of an API key.
+//!
+//! Only hashes of keys are stored. The index finds candidates by the first bytes of the hash of
+//! the key that was shown, and the rest is compared in constant time. What an attacker could
+//! learn from the time of the first step is a part of the hash of a text that they chose, which
+//! tells nothing about the keys.
+
+use std::collections::BTreeMap;
+
+use oleander_base::prelude::*;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::data::{CustomerRecord, RecordSet};
+
+/// The length of a hash in bytes.
+const HASH_BYTES: usize = 32;
+
+type KeyHash = [u8; HASH_BYTES];
+
+/// Customers by the first bytes of their keys' hashes.
+///
+/// It follows from the customers, so two sets with the same customers are equal whether or not
+/// they have an index.
+#[derive(Debug, Clone, Default)]
+pub struct KeyIndex {
+    entries: Option<FastMap<u64, Vec<(KeyHash, CustomerId)>>>,
+}
+
+impl PartialEq for KeyIndex {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+impl KeyIndex {
+    /// Builds the index of some customers.
+    pub fn build(customers: &BTreeMap<CustomerId, CustomerRecord>) -> Self {
+        let mut entries: FastMap<u64, Vec<_>> = FastMap::default();
+        for (id, hash) in hashes(customers) {
+            entries
+                .entry(first_bytes(&hash))
+                .or_default()
+                .push((hash, id));
+        }
+        Self {
+            entries: Some(entries),
+        }
+    }
+}
+
+impl RecordSet {
+    /// Returns the customer that an API key belongs to.
+    pub fn customer_by_key(&self, key: &str) -> Option<CustomerId> {
+        let shown: KeyHash = Sha256::digest(key.as_bytes()).into();
+        match &self.key_index.entries {
+            Some(entries) => {
+                let candidates = entries.get(&first_bytes(&shown))?;
+                find(candidates.iter().copied(), &shown)
+            }
+            None => find(hashes(&self.customers).map(|(id, hash)| (hash, id)), &shown),
+        }
+    }
+}
+
+/// Returns the hash of an API key as records hold it.
+pub fn hash_key(key: &str) -> String {
+    let hash: KeyHash = Sha256::digest(key.as_bytes()).into();
+    hash.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Looks at every candidate, so that the time does not depend on which one fits.
+fn find(
+    candidates: impl Iterator<Item = (KeyHash, CustomerId)>,
+    shown: &KeyHash,
+) -> Option<CustomerId> {
+    let mut found = None;
+    for (hash, id) in candidates {
+        if bool::from(hash.ct_eq(shown)) {
+            found = Some(id);
+        }
+    }
+    found
+}
+
+fn hashes(
+    customers: &BTreeMap<CustomerId, CustomerRecord>,
+) -> impl Iterator<Item = (CustomerId, KeyHash)> {
+    customers.iter().flat_map(|(id, customer)| {
+        let hashes = customer.key_hashes.iter();
+        hashes.filter_map(|text| Some((*id, parse_hash(text)?)))
+    })
+}
+
+fn parse_hash(text: &str) -> Option<KeyHash> {
+    if text.len() != 2 * HASH_BYTES || !text.is_ascii() {
+        return None;
+    }
+    let mut hash = [0; HASH_BYTES];
+    for (index, byte) in hash.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(hash)
+}
+
+fn first_bytes(hash: &KeyHash) -> u64 {
+    u64::from_le_bytes(hash[..8].try_into().expect("a hash has 32 bytes"))
+}
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -1,8 +1,36 @@
 //! Operators' records: customers, request classes, priorities, backend servers, planned stops.
+//!
+//! A record is a small document with a schema version. [`parse_document`] reads one, [`check`]
+//! compares a change with the records in force, and [`RecordBoard`] keeps what is in force at
+//! one process, in the order of the store's revisions, and gives it to the rest of the system as
+//! a [`RecordSet`]. Nothing here does I/O; crates/platform reads and writes the store
+//! (docs/RECORDS.md).
 
+mod board;
+mod board_dump;
+mod check;
 mod data;
+mod digest;
+mod document;
+mod error;
+mod fields;
+mod key;
+mod key_index;
+mod reader_role;
+mod schema;
+mod schema_table;
+mod set_builder;
 
+pub use board::{Applied, RecordBoard, RecordDelivery, RecordFault};
+pub use check::{MINIMUM_SHARE_SUM, RecordChange, check};
 pub use data::{
     BackendKind, BackendRecord, ClassRecord, CustomerRecord, PriorityRecord, RecordSet,
     ServiceRoute, StopRecord, StopTarget, WantedState,
 };
+pub use digest::{DeltaEntry, DigestOrder, GoodEntry, MergeOutcome, RecordDelta, RecordDigest};
+pub use document::{DOCUMENT_LIMIT, RecordBody, RecordDocument, parse_document, parse_with};
+pub use error::{CheckError, FieldFault, RecordError};
+pub use key::{NAME_LIMIT, ParseKeyError, RECORD_PREFIX, RecordKey, RecordKind, is_name};
+pub use key_index::{KeyIndex, hash_key};
+pub use reader_role::{READER_COUNT, ReaderLimits, ReaderRole};
+pub use schema::{FieldForm, FieldNeed, FieldSchema, RecordSchema, SchemaCatalog, schemas};
--- /dev/null
+++ b/crates/records/tests/readers.rs
@@ -0,0 +1,73 @@
+//! Who reads the store for a data centre.
+
+use std::net::SocketAddr;
+
+use oleander_base::prelude::*;
+use oleander_records::{ReaderLimits, ReaderRole};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn instances(count: u16) -> Vec<InstanceId> {
+    let instance = |port| InstanceId {
+        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        incarnation: u64::from(port) * 7,
+    };
+    (1..=count).map(instance).collect()
+}
+
+fn seeded() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(seeded())]
+
+    #[test]
+    fn two_read_and_a_loss_moves_only_its_own_role(count in 3..20_u16, lost in 0..20_usize) {
+        let live = instances(count);
+        let centre = CentreId::from_name("c");
+        let role = ReaderRole::choose(centre, &live);
+        let mut reversed = live.clone();
+        reversed.reverse();
+        prop_assert_eq!(&ReaderRole::choose(centre, &reversed), &role);
+        prop_assert_eq!(role.readers().len(), 2);
+        let lost = live[lost % live.len()];
+        let left: Vec<_> = live.iter().copied().filter(|other| *other != lost).collect();
+        let after = ReaderRole::choose(centre, &left);
+        let kept = role.readers().iter().filter(|reader| **reader != lost);
+        for reader in kept {
+            prop_assert!(after.readers().contains(reader));
+        }
+    }
+
+    #[test]
+    fn a_silence_brings_one_substitute_at_a_time_until_all_had_a_turn(count in 3..20_u16) {
+        let live = instances(count);
+        let role = ReaderRole::choose(CentreId::from_name("c"), &live);
+        let limits = ReaderLimits::default();
+        let readers_after = |silence: Span| {
+            let reads = |instance: &&InstanceId| role.is_reader(instance, silence, &limits);
+            live.iter().filter(reads).copied().collect::<Vec<_>>()
+        };
+        prop_assert_eq!(readers_after(Span::ZERO).len(), 2);
+        let mut seen = FastSet::default();
+        for turn in 0..u64::from(count) {
+            let silence = limits.silence + Span(limits.turn.0 * turn);
+            let readers = readers_after(silence);
+            prop_assert_eq!(readers.len(), 3);
+            seen.extend(readers);
+        }
+        prop_assert_eq!(seen.len(), live.len());
+    }
+}
+
+#[test]
+fn an_instance_that_the_list_lacks_reads_for_itself() {
+    let live = instances(3);
+    let role = ReaderRole::choose(CentreId::from_name("c"), &live[..2]);
+    assert!(role.is_reader(&live[2], Span::ZERO, &ReaderLimits::default()));
+}
