Record reader and writer, lease holder

Cause: an accepted change must reach every entry VM through two readers a data centre, a lost answer must neither double nor hide a write, and a holder that was paused must know it before it acts. The writer settles an unknown outcome by its mark, by the same write again (both expect one revision) or by the history. The reader resumes its watch where the board is informed and lists only when it lost its place. The lease counts from before its call was sent, on the clock that runs on through a suspension; its fencing number is the revision of the write of its key, since leases granted in one order can be used in another.

--- /dev/null
+++ b/crates/platform/src/lease_holder.rs
@@ -0,0 +1,322 @@
+//! Taking and keeping a lease that one process at a time holds.
+//!
+//! The holder is whoever wrote the lease's key, which the service deletes with the lease. The
+//! fencing number is the revision of that write, so every holder's number is above those of all
+//! holders before it, in whatever order their leases were granted. A candidate that finds the key
+//! looks again after a while; it writes only when the key is absent.
+//!
+//! No call is repeated blindly: a write whose outcome is unknown is settled by reading the key
+//! and comparing the random mark in its value.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use log::info;
+use oleander_base::prelude::*;
+use parking_lot::Mutex;
+use rand::Rng;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::boot_clock::boot_time;
+use crate::lease_state::HeldLease;
+use crate::store::{Expected, KeyValueStore, LeaseId, StoreError};
+
+/// How long a holder that was told to let go waits for the service, beyond which the lease lapses.
+const RELEASE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Which lease to take, and for how long.
+#[derive(Debug, Clone)]
+pub struct LeaseSettings {
+    /// The key that the holder writes.
+    pub key: String,
+    /// Who the holder is, for operators who read the key.
+    pub holder: String,
+    /// How long the lease lasts without renewal.
+    pub time_to_live: Duration,
+    /// The clock; [`boot_time`] but in tests.
+    pub clock: fn() -> MonoTime,
+}
+
+impl LeaseSettings {
+    /// Returns the usual settings for a key.
+    pub fn new(key: impl Into<String>, holder: impl Into<String>) -> Self {
+        Self {
+            key: key.into(),
+            holder: holder.into(),
+            time_to_live: Duration::from_secs(6),
+            clock: boot_time,
+        }
+    }
+}
+
+/// How often a lease was taken, lost and refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LeaseCounters {
+    /// Times that the lease was taken.
+    pub taken: u64,
+    /// Times that it ended without being given back.
+    pub lost: u64,
+    /// Calls that failed.
+    pub failed: u64,
+}
+
+#[derive(Debug)]
+struct HolderShared {
+    settings: LeaseSettings,
+    held: Mutex<Option<HeldLease>>,
+    counters: Mutex<LeaseCounters>,
+}
+
+/// What the holder's task is to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HolderWish {
+    /// Take the lease when it is free, and keep it.
+    Hold,
+    /// Give it back, and take none.
+    Rest,
+    /// Give it back, and end.
+    End,
+}
+
+/// A handle on the task that takes and keeps a lease.
+#[derive(Debug)]
+pub struct LeaseHolder {
+    shared: Arc<HolderShared>,
+    wish: watch::Sender<HolderWish>,
+    task: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl LeaseHolder {
+    /// Starts the task on the present runtime; it rests until it is a candidate.
+    pub fn spawn(store: Arc<dyn KeyValueStore>, settings: LeaseSettings) -> Self {
+        let shared = Arc::new(HolderShared {
+            settings,
+            held: Mutex::new(None),
+            counters: Mutex::new(LeaseCounters::default()),
+        });
+        let (wish, wishes) = watch::channel(HolderWish::Rest);
+        let task = HolderTask {
+            store,
+            shared: Arc::clone(&shared),
+            wishes,
+        };
+        let task = tokio::spawn(task.run());
+        Self {
+            shared,
+            wish,
+            task: Mutex::new(Some(task)),
+        }
+    }
+
+    /// Sets whether this process is to hold the lease if it can.
+    pub fn set_candidate(&self, is_candidate: bool) {
+        let wish = if is_candidate {
+            HolderWish::Hold
+        } else {
+            HolderWish::Rest
+        };
+        self.wish.send_if_modified(|current| {
+            let is_new = *current != wish && *current != HolderWish::End;
+            if is_new {
+                *current = wish;
+            }
+            is_new
+        });
+    }
+
+    /// Returns the fencing number if the lease is held at this moment.
+    ///
+    /// Ask right before each use; the answer is worth nothing later.
+    pub fn fencing(&self) -> Option<Revision> {
+        let now = (self.shared.settings.clock)();
+        let held = (*self.shared.held.lock())?;
+        held.is_held(now).then_some(held.fencing)
+    }
+
+    /// Returns whether the lease is held at `now`, on the settings' clock.
+    pub fn is_held(&self, now: MonoTime) -> bool {
+        self.shared
+            .held
+            .lock()
+            .is_some_and(|held| held.is_held(now))
+    }
+
+    /// Returns how often the lease was taken and lost.
+    pub fn counters(&self) -> LeaseCounters {
+        *self.shared.counters.lock()
+    }
+
+    /// Gives the lease back and ends the task.
+    pub async fn stop(&self) {
+        self.wish.send_replace(HolderWish::End);
+        let task = self.task.lock().take();
+        if let Some(task) = task {
+            // The task neither panics nor is cancelled, and its end is all that matters.
+            let _ = task.await;
+        }
+    }
+
+    /// Returns the state as readable text.
+    pub fn dump(&self) -> String {
+        let key = &self.shared.settings.key;
+        match *self.shared.held.lock() {
+            Some(held) => format!("{key}: {held}\n"),
+            None => format!("{key}: not held\n"),
+        }
+    }
+}
+
+struct HolderTask {
+    store: Arc<dyn KeyValueStore>,
+    shared: Arc<HolderShared>,
+    wishes: watch::Receiver<HolderWish>,
+}
+
+impl HolderTask {
+    async fn run(mut self) {
+        loop {
+            let wish = *self.wishes.borrow_and_update();
+            let pause = match wish {
+                HolderWish::Hold => self.step().await,
+                HolderWish::Rest => {
+                    self.release().await;
+                    Duration::MAX
+                }
+                HolderWish::End => {
+                    self.release().await;
+                    return;
+                }
+            };
+            tokio::select! {
+                changed = self.wishes.changed() => {
+                    if changed.is_err() {
+                        self.release().await;
+                        return;
+                    }
+                }
+                () = tokio::time::sleep(pause) => {}
+            }
+        }
+    }
+
+    /// Takes or renews the lease once, and returns when to come back.
+    async fn step(&self) -> Duration {
+        let held = *self.shared.held.lock();
+        let result = match held {
+            Some(held) if held.is_held(self.now()) => self.renew(held).await,
+            Some(_) => {
+                self.lose("it was not renewed in time");
+                self.take().await
+            }
+            None => self.take().await,
+        };
+        if let Err(error) = result {
+            self.shared.counters.lock().failed += 1;
+            return self.pause_after(&error);
+        }
+        let held = *self.shared.held.lock();
+        match held {
+            Some(held) => held.renews().since(self.now()).into(),
+            None => jittered(self.shared.settings.time_to_live / 6),
+        }
+    }
+
+    async fn renew(&self, mut held: HeldLease) -> Result<(), StoreError> {
+        let sent = self.now();
+        match self.store.renew_lease(held.lease).await {
+            Ok(()) => {
+                held.renew(sent);
+                *self.shared.held.lock() = Some(held);
+                Ok(())
+            }
+            Err(StoreError::LeaseLapsed) => {
+                self.lose("it has lapsed at the service");
+                Ok(())
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Takes the lease if its key is absent.
+    async fn take(&self) -> Result<(), StoreError> {
+        let settings = &self.shared.settings;
+        if self.store.get(&settings.key).await?.is_some() {
+            return Ok(());
+        }
+        let sent = self.now();
+        let grant = self.store.grant_lease(settings.time_to_live).await?;
+        let mark = rand::rng().random::<u128>();
+        let value = Bytes::from(format!("{} {mark:032x}", settings.holder));
+        let put = self.store.put(
+            &settings.key,
+            Expected::Absent,
+            value.clone(),
+            Some(grant.lease),
+        );
+        let fencing = match put.await {
+            Ok(revision) => Some(revision),
+            Err(StoreError::Unknown { .. }) => self.settle(&value).await?,
+            Err(_) => None,
+        };
+        let Some(fencing) = fencing else {
+            return self.store.revoke_lease(grant.lease).await;
+        };
+        let held = HeldLease {
+            lease: grant.lease,
+            fencing,
+            time_to_live: grant.time_to_live.into(),
+            sent,
+        };
+        info!("{}: took {held}", settings.key);
+        *self.shared.held.lock() = Some(held);
+        self.shared.counters.lock().taken += 1;
+        Ok(())
+    }
+
+    /// Reads whose value the key has, after a write whose outcome is unknown.
+    async fn settle(&self, value: &Bytes) -> Result<Option<Revision>, StoreError> {
+        let entry = self.store.get(&self.shared.settings.key).await?;
+        let own = entry.filter(|entry| entry.value == *value);
+        Ok(own.map(|entry| entry.revision))
+    }
+
+    async fn release(&self) {
+        let held = self.shared.held.lock().take();
+        let Some(held) = held else { return };
+        info!("{}: giving back {held}", self.shared.settings.key);
+        let revoke = self.revoke(held.lease);
+        // Without an answer in time the lease lapses by itself.
+        let _ = tokio::time::timeout(RELEASE_LIMIT, revoke).await;
+    }
+
+    async fn revoke(&self, lease: LeaseId) {
+        if self.store.revoke_lease(lease).await.is_err() {
+            self.shared.counters.lock().failed += 1;
+        }
+    }
+
+    fn lose(&self, why: &str) {
+        *self.shared.held.lock() = None;
+        self.shared.counters.lock().lost += 1;
+        info!("{}: lost the lease: {why}", self.shared.settings.key);
+    }
+
+    fn pause_after(&self, error: &StoreError) -> Duration {
+        let usual = self.shared.settings.time_to_live / 12;
+        match error {
+            StoreError::OverBudget { retry_after } => jittered(usual.max(*retry_after)),
+            _ => jittered(usual),
+        }
+    }
+
+    fn now(&self) -> MonoTime {
+        (self.shared.settings.clock)()
+    }
+}
+
+/// Returns a random time around `usual`, so that candidates don't come at once.
+fn jittered(usual: Duration) -> Duration {
+    usual.mul_f64(rand::rng().random_range(0.5..1.5))
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,15 +3,28 @@
 //! [`KeyValueStore`] and [`VmList`] are the border; [`PlatformClient`] implements them over HTTP
 //! (docs/PLATFORM-INTERFACE.md). Nothing in this package repeats a call by itself, and every
 //! error says whether the call may have taken effect.
+//!
+//! On top of the border stand [`RecordReader`] and [`RecordWriter`], which bring the operators'
+//! records in and out (docs/RECORDS.md), and [`LeaseHolder`], which keeps a lease.
 
+mod boot_clock;
 mod budget;
 mod client;
 mod client_thread;
+mod lease_holder;
+mod lease_state;
+mod record_reader;
+mod record_writer;
 mod store;
 pub mod wire;
 
+pub use boot_clock::boot_time;
 pub use budget::{BudgetLimits, CallBudget, CallClass, CallKind};
 pub use client::{ClientCounters, ClientSettings, PlatformClient, VALUE_LIMIT};
+pub use lease_holder::{LeaseCounters, LeaseHolder, LeaseSettings};
+pub use lease_state::HeldLease;
+pub use record_reader::{ReaderCounters, ReaderEvent, ReaderSettings, ReaderSink, RecordReader};
+pub use record_writer::{RecordWriter, WriteDone, WriteError};
 pub use store::{
     BoxFuture, Expected, KeyValueStore, LeaseGrant, LeaseId, ListPage, StoreEntry, StoreError,
     VmEntry, VmList, VmState, WatchBatch, WatchEvent,
--- /dev/null
+++ b/crates/platform/src/record_writer.rs
@@ -0,0 +1,317 @@
+//! Writing records by compare-and-swap.
+//!
+//! A write carries a random mark in its document. If its outcome is unknown, the key is read
+//! again: the mark tells whether the write took effect. If the key is as it was, the same write
+//! is sent again, which is safe: both copies expect the same revision, so at most one of them
+//! can take effect. If the key has moved on, the history of changes tells whether our write was
+//! among them. Whoever loses a race gets a conflict with the newer revision and its document.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use oleander_base::prelude::*;
+use oleander_records::{
+    CheckError, FieldFault, RecordChange, RecordDocument, RecordError, RecordKey, RecordSet,
+    SchemaCatalog, check, parse_with,
+};
+use rand::Rng;
+use serde_json::{Map, Value};
+use thiserror::Error;
+
+use crate::store::{Expected, KeyValueStore, StoreEntry, StoreError};
+
+/// How often an unknown outcome is looked into before the writer gives up.
+const SETTLE_LIMIT: usize = 5;
+/// How long to wait before the first further look; it doubles each time.
+const SETTLE_PAUSE: Duration = Duration::from_millis(200);
+
+/// A write that took effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WriteDone {
+    /// The revision of the write.
+    pub revision: Revision,
+    /// Whether the outcome was unknown at first.
+    pub was_unknown: bool,
+}
+
+/// Why a write did not take effect, or is not known to have done so.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum WriteError {
+    /// The change does not fit the records in force; nothing was written.
+    #[error("{}", join(.0))]
+    Refused(Vec<CheckError>),
+    /// The document that an edit would change, or would make, is not readable.
+    #[error("{0}")]
+    Document(#[from] RecordError),
+    /// There is no record to edit or delete.
+    #[error("{0} is not there")]
+    Missing(RecordKey),
+    /// Another write came first; nothing was written.
+    #[error("conflict: {}", describe(.current.as_ref()))]
+    Conflict {
+        /// The record as it is now, or none if it was deleted.
+        current: Option<StoreEntry>,
+    },
+    /// The write did not take effect.
+    #[error("{0}")]
+    Store(StoreError),
+    /// The write may have taken effect, and could not be settled.
+    #[error("the outcome is unknown and could not be settled: {reason}")]
+    Unsettled {
+        /// What was seen last.
+        reason: String,
+    },
+}
+
+impl WriteError {
+    /// Returns whether the write may have taken effect.
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            Self::Unsettled { .. } => Verdict::MayHaveRun,
+            _ => Verdict::NotRun,
+        }
+    }
+}
+
+/// Writes records to the store.
+#[derive(Clone)]
+pub struct RecordWriter {
+    store: Arc<dyn KeyValueStore>,
+    catalog: SchemaCatalog,
+}
+
+impl std::fmt::Debug for RecordWriter {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("RecordWriter").finish_non_exhaustive()
+    }
+}
+
+/// One write as it is sent, perhaps more than once.
+struct WritePlan {
+    key: String,
+    expected: Expected,
+    /// The new value with its mark, or none for a deletion.
+    value: Option<Bytes>,
+    /// A revision before the write, from which the history is read.
+    before: Revision,
+}
+
+impl RecordWriter {
+    /// Returns a writer that knows these schemas.
+    pub fn new(store: Arc<dyn KeyValueStore>, catalog: SchemaCatalog) -> Self {
+        Self { store, catalog }
+    }
+
+    /// Writes a document, if it fits the records in force and the record is as expected.
+    pub async fn put(
+        &self,
+        set: &RecordSet,
+        document: RecordDocument,
+        expected: Expected,
+    ) -> Result<WriteDone, WriteError> {
+        self.put_over(set, document, expected, &[]).await
+    }
+
+    /// Deletes a record, if nothing in force needs it and it is as expected.
+    pub async fn delete(
+        &self,
+        set: &RecordSet,
+        key: &RecordKey,
+        expected: Revision,
+    ) -> Result<WriteDone, WriteError> {
+        check(set, &RecordChange::Delete(key.clone())).map_err(WriteError::Refused)?;
+        let plan = WritePlan {
+            key: key.to_string(),
+            expected: Expected::At(expected),
+            value: None,
+            before: expected,
+        };
+        self.write(plan).await
+    }
+
+    /// Replaces some fields of a record as it is in the store now; a null removes one.
+    pub async fn edit(
+        &self,
+        set: &RecordSet,
+        key: &RecordKey,
+        changes: &Map<String, Value>,
+    ) -> Result<WriteDone, WriteError> {
+        let entry = self.store.get(&key.to_string()).await;
+        let entry = entry.map_err(WriteError::Store)?;
+        let Some(entry) = entry else {
+            return Err(WriteError::Missing(key.clone()));
+        };
+        let current = parse_with(&self.catalog, key.kind, &entry.value)?;
+        let edited = current.edited(&self.catalog, changes)?;
+        let kept = current.unknown_fields(&self.catalog);
+        let expected = Expected::At(entry.revision);
+        self.put_over(set, edited, expected, &kept).await
+    }
+
+    async fn put_over(
+        &self,
+        set: &RecordSet,
+        document: RecordDocument,
+        expected: Expected,
+        kept: &[String],
+    ) -> Result<WriteDone, WriteError> {
+        self.check_unknown(&document, kept)?;
+        let change = RecordChange::Put(Box::new(document.clone()));
+        check(set, &change).map_err(WriteError::Refused)?;
+        let mark = format!("{:032x}", rand::rng().random::<u128>());
+        let plan = WritePlan {
+            key: document.key.to_string(),
+            expected,
+            value: Some(document.with_write_id(&mark).to_json().into()),
+            before: match expected {
+                Expected::At(revision) => revision,
+                Expected::Absent => set.revision,
+            },
+        };
+        self.write(plan).await
+    }
+
+    /// Refuses fields that the document's own version lacks, unless they were there before.
+    fn check_unknown(&self, document: &RecordDocument, kept: &[String]) -> Result<(), WriteError> {
+        let unknown = document.unknown_fields(&self.catalog);
+        let added = unknown.into_iter().filter(|field| !kept.contains(field));
+        let errors: Vec<_> = added
+            .map(|field| CheckError {
+                key: document.key.clone(),
+                fault: FieldFault {
+                    wanted: format!(
+                        "a field of {} schema {}",
+                        document.key.kind, document.version
+                    ),
+                    value: "an unknown field".to_owned(),
+                    field,
+                },
+            })
+            .collect();
+        if errors.is_empty() {
+            return Ok(());
+        }
+        Err(WriteError::Refused(errors))
+    }
+
+    async fn write(&self, plan: WritePlan) -> Result<WriteDone, WriteError> {
+        match self.send(&plan).await {
+            Ok(revision) => Ok(WriteDone {
+                revision,
+                was_unknown: false,
+            }),
+            Err(StoreError::Conflict { .. }) => Err(self.conflict(&plan).await),
+            Err(StoreError::Unknown { reason }) => self.settle(&plan, reason).await,
+            Err(error) => Err(WriteError::Store(error)),
+        }
+    }
+
+    async fn send(&self, plan: &WritePlan) -> Result<Revision, StoreError> {
+        match &plan.value {
+            Some(value) => {
+                let put = self
+                    .store
+                    .put(&plan.key, plan.expected, value.clone(), None);
+                put.await
+            }
+            None => self.store.delete(&plan.key, plan.expected).await,
+        }
+    }
+
+    async fn conflict(&self, plan: &WritePlan) -> WriteError {
+        match self.store.get(&plan.key).await {
+            Ok(current) => WriteError::Conflict { current },
+            Err(error) => WriteError::Store(error),
+        }
+    }
+
+    /// Finds out what became of a write whose outcome is unknown.
+    async fn settle(&self, plan: &WritePlan, reason: String) -> Result<WriteDone, WriteError> {
+        let mut reason = reason;
+        let mut pause = SETTLE_PAUSE;
+        for _ in 0..SETTLE_LIMIT {
+            tokio::time::sleep(pause).await;
+            pause *= 2;
+            match self.look(plan).await {
+                Ok(Some(settled)) => return settled,
+                Ok(None) => reason = "the write was sent again".to_owned(),
+                Err(error) => reason = error.to_string(),
+            }
+        }
+        Err(WriteError::Unsettled { reason })
+    }
+
+    /// Reads the key once; returns none if the outcome is still unknown.
+    async fn look(
+        &self,
+        plan: &WritePlan,
+    ) -> Result<Option<Result<WriteDone, WriteError>>, StoreError> {
+        let current = self.store.get(&plan.key).await?;
+        let is_own = current
+            .as_ref()
+            .is_some_and(|entry| Some(&entry.value) == plan.value.as_ref());
+        if let Some(entry) = current.as_ref().filter(|_| is_own) {
+            return Ok(Some(Ok(settled(entry.revision))));
+        }
+        if plan.expected == expectation(current.as_ref()) {
+            return match self.send(plan).await {
+                Ok(revision) => Ok(Some(Ok(settled(revision)))),
+                // The first copy came through after all, or another write did.
+                Err(StoreError::Conflict { .. }) => Ok(None),
+                Err(error) => Err(error),
+            };
+        }
+        self.look_back(plan, current).await.map(Some)
+    }
+
+    /// Searches the history for our write, now that the key has moved on.
+    async fn look_back(
+        &self,
+        plan: &WritePlan,
+        current: Option<StoreEntry>,
+    ) -> Result<Result<WriteDone, WriteError>, StoreError> {
+        let history = self.store.watch(&plan.key, plan.before, Duration::ZERO);
+        let events = match history.await {
+            Ok(batch) => batch.events,
+            Err(StoreError::Compacted { .. }) => {
+                let reason = "another write came after, and the history is gone".to_owned();
+                return Ok(Err(WriteError::Unsettled { reason }));
+            }
+            Err(error) => return Err(error),
+        };
+        let mut events = events.into_iter().filter(|event| event.key == plan.key);
+        // Only the first change after the expected revision can be a deletion that expected it.
+        let own = match &plan.value {
+            Some(_) => events.find(|event| event.value == plan.value),
+            None => events.next().filter(|event| event.value.is_none()),
+        };
+        Ok(match own {
+            Some(event) => Ok(settled(event.revision)),
+            None => Err(WriteError::Conflict { current }),
+        })
+    }
+}
+
+fn settled(revision: Revision) -> WriteDone {
+    WriteDone {
+        revision,
+        was_unknown: true,
+    }
+}
+
+fn expectation(current: Option<&StoreEntry>) -> Expected {
+    current.map_or(Expected::Absent, |entry| Expected::At(entry.revision))
+}
+
+fn join(errors: &[CheckError]) -> String {
+    let lines: Vec<_> = errors.iter().map(CheckError::to_string).collect();
+    lines.join("; ")
+}
+
+fn describe(current: Option<&StoreEntry>) -> String {
+    match current {
+        Some(entry) => format!("the record is now at revision {}", entry.revision),
+        None => "the record is not there now".to_owned(),
+    }
+}
