--- /dev/null
+++ b/crates/base/src/clock.rs
@@ -0,0 +1,17 @@
+//! The one clock of a process.
+
+use std::sync::LazyLock;
+use std::time::Instant;
+
+use crate::time::MonoTime;
+
+static PROCESS_START: LazyLock<Instant> = LazyLock::new(Instant::now);
+
+/// Reads the monotonic clock; drivers call this and pass the result to decision code.
+///
+/// The clock goes on while the process is stopped by a signal, so a paused process that goes on
+/// sees the gap.
+pub fn monotonic_now() -> MonoTime {
+    let start = *PROCESS_START;
+    MonoTime(u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX))
+}
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 //! dispatch, and no behaviour beyond what keeps these types consistent. Every other package
 //! depends on it and it depends on none of them. docs/DESIGN.md tells how the packages fit.
 
+mod clock;
 mod dispatch;
 mod entity;
 mod hash;
@@ -15,6 +16,7 @@
 
 pub mod prelude;
 
+pub use clock::monotonic_now;
 pub use dispatch::{
     EndKind, GrantNotice, PrefixHash, ReleaseNotice, ShedNotice, ShedReason, Ticket,
 };
--- /dev/null
+++ b/crates/caller/src/completion.rs
@@ -0,0 +1,155 @@
+//! Calls for a completion, and the list of models.
+//!
+//! A body is read once, for the few fields that routing needs; the engine gets the bytes that the
+//! caller sent. Fields that are not named here pass through untouched.
+
+use std::hash::Hasher;
+
+use oleander_base::PrefixHash;
+use oleander_base::prelude::*;
+use rustc_hash::FxHasher;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use crate::error::{CallerError, ErrorCode};
+
+/// Bytes of prompt text that count as one token where no tokenizer is at hand.
+const BYTES_PER_TOKEN: usize = 4;
+/// Bytes of the prompt's first part that prefix affinity looks at.
+const PREFIX_BYTES: usize = 1_024;
+/// The largest answer of a call that states no limit, in tokens.
+const DEFAULT_ANSWER_LIMIT: u32 = 4_096;
+/// The largest answer limit that a call may state, in tokens.
+const ANSWER_LIMIT_MAX: u32 = 1_000_000;
+
+/// Which of the two completion interfaces was called.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CompletionKind {
+    /// `/v1/chat/completions`
+    Chat,
+    /// `/v1/completions`
+    Text,
+}
+
+impl CompletionKind {
+    /// Returns the path, which is the same at the engine.
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::Chat => "/v1/chat/completions",
+            Self::Text => "/v1/completions",
+        }
+    }
+}
+
+/// What routing needs to know of a call for a completion.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CompletionCall {
+    /// Which interface was called.
+    pub kind: CompletionKind,
+    /// The model's public name.
+    pub model: String,
+    /// Whether the answer is to be streamed.
+    pub stream: bool,
+    /// The largest answer, in tokens.
+    pub answer_limit: u32,
+    /// The estimated size of the prompt, in tokens.
+    pub prompt_tokens: u32,
+    /// The hash of the prompt's first part.
+    pub prefix: PrefixHash,
+    /// The adapter, if the model name has the form `MODEL:ADAPTER`.
+    pub adapter: Option<AdapterId>,
+}
+
+#[derive(Deserialize)]
+struct CompletionBody<'a> {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(alias = "max_completion_tokens")]
+    max_tokens: Option<u32>,
+    #[serde(borrow)]
+    messages: Option<&'a RawValue>,
+    #[serde(borrow)]
+    prompt: Option<&'a RawValue>,
+}
+
+impl CompletionCall {
+    /// Reads a body.
+    pub fn parse(kind: CompletionKind, body: &[u8]) -> Result<Self, CallerError> {
+        let parsed: CompletionBody<'_> = serde_json::from_slice(body)
+            .map_err(|error| bad(format!("the body is not a valid call: {error}")))?;
+        let prompt = match kind {
+            CompletionKind::Chat => parsed
+                .messages
+                .ok_or_else(|| bad("`messages` is missing"))?,
+            CompletionKind::Text => parsed.prompt.ok_or_else(|| bad("`prompt` is missing"))?,
+        };
+        let answer_limit = parsed.max_tokens.unwrap_or(DEFAULT_ANSWER_LIMIT);
+        if answer_limit == 0 || answer_limit > ANSWER_LIMIT_MAX {
+            return Err(bad(format!("`max_tokens` must be 1 to {ANSWER_LIMIT_MAX}")));
+        }
+        let (model, adapter) = split_model(&parsed.model)?;
+        Ok(Self {
+            kind,
+            model,
+            stream: parsed.stream,
+            answer_limit,
+            prompt_tokens: (prompt.get().len() / BYTES_PER_TOKEN) as u32,
+            prefix: prefix_hash(prompt.get()),
+            adapter,
+        })
+    }
+}
+
+fn split_model(name: &str) -> Result<(String, Option<AdapterId>), CallerError> {
+    if name.is_empty() {
+        return Err(bad("`model` is empty"));
+    }
+    match name.split_once(':') {
+        Some((model, adapter)) => Ok((model.to_owned(), Some(AdapterId::from_name(adapter)))),
+        None => Ok((name.to_owned(), None)),
+    }
+}
+
+fn prefix_hash(prompt: &str) -> PrefixHash {
+    let first = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
+    let mut hasher = FxHasher::default();
+    hasher.write(first);
+    PrefixHash(hasher.finish())
+}
+
+fn bad(message: impl Into<String>) -> CallerError {
+    CallerError::not_run(ErrorCode::BadRequest, message)
+}
+
+/// The answer of `/v1/models`.
+#[derive(Debug, Serialize)]
+pub struct ModelList<'a> {
+    object: &'static str,
+    data: Vec<ModelItem<'a>>,
+}
+
+#[derive(Debug, Serialize)]
+struct ModelItem<'a> {
+    id: &'a str,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+impl<'a> ModelList<'a> {
+    /// Makes the list from model names.
+    pub fn new(names: impl IntoIterator<Item = &'a str>) -> Self {
+        let data = names
+            .into_iter()
+            .map(|id| ModelItem {
+                id,
+                object: "model",
+                owned_by: "oleanderplank",
+            })
+            .collect();
+        Self {
+            object: "list",
+            data,
+        }
+    }
+}
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder page; the module docs arrive with the code.
+//! The border towards callers: what they send, and how they are answered.
+//!
+//! The package reads the usual HTTP interface of language-model services into typed calls and
+//! turns refusals into JSON errors that carry a [`Verdict`](oleander_base::Verdict). It opens no
+//! socket; the entry VM's program mounts it. docs/INTERFACES.md lists paths, headers and errors.
+
+mod completion;
+mod credential;
+mod error;
+mod header;
+
+pub use completion::{CompletionCall, CompletionKind, ModelList};
+pub use credential::{CallerIdentity, identify};
+pub use error::{CallerError, ErrorCode};
+pub use header::{
+    CLASS_HEADER, EVENT_ID_HEADER, IDEMPOTENCY_HEADER, KEEP_HEADER, REQUEST_HEADER, RESUME_HEADER,
+    TOKEN_HEADER, VERDICT_HEADER, header_text,
+};
--- /dev/null
+++ b/crates/entry/src/answer.rs
@@ -0,0 +1,355 @@
+//! Answers in progress, kept so that a caller gets each event once and in order.
+//!
+//! One writer (the request's driver) appends events; any number of readers follow, each with its
+//! own place. A reader that comes back with the number of the last event it has seen goes on
+//! after it. Events are numbered from 1 without gaps, over resumes at other engines as well.
+//!
+//! Invariants: events are never changed or renumbered; only the oldest are dropped, and only
+//! behind every present reader; an answer that did not end with [`AnswerEnd::Whole`] never shows
+//! a reader the end of a whole answer.
+
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, Waker};
+
+use bytes::Bytes;
+use futures_util::Stream;
+use oleander_base::prelude::*;
+use oleander_caller::CallerError;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+/// Bytes of one answer that are kept for readers.
+const KEEP_BYTES: usize = 1024 * 1024;
+/// Shards of the shelf, each under its own lock.
+const SHARD_COUNT: usize = 16;
+
+/// How an answer ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AnswerEnd {
+    /// The whole answer came.
+    Whole,
+    /// The request failed; what came before is not the whole answer.
+    Failed(CallerError),
+}
+
+/// One event of a streamed answer, or the body of one that is not streamed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerEvent {
+    /// The number, from 1.
+    pub number: u64,
+    /// Tokens generated up to and including this event.
+    pub tokens: u32,
+    /// The event's data.
+    pub data: Bytes,
+}
+
+#[derive(Debug, Default)]
+struct AnswerState {
+    events: VecDeque<AnswerEvent>,
+    /// The number of the first event kept.
+    first: u64,
+    kept_bytes: usize,
+    end: Option<AnswerEnd>,
+    ended: Option<MonoTime>,
+    readers: Vec<ReaderPlace>,
+    reader_serial: u64,
+    readerless_since: Option<MonoTime>,
+    writer: Option<Waker>,
+}
+
+#[derive(Debug)]
+struct ReaderPlace {
+    serial: u64,
+    next: u64,
+    waker: Option<Waker>,
+}
+
+/// One answer in progress or just ended.
+#[derive(Debug)]
+pub struct AnswerBuffer {
+    /// The customer that may read it.
+    pub customer: CustomerId,
+    /// Whether the answer is a stream of events.
+    pub stream: bool,
+    /// How long the answer stays after its reader has gone.
+    pub keep: Span,
+    state: Mutex<AnswerState>,
+    departed: Notify,
+}
+
+/// Why a reader could not be placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventsDropped;
+
+impl AnswerBuffer {
+    /// Makes the buffer of a new request.
+    pub fn new(customer: CustomerId, stream: bool, keep: Span, already: u64) -> Arc<Self> {
+        let state = AnswerState { first: already + 1, ..AnswerState::default() };
+        let state = Mutex::new(state);
+        Arc::new(Self { customer, stream, keep, state, departed: Notify::new() })
+    }
+
+    /// Appends an event and wakes the readers.
+    pub fn push(&self, data: Bytes, tokens: u32) {
+        let mut state = self.state.lock();
+        let number = state.next_number();
+        state.kept_bytes += data.len();
+        state.events.push_back(AnswerEvent { number, tokens, data });
+        state.wake_readers();
+    }
+
+    /// Ends the answer and wakes the readers.
+    pub fn finish(&self, end: AnswerEnd, now: MonoTime) {
+        let mut state = self.state.lock();
+        if state.end.is_none() {
+            state.end = Some(end);
+            state.ended = Some(now);
+        }
+        state.wake_readers();
+    }
+
+    /// Waits until the buffer has room; a slow reader thereby slows its own engine only.
+    pub fn room(self: &Arc<Self>) -> RoomFuture {
+        RoomFuture { buffer: Arc::clone(self) }
+    }
+
+    /// Returns the number of events so far and the tokens in them.
+    pub fn progress(&self) -> (u64, u32) {
+        let state = self.state.lock();
+        let tokens = state.events.back().map_or(0, |event| event.tokens);
+        (state.next_number() - 1, tokens)
+    }
+
+    /// Returns how the answer ended, if it did.
+    pub fn end(&self) -> Option<AnswerEnd> {
+        self.state.lock().end.clone()
+    }
+
+    /// Places a reader behind the event numbered `after`.
+    pub fn reader(self: &Arc<Self>, after: u64) -> Result<AnswerReader, EventsDropped> {
+        let mut state = self.state.lock();
+        if after + 1 < state.first || after + 1 > state.next_number() {
+            return Err(EventsDropped);
+        }
+        state.reader_serial += 1;
+        let serial = state.reader_serial;
+        state.readers.push(ReaderPlace { serial, next: after + 1, waker: None });
+        state.readerless_since = None;
+        drop(state);
+        Ok(AnswerReader { buffer: Arc::clone(self), serial, done: false })
+    }
+
+    /// Completes once nobody has read for as long as the answer is kept.
+    pub async fn departed(&self) {
+        self.departed.notified().await;
+    }
+
+    /// Tells the driver if nobody has read for as long as the answer is kept.
+    pub fn check_departed(&self, now: MonoTime) {
+        let state = self.state.lock();
+        let gone = state.readerless_since.is_some_and(|since| now.since(since) >= self.keep);
+        if gone && state.end.is_none() {
+            self.departed.notify_one();
+        }
+    }
+
+    /// Returns whether the answer ended and has been kept long enough for a reconnect.
+    pub fn is_disposable(&self, now: MonoTime, linger: Span) -> bool {
+        let state = self.state.lock();
+        let ended = state.ended.is_some_and(|ended| now.since(ended) >= linger.max(self.keep));
+        ended && state.readers.is_empty()
+    }
+}
+
+impl AnswerState {
+    fn next_number(&self) -> u64 {
+        self.first + self.events.len() as u64
+    }
+
+    fn wake_readers(&mut self) {
+        for reader in &mut self.readers {
+            if let Some(waker) = reader.waker.take() {
+                waker.wake();
+            }
+        }
+    }
+
+    /// Drops the oldest events behind every reader while the buffer is over its limit.
+    fn trim(&mut self) {
+        let slowest = self.readers.iter().map(|reader| reader.next).min();
+        let Some(slowest) = slowest else { return };
+        while self.kept_bytes > KEEP_BYTES && self.first < slowest {
+            let Some(event) = self.events.pop_front() else { return };
+            self.kept_bytes -= event.data.len();
+            self.first += 1;
+        }
+    }
+}
+
+/// Waits for room in a buffer.
+#[derive(Debug)]
+pub struct RoomFuture {
+    buffer: Arc<AnswerBuffer>,
+}
+
+impl Future for RoomFuture {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        let mut state = self.buffer.state.lock();
+        state.trim();
+        if state.kept_bytes <= KEEP_BYTES {
+            return Poll::Ready(());
+        }
+        state.writer = Some(context.waker().clone());
+        Poll::Pending
+    }
+}
+
+/// What a reader gets.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ReadItem {
+    /// The next event.
+    Event(AnswerEvent),
+    /// The end, once; nothing follows.
+    End(AnswerEnd),
+}
+
+/// A reader's place in an answer.
+#[derive(Debug)]
+pub struct AnswerReader {
+    buffer: Arc<AnswerBuffer>,
+    serial: u64,
+    done: bool,
+}
+
+impl AnswerReader {
+    /// Waits until there is something to read, and returns it without taking it.
+    pub async fn peek(&mut self) -> Option<ReadItem> {
+        std::future::poll_fn(|context| self.poll_peek(context)).await
+    }
+
+    fn poll_peek(&self, context: &mut Context<'_>) -> Poll<Option<ReadItem>> {
+        let mut guard = self.buffer.state.lock();
+        let state = &mut *guard;
+        let Some(place) = state.readers.iter_mut().find(|reader| reader.serial == self.serial)
+        else {
+            return Poll::Ready(None);
+        };
+        let index = (place.next - state.first) as usize;
+        if let Some(event) = state.events.get(index) {
+            return Poll::Ready(Some(ReadItem::Event(event.clone())));
+        }
+        if let Some(end) = &state.end {
+            return Poll::Ready(Some(ReadItem::End(end.clone())));
+        }
+        place.waker = Some(context.waker().clone());
+        Poll::Pending
+    }
+
+    /// Takes what [`Self::poll_peek`] returned.
+    fn take(&mut self, item: &ReadItem) {
+        match item {
+            ReadItem::Event(event) => {
+                let mut state = self.buffer.state.lock();
+                let serial = self.serial;
+                let place = state.readers.iter_mut().find(|reader| reader.serial == serial);
+                if let Some(place) = place {
+                    place.next = event.number + 1;
+                }
+                if let Some(writer) = state.writer.take() {
+                    writer.wake();
+                }
+            }
+            ReadItem::End(_) => self.done = true,
+        }
+    }
+}
+
+impl Stream for AnswerReader {
+    type Item = ReadItem;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<ReadItem>> {
+        if self.done {
+            return Poll::Ready(None);
+        }
+        let item = std::task::ready!(self.poll_peek(context));
+        if let Some(item) = &item {
+            self.take(item);
+        }
+        Poll::Ready(item)
+    }
+}
+
+impl Drop for AnswerReader {
+    fn drop(&mut self) {
+        let mut state = self.buffer.state.lock();
+        state.readers.retain(|reader| reader.serial != self.serial);
+        if state.readers.is_empty() {
+            state.readerless_since = Some(oleander_base::monotonic_now());
+        }
+        if let Some(writer) = state.writer.take() {
+            writer.wake();
+        }
+        drop(state);
+        if self.buffer.keep == Span::ZERO {
+            self.buffer.check_departed(oleander_base::monotonic_now());
+        }
+    }
+}
+
+/// All answers of this entry VM that a caller may still read.
+#[derive(Debug)]
+pub struct AnswerShelf {
+    shards: [Mutex<FastMap<u64, Arc<AnswerBuffer>>>; SHARD_COUNT],
+}
+
+impl Default for AnswerShelf {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl AnswerShelf {
+    /// Makes an empty shelf.
+    pub fn new() -> Self {
+        Self { shards: std::array::from_fn(|_| Mutex::new(FastMap::default())) }
+    }
+
+    /// Adds an answer under the serial number of its request.
+    pub fn insert(&self, serial: u64, buffer: Arc<AnswerBuffer>) {
+        self.shard(serial).lock().insert(serial, buffer);
+    }
+
+    /// Finds an answer.
+    pub fn get(&self, serial: u64) -> Option<Arc<AnswerBuffer>> {
+        self.shard(serial).lock().get(&serial).cloned()
+    }
+
+    /// Drops answers that ended long enough ago and notices readers that stayed away.
+    pub fn sweep(&self, now: MonoTime, linger: Span) {
+        for shard in &self.shards {
+            let mut shard = shard.lock();
+            shard.retain(|_, buffer| !buffer.is_disposable(now, linger));
+            for buffer in shard.values() {
+                buffer.check_departed(now);
+            }
+        }
+    }
+
+    /// Counts the answers on the shelf.
+    pub fn len(&self) -> usize {
+        self.shards.iter().map(|shard| shard.lock().len()).sum()
+    }
+
+    /// Returns whether the shelf is empty.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn shard(&self, serial: u64) -> &Mutex<FastMap<u64, Arc<AnswerBuffer>>> {
+        &self.shards[serial as usize % SHARD_COUNT]
+    }
+}
--- /dev/null
+++ b/crates/entry/src/dispatch.rs
@@ -0,0 +1,306 @@
+//! The pools whose queue this entry VM holds.
+//!
+//! A pool's dispatcher is the live entry VM of its data centre that weighted rendezvous hashing
+//! chooses. The queue is soft state: a VM that becomes the dispatcher collects tickets and held
+//! slots from all entry VMs for [`TAKEOVER_DELAY`] before it grants anything, and a VM that is no
+//! longer the dispatcher drops the queue. docs/DESIGN.md, "One queue for each pool", states the
+//! bound on over-admission while two VMs believe that they are the dispatcher.
+
+use std::sync::Arc;
+
+use oleander_base::prelude::*;
+use oleander_base::{CacheEvent, LoadReport, ReleaseNotice};
+use oleander_decide::{
+    BackendView, ClassView, CustomerView, Decision, HeldGrant, PolicyKind, PoolConfig, PoolKind,
+    PoolPolicy, PoolSummary, ProgressNotice,
+};
+use parking_lot::{Mutex, RwLock};
+
+use crate::journal::Journal;
+
+/// How long a new dispatcher collects tickets and slots before it grants.
+pub const TAKEOVER_DELAY: Span = Span::from_millis(250);
+
+/// Everything that a pool's policy is told about its surroundings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PoolView {
+    /// What the backend servers are.
+    pub kind: PoolKind,
+    /// The backend servers of the pool.
+    pub backends: Vec<BackendView>,
+    /// Request classes.
+    pub classes: Vec<ClassView>,
+    /// Customers.
+    pub customers: Vec<CustomerView>,
+}
+
+#[derive(Debug)]
+struct DispatchPool {
+    policy: Box<dyn PoolPolicy>,
+    opens: MonoTime,
+    /// Tickets that came before the pool opened.
+    parked: Vec<ParkedTicket>,
+    scratch: Vec<Decision>,
+}
+
+#[derive(Debug)]
+struct ParkedTicket {
+    ticket: Ticket,
+    from: InstanceId,
+}
+
+/// The pools that this entry VM dispatches, each under its own lock.
+#[derive(Debug)]
+pub struct DispatchBoard {
+    kind: PolicyKind,
+    queue_bound: usize,
+    journal: Arc<Journal>,
+    pools: RwLock<FastMap<PoolId, Arc<Mutex<DispatchPool>>>>,
+}
+
+impl DispatchBoard {
+    /// Makes a board without pools.
+    pub fn new(kind: PolicyKind, queue_bound: usize, journal: Arc<Journal>) -> Self {
+        Self { kind, queue_bound, journal, pools: RwLock::new(FastMap::default()) }
+    }
+
+    /// Takes a pool over, if it is not here already; returns whether it was taken over now.
+    pub fn take_over(&self, id: PoolId, view: &PoolView, now: MonoTime) -> bool {
+        let mut pools = self.pools.write();
+        if pools.contains_key(&id) {
+            return false;
+        }
+        let policy = oleander_decide::open(self.kind, self.pool_config(id, view.kind));
+        let mut pool = DispatchPool {
+            policy,
+            opens: now + TAKEOVER_DELAY,
+            parked: Vec::new(),
+            scratch: Vec::new(),
+        };
+        let decisions = pool.set_view(view, now);
+        debug_assert!(decisions.is_empty(), "a pool without tickets decides nothing");
+        pools.insert(id, Arc::new(Mutex::new(pool)));
+        true
+    }
+
+    /// Drops a pool that another entry VM dispatches now.
+    pub fn drop_pool(&self, id: PoolId) -> bool {
+        self.pools.write().remove(&id).is_some()
+    }
+
+    /// Returns the pools that are dispatched here.
+    pub fn ids(&self) -> Vec<PoolId> {
+        let mut ids: Vec<PoolId> = self.pools.read().keys().copied().collect();
+        ids.sort_unstable();
+        ids
+    }
+
+    /// Tells a pool of changed records, members or leaving backend servers.
+    pub fn set_view(&self, id: PoolId, view: &PoolView, now: MonoTime) -> Vec<Decision> {
+        self.with(id, |pool| pool.set_view(view, now))
+    }
+
+    /// Queues a ticket, or returns it if the pool is not dispatched here.
+    pub fn offer(
+        &self,
+        ticket: Ticket,
+        from: InstanceId,
+        now: MonoTime,
+    ) -> Result<Vec<Decision>, Ticket> {
+        let Some(pool) = self.pool(ticket.pool) else {
+            return Err(ticket);
+        };
+        let id = ticket.pool;
+        let mut pool = pool.lock();
+        self.journal.queued(id, &ticket, now);
+        if now < pool.opens {
+            pool.parked.push(ParkedTicket { ticket, from });
+            return Ok(Vec::new());
+        }
+        Ok(pool.decide(|policy, out| policy.offer(ticket, from, now, out), |d| self.journal.decided(id, d, now)))
+    }
+
+    /// Takes a ticket back.
+    pub fn withdraw(&self, id: PoolId, request: RequestId, now: MonoTime) -> Vec<Decision> {
+        self.with(id, |pool| {
+            pool.parked.retain(|parked| parked.ticket.request != request);
+            pool.decide(
+                |policy, out| policy.withdraw(request, now, out),
+                |d| self.journal.decided(id, d, now),
+            )
+        })
+    }
+
+    /// Frees a slot.
+    pub fn release(&self, notice: &ReleaseNotice, now: MonoTime) -> Vec<Decision> {
+        self.change(notice.pool, now, |policy, out| policy.release(notice, now, out))
+    }
+
+    /// Learns of a slot in use that another dispatcher granted.
+    pub fn adopt(&self, id: PoolId, held: &HeldGrant, from: InstanceId, now: MonoTime) -> Vec<Decision> {
+        self.change(id, now, |policy, out| policy.adopt(held, from, now, out))
+    }
+
+    /// Takes in a load report.
+    pub fn report(
+        &self,
+        id: PoolId,
+        backend: BackendId,
+        report: &LoadReport,
+        now: MonoTime,
+    ) -> Vec<Decision> {
+        self.change(id, now, |policy, out| policy.report(backend, report, now, out))
+    }
+
+    /// Learns that a granted request got its first token.
+    pub fn progress(&self, id: PoolId, notice: &ProgressNotice, now: MonoTime) {
+        self.change(id, now, |policy, _| policy.progress(notice, now));
+    }
+
+    /// Takes in an event of an engine's prefix cache.
+    pub fn cache_event(&self, id: PoolId, backend: BackendId, event: CacheEvent, now: MonoTime) {
+        self.change(id, now, |policy, _| policy.cache_event(backend, event, now));
+    }
+
+    /// Forgets an entry VM that has gone, in every pool.
+    pub fn instance_gone(&self, instance: InstanceId, now: MonoTime) -> Vec<Decision> {
+        self.each(now, |policy, out| policy.instance_gone(instance, now, out))
+    }
+
+    /// Lets time pass in every pool, and opens pools whose take-over is complete.
+    pub fn tick(&self, now: MonoTime) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        for id in self.ids() {
+            decisions.extend(self.with(id, |pool| {
+                pool.decide(
+                    |policy, out| policy.tick(now, out),
+                    |d| self.journal.decided(id, d, now),
+                )
+            }));
+            decisions.extend(self.with(id, |pool| pool.open_if_due(now, |d| self.journal.decided(id, d, now))));
+        }
+        decisions
+    }
+
+    /// Returns a summary of every pool that is dispatched here.
+    pub fn summaries(&self, now: MonoTime) -> Vec<PoolStatus> {
+        let summary = |id: PoolId| {
+            let pool = self.pool(id)?;
+            let pool = pool.lock();
+            Some(PoolStatus { id, parked: pool.parked.len(), summary: pool.policy.summary(now) })
+        };
+        self.ids().into_iter().filter_map(summary).collect()
+    }
+
+    /// Returns a summary of one pool.
+    pub fn summary(&self, id: PoolId, now: MonoTime) -> Option<PoolSummary> {
+        Some(self.pool(id)?.lock().policy.summary(now))
+    }
+
+    /// Returns the whole state as text.
+    pub fn dump(&self, now: MonoTime) -> String {
+        let mut text = String::new();
+        for id in self.ids() {
+            if let Some(pool) = self.pool(id) {
+                let pool = pool.lock();
+                text.push_str(&format!("pool {id} opens {} parked {}\n", pool.opens, pool.parked.len()));
+                text.push_str(&pool.policy.dump(now));
+            }
+        }
+        text
+    }
+
+    fn pool_config(&self, id: PoolId, kind: PoolKind) -> PoolConfig {
+        let mut config = match kind {
+            PoolKind::Engines => PoolConfig::engines(id),
+            PoolKind::Services => PoolConfig::services(id),
+        };
+        config.queue_bound = self.queue_bound;
+        config
+    }
+
+    fn pool(&self, id: PoolId) -> Option<Arc<Mutex<DispatchPool>>> {
+        self.pools.read().get(&id).cloned()
+    }
+
+    fn with(
+        &self,
+        id: PoolId,
+        change: impl FnOnce(&mut DispatchPool) -> Vec<Decision>,
+    ) -> Vec<Decision> {
+        match self.pool(id) {
+            Some(pool) => change(&mut pool.lock()),
+            None => Vec::new(),
+        }
+    }
+
+    fn change(
+        &self,
+        id: PoolId,
+        now: MonoTime,
+        change: impl FnOnce(&mut dyn PoolPolicy, &mut Vec<Decision>),
+    ) -> Vec<Decision> {
+        self.with(id, |pool| pool.decide(change, |d| self.journal.decided(id, d, now)))
+    }
+
+    fn each(
+        &self,
+        now: MonoTime,
+        mut change: impl FnMut(&mut dyn PoolPolicy, &mut Vec<Decision>),
+    ) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        for id in self.ids() {
+            decisions.extend(self.change(id, now, &mut change));
+        }
+        decisions
+    }
+}
+
+/// A pool's state for screens and for spill-over.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PoolStatus {
+    /// The pool.
+    pub id: PoolId,
+    /// Tickets that wait for the end of a take-over.
+    pub parked: usize,
+    /// The policy's own summary.
+    pub summary: PoolSummary,
+}
+
+impl DispatchPool {
+    /// Runs one change of the policy and records what it decided, in the order of decision.
+    fn decide(
+        &mut self,
+        change: impl FnOnce(&mut dyn PoolPolicy, &mut Vec<Decision>),
+        mut record: impl FnMut(&Decision),
+    ) -> Vec<Decision> {
+        let mut decisions = std::mem::take(&mut self.scratch);
+        decisions.clear();
+        change(self.policy.as_mut(), &mut decisions);
+        decisions.iter().for_each(&mut record);
+        decisions
+    }
+
+    fn set_view(&mut self, view: &PoolView, now: MonoTime) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        self.policy.set_classes(&view.classes, &view.customers, now, &mut decisions);
+        self.policy.set_backends(&view.backends, now, &mut decisions);
+        decisions
+    }
+
+    fn open_if_due(&mut self, now: MonoTime, record: impl FnMut(&Decision)) -> Vec<Decision> {
+        if now < self.opens || self.parked.is_empty() {
+            return Vec::new();
+        }
+        let mut parked = std::mem::take(&mut self.parked);
+        parked.sort_by_key(|parked| (parked.ticket.tier, std::cmp::Reverse(parked.ticket.waited)));
+        self.decide(
+            |policy, out| {
+                for ParkedTicket { ticket, from } in parked {
+                    policy.offer(ticket, from, now, out);
+                }
+            },
+            record,
+        )
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive.rs
@@ -0,0 +1,378 @@
+//! The way of one completion request: slot, attempt, events, and again if that is safe.
+//!
+//! The driver runs as a task of its own and writes into an [`AnswerBuffer`]; the caller's HTTP
+//! answer reads from it. Rules that hold over all attempts:
+//! - an attempt follows a granted slot, and each slot is released exactly once;
+//! - a request under a run permit is sent again only if no earlier attempt may have run;
+//! - an answer that broke off goes on after the tokens that the caller has, at any engine.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use oleander_base::prelude::*;
+use oleander_base::{EndKind, ReleaseNotice, monotonic_now};
+use oleander_caller::{CallerError, CompletionCall, ErrorCode};
+use oleander_decide::ProgressNotice;
+use oleander_engine::{EngineCall, EngineError, EngineEvent, EngineStream};
+
+use crate::answer::{AnswerBuffer, AnswerEnd};
+use crate::counters::{ServiceCount, ServiceKey, bump};
+use crate::desk::TicketOutcome;
+use crate::resume::with_resume;
+use crate::worker::WorkerContext;
+
+/// Attempts that one request may make in all.
+const ATTEMPT_LIMIT: u32 = 4;
+/// When a caller should come back if no entry VM can dispatch its request.
+const NO_DISPATCHER_RETRY: Span = Span::from_secs(1);
+
+/// A completion request that was accepted for dispatch.
+#[derive(Debug, Clone)]
+pub struct CompletionJob {
+    /// The request.
+    pub request: RequestId,
+    /// The customer.
+    pub customer: CustomerId,
+    /// The request class.
+    pub class: ClassId,
+    /// Its tier.
+    pub tier: Tier,
+    /// Target for the first token.
+    pub first_token_target: Span,
+    /// Target for the time between tokens.
+    pub token_gap_target: Span,
+    /// How long the request may wait.
+    pub patience: Span,
+    /// The goodput of a whole answer.
+    pub goodput_weight: f64,
+    /// What the caller wants.
+    pub call: CompletionCall,
+    /// The body as the caller sent it.
+    pub body: Bytes,
+    /// Tokens that the caller has already, if it continues an answer.
+    pub resume_tokens: u32,
+    /// Whether a repeat has no further effect.
+    pub idempotent: bool,
+    /// When the request arrived.
+    pub arrived: MonoTime,
+}
+
+/// How one attempt ended.
+#[derive(Debug)]
+enum AttemptEnd {
+    Whole,
+    Departed,
+    Failed(EngineError),
+}
+
+/// How the wait for a slot ended.
+#[derive(Debug)]
+enum SlotEnd {
+    Granted(BackendId, PoolId),
+    Departed,
+    Refused(CallerError),
+}
+
+/// How the request as a whole ended.
+#[derive(Debug)]
+enum RequestEnd {
+    Whole,
+    Departed,
+    Refused(CallerError),
+    Failed(CallerError),
+}
+
+/// The state of a request on its way.
+#[derive(Debug)]
+pub struct RequestDrive {
+    context: Rc<WorkerContext>,
+    job: CompletionJob,
+    buffer: Arc<AnswerBuffer>,
+    verdict: Verdict,
+    attempts: u32,
+    tokens: u32,
+    avoid: Option<BackendId>,
+    first_token: Option<MonoTime>,
+    last_token: Option<MonoTime>,
+}
+
+impl RequestDrive {
+    /// Starts the task of a request.
+    pub fn spawn(context: Rc<WorkerContext>, job: CompletionJob, buffer: Arc<AnswerBuffer>) {
+        let tokens = job.resume_tokens;
+        let drive = Self {
+            context,
+            job,
+            buffer,
+            verdict: Verdict::NotRun,
+            attempts: 0,
+            tokens,
+            avoid: None,
+            first_token: None,
+            last_token: None,
+        };
+        ntex::rt::spawn(drive.run());
+    }
+
+    async fn run(mut self) {
+        let end = self.run_attempts().await;
+        self.count(&end);
+        let end = match end {
+            RequestEnd::Whole => AnswerEnd::Whole,
+            RequestEnd::Departed => AnswerEnd::Failed(self.departed_error()),
+            RequestEnd::Refused(error) | RequestEnd::Failed(error) => {
+                AnswerEnd::Failed(error.of(self.job.request).with_verdict(self.verdict))
+            }
+        };
+        self.context.node.limits.leave(self.job.customer);
+        self.buffer.finish(end, monotonic_now());
+    }
+
+    async fn run_attempts(&mut self) -> RequestEnd {
+        loop {
+            let (backend, pool) = match self.wait_for_slot().await {
+                SlotEnd::Granted(backend, pool) => (backend, pool),
+                SlotEnd::Departed => return RequestEnd::Departed,
+                SlotEnd::Refused(error) => return RequestEnd::Refused(error),
+            };
+            match self.attempt(backend, pool).await {
+                AttemptEnd::Whole => return RequestEnd::Whole,
+                AttemptEnd::Departed => return RequestEnd::Departed,
+                AttemptEnd::Failed(error) => {
+                    if !self.is_retry_allowed(&error) {
+                        return RequestEnd::Failed(failure(&error));
+                    }
+                    self.avoid = Some(backend);
+                    bump(&self.context.node.counters.process.retries);
+                }
+            }
+        }
+    }
+
+    /// Queues a ticket and waits for its outcome or the caller's departure.
+    async fn wait_for_slot(&mut self) -> SlotEnd {
+        let node = &self.context.node;
+        let Some(choice) = node.choose_pool(self.job.call.model_id(), self.job.tier) else {
+            return SlotEnd::Refused(no_pool(&self.job.call.model));
+        };
+        let pool = choice.pool;
+        let Some(outcome) = node.ask(self.ticket(pool, choice.spilled)) else {
+            let error = CallerError::not_run(ErrorCode::Shed, "no entry VM can dispatch the request now");
+            return SlotEnd::Refused(error.after(NO_DISPATCHER_RETRY));
+        };
+        let buffer = Arc::clone(&self.buffer);
+        let outcome = tokio::select! {
+            outcome = outcome => outcome,
+            () = buffer.departed() => {
+                node.withdraw(self.job.request, pool);
+                return SlotEnd::Departed;
+            }
+        };
+        match outcome {
+            Ok(TicketOutcome::Granted(backend)) => SlotEnd::Granted(backend, pool),
+            Ok(TicketOutcome::Shed { reason, retry_after }) => {
+                SlotEnd::Refused(CallerError::shed(reason, retry_after))
+            }
+            Err(_) => {
+                let error = CallerError::not_run(ErrorCode::NotReady, "the entry VM is stopping");
+                SlotEnd::Refused(error.after(NO_DISPATCHER_RETRY))
+            }
+        }
+    }
+
+    fn ticket(&self, pool: PoolId, spilled: bool) -> Ticket {
+        let job = &self.job;
+        Ticket {
+            request: job.request,
+            pool,
+            class: job.class,
+            tier: job.tier,
+            customer: job.customer,
+            waited: monotonic_now().since(job.arrived),
+            target: job.first_token_target,
+            patience: job.patience,
+            prompt_tokens: job.call.prompt_tokens,
+            answer_limit: job.call.answer_limit.saturating_sub(self.tokens).max(1),
+            prefix: Some(job.call.prefix),
+            adapter: job.call.adapter,
+            avoid: self.avoid,
+            spilled,
+        }
+    }
+
+    /// Sends the request to one backend server and passes its events on; frees the slot.
+    async fn attempt(&mut self, backend: BackendId, pool: PoolId) -> AttemptEnd {
+        self.attempts += 1;
+        let sent = monotonic_now();
+        let tokens_before = self.tokens;
+        let mut first_token = None;
+        let end = self.exchange(backend, pool, sent, &mut first_token).await;
+        let kind = match &end {
+            AttemptEnd::Whole => EndKind::Finished,
+            AttemptEnd::Departed => EndKind::Cancelled,
+            AttemptEnd::Failed(error) if error.verdict() == Verdict::NotRun => EndKind::Refused,
+            AttemptEnd::Failed(_) => EndKind::Failed,
+        };
+        self.context.node.release(ReleaseNotice {
+            request: self.job.request,
+            pool,
+            backend,
+            end: kind,
+            first_token,
+            total: monotonic_now().since(sent),
+            tokens: self.tokens - tokens_before,
+        });
+        end
+    }
+
+    async fn exchange(
+        &mut self,
+        backend: BackendId,
+        pool: PoolId,
+        sent: MonoTime,
+        first_token: &mut Option<Span>,
+    ) -> AttemptEnd {
+        let mut stream = match self.start(backend).await {
+            Ok(stream) => stream,
+            Err(end) => return end,
+        };
+        loop {
+            let buffer = Arc::clone(&self.buffer);
+            let event = tokio::select! {
+                event = stream.next() => event,
+                () = buffer.departed() => return AttemptEnd::Departed,
+            };
+            match event {
+                Some(Ok(event)) => {
+                    if first_token.is_none() && event.tokens > 0 {
+                        *first_token = Some(self.note_first_token(backend, pool, sent));
+                    }
+                    self.pass_on(event).await;
+                }
+                Some(Err(error)) => {
+                    self.verdict = self.verdict.join(error.verdict());
+                    return AttemptEnd::Failed(error);
+                }
+                None => {
+                    self.verdict = Verdict::Ran;
+                    return AttemptEnd::Whole;
+                }
+            }
+        }
+    }
+
+    async fn start(&mut self, backend: BackendId) -> Result<EngineStream, AttemptEnd> {
+        let Some(address) = self.context.node.view().address(backend) else {
+            let error = EngineError::not_run(format!("{backend} is not on record any more"));
+            return Err(AttemptEnd::Failed(error));
+        };
+        let body = match self.tokens {
+            0 => self.job.body.clone(),
+            tokens => with_resume(&self.job.body, tokens),
+        };
+        if self.tokens > 0 {
+            bump(&self.context.node.counters.process.resumes);
+        }
+        let call = EngineCall {
+            address,
+            path: self.job.call.kind.path(),
+            body,
+            stream: self.job.call.stream,
+            tier: self.job.tier,
+        };
+        let buffer = Arc::clone(&self.buffer);
+        let started = tokio::select! {
+            started = self.context.engines.start(call) => started,
+            () = buffer.departed() => {
+                self.verdict = self.verdict.join(Verdict::MayHaveRun);
+                return Err(AttemptEnd::Departed);
+            }
+        };
+        started.map_err(|error| {
+            self.verdict = self.verdict.join(error.verdict());
+            AttemptEnd::Failed(error)
+        })
+    }
+
+    fn note_first_token(&mut self, backend: BackendId, pool: PoolId, sent: MonoTime) -> Span {
+        let now = monotonic_now();
+        self.first_token.get_or_insert(now);
+        let first_token = now.since(sent);
+        let notice = ProgressNotice { request: self.job.request, backend, first_token };
+        self.context.node.progress(pool, notice);
+        first_token
+    }
+
+    async fn pass_on(&mut self, event: EngineEvent) {
+        self.tokens += event.tokens;
+        if event.tokens > 0 {
+            self.last_token = Some(monotonic_now());
+        }
+        self.buffer.push(event.data, self.tokens);
+        self.buffer.room().await;
+    }
+
+    fn is_retry_allowed(&self, error: &EngineError) -> bool {
+        let safe = self.job.idempotent || self.verdict == Verdict::NotRun;
+        let in_time = monotonic_now().since(self.job.arrived) < self.job.patience;
+        let worthwhile = self.attempts < ATTEMPT_LIMIT && error.is_retryable();
+        safe && in_time && worthwhile && self.context.node.retries.try_spend()
+    }
+
+    fn departed_error(&self) -> CallerError {
+        CallerError::not_run(ErrorCode::BackendFailed, "the caller left")
+            .of(self.job.request)
+            .with_verdict(self.verdict)
+    }
+
+    fn count(&self, end: &RequestEnd) {
+        let key = ServiceKey { customer: self.job.customer, class: self.job.class };
+        let generated = u64::from(self.tokens - self.job.resume_tokens);
+        let on_time = self.is_on_time();
+        let weight = self.job.goodput_weight;
+        self.context.node.counters.count(key, |count: &mut ServiceCount| match end {
+            RequestEnd::Whole => {
+                count.whole += 1;
+                count.on_time += u64::from(on_time);
+                count.goodput += weight;
+                count.useful_tokens += generated;
+            }
+            RequestEnd::Refused(error) if error.code == ErrorCode::Shed && self.attempts == 0 => {
+                count.shed += 1;
+            }
+            RequestEnd::Refused(_) | RequestEnd::Failed(_) => {
+                count.failed += 1;
+                count.wasted_tokens += generated;
+            }
+            RequestEnd::Departed => {
+                count.cancelled += 1;
+                count.wasted_tokens += generated;
+            }
+        });
+        if matches!(end, RequestEnd::Whole) {
+            self.context.node.retries.deposit();
+        }
+    }
+
+    /// Returns whether the first token and the mean time between tokens met the class's targets.
+    fn is_on_time(&self) -> bool {
+        let (Some(first), Some(last)) = (self.first_token, self.last_token) else {
+            return false;
+        };
+        let gaps = u64::from((self.tokens - self.job.resume_tokens).saturating_sub(1)).max(1);
+        let mean_gap = Span(last.since(first).0 / gaps);
+        first.since(self.job.arrived) <= self.job.first_token_target
+            && mean_gap <= self.job.token_gap_target
+    }
+}
+
+fn no_pool(model: &str) -> CallerError {
+    let message = format!("no backend server serves model `{}`", model.escape_debug());
+    CallerError::not_run(ErrorCode::NotFound, message)
+}
+
+fn failure(error: &EngineError) -> CallerError {
+    let code = if error.is_timeout() { ErrorCode::Timeout } else { ErrorCode::BackendFailed };
+    CallerError::not_run(code, error.to_string())
+}
--- /dev/null
+++ b/crates/entry/src/journal.rs
@@ -0,0 +1,137 @@
+//! What the pools decided, in order, for operators and for checks of the tier promise.
+//!
+//! The journal is a bounded ring. A decision is written under its pool's lock, so that the
+//! entries of one pool stand in the order of decision.
+
+use std::collections::VecDeque;
+
+use oleander_base::prelude::*;
+use oleander_decide::{Decision, DecisionNotice};
+use parking_lot::Mutex;
+use serde::Serialize;
+
+/// Entries that the ring keeps.
+const JOURNAL_LIMIT: usize = 200_000;
+
+/// What happened to a ticket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum JournalEvent {
+    /// It entered the queue.
+    Queue,
+    /// It got a slot.
+    Grant,
+    /// It was given up.
+    Shed,
+}
+
+/// One entry of the journal.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct JournalEntry {
+    /// The number of the entry at this process, from 1.
+    pub seq: u64,
+    /// When, in microseconds on this process's clock.
+    pub at_us: u64,
+    /// The pool.
+    pub pool: String,
+    /// What happened.
+    pub event: JournalEvent,
+    /// The request.
+    pub request: String,
+    /// Its tier, for entries of the queue.
+    pub tier: Option<u8>,
+    /// The backend server of a grant, or the reason of a refusal.
+    pub detail: String,
+}
+
+#[derive(Debug)]
+struct RawEntry {
+    at: MonoTime,
+    pool: PoolId,
+    event: JournalEvent,
+    request: RequestId,
+    tier: Option<Tier>,
+    detail: RawDetail,
+}
+
+#[derive(Debug)]
+enum RawDetail {
+    None,
+    Backend(BackendId),
+    Reason(oleander_base::ShedReason),
+}
+
+#[derive(Debug, Default)]
+struct JournalRing {
+    entries: VecDeque<RawEntry>,
+    dropped: u64,
+}
+
+/// A bounded record of decisions.
+#[derive(Debug, Default)]
+pub struct Journal {
+    ring: Mutex<JournalRing>,
+}
+
+impl Journal {
+    /// Notes that a ticket entered a queue.
+    pub fn queued(&self, pool: PoolId, ticket: &Ticket, now: MonoTime) {
+        self.push(RawEntry {
+            at: now,
+            pool,
+            event: JournalEvent::Queue,
+            request: ticket.request,
+            tier: Some(ticket.tier),
+            detail: RawDetail::None,
+        });
+    }
+
+    /// Notes a decision.
+    pub fn decided(&self, pool: PoolId, decision: &Decision, now: MonoTime) {
+        let (event, request, detail) = match &decision.notice {
+            DecisionNotice::Grant(notice) => {
+                (JournalEvent::Grant, notice.request, RawDetail::Backend(notice.backend))
+            }
+            DecisionNotice::Shed(notice) => {
+                (JournalEvent::Shed, notice.request, RawDetail::Reason(notice.reason))
+            }
+        };
+        self.push(RawEntry { at: now, pool, event, request, tier: None, detail });
+    }
+
+    /// Returns up to `limit` entries after the one numbered `after`.
+    pub fn after(&self, after: u64, limit: usize) -> Vec<JournalEntry> {
+        let ring = self.ring.lock();
+        let skip = after.saturating_sub(ring.dropped) as usize;
+        let first = ring.dropped + skip as u64 + 1;
+        let entries = ring.entries.iter().skip(skip).take(limit);
+        entries.enumerate().map(|(index, entry)| entry.show(first + index as u64)).collect()
+    }
+
+    fn push(&self, entry: RawEntry) {
+        let mut ring = self.ring.lock();
+        if ring.entries.len() == JOURNAL_LIMIT {
+            ring.entries.pop_front();
+            ring.dropped += 1;
+        }
+        ring.entries.push_back(entry);
+    }
+}
+
+impl RawEntry {
+    fn show(&self, seq: u64) -> JournalEntry {
+        JournalEntry {
+            seq,
+            at_us: self.at.0,
+            pool: self.pool.to_string(),
+            event: self.event,
+            request: self.request.to_string(),
+            tier: self.tier.map(|tier| tier.0),
+            detail: match &self.detail {
+                RawDetail::None => String::new(),
+                RawDetail::Backend(backend) => backend.to_string(),
+                RawDetail::Reason(reason) => format!("{reason:?}"),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,443 @@
+//! The state that all threads of an entry VM share, and the way of tickets through it.
+//!
+//! A request enters the desk with a ticket; the ticket goes to the pool's dispatcher, which may be
+//! this VM; the outcome comes back to the desk. The same code serves a local and a remote
+//! dispatcher, so that tier order does not depend on where a request entered.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
+
+use arc_swap::ArcSwap;
+use oleander_base::prelude::*;
+use oleander_base::{GrantNotice, ReleaseNotice, ShedNotice, monotonic_now};
+use oleander_decide::{Decision, DecisionNotice, HeldGrant, ProgressNotice};
+use oleander_peer::{PeerMessage, PoolProgress, WithdrawNotice};
+use oleander_records::RecordSet;
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+use crate::answer::AnswerShelf;
+use crate::counters::{EntryCounters, bump};
+use crate::desk::{GrantEffect, TicketDesk, TicketOutcome};
+use crate::dispatch::DispatchBoard;
+use crate::journal::Journal;
+use crate::life::{LifeCycle, LifeStage};
+use crate::settings::EntrySettings;
+use crate::view::{FleetMember, FleetView};
+
+/// The way to the other entry VMs.
+pub trait PeerLink: Send + Sync {
+    /// Queues a message for sending; a message that cannot be queued is dropped and counted.
+    fn send(&self, to: InstanceId, message: PeerMessage);
+}
+
+/// What a view is made of, apart from the records.
+#[derive(Debug, Default)]
+struct ViewInputs {
+    members: Vec<FleetMember>,
+    listed_leaving: FastSet<BackendId>,
+}
+
+/// The shared state of one entry VM.
+pub struct EntryNode {
+    /// The settings.
+    pub settings: EntrySettings,
+    /// This instance.
+    pub me: InstanceId,
+    /// Its data centre.
+    pub centre: CentreId,
+    /// Tickets and slots of the requests that this VM holds.
+    pub desk: TicketDesk,
+    /// The pools whose queue this VM holds.
+    pub board: DispatchBoard,
+    /// Answers in progress.
+    pub answers: AnswerShelf,
+    /// What the pools decided.
+    pub journal: Arc<Journal>,
+    /// Counters.
+    pub counters: EntryCounters,
+    /// Whether the VM takes requests.
+    pub life: LifeCycle,
+    view: ArcSwap<FleetView>,
+    inputs: Mutex<ViewInputs>,
+    link: OnceLock<Arc<dyn PeerLink>>,
+    serial: AtomicU64,
+}
+
+impl fmt::Debug for EntryNode {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EntryNode").field("me", &self.me).field("centre", &self.centre).finish_non_exhaustive()
+    }
+}
+
+impl EntryNode {
+    /// Makes the state of a process that has no records and knows no other member.
+    pub fn new(settings: EntrySettings, me: InstanceId) -> Arc<Self> {
+        let journal = Arc::new(Journal::default());
+        let dispatch = &settings.dispatch;
+        let board = DispatchBoard::new(dispatch.policy, dispatch.queue_limit, Arc::clone(&journal));
+        let empty = FleetView::new(Arc::new(RecordSet::default()), Vec::new(), &FastSet::default());
+        Arc::new(Self {
+            me,
+            centre: CentreId::from_name(&settings.instance.centre),
+            settings,
+            desk: TicketDesk::new(),
+            board,
+            answers: AnswerShelf::new(),
+            journal,
+            counters: EntryCounters::default(),
+            life: LifeCycle::default(),
+            view: ArcSwap::from_pointee(empty),
+            inputs: Mutex::new(ViewInputs::default()),
+            link: OnceLock::new(),
+            serial: AtomicU64::new(0),
+        })
+    }
+
+    /// Sets the way to the other entry VMs; only the first call counts.
+    pub fn connect(&self, link: Arc<dyn PeerLink>) {
+        let _ = self.link.set(link);
+    }
+
+    /// Returns the fleet as this VM sees it now.
+    pub fn view(&self) -> arc_swap::Guard<Arc<FleetView>> {
+        self.view.load()
+    }
+
+    /// Returns a new request id.
+    pub fn next_request(&self) -> RequestId {
+        let serial = self.serial.fetch_add(1, Ordering::Relaxed) + 1;
+        RequestId { home: self.me, serial }
+    }
+
+    /// Puts new records into force.
+    pub fn set_records(&self, records: Arc<RecordSet>) {
+        self.rebuild(|_| {}, Some(records));
+    }
+
+    /// Takes in a new membership.
+    pub fn set_members(&self, members: Vec<FleetMember>) {
+        self.rebuild(|inputs| inputs.members = members, None);
+    }
+
+    /// Takes in which backend servers the platform's list or the servers themselves call leaving.
+    pub fn set_listed_leaving(&self, leaving: FastSet<BackendId>) {
+        self.rebuild(|inputs| inputs.listed_leaving = leaving, None);
+    }
+
+    /// Replaces the view and moves pools, tickets and slots to where they belong now.
+    fn rebuild(&self, change: impl FnOnce(&mut ViewInputs), records: Option<Arc<RecordSet>>) {
+        let mut inputs = self.inputs.lock();
+        change(&mut inputs);
+        let old = self.view.load_full();
+        let records = records.unwrap_or_else(|| Arc::clone(&old.records));
+        let new = Arc::new(FleetView::new(records, inputs.members.clone(), &inputs.listed_leaving));
+        self.view.store(Arc::clone(&new));
+        let now = monotonic_now();
+        self.take_roles(&new, now);
+        self.move_tickets(&old, &new, now);
+        self.forget_members(&old, &new, now);
+    }
+
+    /// Takes over and drops pools, and tells the kept ones what changed.
+    fn take_roles(&self, view: &FleetView, now: MonoTime) {
+        for id in self.board.ids() {
+            let mine = view.pool(id).is_some_and(|route| route.dispatcher == Some(self.me));
+            if !mine && self.board.drop_pool(id) {
+                log::info!("pool {id} is dispatched elsewhere now");
+            }
+        }
+        let mine = view.pools().filter(|route| route.dispatcher == Some(self.me));
+        for id in mine.map(|route| route.pool) {
+            let Some(pool_view) = view.pool_view(id) else { continue };
+            if self.board.take_over(id, &pool_view, now) {
+                log::info!("pool {id} is dispatched here now");
+            } else {
+                self.deliver(self.board.set_view(id, &pool_view, now));
+            }
+        }
+    }
+
+    /// Offers tickets and reports held slots to dispatchers that are new.
+    fn move_tickets(&self, old: &FleetView, new: &FleetView, now: MonoTime) {
+        for id in self.desk.pools() {
+            let Some(dispatcher) = new.pool(id).and_then(|route| route.dispatcher) else { continue };
+            let before = old.pool(id).and_then(|route| route.dispatcher);
+            if before != Some(dispatcher) {
+                self.send_held(dispatcher, self.desk.held_in(id, now), now);
+            }
+            let tickets = self.desk.repoint(id, dispatcher, now);
+            if !tickets.is_empty() {
+                let count = tickets.len() as u64;
+                self.counters.process.repointed.fetch_add(count, Ordering::Relaxed);
+                self.send_offer(dispatcher, tickets, now);
+            }
+        }
+    }
+
+    /// Forgets members that are gone in the pools that are dispatched here.
+    fn forget_members(&self, old: &FleetView, new: &FleetView, now: MonoTime) {
+        let is_kept = |instance: InstanceId| new.members.iter().any(|m| m.instance == instance);
+        for member in old.members.iter().filter(|member| !is_kept(member.instance)) {
+            self.deliver(self.board.instance_gone(member.instance, now));
+        }
+    }
+
+    /// Enters a ticket; its outcome comes through the returned channel.
+    ///
+    /// Returns none if no entry VM can dispatch the pool.
+    pub fn ask(&self, ticket: Ticket) -> Option<oneshot::Receiver<TicketOutcome>> {
+        let dispatcher = self.view().pool(ticket.pool)?.dispatcher?;
+        let now = monotonic_now();
+        let outcome = self.desk.enter(ticket.clone(), dispatcher, now);
+        self.send_offer(dispatcher, vec![ticket], now);
+        Some(outcome)
+    }
+
+    /// Takes a ticket back whose request will not be sent.
+    pub fn withdraw(&self, request: RequestId, pool: PoolId) {
+        let Some(dispatcher) = self.desk.withdraw(request) else { return };
+        self.send_withdraw(dispatcher, WithdrawNotice { request, pool });
+    }
+
+    /// Frees the slot of a request.
+    pub fn release(&self, notice: ReleaseNotice) {
+        if self.desk.release(notice.request).is_some() {
+            self.send_release(notice);
+        }
+    }
+
+    /// Tells the dispatcher that a request got its first token.
+    pub fn progress(&self, pool: PoolId, notice: ProgressNotice) {
+        let Some(dispatcher) = self.dispatcher_of(pool) else { return };
+        if dispatcher == self.me {
+            self.board.progress(pool, &notice, monotonic_now());
+        } else {
+            self.send(dispatcher, PeerMessage::Progress(vec![PoolProgress { pool, notice }]));
+        }
+    }
+
+    /// Lets time pass in the pools that are dispatched here.
+    pub fn tick(&self) {
+        self.deliver(self.board.tick(monotonic_now()));
+    }
+
+    /// Offers tickets again that have waited long without an outcome, since a message may have
+    /// been lost; the dispatcher knows those that it holds.
+    pub fn offer_again(&self) {
+        let now = monotonic_now();
+        for offer in self.desk.due_again(now) {
+            self.send_offer(offer.dispatcher, offer.tickets, now);
+        }
+    }
+
+    /// Returns the instance that dispatches a pool.
+    pub fn dispatcher_of(&self, pool: PoolId) -> Option<InstanceId> {
+        self.view().pool(pool)?.dispatcher
+    }
+
+    /// Takes in a dispatch message of a peer; other kinds are not for the node.
+    pub fn on_dispatch(&self, from: InstanceId, message: PeerMessage) {
+        let now = monotonic_now();
+        match message {
+            PeerMessage::Offer(tickets) => self.on_offer(from, tickets, now),
+            PeerMessage::Withdraw(notices) => {
+                for notice in notices {
+                    self.deliver(self.board.withdraw(notice.pool, notice.request, now));
+                }
+            }
+            PeerMessage::Release(notices) => {
+                for notice in notices {
+                    self.deliver(self.board.release(&notice, now));
+                }
+            }
+            PeerMessage::Held(grants) => self.on_held(from, &grants, now),
+            PeerMessage::Progress(notices) => {
+                for progress in notices {
+                    self.board.progress(progress.pool, &progress.notice, now);
+                }
+            }
+            PeerMessage::Grant(notices) => {
+                let notices = notices.into_iter().map(DecisionNotice::Grant);
+                self.on_notices(from, notices.collect(), now);
+            }
+            PeerMessage::Shed(notices) => {
+                let notices = notices.into_iter().map(DecisionNotice::Shed);
+                self.on_notices(from, notices.collect(), now);
+            }
+            PeerMessage::Misrouted(requests) => self.desk.mark_misrouted(&requests, now),
+            _ => {}
+        }
+    }
+
+    fn on_offer(&self, from: InstanceId, tickets: Vec<Ticket>, now: MonoTime) {
+        let mut misrouted = Vec::new();
+        for ticket in tickets {
+            match self.board.offer(ticket, from, now) {
+                Ok(decisions) => self.deliver(decisions),
+                Err(ticket) => misrouted.push(ticket.request),
+            }
+        }
+        if misrouted.is_empty() {
+            return;
+        }
+        if from == self.me {
+            self.desk.mark_misrouted(&misrouted, now);
+        } else {
+            self.send(from, PeerMessage::Misrouted(misrouted));
+        }
+    }
+
+    fn on_held(&self, from: InstanceId, grants: &[HeldGrant], now: MonoTime) {
+        for held in grants {
+            self.deliver(self.board.adopt(held.ticket.pool, held, from, now));
+        }
+    }
+
+    fn on_notices(&self, from: InstanceId, notices: Vec<DecisionNotice>, now: MonoTime) {
+        for notice in notices {
+            let follow_ups = self.on_notice(from, &notice, now);
+            self.deliver(follow_ups);
+        }
+    }
+
+    /// Hands decisions to the requests of this VM and to the other entry VMs.
+    ///
+    /// A grant that nobody waits for frees its slot, which can decide further tickets; the loop
+    /// takes these in turn without recursion.
+    fn deliver(&self, decisions: Vec<Decision>) {
+        if decisions.is_empty() {
+            return;
+        }
+        let mut queue = VecDeque::from(decisions);
+        let mut outbox = DecisionOutbox::default();
+        while let Some(decision) = queue.pop_front() {
+            if decision.to == self.me {
+                queue.extend(self.on_notice(self.me, &decision.notice, monotonic_now()));
+            } else {
+                outbox.add(decision);
+            }
+        }
+        outbox.send(|to, message| self.send(to, message));
+    }
+
+    /// Takes one outcome in; returns decisions that follow at pools dispatched here.
+    fn on_notice(&self, from: InstanceId, notice: &DecisionNotice, now: MonoTime) -> Vec<Decision> {
+        match notice {
+            DecisionNotice::Grant(grant) => self.on_grant(from, grant, now),
+            DecisionNotice::Shed(shed) => {
+                self.desk.shed(shed, from);
+                Vec::new()
+            }
+        }
+    }
+
+    fn on_grant(&self, from: InstanceId, grant: &GrantNotice, now: MonoTime) -> Vec<Decision> {
+        match self.desk.grant(grant, from, now) {
+            GrantEffect::Accepted | GrantEffect::Repeated => Vec::new(),
+            GrantEffect::Moved { asked, held } => {
+                let notice = WithdrawNotice { request: grant.request, pool: held.ticket.pool };
+                self.send_withdraw(asked, notice);
+                self.send_held(asked, vec![held], now);
+                Vec::new()
+            }
+            GrantEffect::Unwanted => {
+                bump(&self.counters.process.unwanted_grants);
+                self.return_grant(from, grant, now)
+            }
+        }
+    }
+
+    /// Gives an unwanted grant back to the dispatcher that made it.
+    fn return_grant(&self, from: InstanceId, grant: &GrantNotice, now: MonoTime) -> Vec<Decision> {
+        let Some(pool) = self.pool_of(grant.backend) else { return Vec::new() };
+        if from == self.me {
+            return self.board.withdraw(pool, grant.request, now);
+        }
+        let notice = WithdrawNotice { request: grant.request, pool };
+        self.send(from, PeerMessage::Withdraw(vec![notice]));
+        Vec::new()
+    }
+
+    fn pool_of(&self, backend: BackendId) -> Option<PoolId> {
+        let view = self.view();
+        let record = view.backend(backend)?;
+        let name = record.serves.first()?;
+        let centre = CentreId::from_name(&record.centre);
+        Some(PoolId { centre, model: ModelId::from_name(name) })
+    }
+
+    fn send_offer(&self, to: InstanceId, tickets: Vec<Ticket>, now: MonoTime) {
+        if to == self.me {
+            self.on_offer(self.me, tickets, now);
+        } else {
+            self.send(to, PeerMessage::Offer(tickets));
+        }
+    }
+
+    fn send_held(&self, to: InstanceId, grants: Vec<HeldGrant>, now: MonoTime) {
+        if grants.is_empty() {
+            return;
+        }
+        if to == self.me {
+            self.on_held(self.me, &grants, now);
+        } else {
+            self.send(to, PeerMessage::Held(grants));
+        }
+    }
+
+    fn send_withdraw(&self, to: InstanceId, notice: WithdrawNotice) {
+        if to == self.me {
+            self.deliver(self.board.withdraw(notice.pool, notice.request, monotonic_now()));
+        } else {
+            self.send(to, PeerMessage::Withdraw(vec![notice]));
+        }
+    }
+
+    fn send_release(&self, notice: ReleaseNotice) {
+        let Some(dispatcher) = self.dispatcher_of(notice.pool) else { return };
+        if dispatcher == self.me {
+            self.deliver(self.board.release(&notice, monotonic_now()));
+        } else {
+            self.send(dispatcher, PeerMessage::Release(vec![notice]));
+        }
+    }
+
+    fn send(&self, to: InstanceId, message: PeerMessage) {
+        if let Some(link) = self.link.get() {
+            link.send(to, message);
+        }
+    }
+
+    /// Returns whether the VM takes roles and new requests.
+    pub fn is_ready(&self) -> bool {
+        self.life.stage() == LifeStage::Ready
+    }
+}
+
+/// Decisions for other entry VMs, gathered into one message of a kind for each.
+#[derive(Debug, Default)]
+struct DecisionOutbox {
+    grants: FastMap<InstanceId, Vec<GrantNotice>>,
+    sheds: FastMap<InstanceId, Vec<ShedNotice>>,
+}
+
+impl DecisionOutbox {
+    fn add(&mut self, decision: Decision) {
+        match decision.notice {
+            DecisionNotice::Grant(grant) => self.grants.entry(decision.to).or_default().push(grant),
+            DecisionNotice::Shed(shed) => self.sheds.entry(decision.to).or_default().push(shed),
+        }
+    }
+
+    fn send(self, send: impl Fn(InstanceId, PeerMessage)) {
+        for (to, grants) in self.grants {
+            send(to, PeerMessage::Grant(grants));
+        }
+        for (to, sheds) in self.sheds {
+            send(to, PeerMessage::Shed(sheds));
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/serve.rs
@@ -0,0 +1,304 @@
+//! The callers' paths: completions, models, reconnects and health checks.
+
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use ntex::http::HeaderMap;
+use ntex::server::Server;
+use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
+use oleander_base::monotonic_now;
+use oleander_base::prelude::*;
+use oleander_caller::{
+    CallerError, CompletionCall, CompletionKind, EVENT_ID_HEADER, ErrorCode, KEEP_HEADER,
+    ModelList, REQUEST_HEADER, VERDICT_HEADER, header_text, identify,
+};
+
+use crate::answer::{AnswerBuffer, AnswerEnd, AnswerReader, ReadItem};
+use crate::counters::{ServiceKey, bump};
+use crate::drive::{CompletionJob, RequestDrive};
+use crate::life::LifeStage;
+use crate::server::ServerThread;
+use crate::sse::{EventBody, EventPlace};
+use crate::worker::{SharedContext, WorkerContext};
+
+/// The longest that an answer stays for a caller that has gone, in seconds.
+const KEEP_LIMIT_SECS: u64 = 120;
+
+type Context = web::types::State<Rc<WorkerContext>>;
+
+/// Starts the callers' server.
+pub fn spawn_callers(shared: SharedContext, listener: TcpListener) -> io::Result<ServerThread> {
+    ServerThread::spawn("callers", listener, move |listener| {
+        let workers = shared.node.settings.callers.workers;
+        let server = HttpServer::new(async move || {
+            App::new()
+                .state(WorkerContext::open(&shared))
+                .service(web::resource("/v1/chat/completions").route(web::post().to(chat)))
+                .service(web::resource("/v1/completions").route(web::post().to(text)))
+                .service(web::resource("/v1/models").route(web::get().to(models)))
+                .service(web::resource("/v1/requests/{id}/events").route(web::get().to(reconnect)))
+                .service(web::resource("/healthz").route(web::get().to(health)))
+                .service(web::resource("/readyz").route(web::get().to(readiness)))
+                .default_service(web::route().to(not_found))
+        });
+        Ok(server.workers(workers).disable_signals().listen(listener)?.run())
+    })
+}
+
+async fn chat(request: HttpRequest, body: web::types::Payload, context: Context) -> HttpResponse {
+    answer(complete(CompletionKind::Chat, &request, body, &context).await)
+}
+
+async fn text(request: HttpRequest, body: web::types::Payload, context: Context) -> HttpResponse {
+    answer(complete(CompletionKind::Text, &request, body, &context).await)
+}
+
+async fn models(request: HttpRequest, context: Context) -> HttpResponse {
+    let view = context.node.view();
+    if let Err(error) = identify(request.headers(), &view.records) {
+        return error.to_response();
+    }
+    let engines = view.records.backends.values().filter(|b| b.kind == oleander_records::BackendKind::Engine);
+    let names: std::collections::BTreeSet<&str> =
+        engines.flat_map(|record| record.serves.iter().map(String::as_str)).collect();
+    let list = ModelList::new(names);
+    HttpResponse::Ok().json(&list)
+}
+
+async fn health() -> HttpResponse {
+    HttpResponse::Ok().body("alive\n")
+}
+
+async fn readiness(context: Context) -> HttpResponse {
+    match context.node.life.stage() {
+        LifeStage::Ready => HttpResponse::Ok().body("ready\n"),
+        LifeStage::Starting => HttpResponse::ServiceUnavailable().body("starting: no records are in force yet\n"),
+        LifeStage::Leaving => HttpResponse::ServiceUnavailable().body("leaving\n"),
+    }
+}
+
+async fn not_found() -> HttpResponse {
+    CallerError::not_run(ErrorCode::NotFound, "no such path; docs/INTERFACES.md lists them").to_response()
+}
+
+/// Turns the outcome of a handler into an HTTP answer.
+pub(crate) fn answer(result: Result<HttpResponse, CallerError>) -> HttpResponse {
+    result.unwrap_or_else(|error| error.to_response())
+}
+
+/// Reads a body up to the limit of the settings.
+pub(crate) async fn read_body(
+    mut payload: web::types::Payload,
+    limit: usize,
+) -> Result<Bytes, CallerError> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| {
+            CallerError::not_run(ErrorCode::BadRequest, format!("the body broke off: {error}"))
+        })?;
+        if body.len() + chunk.len() > limit {
+            let message = format!("the body is over {limit} bytes");
+            return Err(CallerError::not_run(ErrorCode::TooLarge, message));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+/// Refuses requests that this VM cannot take at all.
+pub(crate) fn check_open(context: &WorkerContext) -> Result<(), CallerError> {
+    let node = &context.node;
+    if node.life.stage() == LifeStage::Starting {
+        let error = CallerError::not_run(ErrorCode::NotReady, "no records are in force yet");
+        return Err(error.after(Span::from_secs(1)));
+    }
+    if node.answers.len() >= node.settings.callers.request_limit {
+        let error = CallerError::not_run(ErrorCode::Shed, "this entry VM holds as many requests as it may");
+        return Err(error.after(Span::from_secs(1)));
+    }
+    Ok(())
+}
+
+async fn complete(
+    kind: CompletionKind,
+    request: &HttpRequest,
+    payload: web::types::Payload,
+    context: &Context,
+) -> Result<HttpResponse, CallerError> {
+    let arrived = monotonic_now();
+    check_open(context)?;
+    let headers = request.headers();
+    let limit = context.node.settings.callers.body_limit;
+    let body = read_body(payload, limit).await?;
+    let job = make_job(kind, headers, body, context, arrived)
+        .inspect_err(|_| bump(&context.node.counters.process.bad_requests))?;
+    enter_limits(context, &job)?;
+    let keep = keep_span(headers)?;
+    let place = resume_place(headers)?;
+    let buffer = AnswerBuffer::new(job.customer, job.call.stream, keep, place.number);
+    let reader = buffer.reader(place.number).expect("a new buffer has no dropped events");
+    context.node.answers.insert(job.request.serial, Arc::clone(&buffer));
+    let id = job.request;
+    let stream = job.call.stream;
+    RequestDrive::spawn(Rc::clone(context), job, buffer);
+    respond(id, stream, reader).await
+}
+
+fn make_job(
+    kind: CompletionKind,
+    headers: &HeaderMap,
+    body: Bytes,
+    context: &WorkerContext,
+    arrived: MonoTime,
+) -> Result<CompletionJob, CallerError> {
+    let view = context.node.view();
+    let identity = identify(headers, &view.records)?;
+    let call = CompletionCall::parse(kind, &body)?;
+    let class = identity.class_record;
+    Ok(CompletionJob {
+        request: context.node.next_request(),
+        customer: identity.customer,
+        class: identity.class,
+        tier: identity.tier,
+        first_token_target: Span::from_millis(class.first_token_target_ms),
+        token_gap_target: Span::from_millis(class.token_gap_target_ms),
+        patience: Span::from_millis(class.patience_ms),
+        goodput_weight: class.goodput_weight,
+        call,
+        body,
+        resume_tokens: resume_place(headers)?.tokens,
+        idempotent: true,
+        arrived,
+    })
+}
+
+/// Counts the request against its customer's limits.
+fn enter_limits(context: &WorkerContext, job: &CompletionJob) -> Result<(), CallerError> {
+    let node = &context.node;
+    let key = ServiceKey { customer: job.customer, class: job.class };
+    match node.limits.enter(job.customer, monotonic_now()) {
+        Ok(()) => {
+            node.counters.count(key, |count| count.accepted += 1);
+            Ok(())
+        }
+        Err(refusal) => {
+            node.counters.count(key, |count| count.over_limit += 1);
+            let error = CallerError::not_run(ErrorCode::OverLimit, refusal.to_string());
+            Err(error.after(refusal.retry_after).of(job.request))
+        }
+    }
+}
+
+fn keep_span(headers: &HeaderMap) -> Result<Span, CallerError> {
+    let Some(text) = header_text(headers, KEEP_HEADER) else {
+        return Ok(Span::ZERO);
+    };
+    let secs: Option<u64> = text.trim().parse().ok().filter(|secs| *secs <= KEEP_LIMIT_SECS);
+    secs.map(Span::from_secs).ok_or_else(|| {
+        let message = format!("{KEEP_HEADER} must be 0 to {KEEP_LIMIT_SECS} seconds");
+        CallerError::not_run(ErrorCode::BadRequest, message)
+    })
+}
+
+fn resume_place(headers: &HeaderMap) -> Result<EventPlace, CallerError> {
+    match header_text(headers, EVENT_ID_HEADER) {
+        None => Ok(EventPlace::default()),
+        Some(text) => EventPlace::parse(text).ok_or_else(|| {
+            let message = format!("{EVENT_ID_HEADER} must be the id of an event, NUMBER.TOKENS");
+            CallerError::not_run(ErrorCode::BadRequest, message)
+        }),
+    }
+}
+
+/// Waits for the first event, so that a request that was refused gets a status of its own.
+async fn respond(
+    id: RequestId,
+    stream: bool,
+    mut reader: AnswerReader,
+) -> Result<HttpResponse, CallerError> {
+    let Some(first) = reader.peek().await else {
+        let error = CallerError::not_run(ErrorCode::BackendFailed, "the answer is read elsewhere");
+        return Err(error.of(id).with_verdict(Verdict::MayHaveRun));
+    };
+    if let ReadItem::End(AnswerEnd::Failed(error)) = first {
+        return Err(error);
+    }
+    if stream {
+        return Ok(stream_response(id, reader));
+    }
+    whole_response(id, reader).await
+}
+
+/// Returns the answer to a caller that reads events.
+pub(crate) fn stream_response(id: RequestId, reader: AnswerReader) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .header("cache-control", "no-store")
+        .header(REQUEST_HEADER, id.to_string())
+        .streaming(EventBody::new(reader))
+}
+
+async fn whole_response(
+    id: RequestId,
+    mut reader: AnswerReader,
+) -> Result<HttpResponse, CallerError> {
+    let mut body = BytesMut::new();
+    while let Some(item) = reader.next().await {
+        match item {
+            ReadItem::Event(event) => body.extend_from_slice(&event.data),
+            ReadItem::End(AnswerEnd::Whole) => break,
+            ReadItem::End(AnswerEnd::Failed(error)) => return Err(error),
+        }
+    }
+    Ok(HttpResponse::Ok()
+        .content_type("application/json")
+        .header(REQUEST_HEADER, id.to_string())
+        .header(VERDICT_HEADER, Verdict::Ran.as_str())
+        .body(body.freeze()))
+}
+
+async fn reconnect(
+    request: HttpRequest,
+    id: web::types::Path<String>,
+    context: Context,
+) -> HttpResponse {
+    answer(reconnect_answer(&request, &id, &context).await)
+}
+
+async fn reconnect_answer(
+    request: &HttpRequest,
+    id: &str,
+    context: &Context,
+) -> Result<HttpResponse, CallerError> {
+    let view = context.node.view();
+    let identity = identify(request.headers(), &view.records)?;
+    let id: RequestId = id
+        .parse()
+        .map_err(|error| CallerError::not_run(ErrorCode::BadRequest, format!("{error}")))?;
+    let place = resume_place(request.headers())?;
+    let reader = local_reader(context, identity.customer, id, place)?;
+    Ok(stream_response(id, reader))
+}
+
+/// Places a reader in an answer that this VM holds.
+pub(crate) fn local_reader(
+    context: &WorkerContext,
+    customer: CustomerId,
+    id: RequestId,
+    place: EventPlace,
+) -> Result<AnswerReader, CallerError> {
+    let missing = || {
+        let message = "this answer is not kept any more; send the request again with last-event-id";
+        CallerError::not_run(ErrorCode::NotFound, message).of(id).with_verdict(Verdict::MayHaveRun)
+    };
+    let buffer = Some(id)
+        .filter(|id| id.home == context.node.me)
+        .and_then(|id| context.node.answers.get(id.serial))
+        .filter(|buffer| buffer.customer == customer)
+        .ok_or_else(missing)?;
+    buffer.reader(place.number).map_err(|_| missing())
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,80 @@
+//! HTTP servers on threads of their own.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::thread::JoinHandle;
+
+use ntex::server::Server;
+use tokio::sync::oneshot;
+
+/// A server that runs.
+#[derive(Debug)]
+pub struct ServerThread {
+    address: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl ServerThread {
+    /// Starts a thread with an ntex system and runs the server that `build` returns in it.
+    pub fn spawn<F>(name: &str, listener: TcpListener, build: F) -> io::Result<Self>
+    where
+        F: FnOnce(TcpListener) -> io::Result<Server> + Send + 'static,
+    {
+        let address = listener.local_addr()?;
+        listener.set_nonblocking(true)?;
+        let (stop, stopped) = oneshot::channel();
+        let (started, is_started) = std::sync::mpsc::channel();
+        let thread = std::thread::Builder::new().name(name.to_owned()).spawn(move || {
+            run_system(listener, build, &started, stopped);
+        })?;
+        is_started
+            .recv()
+            .map_err(|_| io::Error::other("the server's thread ended before it served"))??;
+        Ok(Self { address, stop: Some(stop), thread: Some(thread) })
+    }
+
+    /// Returns where the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops the server and waits for its thread; requests that still run are cut off.
+    pub fn stop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for ServerThread {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn run_system<F>(
+    listener: TcpListener,
+    build: F,
+    started: &std::sync::mpsc::Sender<io::Result<()>>,
+    stopped: oneshot::Receiver<()>,
+) where
+    F: FnOnce(TcpListener) -> io::Result<Server>,
+{
+    let system = ntex::rt::System::new("oleanderplank", ntex::rt::DefaultRuntime);
+    system.block_on(async move {
+        let server = match build(listener) {
+            Ok(server) => server,
+            Err(error) => {
+                let _ = started.send(Err(error));
+                return;
+            }
+        };
+        let _ = started.send(Ok(()));
+        let _ = stopped.await;
+        server.stop(false).await;
+    });
+}
--- /dev/null
+++ b/crates/entry/src/view.rs
@@ -0,0 +1,208 @@
+//! The fleet as one entry VM sees it: records and members, prepared for look-ups.
+//!
+//! A view is immutable and replaced as a whole whenever a record or a member changes, so that the
+//! request path reads it without a lock and never sees half of a change.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use oleander_base::prelude::*;
+use oleander_decide::{
+    BackendView, ClassView, CustomerView, DispatcherCandidate, PoolKind, choose_dispatcher,
+};
+use oleander_records::{BackendKind, BackendRecord, RecordSet, StopTarget};
+
+use crate::dispatch::PoolView;
+
+/// A live entry VM, as far as routing needs to know it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FleetMember {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its data centre.
+    pub centre: CentreId,
+    /// Its size against the others.
+    pub weight: f64,
+    /// Whether it takes roles; a leaving VM doesn't.
+    pub takes_roles: bool,
+}
+
+/// A pool that serves a model, or a plain service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PoolRoute {
+    /// The pool.
+    pub pool: PoolId,
+    /// What its backend servers are.
+    pub kind: PoolKind,
+    /// Its backend servers, in the order of their references.
+    pub backends: Vec<BackendId>,
+    /// The entry VM that holds its queue, if one is live.
+    pub dispatcher: Option<InstanceId>,
+}
+
+/// Records and members at one moment.
+#[derive(Debug)]
+pub struct FleetView {
+    /// The records in force.
+    pub records: Arc<RecordSet>,
+    /// Members, with this VM itself.
+    pub members: Vec<FleetMember>,
+    /// Backend servers that must get no new work.
+    pub leaving: FastSet<BackendId>,
+    pools: FastMap<PoolId, PoolRoute>,
+    by_model: FastMap<ModelId, Vec<PoolId>>,
+}
+
+impl FleetView {
+    /// Prepares a view.
+    pub fn new(
+        records: Arc<RecordSet>,
+        members: Vec<FleetMember>,
+        listed_leaving: &FastSet<BackendId>,
+    ) -> Self {
+        let mut leaving = listed_leaving.clone();
+        leaving.extend(stopped_backends(&records));
+        let mut view = Self {
+            records,
+            members,
+            leaving,
+            pools: FastMap::default(),
+            by_model: FastMap::default(),
+        };
+        view.add_pools();
+        view.choose_dispatchers();
+        view
+    }
+
+    /// Returns the pools of a model, in the order of their data centres.
+    pub fn pools_of(&self, model: ModelId) -> &[PoolId] {
+        self.by_model.get(&model).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns one pool.
+    pub fn pool(&self, id: PoolId) -> Option<&PoolRoute> {
+        self.pools.get(&id)
+    }
+
+    /// Returns every pool, in no particular order.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolRoute> {
+        self.pools.values()
+    }
+
+    /// Returns the record of a backend server.
+    pub fn backend(&self, backend: BackendId) -> Option<&BackendRecord> {
+        self.records.backends.get(&backend)
+    }
+
+    /// Returns the address of a backend server.
+    pub fn address(&self, backend: BackendId) -> Option<SocketAddr> {
+        Some(self.backend(backend)?.address)
+    }
+
+    /// Returns whether the pool has a backend server that may get new work.
+    pub fn has_work_for(&self, id: PoolId) -> bool {
+        let usable = |route: &PoolRoute| route.backends.iter().any(|b| !self.leaving.contains(b));
+        self.pool(id).is_some_and(usable)
+    }
+
+    /// Returns whether a planned stop of this entry VM, or of its data centre, is on record.
+    pub fn is_stopping(&self, address: SocketAddr, centre: CentreId) -> bool {
+        self.records.stops.values().any(|stop| match &stop.target {
+            StopTarget::Entry(stopped) => *stopped == address,
+            StopTarget::Centre(name) => CentreId::from_name(name) == centre,
+            StopTarget::Backend(_) => false,
+        })
+    }
+
+    /// Returns what the policy of a pool is to be told.
+    pub fn pool_view(&self, id: PoolId) -> Option<PoolView> {
+        let route = self.pool(id)?;
+        let backends = route.backends.iter().filter_map(|backend| self.backend_view(*backend));
+        let classes = self.records.classes.iter().map(|(class, record)| ClassView {
+            class: *class,
+            first_token_target: Span::from_millis(record.first_token_target_ms),
+            token_gap_target: Span::from_millis(record.token_gap_target_ms),
+            minimum_share: record.minimum_share,
+        });
+        let customers = self
+            .records
+            .customers
+            .iter()
+            .map(|(customer, record)| CustomerView { customer: *customer, weight: record.share });
+        Some(PoolView {
+            kind: route.kind,
+            backends: backends.collect(),
+            classes: classes.collect(),
+            customers: customers.collect(),
+        })
+    }
+
+    fn backend_view(&self, backend: BackendId) -> Option<BackendView> {
+        let record = self.backend(backend)?;
+        Some(BackendView {
+            backend,
+            slots: record.slots,
+            speed: record.speed,
+            leaving: self.leaving.contains(&backend),
+            reachable: true,
+        })
+    }
+
+    fn add_pools(&mut self) {
+        for (backend, record) in &self.records.backends {
+            let centre = CentreId::from_name(&record.centre);
+            let kind = match record.kind {
+                BackendKind::Engine => PoolKind::Engines,
+                BackendKind::Service => PoolKind::Services,
+            };
+            for name in &record.serves {
+                let pool = PoolId { centre, model: ModelId::from_name(name) };
+                let route = self.pools.entry(pool).or_insert_with(|| PoolRoute {
+                    pool,
+                    kind,
+                    backends: Vec::new(),
+                    dispatcher: None,
+                });
+                route.backends.push(*backend);
+            }
+        }
+        for pool in self.pools.keys() {
+            self.by_model.entry(pool.model).or_default().push(*pool);
+        }
+        for pools in self.by_model.values_mut() {
+            pools.sort_unstable();
+        }
+    }
+
+    fn choose_dispatchers(&mut self) {
+        for route in self.pools.values_mut() {
+            let centre = route.pool.centre;
+            let candidates = candidates(&self.members, centre);
+            route.dispatcher = choose_dispatcher(route.pool, &candidates);
+        }
+    }
+}
+
+/// Returns the entry VMs that may dispatch a data centre's pools.
+fn candidates(members: &[FleetMember], centre: CentreId) -> Vec<DispatcherCandidate> {
+    members
+        .iter()
+        .filter(|member| member.centre == centre && member.takes_roles)
+        .map(|member| DispatcherCandidate { instance: member.instance, weight: member.weight })
+        .collect()
+}
+
+fn stopped_backends(records: &RecordSet) -> Vec<BackendId> {
+    let mut stopped = Vec::new();
+    for stop in records.stops.values() {
+        match &stop.target {
+            StopTarget::Backend(name) => stopped.push(BackendId::from_name(name)),
+            StopTarget::Centre(name) => {
+                let inside = records.backends.iter().filter(|(_, record)| record.centre == *name);
+                stopped.extend(inside.map(|(backend, _)| *backend));
+            }
+            StopTarget::Entry(_) => {}
+        }
+    }
+    stopped
+}
--- /dev/null
+++ b/crates/entry/src/worker.rs
@@ -0,0 +1,53 @@
+//! What each worker thread of the callers' server has for itself.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use oleander_engine::{EngineClient, EngineSettings};
+use oleander_once::OnceGuard;
+use oleander_peer::PeerEndpoint;
+use oleander_service::{ServiceClient, ServiceSettings};
+
+use crate::node::EntryNode;
+
+/// What all workers share.
+#[derive(Clone)]
+pub struct SharedContext {
+    /// The state of the process.
+    pub node: Arc<EntryNode>,
+    /// The guard of non-idempotent requests.
+    pub guard: Arc<dyn OnceGuard>,
+    /// The way to the other entry VMs.
+    pub peers: PeerEndpoint,
+}
+
+impl std::fmt::Debug for SharedContext {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("SharedContext").field("node", &self.node).finish_non_exhaustive()
+    }
+}
+
+/// The clients and shared state of one worker thread.
+#[derive(Debug)]
+pub struct WorkerContext {
+    /// The state of the process.
+    pub node: Arc<EntryNode>,
+    /// What all workers share.
+    pub shared: SharedContext,
+    /// The client of model engines.
+    pub engines: EngineClient,
+    /// The client of plain services.
+    pub services: ServiceClient,
+}
+
+impl WorkerContext {
+    /// Opens the clients of this thread.
+    pub fn open(shared: &SharedContext) -> Rc<Self> {
+        Rc::new(Self {
+            node: Arc::clone(&shared.node),
+            shared: shared.clone(),
+            engines: EngineClient::open(EngineSettings::default()),
+            services: ServiceClient::open(ServiceSettings::default()),
+        })
+    }
+}
--- /dev/null
+++ b/crates/operator/src/metrics.rs
@@ -0,0 +1,92 @@
+//! Metrics by `opentelemetry`, in the Prometheus text form.
+//!
+//! Every instrument is an observable one that reads the process's own counters when it is
+//! collected, so that the request path counts once and pays for no second registry.
+
+use std::sync::Arc;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::desk::{MetricKind, MetricName, MetricPoint, OperatorDesk};
+
+/// The name of the instrumentation scope.
+const METER_NAME: &str = "oleanderplank";
+
+/// Collects the metrics of one process.
+#[derive(Debug)]
+pub struct MetricsPage {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+}
+
+impl MetricsPage {
+    /// Registers every metric of the desk; returns the error's text if the library refuses.
+    pub fn open(desk: &Arc<dyn OperatorDesk>) -> Result<Self, String> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(|error| error.to_string())?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter(METER_NAME);
+        for metric in desk.metric_names() {
+            register(&meter, metric, Arc::clone(desk));
+        }
+        Ok(Self {
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Returns the metrics in the Prometheus text form.
+    pub fn text(&self) -> Result<String, String> {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .map_err(|error| error.to_string())
+    }
+}
+
+fn register(
+    meter: &opentelemetry::metrics::Meter,
+    metric: &'static MetricName,
+    desk: Arc<dyn OperatorDesk>,
+) {
+    match metric.kind {
+        MetricKind::Counter => {
+            let builder = meter.f64_observable_counter(metric.name);
+            builder
+                .with_unit(metric.unit)
+                .with_description(metric.description)
+                .with_callback(move |observer| {
+                    for point in desk.metric_points(metric.name) {
+                        observer.observe(point.value, &labels(&point));
+                    }
+                })
+                .build();
+        }
+        MetricKind::Gauge => {
+            let builder = meter.f64_observable_gauge(metric.name);
+            builder
+                .with_unit(metric.unit)
+                .with_description(metric.description)
+                .with_callback(move |observer| {
+                    for point in desk.metric_points(metric.name) {
+                        observer.observe(point.value, &labels(&point));
+                    }
+                })
+                .build();
+        }
+    }
+}
+
+fn labels(point: &MetricPoint) -> Vec<KeyValue> {
+    point
+        .labels
+        .iter()
+        .map(|label| KeyValue::new(label.name, label.value.clone()))
+        .collect()
+}
--- /dev/null
+++ b/crates/operator/src/routes.rs
@@ -0,0 +1,266 @@
+//! The operators' paths.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::stream;
+use ntex::http::StatusCode;
+use ntex::util::Bytes;
+use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
+use serde::{Deserialize, Serialize};
+
+use crate::access::OperatorAccess;
+use crate::desk::{ChangeRefusal, OperatorDesk, RecordChange};
+use crate::metrics::MetricsPage;
+
+/// The page for wall screens.
+const PAGE: &str = include_str!("page.html");
+/// The page's script.
+const SCRIPT: &str = include_str!("page.js");
+/// The page's style.
+const STYLE: &str = include_str!("page.css");
+/// The time between two states that a screen gets.
+const SCREEN_PERIOD: Duration = Duration::from_millis(1_000);
+/// The most journal entries of one answer.
+const JOURNAL_LIMIT: usize = 100_000;
+
+/// What the operators' paths share.
+#[derive(Clone)]
+pub struct OperatorContext {
+    /// Where the figures come from.
+    pub desk: Arc<dyn OperatorDesk>,
+    /// Who may see them.
+    pub access: OperatorAccess,
+    /// The metrics.
+    pub metrics: Arc<MetricsPage>,
+}
+
+impl std::fmt::Debug for OperatorContext {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("OperatorContext").finish_non_exhaustive()
+    }
+}
+
+impl OperatorContext {
+    /// Opens the context of a process.
+    pub fn open(desk: Arc<dyn OperatorDesk>, key: &str) -> Result<Self, String> {
+        let metrics = Arc::new(MetricsPage::open(&desk)?);
+        Ok(Self {
+            desk,
+            access: OperatorAccess::new(key),
+            metrics,
+        })
+    }
+
+    /// Adds the operators' paths to an application.
+    pub fn configure(self, config: &mut ServiceConfig) {
+        config.state(Rc::new(self));
+        config.service(web::resource("/").route(web::get().to(page)));
+        config.service(web::resource("/page.js").route(web::get().to(script)));
+        config.service(web::resource("/page.css").route(web::get().to(style)));
+        config.service(web::resource("/login").route(web::post().to(login)));
+        config.service(web::resource("/screen").route(web::get().to(screen)));
+        config.service(web::resource("/screen/events").route(web::get().to(screen_events)));
+        config.service(web::resource("/dump").route(web::get().to(dump)));
+        config.service(web::resource("/journal").route(web::get().to(journal)));
+        config.service(web::resource("/metrics").route(web::get().to(metrics)));
+        config.service(web::resource("/records").route(web::get().to(records)));
+        config.service(web::resource("/records/check").route(web::post().to(check)));
+        config.service(web::resource("/records/change").route(web::post().to(change)));
+    }
+}
+
+type Context = web::types::State<Rc<OperatorContext>>;
+
+#[derive(Serialize)]
+struct PageError<'a> {
+    error: &'a str,
+}
+
+fn refuse(status: StatusCode, error: &str) -> HttpResponse {
+    HttpResponse::build(status).json(&PageError { error })
+}
+
+fn check_access(request: &HttpRequest, context: &OperatorContext) -> Result<(), HttpResponse> {
+    if context.access.is_operator(request.headers()) {
+        return Ok(());
+    }
+    Err(refuse(
+        StatusCode::UNAUTHORIZED,
+        "send the operators' key: `Authorization: Bearer KEY`",
+    ))
+}
+
+async fn page() -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/html; charset=utf-8")
+        .body(PAGE)
+}
+
+async fn script() -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/javascript; charset=utf-8")
+        .body(SCRIPT)
+}
+
+async fn style() -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/css; charset=utf-8")
+        .body(STYLE)
+}
+
+#[derive(Deserialize)]
+struct LoginForm {
+    key: String,
+}
+
+async fn login(form: web::types::Form<LoginForm>, context: Context) -> HttpResponse {
+    if !context.access.is_key(&form.key) {
+        return refuse(StatusCode::UNAUTHORIZED, "this is not the operators' key");
+    }
+    HttpResponse::SeeOther()
+        .header("set-cookie", context.access.cookie_header())
+        .header("location", "/")
+        .finish()
+}
+
+async fn screen(request: HttpRequest, context: Context) -> HttpResponse {
+    if let Err(response) = check_access(&request, &context) {
+        return response;
+    }
+    HttpResponse::Ok().json(&context.desk.screen())
+}
+
+/// Sends the state at once and then once a period, until the browser leaves.
+async fn screen_events(request: HttpRequest, context: Context) -> HttpResponse {
+    if let Err(response) = check_access(&request, &context) {
+        return response;
+    }
+    let desk = Arc::clone(&context.desk);
+    let events = stream::unfold(true, move |first| {
+        let desk = Arc::clone(&desk);
+        async move {
+            if !first {
+                tokio::time::sleep(SCREEN_PERIOD).await;
+            }
+            Some((screen_event(desk.as_ref()), false))
+        }
+    });
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .header("cache-control", "no-store")
+        .streaming(Box::pin(events))
+}
+
+fn screen_event(desk: &dyn OperatorDesk) -> Result<Bytes, std::io::Error> {
+    let text = serde_json::to_string(&desk.screen())?;
+    Ok(Bytes::from(format!("data: {text}\n\n")))
+}
+
+#[derive(Deserialize)]
+struct DumpQuery {
+    format: Option<String>,
+}
+
+async fn dump(
+    request: HttpRequest,
+    query: web::types::Query<DumpQuery>,
+    context: Context,
+) -> HttpResponse {
+    if let Err(response) = check_access(&request, &context) {
+        return response;
+    }
+    match query.format.as_deref() {
+        None | Some("text") => HttpResponse::Ok()
+            .content_type("text/plain; charset=utf-8")
+            .body(context.desk.dump_text()),
+        Some("json") => HttpResponse::Ok()
+            .content_type("application/json")
+            .body(context.desk.dump_json()),
+        Some(_) => refuse(StatusCode::BAD_REQUEST, "`format` is `text` or `json`"),
+    }
+}
+
+#[derive(Deserialize)]
+struct JournalQuery {
+    after: Option<u64>,
+    limit: Option<usize>,
+}
+
+async fn journal(
+    request: HttpRequest,
+    query: web::types::Query<JournalQuery>,
+    context: Context,
+) -> HttpResponse {
+    if let Err(response) = check_access(&request, &context) {
+        return response;
+    }
+    let limit = query.limit.unwrap_or(JOURNAL_LIMIT).min(JOURNAL_LIMIT);
+    let lines = context.desk.journal(query.after.unwrap_or(0), limit);
+    HttpResponse::Ok()
+        .content_type("application/x-ndjson")
+        .body(lines)
+}
+
+async fn metrics(request: HttpRequest, context: Context) -> HttpResponse {
+    if let Err(response) = check_access(&request, &context) {
+        return response;
+    }
+    match context.metrics.text() {
+        Ok(text) => HttpResponse::Ok()
+            .content_type("text/plain; version=0.0.4")
+            .body(text),
+        Err(error) => refuse(StatusCode::INTERNAL_SERVER_ERROR, &error),
+    }
+}
+
+async fn records(request: HttpRequest, context: Context) -> HttpResponse {
+    if let Err(response) = check_access(&request, &context) {
+        return response;
+    }
+    HttpResponse::Ok().json(&context.desk.records())
+}
+
+async fn check(
+    request: HttpRequest,
+    change: web::types::Json<RecordChange>,
+    context: Context,
+) -> HttpResponse {
+    if let Err(response) = check_access(&request, &context) {
+        return response;
+    }
+    match context.desk.check(change.into_inner()) {
+        Ok(()) => HttpResponse::NoContent().finish(),
+        Err(refusal) => refusal_response(&refusal),
+    }
+}
+
+#[derive(Serialize)]
+struct AcceptedChange {
+    revision: u64,
+}
+
+async fn change(
+    request: HttpRequest,
+    change: web::types::Json<RecordChange>,
+    context: Context,
+) -> HttpResponse {
+    if let Err(response) = check_access(&request, &context) {
+        return response;
+    }
+    match context.desk.change(change.into_inner()).await {
+        Ok(revision) => HttpResponse::Ok().json(&AcceptedChange { revision }),
+        Err(refusal) => refusal_response(&refusal),
+    }
+}
+
+fn refusal_response(refusal: &ChangeRefusal) -> HttpResponse {
+    let status = match refusal {
+        ChangeRefusal::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        ChangeRefusal::Conflict { .. } => StatusCode::CONFLICT,
+        ChangeRefusal::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        ChangeRefusal::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
+    };
+    HttpResponse::build(status).json(refusal)
+}
