--- /dev/null
+++ b/crates/decide/src/backend_set.rs
@@ -0,0 +1,288 @@
+//! The backend servers of a pool, and the choice among them.
+//!
+//! A grant goes to the backend server with a free slot where the answer is expected to end first:
+//! the expected first token plus the expected length times the time for a token under the load
+//! there, both from what was seen. Releases that are overdue raise the estimate at once, so a
+//! backend server that slows down loses work before any report says so. A probable prefix hit
+//! lowers it, but only where the load is not far above the pool's mean, so that hints cannot
+//! drive all work to one place.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use oleander_base::prelude::*;
+
+use crate::backend_state::BackendState;
+use crate::config::PoolConfig;
+use crate::prefix_index::PrefixIndex;
+use crate::speed::ReferenceSpeed;
+use crate::verify::VerifyError;
+use crate::views::BackendView;
+
+/// The share of the time to the first token that a prefix hit saves.
+const PREFIX_SAVING: f64 = 0.7;
+
+/// How far above the pool's mean occupancy a backend server may be for a hint to count.
+const PREFIX_LOAD_MARGIN: f64 = 0.2;
+
+/// Overdue releases that are within the usual scatter.
+const OVERDUE_TOLERANCE: f64 = 3.0;
+
+/// By how much each further overdue release raises the expected time.
+const OVERDUE_PENALTY: f64 = 0.25;
+
+/// The factor on the expected time where the load of others is unknown.
+const UNKNOWN_PENALTY: f64 = 1.15;
+
+/// The times that are assumed before any answer was seen.
+const DEFAULT_REFERENCE: ReferenceSpeed = ReferenceSpeed {
+    unit: 0.02,
+    first: 0.2,
+};
+
+/// The backend servers of one pool.
+#[derive(Debug)]
+pub(crate) struct BackendSet {
+    states: BTreeMap<BackendId, BackendState>,
+    prefixes: PrefixIndex,
+    reference: ReferenceSpeed,
+    capacity: Option<f64>,
+    mean_occupancy: f64,
+}
+
+impl BackendSet {
+    /// Opens an empty set.
+    pub(crate) fn open() -> Self {
+        Self {
+            states: BTreeMap::new(),
+            prefixes: PrefixIndex::default(),
+            reference: DEFAULT_REFERENCE,
+            capacity: None,
+            mean_occupancy: 0.0,
+        }
+    }
+
+    /// Replaces the records; a backend server without one stays until its last grant ends.
+    pub(crate) fn set_views(&mut self, views: &[BackendView], config: &PoolConfig, now: MonoTime) {
+        for state in self.states.values_mut() {
+            state.listed = false;
+        }
+        for view in views {
+            self.states
+                .entry(view.backend)
+                .or_insert_with(|| BackendState::open(view.clone(), config, now))
+                .set_view(view);
+        }
+        self.drop_unlisted();
+    }
+
+    /// Returns one backend server.
+    pub(crate) fn get_mut(&mut self, backend: BackendId) -> Option<&mut BackendState> {
+        self.states.get_mut(&backend)
+    }
+
+    /// Returns one backend server, with a place for grants if it has no record.
+    pub(crate) fn get_or_open(
+        &mut self,
+        backend: BackendId,
+        config: &PoolConfig,
+        now: MonoTime,
+    ) -> &mut BackendState {
+        self.states
+            .entry(backend)
+            .or_insert_with(|| BackendState::open_unlisted(backend, config, now))
+    }
+
+    /// Returns every backend server, by reference.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &BackendState> + '_ {
+        self.states.values()
+    }
+
+    /// Returns the prefix hints.
+    pub(crate) fn prefixes_mut(&mut self) -> &mut PrefixIndex {
+        &mut self.prefixes
+    }
+
+    /// Returns whether any backend server could take work, now or after a pause.
+    pub(crate) fn has_usable(&self) -> bool {
+        self.states.values().any(BackendState::is_usable)
+    }
+
+    /// Returns whether any slot is free.
+    pub(crate) fn has_free(&self, now: MonoTime) -> bool {
+        self.states.values().any(|state| state.free(now) > 0)
+    }
+
+    /// Returns the work that the pool does in a second with all slots in use, once it is known.
+    pub(crate) fn capacity(&self) -> Option<f64> {
+        self.capacity
+    }
+
+    /// Returns the time to a first token that is usual in the pool.
+    pub(crate) fn usual_first(&self) -> Span {
+        Span((self.reference.first * 1e6) as u64)
+    }
+
+    /// Returns the backend server for a ticket, if one that may serve it has a free slot.
+    pub(crate) fn choose(&self, ticket: &Ticket, work: u32, now: MonoTime) -> Option<BackendId> {
+        let adapter = ticket.adapter.filter(|adapter| self.any_has(*adapter));
+        let avoid = ticket.avoid.filter(|backend| self.has_other(*backend));
+        let stale = Span::from_secs(5);
+        self.states
+            .values()
+            .filter(|state| Some(state.view.backend) != avoid)
+            .filter(|state| adapter.is_none_or(|a| state.has_adapter(a) != Some(false)))
+            .filter(|state| state.free(now) > 0 && state.has_model(ticket.pool.model))
+            .map(|state| (self.expected_finish(state, ticket, work, stale, now), state))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, state)| state.view.backend)
+    }
+
+    /// Ejects a failing backend server, or limits it to probes if the pool would lose too much.
+    pub(crate) fn eject(&mut self, backend: BackendId, share: f64, now: MonoTime) {
+        let usable = self.states.values().filter(|s| s.is_usable());
+        let usable = usable.count();
+        let ejected = self.states.values().filter(|state| {
+            state.is_usable() && state.view.backend != backend && state.health.is_ejected(now)
+        });
+        let ejected = ejected.count();
+        let bound = ((usable as f64 * share).floor() as usize).min(usable.saturating_sub(1));
+        if let Some(state) = self.states.get_mut(&backend) {
+            if ejected < bound {
+                state.health.eject(now);
+            } else {
+                state.health.limit_to_probes();
+            }
+        }
+        self.prefixes.forget(backend);
+    }
+
+    /// Brings the figures of the whole pool up to date.
+    pub(crate) fn tick(&mut self, now: MonoTime) {
+        for state in self.states.values_mut() {
+            state.health.tick(now);
+        }
+        self.drop_unlisted();
+        self.update_reference();
+        self.update_capacity(now);
+    }
+
+    /// Checks the bounds of each backend server and of ejection.
+    pub(crate) fn verify(&self, now: MonoTime) -> Result<(), VerifyError> {
+        for state in self.states.values() {
+            let limit = state.limit.get();
+            let bounds = u32::from(state.view.slots > 0)..=state.view.slots;
+            if !bounds.contains(&limit) {
+                return Err(VerifyError::LimitBounds {
+                    backend: state.view.backend,
+                    limit,
+                    slots: state.view.slots,
+                });
+            }
+        }
+        let usable = self.states.values().filter(|s| s.is_usable());
+        let usable = usable.count();
+        let all_ejected = self
+            .states
+            .values()
+            .filter(|state| state.is_usable())
+            .all(|state| state.health.is_ejected(now));
+        if usable > 0 && all_ejected {
+            return Err(VerifyError::PoolEmptied(usable));
+        }
+        Ok(())
+    }
+
+    /// Writes one line for each backend server.
+    pub(crate) fn dump(&self, stale: Span, now: MonoTime, text: &mut String) {
+        if let Some(capacity) = self.capacity {
+            let _ = writeln!(text, "  capacity {capacity:.1}/s");
+        }
+        for state in self.states.values() {
+            state.dump(stale, now, text);
+        }
+    }
+
+    fn expected_finish(
+        &self,
+        state: &BackendState,
+        ticket: &Ticket,
+        work: u32,
+        stale: Span,
+        now: MonoTime,
+    ) -> f64 {
+        let limit = f64::from(state.limit.get().max(1));
+        let load = f64::from(state.in_use() + 1) / limit;
+        let speed = state.speed_factor();
+        let work = f64::from(work);
+        let mut seconds = state.speed.expected(work, load, speed, &self.reference);
+        let is_near_mean = state.occupancy() <= self.mean_occupancy + PREFIX_LOAD_MARGIN;
+        if let Some(prefix) = ticket.prefix
+            && is_near_mean
+            && self.prefixes.holds(state.view.backend, prefix, now)
+        {
+            let first = state.speed.first().unwrap_or(self.reference.first / speed);
+            seconds -= PREFIX_SAVING * first;
+        }
+        if state.load.is_unknown(stale, now) {
+            seconds *= UNKNOWN_PENALTY;
+        }
+        let overdue = (state.overdue(now) - OVERDUE_TOLERANCE).max(0.0);
+        seconds * (1.0 + OVERDUE_PENALTY * overdue)
+    }
+
+    fn any_has(&self, adapter: AdapterId) -> bool {
+        let usable = self.states.values().filter(|state| state.is_usable());
+        usable
+            .into_iter()
+            .any(|state| state.has_adapter(adapter) == Some(true))
+    }
+
+    fn has_other(&self, backend: BackendId) -> bool {
+        let mut usable = self.states.values().filter(|state| state.is_usable());
+        usable.any(|state| state.view.backend != backend)
+    }
+
+    fn drop_unlisted(&mut self) {
+        let prefixes = &mut self.prefixes;
+        self.states.retain(|backend, state| {
+            let keep = state.listed || state.outstanding() > 0;
+            if !keep {
+                prefixes.forget(*backend);
+            }
+            keep
+        });
+    }
+
+    fn update_reference(&mut self) {
+        let listed = || self.states.values().filter(|state| state.listed);
+        let units = listed().filter_map(|s| Some(s.speed.unit()? * s.speed_factor()));
+        let firsts = listed().filter_map(|s| Some(s.speed.first()? * s.speed_factor()));
+        let reference = ReferenceSpeed {
+            unit: mean(units).unwrap_or(self.reference.unit),
+            first: mean(firsts).unwrap_or(self.reference.first),
+        };
+        self.reference = reference;
+    }
+
+    fn update_capacity(&mut self, now: MonoTime) {
+        let usable = || self.states.values().filter(|state| state.ceiling(now) > 0);
+        let rates = usable().filter_map(|s| Some(s.speed.slot_rate()? / s.speed_factor()));
+        let Some(usual) = mean(rates) else {
+            return;
+        };
+        let works = usable().map(|state| {
+            let rate = state.speed.slot_rate();
+            let slots = state.ceiling(now).saturating_sub(state.load.others());
+            f64::from(slots) * rate.unwrap_or(usual * state.speed_factor())
+        });
+        self.capacity = Some(works.sum());
+        let occupancy = usable().map(BackendState::occupancy);
+        self.mean_occupancy = mean(occupancy).unwrap_or(0.0);
+    }
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, count) = values.fold((0.0, 0u32), |(sum, count), v| (sum + v, count + 1));
+    (count > 0).then(|| sum / f64::from(count))
+}
--- /dev/null
+++ b/crates/decide/src/backend_state.rs
@@ -0,0 +1,243 @@
+//! All that is known of one backend server.
+
+use std::collections::BTreeSet;
+use std::fmt::Write as _;
+
+use oleander_base::LoadReport;
+use oleander_base::prelude::*;
+
+use crate::config::PoolConfig;
+use crate::health::BackendHealth;
+use crate::other_load::OtherLoad;
+use crate::slot_limit::SlotLimit;
+use crate::speed::SpeedEstimate;
+use crate::views::BackendView;
+
+/// Releases that have to be overdue before a backend server counts as stalled; with answers that
+/// end independently, the chance to be wrong is e to the power of minus this number.
+const STALL_RELEASES: f64 = 10.0;
+
+/// The share of the grants in use that must have lasted longer than an answer takes on average;
+/// grants that were made at once end at once, and their silence until then means nothing.
+const STALL_OLD_SHARE: f64 = 0.5;
+
+/// The shortest silence that counts as a stall.
+const STALL_FLOOR: Span = Span::from_millis(750);
+
+/// The smallest speed that counts.
+const SPEED_FLOOR: f64 = 0.01;
+
+/// The time between the probes of a stalled backend server.
+const STALL_PROBE_PERIOD: Span = Span::from_secs(1);
+
+/// The state of one backend server.
+#[derive(Debug)]
+pub(crate) struct BackendState {
+    pub(crate) view: BackendView,
+    pub(crate) listed: bool,
+    running: BTreeSet<(MonoTime, RequestId)>,
+    pub(crate) limit: SlotLimit,
+    pub(crate) health: BackendHealth,
+    pub(crate) speed: SpeedEstimate,
+    pub(crate) load: OtherLoad,
+    batch_limit: Option<u32>,
+    says_leaving: bool,
+    models: Vec<(ModelId, Vec<AdapterId>)>,
+    sign_of_life: MonoTime,
+    last_grant: MonoTime,
+}
+
+impl BackendState {
+    /// Opens the state of a backend server that nothing is known of but its record.
+    pub(crate) fn open(view: BackendView, config: &PoolConfig, now: MonoTime) -> Self {
+        Self {
+            limit: SlotLimit::open(view.slots),
+            health: BackendHealth::open(config.ejection_pause, config.ejection_pause_limit),
+            speed: SpeedEstimate::default(),
+            load: OtherLoad::default(),
+            listed: true,
+            running: BTreeSet::new(),
+            batch_limit: None,
+            says_leaving: false,
+            models: Vec::new(),
+            sign_of_life: now,
+            last_grant: now,
+            view,
+        }
+    }
+
+    /// Opens the state of a backend server that has grants but no record here.
+    pub(crate) fn open_unlisted(backend: BackendId, config: &PoolConfig, now: MonoTime) -> Self {
+        let view = BackendView {
+            backend,
+            slots: 0,
+            speed: 1.0,
+            leaving: true,
+            reachable: false,
+        };
+        let mut state = Self::open(view, config, now);
+        state.listed = false;
+        state
+    }
+
+    /// Takes a new view of the record.
+    pub(crate) fn set_view(&mut self, view: &BackendView) {
+        self.limit.set_slots(view.slots);
+        self.view = view.clone();
+        self.listed = true;
+    }
+
+    /// Takes a load report.
+    pub(crate) fn report(&mut self, report: &LoadReport, now: MonoTime) {
+        let total = report.running.saturating_add(report.waiting);
+        self.load.report(total, report.age, self.outstanding(), now);
+        self.batch_limit = (report.batch_limit > 0).then_some(report.batch_limit);
+        self.says_leaving = report.leaving;
+        self.models = report
+            .models
+            .iter()
+            .map(|loaded| (loaded.model, loaded.adapters.clone()))
+            .collect();
+    }
+
+    /// Returns whether the backend server may take new work at all.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.listed
+            && self.view.reachable
+            && !self.view.leaving
+            && !self.says_leaving
+            && self.view.slots > 0
+    }
+
+    /// Returns whether the backend server has the model in memory, as far as it says.
+    pub(crate) fn has_model(&self, model: ModelId) -> bool {
+        self.models.is_empty() || self.models.iter().any(|(loaded, _)| *loaded == model)
+    }
+
+    /// Returns whether the backend server has the adapter in memory, if it says anything.
+    pub(crate) fn has_adapter(&self, adapter: AdapterId) -> Option<bool> {
+        if self.models.is_empty() {
+            return None;
+        }
+        let mut adapters = self.models.iter().flat_map(|(_, adapters)| adapters);
+        Some(adapters.any(|loaded| *loaded == adapter))
+    }
+
+    /// Returns the most requests of all senders that the backend server may have now.
+    pub(crate) fn ceiling(&self, now: MonoTime) -> u32 {
+        if !self.is_usable() {
+            return 0;
+        }
+        let limit = self.limit.get().min(self.health.cap(now));
+        self.batch_limit
+            .map_or(limit, |batch| limit.min(batch.max(1)))
+    }
+
+    /// Returns the requests of all senders that the backend server has.
+    pub(crate) fn in_use(&self) -> u32 {
+        self.outstanding().saturating_add(self.load.others())
+    }
+
+    /// Returns how many requests may be granted to it now.
+    pub(crate) fn free(&self, now: MonoTime) -> u32 {
+        let free = self.ceiling(now).saturating_sub(self.in_use());
+        if free > 0 && self.is_stalled(now) {
+            return u32::from(now.since(self.last_grant) >= STALL_PROBE_PERIOD);
+        }
+        free
+    }
+
+    /// Returns the speed of the record, which is never 0 here.
+    pub(crate) fn speed_factor(&self) -> f64 {
+        self.view.speed.max(SPEED_FLOOR)
+    }
+
+    /// Returns the share of the slots in use, 0 to 1.
+    pub(crate) fn occupancy(&self) -> f64 {
+        f64::from(self.in_use()) / f64::from(self.limit.get().max(1))
+    }
+
+    /// Returns how many releases are overdue, which is near 0 or 1 for one that serves.
+    pub(crate) fn overdue(&self, now: MonoTime) -> f64 {
+        let Some(hold) = self.speed.hold() else {
+            return 0.0;
+        };
+        let silence = now.since(self.sign_of_life).as_secs_f64();
+        silence * f64::from(self.outstanding()) / hold.max(1e-3)
+    }
+
+    /// Returns whether the backend server has shown no progress for far too long.
+    pub(crate) fn is_stalled(&self, now: MonoTime) -> bool {
+        now.since(self.sign_of_life) > STALL_FLOOR
+            && self.overdue(now) > STALL_RELEASES
+            && self.old_share(now) >= STALL_OLD_SHARE
+    }
+
+    /// Returns how many grants are in use.
+    pub(crate) fn outstanding(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    /// Counts a grant that was made `age` ago.
+    pub(crate) fn granted(&mut self, request: RequestId, at: MonoTime, now: MonoTime) {
+        if self.running.is_empty() {
+            self.sign_of_life = now;
+        }
+        self.running.insert((at, request));
+        self.last_grant = now;
+        self.load.granted(now);
+    }
+
+    /// Counts the end of a grant.
+    pub(crate) fn ended(&mut self, request: RequestId, at: MonoTime, now: MonoTime) {
+        if self.running.remove(&(at, request)) {
+            self.load.released(now);
+        }
+    }
+
+    /// Returns the share of the grants in use that are older than an answer takes on average.
+    fn old_share(&self, now: MonoTime) -> f64 {
+        let hold = Span((self.speed.hold().unwrap_or(0.0) * 1e6) as u64);
+        let old = self
+            .running
+            .iter()
+            .take_while(|(at, _)| now.since(*at) > hold);
+        old.count() as f64 / self.running.len().max(1) as f64
+    }
+
+    /// Records that the backend server made progress.
+    pub(crate) fn progressed(&mut self, now: MonoTime) {
+        self.sign_of_life = self.sign_of_life.max(now);
+    }
+
+    /// Writes one line of the dump.
+    pub(crate) fn dump(&self, stale: Span, now: MonoTime, text: &mut String) {
+        let _ = write!(
+            text,
+            "  {} {}/{} others {} slots {} {}",
+            self.view.backend,
+            self.outstanding(),
+            self.ceiling(now),
+            self.load.others(),
+            self.view.slots,
+            self.health,
+        );
+        let marks = [
+            (!self.listed, " unlisted"),
+            (self.view.leaving || self.says_leaving, " leaving"),
+            (!self.view.reachable, " unreachable"),
+            (self.is_stalled(now), " stalled"),
+            (self.load.is_unknown(stale, now), " load unknown"),
+        ];
+        for (_, mark) in marks.iter().filter(|(set, _)| *set) {
+            text.push_str(mark);
+        }
+        if let Some(unit) = self.speed.unit() {
+            let _ = write!(text, " unit {:.3}ms", unit * 1e3);
+        }
+        if let Some(hold) = self.speed.hold() {
+            let _ = write!(text, " hold {hold:.3}s");
+        }
+        text.push('\n');
+    }
+}
--- /dev/null
+++ b/crates/decide/src/baseline.rs
@@ -0,0 +1,356 @@
+//! The baselines of experiments: one FIFO queue without tiers.
+//!
+//! They keep to the slots of the records and to leaving backend servers, as any router would, and
+//! know nothing of tiers, deadlines, lengths, speeds or failures.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Write as _;
+
+use oleander_base::prelude::*;
+use oleander_base::{CacheEvent, GrantNotice, LoadReport, ReleaseNotice, ShedNotice, ShedReason};
+
+use crate::config::PoolConfig;
+use crate::policy::{Decision, DecisionNotice, PoolPolicy};
+use crate::queue_time::QueueTime;
+use crate::summary::{ClassSummary, PoolSummary, TierSummary};
+use crate::verify::VerifyError;
+use crate::views::{BackendView, ClassView, CustomerView, HeldGrant, ProgressNotice};
+
+/// What a caller is told to wait.
+const RETRY_AFTER: Span = Span::from_secs(1);
+
+/// How a [`FifoPool`] chooses a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FifoOrder {
+    /// The backend servers in turn, those without a free slot left out.
+    RoundRobin,
+    /// The backend server with the fewest requests outstanding.
+    Least,
+}
+
+#[derive(Debug)]
+struct FifoTicket {
+    ticket: Ticket,
+    owner: InstanceId,
+    expires: QueueTime,
+}
+
+#[derive(Debug)]
+struct FifoGrant {
+    owner: InstanceId,
+    backend: BackendId,
+    class: ClassId,
+    lapses: Option<MonoTime>,
+}
+
+#[derive(Debug)]
+struct FifoBackend {
+    view: BackendView,
+    outstanding: u32,
+}
+
+/// One FIFO queue before all backend servers of a pool.
+#[derive(Debug)]
+pub struct FifoPool {
+    order: FifoOrder,
+    config: PoolConfig,
+    queue: VecDeque<FifoTicket>,
+    grants: BTreeMap<RequestId, FifoGrant>,
+    backends: BTreeMap<BackendId, FifoBackend>,
+    classes: BTreeMap<ClassId, ClassSummary>,
+    last: Option<BackendId>,
+}
+
+impl FifoPool {
+    /// Opens an empty pool.
+    pub fn open(order: FifoOrder, config: PoolConfig) -> Self {
+        Self {
+            order,
+            config,
+            queue: VecDeque::new(),
+            grants: BTreeMap::new(),
+            backends: BTreeMap::new(),
+            classes: BTreeMap::new(),
+            last: None,
+        }
+    }
+
+    fn choose(&self) -> Option<BackendId> {
+        let free = || {
+            self.backends.iter().filter(|(_, state)| {
+                let view = &state.view;
+                view.reachable && !view.leaving && state.outstanding < view.slots
+            })
+        };
+        match self.order {
+            FifoOrder::RoundRobin => free()
+                .find(|(backend, _)| Some(**backend) > self.last)
+                .or_else(|| free().next())
+                .map(|(backend, _)| *backend),
+            FifoOrder::Least => free()
+                .min_by_key(|(_, state)| state.outstanding)
+                .map(|(backend, _)| *backend),
+        }
+    }
+
+    fn settle(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
+        let at = QueueTime::from(now);
+        while let Some(entry) = self.queue.pop_front() {
+            if entry.expires <= at {
+                self.refuse(&entry.ticket, entry.owner, ShedReason::Expired, out);
+                continue;
+            }
+            let Some(backend) = self.choose() else {
+                self.queue.push_front(entry);
+                return;
+            };
+            self.grant(&entry.ticket, entry.owner, backend, out);
+        }
+    }
+
+    fn grant(
+        &mut self,
+        ticket: &Ticket,
+        owner: InstanceId,
+        backend: BackendId,
+        out: &mut Vec<Decision>,
+    ) {
+        self.last = Some(backend);
+        self.hold(ticket, owner, backend);
+        self.class(ticket.class).granted += 1;
+        let notice = DecisionNotice::Grant(GrantNotice {
+            request: ticket.request,
+            backend,
+        });
+        out.push(Decision { to: owner, notice });
+    }
+
+    fn hold(&mut self, ticket: &Ticket, owner: InstanceId, backend: BackendId) {
+        if let Some(state) = self.backends.get_mut(&backend) {
+            state.outstanding += 1;
+        }
+        self.class(ticket.class).running += 1;
+        let grant = FifoGrant {
+            owner,
+            backend,
+            class: ticket.class,
+            lapses: None,
+        };
+        self.grants.insert(ticket.request, grant);
+    }
+
+    fn free(&mut self, request: RequestId) -> bool {
+        let Some(grant) = self.grants.remove(&request) else {
+            return false;
+        };
+        if let Some(state) = self.backends.get_mut(&grant.backend) {
+            state.outstanding = state.outstanding.saturating_sub(1);
+        }
+        let class = self.class(grant.class);
+        class.running = class.running.saturating_sub(1);
+        true
+    }
+
+    fn refuse(
+        &mut self,
+        ticket: &Ticket,
+        owner: InstanceId,
+        reason: ShedReason,
+        out: &mut Vec<Decision>,
+    ) {
+        self.class(ticket.class).shed += 1;
+        let notice = DecisionNotice::Shed(ShedNotice {
+            request: ticket.request,
+            reason,
+            retry_after: RETRY_AFTER,
+        });
+        out.push(Decision { to: owner, notice });
+    }
+
+    fn class(&mut self, class: ClassId) -> &mut ClassSummary {
+        self.classes.entry(class).or_insert_with(|| ClassSummary {
+            class,
+            queued: 0,
+            running: 0,
+            granted: 0,
+            granted_by_share: 0,
+            shed: 0,
+        })
+    }
+}
+
+impl PoolPolicy for FifoPool {
+    fn set_backends(&mut self, backends: &[BackendView], now: MonoTime, out: &mut Vec<Decision>) {
+        let mut old = std::mem::take(&mut self.backends);
+        for view in backends {
+            let outstanding = old.remove(&view.backend).map_or_else(
+                || {
+                    self.grants
+                        .values()
+                        .filter(|g| g.backend == view.backend)
+                        .count() as u32
+                },
+                |state| state.outstanding,
+            );
+            let state = FifoBackend {
+                view: view.clone(),
+                outstanding,
+            };
+            self.backends.insert(view.backend, state);
+        }
+        self.settle(now, out);
+    }
+
+    fn set_classes(
+        &mut self,
+        _classes: &[ClassView],
+        _customers: &[CustomerView],
+        _now: MonoTime,
+        _out: &mut Vec<Decision>,
+    ) {
+    }
+
+    fn offer(&mut self, ticket: Ticket, from: InstanceId, now: MonoTime, out: &mut Vec<Decision>) {
+        if let Some(grant) = self.grants.get_mut(&ticket.request) {
+            grant.owner = from;
+            grant.lapses = None;
+            let notice = DecisionNotice::Grant(GrantNotice {
+                request: ticket.request,
+                backend: grant.backend,
+            });
+            out.push(Decision { to: from, notice });
+            return;
+        }
+        let queued = |entry: &&mut FifoTicket| entry.ticket.request == ticket.request;
+        if let Some(entry) = self.queue.iter_mut().find(queued) {
+            entry.owner = from;
+            return;
+        }
+        if self.queue.len() >= self.config.queue_bound {
+            self.refuse(&ticket, from, ShedReason::QueueFull, out);
+            return;
+        }
+        let arrived = QueueTime::before(now, ticket.waited);
+        self.queue.push_back(FifoTicket {
+            expires: arrived.plus(ticket.patience),
+            owner: from,
+            ticket,
+        });
+        self.settle(now, out);
+    }
+
+    fn withdraw(&mut self, request: RequestId, now: MonoTime, out: &mut Vec<Decision>) {
+        self.queue.retain(|entry| entry.ticket.request != request);
+        self.free(request);
+        self.settle(now, out);
+    }
+
+    fn release(&mut self, release: &ReleaseNotice, now: MonoTime, out: &mut Vec<Decision>) {
+        if self.free(release.request) {
+            self.settle(now, out);
+        }
+    }
+
+    fn adopt(
+        &mut self,
+        holding: &HeldGrant,
+        from: InstanceId,
+        now: MonoTime,
+        out: &mut Vec<Decision>,
+    ) {
+        let request = holding.ticket.request;
+        self.queue.retain(|entry| entry.ticket.request != request);
+        self.free(request);
+        self.hold(&holding.ticket, from, holding.backend);
+        self.settle(now, out);
+    }
+
+    fn progress(&mut self, _progress: &ProgressNotice, _now: MonoTime) {}
+
+    fn report(
+        &mut self,
+        _backend: BackendId,
+        _report: &LoadReport,
+        _now: MonoTime,
+        _out: &mut Vec<Decision>,
+    ) {
+    }
+
+    fn cache_event(&mut self, _backend: BackendId, _event: CacheEvent, _now: MonoTime) {}
+
+    fn instance_gone(&mut self, instance: InstanceId, now: MonoTime, out: &mut Vec<Decision>) {
+        self.queue.retain(|entry| entry.owner != instance);
+        let lapses = now + self.config.orphan_delay;
+        for grant in self.grants.values_mut().filter(|g| g.owner == instance) {
+            grant.lapses.get_or_insert(lapses);
+        }
+        self.settle(now, out);
+    }
+
+    fn tick(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
+        let lapsed = self.grants.iter().filter(|(_, grant)| {
+            let lapses = grant.lapses;
+            lapses.is_some_and(|lapses| lapses <= now)
+        });
+        let lapsed: Vec<RequestId> = lapsed.map(|(request, _)| *request).collect();
+        for request in lapsed {
+            self.free(request);
+        }
+        self.settle(now, out);
+    }
+
+    fn summary(&self, _now: MonoTime) -> PoolSummary {
+        let usable = || {
+            let states = self.backends.values();
+            states.filter(|state| state.view.reachable && !state.view.leaving)
+        };
+        let mut classes = self.classes.clone();
+        for entry in &self.queue {
+            if let Some(class) = classes.get_mut(&entry.ticket.class) {
+                class.queued += 1;
+            }
+        }
+        let queued = TierSummary {
+            tier: Tier(0),
+            queued: self.queue.len() as u32,
+            expected_wait: Span::ZERO,
+        };
+        PoolSummary {
+            pool: self.config.pool,
+            slots_total: usable().map(|state| state.view.slots).sum(),
+            slots_used: usable().map(|state| state.outstanding).sum(),
+            backends_usable: usable().count() as u32,
+            backends_ejected: 0,
+            saturated: !self.queue.is_empty(),
+            tiers: Some(queued).into_iter().filter(|t| t.queued > 0).collect(),
+            classes: classes.into_values().collect(),
+        }
+    }
+
+    fn dump(&self, now: MonoTime) -> String {
+        let mut text = self.summary(now).to_string();
+        for state in self.backends.values() {
+            let _ = writeln!(
+                text,
+                "  {} {}/{}",
+                state.view.backend, state.outstanding, state.view.slots
+            );
+        }
+        text
+    }
+
+    fn verify(&self) -> Result<(), VerifyError> {
+        for (backend, state) in &self.backends {
+            let grants = self.grants.values().filter(|g| g.backend == *backend);
+            let grants = grants.count() as u32;
+            if grants != state.outstanding {
+                return Err(VerifyError::SlotCount {
+                    backend: *backend,
+                    counted: state.outstanding,
+                    grants,
+                });
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/decide/src/dispatch.rs
@@ -0,0 +1,122 @@
+//! The order of dispatch.
+//!
+//! While a slot is free, the next ticket is that of the highest tier, in the order of its
+//! [`TierQueue`](crate::tier_queue::TierQueue). A ticket that no free slot can serve, because of
+//! its adapter or the backend server that it avoids, is set aside until the round ends.
+//!
+//! The exception is the minimum share. A class with credit in the
+//! [`ShareLedger`](crate::share_ledger::ShareLedger) is served ahead of higher tiers, if
+//! - every ticket of the higher tiers can still be served before the first of them loses its
+//!   patience, with one more grant in between, and
+//! - no higher tier lost a ticket to a full queue or as hopeless a short time ago, or the class
+//!   has had no grant for the configured span.
+
+use oleander_base::prelude::*;
+
+use crate::policy::Decision;
+use crate::pool_queue::{QueuedTicket, TicketKey};
+use crate::tiered::TieredPool;
+
+/// The most tickets that one round sets aside.
+const PARKED_BOUND: usize = 16;
+
+/// For how long after a higher tier lost a ticket the minimum share is withheld.
+const SHED_MEMORY: Span = Span::from_secs(2);
+
+/// The margin on the time that the higher tiers' tickets need.
+const PATIENCE_MARGIN: f64 = 1.25;
+
+impl TieredPool {
+    /// Grants free slots until none is left or no ticket can use one.
+    pub(crate) fn dispatch(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
+        while !self.queue.is_empty()
+            && self.queue.parked().len() < PARKED_BOUND
+            && self.backends.has_free(now)
+        {
+            let by_share = self.pick_by_share(now);
+            let late_before = self.late_before(now);
+            let Some(key) = by_share.or_else(|| self.queue.pick(late_before)) else {
+                break;
+            };
+            self.dispatch_one(key, by_share.is_some(), now, out);
+        }
+        self.queue.unpark();
+        self.note_saturation(now);
+    }
+
+    fn dispatch_one(
+        &mut self,
+        key: TicketKey,
+        by_share: bool,
+        now: MonoTime,
+        out: &mut Vec<Decision>,
+    ) {
+        let Some(entry) = self.queue.get(key) else {
+            return;
+        };
+        let Some(backend) = self.backends.choose(&entry.ticket, entry.work, now) else {
+            self.queue.park(key);
+            return;
+        };
+        let Some(entry) = self.queue.remove(key) else {
+            return;
+        };
+        let ticket = entry.ticket;
+        self.queue.charge(ticket.tier, ticket.customer, entry.work);
+        self.ledger.left(ticket.class, now);
+        self.ledger.granted(ticket.class, by_share, now);
+        self.grant(ticket, entry.owner, backend, now, out);
+    }
+
+    /// Returns the ticket that the minimum share puts first, unless it is first anyway.
+    fn pick_by_share(&self, now: MonoTime) -> Option<TicketKey> {
+        let (highest, _) = self.queue.tiers().next()?;
+        let waiting = self.ledger.accounts().filter(|(_, account)| {
+            account.queued > 0
+                && (account.credit >= 1.0 || account.is_starved(self.config.progress_span, now))
+        });
+        waiting
+            .filter_map(|(class, account)| Some((account, self.queue.oldest_of(class)?)))
+            .filter(|(_, key)| !self.queue.parked().contains(key))
+            .filter_map(|(account, key)| Some((account, self.queue.get(key)?)))
+            .filter(|(_, entry)| highest.is_above(entry.ticket.tier))
+            .filter(|(account, entry)| {
+                let starved = account.is_starved(self.config.progress_span, now);
+                self.may_overtake(entry, starved, now)
+            })
+            .max_by(|a, b| a.0.credit.total_cmp(&b.0.credit))
+            .map(|(_, entry)| entry.key)
+    }
+
+    /// Returns whether a ticket may be served ahead of all higher tiers.
+    fn may_overtake(&self, entry: &QueuedTicket, starved: bool, now: MonoTime) -> bool {
+        let tier = entry.ticket.tier;
+        let shed = &self.last_shed[..Self::tier_index(tier)];
+        let is_recent = |at: &MonoTime| now.since(*at) < SHED_MEMORY;
+        if !starved && shed.iter().flatten().any(is_recent) {
+            return false;
+        }
+        let Some(capacity) = self.backends.capacity() else {
+            return true;
+        };
+        let mut work = f64::from(entry.work);
+        for (higher, queue) in self.queue.tiers().take_while(|(t, _)| t.is_above(tier)) {
+            debug_assert!(higher.is_above(tier));
+            work += queue.work() as f64;
+            let needed = PATIENCE_MARGIN * work / capacity.max(1.0);
+            let left = queue.first_expiry().map(|(expires, _)| expires.after(now));
+            if left.is_some_and(|left| left.as_secs_f64() < needed) {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn note_saturation(&mut self, now: MonoTime) {
+        if self.queue.is_empty() || self.backends.has_free(now) {
+            self.saturated = None;
+        } else if self.saturated.is_none() {
+            self.saturated = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/grant_table.rs
@@ -0,0 +1,77 @@
+//! The grants in use.
+
+use oleander_base::prelude::*;
+
+/// A grant in use.
+#[derive(Debug)]
+pub(crate) struct GrantEntry {
+    pub(crate) ticket: Ticket,
+    pub(crate) owner: InstanceId,
+    pub(crate) backend: BackendId,
+    pub(crate) granted: MonoTime,
+    pub(crate) first_seen: bool,
+    /// When the slot counts as free although no release came, because its owner is gone.
+    pub(crate) lapses: Option<MonoTime>,
+}
+
+/// The grants in use of one pool, by request.
+#[derive(Debug, Default)]
+pub(crate) struct GrantTable {
+    entries: FastMap<RequestId, GrantEntry>,
+    orphans: Vec<RequestId>,
+}
+
+impl GrantTable {
+    /// Returns the grant of a request.
+    pub(crate) fn get_mut(&mut self, request: RequestId) -> Option<&mut GrantEntry> {
+        self.entries.get_mut(&request)
+    }
+
+    /// Returns whether a request has a grant.
+    pub(crate) fn contains(&self, request: RequestId) -> bool {
+        self.entries.contains_key(&request)
+    }
+
+    /// Returns every grant, in no order.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &GrantEntry> + '_ {
+        self.entries.values()
+    }
+
+    /// Adds a grant.
+    pub(crate) fn insert(&mut self, entry: GrantEntry) {
+        self.entries.insert(entry.ticket.request, entry);
+    }
+
+    /// Removes the grant of a request.
+    pub(crate) fn remove(&mut self, request: RequestId) -> Option<GrantEntry> {
+        self.entries.remove(&request)
+    }
+
+    /// Lets the grants of an entry VM that is gone lapse at a point in time.
+    pub(crate) fn orphan(&mut self, owner: InstanceId, lapses: MonoTime) {
+        for entry in self.entries.values_mut() {
+            if entry.owner == owner && entry.lapses.is_none() {
+                entry.lapses = Some(lapses);
+                self.orphans.push(entry.ticket.request);
+            }
+        }
+        self.orphans.sort_unstable();
+    }
+
+    /// Removes and returns the grants that have lapsed.
+    pub(crate) fn take_lapsed(&mut self, now: MonoTime) -> Vec<GrantEntry> {
+        let mut lapsed = Vec::new();
+        let entries = &mut self.entries;
+        self.orphans.retain(|request| {
+            let Some(lapses) = entries.get(request).and_then(|entry| entry.lapses) else {
+                return false;
+            };
+            if now < lapses {
+                return true;
+            }
+            lapsed.extend(entries.remove(request));
+            false
+        });
+        lapsed
+    }
+}
--- /dev/null
+++ b/crates/decide/src/health.rs
@@ -0,0 +1,144 @@
+//! Ejection and careful return of one backend server.
+//!
+//! A serving backend server that fails several times in a row, or in most of its last answers, is
+//! ejected for a pause. Then it is probed with one request at a time; each success raises the
+//! number of requests that it may have by one, which is a slow start, until it has all its slots
+//! back. A failure during the return ejects it again, for twice the pause.
+//!
+//! Whether a backend server may be ejected at all is the pool's decision, because ejection must
+//! never empty a pool. One that may not be ejected is limited to probes instead.
+
+use std::fmt;
+
+use oleander_base::prelude::*;
+
+/// Failures in a row that eject a backend server.
+const FAILURES_IN_ROW: u32 = 3;
+
+/// The number of past answers that are kept.
+const RECENT_ENDS: u32 = 16;
+
+/// Failures among the past answers that eject a backend server.
+const RECENT_FAILURES: u32 = 8;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HealthState {
+    Serving,
+    Returning { cap: u32 },
+    Ejected { until: MonoTime },
+}
+
+/// What a failure asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum FailureEffect {
+    /// Nothing changes yet.
+    Counted,
+    /// The backend server should be ejected, or limited to probes if it may not be.
+    Eject,
+}
+
+/// The health of one backend server.
+#[derive(Debug)]
+pub(crate) struct BackendHealth {
+    state: HealthState,
+    in_row: u32,
+    recent: u32,
+    pause: Span,
+    pause_floor: Span,
+    pause_limit: Span,
+}
+
+impl BackendHealth {
+    /// Opens the health of a serving backend server.
+    pub(crate) fn open(pause_floor: Span, pause_limit: Span) -> Self {
+        Self {
+            state: HealthState::Serving,
+            in_row: 0,
+            recent: 0,
+            pause: pause_floor,
+            pause_floor,
+            pause_limit,
+        }
+    }
+
+    /// Returns the most requests that the backend server may have now.
+    pub(crate) fn cap(&self, now: MonoTime) -> u32 {
+        match self.state {
+            HealthState::Serving => u32::MAX,
+            HealthState::Returning { cap } => cap,
+            HealthState::Ejected { until } if now < until => 0,
+            HealthState::Ejected { .. } => 1,
+        }
+    }
+
+    /// Returns whether the backend server gets nothing at all now.
+    pub(crate) fn is_ejected(&self, now: MonoTime) -> bool {
+        self.cap(now) == 0
+    }
+
+    /// Ends a pause that has passed.
+    pub(crate) fn tick(&mut self, now: MonoTime) {
+        if let HealthState::Ejected { until } = self.state
+            && now >= until
+        {
+            self.state = HealthState::Returning { cap: 1 };
+        }
+    }
+
+    /// Learns of a success, where `slots` is what the backend server has when it serves.
+    pub(crate) fn succeeded(&mut self, slots: u32, now: MonoTime) {
+        self.tick(now);
+        self.in_row = 0;
+        self.recent <<= 1;
+        match self.state {
+            HealthState::Returning { cap } if cap < slots => {
+                self.state = HealthState::Returning { cap: cap + 1 };
+            }
+            HealthState::Returning { .. } => {
+                self.state = HealthState::Serving;
+                self.pause = self.pause_floor;
+                self.recent = 0;
+            }
+            HealthState::Serving | HealthState::Ejected { .. } => {}
+        }
+    }
+
+    /// Learns of a failure.
+    pub(crate) fn failed(&mut self, now: MonoTime) -> FailureEffect {
+        self.tick(now);
+        self.in_row += 1;
+        self.recent = (self.recent << 1) | 1;
+        let failures = (self.recent & ((1 << RECENT_ENDS) - 1)).count_ones();
+        match self.state {
+            HealthState::Returning { .. } => FailureEffect::Eject,
+            HealthState::Serving if self.in_row >= FAILURES_IN_ROW => FailureEffect::Eject,
+            HealthState::Serving if failures >= RECENT_FAILURES => FailureEffect::Eject,
+            HealthState::Serving | HealthState::Ejected { .. } => FailureEffect::Counted,
+        }
+    }
+
+    /// Ejects the backend server for its pause, and doubles the next one.
+    pub(crate) fn eject(&mut self, now: MonoTime) {
+        self.state = HealthState::Ejected {
+            until: now + self.pause,
+        };
+        self.pause = Span(self.pause.0.saturating_mul(2)).min(self.pause_limit);
+        self.in_row = 0;
+    }
+
+    /// Limits the backend server to one request at a time.
+    pub(crate) fn limit_to_probes(&mut self) {
+        self.state = HealthState::Returning { cap: 1 };
+        self.in_row = 0;
+    }
+}
+
+impl fmt::Display for BackendHealth {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.state {
+            HealthState::Serving => write!(f, "serving"),
+            HealthState::Returning { cap } => write!(f, "returning with {cap}"),
+            HealthState::Ejected { until } => write!(f, "ejected until {until}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/other_load.rs
@@ -0,0 +1,83 @@
+//! What other senders have in flight at a backend server, from reports that come late.
+//!
+//! A report tells how many requests the backend server had when it was taken. Our own part of
+//! that number is known exactly: it is what is outstanding now, less what was granted and plus
+//! what was released since. The rest belongs to other senders, and stays in force until the next
+//! report. A report that grows old does not make a backend server idle: the number stays, and the
+//! choice of a backend server counts the load as unknown.
+
+use std::collections::VecDeque;
+
+use oleander_base::prelude::*;
+
+/// How far back changes are kept; a report older than this is ignored.
+const HISTORY_SPAN: Span = Span::from_secs(10);
+
+/// The weight of one report against the estimate so far.
+const REPORT_WEIGHT: f64 = 0.5;
+
+#[derive(Debug, Clone, Copy)]
+struct OwnChange {
+    at: MonoTime,
+    step: i32,
+}
+
+/// The estimate of the other senders' requests at one backend server.
+#[derive(Debug, Default)]
+pub(crate) struct OtherLoad {
+    changes: VecDeque<OwnChange>,
+    others: f64,
+    reported: Option<MonoTime>,
+}
+
+impl OtherLoad {
+    /// Records that a request of ours was granted there.
+    pub(crate) fn granted(&mut self, now: MonoTime) {
+        self.push(1, now);
+    }
+
+    /// Records that a request of ours ended there.
+    pub(crate) fn released(&mut self, now: MonoTime) {
+        self.push(-1, now);
+    }
+
+    /// Takes a report of `total` requests that was taken `age` ago, while `own` of ours are
+    /// outstanding now.
+    pub(crate) fn report(&mut self, total: u32, age: Span, own: u32, now: MonoTime) {
+        if age > HISTORY_SPAN {
+            return;
+        }
+        let taken = now - age;
+        if self.reported.is_some_and(|reported| reported > taken) {
+            return;
+        }
+        let since = self.changes.iter().rev().take_while(|c| c.at > taken);
+        let step: i32 = since.map(|change| change.step).sum();
+        let own_then = (i64::from(own) - i64::from(step)).max(0);
+        let others = (i64::from(total) - own_then).max(0) as f64;
+        let weight = match self.reported {
+            None => 1.0,
+            Some(_) => REPORT_WEIGHT,
+        };
+        self.others += weight * (others - self.others);
+        self.reported = Some(taken);
+    }
+
+    /// Returns the estimate of the other senders' requests.
+    pub(crate) fn others(&self) -> u32 {
+        self.others.round() as u32
+    }
+
+    /// Returns whether the newest report is older than `stale`, or there was none.
+    pub(crate) fn is_unknown(&self, stale: Span, now: MonoTime) -> bool {
+        self.reported.is_none_or(|taken| now.since(taken) > stale)
+    }
+
+    fn push(&mut self, step: i32, now: MonoTime) {
+        let kept = now - HISTORY_SPAN;
+        while self.changes.front().is_some_and(|change| change.at < kept) {
+            self.changes.pop_front();
+        }
+        self.changes.push_back(OwnChange { at: now, step });
+    }
+}
--- /dev/null
+++ b/crates/decide/src/pool_queue.rs
@@ -0,0 +1,264 @@
+//! The queue of a pool: one [`TierQueue`] for each tier, and the indexes over all of them.
+//!
+//! Every operation costs a few searches in ordered sets, whatever the number of tickets.
+
+use std::collections::BTreeMap;
+
+use oleander_base::prelude::*;
+
+use crate::queue_time::QueueTime;
+use crate::tier_queue::TierQueue;
+use crate::verify::VerifyError;
+
+/// The number of a queued ticket, in the order of the offers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct TicketKey(u64);
+
+/// A ticket that waits.
+#[derive(Debug)]
+pub(crate) struct QueuedTicket {
+    pub(crate) key: TicketKey,
+    pub(crate) ticket: Ticket,
+    pub(crate) owner: InstanceId,
+    pub(crate) arrived: QueueTime,
+    pub(crate) due: QueueTime,
+    pub(crate) expires: QueueTime,
+    pub(crate) work: u32,
+}
+
+/// The tickets of one pool.
+#[derive(Debug)]
+pub(crate) struct PoolQueue {
+    window: u32,
+    next_key: u64,
+    entries: FastMap<TicketKey, QueuedTicket>,
+    by_request: FastMap<RequestId, TicketKey>,
+    tiers: BTreeMap<Tier, TierQueue>,
+    weights: FastMap<CustomerId, f64>,
+    parked: Vec<TicketKey>,
+}
+
+impl PoolQueue {
+    /// Opens an empty queue with the fairness window of each tier.
+    pub(crate) fn open(window: u32) -> Self {
+        Self {
+            window,
+            next_key: 0,
+            entries: FastMap::default(),
+            by_request: FastMap::default(),
+            tiers: BTreeMap::new(),
+            weights: FastMap::default(),
+            parked: Vec::new(),
+        }
+    }
+
+    /// Returns how many tickets wait.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no ticket waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the tiers with tickets, the highest first.
+    pub(crate) fn tiers(&self) -> impl DoubleEndedIterator<Item = (Tier, &TierQueue)> + '_ {
+        self.tiers
+            .iter()
+            .filter(|(_, queue)| !queue.is_empty())
+            .map(|(tier, queue)| (*tier, queue))
+    }
+
+    /// Returns the lowest tier that has tickets.
+    pub(crate) fn lowest(&self) -> Option<Tier> {
+        self.tiers().next_back().map(|(tier, _)| tier)
+    }
+
+    /// Returns the queue of one tier.
+    pub(crate) fn tier(&self, tier: Tier) -> Option<&TierQueue> {
+        self.tiers.get(&tier)
+    }
+
+    /// Returns a ticket that waits.
+    pub(crate) fn get(&self, key: TicketKey) -> Option<&QueuedTicket> {
+        self.entries.get(&key)
+    }
+
+    /// Returns the ticket of a request.
+    pub(crate) fn find(&self, request: RequestId) -> Option<TicketKey> {
+        self.by_request.get(&request).copied()
+    }
+
+    /// Returns every ticket, in no order.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &QueuedTicket> + '_ {
+        self.entries.values()
+    }
+
+    /// Adds a ticket with its estimated work.
+    pub(crate) fn insert(&mut self, ticket: Ticket, owner: InstanceId, work: u32, now: MonoTime) {
+        let key = TicketKey(self.next_key);
+        self.next_key += 1;
+        let arrived = QueueTime::before(now, ticket.waited);
+        let entry = QueuedTicket {
+            key,
+            owner,
+            arrived,
+            due: arrived.plus(ticket.target),
+            expires: arrived.plus(ticket.patience),
+            work,
+            ticket,
+        };
+        self.by_request.insert(entry.ticket.request, key);
+        let weight = self.weight(entry.ticket.customer);
+        self.tiers
+            .entry(entry.ticket.tier)
+            .or_insert_with(|| TierQueue::open(self.window))
+            .insert(&entry, weight);
+        self.entries.insert(key, entry);
+    }
+
+    /// Names the entry VM that holds a queued request now.
+    pub(crate) fn set_owner(&mut self, key: TicketKey, owner: InstanceId) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.owner = owner;
+        }
+    }
+
+    /// Removes a ticket.
+    pub(crate) fn remove(&mut self, key: TicketKey) -> Option<QueuedTicket> {
+        let entry = self.entries.remove(&key)?;
+        self.by_request.remove(&entry.ticket.request);
+        if let Some(queue) = self.tiers.get_mut(&entry.ticket.tier) {
+            queue.remove(&entry);
+        }
+        Some(entry)
+    }
+
+    /// Returns the next ticket in the strict order of tiers.
+    pub(crate) fn pick(&mut self, late_before: QueueTime) -> Option<TicketKey> {
+        let entries = &self.entries;
+        self.tiers.values_mut().find_map(|queue| {
+            queue.age_out(late_before, |key| entries[&key].arrived);
+            queue.pick()
+        })
+    }
+
+    /// Moves a tier's tickets that cannot meet their deadline behind its others.
+    pub(crate) fn age_out(&mut self, tier: Tier, late_before: QueueTime) {
+        let entries = &self.entries;
+        if let Some(queue) = self.tiers.get_mut(&tier) {
+            queue.age_out(late_before, |key| entries[&key].arrived);
+        }
+    }
+
+    /// Returns the oldest ticket of a class over all tiers.
+    pub(crate) fn oldest_of(&self, class: ClassId) -> Option<TicketKey> {
+        self.tiers
+            .values()
+            .filter_map(|queue| queue.oldest_of(class))
+            .min()
+            .map(|(_, key)| key)
+    }
+
+    /// Returns a ticket whose patience has ended, of the lowest tier that has one.
+    pub(crate) fn expired(&self, now: MonoTime) -> Option<TicketKey> {
+        let firsts = self
+            .tiers
+            .values()
+            .rev()
+            .filter_map(TierQueue::first_expiry);
+        firsts
+            .filter(|(expires, _)| *expires <= QueueTime::from(now))
+            .map(|(_, key)| key)
+            .next()
+    }
+
+    /// Sets a ticket aside until [`unpark`](Self::unpark), because nothing free can serve it.
+    pub(crate) fn park(&mut self, key: TicketKey) {
+        let Some(entry) = self.entries.get(&key) else {
+            return;
+        };
+        if let Some(queue) = self.tiers.get_mut(&entry.ticket.tier) {
+            queue.park(entry);
+        }
+        self.parked.push(key);
+    }
+
+    /// Returns the tickets that are set aside.
+    pub(crate) fn parked(&self) -> &[TicketKey] {
+        &self.parked
+    }
+
+    /// Puts back every ticket that was set aside.
+    pub(crate) fn unpark(&mut self) {
+        while let Some(key) = self.parked.pop() {
+            let Some(entry) = self.entries.get(&key) else {
+                continue;
+            };
+            let weight = self.weights.get(&entry.ticket.customer).copied();
+            if let Some(queue) = self.tiers.get_mut(&entry.ticket.tier) {
+                queue.unpark(entry, weight.unwrap_or(1.0));
+            }
+        }
+    }
+
+    /// Counts granted work against a customer's share of a tier.
+    pub(crate) fn charge(&mut self, tier: Tier, customer: CustomerId, work: u32) {
+        if let Some(queue) = self.tiers.get_mut(&tier) {
+            queue.charge(customer, work);
+        }
+    }
+
+    /// Replaces the customers' weights.
+    pub(crate) fn set_weights(&mut self, weights: FastMap<CustomerId, f64>) {
+        for queue in self.tiers.values_mut() {
+            for (customer, weight) in &weights {
+                queue.set_weight(*customer, *weight);
+            }
+        }
+        self.weights = weights;
+    }
+
+    /// Forgets what idle customers no longer owe.
+    pub(crate) fn sweep(&mut self) {
+        for queue in self.tiers.values_mut() {
+            queue.sweep();
+        }
+    }
+
+    /// Checks that every index names the queued tickets and no others.
+    pub(crate) fn verify(&self) -> Result<(), VerifyError> {
+        let wanted = self.entries.len();
+        check("request", self.by_request.len(), wanted)?;
+        check(
+            "tier",
+            self.tiers.values().map(TierQueue::len).sum(),
+            wanted,
+        )?;
+        check("parked", self.parked.len(), 0)?;
+        for queue in self.tiers.values() {
+            for (index, held) in queue.index_sizes() {
+                check(index, held, queue.len())?;
+            }
+            let (busy, ordered) = queue.lane_sizes();
+            check("lane", ordered, busy)?;
+        }
+        Ok(())
+    }
+
+    fn weight(&self, customer: CustomerId) -> f64 {
+        self.weights.get(&customer).copied().unwrap_or(1.0)
+    }
+}
+
+fn check(index: &'static str, held: usize, wanted: usize) -> Result<(), VerifyError> {
+    if held == wanted {
+        return Ok(());
+    }
+    Err(VerifyError::IndexSize {
+        index,
+        held,
+        wanted,
+    })
+}
--- /dev/null
+++ b/crates/decide/src/speed.rs
@@ -0,0 +1,105 @@
+//! How fast one backend server is, from what its answers showed.
+//!
+//! The time for a token grows with the size of the batch, so a sample is divided by the load at
+//! its end before it enters the mean, and the mean is multiplied by the expected load again. Until
+//! there are samples, the speed of the record scales the pool's mean.
+
+use oleander_base::prelude::*;
+
+use crate::meter::MeanMeter;
+
+/// The weight of one answer in the means.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// By how much a full batch slows each of its members, against a batch of one.
+const BATCH_SLOWDOWN: f64 = 0.5;
+
+/// What one answer showed of a backend server.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SpeedSample {
+    /// Units of work: tokens, or one call.
+    pub(crate) work: f64,
+    /// Time to the first token.
+    pub(crate) first: Option<Span>,
+    /// Time to the end.
+    pub(crate) total: Span,
+    /// The share of the slots in use, 0 to 1.
+    pub(crate) load: f64,
+}
+
+/// The means of one backend server.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct SpeedEstimate {
+    unit: MeanMeter,
+    first: MeanMeter,
+    hold: MeanMeter,
+    work: MeanMeter,
+}
+
+/// The times that a pool assumes for a backend server of speed 1 without samples.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ReferenceSpeed {
+    /// Time for a unit of work in an empty batch, in seconds.
+    pub(crate) unit: f64,
+    /// Time to the first token, in seconds.
+    pub(crate) first: f64,
+}
+
+impl SpeedEstimate {
+    /// Learns from one answer.
+    pub(crate) fn observe(&mut self, sample: &SpeedSample) {
+        let total = sample.total.as_secs_f64();
+        self.hold.observe(total, SAMPLE_WEIGHT);
+        self.work.observe(sample.work, SAMPLE_WEIGHT);
+        let first = sample.first.map_or(0.0, Span::as_secs_f64);
+        if sample.first.is_some() {
+            self.first.observe(first, SAMPLE_WEIGHT);
+        }
+        let unit = (total - first).max(0.0) / sample.work.max(1.0);
+        self.unit
+            .observe(unit / slowdown(sample.load), SAMPLE_WEIGHT);
+    }
+
+    /// Learns the time to a first token alone.
+    pub(crate) fn observe_first(&mut self, first: Span) {
+        self.first.observe(first.as_secs_f64(), SAMPLE_WEIGHT);
+    }
+
+    /// Returns the time for a unit of work in an empty batch, in seconds.
+    pub(crate) fn unit(&self) -> Option<f64> {
+        self.unit.get()
+    }
+
+    /// Returns the time to the first token, in seconds.
+    pub(crate) fn first(&self) -> Option<f64> {
+        self.first.get()
+    }
+
+    /// Returns how long a request holds its slot, in seconds.
+    pub(crate) fn hold(&self) -> Option<f64> {
+        self.hold.get()
+    }
+
+    /// Returns the work that one slot does in a second.
+    pub(crate) fn slot_rate(&self) -> Option<f64> {
+        let hold = self.hold.get()?;
+        Some(self.work.get()? / hold.max(1e-6))
+    }
+
+    /// Returns the time that an answer of this much work is expected to take, in seconds.
+    pub(crate) fn expected(
+        &self,
+        work: f64,
+        load: f64,
+        speed: f64,
+        reference: &ReferenceSpeed,
+    ) -> f64 {
+        let unit = self.unit.get().unwrap_or(reference.unit / speed);
+        let first = self.first.get().unwrap_or(reference.first / speed);
+        first + work * unit * slowdown(load)
+    }
+}
+
+fn slowdown(load: f64) -> f64 {
+    1.0 + BATCH_SLOWDOWN * load.clamp(0.0, 1.0)
+}
--- /dev/null
+++ b/crates/decide/src/tier_queue.rs
@@ -0,0 +1,334 @@
+//! The queue of one tier: earliest deadline first among the customers that are due a turn.
+//!
+//! Each customer has a lane, whose tickets stand in the order of their deadlines. The order
+//! between lanes is that of "earliest eligible virtual deadline first" (Stoica and Abdel-Wahab,
+//! 1995), with the true deadline in place of the virtual one: a lane carries a tag that grows
+//! with the work that was granted to it, divided by its weight, while the virtual time grows as
+//! a perfectly fair server's would. A lane whose tag is at most one window ahead of the virtual
+//! time is eligible, and the eligible lane with the earliest deadline goes first. Deadlines thus
+//! decide while customers keep to their shares, and shares decide when one floods the tier.
+//!
+//! Tickets that can no longer meet their deadline stand apart, in the order of arrival, and go
+//! after all others of the tier. Without that rule, a short overload would leave the tier serving
+//! nothing but tickets that are too late already.
+//!
+//! Invariants: `by_age` names every ticket; each ticket that is not parked stands in exactly one
+//! of a lane and `late`; a lane with tickets stands in exactly one of `eligible` and `ahead`.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use oleander_base::prelude::*;
+
+use crate::pool_queue::{QueuedTicket, TicketKey};
+use crate::queue_time::QueueTime;
+
+/// Tag units for one unit of work at weight 1.
+const TAG_SCALE: f64 = 1_000.0;
+
+/// The smallest weight that counts, so that a record cannot stop a customer altogether.
+const WEIGHT_FLOOR: f64 = 0.001;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LanePlace {
+    Idle,
+    Eligible(QueueTime),
+    Ahead(u64),
+}
+
+#[derive(Debug)]
+struct CustomerLane {
+    tickets: BTreeSet<(QueueTime, TicketKey)>,
+    tag: u64,
+    weight: f64,
+    place: LanePlace,
+}
+
+/// The tickets of one tier.
+#[derive(Debug)]
+pub(crate) struct TierQueue {
+    window: u64,
+    virtual_time: u64,
+    active_weight: f64,
+    lanes: FastMap<CustomerId, CustomerLane>,
+    eligible: BTreeSet<(QueueTime, CustomerId)>,
+    ahead: BTreeSet<(u64, CustomerId)>,
+    by_due: BTreeMap<(QueueTime, TicketKey), CustomerId>,
+    late: BTreeSet<(QueueTime, TicketKey)>,
+    by_age: BTreeSet<(QueueTime, TicketKey)>,
+    by_class: BTreeMap<ClassId, BTreeSet<(QueueTime, TicketKey)>>,
+    by_expiry: BTreeSet<(QueueTime, TicketKey)>,
+    work: u64,
+}
+
+impl TierQueue {
+    /// Opens an empty queue; `window` is in units of work at weight 1.
+    pub(crate) fn open(window: u32) -> Self {
+        Self {
+            window: (f64::from(window) * TAG_SCALE) as u64,
+            virtual_time: 0,
+            active_weight: 0.0,
+            lanes: FastMap::default(),
+            eligible: BTreeSet::new(),
+            ahead: BTreeSet::new(),
+            by_due: BTreeMap::new(),
+            late: BTreeSet::new(),
+            by_age: BTreeSet::new(),
+            by_class: BTreeMap::new(),
+            by_expiry: BTreeSet::new(),
+            work: 0,
+        }
+    }
+
+    /// Returns how many tickets wait.
+    pub(crate) fn len(&self) -> usize {
+        self.by_age.len()
+    }
+
+    /// Returns whether no ticket waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.by_age.is_empty()
+    }
+
+    /// Returns the work of all tickets.
+    pub(crate) fn work(&self) -> u64 {
+        self.work
+    }
+
+    /// Returns the classes that have tickets here.
+    pub(crate) fn classes(&self) -> impl Iterator<Item = ClassId> + '_ {
+        self.by_class.keys().copied()
+    }
+
+    /// Returns the ticket that arrived last.
+    pub(crate) fn newest(&self) -> Option<TicketKey> {
+        self.by_age.last().map(|(_, key)| *key)
+    }
+
+    /// Returns the ticket that arrived last, with its time of arrival.
+    pub(crate) fn newest_arrival(&self) -> Option<QueueTime> {
+        self.by_age.last().map(|(arrived, _)| *arrived)
+    }
+
+    /// Returns the class's ticket that arrived first.
+    pub(crate) fn oldest_of(&self, class: ClassId) -> Option<(QueueTime, TicketKey)> {
+        self.by_class.get(&class)?.first().copied()
+    }
+
+    /// Returns the ticket whose patience ends first.
+    pub(crate) fn first_expiry(&self) -> Option<(QueueTime, TicketKey)> {
+        self.by_expiry.first().copied()
+    }
+
+    /// Returns the tickets that can no longer meet their deadline, the oldest first.
+    pub(crate) fn late(&self) -> impl Iterator<Item = TicketKey> + '_ {
+        self.late.iter().map(|(_, key)| *key)
+    }
+
+    /// Returns the tickets that can meet their deadline, the latest deadline first.
+    pub(crate) fn latest_due(&self) -> impl Iterator<Item = TicketKey> + '_ {
+        self.by_due.keys().rev().map(|(_, key)| *key)
+    }
+
+    /// Adds a ticket.
+    pub(crate) fn insert(&mut self, entry: &QueuedTicket, weight: f64) {
+        let age = (entry.arrived, entry.key);
+        self.by_age.insert(age);
+        self.by_expiry.insert((entry.expires, entry.key));
+        let class = entry.ticket.class;
+        self.by_class.entry(class).or_default().insert(age);
+        self.work += u64::from(entry.work);
+        self.enter_lane(entry, weight);
+    }
+
+    /// Removes a ticket.
+    pub(crate) fn remove(&mut self, entry: &QueuedTicket) {
+        let age = (entry.arrived, entry.key);
+        if !self.by_age.remove(&age) {
+            return;
+        }
+        self.by_expiry.remove(&(entry.expires, entry.key));
+        if let Some(set) = self.by_class.get_mut(&entry.ticket.class) {
+            set.remove(&age);
+            if set.is_empty() {
+                self.by_class.remove(&entry.ticket.class);
+            }
+        }
+        self.work -= u64::from(entry.work);
+        self.park(entry);
+    }
+
+    /// Takes a ticket out of the order of service, while it stays queued.
+    pub(crate) fn park(&mut self, entry: &QueuedTicket) {
+        if self.late.remove(&(entry.arrived, entry.key)) {
+            return;
+        }
+        let due = (entry.due, entry.key);
+        if self.by_due.remove(&due).is_some() {
+            self.leave_lane(entry.ticket.customer, due);
+        }
+    }
+
+    /// Puts a parked ticket back into the order of service.
+    pub(crate) fn unpark(&mut self, entry: &QueuedTicket, weight: f64) {
+        self.enter_lane(entry, weight);
+    }
+
+    /// Moves the tickets whose deadline lies before `late_before` behind all others.
+    pub(crate) fn age_out(
+        &mut self,
+        late_before: QueueTime,
+        arrived: impl Fn(TicketKey) -> QueueTime,
+    ) {
+        while let Some((&due, &customer)) = self.by_due.first_key_value() {
+            if due.0 >= late_before {
+                return;
+            }
+            self.by_due.pop_first();
+            self.leave_lane(customer, due);
+            self.late.insert((arrived(due.1), due.1));
+        }
+    }
+
+    /// Returns the ticket to serve next.
+    pub(crate) fn pick(&mut self) -> Option<TicketKey> {
+        self.admit_lanes();
+        if let Some((_, customer)) = self.eligible.first() {
+            let lane = &self.lanes[customer];
+            return lane.tickets.first().map(|(_, key)| *key);
+        }
+        self.late.first().map(|(_, key)| *key)
+    }
+
+    /// Counts granted work against a customer's share.
+    pub(crate) fn charge(&mut self, customer: CustomerId, work: u32) {
+        let cost = f64::from(work) * TAG_SCALE;
+        let virtual_time = self.virtual_time;
+        let Some(lane) = self.lanes.get_mut(&customer) else {
+            return;
+        };
+        let weight = lane.weight;
+        lane.tag = lane.tag.max(virtual_time) + (cost / weight) as u64;
+        let share = match lane.place {
+            LanePlace::Idle => self.active_weight + weight,
+            LanePlace::Eligible(_) | LanePlace::Ahead(_) => self.active_weight,
+        };
+        self.virtual_time += (cost / share.max(WEIGHT_FLOOR)) as u64;
+        self.settle(customer);
+    }
+
+    /// Sets a customer's weight.
+    pub(crate) fn set_weight(&mut self, customer: CustomerId, weight: f64) {
+        let Some(lane) = self.lanes.get_mut(&customer) else {
+            return;
+        };
+        let weight = weight.max(WEIGHT_FLOOR);
+        if lane.place != LanePlace::Idle {
+            self.active_weight += weight - lane.weight;
+        }
+        lane.weight = weight;
+    }
+
+    /// Forgets the lanes that are empty and owe nothing.
+    pub(crate) fn sweep(&mut self) {
+        let virtual_time = self.virtual_time;
+        self.lanes
+            .retain(|_, lane| lane.place != LanePlace::Idle || lane.tag > virtual_time);
+    }
+
+    /// Returns the sizes of the indexes for the verifier: tickets by age, by class, and in order
+    /// of service.
+    pub(crate) fn index_sizes(&self) -> [(&'static str, usize); 5] {
+        let lanes = self.lanes.values().map(|lane| lane.tickets.len());
+        let classes = self.by_class.values().map(BTreeSet::len);
+        [
+            ("age", self.by_age.len()),
+            ("expiry", self.by_expiry.len()),
+            ("class", classes.sum()),
+            ("service order", lanes.sum::<usize>() + self.late.len()),
+            ("deadline", self.by_due.len() + self.late.len()),
+        ]
+    }
+
+    /// Returns the numbers of lanes with tickets and of lanes in an order of service.
+    pub(crate) fn lane_sizes(&self) -> (usize, usize) {
+        let busy = self.lanes.values().filter(|lane| !lane.tickets.is_empty());
+        (busy.count(), self.eligible.len() + self.ahead.len())
+    }
+
+    fn enter_lane(&mut self, entry: &QueuedTicket, weight: f64) {
+        let customer = entry.ticket.customer;
+        let due = (entry.due, entry.key);
+        let virtual_time = self.virtual_time;
+        let lane = self.lanes.entry(customer).or_insert_with(|| CustomerLane {
+            tickets: BTreeSet::new(),
+            tag: virtual_time,
+            weight: weight.max(WEIGHT_FLOOR),
+            place: LanePlace::Idle,
+        });
+        lane.tag = match lane.place {
+            LanePlace::Idle => lane.tag.max(virtual_time),
+            LanePlace::Eligible(_) | LanePlace::Ahead(_) => lane.tag,
+        };
+        lane.tickets.insert(due);
+        self.by_due.insert(due, customer);
+        self.settle(customer);
+    }
+
+    fn leave_lane(&mut self, customer: CustomerId, due: (QueueTime, TicketKey)) {
+        if let Some(lane) = self.lanes.get_mut(&customer) {
+            lane.tickets.remove(&due);
+            self.settle(customer);
+        }
+    }
+
+    /// Moves a lane to the order of service that its tag and its first ticket ask for.
+    fn settle(&mut self, customer: CustomerId) {
+        let horizon = self.virtual_time.saturating_add(self.window);
+        let Some(lane) = self.lanes.get_mut(&customer) else {
+            return;
+        };
+        let place = match lane.tickets.first() {
+            None => LanePlace::Idle,
+            Some((due, _)) if lane.tag <= horizon => LanePlace::Eligible(*due),
+            Some(_) => LanePlace::Ahead(lane.tag),
+        };
+        if place == lane.place {
+            return;
+        }
+        match lane.place {
+            LanePlace::Idle => self.active_weight += lane.weight,
+            LanePlace::Eligible(due) => {
+                self.eligible.remove(&(due, customer));
+            }
+            LanePlace::Ahead(tag) => {
+                self.ahead.remove(&(tag, customer));
+            }
+        }
+        match place {
+            LanePlace::Idle => self.active_weight = (self.active_weight - lane.weight).max(0.0),
+            LanePlace::Eligible(due) => {
+                self.eligible.insert((due, customer));
+            }
+            LanePlace::Ahead(tag) => {
+                self.ahead.insert((tag, customer));
+            }
+        }
+        lane.place = place;
+    }
+
+    /// Makes lanes eligible that the virtual time has caught up with, and at least one lane.
+    fn admit_lanes(&mut self) {
+        if self.eligible.is_empty()
+            && let Some((tag, _)) = self.ahead.first()
+        {
+            self.virtual_time = self.virtual_time.max(tag.saturating_sub(self.window));
+        }
+        let horizon = self.virtual_time.saturating_add(self.window);
+        while let Some(&(tag, customer)) = self.ahead.first() {
+            if tag > horizon {
+                return;
+            }
+            self.settle(customer);
+        }
+    }
+}
