Peers: messages, calls and streams over QUIC with mutual TLS

Cause: entry VMs need one transport for dispatch messages, record fetches and forwarded requests.

Before: an empty package.

Conclusion: messages are framed with a kind number and a length, so that an older program skips what it does not know.

--- /dev/null
+++ b/crates/peer/src/codec.rs
@@ -0,0 +1,271 @@
+//! The wire format: frames with a length and a kind, bodies by postcard or opaque.
+//!
+//! A frame is the length of its body (four bytes), its kind (two bytes), both little-endian, and
+//! the body. A decoder that meets an unknown kind skips the body, so a newer program may send more
+//! kinds than an older one reads. A body may grow at its end: decoders ignore what follows the
+//! fields they know. A change inside a list's element takes a new kind.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use oleander_base::prelude::*;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::message::{MessageKind, PeerCall, PeerMessage, PeerReply, StreamOpen};
+
+/// The largest body of a frame, in bytes.
+pub const FRAME_LIMIT: usize = 8 << 20;
+
+const HEADER_SIZE: usize = 6;
+
+const HELLO: u16 = 0;
+const CALL_FETCH_RECORDS: u16 = 0x100;
+const CALL_FETCH_SNAPSHOT: u16 = 0x101;
+const CALL_FORWARD_REQUEST: u16 = 0x102;
+const CALL_REQUEST_STATUS: u16 = 0x103;
+const STREAM_FORWARD_REQUEST: u16 = 0x200;
+const STREAM_RECONNECT: u16 = 0x201;
+const REPLY_ANSWER: u16 = 0x300;
+const REPLY_REFUSED: u16 = 0x301;
+const REPLY_UNSUPPORTED: u16 = 0x302;
+
+/// A version of the protocol between peers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ProtocolVersion(pub u16);
+
+/// The protocol versions that a program speaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProtocolRange {
+    /// The oldest one.
+    pub oldest: ProtocolVersion,
+    /// The newest one.
+    pub newest: ProtocolVersion,
+}
+
+impl ProtocolRange {
+    /// What this program speaks.
+    pub const SPOKEN: Self = Self {
+        oldest: ProtocolVersion(1),
+        newest: ProtocolVersion(1),
+    };
+
+    /// Returns the newest version that both programs speak.
+    pub fn common(self, other: Self) -> Option<ProtocolVersion> {
+        let version = self.newest.min(other.newest);
+        (version >= self.oldest.max(other.oldest)).then_some(version)
+    }
+}
+
+/// The first frame of each direction of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Hello {
+    pub(crate) protocol: ProtocolRange,
+    pub(crate) instance: InstanceId,
+    pub(crate) centre: CentreId,
+}
+
+/// Why bytes are not a frame or a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum CodecError {
+    /// The frame's length is over the limit, so that the stream cannot be read further.
+    #[error("a frame of {0} bytes is over the limit")]
+    TooLarge(usize),
+    /// The body of a known kind does not parse; the next frame may.
+    #[error("the body of a frame of kind {0} does not parse")]
+    Malformed(u16),
+}
+
+/// One frame that was cut out of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Frame {
+    pub(crate) kind: u16,
+    pub(crate) body: Bytes,
+}
+
+/// A frame of the message stream, decoded.
+#[derive(Debug, Clone, PartialEq)]
+pub enum DecodedMessage {
+    /// A message that this program knows.
+    Known(PeerMessage),
+    /// A kind that only a newer program knows.
+    Unknown(u16),
+}
+
+/// Bytes of a stream that wait to be cut into frames.
+#[derive(Debug, Default)]
+pub struct FrameBuffer {
+    bytes: BytesMut,
+}
+
+impl FrameBuffer {
+    /// Adds bytes in the order of the stream.
+    pub fn extend(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Returns how many bytes wait.
+    pub(crate) fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Cuts the next whole frame off, if there is one, and decodes it as a message.
+    pub fn next_message(&mut self) -> Result<Option<DecodedMessage>, CodecError> {
+        self.next_frame()?
+            .map(|frame| decode_message(&frame))
+            .transpose()
+    }
+
+    /// Cuts the next whole frame off, if there is one.
+    pub(crate) fn next_frame(&mut self) -> Result<Option<Frame>, CodecError> {
+        let Some(header) = self.bytes.first_chunk::<HEADER_SIZE>() else {
+            return Ok(None);
+        };
+        let size = u32::from_le_bytes([header[0], header[1], header[2], header[3]]) as usize;
+        let kind = u16::from_le_bytes([header[4], header[5]]);
+        if size > FRAME_LIMIT {
+            return Err(CodecError::TooLarge(size));
+        }
+        if self.bytes.len() < HEADER_SIZE + size {
+            return Ok(None);
+        }
+        self.bytes.advance(HEADER_SIZE);
+        let body = self.bytes.split_to(size).freeze();
+        Ok(Some(Frame { kind, body }))
+    }
+
+    /// Returns the bytes after the last frame that was cut off.
+    pub(crate) fn into_rest(self) -> Bytes {
+        self.bytes.freeze()
+    }
+}
+
+/// Appends a message's frame to `out` and returns its size.
+pub(crate) fn encode_message(message: &PeerMessage, out: &mut BytesMut) -> usize {
+    let kind = message.kind() as u16;
+    match message {
+        PeerMessage::Offer(list) => put_value(kind, list, out),
+        PeerMessage::Withdraw(list) => put_value(kind, list, out),
+        PeerMessage::Release(list) => put_value(kind, list, out),
+        PeerMessage::Held(list) => put_value(kind, list, out),
+        PeerMessage::Grant(list) => put_value(kind, list, out),
+        PeerMessage::Shed(list) => put_value(kind, list, out),
+        PeerMessage::Report(list) => put_value(kind, list, out),
+        PeerMessage::CacheEvents(list) => put_value(kind, list, out),
+        PeerMessage::PoolSummaries(body)
+        | PeerMessage::Records(body)
+        | PeerMessage::Limits(body)
+        | PeerMessage::Status(body) => put_bytes(kind, body, out),
+    }
+}
+
+fn decode_message(frame: &Frame) -> Result<DecodedMessage, CodecError> {
+    let Some(kind) = MessageKind::from_number(frame.kind) else {
+        return Ok(DecodedMessage::Unknown(frame.kind));
+    };
+    let message = match kind {
+        MessageKind::Offer => PeerMessage::Offer(take_value(frame)?),
+        MessageKind::Withdraw => PeerMessage::Withdraw(take_value(frame)?),
+        MessageKind::Release => PeerMessage::Release(take_value(frame)?),
+        MessageKind::Held => PeerMessage::Held(take_value(frame)?),
+        MessageKind::Grant => PeerMessage::Grant(take_value(frame)?),
+        MessageKind::Shed => PeerMessage::Shed(take_value(frame)?),
+        MessageKind::Report => PeerMessage::Report(take_value(frame)?),
+        MessageKind::CacheEvents => PeerMessage::CacheEvents(take_value(frame)?),
+        MessageKind::PoolSummaries => PeerMessage::PoolSummaries(frame.body.clone()),
+        MessageKind::Records => PeerMessage::Records(frame.body.clone()),
+        MessageKind::Limits => PeerMessage::Limits(frame.body.clone()),
+        MessageKind::Status => PeerMessage::Status(frame.body.clone()),
+    };
+    Ok(DecodedMessage::Known(message))
+}
+
+pub(crate) fn encode_hello(hello: &Hello) -> Bytes {
+    let mut out = BytesMut::new();
+    put_value(HELLO, hello, &mut out);
+    out.freeze()
+}
+
+pub(crate) fn decode_hello(frame: &Frame) -> Result<Hello, CodecError> {
+    if frame.kind != HELLO {
+        return Err(CodecError::Malformed(frame.kind));
+    }
+    take_value(frame)
+}
+
+pub(crate) fn encode_call(call: &PeerCall) -> Bytes {
+    let mut out = BytesMut::new();
+    match call {
+        PeerCall::FetchRecords(body) => put_bytes(CALL_FETCH_RECORDS, body, &mut out),
+        PeerCall::FetchSnapshot(body) => put_bytes(CALL_FETCH_SNAPSHOT, body, &mut out),
+        PeerCall::ForwardRequest(body) => put_bytes(CALL_FORWARD_REQUEST, body, &mut out),
+        PeerCall::RequestStatus(id) => put_value(CALL_REQUEST_STATUS, id, &mut out),
+    };
+    out.freeze()
+}
+
+pub(crate) fn encode_open(open: &StreamOpen) -> Bytes {
+    let mut out = BytesMut::new();
+    match open {
+        StreamOpen::ForwardRequest(body) => put_bytes(STREAM_FORWARD_REQUEST, body, &mut out),
+        StreamOpen::Reconnect(body) => put_bytes(STREAM_RECONNECT, body, &mut out),
+    };
+    out.freeze()
+}
+
+/// The first frame of a stream that a peer opened.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Opening {
+    Call(PeerCall),
+    Stream(StreamOpen),
+    Unknown(u16),
+}
+
+pub(crate) fn decode_opening(frame: &Frame) -> Result<Opening, CodecError> {
+    let body = frame.body.clone();
+    Ok(match frame.kind {
+        CALL_FETCH_RECORDS => Opening::Call(PeerCall::FetchRecords(body)),
+        CALL_FETCH_SNAPSHOT => Opening::Call(PeerCall::FetchSnapshot(body)),
+        CALL_FORWARD_REQUEST => Opening::Call(PeerCall::ForwardRequest(body)),
+        CALL_REQUEST_STATUS => Opening::Call(PeerCall::RequestStatus(take_value(frame)?)),
+        STREAM_FORWARD_REQUEST => Opening::Stream(StreamOpen::ForwardRequest(body)),
+        STREAM_RECONNECT => Opening::Stream(StreamOpen::Reconnect(body)),
+        kind => Opening::Unknown(kind),
+    })
+}
+
+pub(crate) fn encode_reply(reply: &PeerReply) -> Bytes {
+    let mut out = BytesMut::new();
+    match reply {
+        PeerReply::Answer(body) => put_bytes(REPLY_ANSWER, body, &mut out),
+        PeerReply::Refused(reason) => put_value(REPLY_REFUSED, reason, &mut out),
+        PeerReply::Unsupported => put_bytes(REPLY_UNSUPPORTED, &[], &mut out),
+    };
+    out.freeze()
+}
+
+pub(crate) fn decode_reply(frame: &Frame) -> Result<PeerReply, CodecError> {
+    match frame.kind {
+        REPLY_ANSWER => Ok(PeerReply::Answer(frame.body.clone())),
+        REPLY_REFUSED => Ok(PeerReply::Refused(take_value(frame)?)),
+        REPLY_UNSUPPORTED => Ok(PeerReply::Unsupported),
+        kind => Err(CodecError::Malformed(kind)),
+    }
+}
+
+fn put_value<T: Serialize + ?Sized>(kind: u16, value: &T, out: &mut BytesMut) -> usize {
+    let body = postcard::to_allocvec(value).expect("plain data always has a postcard form");
+    put_bytes(kind, &body, out)
+}
+
+fn put_bytes(kind: u16, body: &[u8], out: &mut BytesMut) -> usize {
+    out.reserve(HEADER_SIZE + body.len());
+    out.put_u32_le(u32::try_from(body.len()).unwrap_or(u32::MAX));
+    out.put_u16_le(kind);
+    out.put_slice(body);
+    HEADER_SIZE + body.len()
+}
+
+fn take_value<'a, T: Deserialize<'a>>(frame: &'a Frame) -> Result<T, CodecError> {
+    postcard::take_from_bytes(&frame.body)
+        .map(|(value, _)| value)
+        .map_err(|_| CodecError::Malformed(frame.kind))
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,39 @@
-//! Placeholder page; the module docs arrive with the code.
+//! Peers: how entry VMs talk to each other.
+//!
+//! Every instance has one UDP socket and speaks QUIC with mutual TLS over it. Between two
+//! instances there is at most one lasting connection, opened on demand, that carries
+//!
+//! - one stream in each direction with one-way [`PeerMessage`]s, ordered and batched;
+//! - a short stream for each [`PeerCall`] and its [`PeerReply`];
+//! - a long stream for each forwarded request or reconnect, a [`PeerStream`];
+//! - unreliable datagrams with the probes of membership (`oleander-membership`).
+//!
+//! Messages carry a kind number and a length, so an older program skips what it does not know and
+//! counts it. docs/PEERS.md describes the wire format.
+
+mod certs;
+mod codec;
+mod counters;
+mod endpoint;
+mod error;
+mod link;
+mod message;
+mod peering;
+mod settings;
+mod stream;
+mod tls;
+
+pub use certs::{CertificateAuthority, NodeFiles};
+pub use codec::{
+    CodecError, DecodedMessage, FRAME_LIMIT, FrameBuffer, ProtocolRange, ProtocolVersion,
+};
+pub use counters::{KindCount, PeerCounters, TrafficCount};
+pub use endpoint::PeerEndpoint;
+pub use error::{PeerError, PeerResult};
+pub use message::{
+    BackendCacheEvents, BackendReport, HeldSlot, MessageKind, PeerCall, PeerHandler, PeerMessage,
+    PeerReply, StreamOpen,
+};
+pub use oleander_membership::{CentreView, Member, MemberState, MemberView};
+pub use settings::{PeerSettings, TlsFiles};
+pub use stream::{PeerReceiver, PeerSender, PeerStream};
--- /dev/null
+++ b/crates/peer/src/message.rs
@@ -0,0 +1,223 @@
+//! What peers tell and ask each other, and who handles it.
+//!
+//! Payloads whose meaning belongs to another package are opaque bytes under a kind of their own.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use oleander_base::prelude::*;
+use oleander_base::{CacheEvent, GrantNotice, LoadReport, ReleaseNotice, ShedNotice};
+use oleander_membership::MemberView;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+use crate::stream::PeerStream;
+
+/// A slot that an entry VM uses, told to a dispatcher that rebuilds its state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldSlot {
+    /// The request that uses the slot.
+    pub request: RequestId,
+    /// The pool.
+    pub pool: PoolId,
+    /// The backend server.
+    pub backend: BackendId,
+}
+
+/// A load report of one backend server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BackendReport {
+    /// The backend server.
+    pub backend: BackendId,
+    /// Its report.
+    pub report: LoadReport,
+}
+
+/// Prefix-cache events of one backend server, in order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendCacheEvents {
+    /// The backend server.
+    pub backend: BackendId,
+    /// Its events.
+    pub events: Vec<CacheEvent>,
+}
+
+/// A one-way message; reliable and ordered while its connection lasts.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PeerMessage {
+    /// Entry VM to dispatcher: tickets to queue.
+    Offer(Vec<Ticket>),
+    /// Entry VM to dispatcher: tickets to forget.
+    Withdraw(Vec<RequestId>),
+    /// Entry VM to dispatcher: slots that are free again.
+    Release(Vec<ReleaseNotice>),
+    /// Entry VM to dispatcher: slots in use.
+    Held(Vec<HeldSlot>),
+    /// Dispatcher to entry VM: requests that may go.
+    Grant(Vec<GrantNotice>),
+    /// Dispatcher to entry VM: tickets that were refused.
+    Shed(Vec<ShedNotice>),
+    /// Summaries of pools, for spill-over between data centres.
+    PoolSummaries(Bytes),
+    /// A digest or delta of the records.
+    Records(Bytes),
+    /// Demand and shares of customers.
+    Limits(Bytes),
+    /// Load reports of backend servers.
+    Report(Vec<BackendReport>),
+    /// Prefix-cache events of backend servers.
+    CacheEvents(Vec<BackendCacheEvents>),
+    /// The status of an instance, for the screens.
+    Status(Bytes),
+}
+
+/// The kind of a one-way message, for counters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[repr(u16)]
+pub enum MessageKind {
+    /// [`PeerMessage::Offer`].
+    Offer = 1,
+    /// [`PeerMessage::Withdraw`].
+    Withdraw = 2,
+    /// [`PeerMessage::Release`].
+    Release = 3,
+    /// [`PeerMessage::Held`].
+    Held = 4,
+    /// [`PeerMessage::Grant`].
+    Grant = 5,
+    /// [`PeerMessage::Shed`].
+    Shed = 6,
+    /// [`PeerMessage::PoolSummaries`].
+    PoolSummaries = 7,
+    /// [`PeerMessage::Records`].
+    Records = 8,
+    /// [`PeerMessage::Limits`].
+    Limits = 9,
+    /// [`PeerMessage::Report`].
+    Report = 10,
+    /// [`PeerMessage::CacheEvents`].
+    CacheEvents = 11,
+    /// [`PeerMessage::Status`].
+    Status = 12,
+}
+
+impl MessageKind {
+    /// Every kind, in the order of its number; the first has number 1.
+    pub const ALL: [Self; 12] = [
+        Self::Offer,
+        Self::Withdraw,
+        Self::Release,
+        Self::Held,
+        Self::Grant,
+        Self::Shed,
+        Self::PoolSummaries,
+        Self::Records,
+        Self::Limits,
+        Self::Report,
+        Self::CacheEvents,
+        Self::Status,
+    ];
+
+    /// Returns the kind with a number, if this program knows it.
+    pub fn from_number(number: u16) -> Option<Self> {
+        let index = usize::from(number).checked_sub(1)?;
+        Self::ALL.get(index).copied()
+    }
+
+    /// Returns the word that counters and dumps show.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Offer => "offer",
+            Self::Withdraw => "withdraw",
+            Self::Release => "release",
+            Self::Held => "held",
+            Self::Grant => "grant",
+            Self::Shed => "shed",
+            Self::PoolSummaries => "pool-summaries",
+            Self::Records => "records",
+            Self::Limits => "limits",
+            Self::Report => "report",
+            Self::CacheEvents => "cache-events",
+            Self::Status => "status",
+        }
+    }
+}
+
+impl PeerMessage {
+    /// Returns the kind of the message.
+    pub fn kind(&self) -> MessageKind {
+        match self {
+            Self::Offer(_) => MessageKind::Offer,
+            Self::Withdraw(_) => MessageKind::Withdraw,
+            Self::Release(_) => MessageKind::Release,
+            Self::Held(_) => MessageKind::Held,
+            Self::Grant(_) => MessageKind::Grant,
+            Self::Shed(_) => MessageKind::Shed,
+            Self::PoolSummaries(_) => MessageKind::PoolSummaries,
+            Self::Records(_) => MessageKind::Records,
+            Self::Limits(_) => MessageKind::Limits,
+            Self::Report(_) => MessageKind::Report,
+            Self::CacheEvents(_) => MessageKind::CacheEvents,
+            Self::Status(_) => MessageKind::Status,
+        }
+    }
+}
+
+/// A question to a peer that expects one reply.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PeerCall {
+    /// Asks for records after those that the asker names.
+    FetchRecords(Bytes),
+    /// Asks for all records in force and what else a new instance needs.
+    FetchSnapshot(Bytes),
+    /// Asks the peer to run a request whose answer is short.
+    ForwardRequest(Bytes),
+    /// Asks what became of a request.
+    RequestStatus(RequestId),
+}
+
+/// The reply to a [`PeerCall`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PeerReply {
+    /// The answer, in a form that the kind of call defines.
+    Answer(Bytes),
+    /// The peer did nothing, and says why.
+    Refused(String),
+    /// The peer's program does not know this kind of call.
+    Unsupported,
+}
+
+/// What a long stream is for, with the first bytes that describe it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StreamOpen {
+    /// A caller's request that this peer is to run.
+    ForwardRequest(Bytes),
+    /// A caller that came back for the rest of its answer.
+    Reconnect(Bytes),
+}
+
+/// The receiver of everything that peers send.
+///
+/// Methods are called on the endpoint's threads and must not block.
+pub trait PeerHandler: Send + Sync {
+    /// Takes a one-way message.
+    fn on_message(&self, from: InstanceId, message: PeerMessage);
+
+    /// Answers a call.
+    fn on_call(&self, from: InstanceId, call: PeerCall) -> BoxFuture<'static, PeerReply>;
+
+    /// Takes over a stream that a peer opened; the handler spawns its own task for it.
+    fn on_stream(&self, from: InstanceId, open: StreamOpen, stream: PeerStream);
+
+    /// Learns of a new view of the fleet.
+    fn on_view(&self, view: &Arc<MemberView>) {
+        let _ = view;
+    }
+
+    /// Learns that this process was paused and must not act on what it knew before, until the
+    /// view is current again ([`MemberView::is_current`]).
+    fn on_woke_up(&self, paused: Duration) {
+        let _ = paused;
+    }
+}
--- /dev/null
+++ b/crates/peer/src/peering.rs
@@ -0,0 +1,250 @@
+//! One connection to one instance, from the exchange of hellos to its end.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use log::debug;
+use oleander_base::prelude::*;
+use quinn::{Connection, RecvStream, SendStream, VarInt};
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+use crate::codec::{
+    CodecError, DecodedMessage, FrameBuffer, Hello, Opening, ProtocolVersion, decode_hello,
+    decode_opening, encode_hello, encode_reply,
+};
+use crate::counters::add;
+use crate::endpoint::EndpointCore;
+use crate::error::{PeerError, PeerResult};
+use crate::message::PeerReply;
+use crate::stream::{ActiveGuard, PeerStream, read_frame};
+
+/// How long a peer may take to say hello once the connection stands.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The most bytes that one read of the message stream returns.
+const READ_SIZE: usize = 256 << 10;
+
+/// The message stream goes before bulk streams of the same connection.
+const MESSAGE_PRIORITY: i32 = 10;
+
+pub(crate) const CLOSE_NORMAL: VarInt = VarInt::from_u32(0);
+pub(crate) const CLOSE_VERSION: VarInt = VarInt::from_u32(2);
+pub(crate) const CLOSE_MALFORMED: VarInt = VarInt::from_u32(3);
+const UNSUPPORTED: VarInt = VarInt::from_u32(4);
+
+/// A connection on which both sides have said hello.
+#[derive(Debug)]
+pub(crate) struct Peering {
+    pub(crate) connection: Connection,
+    pub(crate) remote: InstanceId,
+    pub(crate) centre: CentreId,
+    pub(crate) version: ProtocolVersion,
+    /// Whether this side opened the connection.
+    pub(crate) dialled: bool,
+    pub(crate) since: Instant,
+    pub(crate) sender: Mutex<SendStream>,
+    /// Calls and streams in use.
+    pub(crate) active: Arc<AtomicUsize>,
+}
+
+impl Peering {
+    /// Returns whether the connection still stands.
+    pub(crate) fn is_open(&self) -> bool {
+        self.connection.close_reason().is_none()
+    }
+
+    /// Returns the instance whose side opened the connection.
+    pub(crate) fn dialler(&self, me: InstanceId) -> InstanceId {
+        if self.dialled { me } else { self.remote }
+    }
+}
+
+/// Exchanges hellos on a new connection and starts the tasks that read from it.
+pub(crate) async fn establish(
+    core: &Arc<EndpointCore>,
+    connection: Connection,
+    dialled: bool,
+) -> PeerResult<Arc<Peering>> {
+    let hellos = timeout(HELLO_TIMEOUT, exchange_hellos(core, &connection)).await;
+    let (send, receive, hello, rest) = match hellos {
+        Ok(Ok(parts)) => parts,
+        Ok(Err(error)) => {
+            close_failed(core, &connection);
+            return Err(error);
+        }
+        Err(_) => {
+            close_failed(core, &connection);
+            return Err(unreachable(&connection, &"no hello in time"));
+        }
+    };
+    let Some(version) = core.protocol.common(hello.protocol) else {
+        add(&core.counters.refused, 1);
+        connection.close(CLOSE_VERSION, b"version");
+        return Err(PeerError::Version {
+            address: connection.remote_address(),
+        });
+    };
+    let peering = Arc::new(Peering {
+        connection,
+        remote: hello.instance,
+        centre: hello.centre,
+        version,
+        dialled,
+        since: Instant::now(),
+        sender: Mutex::new(send),
+        active: Arc::new(AtomicUsize::new(0)),
+    });
+    core.adopt(&peering);
+    core.spawn(read_messages(
+        Arc::clone(core),
+        Arc::clone(&peering),
+        receive,
+        rest,
+    ));
+    core.spawn(accept_streams(Arc::clone(core), Arc::clone(&peering)));
+    core.spawn(read_datagrams(Arc::clone(core), Arc::clone(&peering)));
+    Ok(peering)
+}
+
+async fn exchange_hellos(
+    core: &EndpointCore,
+    connection: &Connection,
+) -> PeerResult<(SendStream, RecvStream, Hello, Bytes)> {
+    let lost = |error: &dyn std::fmt::Display| unreachable(connection, error);
+    let mut send = connection.open_uni().await.map_err(|e| lost(&e))?;
+    let _ = send.set_priority(MESSAGE_PRIORITY);
+    let hello = encode_hello(&core.hello());
+    send.write_chunk(hello).await.map_err(|e| lost(&e))?;
+    let mut receive = connection.accept_uni().await.map_err(|e| lost(&e))?;
+    let unknown = InstanceId {
+        address: connection.remote_address(),
+        incarnation: 0,
+    };
+    let (frame, rest) = read_frame(unknown, &mut receive)
+        .await
+        .map_err(|e| lost(&e))?;
+    let hello = decode_hello(&frame).map_err(|e| lost(&e))?;
+    Ok((send, receive, hello, rest))
+}
+
+async fn read_messages(
+    core: Arc<EndpointCore>,
+    peering: Arc<Peering>,
+    mut stream: RecvStream,
+    early: Bytes,
+) {
+    let mut buffer = FrameBuffer::default();
+    buffer.extend(&early);
+    loop {
+        if let Err(error) = deliver_messages(&core, &peering, &mut buffer) {
+            debug!("message stream of {} is broken: {error}", peering.remote);
+            peering.connection.close(CLOSE_MALFORMED, b"frame");
+            break;
+        }
+        match stream.read_chunk(READ_SIZE, true).await {
+            Ok(Some(chunk)) => buffer.extend(&chunk.bytes),
+            Ok(None) | Err(_) => break,
+        }
+    }
+    peering.connection.closed().await;
+    core.forget(&peering);
+}
+
+fn deliver_messages(
+    core: &EndpointCore,
+    peering: &Peering,
+    buffer: &mut FrameBuffer,
+) -> Result<(), CodecError> {
+    loop {
+        let before = buffer.len();
+        match buffer.next_message() {
+            Ok(Some(DecodedMessage::Known(message))) => {
+                let size = before - buffer.len();
+                core.counters.add_received(message.kind(), size);
+                core.handler.on_message(peering.remote, message);
+            }
+            Ok(Some(DecodedMessage::Unknown(_))) => add(&core.counters.unknown, 1),
+            Ok(None) => return Ok(()),
+            Err(CodecError::Malformed(_)) => add(&core.counters.malformed, 1),
+            Err(error @ CodecError::TooLarge(_)) => {
+                add(&core.counters.malformed, 1);
+                return Err(error);
+            }
+        }
+    }
+}
+
+async fn accept_streams(core: Arc<EndpointCore>, peering: Arc<Peering>) {
+    while let Ok((send, receive)) = peering.connection.accept_bi().await {
+        let guard = ActiveGuard::new(&peering.active);
+        let task = serve_stream(
+            Arc::clone(&core),
+            Arc::clone(&peering),
+            send,
+            receive,
+            guard,
+        );
+        core.spawn(task);
+    }
+}
+
+async fn serve_stream(
+    core: Arc<EndpointCore>,
+    peering: Arc<Peering>,
+    mut send: SendStream,
+    mut receive: RecvStream,
+    guard: ActiveGuard,
+) {
+    let from = peering.remote;
+    let Ok((frame, rest)) = read_frame(from, &mut receive).await else {
+        let _ = send.reset(UNSUPPORTED);
+        return;
+    };
+    match decode_opening(&frame) {
+        Ok(Opening::Call(call)) => {
+            let reply = core.handler.on_call(from, call).await;
+            send_reply(&mut send, &reply).await;
+        }
+        Ok(Opening::Stream(open)) => {
+            let stream = PeerStream::new(from, send, receive, rest, &peering.active);
+            core.handler.on_stream(from, open, stream);
+        }
+        Ok(Opening::Unknown(_)) => {
+            add(&core.counters.unknown, 1);
+            send_reply(&mut send, &PeerReply::Unsupported).await;
+        }
+        Err(_) => {
+            add(&core.counters.malformed, 1);
+            send_reply(&mut send, &PeerReply::Unsupported).await;
+        }
+    }
+    drop(guard);
+}
+
+async fn send_reply(send: &mut SendStream, reply: &PeerReply) {
+    if send.write_chunk(encode_reply(reply)).await.is_ok() {
+        let _ = send.finish();
+        let _ = send.stopped().await;
+    }
+}
+
+async fn read_datagrams(core: Arc<EndpointCore>, peering: Arc<Peering>) {
+    while let Ok(datagram) = peering.connection.read_datagram().await {
+        core.counters.add_probe_received(datagram.len());
+    }
+}
+
+fn close_failed(core: &EndpointCore, connection: &Connection) {
+    connection.close(CLOSE_NORMAL, b"hello");
+    core.counters.add_closed(&connection.stats());
+}
+
+pub(crate) fn unreachable(connection: &Connection, reason: &dyn std::fmt::Display) -> PeerError {
+    PeerError::Unreachable {
+        address: connection.remote_address(),
+        reason: reason.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/peer/src/stream.rs
@@ -0,0 +1,185 @@
+//! Long streams between two peers, in both directions.
+//!
+//! A sender that is dropped before [`PeerSender::finish`] resets its direction, so that a
+//! truncated stream never looks complete to the receiver.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use bytes::Bytes;
+use oleander_base::prelude::*;
+use quinn::{RecvStream, SendStream, VarInt};
+
+use crate::codec::{FRAME_LIMIT, FrameBuffer};
+use crate::error::{PeerError, PeerResult};
+
+/// The reset code of a sender that was dropped before it finished.
+const ABANDONED: VarInt = VarInt::from_u32(1);
+
+/// The most bytes that one read returns.
+const READ_SIZE: usize = 64 << 10;
+
+/// A stream in both directions.
+#[derive(Debug)]
+pub struct PeerStream {
+    sender: PeerSender,
+    receiver: PeerReceiver,
+}
+
+/// The direction towards the peer.
+#[derive(Debug)]
+pub struct PeerSender {
+    peer: InstanceId,
+    stream: SendStream,
+    finished: bool,
+    _active: ActiveGuard,
+}
+
+/// The direction from the peer.
+#[derive(Debug)]
+pub struct PeerReceiver {
+    peer: InstanceId,
+    stream: RecvStream,
+    /// What was read together with the head.
+    early: Bytes,
+    _active: ActiveGuard,
+}
+
+/// Counts a use of a connection, so that it is kept open.
+#[derive(Debug)]
+pub(crate) struct ActiveGuard(Arc<AtomicUsize>);
+
+impl ActiveGuard {
+    pub(crate) fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(count))
+    }
+}
+
+impl Drop for ActiveGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl PeerStream {
+    pub(crate) fn new(
+        peer: InstanceId,
+        send: SendStream,
+        receive: RecvStream,
+        early: Bytes,
+        active: &Arc<AtomicUsize>,
+    ) -> Self {
+        Self {
+            sender: PeerSender {
+                peer,
+                stream: send,
+                finished: false,
+                _active: ActiveGuard::new(active),
+            },
+            receiver: PeerReceiver {
+                peer,
+                stream: receive,
+                early,
+                _active: ActiveGuard::new(active),
+            },
+        }
+    }
+
+    /// Returns the instance at the other end.
+    pub fn peer(&self) -> InstanceId {
+        self.sender.peer
+    }
+
+    /// Sends bytes; see [`PeerSender::send`].
+    pub async fn send(&mut self, bytes: Bytes) -> PeerResult<()> {
+        self.sender.send(bytes).await
+    }
+
+    /// Ends the direction towards the peer; see [`PeerSender::finish`].
+    pub fn finish(&mut self) {
+        self.sender.finish();
+    }
+
+    /// Receives bytes; see [`PeerReceiver::receive`].
+    pub async fn receive(&mut self) -> PeerResult<Option<Bytes>> {
+        self.receiver.receive().await
+    }
+
+    /// Parts the directions, so that two tasks can use them.
+    pub fn split(self) -> (PeerSender, PeerReceiver) {
+        (self.sender, self.receiver)
+    }
+}
+
+impl PeerSender {
+    /// Sends bytes, and waits while the peer's window is full.
+    pub async fn send(&mut self, bytes: Bytes) -> PeerResult<()> {
+        let written = self.stream.write_chunk(bytes).await;
+        written.map_err(|error| lost(self.peer, &error))
+    }
+
+    /// Says that everything has been sent; the peer then reads a complete stream.
+    pub fn finish(&mut self) {
+        if self.stream.finish().is_ok() {
+            self.finished = true;
+        }
+    }
+
+    /// Waits until the peer stopped reading, for example because its caller left.
+    ///
+    /// It also returns once the peer has everything after [`Self::finish`], or with the connection.
+    pub async fn stopped(&self) {
+        let _ = self.stream.stopped().await;
+    }
+}
+
+impl Drop for PeerSender {
+    fn drop(&mut self) {
+        if !self.finished {
+            let _ = self.stream.reset(ABANDONED);
+        }
+    }
+}
+
+impl PeerReceiver {
+    /// Receives the next bytes in order; `None` means that the peer finished the stream.
+    ///
+    /// A stream that the peer abandoned ends in an error, never in `None`.
+    pub async fn receive(&mut self) -> PeerResult<Option<Bytes>> {
+        if !self.early.is_empty() {
+            return Ok(Some(std::mem::take(&mut self.early)));
+        }
+        match self.stream.read_chunk(READ_SIZE, true).await {
+            Ok(chunk) => Ok(chunk.map(|chunk| chunk.bytes)),
+            Err(error) => Err(lost(self.peer, &error)),
+        }
+    }
+}
+
+/// Reads one frame from the start of a stream, and returns it with the bytes after it.
+pub(crate) async fn read_frame(
+    peer: InstanceId,
+    stream: &mut RecvStream,
+) -> PeerResult<(crate::codec::Frame, Bytes)> {
+    let mut buffer = FrameBuffer::default();
+    loop {
+        match buffer.next_frame() {
+            Ok(Some(frame)) => return Ok((frame, buffer.into_rest())),
+            Ok(None) => {}
+            Err(_) => return Err(PeerError::Malformed { peer }),
+        }
+        match stream.read_chunk(FRAME_LIMIT, true).await {
+            Ok(Some(chunk)) => buffer.extend(&chunk.bytes),
+            Ok(None) => return Err(lost(peer, &"the stream ended inside a frame")),
+            Err(error) => return Err(lost(peer, &error)),
+        }
+    }
+}
+
+pub(crate) fn lost(peer: InstanceId, reason: &dyn std::fmt::Display) -> PeerError {
+    PeerError::Lost {
+        peer,
+        reason: reason.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/common/mod.rs
@@ -0,0 +1,107 @@
+//! Common parts of the tests with real endpoints on loopback.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use oleander_base::prelude::*;
+use oleander_peer::{
+    CertificateAuthority, PeerCall, PeerEndpoint, PeerHandler, PeerMessage, PeerReply,
+    PeerSettings, PeerStream, StreamOpen, TlsFiles,
+};
+use parking_lot::Mutex;
+
+/// The longest wait for a condition that is expected to come true.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The files of one authority and one node, which all endpoints of a test share.
+pub struct TestFiles {
+    pub directory: tempfile::TempDir,
+    pub tls: TlsFiles,
+}
+
+impl TestFiles {
+    pub fn generate() -> Self {
+        let directory = tempfile::tempdir().expect("a temporary directory");
+        let authority = CertificateAuthority::generate("test authority").expect("an authority");
+        let node = authority.issue("test node").expect("a certificate");
+        let tls = node.write_to(directory.path()).expect("written files");
+        Self { directory, tls }
+    }
+}
+
+/// Keeps messages, echoes calls and streams.
+#[derive(Default)]
+pub struct EchoHandler {
+    pub messages: Mutex<Vec<(InstanceId, PeerMessage)>>,
+    pub woke_up: Mutex<u32>,
+}
+
+impl PeerHandler for EchoHandler {
+    fn on_message(&self, from: InstanceId, message: PeerMessage) {
+        self.messages.lock().push((from, message));
+    }
+
+    fn on_call(&self, _from: InstanceId, call: PeerCall) -> BoxFuture<'static, PeerReply> {
+        let reply = match call {
+            PeerCall::FetchRecords(body) => PeerReply::Answer(body),
+            PeerCall::FetchSnapshot(_) => PeerReply::Refused("no snapshot".to_owned()),
+            _ => return std::future::pending().boxed(),
+        };
+        std::future::ready(reply).boxed()
+    }
+
+    fn on_stream(&self, _from: InstanceId, open: StreamOpen, mut stream: PeerStream) {
+        tokio::spawn(async move {
+            if let StreamOpen::ForwardRequest(head) = open {
+                let _ = stream.send(head).await;
+            }
+            while let Ok(Some(bytes)) = stream.receive().await {
+                if bytes.as_ref() == b"abandon" {
+                    return;
+                }
+                let _ = stream.send(bytes).await;
+            }
+            stream.finish();
+        });
+    }
+
+    fn on_woke_up(&self, _paused: Duration) {
+        *self.woke_up.lock() += 1;
+    }
+}
+
+/// An endpoint with its handler.
+pub struct TestNode {
+    pub endpoint: PeerEndpoint,
+    pub handler: Arc<EchoHandler>,
+}
+
+pub fn settings(files: &TestFiles, centre: &str) -> PeerSettings {
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    PeerSettings::new(listen, CentreId::from_name(centre), files.tls.clone())
+}
+
+pub fn bind(settings: PeerSettings) -> TestNode {
+    let handler = Arc::new(EchoHandler::default());
+    let endpoint = PeerEndpoint::bind(settings, handler.clone()).expect("an open endpoint");
+    TestNode { endpoint, handler }
+}
+
+/// Waits until a condition holds, and fails with `what` if it does not come to hold.
+pub fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "waited in vain until {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+pub fn status(text: &'static str) -> PeerMessage {
+    PeerMessage::Status(Bytes::from_static(text.as_bytes()))
+}
