Typed notices for progress, withdrawal and misrouted tickets between entry VMs

Cause: a dispatcher that is rebuilt needs the tickets of held slots, not only their requests, and an offer that reaches a VM which does not dispatch the pool must come back.

Held grants, progress and withdrawals are common data now; both ends share one type. Conclusion: the wire carries what the policy's border takes, without a translation.

--- a/crates/base/src/dispatch.rs
+++ b/crates/base/src/dispatch.rs
@@ -113,3 +113,36 @@
     /// Tokens (or bytes of a plain service's answer) that were received.
     pub tokens: u32,
 }
+
+/// A grant that an entry VM holds when a new dispatcher takes over.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HeldGrant {
+    /// The ticket that was granted.
+    pub ticket: Ticket,
+    /// The backend server that serves it.
+    pub backend: BackendId,
+    /// How long ago it was granted.
+    pub age: Span,
+}
+
+/// An entry VM's word that the first token of a granted request came.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ProgressNotice {
+    /// The request.
+    pub request: RequestId,
+    /// The pool.
+    pub pool: PoolId,
+    /// The backend server that serves it.
+    pub backend: BackendId,
+    /// Time from the send to the first token.
+    pub first_token: Span,
+}
+
+/// An entry VM's word that a ticket, or the slot it got, is not needed any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WithdrawNotice {
+    /// The request.
+    pub request: RequestId,
+    /// The pool.
+    pub pool: PoolId,
+}
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -18,7 +18,8 @@
 
 pub use clock::monotonic_now;
 pub use dispatch::{
-    EndKind, GrantNotice, PrefixHash, ReleaseNotice, ShedNotice, ShedReason, Ticket,
+    EndKind, GrantNotice, HeldGrant, PrefixHash, ProgressNotice, ReleaseNotice, ShedNotice,
+    ShedReason, Ticket, WithdrawNotice,
 };
 pub use entity::{
     AdapterId, BackendId, CentreId, ClassId, CustomerId, ModelId, PoolId, Revision, StopId, Tier,
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -5,6 +5,7 @@
 
 use oleander_base::prelude::*;
 use oleander_base::{CacheEvent, GrantNotice, LoadReport, ReleaseNotice, ShedNotice};
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::baseline::{FifoOrder, FifoPool};
@@ -104,7 +105,8 @@
 }
 
 /// The policies that can be chosen in settings and experiments.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum PolicyKind {
     /// Tiers, deadlines, fairness, adaptive limits and ejection.
     #[default]
--- a/crates/decide/src/views.rs
+++ b/crates/decide/src/views.rs
@@ -1,7 +1,8 @@
 //! What the dispatcher tells a policy about records, backend servers and entry VMs.
 
 use oleander_base::prelude::*;
-use serde::{Deserialize, Serialize};
+
+pub use oleander_base::{HeldGrant, ProgressNotice};
 
 /// A backend server of the pool, from the records and from what is known of its state.
 #[derive(Debug, Clone, PartialEq)]
@@ -39,25 +40,3 @@
     /// The weight against the other customers' weights.
     pub weight: f64,
 }
-
-/// A grant that an entry VM holds when a new dispatcher takes over.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct HeldGrant {
-    /// The ticket that was granted.
-    pub ticket: Ticket,
-    /// The backend server that serves it.
-    pub backend: BackendId,
-    /// How long ago it was granted.
-    pub age: Span,
-}
-
-/// An entry VM's word that the first token of a granted request came.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct ProgressNotice {
-    /// The request.
-    pub request: RequestId,
-    /// The backend server that serves it.
-    pub backend: BackendId,
-    /// Time from the send to the first token.
-    pub first_token: Span,
-}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -86,9 +86,18 @@
 impl AnswerBuffer {
     /// Makes the buffer of a new request.
     pub fn new(customer: CustomerId, stream: bool, keep: Span, already: u64) -> Arc<Self> {
-        let state = AnswerState { first: already + 1, ..AnswerState::default() };
+        let state = AnswerState {
+            first: already + 1,
+            ..AnswerState::default()
+        };
         let state = Mutex::new(state);
-        Arc::new(Self { customer, stream, keep, state, departed: Notify::new() })
+        Arc::new(Self {
+            customer,
+            stream,
+            keep,
+            state,
+            departed: Notify::new(),
+        })
     }
 
     /// Appends an event and wakes the readers.
@@ -96,7 +105,11 @@
         let mut state = self.state.lock();
         let number = state.next_number();
         state.kept_bytes += data.len();
-        state.events.push_back(AnswerEvent { number, tokens, data });
+        state.events.push_back(AnswerEvent {
+            number,
+            tokens,
+            data,
+        });
         state.wake_readers();
     }
 
@@ -112,7 +125,9 @@
 
     /// Waits until the buffer has room; a slow reader thereby slows its own engine only.
     pub fn room(self: &Arc<Self>) -> RoomFuture {
-        RoomFuture { buffer: Arc::clone(self) }
+        RoomFuture {
+            buffer: Arc::clone(self),
+        }
     }
 
     /// Returns the number of events so far and the tokens in them.
@@ -135,10 +150,18 @@
         }
         state.reader_serial += 1;
         let serial = state.reader_serial;
-        state.readers.push(ReaderPlace { serial, next: after + 1, waker: None });
+        state.readers.push(ReaderPlace {
+            serial,
+            next: after + 1,
+            waker: None,
+        });
         state.readerless_since = None;
         drop(state);
-        Ok(AnswerReader { buffer: Arc::clone(self), serial, done: false })
+        Ok(AnswerReader {
+            buffer: Arc::clone(self),
+            serial,
+            done: false,
+        })
     }
 
     /// Completes once nobody has read for as long as the answer is kept.
@@ -149,7 +172,9 @@
     /// Tells the driver if nobody has read for as long as the answer is kept.
     pub fn check_departed(&self, now: MonoTime) {
         let state = self.state.lock();
-        let gone = state.readerless_since.is_some_and(|since| now.since(since) >= self.keep);
+        let gone = state
+            .readerless_since
+            .is_some_and(|since| now.since(since) >= self.keep);
         if gone && state.end.is_none() {
             self.departed.notify_one();
         }
@@ -158,7 +183,9 @@
     /// Returns whether the answer ended and has been kept long enough for a reconnect.
     pub fn is_disposable(&self, now: MonoTime, linger: Span) -> bool {
         let state = self.state.lock();
-        let ended = state.ended.is_some_and(|ended| now.since(ended) >= linger.max(self.keep));
+        let ended = state
+            .ended
+            .is_some_and(|ended| now.since(ended) >= linger.max(self.keep));
         ended && state.readers.is_empty()
     }
 }
@@ -181,7 +208,9 @@
         let slowest = self.readers.iter().map(|reader| reader.next).min();
         let Some(slowest) = slowest else { return };
         while self.kept_bytes > KEEP_BYTES && self.first < slowest {
-            let Some(event) = self.events.pop_front() else { return };
+            let Some(event) = self.events.pop_front() else {
+                return;
+            };
             self.kept_bytes -= event.data.len();
             self.first += 1;
         }
@@ -234,7 +263,10 @@
     fn poll_peek(&self, context: &mut Context<'_>) -> Poll<Option<ReadItem>> {
         let mut guard = self.buffer.state.lock();
         let state = &mut *guard;
-        let Some(place) = state.readers.iter_mut().find(|reader| reader.serial == self.serial)
+        let Some(place) = state
+            .readers
+            .iter_mut()
+            .find(|reader| reader.serial == self.serial)
         else {
             return Poll::Ready(None);
         };
@@ -255,7 +287,10 @@
             ReadItem::Event(event) => {
                 let mut state = self.buffer.state.lock();
                 let serial = self.serial;
-                let place = state.readers.iter_mut().find(|reader| reader.serial == serial);
+                let place = state
+                    .readers
+                    .iter_mut()
+                    .find(|reader| reader.serial == serial);
                 if let Some(place) = place {
                     place.next = event.number + 1;
                 }
@@ -315,7 +350,9 @@
 impl AnswerShelf {
     /// Makes an empty shelf.
     pub fn new() -> Self {
-        Self { shards: std::array::from_fn(|_| Mutex::new(FastMap::default())) }
+        Self {
+            shards: std::array::from_fn(|_| Mutex::new(FastMap::default())),
+        }
     }
 
     /// Adds an answer under the serial number of its request.
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -88,7 +88,7 @@
 }
 
 /// Adds one to a counter.
-pub fn bump(counter: &AtomicU64) {
+pub(crate) fn bump(counter: &AtomicU64) {
     counter.fetch_add(1, Ordering::Relaxed);
 }
 
@@ -124,7 +124,10 @@
         let mut lines = Vec::new();
         for shard in &self.shards {
             let shard = shard.lock();
-            lines.extend(shard.iter().map(|(key, count)| ServiceLine { key: *key, count: *count }));
+            lines.extend(shard.iter().map(|(key, count)| ServiceLine {
+                key: *key,
+                count: *count,
+            }));
         }
         lines.sort_unstable_by_key(|line| line.key);
         lines
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -9,8 +9,7 @@
 //! dispatcher gets the slot back.
 
 use oleander_base::prelude::*;
-use oleander_base::{GrantNotice, ShedNotice, ShedReason};
-use oleander_decide::HeldGrant;
+use oleander_base::{GrantNotice, HeldGrant, ShedNotice, ShedReason};
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
@@ -130,7 +129,9 @@
 impl TicketDesk {
     /// Makes an empty desk.
     pub fn new() -> Self {
-        Self { shards: std::array::from_fn(|_| Mutex::new(DeskShard::default())) }
+        Self {
+            shards: std::array::from_fn(|_| Mutex::new(DeskShard::default())),
+        }
     }
 
     /// Enters a ticket and returns where its outcome will come.
@@ -145,7 +146,14 @@
         let request = ticket.request;
         let again = now + FIRST_REPEAT;
         let pause = FIRST_REPEAT;
-        let pending = PendingTicket { ticket, arrived, dispatcher, again, pause, reply };
+        let pending = PendingTicket {
+            ticket,
+            arrived,
+            dispatcher,
+            again,
+            pause,
+            reply,
+        };
         self.shard(request).lock().pending.insert(request, pending);
         outcome
     }
@@ -165,16 +173,27 @@
                 _ => GrantEffect::Unwanted,
             };
         };
-        if pending.reply.send(TicketOutcome::Granted(notice.backend)).is_err() {
+        if pending
+            .reply
+            .send(TicketOutcome::Granted(notice.backend))
+            .is_err()
+        {
             return GrantEffect::Unwanted;
         }
-        let slot = HeldSlot { ticket: pending.ticket, backend: notice.backend, since: now };
+        let slot = HeldSlot {
+            ticket: pending.ticket,
+            backend: notice.backend,
+            since: now,
+        };
         let held = slot.to_grant(now);
         shard.held.insert(notice.request, slot);
         if pending.dispatcher == from {
             GrantEffect::Accepted
         } else {
-            GrantEffect::Moved { asked: pending.dispatcher, held }
+            GrantEffect::Moved {
+                asked: pending.dispatcher,
+                held,
+            }
         }
     }
 
@@ -182,14 +201,20 @@
     /// more counts for nothing, since the ticket is queued elsewhere.
     pub fn shed(&self, notice: &ShedNotice, from: InstanceId) -> bool {
         let mut shard = self.shard(notice.request).lock();
-        let asked = shard.pending.get(&notice.request).map(|pending| pending.dispatcher);
+        let asked = shard
+            .pending
+            .get(&notice.request)
+            .map(|pending| pending.dispatcher);
         if asked != Some(from) {
             return false;
         }
         let Some(pending) = shard.pending.remove(&notice.request) else {
             return false;
         };
-        let outcome = TicketOutcome::Shed { reason: notice.reason, retry_after: notice.retry_after };
+        let outcome = TicketOutcome::Shed {
+            reason: notice.reason,
+            retry_after: notice.retry_after,
+        };
         pending.reply.send(outcome).is_ok()
     }
 
@@ -204,9 +229,10 @@
         let mut tickets = Vec::new();
         for shard in &self.shards {
             let mut shard = shard.lock();
-            let moved = shard.pending.values_mut().filter(|pending| {
-                pending.ticket.pool == pool && pending.dispatcher != dispatcher
-            });
+            let moved = shard
+                .pending
+                .values_mut()
+                .filter(|pending| pending.ticket.pool == pool && pending.dispatcher != dispatcher);
             for pending in moved {
                 pending.dispatcher = dispatcher;
                 pending.ticket.waited = now.since(pending.arrived);
@@ -221,14 +247,24 @@
         let mut offers: FastMap<InstanceId, Vec<Ticket>> = FastMap::default();
         for shard in &self.shards {
             let mut shard = shard.lock();
-            for pending in shard.pending.values_mut().filter(|pending| pending.again <= now) {
+            for pending in shard
+                .pending
+                .values_mut()
+                .filter(|pending| pending.again <= now)
+            {
                 pending.pause = pending.pause + pending.pause;
                 pending.again = now + pending.pause;
                 pending.ticket.waited = now.since(pending.arrived);
-                offers.entry(pending.dispatcher).or_default().push(pending.ticket.clone());
+                offers
+                    .entry(pending.dispatcher)
+                    .or_default()
+                    .push(pending.ticket.clone());
             }
         }
-        let offer = |(dispatcher, tickets)| RepeatedOffer { dispatcher, tickets };
+        let offer = |(dispatcher, tickets)| RepeatedOffer {
+            dispatcher,
+            tickets,
+        };
         offers.into_iter().map(offer).collect()
     }
 
@@ -266,7 +302,12 @@
     /// Counts the held slots of one backend server.
     pub fn held_at(&self, backend: BackendId) -> usize {
         let count = |shard: &Mutex<DeskShard>| {
-            shard.lock().held.values().filter(|slot| slot.backend == backend).count()
+            shard
+                .lock()
+                .held
+                .values()
+                .filter(|slot| slot.backend == backend)
+                .count()
         };
         self.shards.iter().map(count).sum()
     }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -9,17 +9,17 @@
 use std::sync::Arc;
 
 use oleander_base::prelude::*;
-use oleander_base::{CacheEvent, LoadReport, ReleaseNotice};
+use oleander_base::{CacheEvent, HeldGrant, LoadReport, ProgressNotice, ReleaseNotice};
 use oleander_decide::{
-    BackendView, ClassView, CustomerView, Decision, HeldGrant, PolicyKind, PoolConfig, PoolKind,
-    PoolPolicy, PoolSummary, ProgressNotice,
+    BackendView, ClassView, CustomerView, Decision, PolicyKind, PoolConfig, PoolKind, PoolPolicy,
+    PoolSummary,
 };
 use parking_lot::{Mutex, RwLock};
 
 use crate::journal::Journal;
 
 /// How long a new dispatcher collects tickets and slots before it grants.
-pub const TAKEOVER_DELAY: Span = Span::from_millis(250);
+const TAKEOVER_DELAY: Span = Span::from_millis(250);
 
 /// Everything that a pool's policy is told about its surroundings.
 #[derive(Debug, Clone, PartialEq)]
@@ -61,7 +61,12 @@
 impl DispatchBoard {
     /// Makes a board without pools.
     pub fn new(kind: PolicyKind, queue_bound: usize, journal: Arc<Journal>) -> Self {
-        Self { kind, queue_bound, journal, pools: RwLock::new(FastMap::default()) }
+        Self {
+            kind,
+            queue_bound,
+            journal,
+            pools: RwLock::new(FastMap::default()),
+        }
     }
 
     /// Takes a pool over, if it is not here already; returns whether it was taken over now.
@@ -78,7 +83,10 @@
             scratch: Vec::new(),
         };
         let decisions = pool.set_view(view, now);
-        debug_assert!(decisions.is_empty(), "a pool without tickets decides nothing");
+        debug_assert!(
+            decisions.is_empty(),
+            "a pool without tickets decides nothing"
+        );
         pools.insert(id, Arc::new(Mutex::new(pool)));
         true
     }
@@ -100,30 +108,29 @@
         self.with(id, |pool| pool.set_view(view, now))
     }
 
-    /// Queues a ticket, or returns it if the pool is not dispatched here.
-    pub fn offer(
-        &self,
-        ticket: Ticket,
-        from: InstanceId,
-        now: MonoTime,
-    ) -> Result<Vec<Decision>, Ticket> {
+    /// Queues a ticket, if its pool is dispatched here.
+    pub fn offer(&self, ticket: Ticket, from: InstanceId, now: MonoTime) -> OfferEnd {
         let Some(pool) = self.pool(ticket.pool) else {
-            return Err(ticket);
+            return OfferEnd::NotHere;
         };
         let id = ticket.pool;
         let mut pool = pool.lock();
         self.journal.queued(id, &ticket, now);
         if now < pool.opens {
             pool.parked.push(ParkedTicket { ticket, from });
-            return Ok(Vec::new());
+            return OfferEnd::Queued(Vec::new());
         }
-        Ok(pool.decide(|policy, out| policy.offer(ticket, from, now, out), |d| self.journal.decided(id, d, now)))
+        OfferEnd::Queued(pool.decide(
+            |policy, out| policy.offer(ticket, from, now, out),
+            |d| self.journal.decided(id, d, now),
+        ))
     }
 
     /// Takes a ticket back.
     pub fn withdraw(&self, id: PoolId, request: RequestId, now: MonoTime) -> Vec<Decision> {
         self.with(id, |pool| {
-            pool.parked.retain(|parked| parked.ticket.request != request);
+            pool.parked
+                .retain(|parked| parked.ticket.request != request);
             pool.decide(
                 |policy, out| policy.withdraw(request, now, out),
                 |d| self.journal.decided(id, d, now),
@@ -133,11 +140,19 @@
 
     /// Frees a slot.
     pub fn release(&self, notice: &ReleaseNotice, now: MonoTime) -> Vec<Decision> {
-        self.change(notice.pool, now, |policy, out| policy.release(notice, now, out))
+        self.change(notice.pool, now, |policy, out| {
+            policy.release(notice, now, out);
+        })
     }
 
     /// Learns of a slot in use that another dispatcher granted.
-    pub fn adopt(&self, id: PoolId, held: &HeldGrant, from: InstanceId, now: MonoTime) -> Vec<Decision> {
+    pub fn adopt(
+        &self,
+        id: PoolId,
+        held: &HeldGrant,
+        from: InstanceId,
+        now: MonoTime,
+    ) -> Vec<Decision> {
         self.change(id, now, |policy, out| policy.adopt(held, from, now, out))
     }
 
@@ -149,12 +164,14 @@
         report: &LoadReport,
         now: MonoTime,
     ) -> Vec<Decision> {
-        self.change(id, now, |policy, out| policy.report(backend, report, now, out))
+        self.change(id, now, |policy, out| {
+            policy.report(backend, report, now, out);
+        })
     }
 
     /// Learns that a granted request got its first token.
-    pub fn progress(&self, id: PoolId, notice: &ProgressNotice, now: MonoTime) {
-        self.change(id, now, |policy, _| policy.progress(notice, now));
+    pub fn progress(&self, notice: &ProgressNotice, now: MonoTime) {
+        self.change(notice.pool, now, |policy, _| policy.progress(notice, now));
     }
 
     /// Takes in an event of an engine's prefix cache.
@@ -177,7 +194,9 @@
                     |d| self.journal.decided(id, d, now),
                 )
             }));
-            decisions.extend(self.with(id, |pool| pool.open_if_due(now, |d| self.journal.decided(id, d, now))));
+            decisions.extend(self.with(id, |pool| {
+                pool.open_if_due(now, |d| self.journal.decided(id, d, now))
+            }));
         }
         decisions
     }
@@ -187,7 +206,11 @@
         let summary = |id: PoolId| {
             let pool = self.pool(id)?;
             let pool = pool.lock();
-            Some(PoolStatus { id, parked: pool.parked.len(), summary: pool.policy.summary(now) })
+            Some(PoolStatus {
+                id,
+                parked: pool.parked.len(),
+                summary: pool.policy.summary(now),
+            })
         };
         self.ids().into_iter().filter_map(summary).collect()
     }
@@ -203,7 +226,11 @@
         for id in self.ids() {
             if let Some(pool) = self.pool(id) {
                 let pool = pool.lock();
-                text.push_str(&format!("pool {id} opens {} parked {}\n", pool.opens, pool.parked.len()));
+                text.push_str(&format!(
+                    "pool {id} opens {} parked {}\n",
+                    pool.opens,
+                    pool.parked.len()
+                ));
                 text.push_str(&pool.policy.dump(now));
             }
         }
@@ -240,7 +267,9 @@
         now: MonoTime,
         change: impl FnOnce(&mut dyn PoolPolicy, &mut Vec<Decision>),
     ) -> Vec<Decision> {
-        self.with(id, |pool| pool.decide(change, |d| self.journal.decided(id, d, now)))
+        self.with(id, |pool| {
+            pool.decide(change, |d| self.journal.decided(id, d, now))
+        })
     }
 
     fn each(
@@ -256,6 +285,15 @@
     }
 }
 
+/// What became of an offer.
+#[derive(Debug)]
+pub enum OfferEnd {
+    /// The ticket is queued, or decided already.
+    Queued(Vec<Decision>),
+    /// The pool is not dispatched here.
+    NotHere,
+}
+
 /// A pool's state for screens and for spill-over.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PoolStatus {
@@ -283,8 +321,10 @@
 
     fn set_view(&mut self, view: &PoolView, now: MonoTime) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        self.policy.set_classes(&view.classes, &view.customers, now, &mut decisions);
-        self.policy.set_backends(&view.backends, now, &mut decisions);
+        self.policy
+            .set_classes(&view.classes, &view.customers, now, &mut decisions);
+        self.policy
+            .set_backends(&view.backends, now, &mut decisions);
         decisions
     }
 
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -11,9 +11,8 @@
 
 use bytes::Bytes;
 use oleander_base::prelude::*;
-use oleander_base::{EndKind, ReleaseNotice, monotonic_now};
+use oleander_base::{EndKind, ProgressNotice, ReleaseNotice, monotonic_now};
 use oleander_caller::{CallerError, CompletionCall, ErrorCode};
-use oleander_decide::ProgressNotice;
 use oleander_engine::{EngineCall, EngineError, EngineEvent, EngineStream};
 
 use crate::answer::{AnswerBuffer, AnswerEnd};
@@ -299,8 +298,8 @@
         let now = monotonic_now();
         self.first_token.get_or_insert(now);
         let first_token = now.since(sent);
-        let notice = ProgressNotice { request: self.job.request, backend, first_token };
-        self.context.node.progress(pool, notice);
+        let notice = ProgressNotice { request: self.job.request, pool, backend, first_token };
+        self.context.node.progress(notice);
         first_token
     }
 
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -89,14 +89,25 @@
     /// Notes a decision.
     pub fn decided(&self, pool: PoolId, decision: &Decision, now: MonoTime) {
         let (event, request, detail) = match &decision.notice {
-            DecisionNotice::Grant(notice) => {
-                (JournalEvent::Grant, notice.request, RawDetail::Backend(notice.backend))
-            }
-            DecisionNotice::Shed(notice) => {
-                (JournalEvent::Shed, notice.request, RawDetail::Reason(notice.reason))
-            }
+            DecisionNotice::Grant(notice) => (
+                JournalEvent::Grant,
+                notice.request,
+                RawDetail::Backend(notice.backend),
+            ),
+            DecisionNotice::Shed(notice) => (
+                JournalEvent::Shed,
+                notice.request,
+                RawDetail::Reason(notice.reason),
+            ),
         };
-        self.push(RawEntry { at: now, pool, event, request, tier: None, detail });
+        self.push(RawEntry {
+            at: now,
+            pool,
+            event,
+            request,
+            tier: None,
+            detail,
+        });
     }
 
     /// Returns up to `limit` entries after the one numbered `after`.
@@ -105,7 +116,10 @@
         let skip = after.saturating_sub(ring.dropped) as usize;
         let first = ring.dropped + skip as u64 + 1;
         let entries = ring.entries.iter().skip(skip).take(limit);
-        entries.enumerate().map(|(index, entry)| entry.show(first + index as u64)).collect()
+        entries
+            .enumerate()
+            .map(|(index, entry)| entry.show(first + index as u64))
+            .collect()
     }
 
     fn push(&self, entry: RawEntry) {
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -32,12 +32,22 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommand(Command::new("run").about("Serves until SIGTERM, then drains").arg(settings.clone()))
-        .subcommand(Command::new("check").about("Checks a settings file and reports every mistake").arg(settings))
+        .subcommand(
+            Command::new("run")
+                .about("Serves until SIGTERM, then drains")
+                .arg(settings.clone()),
+        )
+        .subcommand(
+            Command::new("check")
+                .about("Checks a settings file and reports every mistake")
+                .arg(settings),
+        )
 }
 
 fn read_settings(matches: &ArgMatches) -> Result<EntrySettings, ExitCode> {
-    let file = matches.get_one::<PathBuf>("settings").expect("clap requires the argument");
+    let file = matches
+        .get_one::<PathBuf>("settings")
+        .expect("clap requires the argument");
     EntrySettings::read(file).map_err(|error| {
         eprintln!("{error}");
         ExitCode::from(EXIT_SETTINGS)
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -11,9 +11,12 @@
 
 use arc_swap::ArcSwap;
 use oleander_base::prelude::*;
-use oleander_base::{GrantNotice, ReleaseNotice, ShedNotice, monotonic_now};
-use oleander_decide::{Decision, DecisionNotice, HeldGrant, ProgressNotice};
-use oleander_peer::{PeerMessage, PoolProgress, WithdrawNotice};
+use oleander_base::{
+    GrantNotice, HeldGrant, ProgressNotice, ReleaseNotice, ShedNotice, WithdrawNotice,
+    monotonic_now,
+};
+use oleander_decide::{Decision, DecisionNotice};
+use oleander_peer::PeerMessage;
 use oleander_records::RecordSet;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -21,7 +24,7 @@
 use crate::answer::AnswerShelf;
 use crate::counters::{EntryCounters, bump};
 use crate::desk::{GrantEffect, TicketDesk, TicketOutcome};
-use crate::dispatch::DispatchBoard;
+use crate::dispatch::{DispatchBoard, OfferEnd};
 use crate::journal::Journal;
 use crate::life::{LifeCycle, LifeStage};
 use crate::settings::EntrySettings;
@@ -68,7 +71,10 @@
 
 impl fmt::Debug for EntryNode {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("EntryNode").field("me", &self.me).field("centre", &self.centre).finish_non_exhaustive()
+        f.debug_struct("EntryNode")
+            .field("me", &self.me)
+            .field("centre", &self.centre)
+            .finish_non_exhaustive()
     }
 }
 
@@ -78,7 +84,11 @@
         let journal = Arc::new(Journal::default());
         let dispatch = &settings.dispatch;
         let board = DispatchBoard::new(dispatch.policy, dispatch.queue_limit, Arc::clone(&journal));
-        let empty = FleetView::new(Arc::new(RecordSet::default()), Vec::new(), &FastSet::default());
+        let empty = FleetView::new(
+            Arc::new(RecordSet::default()),
+            Vec::new(),
+            &FastSet::default(),
+        );
         Arc::new(Self {
             me,
             centre: CentreId::from_name(&settings.instance.centre),
@@ -109,7 +119,10 @@
     /// Returns a new request id.
     pub fn next_request(&self) -> RequestId {
         let serial = self.serial.fetch_add(1, Ordering::Relaxed) + 1;
-        RequestId { home: self.me, serial }
+        RequestId {
+            home: self.me,
+            serial,
+        }
     }
 
     /// Puts new records into force.
@@ -133,7 +146,11 @@
         change(&mut inputs);
         let old = self.view.load_full();
         let records = records.unwrap_or_else(|| Arc::clone(&old.records));
-        let new = Arc::new(FleetView::new(records, inputs.members.clone(), &inputs.listed_leaving));
+        let new = Arc::new(FleetView::new(
+            records,
+            inputs.members.clone(),
+            &inputs.listed_leaving,
+        ));
         self.view.store(Arc::clone(&new));
         let now = monotonic_now();
         self.take_roles(&new, now);
@@ -144,14 +161,20 @@
     /// Takes over and drops pools, and tells the kept ones what changed.
     fn take_roles(&self, view: &FleetView, now: MonoTime) {
         for id in self.board.ids() {
-            let mine = view.pool(id).is_some_and(|route| route.dispatcher == Some(self.me));
+            let mine = view
+                .pool(id)
+                .is_some_and(|route| route.dispatcher == Some(self.me));
             if !mine && self.board.drop_pool(id) {
                 log::info!("pool {id} is dispatched elsewhere now");
             }
         }
-        let mine = view.pools().filter(|route| route.dispatcher == Some(self.me));
+        let mine = view
+            .pools()
+            .filter(|route| route.dispatcher == Some(self.me));
         for id in mine.map(|route| route.pool) {
-            let Some(pool_view) = view.pool_view(id) else { continue };
+            let Some(pool_view) = view.pool_view(id) else {
+                continue;
+            };
             if self.board.take_over(id, &pool_view, now) {
                 log::info!("pool {id} is dispatched here now");
             } else {
@@ -163,7 +186,9 @@
     /// Offers tickets and reports held slots to dispatchers that are new.
     fn move_tickets(&self, old: &FleetView, new: &FleetView, now: MonoTime) {
         for id in self.desk.pools() {
-            let Some(dispatcher) = new.pool(id).and_then(|route| route.dispatcher) else { continue };
+            let Some(dispatcher) = new.pool(id).and_then(|route| route.dispatcher) else {
+                continue;
+            };
             let before = old.pool(id).and_then(|route| route.dispatcher);
             if before != Some(dispatcher) {
                 self.send_held(dispatcher, self.desk.held_in(id, now), now);
@@ -171,7 +196,10 @@
             let tickets = self.desk.repoint(id, dispatcher, now);
             if !tickets.is_empty() {
                 let count = tickets.len() as u64;
-                self.counters.process.repointed.fetch_add(count, Ordering::Relaxed);
+                self.counters
+                    .process
+                    .repointed
+                    .fetch_add(count, Ordering::Relaxed);
                 self.send_offer(dispatcher, tickets, now);
             }
         }
@@ -180,7 +208,11 @@
     /// Forgets members that are gone in the pools that are dispatched here.
     fn forget_members(&self, old: &FleetView, new: &FleetView, now: MonoTime) {
         let is_kept = |instance: InstanceId| new.members.iter().any(|m| m.instance == instance);
-        for member in old.members.iter().filter(|member| !is_kept(member.instance)) {
+        for member in old
+            .members
+            .iter()
+            .filter(|member| !is_kept(member.instance))
+        {
             self.deliver(self.board.instance_gone(member.instance, now));
         }
     }
@@ -198,7 +230,9 @@
 
     /// Takes a ticket back whose request will not be sent.
     pub fn withdraw(&self, request: RequestId, pool: PoolId) {
-        let Some(dispatcher) = self.desk.withdraw(request) else { return };
+        let Some(dispatcher) = self.desk.withdraw(request) else {
+            return;
+        };
         self.send_withdraw(dispatcher, WithdrawNotice { request, pool });
     }
 
@@ -210,12 +244,14 @@
     }
 
     /// Tells the dispatcher that a request got its first token.
-    pub fn progress(&self, pool: PoolId, notice: ProgressNotice) {
-        let Some(dispatcher) = self.dispatcher_of(pool) else { return };
+    pub fn progress(&self, notice: ProgressNotice) {
+        let Some(dispatcher) = self.dispatcher_of(notice.pool) else {
+            return;
+        };
         if dispatcher == self.me {
-            self.board.progress(pool, &notice, monotonic_now());
+            self.board.progress(&notice, monotonic_now());
         } else {
-            self.send(dispatcher, PeerMessage::Progress(vec![PoolProgress { pool, notice }]));
+            self.send(dispatcher, PeerMessage::Progress(vec![notice]));
         }
     }
 
@@ -255,8 +291,8 @@
             }
             PeerMessage::Held(grants) => self.on_held(from, &grants, now),
             PeerMessage::Progress(notices) => {
-                for progress in notices {
-                    self.board.progress(progress.pool, &progress.notice, now);
+                for notice in notices {
+                    self.board.progress(&notice, now);
                 }
             }
             PeerMessage::Grant(notices) => {
@@ -275,9 +311,10 @@
     fn on_offer(&self, from: InstanceId, tickets: Vec<Ticket>, now: MonoTime) {
         let mut misrouted = Vec::new();
         for ticket in tickets {
+            let request = ticket.request;
             match self.board.offer(ticket, from, now) {
-                Ok(decisions) => self.deliver(decisions),
-                Err(ticket) => misrouted.push(ticket.request),
+                OfferEnd::Queued(decisions) => self.deliver(decisions),
+                OfferEnd::NotHere => misrouted.push(request),
             }
         }
         if misrouted.is_empty() {
@@ -317,7 +354,7 @@
             if decision.to == self.me {
                 queue.extend(self.on_notice(self.me, &decision.notice, monotonic_now()));
             } else {
-                outbox.add(decision);
+                outbox.add(&decision);
             }
         }
         outbox.send(|to, message| self.send(to, message));
@@ -338,7 +375,10 @@
         match self.desk.grant(grant, from, now) {
             GrantEffect::Accepted | GrantEffect::Repeated => Vec::new(),
             GrantEffect::Moved { asked, held } => {
-                let notice = WithdrawNotice { request: grant.request, pool: held.ticket.pool };
+                let notice = WithdrawNotice {
+                    request: grant.request,
+                    pool: held.ticket.pool,
+                };
                 self.send_withdraw(asked, notice);
                 self.send_held(asked, vec![held], now);
                 Vec::new()
@@ -352,11 +392,16 @@
 
     /// Gives an unwanted grant back to the dispatcher that made it.
     fn return_grant(&self, from: InstanceId, grant: &GrantNotice, now: MonoTime) -> Vec<Decision> {
-        let Some(pool) = self.pool_of(grant.backend) else { return Vec::new() };
+        let Some(pool) = self.pool_of(grant.backend) else {
+            return Vec::new();
+        };
         if from == self.me {
             return self.board.withdraw(pool, grant.request, now);
         }
-        let notice = WithdrawNotice { request: grant.request, pool };
+        let notice = WithdrawNotice {
+            request: grant.request,
+            pool,
+        };
         self.send(from, PeerMessage::Withdraw(vec![notice]));
         Vec::new()
     }
@@ -366,7 +411,10 @@
         let record = view.backend(backend)?;
         let name = record.serves.first()?;
         let centre = CentreId::from_name(&record.centre);
-        Some(PoolId { centre, model: ModelId::from_name(name) })
+        Some(PoolId {
+            centre,
+            model: ModelId::from_name(name),
+        })
     }
 
     fn send_offer(&self, to: InstanceId, tickets: Vec<Ticket>, now: MonoTime) {
@@ -390,14 +438,19 @@
 
     fn send_withdraw(&self, to: InstanceId, notice: WithdrawNotice) {
         if to == self.me {
-            self.deliver(self.board.withdraw(notice.pool, notice.request, monotonic_now()));
+            self.deliver(
+                self.board
+                    .withdraw(notice.pool, notice.request, monotonic_now()),
+            );
         } else {
             self.send(to, PeerMessage::Withdraw(vec![notice]));
         }
     }
 
     fn send_release(&self, notice: ReleaseNotice) {
-        let Some(dispatcher) = self.dispatcher_of(notice.pool) else { return };
+        let Some(dispatcher) = self.dispatcher_of(notice.pool) else {
+            return;
+        };
         if dispatcher == self.me {
             self.deliver(self.board.release(&notice, monotonic_now()));
         } else {
@@ -425,7 +478,7 @@
 }
 
 impl DecisionOutbox {
-    fn add(&mut self, decision: Decision) {
+    fn add(&mut self, decision: &Decision) {
         match decision.notice {
             DecisionNotice::Grant(grant) => self.grants.entry(decision.to).or_default().push(grant),
             DecisionNotice::Shed(shed) => self.sheds.entry(decision.to).or_default().push(shed),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -148,13 +148,21 @@
 
 impl Default for DispatchSection {
     fn default() -> Self {
-        Self { policy: PolicyKind::Tiered, queue_limit: 20_000, report_interval_ms: 500, spill: true }
+        Self {
+            policy: PolicyKind::Tiered,
+            queue_limit: 20_000,
+            report_interval_ms: 500,
+            spill: true,
+        }
     }
 }
 
 impl Default for LogSection {
     fn default() -> Self {
-        Self { level: LogLevel::Info, json: false }
+        Self {
+            level: LogLevel::Info,
+            json: false,
+        }
     }
 }
 
@@ -230,7 +238,9 @@
 
     /// Checks the text of a file.
     pub fn parse(file: &Path, text: &str) -> Result<Self, SettingsError> {
-        crate::settings_check::parse(text)
-            .map_err(|faults| SettingsError { file: file.to_owned(), faults })
+        crate::settings_check::parse(text).map_err(|faults| SettingsError {
+            file: file.to_owned(),
+            faults,
+        })
     }
 }
--- a/crates/entry/src/sse.rs
+++ b/crates/entry/src/sse.rs
@@ -8,8 +8,8 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::Stream;
+use ntex::util::{BufMut, Bytes, BytesMut};
 use oleander_caller::CallerError;
 
 use crate::answer::{AnswerEnd, AnswerEvent, AnswerReader, ReadItem};
@@ -30,7 +30,10 @@
     /// Reads an event id.
     pub fn parse(text: &str) -> Option<Self> {
         let (number, tokens) = text.trim().split_once('.')?;
-        Some(Self { number: number.parse().ok()?, tokens: tokens.parse().ok()? })
+        Some(Self {
+            number: number.parse().ok()?,
+            tokens: tokens.parse().ok()?,
+        })
     }
 }
 
@@ -45,7 +48,11 @@
 impl EventBody {
     /// Makes the body that follows a reader.
     pub fn new(reader: AnswerReader) -> Self {
-        Self { reader, pending_failure: None, done: false }
+        Self {
+            reader,
+            pending_failure: None,
+            done: false,
+        }
     }
 }
 
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -117,18 +117,28 @@
     /// Returns what the policy of a pool is to be told.
     pub fn pool_view(&self, id: PoolId) -> Option<PoolView> {
         let route = self.pool(id)?;
-        let backends = route.backends.iter().filter_map(|backend| self.backend_view(*backend));
-        let classes = self.records.classes.iter().map(|(class, record)| ClassView {
-            class: *class,
-            first_token_target: Span::from_millis(record.first_token_target_ms),
-            token_gap_target: Span::from_millis(record.token_gap_target_ms),
-            minimum_share: record.minimum_share,
-        });
+        let backends = route
+            .backends
+            .iter()
+            .filter_map(|backend| self.backend_view(*backend));
+        let classes = self
+            .records
+            .classes
+            .iter()
+            .map(|(class, record)| ClassView {
+                class: *class,
+                first_token_target: Span::from_millis(record.first_token_target_ms),
+                token_gap_target: Span::from_millis(record.token_gap_target_ms),
+                minimum_share: record.minimum_share,
+            });
         let customers = self
             .records
             .customers
             .iter()
-            .map(|(customer, record)| CustomerView { customer: *customer, weight: record.share });
+            .map(|(customer, record)| CustomerView {
+                customer: *customer,
+                weight: record.share,
+            });
         Some(PoolView {
             kind: route.kind,
             backends: backends.collect(),
@@ -156,7 +166,10 @@
                 BackendKind::Service => PoolKind::Services,
             };
             for name in &record.serves {
-                let pool = PoolId { centre, model: ModelId::from_name(name) };
+                let pool = PoolId {
+                    centre,
+                    model: ModelId::from_name(name),
+                };
                 let route = self.pools.entry(pool).or_insert_with(|| PoolRoute {
                     pool,
                     kind,
@@ -188,7 +201,10 @@
     members
         .iter()
         .filter(|member| member.centre == centre && member.takes_roles)
-        .map(|member| DispatcherCandidate { instance: member.instance, weight: member.weight })
+        .map(|member| DispatcherCandidate {
+            instance: member.instance,
+            weight: member.weight,
+        })
         .collect()
 }
 
@@ -198,7 +214,10 @@
         match &stop.target {
             StopTarget::Backend(name) => stopped.push(BackendId::from_name(name)),
             StopTarget::Centre(name) => {
-                let inside = records.backends.iter().filter(|(_, record)| record.centre == *name);
+                let inside = records
+                    .backends
+                    .iter()
+                    .filter(|(_, record)| record.centre == *name);
                 stopped.extend(inside.map(|(backend, _)| *backend));
             }
             StopTarget::Entry(_) => {}
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -150,6 +150,8 @@
         PeerMessage::Shed(list) => put_value(kind, list, out),
         PeerMessage::Report(list) => put_value(kind, list, out),
         PeerMessage::CacheEvents(list) => put_value(kind, list, out),
+        PeerMessage::Progress(list) => put_value(kind, list, out),
+        PeerMessage::Misrouted(list) => put_value(kind, list, out),
         PeerMessage::PoolSummaries(body)
         | PeerMessage::Records(body)
         | PeerMessage::Limits(body)
@@ -174,6 +176,8 @@
         MessageKind::Records => PeerMessage::Records(frame.body.clone()),
         MessageKind::Limits => PeerMessage::Limits(frame.body.clone()),
         MessageKind::Status => PeerMessage::Status(frame.body.clone()),
+        MessageKind::Progress => PeerMessage::Progress(take_value(frame)?),
+        MessageKind::Misrouted => PeerMessage::Misrouted(take_value(frame)?),
     };
     Ok(DecodedMessage::Known(message))
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -31,8 +31,8 @@
 pub use endpoint::PeerEndpoint;
 pub use error::{PeerError, PeerResult};
 pub use message::{
-    BackendCacheEvents, BackendReport, HeldSlot, MessageKind, PeerCall, PeerHandler, PeerMessage,
-    PeerReply, StreamOpen,
+    BackendCacheEvents, BackendReport, MessageKind, PeerCall, PeerHandler, PeerMessage, PeerReply,
+    StreamOpen,
 };
 pub use oleander_membership::{CentreView, Member, MemberState, MemberView};
 pub use settings::{PeerSettings, TlsFiles};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -7,24 +7,16 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use oleander_base::prelude::*;
-use oleander_base::{CacheEvent, GrantNotice, LoadReport, ReleaseNotice, ShedNotice};
+use oleander_base::{
+    CacheEvent, GrantNotice, HeldGrant, LoadReport, ProgressNotice, ReleaseNotice, ShedNotice,
+    WithdrawNotice,
+};
 use oleander_membership::MemberView;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 use crate::stream::PeerStream;
 
-/// A slot that an entry VM uses, told to a dispatcher that rebuilds its state.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeldSlot {
-    /// The request that uses the slot.
-    pub request: RequestId,
-    /// The pool.
-    pub pool: PoolId,
-    /// The backend server.
-    pub backend: BackendId,
-}
-
 /// A load report of one backend server.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BackendReport {
@@ -49,11 +41,11 @@
     /// Entry VM to dispatcher: tickets to queue.
     Offer(Vec<Ticket>),
     /// Entry VM to dispatcher: tickets to forget.
-    Withdraw(Vec<RequestId>),
+    Withdraw(Vec<WithdrawNotice>),
     /// Entry VM to dispatcher: slots that are free again.
     Release(Vec<ReleaseNotice>),
     /// Entry VM to dispatcher: slots in use.
-    Held(Vec<HeldSlot>),
+    Held(Vec<HeldGrant>),
     /// Dispatcher to entry VM: requests that may go.
     Grant(Vec<GrantNotice>),
     /// Dispatcher to entry VM: tickets that were refused.
@@ -70,6 +62,10 @@
     CacheEvents(Vec<BackendCacheEvents>),
     /// The status of an instance, for the screens.
     Status(Bytes),
+    /// Entry VM to dispatcher: requests that got their first token.
+    Progress(Vec<ProgressNotice>),
+    /// Entry VM to entry VM: tickets whose pool the receiver of the offer does not dispatch.
+    Misrouted(Vec<RequestId>),
 }
 
 /// The kind of a one-way message, for counters.
@@ -100,11 +96,15 @@
     CacheEvents = 11,
     /// [`PeerMessage::Status`].
     Status = 12,
+    /// [`PeerMessage::Progress`].
+    Progress = 13,
+    /// [`PeerMessage::Misrouted`].
+    Misrouted = 14,
 }
 
 impl MessageKind {
     /// Every kind, in the order of its number; the first has number 1.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 14] = [
         Self::Offer,
         Self::Withdraw,
         Self::Release,
@@ -117,6 +117,8 @@
         Self::Report,
         Self::CacheEvents,
         Self::Status,
+        Self::Progress,
+        Self::Misrouted,
     ];
 
     /// Returns the kind with a number, if this program knows it.
@@ -140,6 +142,8 @@
             Self::Report => "report",
             Self::CacheEvents => "cache-events",
             Self::Status => "status",
+            Self::Progress => "progress",
+            Self::Misrouted => "misrouted",
         }
     }
 }
@@ -160,6 +164,8 @@
             Self::Report(_) => MessageKind::Report,
             Self::CacheEvents(_) => MessageKind::CacheEvents,
             Self::Status(_) => MessageKind::Status,
+            Self::Progress(_) => MessageKind::Progress,
+            Self::Misrouted(_) => MessageKind::Misrouted,
         }
     }
 }
