once: guard of the request path, bound tokens and claimed keys

Non-idempotent requests need one place that says whether they may run. The OnceGuard trait is that border: it runs a request under a permit, forwards it to the instance that decides, answers it with a kept answer, or refuses it with a verdict and what the verdict covers.

--- /dev/null
+++ b/crates/once/src/gate.rs
@@ -0,0 +1,108 @@
+//! The last check before a send, and the detection of pauses of this process.
+//!
+//! A process can be paused at any point and wake minutes later. Claims are kept in the store for
+//! a bounded time, so a request must not be sent when its claim may be about to go. The gate is
+//! checked on the monotonic clock right before the send. What remains possible is a pause between
+//! the check and the send; docs/AT-MOST-ONCE.md, "A paused process", says why it is harmless
+//! while it is shorter than the retention less the send limit.
+
+use std::time::Instant;
+
+use oleander_base::prelude::*;
+use thiserror::Error;
+
+/// A monotonic clock.
+pub trait MonoClock: Send + Sync {
+    /// Returns the time since the clock's origin.
+    fn now(&self) -> MonoTime;
+}
+
+/// The process's monotonic clock.
+#[derive(Debug, Clone, Copy)]
+pub struct ProcessClock {
+    origin: Instant,
+}
+
+impl ProcessClock {
+    /// Returns a clock that counts from `origin`.
+    pub fn from_origin(origin: Instant) -> Self {
+        Self { origin }
+    }
+}
+
+impl MonoClock for ProcessClock {
+    fn now(&self) -> MonoTime {
+        let elapsed = Span::from(self.origin.elapsed());
+        MonoTime(elapsed.0)
+    }
+}
+
+/// The claim or token is too old for a send; nothing was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the leave to send lapsed {late} ago; this process was paused or the queue was long")]
+pub struct StaleSend {
+    /// How long ago the leave lapsed.
+    pub late: Span,
+}
+
+/// The time until which a request may be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SendGate {
+    fresh_until: MonoTime,
+}
+
+impl SendGate {
+    /// Returns a gate that closes `limit` after the request arrived.
+    pub fn new(arrived: MonoTime, limit: Span) -> Self {
+        Self {
+            fresh_until: arrived + limit,
+        }
+    }
+
+    /// Checks that a send may begin now.
+    pub fn check(&self, now: MonoTime) -> Result<(), StaleSend> {
+        if now < self.fresh_until {
+            return Ok(());
+        }
+        let late = now.since(self.fresh_until);
+        Err(StaleSend { late })
+    }
+}
+
+/// Detects that this process did not run for a long time.
+///
+/// After such a pause the sockets still hold requests that callers sent before it and may have
+/// repeated elsewhere long ago. Their true age is unknown, so keyed requests are refused until
+/// the sockets have been read empty.
+#[derive(Debug, Clone)]
+pub struct PauseWatch {
+    limit: Span,
+    quiet: Span,
+    last_seen: MonoTime,
+    quiet_until: MonoTime,
+}
+
+impl PauseWatch {
+    /// Returns a watch that calls a gap of more than `limit` a pause and stays closed for `quiet`.
+    pub fn new(limit: Span, quiet: Span, now: MonoTime) -> Self {
+        Self {
+            limit,
+            quiet,
+            last_seen: now,
+            quiet_until: MonoTime(0),
+        }
+    }
+
+    /// Takes note that the process runs; call it several times within the limit.
+    pub fn observe(&mut self, now: MonoTime) {
+        if now.since(self.last_seen) > self.limit {
+            self.quiet_until = now + self.quiet;
+        }
+        self.last_seen = self.last_seen.max(now);
+    }
+
+    /// Returns how long keyed requests must still be refused.
+    pub fn remaining_quiet(&self, now: MonoTime) -> Span {
+        self.quiet_until.since(now)
+    }
+}
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -1,1 +1,53 @@
-//! Placeholder page; the module docs arrive with the code.
+//! At most once: non-idempotent requests through crashes, pauses, repeats and outages.
+//!
+//! The request path asks one [`OnceGuard`] before it runs a non-idempotent request, and runs it
+//! only under the [`RunPermit`] that it gets. Behind the guard stand two ways:
+//!
+//! - A [`BoundToken`] is bound to the instance that issued it. The [`TokenLedger`] in that
+//!   instance's memory decides, so the way needs no store and holds under every partition.
+//! - A caller's Idempotency-Key is claimed by compare-and-swap in the platform's key-value
+//!   service ([`ClaimBook`]) before the send. What the log says of ownership and what the owner
+//!   did with it are kept apart: [`ClaimRecords`] is the owner's side.
+//!
+//! A claim never passes to another owner. All decisions are pure state machines; only
+//! [`ClaimHandle`] and [`RequestGuard`] do I/O. docs/AT-MOST-ONCE.md gives the ways that were
+//! weighed, what is guaranteed, and the limits.
+
+mod answer;
+mod attempt;
+mod book;
+mod gate;
+mod guard;
+mod handle;
+mod hash;
+mod ledger;
+mod once;
+#[cfg(feature = "open-guard")]
+mod open;
+mod permit;
+mod route;
+mod settings;
+mod status;
+mod token;
+
+pub use answer::{AnswerShelf, KeptAnswer, KeptResult};
+pub use attempt::{AlreadySent, Attempt, AttemptId, AttemptLog, RepeatRule};
+pub use book::{BookLimits, BookStep, ClaimOutcome, ClaimRecords};
+pub use gate::{MonoClock, PauseWatch, ProcessClock, SendGate, StaleSend};
+pub use guard::{
+    Admission, IssueError, OnceCall, OnceGuard, Refusal, RefuseReason, RepeatAnswer, RequestStatus,
+    VerdictScope,
+};
+pub use handle::{ClaimAnswer, ClaimBook, ClaimHandle, KeyClaim};
+pub use hash::{BodyHash, KeyHash};
+pub use ledger::{LedgerFull, LedgerLimits, TokenDecision, TokenLedger};
+pub use once::{GuardParts, GuardSettings, RequestGuard};
+#[cfg(feature = "open-guard")]
+pub use open::OpenGuard;
+pub use permit::{PermitBasis, PermitEnd, PermitSink, PermitTerms, RunPermit, SendRefused};
+pub use route::{
+    ClaimEntry, ClaimReply, ClaimRoute, CommitPlace, LoneRoute, NotWritten, RouteError, ShardId,
+};
+pub use settings::ClaimSettings;
+pub use status::{KnownStatus, StatusTable};
+pub use token::{BoundToken, ShortSecret, TokenFault, TokenIssuer, TokenKey};
--- /dev/null
+++ b/crates/once/src/once.rs
@@ -0,0 +1,407 @@
+//! The guard of the request path: tokens, claimed keys, and our own care where there is neither.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use oleander_base::prelude::*;
+use oleander_platform::BoxFuture;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use crate::answer::KeptResult;
+use crate::attempt::RepeatRule;
+use crate::book::{BookStep, ClaimOutcome};
+use crate::gate::{MonoClock, PauseWatch, SendGate};
+use crate::guard::{
+    Admission, IssueError, OnceCall, OnceGuard, Refusal, RefuseReason, RepeatAnswer, RequestStatus,
+};
+use crate::handle::{ClaimAnswer, ClaimHandle, KeyClaim};
+use crate::hash::KeyHash;
+use crate::ledger::{LedgerLimits, TokenDecision, TokenLedger};
+use crate::permit::{PermitBasis, PermitEnd, PermitSink, PermitTerms, RunPermit};
+use crate::route::NotWritten;
+use crate::status::StatusTable;
+use crate::token::{TokenFault, TokenIssuer};
+
+/// The longest Idempotency-Key, in bytes.
+const KEY_LIMIT_BYTES: usize = 255;
+/// The most tokens that one call issues.
+const ISSUE_LIMIT: u32 = 1_000;
+
+/// Settings of the guard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GuardSettings {
+    /// How long after its arrival a request may be sent.
+    pub send_limit: Span,
+    /// How long a repeat waits for a running request before it is refused.
+    pub repeat_wait: Duration,
+    /// A gap in this process's running that counts as a pause; far below the retention.
+    pub pause_limit: Span,
+    /// How long keyed requests are refused after a pause.
+    pub pause_quiet: Span,
+    /// The most ended requests whose verdict is remembered by request id.
+    pub statuses: usize,
+    /// Bounds of the token ledger.
+    pub ledger: LedgerLimits,
+}
+
+impl Default for GuardSettings {
+    fn default() -> Self {
+        Self {
+            send_limit: Span::from_secs(60),
+            repeat_wait: Duration::from_secs(10),
+            pause_limit: Span::from_secs(120),
+            pause_quiet: Span::from_secs(5),
+            statuses: 100_000,
+            ledger: LedgerLimits::default(),
+        }
+    }
+}
+
+/// What a guard is built from.
+#[derive(Clone)]
+pub struct GuardParts {
+    /// This instance.
+    pub me: InstanceId,
+    /// Its data centre.
+    pub centre: CentreId,
+    /// The process's clock.
+    pub clock: Arc<dyn MonoClock>,
+    /// Token keys, if tokens are offered.
+    pub issuer: Option<TokenIssuer>,
+    /// The running claim book.
+    pub claims: ClaimHandle,
+}
+
+impl fmt::Debug for GuardParts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("GuardParts")
+            .field("me", &self.me)
+            .field("centre", &self.centre)
+            .finish_non_exhaustive()
+    }
+}
+
+struct GuardState {
+    me: InstanceId,
+    clock: Arc<dyn MonoClock>,
+    issuer: Option<TokenIssuer>,
+    claims: ClaimHandle,
+    settings: GuardSettings,
+    ledger: Mutex<TokenLedger>,
+    statuses: Mutex<StatusTable>,
+    pauses: Mutex<PauseWatch>,
+    ends: watch::Sender<()>,
+}
+
+/// What is known of an earlier request with the same key or token.
+enum Repeat {
+    Busy(RequestId),
+    Settled(Box<Admission>),
+}
+
+/// What the caller bound its request to.
+#[derive(Debug, Clone, Copy)]
+enum Binding<'a> {
+    Token(&'a str),
+    Key(KeyHash),
+}
+
+impl From<Admission> for Repeat {
+    fn from(admission: Admission) -> Self {
+        Self::Settled(Box::new(admission))
+    }
+}
+
+impl From<Refusal> for Repeat {
+    fn from(refusal: Refusal) -> Self {
+        Admission::Refuse(refusal).into()
+    }
+}
+
+/// The guard of an entry VM.
+#[derive(Clone)]
+pub struct RequestGuard {
+    state: Arc<GuardState>,
+}
+
+impl fmt::Debug for RequestGuard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RequestGuard")
+            .field("me", &self.state.me)
+            .finish_non_exhaustive()
+    }
+}
+
+impl RequestGuard {
+    /// Opens the guard of an instance.
+    pub fn open(parts: GuardParts, settings: GuardSettings) -> Arc<dyn OnceGuard> {
+        let now = parts.clock.now();
+        let ledger = TokenLedger::new(parts.me, parts.centre, settings.ledger);
+        let pauses = PauseWatch::new(settings.pause_limit, settings.pause_quiet, now);
+        let state = GuardState {
+            me: parts.me,
+            clock: parts.clock,
+            issuer: parts.issuer,
+            claims: parts.claims,
+            settings,
+            ledger: Mutex::new(ledger),
+            statuses: Mutex::new(StatusTable::new(settings.statuses)),
+            pauses: Mutex::new(pauses),
+            ends: watch::Sender::new(()),
+        };
+        let state = Arc::new(state);
+        Arc::new(Self { state })
+    }
+
+    fn permit(&self, call: &OnceCall<'_>, basis: PermitBasis, since: MonoTime) -> Admission {
+        let state = &self.state;
+        state.statuses.lock().start(call.request, basis);
+        let terms = PermitTerms {
+            basis,
+            gate: SendGate::new(since, state.settings.send_limit),
+            rule: RepeatRule::AtMostOnce,
+            clock: Arc::clone(&state.clock),
+            sink: Arc::clone(&self.state) as Arc<dyn PermitSink>,
+        };
+        Admission::Run(RunPermit::open(call.request, terms))
+    }
+
+    /// A request is forwarded once, and never to an earlier process at our own address.
+    fn may_forward(&self, call: &OnceCall<'_>, home: InstanceId) -> bool {
+        !call.forwarded && home.address != self.state.me.address
+    }
+
+    fn try_token(&self, call: &OnceCall<'_>, text: &str) -> Repeat {
+        let Some(issuer) = &self.state.issuer else {
+            return Refusal::not_run(RefuseReason::TokenForged, None).into();
+        };
+        let token = match issuer.read(text, call.customer) {
+            Ok(token) => token,
+            Err(fault) => return Refusal::not_run(fault_reason(fault), None).into(),
+        };
+        let now = self.state.clock.now();
+        let mut ledger = self.state.ledger.lock();
+        let decision = ledger.begin(&token, call.body, call.request, now);
+        drop(ledger);
+        match decision {
+            TokenDecision::Run => self
+                .permit(call, PermitBasis::Token(token.serial), call.arrived)
+                .into(),
+            TokenDecision::Running(earlier) => Repeat::Busy(earlier),
+            TokenDecision::Done(result) => repeat_of(result).into(),
+            TokenDecision::Ended(verdict) => {
+                Refusal::of_all(verdict, RefuseReason::AlreadyEnded, None).into()
+            }
+            TokenDecision::Expired(verdict) => {
+                Refusal::of_all(verdict, RefuseReason::TokenExpired, None).into()
+            }
+            TokenDecision::BodyMismatch(_) => {
+                Refusal::not_run(RefuseReason::BodyMismatch, None).into()
+            }
+            TokenDecision::Foreign(home) if self.may_forward(call, home) => {
+                Admission::Forward(home).into()
+            }
+            TokenDecision::Foreign(_) | TokenDecision::Gone(_) => Refusal::home_gone(None).into(),
+            TokenDecision::Unissued => Refusal::not_run(RefuseReason::TokenForged, None).into(),
+        }
+    }
+
+    async fn try_key(&self, call: &OnceCall<'_>, key: KeyHash) -> Repeat {
+        let wish = KeyClaim {
+            key,
+            body: call.body,
+            request: call.request,
+            arrived: call.arrived,
+        };
+        match self.state.claims.claim(wish).await {
+            ClaimAnswer::Book(step) => self.book_repeat(call, key, step),
+            ClaimAnswer::Log(outcome) => self.log_repeat(call, key, outcome),
+        }
+    }
+
+    fn book_repeat(&self, call: &OnceCall<'_>, key: KeyHash, step: BookStep) -> Repeat {
+        match step {
+            BookStep::Run { claimed } => self.permit(call, PermitBasis::Key(key), claimed).into(),
+            BookStep::Busy(earlier) => Repeat::Busy(earlier),
+            BookStep::Done(result) => repeat_of(result).into(),
+            BookStep::Ended { request, verdict } => {
+                Refusal::of_all(verdict, RefuseReason::AlreadyEnded, Some(request)).into()
+            }
+            BookStep::BodyMismatch => Refusal::not_run(RefuseReason::BodyMismatch, None).into(),
+            BookStep::Expired => Refusal::not_run(RefuseReason::KeyExpired, None).into(),
+            BookStep::Full | BookStep::Claim => {
+                let retry = Some(Span::from_secs(1));
+                Refusal::not_run(RefuseReason::Overloaded, retry).into()
+            }
+        }
+    }
+
+    fn log_repeat(&self, call: &OnceCall<'_>, key: KeyHash, outcome: ClaimOutcome) -> Repeat {
+        let retry = Some(Span::from_secs(1));
+        match outcome {
+            ClaimOutcome::Run { claimed } => {
+                self.permit(call, PermitBasis::Key(key), claimed).into()
+            }
+            ClaimOutcome::Repeat { holder } if self.may_forward(call, holder.home) => {
+                Admission::Forward(holder.home).into()
+            }
+            ClaimOutcome::Repeat { holder } | ClaimOutcome::Forgotten { holder } => {
+                Refusal::home_gone(Some(holder)).into()
+            }
+            ClaimOutcome::BodyMismatch => Refusal::not_run(RefuseReason::BodyMismatch, None).into(),
+            ClaimOutcome::Expired => Refusal::not_run(RefuseReason::KeyExpired, None).into(),
+            ClaimOutcome::NotWritten(NotWritten::StoreAway) => {
+                Refusal::not_run(RefuseReason::StoreAway, retry).into()
+            }
+            ClaimOutcome::NotWritten(NotWritten::Overloaded) => {
+                Refusal::not_run(RefuseReason::Overloaded, retry).into()
+            }
+            ClaimOutcome::Unsettled => Refusal::not_run(RefuseReason::ClaimTimeout, retry).into(),
+        }
+    }
+}
+
+impl OnceGuard for RequestGuard {
+    fn admit<'a>(&'a self, call: OnceCall<'a>) -> BoxFuture<'a, Admission> {
+        Box::pin(self.decide(call))
+    }
+
+    fn issue(&self, customer: CustomerId, count: u32) -> Result<Vec<String>, IssueError> {
+        let issuer = self.state.issuer.as_ref().ok_or(IssueError::NoTokenKey)?;
+        if count > ISSUE_LIMIT {
+            return Err(IssueError::TooMany { limit: ISSUE_LIMIT });
+        }
+        let now = self.state.clock.now();
+        let issued = self.state.ledger.lock().issue(customer, count, now);
+        let tokens = issued.map_err(|full| IssueError::Full {
+            retry_after: full.retry_after,
+        })?;
+        Ok(tokens.iter().map(|token| issuer.write(token)).collect())
+    }
+
+    fn lookup(&self, request: RequestId) -> Option<RequestStatus> {
+        let known = self.state.statuses.lock().get(request)?;
+        let Some(verdict) = known.verdict else {
+            return Some(RequestStatus::Running);
+        };
+        let kept = match known.basis {
+            PermitBasis::Unbound => None,
+            PermitBasis::Token(serial) => self.state.ledger.lock().result(serial).cloned(),
+            PermitBasis::Key(key) => self.state.claims.result(key),
+        };
+        let status = kept
+            .filter(|result| result.request == request)
+            .map_or(RequestStatus::Ended(verdict), RequestStatus::Kept);
+        Some(status)
+    }
+
+    fn dump(&self) -> String {
+        let running = self.state.statuses.lock().running();
+        let ledger = self.state.ledger.lock().dump();
+        let claims = self.state.claims.dump();
+        format!("non-idempotent requests under way: {running}\n{ledger}{claims}")
+    }
+}
+
+impl RequestGuard {
+    async fn decide(&self, call: OnceCall<'_>) -> Admission {
+        let binding = match (call.token, call.key) {
+            (None, None) => return self.permit(&call, PermitBasis::Unbound, call.arrived),
+            (Some(_), Some(_)) => {
+                return Admission::Refuse(Refusal::not_run(RefuseReason::TokenAndKey, None));
+            }
+            (Some(text), None) => Binding::Token(text),
+            (None, Some(key)) => match self.check_key(key) {
+                Err(refusal) => return Admission::Refuse(refusal),
+                Ok(()) => Binding::Key(KeyHash::of(call.customer, key)),
+            },
+        };
+        self.wait_for_end(&call, binding).await
+    }
+
+    async fn ask(&self, call: &OnceCall<'_>, binding: Binding<'_>) -> Repeat {
+        match binding {
+            Binding::Token(text) => self.try_token(call, text),
+            Binding::Key(key) => self.try_key(call, key).await,
+        }
+    }
+
+    fn check_key(&self, key: &str) -> Result<(), Refusal> {
+        if key.is_empty() || key.len() > KEY_LIMIT_BYTES {
+            return Err(Refusal::not_run(RefuseReason::BadKey, None));
+        }
+        let quiet = self.observe_pause();
+        if quiet > Span::ZERO {
+            return Err(Refusal::not_run(RefuseReason::AfterPause, Some(quiet)));
+        }
+        Ok(())
+    }
+
+    fn observe_pause(&self) -> Span {
+        let now = self.state.clock.now();
+        let mut pauses = self.state.pauses.lock();
+        pauses.observe(now);
+        pauses.remaining_quiet(now)
+    }
+
+    /// Asks again after each end of a request until the earlier one has ended or the wait is over.
+    async fn wait_for_end(&self, call: &OnceCall<'_>, binding: Binding<'_>) -> Admission {
+        let mut ends = self.state.ends.subscribe();
+        let wait = tokio::time::sleep(self.state.settings.repeat_wait);
+        tokio::pin!(wait);
+        loop {
+            ends.mark_unchanged();
+            let earlier = match self.ask(call, binding).await {
+                Repeat::Settled(admission) => return *admission,
+                Repeat::Busy(earlier) => earlier,
+            };
+            tokio::select! {
+                _ = ends.changed() => {}
+                () = &mut wait => return Admission::Refuse(still_running(earlier)),
+            }
+        }
+    }
+}
+
+impl PermitSink for GuardState {
+    fn close(&self, basis: PermitBasis, request: RequestId, end: PermitEnd) {
+        self.statuses.lock().end(request, end.verdict);
+        match basis {
+            PermitBasis::Unbound => {}
+            PermitBasis::Token(serial) => {
+                let mut ledger = self.ledger.lock();
+                ledger.finish(serial, end.verdict, end.answer);
+            }
+            PermitBasis::Key(key) => {
+                self.claims.finish(key, request, end.verdict, end.answer);
+            }
+        }
+        self.ends.send_replace(());
+    }
+}
+
+fn still_running(earlier: RequestId) -> Refusal {
+    let reason = RefuseReason::StillRunning;
+    Refusal::of_all(Verdict::MayHaveRun, reason, Some(earlier)).with_retry(Span::from_secs(1))
+}
+
+fn repeat_of(result: KeptResult) -> Admission {
+    let request = result.request;
+    match result.answer {
+        Some(answer) => Admission::Answer(RepeatAnswer { request, answer }),
+        None => {
+            let reason = RefuseReason::AlreadyEnded;
+            Admission::Refuse(Refusal::of_all(result.verdict, reason, Some(request)))
+        }
+    }
+}
+
+fn fault_reason(fault: TokenFault) -> RefuseReason {
+    match fault {
+        TokenFault::Malformed => RefuseReason::TokenMalformed,
+        TokenFault::Forged => RefuseReason::TokenForged,
+        TokenFault::ForeignCustomer => RefuseReason::TokenForeignCustomer,
+    }
+}
--- /dev/null
+++ b/crates/once/src/token.rs
@@ -0,0 +1,166 @@
+//! Bound tokens: leave to run one request at one instance.
+//!
+//! A token names the instance that issued it, and only that instance runs a request with it. So
+//! at most once needs no agreement: the ledger in that instance's memory decides, and where the
+//! memory is gone nothing runs any more. Tokens are signed with HMAC-SHA-256 under a key of the
+//! fleet's settings, so any entry VM can tell a forged one; two keys are honoured while keys are
+//! rotated. The times inside are readings of the issuer's monotonic clock and mean nothing
+//! elsewhere, so no other clock matters. See docs/AT-MOST-ONCE.md.
+
+use std::fmt;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use hmac::{Hmac, Mac};
+use oleander_base::prelude::*;
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use thiserror::Error;
+
+/// The first byte of every token's bytes; another layout takes another number.
+const TOKEN_VERSION: u8 = 1;
+/// How many bytes of the signature a token carries.
+const SIGNATURE_BYTES: usize = 16;
+/// The length of version and key number.
+const HEAD_BYTES: usize = 2;
+/// The longest text that is looked at.
+const TEXT_LIMIT_BYTES: usize = 200;
+/// The shortest secret that is accepted.
+const SECRET_MINIMUM_BYTES: usize = 16;
+
+/// What a token says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct BoundToken {
+    /// The customer that may use it.
+    pub customer: CustomerId,
+    /// The instance that issued it and that alone runs a request with it.
+    pub home: InstanceId,
+    /// The data centre of that instance.
+    pub centre: CentreId,
+    /// The number of the token at that instance.
+    pub serial: u64,
+    /// When it was issued, on the issuer's monotonic clock in microseconds.
+    pub issued: u64,
+    /// When it expires, on the same clock.
+    pub expires: u64,
+}
+
+/// Why a token is not honoured anywhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum TokenFault {
+    /// The text is not a token.
+    #[error("the text is not a token")]
+    Malformed,
+    /// The signature is of none of our keys.
+    #[error("the token's signature does not match")]
+    Forged,
+    /// The token was issued to another customer.
+    #[error("the token belongs to another customer")]
+    ForeignCustomer,
+}
+
+/// A signing key of the settings.
+#[derive(Clone)]
+pub struct TokenKey {
+    id: u8,
+    secret: Vec<u8>,
+}
+
+/// A secret is too short to sign with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("a token secret has {length} bytes; at least {SECRET_MINIMUM_BYTES} are needed")]
+pub struct ShortSecret {
+    length: usize,
+}
+
+impl TokenKey {
+    /// Takes a key with its number, which tokens carry.
+    pub fn new(id: u8, secret: &[u8]) -> Result<Self, ShortSecret> {
+        if secret.len() < SECRET_MINIMUM_BYTES {
+            let length = secret.len();
+            return Err(ShortSecret { length });
+        }
+        Ok(Self {
+            id,
+            secret: secret.to_vec(),
+        })
+    }
+
+    fn signature(&self, bytes: &[u8]) -> Option<Hmac<Sha256>> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(&self.secret).ok()?;
+        mac.update(bytes);
+        Some(mac)
+    }
+}
+
+impl fmt::Debug for TokenKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "TokenKey({}, secret hidden)", self.id)
+    }
+}
+
+/// Writes and reads the text form of tokens.
+///
+/// A rotation has three steps, each in force at every instance before the next: the new key as
+/// `also`, then the new key as `current` with the old one as `also`, then the new one alone.
+#[derive(Debug, Clone)]
+pub struct TokenIssuer {
+    current: TokenKey,
+    also: Option<TokenKey>,
+}
+
+impl TokenIssuer {
+    /// Returns an issuer that signs with `current` and also honours `also`.
+    pub fn new(current: TokenKey, also: Option<TokenKey>) -> Self {
+        Self { current, also }
+    }
+
+    /// Returns a token's text form for a header.
+    pub fn write(&self, token: &BoundToken) -> String {
+        let head = vec![TOKEN_VERSION, self.current.id];
+        let mut bytes = postcard::to_extend(token, head).unwrap_or_default();
+        if let Some(mac) = self.current.signature(&bytes) {
+            let signature = mac.finalize().into_bytes();
+            bytes.extend_from_slice(&signature[..SIGNATURE_BYTES]);
+        }
+        URL_SAFE_NO_PAD.encode(bytes)
+    }
+
+    /// Reads a token that this customer sent; expiry is its home's matter.
+    pub fn read(&self, text: &str, customer: CustomerId) -> Result<BoundToken, TokenFault> {
+        if text.len() > TEXT_LIMIT_BYTES {
+            return Err(TokenFault::Malformed);
+        }
+        let decoded = URL_SAFE_NO_PAD.decode(text);
+        let bytes = decoded.map_err(|_| TokenFault::Malformed)?;
+        if bytes.len() < HEAD_BYTES + SIGNATURE_BYTES || bytes[0] != TOKEN_VERSION {
+            return Err(TokenFault::Malformed);
+        }
+        let (signed, signature) = bytes.split_at(bytes.len() - SIGNATURE_BYTES);
+        self.check_signature(signed, signature)?;
+        let (token, rest) = postcard::take_from_bytes::<BoundToken>(&signed[HEAD_BYTES..])
+            .map_err(|_| TokenFault::Malformed)?;
+        if !rest.is_empty() {
+            return Err(TokenFault::Malformed);
+        }
+        if token.customer != customer {
+            return Err(TokenFault::ForeignCustomer);
+        }
+        Ok(token)
+    }
+
+    fn check_signature(&self, signed: &[u8], signature: &[u8]) -> Result<(), TokenFault> {
+        let keys = [Some(&self.current), self.also.as_ref()];
+        let is_genuine = keys
+            .into_iter()
+            .flatten()
+            .filter(|key| key.id == signed[1])
+            .filter_map(|key| key.signature(signed))
+            .any(|mac| mac.verify_truncated_left(signature).is_ok());
+        if is_genuine {
+            Ok(())
+        } else {
+            Err(TokenFault::Forged)
+        }
+    }
+}
