--- a/crates/caller/src/error.rs
+++ b/crates/caller/src/error.rs
@@ -42,7 +42,8 @@
 }
 
 impl ErrorCode {
-    fn status(self) -> StatusCode {
+    /// Returns the HTTP status.
+    pub fn status(self) -> StatusCode {
         match self {
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::BadRequest => StatusCode::BAD_REQUEST,
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
 
-use bytes::Bytes;
+use ntex::util::Bytes;
 use futures_util::Stream;
 use oleander_base::prelude::*;
 use oleander_caller::CallerError;
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -8,17 +8,20 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
-use bytes::Bytes;
+use ntex::util::Bytes;
 use oleander_base::prelude::*;
 use oleander_base::{EndKind, ProgressNotice, ReleaseNotice, monotonic_now};
-use oleander_caller::{CallerError, CompletionCall, ErrorCode};
-use oleander_engine::{EngineCall, EngineError, EngineEvent, EngineStream};
+use oleander_caller::{CallerError, CompletionCall, CompletionKind, ErrorCode};
+use oleander_attempt::{AttemptFailure, AttemptTimeouts};
+use oleander_engine::{
+    EngineCall, EngineError, EngineEvent, EngineFailure, EnginePath, EngineStream, ResumePoint,
+};
 
 use crate::answer::{AnswerBuffer, AnswerEnd};
 use crate::counters::{ServiceCount, ServiceKey, bump};
 use crate::desk::TicketOutcome;
-use crate::resume::with_resume;
 use crate::worker::WorkerContext;
 
 /// Attempts that one request may make in all.
@@ -26,6 +29,13 @@
 /// When a caller should come back if no entry VM can dispatch its request.
 const NO_DISPATCHER_RETRY: Span = Span::from_secs(1);
 
+/// How long the phases of an attempt at an engine may take.
+const ENGINE_TIMEOUTS: AttemptTimeouts = AttemptTimeouts {
+    connect: Duration::from_millis(1_000),
+    first_byte: Duration::from_secs(20),
+    idle: Duration::from_secs(10),
+};
+
 /// A completion request that was accepted for dispatch.
 #[derive(Debug, Clone)]
 pub struct CompletionJob {
@@ -152,7 +162,7 @@
     /// Queues a ticket and waits for its outcome or the caller's departure.
     async fn wait_for_slot(&mut self) -> SlotEnd {
         let node = &self.context.node;
-        let Some(choice) = node.choose_pool(self.job.call.model_id(), self.job.tier) else {
+        let Some(choice) = node.choose_pool(ModelId::from_name(&self.job.call.model), self.job.tier) else {
             return SlotEnd::Refused(no_pool(&self.job.call.model));
         };
         let pool = choice.pool;
@@ -210,7 +220,7 @@
         let kind = match &end {
             AttemptEnd::Whole => EndKind::Finished,
             AttemptEnd::Departed => EndKind::Cancelled,
-            AttemptEnd::Failed(error) if error.verdict() == Verdict::NotRun => EndKind::Refused,
+            AttemptEnd::Failed(error) if error.verdict == Verdict::NotRun => EndKind::Refused,
             AttemptEnd::Failed(_) => EndKind::Failed,
         };
         self.context.node.release(ReleaseNotice {
@@ -250,7 +260,7 @@
                     self.pass_on(event).await;
                 }
                 Some(Err(error)) => {
-                    self.verdict = self.verdict.join(error.verdict());
+                    self.verdict = self.verdict.join(error.verdict);
                     return AttemptEnd::Failed(error);
                 }
                 None => {
@@ -263,22 +273,25 @@
 
     async fn start(&mut self, backend: BackendId) -> Result<EngineStream, AttemptEnd> {
         let Some(address) = self.context.node.view().address(backend) else {
-            let error = EngineError::not_run(format!("{backend} is not on record any more"));
+            let failure = AttemptFailure::Connect(format!("{backend} is not on record any more"));
+            let error = EngineError { failure: EngineFailure::Attempt(failure), verdict: Verdict::NotRun };
             return Err(AttemptEnd::Failed(error));
         };
-        let body = match self.tokens {
-            0 => self.job.body.clone(),
-            tokens => with_resume(&self.job.body, tokens),
-        };
-        if self.tokens > 0 {
+        let resume = (self.tokens > 0).then_some(ResumePoint { from_token: self.tokens });
+        if resume.is_some() {
             bump(&self.context.node.counters.process.resumes);
         }
+        let request = self.job.request.to_string();
         let call = EngineCall {
             address,
-            path: self.job.call.kind.path(),
-            body,
-            stream: self.job.call.stream,
+            path: engine_path(self.job.call.kind),
+            body: self.job.body.clone(),
+            request: &request,
             tier: self.job.tier,
+            prefix: Some(self.job.call.prefix),
+            resume,
+            headers: &[],
+            timeouts: ENGINE_TIMEOUTS,
         };
         let buffer = Arc::clone(&self.buffer);
         let started = tokio::select! {
@@ -289,7 +302,7 @@
             }
         };
         started.map_err(|error| {
-            self.verdict = self.verdict.join(error.verdict());
+            self.verdict = self.verdict.join(error.verdict);
             AttemptEnd::Failed(error)
         })
     }
@@ -308,15 +321,15 @@
         if event.tokens > 0 {
             self.last_token = Some(monotonic_now());
         }
-        self.buffer.push(event.data, self.tokens);
+        self.buffer.push(event.payload, self.tokens);
         self.buffer.room().await;
     }
 
     fn is_retry_allowed(&self, error: &EngineError) -> bool {
         let safe = self.job.idempotent || self.verdict == Verdict::NotRun;
         let in_time = monotonic_now().since(self.job.arrived) < self.job.patience;
-        let worthwhile = self.attempts < ATTEMPT_LIMIT && error.is_retryable();
-        safe && in_time && worthwhile && self.context.node.retries.try_spend()
+        let worthwhile = self.attempts < ATTEMPT_LIMIT && is_retryable(error);
+        safe && in_time && worthwhile && self.context.node.retries.try_spend(monotonic_now())
     }
 
     fn departed_error(&self) -> CallerError {
@@ -350,7 +363,7 @@
             }
         });
         if matches!(end, RequestEnd::Whole) {
-            self.context.node.retries.deposit();
+            self.context.node.retries.deposit(monotonic_now());
         }
     }
 
@@ -371,7 +384,30 @@
     CallerError::not_run(ErrorCode::NotFound, message)
 }
 
+fn engine_path(kind: CompletionKind) -> EnginePath {
+    match kind {
+        CompletionKind::Chat => EnginePath::Chat,
+        CompletionKind::Text => EnginePath::Completions,
+    }
+}
+
+/// Returns whether another attempt can end better: an engine that calls the request itself wrong
+/// will do so again.
+fn is_retryable(error: &EngineError) -> bool {
+    match &error.failure {
+        EngineFailure::Status { status, .. } => *status >= 500,
+        EngineFailure::Attempt(AttemptFailure::Request(_) | AttemptFailure::TooLarge { .. }) => false,
+        _ => true,
+    }
+}
+
 fn failure(error: &EngineError) -> CallerError {
-    let code = if error.is_timeout() { ErrorCode::Timeout } else { ErrorCode::BackendFailed };
+    let code = match &error.failure {
+        EngineFailure::Attempt(
+            AttemptFailure::ConnectTimeout | AttemptFailure::FirstByteTimeout | AttemptFailure::IdleTimeout,
+        ) => ErrorCode::Timeout,
+        EngineFailure::Status { status, .. } if *status < 500 => ErrorCode::BadRequest,
+        _ => ErrorCode::BackendFailed,
+    };
     CallerError::not_run(code, error.to_string())
 }
--- a/crates/entry/src/life.rs
+++ b/crates/entry/src/life.rs
@@ -2,10 +2,10 @@
 
 use std::sync::atomic::{AtomicU8, Ordering};
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// The stages of an entry VM's life.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 #[repr(u8)]
 pub enum LifeStage {
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use ntex::util::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use ntex::http::HeaderMap;
 use ntex::server::Server;
--- /dev/null
+++ b/crates/entry/src/service_job.rs
@@ -0,0 +1,376 @@
+//! The way of one call to a plain service: guard, slot, attempt, and again if that is safe.
+//!
+//! A call on an idempotent route may be repeated within the retry budget. Any other call runs only
+//! under the permit of the at-most-once guard, which refuses a send after one that may have run.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::http::{HeaderMap, Method};
+use ntex::util::Bytes;
+use oleander_attempt::AttemptTimeouts;
+use oleander_base::prelude::*;
+use oleander_base::{EndKind, ReleaseNotice, monotonic_now};
+use oleander_caller::{CallerError, ErrorCode};
+use oleander_once::{
+    Admission, BodyHash, KeptAnswer, OnceCall, Refusal, RefuseReason, RepeatAnswer, RunPermit,
+};
+use oleander_service::{ServiceAnswer, ServiceCall, ServiceError};
+
+use crate::counters::{ServiceCount, ServiceKey, bump};
+use crate::desk::TicketOutcome;
+use crate::http_answer::HttpAnswer;
+use crate::worker::WorkerContext;
+
+/// Attempts that one call may make in all.
+const ATTEMPT_LIMIT: u32 = 4;
+/// How long the phases of an attempt at a plain service may take.
+const SERVICE_TIMEOUTS: AttemptTimeouts = AttemptTimeouts {
+    connect: Duration::from_millis(1_000),
+    first_byte: Duration::from_secs(20),
+    idle: Duration::from_secs(10),
+};
+
+/// A call to a plain service that was accepted for dispatch.
+#[derive(Debug, Clone)]
+pub struct ServiceJob {
+    /// The request.
+    pub request: RequestId,
+    /// The pool of the service in this data centre, or where it is served.
+    pub pool: PoolId,
+    /// Whether the pool is in another data centre.
+    pub spilled: bool,
+    /// The customer.
+    pub customer: CustomerId,
+    /// The request class.
+    pub class: ClassId,
+    /// Its tier.
+    pub tier: Tier,
+    /// Target for the answer.
+    pub target: Span,
+    /// How long the call may wait.
+    pub patience: Span,
+    /// The goodput of an answer.
+    pub goodput_weight: f64,
+    /// The method.
+    pub method: Method,
+    /// Path and query below the service's prefix.
+    pub path: String,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// Whether a repeat has no further effect.
+    pub idempotent: bool,
+    /// The bound token, if the call has one.
+    pub token: Option<String>,
+    /// The idempotency key, if the call has one.
+    pub key: Option<String>,
+    /// Whether another entry VM sent the call here.
+    pub forwarded: bool,
+    /// When the call arrived.
+    pub arrived: MonoTime,
+}
+
+/// What is to be done with a call.
+#[derive(Debug)]
+pub enum ServiceStep {
+    /// It ended here.
+    Answered(HttpAnswer),
+    /// This instance decides.
+    Forward(InstanceId),
+}
+
+/// A slot in use; it is released when this value goes, whatever ends the call.
+struct SlotUse {
+    context: Rc<WorkerContext>,
+    notice: ReleaseNotice,
+    sent: MonoTime,
+}
+
+impl Drop for SlotUse {
+    fn drop(&mut self) {
+        self.notice.total = monotonic_now().since(self.sent);
+        self.context.node.release(self.notice);
+    }
+}
+
+/// Runs a call as far as this VM can.
+pub async fn run_service(context: &Rc<WorkerContext>, job: &ServiceJob) -> ServiceStep {
+    if job.idempotent {
+        return ServiceStep::Answered(ServiceRun::new(context, job).repeatable().await);
+    }
+    let call = OnceCall {
+        customer: job.customer,
+        request: job.request,
+        arrived: job.arrived,
+        body: BodyHash::of(&[job.method.as_str().as_bytes(), job.path.as_bytes(), &job.body]),
+        token: job.token.as_deref(),
+        key: job.key.as_deref(),
+        forwarded: job.forwarded,
+    };
+    match context.shared.guard.admit(call).await {
+        Admission::Run(permit) => {
+            ServiceStep::Answered(ServiceRun::new(context, job).under(permit).await)
+        }
+        Admission::Forward(instance) => ServiceStep::Forward(instance),
+        Admission::Answer(repeat) => ServiceStep::Answered(repeat_answer(repeat)),
+        Admission::Refuse(refusal) => {
+            ServiceStep::Answered(refusal_answer(&refusal, job.request))
+        }
+    }
+}
+
+struct ServiceRun<'a> {
+    context: &'a Rc<WorkerContext>,
+    job: &'a ServiceJob,
+    attempts: u32,
+    verdict: Verdict,
+    avoid: Option<BackendId>,
+}
+
+impl<'a> ServiceRun<'a> {
+    fn new(context: &'a Rc<WorkerContext>, job: &'a ServiceJob) -> Self {
+        Self { context, job, attempts: 0, verdict: Verdict::NotRun, avoid: None }
+    }
+
+    /// Runs a call that may be repeated.
+    async fn repeatable(mut self) -> HttpAnswer {
+        loop {
+            let backend = match self.wait_for_slot().await {
+                Ok(backend) => backend,
+                Err(error) => return self.refused(&error),
+            };
+            match self.attempt(backend).await {
+                Ok(answer) => return self.answered(&answer),
+                Err(error) => {
+                    self.verdict = self.verdict.join(error.verdict);
+                    if !self.is_retry_allowed() {
+                        return self.failed(&error);
+                    }
+                    self.avoid = Some(backend);
+                }
+            }
+        }
+    }
+
+    /// Runs a call that must take effect at most once.
+    async fn under(mut self, mut permit: RunPermit) -> HttpAnswer {
+        loop {
+            let backend = match self.wait_for_slot().await {
+                Ok(backend) => backend,
+                Err(error) => {
+                    self.verdict = permit.finish(None);
+                    return self.refused(&error);
+                }
+            };
+            let attempt = match permit.begin_send(backend) {
+                Ok(attempt) => attempt,
+                Err(refused) => {
+                    self.give_back(backend);
+                    self.verdict = permit.finish(None);
+                    let error = CallerError::not_run(ErrorCode::Timeout, refused.to_string());
+                    return self.refused(&error);
+                }
+            };
+            match self.attempt(backend).await {
+                Ok(answer) => {
+                    permit.settle(attempt, Verdict::Ran);
+                    let verdict = permit.finish(Some(kept_answer(&answer)));
+                    debug_assert_eq!(verdict, Verdict::Ran);
+                    return self.answered(&answer);
+                }
+                Err(error) => {
+                    permit.settle(attempt, error.verdict);
+                    self.verdict = self.verdict.join(error.verdict);
+                    let is_safe = self.verdict == Verdict::NotRun;
+                    if !is_safe || !self.is_retry_allowed() {
+                        self.verdict = permit.finish(None);
+                        return self.failed(&error);
+                    }
+                    self.avoid = Some(backend);
+                }
+            }
+        }
+    }
+
+    async fn wait_for_slot(&self) -> Result<BackendId, CallerError> {
+        let job = self.job;
+        let ticket = Ticket {
+            request: job.request,
+            pool: job.pool,
+            class: job.class,
+            tier: job.tier,
+            customer: job.customer,
+            waited: monotonic_now().since(job.arrived),
+            target: job.target,
+            patience: job.patience,
+            prompt_tokens: 0,
+            answer_limit: 1,
+            prefix: None,
+            adapter: None,
+            avoid: self.avoid,
+            spilled: job.spilled,
+        };
+        let away = || CallerError::not_run(ErrorCode::Shed, "no entry VM can dispatch the call now");
+        let outcome = self.context.node.ask(ticket).ok_or_else(away)?.await;
+        match outcome {
+            Ok(TicketOutcome::Granted(backend)) => Ok(backend),
+            Ok(TicketOutcome::Shed { reason, retry_after }) => {
+                Err(CallerError::shed(reason, retry_after))
+            }
+            Err(_) => Err(away()),
+        }
+    }
+
+    async fn attempt(&mut self, backend: BackendId) -> Result<ServiceAnswer, ServiceError> {
+        self.attempts += 1;
+        let mut slot = self.slot(backend);
+        let Some(address) = self.context.node.view().address(backend) else {
+            slot.notice.end = EndKind::Refused;
+            return Err(not_on_record(backend));
+        };
+        let call = ServiceCall {
+            address,
+            method: self.job.method.clone(),
+            path: &self.job.path,
+            headers: &self.job.headers,
+            body: self.job.body.clone(),
+            idempotent: self.job.idempotent,
+            timeouts: SERVICE_TIMEOUTS,
+        };
+        let result = self.context.services.forward(call).await;
+        slot.notice.end = match &result {
+            Ok(_) => EndKind::Finished,
+            Err(error) if error.verdict == Verdict::NotRun => EndKind::Refused,
+            Err(_) => EndKind::Failed,
+        };
+        if result.is_ok() {
+            slot.notice.first_token = Some(monotonic_now().since(slot.sent));
+            slot.notice.tokens = 1;
+        }
+        result
+    }
+
+    fn slot(&self, backend: BackendId) -> SlotUse {
+        let notice = ReleaseNotice {
+            request: self.job.request,
+            pool: self.job.pool,
+            backend,
+            end: EndKind::Cancelled,
+            first_token: None,
+            total: Span::ZERO,
+            tokens: 0,
+        };
+        SlotUse { context: Rc::clone(self.context), notice, sent: monotonic_now() }
+    }
+
+    /// Frees a slot that was granted and not used.
+    fn give_back(&self, backend: BackendId) {
+        drop(self.slot(backend));
+    }
+
+    fn is_retry_allowed(&self) -> bool {
+        let node = &self.context.node;
+        let in_time = monotonic_now().since(self.job.arrived) < self.job.patience;
+        let allowed =
+            in_time && self.attempts < ATTEMPT_LIMIT && node.retries.try_spend(monotonic_now());
+        if allowed {
+            bump(&node.counters.process.retries);
+        }
+        allowed
+    }
+
+    fn answered(&self, answer: &ServiceAnswer) -> HttpAnswer {
+        let job = self.job;
+        let on_time = monotonic_now().since(job.arrived) <= job.target;
+        self.count(|count| {
+            count.whole += 1;
+            count.on_time += u64::from(on_time);
+            count.goodput += job.goodput_weight;
+        });
+        self.context.node.retries.deposit(monotonic_now());
+        HttpAnswer {
+            status: answer.status.as_u16(),
+            headers: answer.headers.clone(),
+            body: answer.body.clone(),
+        }
+        .with_verdict(job.request, Verdict::Ran)
+    }
+
+    fn refused(&self, error: &CallerError) -> HttpAnswer {
+        self.count(|count| {
+            if error.code == ErrorCode::Shed && self.attempts == 0 {
+                count.shed += 1;
+            } else {
+                count.failed += 1;
+            }
+        });
+        HttpAnswer::of_error(&error.clone().with_verdict(self.verdict).of(self.job.request))
+    }
+
+    fn failed(&self, error: &ServiceError) -> HttpAnswer {
+        self.count(|count| count.failed += 1);
+        let error = CallerError::not_run(ErrorCode::BackendFailed, error.failure.to_string())
+            .with_verdict(self.verdict)
+            .of(self.job.request);
+        HttpAnswer::of_error(&error)
+    }
+
+    fn count(&self, change: impl FnOnce(&mut ServiceCount)) {
+        let key = ServiceKey { customer: self.job.customer, class: self.job.class };
+        self.context.node.counters.count(key, change);
+    }
+}
+
+fn not_on_record(backend: BackendId) -> ServiceError {
+    let reason = format!("{backend} is not on record any more");
+    let failure = oleander_attempt::AttemptFailure::Connect(reason);
+    ServiceError::not_run(oleander_service::ServiceFailure::Attempt(failure))
+}
+
+fn kept_answer(answer: &ServiceAnswer) -> KeptAnswer {
+    let content_type = answer.headers.iter().find(|(name, _)| name == "content-type");
+    KeptAnswer {
+        status: answer.status.as_u16(),
+        content_type: content_type.map(|(_, value)| value.clone()),
+        body: bytes::Bytes::copy_from_slice(&answer.body),
+    }
+}
+
+fn repeat_answer(repeat: RepeatAnswer) -> HttpAnswer {
+    let content_type = repeat.answer.content_type;
+    let headers = content_type.map(|value| ("content-type".to_owned(), value)).into_iter().collect();
+    HttpAnswer {
+        status: repeat.answer.status,
+        headers,
+        body: Bytes::copy_from_slice(&repeat.answer.body),
+    }
+    .with_verdict(repeat.request, Verdict::Ran)
+}
+
+/// Returns the answer to a call that the guard refused.
+pub(crate) fn refusal_answer(refusal: &Refusal, request: RequestId) -> HttpAnswer {
+    let code = match refusal.reason {
+        RefuseReason::BodyMismatch => ErrorCode::KeyMismatch,
+        RefuseReason::StoreAway | RefuseReason::ClaimTimeout | RefuseReason::AfterPause => {
+            ErrorCode::StoreAway
+        }
+        RefuseReason::Overloaded => ErrorCode::Shed,
+        RefuseReason::HomeGone
+        | RefuseReason::StillRunning
+        | RefuseReason::AlreadyEnded
+        | RefuseReason::TokenExpired
+        | RefuseReason::KeyExpired => ErrorCode::Repeat,
+        RefuseReason::TokenMalformed
+        | RefuseReason::TokenForged
+        | RefuseReason::TokenForeignCustomer
+        | RefuseReason::TokenAndKey
+        | RefuseReason::BadKey => ErrorCode::BadRequest,
+    };
+    let mut error = CallerError::not_run(code, refusal.reason.to_string())
+        .with_verdict(refusal.verdict)
+        .of(refusal.earlier.unwrap_or(request));
+    error.retry_after = refusal.retry_after;
+    HttpAnswer::of_error(&error).with_header("x-oleander-verdict-scope", refusal.scope.as_str())
+}
--- a/crates/entry/src/worker.rs
+++ b/crates/entry/src/worker.rs
@@ -1,9 +1,10 @@
 //! What each worker thread of the callers' server has for itself.
 
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 
-use oleander_engine::{EngineClient, EngineSettings};
+use oleander_engine::{ClientSettings, EngineClient};
 use oleander_once::OnceGuard;
 use oleander_peer::PeerEndpoint;
 use oleander_service::{ServiceClient, ServiceSettings};
@@ -42,12 +43,12 @@
 
 impl WorkerContext {
     /// Opens the clients of this thread.
-    pub fn open(shared: &SharedContext) -> Rc<Self> {
-        Rc::new(Self {
+    pub async fn open(shared: &SharedContext) -> io::Result<Rc<Self>> {
+        Ok(Rc::new(Self {
             node: Arc::clone(&shared.node),
             shared: shared.clone(),
-            engines: EngineClient::open(EngineSettings::default()),
-            services: ServiceClient::open(ServiceSettings::default()),
-        })
+            engines: EngineClient::open(ClientSettings::default()).await?,
+            services: ServiceClient::open(ServiceSettings::default()).await?,
+        }))
     }
 }
