One attempt with a known verdict; clients and stand-ins for engines and services

The HTTP client reports Disconnected(None) for a connection that closes before the send and for one that closes after it, so the error alone cannot tell whether a request may have run. The new package oleander-attempt judges by the body: it notes when the connection takes it. Its pool keeps a second set of connections that are used once, for calls that are not idempotent, and a pool limit of 0 is avoided because the library never wakes waiters under it.

The stand-ins run one thread each with an own accept loop, so that a crash closes listener and connections at once.

--- /dev/null
+++ b/crates/attempt/src/body.rs
@@ -0,0 +1,82 @@
+//! The body of an answer, piece by piece, with a limit on standstill.
+
+use std::fmt;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use ntex::http::Payload;
+use ntex::http::error::PayloadError;
+use ntex::util::{Bytes, BytesMut, Stream};
+use tokio::time::{Instant, Sleep, sleep};
+
+use crate::error::{AttemptError, AttemptFailure, Result};
+
+/// The body of an answer; dropping it before its end closes the connection.
+pub struct AttemptBody {
+    payload: Payload,
+    idle: Duration,
+    last: Instant,
+    timer: Pin<Box<Sleep>>,
+}
+
+impl AttemptBody {
+    pub(crate) fn new(payload: Payload, idle: Duration) -> Self {
+        Self {
+            payload,
+            idle,
+            last: Instant::now(),
+            timer: Box::pin(sleep(idle)),
+        }
+    }
+
+    /// Returns the next piece, or none after the whole body.
+    pub async fn next(&mut self) -> Option<Result<Bytes>> {
+        poll_fn(|cx| self.poll_next(cx)).await
+    }
+
+    /// Reads the whole body, which may have `limit` bytes.
+    pub async fn read(mut self, limit: usize) -> Result<Bytes> {
+        let mut whole = BytesMut::new();
+        while let Some(piece) = self.next().await {
+            let piece = piece?;
+            if whole.len() + piece.len() > limit {
+                return Err(AttemptError::may_have_run(AttemptFailure::TooLarge {
+                    limit,
+                }));
+            }
+            whole.extend_from_slice(&piece);
+        }
+        Ok(whole.freeze())
+    }
+
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes>>> {
+        if let Poll::Ready(piece) = Pin::new(&mut self.payload).poll_next(cx) {
+            self.last = Instant::now();
+            return Poll::Ready(piece.map(|piece| piece.map_err(|error| broken(&error))));
+        }
+        // The timer is set again only when it fires, not with each piece.
+        while self.timer.as_mut().poll(cx).is_ready() {
+            let due = self.last + self.idle;
+            if Instant::now() >= due {
+                let failure = AttemptFailure::IdleTimeout;
+                return Poll::Ready(Some(Err(AttemptError::may_have_run(failure))));
+            }
+            self.timer.as_mut().reset(due);
+        }
+        Poll::Pending
+    }
+}
+
+impl fmt::Debug for AttemptBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AttemptBody")
+            .field("idle", &self.idle)
+            .finish_non_exhaustive()
+    }
+}
+
+fn broken(error: &PayloadError) -> AttemptError {
+    AttemptError::may_have_run(AttemptFailure::Broken(error.to_string()))
+}
--- /dev/null
+++ b/crates/attempt/src/client.rs
@@ -0,0 +1,197 @@
+//! The client: two connection pools, one of which never uses a connection twice.
+
+use std::fmt;
+use std::future::Future;
+use std::io;
+use std::pin::pin;
+use std::time::Duration;
+
+use ntex::SharedCfg;
+use ntex::client::error::{ClientError, ConnectError};
+use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
+use ntex::connect::{ConnectError as TcpError, Connector as TcpConnector};
+use ntex::http::body::Body;
+use ntex::http::{HeaderMap, StatusCode};
+use ntex::service::apply_fn_factory;
+use ntex::time::Seconds;
+use tokio::time::timeout;
+
+use crate::body::AttemptBody;
+use crate::error::{AttemptError, AttemptFailure, Result};
+use crate::probe::{ProbedBody, SendMark};
+use crate::request::{AttemptRequest, AttemptSettings, AttemptTimeouts};
+
+/// A pool size that is never reached; the library takes 0 for a limit that blocks its waiters.
+const NO_LIMIT: usize = usize::MAX >> 1;
+
+/// An answer whose head has come.
+#[derive(Debug)]
+pub struct AttemptResponse {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: AttemptBody,
+}
+
+impl AttemptResponse {
+    /// Returns the value of a header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// A client of one ntex thread.
+#[derive(Clone)]
+pub struct AttemptClient {
+    kept: Client,
+    fresh: Client,
+}
+
+impl AttemptClient {
+    /// Opens the client on the current ntex thread.
+    pub async fn open(settings: AttemptSettings) -> io::Result<Self> {
+        Ok(Self {
+            kept: open_client(settings.connect, settings.keep_idle_seconds).await?,
+            fresh: open_client(settings.connect, 0).await?,
+        })
+    }
+
+    /// Makes one attempt and returns when the head of the answer has come.
+    ///
+    /// Dropping the future, or the answer's body, closes the connection.
+    pub async fn send(&self, request: AttemptRequest<'_>) -> Result<AttemptResponse> {
+        let timeouts = request.timeouts;
+        let mark = SendMark::default();
+        let call = self.prepare(&request);
+        let response = if request.body.is_empty() {
+            finish_bodyless(call.send(), timeouts).await?
+        } else {
+            let body = ProbedBody::new(request.body, mark.clone());
+            let sending = call.send_body(Body::from_message(body));
+            finish_probed(sending, &mark, timeouts).await?
+        };
+        Ok(AttemptResponse {
+            status: response.status(),
+            headers: response.headers().clone(),
+            body: AttemptBody::new(response.take_payload(), timeouts.idle),
+        })
+    }
+
+    fn prepare(&self, request: &AttemptRequest<'_>) -> ClientRequest {
+        let client = if request.fresh {
+            &self.fresh
+        } else {
+            &self.kept
+        };
+        let url = format!("http://{}{}", request.address, request.path);
+        let mut call = client.request(request.method.clone(), url);
+        for (name, value) in request.headers {
+            call = call.header(*name, *value);
+        }
+        if request.fresh {
+            call = call.force_close();
+        }
+        call.no_decompress()
+    }
+}
+
+impl fmt::Debug for AttemptClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AttemptClient").finish_non_exhaustive()
+    }
+}
+
+async fn open_client(connect: Duration, keep_idle_seconds: u16) -> io::Result<Client> {
+    // The library prepares TLS in every connector and needs a provider for that; one that the
+    // program has installed already stays.
+    let _ = rustls::crypto::ring::default_provider().install_default();
+    let bounded =
+        apply_fn_factory(
+            TcpConnector::new(),
+            async move |address, connector| match timeout(connect, connector.call(address)).await {
+                Ok(connected) => connected,
+                Err(_) => Err(TcpError::Io(io::Error::from(io::ErrorKind::TimedOut))),
+            },
+        );
+    let connector = Connector::new()
+        .connector(bounded)
+        .keep_alive(Seconds(keep_idle_seconds))
+        .limit(NO_LIMIT);
+    let client = Client::builder()
+        .connector::<()>(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .build(SharedCfg::default())
+        .await?;
+    Ok(client)
+}
+
+async fn finish_probed(
+    sending: impl Future<Output = std::result::Result<ClientResponse, ClientError>>,
+    mark: &SendMark,
+    timeouts: AttemptTimeouts,
+) -> Result<ClientResponse> {
+    let mut sending = pin!(sending);
+    let first = match timeout(timeouts.connect, &mut sending).await {
+        Ok(result) => Ok(result),
+        Err(_) if !mark.is_set() => {
+            return Err(AttemptError::not_run(AttemptFailure::ConnectTimeout));
+        }
+        Err(_) => {
+            let rest = timeouts.first_byte.saturating_sub(timeouts.connect);
+            timeout(rest, sending).await
+        }
+    };
+    match first {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(error)) if mark.is_set() => Err(AttemptError::may_have_run(failure(&error))),
+        Ok(Err(error)) => Err(AttemptError::not_run(failure(&error))),
+        Err(_) => Err(AttemptError::may_have_run(AttemptFailure::FirstByteTimeout)),
+    }
+}
+
+async fn finish_bodyless(
+    sending: impl Future<Output = std::result::Result<ClientResponse, ClientError>>,
+    timeouts: AttemptTimeouts,
+) -> Result<ClientResponse> {
+    match timeout(timeouts.first_byte, sending).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(error)) if is_connect_phase(&error) => Err(AttemptError::not_run(failure(&error))),
+        Ok(Err(error)) => Err(AttemptError::may_have_run(failure(&error))),
+        Err(_) => Err(AttemptError::may_have_run(AttemptFailure::FirstByteTimeout)),
+    }
+}
+
+/// Returns whether the error can only arise before anything is written.
+///
+/// `Disconnected(None)` is also reported for a connection that closes after the send.
+fn is_connect_phase(error: &ClientError) -> bool {
+    match error {
+        ClientError::Url(_) | ClientError::Http(_) => true,
+        ClientError::Connect(ConnectError::Disconnected(None)) => false,
+        ClientError::Connect(_) => true,
+        _ => false,
+    }
+}
+
+fn failure(error: &ClientError) -> AttemptFailure {
+    match error {
+        ClientError::Url(_) | ClientError::Http(_) | ClientError::Request(_) => {
+            AttemptFailure::Request(error.to_string())
+        }
+        ClientError::Connect(ConnectError::Timeout) => AttemptFailure::ConnectTimeout,
+        ClientError::Connect(ConnectError::Disconnected(Some(reason)))
+            if reason.kind() == io::ErrorKind::TimedOut =>
+        {
+            AttemptFailure::ConnectTimeout
+        }
+        ClientError::Connect(ConnectError::Disconnected(None)) => {
+            AttemptFailure::Broken(error.to_string())
+        }
+        ClientError::Connect(reason) => AttemptFailure::Connect(reason.to_string()),
+        _ => AttemptFailure::Broken(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/attempt/src/probe.rs
@@ -0,0 +1,55 @@
+//! A request body that notes when it is handed to the connection.
+
+use std::cell::Cell;
+use std::error::Error;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use ntex::http::body::{BodySize, MessageBody};
+use ntex::util::Bytes;
+
+/// Tells whether the body of one request has begun to leave.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct SendMark(Rc<Cell<bool>>);
+
+impl SendMark {
+    /// Returns whether the connection has taken the body.
+    pub(crate) fn is_set(&self) -> bool {
+        self.0.get()
+    }
+}
+
+/// A body of known size with its mark.
+///
+/// The client asks for the body after it has flushed the head, and only on a connection; the mark
+/// is set at that moment, before the first byte of the body is given away.
+#[derive(Debug)]
+pub(crate) struct ProbedBody {
+    content: Option<Bytes>,
+    size: u64,
+    mark: SendMark,
+}
+
+impl ProbedBody {
+    pub(crate) fn new(content: Bytes, mark: SendMark) -> Self {
+        Self {
+            size: content.len() as u64,
+            content: Some(content),
+            mark,
+        }
+    }
+}
+
+impl MessageBody for ProbedBody {
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.size)
+    }
+
+    fn poll_next_chunk(
+        &mut self,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Rc<dyn Error>>>> {
+        self.mark.0.set(true);
+        Poll::Ready(self.content.take().map(Ok))
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -1,1 +1,26 @@
-//! Placeholder page; the module docs arrive with the code.
+//! The client of model engines.
+//!
+//! [`EngineClient`] starts one answer per call and yields its events as they come; it never
+//! repeats a call by itself, and each error says whether the request may have run
+//! ([`EngineError::verdict`]). Dropping an [`EngineStream`] closes its connection, which cancels
+//! the engine's work. A stream that ends without the engine's end mark is an error, so a truncated
+//! answer never looks complete.
+//!
+//! [`ReportPoller`] reads load reports and prefix-cache events of a set of engines.
+
+mod call;
+mod client;
+mod error;
+mod event;
+mod order;
+mod poller;
+mod stream;
+
+pub use call::{EngineCall, EnginePath, ResumePoint};
+pub use client::{ClientSettings, EngineClient};
+pub use error::{EngineError, EngineFailure, Result};
+pub use event::{EngineEvent, EventParser, FinishReason, RawEvent};
+pub use oleander_attempt::AttemptTimeouts;
+pub use order::{EngineOrder, OrderAnswer};
+pub use poller::{CacheNews, EngineNews, PollTarget, PollerSettings, ReportPoller};
+pub use stream::EngineStream;
--- /dev/null
+++ b/crates/service/src/client.rs
@@ -0,0 +1,157 @@
+//! The client of one thread.
+
+use std::io;
+use std::net::SocketAddr;
+
+use ntex::http::{HeaderMap, Method, StatusCode};
+use ntex::util::Bytes;
+use oleander_attempt::{
+    AttemptClient, AttemptRequest, AttemptResponse, AttemptSettings, AttemptTimeouts,
+};
+use oleander_base::prelude::*;
+
+use crate::error::{Result, ServiceError, ServiceFailure};
+use crate::headers::{is_forwarded_answer, is_forwarded_request};
+
+/// The header by which a service says that a call did not run.
+const NOT_RUN_HEADER: &str = "x-not-run";
+
+/// The settings of a service client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServiceSettings {
+    /// How connections are opened and kept.
+    pub attempt: AttemptSettings,
+    /// The largest body of a call, in bytes.
+    pub body_limit: usize,
+    /// The largest answer, in bytes.
+    pub answer_limit: usize,
+}
+
+impl Default for ServiceSettings {
+    fn default() -> Self {
+        Self {
+            attempt: AttemptSettings::default(),
+            body_limit: 1 << 20,
+            answer_limit: 4 << 20,
+        }
+    }
+}
+
+/// One call to a plain service.
+#[derive(Debug, Clone)]
+pub struct ServiceCall<'a> {
+    /// The service.
+    pub address: SocketAddr,
+    /// The method.
+    pub method: Method,
+    /// Path and query below the service's prefix, with a leading slash.
+    pub path: &'a str,
+    /// The caller's headers; those of its connection are left out.
+    pub headers: &'a HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Whether a repeat of the call has no further effect.
+    pub idempotent: bool,
+    /// How long each phase may take.
+    pub timeouts: AttemptTimeouts,
+}
+
+/// The whole answer of a plain service; the call ran.
+#[derive(Debug, Clone)]
+pub struct ServiceAnswer {
+    /// The status, as the service gave it.
+    pub status: StatusCode,
+    /// The headers that pass to the caller.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The client of one ntex thread; each worker opens its own.
+#[derive(Debug, Clone)]
+pub struct ServiceClient {
+    client: AttemptClient,
+    settings: ServiceSettings,
+}
+
+impl ServiceClient {
+    /// Opens the client on the current ntex thread.
+    pub async fn open(settings: ServiceSettings) -> io::Result<Self> {
+        Ok(Self {
+            client: AttemptClient::open(settings.attempt).await?,
+            settings,
+        })
+    }
+
+    /// Forwards one call, once, and returns the whole answer.
+    pub async fn forward(&self, call: ServiceCall<'_>) -> Result<ServiceAnswer> {
+        let limit = self.settings.body_limit;
+        if call.body.len() > limit {
+            return Err(ServiceError::not_run(ServiceFailure::BodyTooLarge {
+                limit,
+            }));
+        }
+        let headers = forwarded_headers(call.headers);
+        let request = AttemptRequest {
+            method: call.method,
+            address: call.address,
+            path: call.path,
+            headers: &headers,
+            body: call.body,
+            fresh: !call.idempotent,
+            timeouts: call.timeouts,
+        };
+        let response = self.client.send(request).await?;
+        if let Some(refusal) = refusal_of(&response) {
+            return Err(refusal);
+        }
+        let status = response.status;
+        let headers = answer_headers(&response.headers);
+        let body = response.body.read(self.settings.answer_limit).await?;
+        Ok(ServiceAnswer {
+            status,
+            headers,
+            body,
+        })
+    }
+}
+
+fn forwarded_headers(headers: &HeaderMap) -> Vec<(&str, &str)> {
+    let mut forwarded = Vec::with_capacity(headers.len());
+    for (name, value) in headers {
+        if !is_forwarded_request(name.as_str()) {
+            continue;
+        }
+        if let Ok(value) = value.to_str() {
+            forwarded.push((name.as_str(), value));
+        }
+    }
+    forwarded
+}
+
+fn answer_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+    let mut passed = Vec::with_capacity(headers.len());
+    for (name, value) in headers {
+        if !is_forwarded_answer(name.as_str()) {
+            continue;
+        }
+        if let Ok(value) = value.to_str() {
+            passed.push((name.as_str().to_owned(), value.to_owned()));
+        }
+    }
+    passed
+}
+
+fn refusal_of(response: &AttemptResponse) -> Option<ServiceError> {
+    if response.header(NOT_RUN_HEADER) != Some("true") {
+        return None;
+    }
+    let retry_after = response
+        .header("retry-after")
+        .and_then(|text| text.parse().ok())
+        .map(Span::from_secs);
+    Some(ServiceError::not_run(ServiceFailure::Refused {
+        status: response.status.as_u16(),
+        retry_after,
+    }))
+}
--- /dev/null
+++ b/crates/standin/src/answer.rs
@@ -0,0 +1,163 @@
+//! Stamped answers.
+//!
+//! An answer is a pure function of the model and the prompt: token `n` is the answer's tag and
+//! `n`, and the length is drawn from the tag. Any engine of the model can therefore continue
+//! another engine's answer, and a checker that knows the prompt knows every byte to expect. The
+//! length is hidden from the router: it stands in the prompt as a hint, or follows from its hash.
+
+use std::fmt;
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// The marker in a prompt behind which the wanted answer length stands.
+const LENGTH_MARKER: &str = "answer-tokens=";
+
+/// The mean length of an answer whose prompt holds no marker, in tokens.
+const MEAN_TOKENS: f64 = 64.0;
+
+/// The longest answer that is generated without a limit of the caller, in tokens.
+const LONGEST_ANSWER: u32 = 4_096;
+
+/// The stamp that every token of one answer carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct AnswerTag(pub u64);
+
+impl AnswerTag {
+    /// Returns the tag of the answer to `prompt` by `model`.
+    pub fn of(model: &str, prompt: &str) -> Self {
+        Self(xxh3_64_with_seed(
+            prompt.as_bytes(),
+            xxh3_64(model.as_bytes()),
+        ))
+    }
+}
+
+impl fmt::Display for AnswerTag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// What one answer consists of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerPlan {
+    /// The stamp.
+    pub tag: AnswerTag,
+    /// The number of tokens.
+    pub length: u32,
+    /// Whether the caller's limit cut the answer.
+    pub limited: bool,
+}
+
+impl AnswerPlan {
+    /// Returns the answer to `prompt` by `model` under the caller's limit.
+    pub fn of(model: &str, prompt: &str, limit: Option<u32>) -> Self {
+        let tag = AnswerTag::of(model, prompt);
+        let natural = hinted_length(prompt).unwrap_or_else(|| drawn_length(tag));
+        let natural = natural.clamp(1, LONGEST_ANSWER);
+        let length = natural.min(limit.unwrap_or(LONGEST_ANSWER)).max(1);
+        Self {
+            tag,
+            length,
+            limited: length < natural,
+        }
+    }
+
+    /// Returns the reason that the last event of the answer states.
+    pub fn finish_reason(&self) -> &'static str {
+        if self.limited { "length" } else { "stop" }
+    }
+
+    /// Returns the whole text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        for index in 0..self.length {
+            text.push_str(&token_text(self.tag, index));
+        }
+        text
+    }
+}
+
+/// Returns the prompt fragment that sets the length of the answer.
+pub fn answer_hint(tokens: u32) -> String {
+    format!("{LENGTH_MARKER}{tokens}")
+}
+
+/// Returns the text of one token, with the space that separates it from the next.
+pub fn token_text(tag: AnswerTag, index: u32) -> String {
+    format!("{tag}.{index} ")
+}
+
+fn hinted_length(prompt: &str) -> Option<u32> {
+    let (_, rest) = prompt.rsplit_once(LENGTH_MARKER)?;
+    let digits = rest.split(|c: char| !c.is_ascii_digit()).next()?;
+    digits.parse().ok()
+}
+
+/// Draws a length from an exponential distribution by the tag's upper bits.
+fn drawn_length(tag: AnswerTag) -> u32 {
+    let unit = ((tag.0 >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    (-unit.ln() * MEAN_TOKENS).ceil() as u32
+}
+
+/// Accumulates the text of an answer that is sent in one piece.
+#[derive(Debug, Default)]
+pub struct AnswerWriter {
+    text: String,
+}
+
+impl AnswerWriter {
+    /// Adds one token.
+    pub fn push(&mut self, tag: AnswerTag, index: u32) {
+        self.text.push_str(&token_text(tag, index));
+    }
+
+    /// Returns what was written.
+    pub fn as_str(&self) -> &str {
+        &self.text
+    }
+}
+
+/// What a checker found out about an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerCheck {
+    /// Every token is there, in order, once.
+    Whole,
+    /// The answer is a true beginning of the whole one.
+    Truncated {
+        /// The number of tokens that came.
+        tokens: u32,
+    },
+    /// A token of another answer, out of order, doubled or beyond the end.
+    Mixed {
+        /// The position of the first wrong token.
+        position: u32,
+    },
+}
+
+impl AnswerCheck {
+    /// Compares the text that a caller received with the plan.
+    pub fn of(plan: &AnswerPlan, text: &str) -> Self {
+        let mut position = 0;
+        let mut rest = text;
+        while !rest.is_empty() {
+            let wanted = token_text(plan.tag, position);
+            if position >= plan.length {
+                return Self::Mixed { position };
+            }
+            if let Some(after) = rest.strip_prefix(wanted.as_str()) {
+                rest = after;
+                position += 1;
+            } else if wanted.starts_with(rest) {
+                return Self::Truncated { tokens: position };
+            } else {
+                return Self::Mixed { position };
+            }
+        }
+        if position == plan.length {
+            Self::Whole
+        } else {
+            Self::Truncated { tokens: position }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine_loop.rs
@@ -0,0 +1,391 @@
+//! The state of an engine's stand-in and the one task that moves its batch.
+//!
+//! The task sleeps until the end of the current step and then writes the tokens of all sequences
+//! at once, so that hundreds of streams cost one timer. The end of a step is computed from the
+//! end of the step before, not from when the task woke, so that late wake-ups don't add up.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use ntex::channel::mpsc;
+use ntex::http::{Request, Response};
+use ntex::io::IoRef;
+use ntex::util::Bytes;
+use oleander_base::prelude::*;
+use oleander_base::{LoadReport, LoadedModel, PrefixHash};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::answer::AnswerWriter;
+use crate::batch::{BatchSequence, EngineBatch, SequenceId, StepToken};
+use crate::cache::PrefixCache;
+use crate::counters::{EngineCounters, add, bump};
+use crate::engine::EngineSettings;
+use crate::engine_http::{AnswerShape, handle_request};
+use crate::faults::EngineFault;
+use crate::host::{CommandSender, HostAction, HostedService, LocalFuture};
+
+/// How far the step clock may lie behind the wall clock before it is set again.
+const LARGEST_LAG: Duration = Duration::from_millis(100);
+
+/// How many load reports are kept, to serve them late.
+const KEPT_REPORTS: usize = 256;
+
+/// The sending end of an answer's body.
+pub(crate) type BodySender = mpsc::Sender<io::Result<Bytes>>;
+
+/// An answer on its way to whoever asked.
+pub(crate) struct OpenAnswer {
+    pub(crate) body: BodySender,
+    pub(crate) shape: AnswerShape,
+    pub(crate) writer: AnswerWriter,
+    pub(crate) request_id: String,
+    pub(crate) sequence: BatchSequence,
+    pub(crate) sent: u32,
+    pub(crate) io: Option<IoRef>,
+}
+
+/// The faults in force.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct FaultState {
+    pub(crate) slowness: f64,
+    pub(crate) frozen: bool,
+    pub(crate) refuses: bool,
+    pub(crate) leaving: bool,
+    pub(crate) drop_after: Option<u32>,
+}
+
+impl Default for FaultState {
+    fn default() -> Self {
+        Self {
+            slowness: 1.0,
+            frozen: false,
+            refuses: false,
+            leaving: false,
+            drop_after: None,
+        }
+    }
+}
+
+/// What the engine has in memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct LoadedState {
+    pub(crate) models: Vec<String>,
+    pub(crate) version: String,
+    pub(crate) adapters: Vec<String>,
+    pub(crate) role: oleander_base::EngineRole,
+    pub(crate) newest_fencing: u64,
+}
+
+/// The state that the handlers and the step task share on the engine's thread.
+pub(crate) struct EngineState {
+    pub(crate) batch: EngineBatch,
+    pub(crate) cache: PrefixCache,
+    pub(crate) answers: FastMap<SequenceId, OpenAnswer>,
+    pub(crate) faults: FaultState,
+    pub(crate) loaded: LoadedState,
+    reports: VecDeque<(MonoTime, LoadReport)>,
+    next_sequence: u64,
+    reported_tokens: u64,
+}
+
+/// One engine on its thread.
+pub(crate) struct EngineCore {
+    pub(crate) settings: EngineSettings,
+    pub(crate) counters: Arc<EngineCounters>,
+    pub(crate) commands: CommandSender<EngineFault>,
+    pub(crate) state: RefCell<EngineState>,
+    wake: Notify,
+    thaw: Notify,
+    began: Instant,
+}
+
+impl EngineCore {
+    pub(crate) fn new(
+        settings: EngineSettings,
+        counters: Arc<EngineCounters>,
+        commands: CommandSender<EngineFault>,
+    ) -> Self {
+        let state = EngineState {
+            batch: EngineBatch::new(settings.batch_speed()),
+            cache: PrefixCache::new(settings.cache_tokens, settings.lose_event_every),
+            answers: FastMap::default(),
+            faults: FaultState::default(),
+            loaded: LoadedState {
+                models: settings.models.clone(),
+                version: settings.version.clone(),
+                adapters: settings.adapters.clone(),
+                role: settings.role,
+                newest_fencing: 0,
+            },
+            reports: VecDeque::new(),
+            next_sequence: 0,
+            reported_tokens: 0,
+        };
+        Self {
+            settings,
+            counters,
+            commands,
+            state: RefCell::new(state),
+            wake: Notify::new(),
+            thaw: Notify::new(),
+            began: Instant::now(),
+        }
+    }
+
+    /// Returns the engine's clock.
+    pub(crate) fn now(&self) -> MonoTime {
+        MonoTime::default() + Span::from(self.began.elapsed())
+    }
+
+    /// Submits a sequence and returns its identity.
+    pub(crate) fn submit(&self, mut answer: OpenAnswer, prefix: PrefixHash) -> SequenceId {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.next_sequence += 1;
+        let id = SequenceId(state.next_sequence);
+        answer.sequence.id = id;
+        let prompt = answer.sequence.prompt_left;
+        let saved = state.cache.touch(prefix, prompt, now);
+        if saved > 0 {
+            bump(&self.counters.cache_hits);
+        }
+        answer.sequence.prompt_left = prompt - saved;
+        bump(&self.counters.started);
+        if answer.sequence.next_token > 0 {
+            bump(&self.counters.resumed);
+        }
+        add(
+            &self.counters.prompt_tokens,
+            u64::from(answer.sequence.prompt_left),
+        );
+        state.batch.submit(answer.sequence);
+        state.answers.insert(id, answer);
+        drop(state);
+        self.wake.notify_one();
+        id
+    }
+
+    /// Ends a sequence whose answer nobody reads any more.
+    pub(crate) fn cancel(&self, id: SequenceId) -> bool {
+        let mut state = self.state.borrow_mut();
+        let answer = state.answers.remove(&id);
+        let known = state.batch.cancel(id).is_some();
+        drop(state);
+        if known {
+            bump(&self.counters.cancelled);
+        }
+        drop(answer);
+        known
+    }
+
+    /// Waits while the engine is frozen.
+    pub(crate) async fn thawed(&self) {
+        loop {
+            let thaw = self.thaw.notified();
+            if !self.state.borrow().faults.frozen {
+                return;
+            }
+            thaw.await;
+        }
+    }
+
+    /// Returns the newest load report that is old enough to be read.
+    pub(crate) fn report(&self) -> LoadReport {
+        let now = self.now();
+        let lag = Span::from_millis(self.settings.report_lag_ms);
+        let state = self.state.borrow();
+        let readable = state
+            .reports
+            .iter()
+            .rev()
+            .find(|(at, _)| now.since(*at) >= lag);
+        match readable.or(state.reports.front()) {
+            Some((at, report)) => LoadReport {
+                age: now.since(*at),
+                ..report.clone()
+            },
+            None => self.snapshot(&state, 0.0),
+        }
+    }
+
+    fn snapshot(&self, state: &EngineState, tokens_per_second: f32) -> LoadReport {
+        let models = state.loaded.models.iter().map(|model| LoadedModel {
+            model: ModelId::from_name(model),
+            version: state.loaded.version.clone(),
+            adapters: state
+                .loaded
+                .adapters
+                .iter()
+                .map(|adapter| AdapterId::from_name(adapter))
+                .collect(),
+        });
+        LoadReport {
+            age: Span::ZERO,
+            running: state.batch.running(),
+            waiting: state.batch.waiting(),
+            batch_limit: self.settings.batch_limit,
+            tokens_per_second,
+            cache_used: state.cache.used_share(),
+            role: state.loaded.role,
+            models: models.collect(),
+            leaving: state.faults.leaving,
+        }
+    }
+
+    async fn take_reports(self: Rc<Self>) {
+        let interval = Duration::from_millis(self.settings.report_interval_ms.max(1));
+        loop {
+            self.take_report(interval);
+            tokio::time::sleep(interval).await;
+        }
+    }
+
+    fn take_report(&self, interval: Duration) {
+        let now = self.now();
+        let tokens = self.counters.tokens.load(Ordering::Relaxed);
+        let mut state = self.state.borrow_mut();
+        let rate = (tokens - state.reported_tokens) as f64 / interval.as_secs_f64();
+        state.reported_tokens = tokens;
+        let report = self.snapshot(&state, rate as f32);
+        if state.reports.len() == KEPT_REPORTS {
+            state.reports.pop_front();
+        }
+        state.reports.push_back((now, report));
+    }
+
+    async fn run_steps(self: Rc<Self>) {
+        let mut due = Instant::now();
+        let mut tokens = Vec::new();
+        loop {
+            self.thawed().await;
+            let Some(step) = self.plan() else {
+                self.wake.notified().await;
+                due = due.max(Instant::now());
+                continue;
+            };
+            due = (due + step).max(Instant::now() - LARGEST_LAG);
+            tokio::time::sleep_until(due).await;
+            self.thawed().await;
+            self.finish(&mut tokens);
+        }
+    }
+
+    fn plan(&self) -> Option<Duration> {
+        let mut state = self.state.borrow_mut();
+        let slowness = state.faults.slowness;
+        state.batch.plan_step(slowness).map(Duration::from)
+    }
+
+    fn finish(&self, tokens: &mut Vec<StepToken>) {
+        tokens.clear();
+        let mut state = self.state.borrow_mut();
+        state.batch.finish_step(tokens);
+        add(&self.counters.tokens, tokens.len() as u64);
+        let drop_after = state.faults.drop_after;
+        let mut closed = Vec::new();
+        for token in tokens.iter() {
+            let Some(answer) = state.answers.get_mut(&token.id) else {
+                continue;
+            };
+            if drop_after.is_some_and(|limit| answer.sent >= limit) {
+                closed.push(token.id);
+                continue;
+            }
+            answer.push(token, &self.settings.name);
+            if token.last {
+                bump(&self.counters.finished);
+                state.answers.remove(&token.id);
+            }
+        }
+        drop(state);
+        for id in closed {
+            self.break_connection(id);
+        }
+    }
+
+    fn break_connection(&self, id: SequenceId) {
+        let io = self
+            .state
+            .borrow()
+            .answers
+            .get(&id)
+            .and_then(|answer| answer.io.clone());
+        if let Some(io) = io {
+            io.terminate();
+        }
+        self.abort(id);
+    }
+
+    /// Ends an answer with an error, so that it never looks complete.
+    pub(crate) fn abort(&self, id: SequenceId) {
+        let answer = self.state.borrow_mut().answers.remove(&id);
+        if let Some(answer) = answer {
+            let reason = io::Error::from(io::ErrorKind::ConnectionAborted);
+            let _ = answer.body.send(Err(reason));
+        }
+        if self.state.borrow_mut().batch.cancel(id).is_some() {
+            bump(&self.counters.cancelled);
+        }
+    }
+
+    fn set_fault(&self, fault: EngineFault) -> HostAction {
+        let faults = &mut self.state.borrow_mut().faults;
+        match fault {
+            EngineFault::Slow { factor } => faults.slowness = factor.max(0.01),
+            EngineFault::Freeze { on } => faults.frozen = on,
+            EngineFault::Refuse { on } => faults.refuses = on,
+            EngineFault::Leaving { on } => faults.leaving = on,
+            EngineFault::DropAfter { tokens } => faults.drop_after = tokens,
+            EngineFault::Heal => *faults = FaultState::default(),
+            EngineFault::Crash { for_ms } => {
+                return HostAction::Crash(for_ms.map(Duration::from_millis));
+            }
+            EngineFault::Restore => return HostAction::Restore,
+        }
+        HostAction::None
+    }
+}
+
+impl HostedService for EngineCore {
+    type Command = EngineFault;
+
+    fn handle(self: Rc<Self>, request: Request) -> LocalFuture<io::Result<Response>> {
+        Box::pin(handle_request(self, request))
+    }
+
+    fn accepted(&self) {
+        bump(&self.counters.connections);
+    }
+
+    fn command(&self, command: EngineFault) -> HostAction {
+        let action = self.set_fault(command);
+        self.thaw.notify_waiters();
+        self.wake.notify_one();
+        action
+    }
+
+    fn crashed(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let answers = std::mem::take(&mut state.answers);
+        add(&self.counters.crashed, answers.len() as u64);
+        state.batch.clear();
+        state.cache.clear(now);
+        drop(state);
+        for answer in answers.into_values() {
+            let reason = io::Error::from(io::ErrorKind::ConnectionAborted);
+            let _ = answer.body.send(Err(reason));
+        }
+    }
+
+    fn start(self: &Rc<Self>) {
+        ntex::rt::spawn(self.clone().run_steps());
+        ntex::rt::spawn(self.clone().take_reports());
+    }
+}
--- /dev/null
+++ b/crates/standin/src/host.rs
@@ -0,0 +1,316 @@
+//! One HTTP server on one thread whose connections can be cut at any point.
+//!
+//! The accept loop is the stand-in's own, so that a crash can close the listener and every
+//! connection at once, and a handler can end the very connection that it answers on
+//! (`Request::io`). Commands arrive over a channel and are applied between two accepts.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::mpsc as std_mpsc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use ntex::http::{HttpService, HttpServiceConfig, KeepAlive, Request, Response};
+use ntex::io::IoRef;
+use ntex::service::fn_service;
+use ntex::time::Seconds;
+use ntex::{Pipeline, ServiceFactory, SharedCfg};
+use oleander_base::prelude::*;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::faults::FaultError;
+
+/// How long an idle connection is kept open, in seconds.
+const KEEP_ALIVE_SECONDS: u16 = 30;
+
+/// How long to wait before the port of a restored stand-in is tried again.
+const REBIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// A future that stays on its thread.
+pub(crate) type LocalFuture<T> = Pin<Box<dyn Future<Output = T>>>;
+
+/// What a command does to the server itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HostAction {
+    /// Nothing.
+    None,
+    /// Close the listener and all connections, and come back after the given time.
+    Crash(Option<Duration>),
+    /// Listen again.
+    Restore,
+}
+
+/// The service behind a server.
+pub(crate) trait HostedService: 'static {
+    /// The commands that its handle sends.
+    type Command: Send + 'static;
+
+    /// Answers one request.
+    fn handle(self: Rc<Self>, request: Request) -> LocalFuture<io::Result<Response>>;
+
+    /// Notes that a connection was accepted.
+    fn accepted(&self);
+
+    /// Applies a command.
+    fn command(&self, command: Self::Command) -> HostAction;
+
+    /// Notes that all connections were cut.
+    fn crashed(&self);
+
+    /// Starts the tasks that run beside the requests.
+    fn start(self: &Rc<Self>);
+}
+
+/// The sending end of a server's commands.
+pub(crate) type CommandSender<C> = mpsc::UnboundedSender<HostCommand<C>>;
+
+/// A command on its way to the server's thread.
+#[derive(Debug)]
+pub(crate) struct HostCommand<C> {
+    order: HostOrder<C>,
+    done: Option<std_mpsc::Sender<()>>,
+}
+
+#[derive(Debug)]
+enum HostOrder<C> {
+    Service(C),
+    Stop,
+}
+
+impl<C> HostCommand<C> {
+    /// Returns a command that nobody waits for.
+    pub(crate) fn detached(command: C) -> Self {
+        Self {
+            order: HostOrder::Service(command),
+            done: None,
+        }
+    }
+}
+
+/// A running server.
+#[derive(Debug)]
+pub(crate) struct HttpHost<C> {
+    address: SocketAddr,
+    commands: CommandSender<C>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl<C: Send + 'static> HttpHost<C> {
+    /// Binds the address and starts the thread; `make` builds the service on that thread.
+    pub(crate) fn spawn<S, F>(name: &str, listen: SocketAddr, make: F) -> io::Result<Self>
+    where
+        S: HostedService<Command = C>,
+        F: FnOnce(CommandSender<C>) -> S + Send + 'static,
+    {
+        let listener = StdListener::bind(listen)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let (commands, received) = mpsc::unbounded_channel();
+        let sender = commands.clone();
+        let thread = std::thread::Builder::new()
+            .name(name.to_owned())
+            .spawn(move || {
+                let runner = ntex::rt::System::new("stand-in", ntex::rt::DefaultRuntime);
+                runner.block_on(async move {
+                    let service = Rc::new(make(sender));
+                    HostLoop::run(listener, address, service, received).await;
+                });
+            })?;
+        Ok(Self {
+            address,
+            commands,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns the address that the server listens on.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a command and waits until it is applied.
+    pub(crate) fn command(&self, command: C) -> Result<(), FaultError> {
+        self.send(HostOrder::Service(command))
+    }
+
+    /// Ends the server and its thread.
+    pub(crate) fn stop(&mut self) {
+        let _ = self.send(HostOrder::Stop);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+
+    /// Waits until the server's thread ends.
+    pub(crate) fn join(&mut self) {
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+
+    fn send(&self, order: HostOrder<C>) -> Result<(), FaultError> {
+        let (done, finished) = std_mpsc::channel();
+        let command = HostCommand {
+            order,
+            done: Some(done),
+        };
+        self.commands.send(command).map_err(|_| FaultError)?;
+        finished.recv().map_err(|_| FaultError)
+    }
+}
+
+impl<C> Drop for HttpHost<C> {
+    fn drop(&mut self) {
+        let _ = self.commands.send(HostCommand {
+            order: HostOrder::Stop,
+            done: None,
+        });
+    }
+}
+
+type Connections = Rc<RefCell<FastMap<u64, IoRef>>>;
+
+/// The accept loop of one server.
+struct HostLoop<S> {
+    service: Rc<S>,
+    address: SocketAddr,
+    listener: Option<TcpListener>,
+    restore_at: Option<Instant>,
+    connections: Connections,
+    next_connection: u64,
+}
+
+impl<S: HostedService> HostLoop<S> {
+    async fn run(
+        listener: StdListener,
+        address: SocketAddr,
+        service: Rc<S>,
+        mut received: mpsc::UnboundedReceiver<HostCommand<S::Command>>,
+    ) {
+        let mut host = Self {
+            service: service.clone(),
+            address,
+            listener: TcpListener::from_std(listener).ok(),
+            restore_at: None,
+            connections: Connections::default(),
+            next_connection: 0,
+        };
+        let config = SharedCfg::new("stand-in")
+            .add(
+                HttpServiceConfig::new()
+                    .set_keepalive(KeepAlive::Timeout(Seconds(KEEP_ALIVE_SECONDS))),
+            )
+            .build();
+        let handler = service.clone();
+        let factory = HttpService::h1(fn_service(move |request: Request| {
+            handler.clone().handle(request)
+        }));
+        let Ok(http) = factory.create(config.clone()).await else {
+            return;
+        };
+        let pipeline = Pipeline::new(http);
+        service.start();
+        loop {
+            tokio::select! {
+                stream = accept(host.listener.as_ref()) => {
+                    let Ok(stream) = stream else { continue };
+                    let Ok(io) = stream
+                        .into_std()
+                        .and_then(|stream| ntex::rt::from_tcp_stream(stream, config.clone()))
+                    else {
+                        continue;
+                    };
+                    let number = host.register(io.get_ref());
+                    let connections = host.connections.clone();
+                    let serving = pipeline.call_static(io);
+                    ntex::rt::spawn(async move {
+                        let _ = serving.await;
+                        connections.borrow_mut().remove(&number);
+                    });
+                }
+                command = received.recv() => {
+                    let Some(command) = command else { return };
+                    let stopped = host.apply(command.order);
+                    if let Some(done) = command.done {
+                        let _ = done.send(());
+                    }
+                    if stopped {
+                        return;
+                    }
+                }
+                () = until(host.restore_at) => host.restore(),
+            }
+        }
+    }
+
+    fn register(&mut self, io: IoRef) -> u64 {
+        self.service.accepted();
+        self.next_connection += 1;
+        self.connections
+            .borrow_mut()
+            .insert(self.next_connection, io);
+        self.next_connection
+    }
+
+    fn apply(&mut self, order: HostOrder<S::Command>) -> bool {
+        let action = match order {
+            HostOrder::Stop => {
+                self.cut();
+                return true;
+            }
+            HostOrder::Service(command) => self.service.command(command),
+        };
+        match action {
+            HostAction::None => {}
+            HostAction::Restore => self.restore(),
+            HostAction::Crash(away) => {
+                self.restore_at = away.map(|away| Instant::now() + away);
+                self.cut();
+            }
+        }
+        false
+    }
+
+    fn cut(&mut self) {
+        self.listener = None;
+        for io in self.connections.borrow().values() {
+            io.terminate();
+        }
+        self.service.crashed();
+    }
+
+    fn restore(&mut self) {
+        self.restore_at = None;
+        if self.listener.is_some() {
+            return;
+        }
+        let bound = StdListener::bind(self.address).and_then(|listener| {
+            listener.set_nonblocking(true)?;
+            TcpListener::from_std(listener)
+        });
+        match bound {
+            Ok(listener) => self.listener = Some(listener),
+            Err(_) => self.restore_at = Some(Instant::now() + REBIND_PAUSE),
+        }
+    }
+}
+
+async fn accept(listener: Option<&TcpListener>) -> io::Result<tokio::net::TcpStream> {
+    match listener {
+        Some(listener) => Ok(listener.accept().await?.0),
+        None => std::future::pending().await,
+    }
+}
+
+async fn until(instant: Option<Instant>) {
+    match instant {
+        Some(instant) => tokio::time::sleep_until(instant).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,25 @@
-//! Placeholder page; the module docs arrive with the code.
+//! Stand-ins for what surrounds the system: model engines, plain services and faulty networks.
+//!
+//! They are small fakes at the interfaces, for tests, the demonstration and the experiments. A
+//! stand-in runs on one thread of its own and is steered either by the methods of its handle or
+//! over HTTP under `/admin`. Every answer is stamped ([`AnswerTag`]), so that a checker can prove
+//! an answer whole and unmixed without asking the engine that generated it.
+
+mod answer;
+mod batch;
+mod cache;
+mod counters;
+mod engine;
+mod engine_http;
+mod engine_loop;
+mod faults;
+mod host;
+mod service;
+
+pub use answer::{AnswerCheck, AnswerPlan, AnswerTag, AnswerWriter, answer_hint, token_text};
+pub use batch::{BatchSequence, BatchSpeed, EngineBatch, SequenceId, StepToken};
+pub use cache::PrefixCache;
+pub use counters::{EngineCounters, EngineTotals, ServiceCounters, ServiceTotals};
+pub use engine::{EngineSettings, EngineStandIn, run_engine};
+pub use faults::{EngineFault, FaultError, OrderMode, ServiceFault};
+pub use service::{EffectRecord, ServiceSettings, ServiceStandIn, run_service};
