--- a/crates/decide/src/backend_state.rs
+++ b/crates/decide/src/backend_state.rs
@@ -11,6 +11,7 @@
 use crate::other_load::OtherLoad;
 use crate::slot_limit::SlotLimit;
 use crate::speed::SpeedEstimate;
+use crate::summary::BackendSummary;
 use crate::views::BackendView;
 
 /// Releases that have to be overdue before a backend server counts as stalled; with answers that
@@ -100,6 +101,18 @@
             .collect();
     }
 
+    /// Returns the figures for screens.
+    pub(crate) fn summary(&self, now: MonoTime) -> BackendSummary {
+        BackendSummary {
+            backend: self.view.backend,
+            running: self.outstanding(),
+            limit: self.ceiling(now),
+            speed: self.speed_factor(),
+            leaving: self.view.leaving || self.says_leaving,
+            ejected: self.health.is_ejected(now),
+        }
+    }
+
     /// Returns whether the backend server may take new work at all.
     pub(crate) fn is_usable(&self) -> bool {
         self.listed
--- a/crates/decide/src/baseline.rs
+++ b/crates/decide/src/baseline.rs
@@ -12,7 +12,7 @@
 use crate::config::PoolConfig;
 use crate::policy::{Decision, DecisionNotice, PoolPolicy};
 use crate::queue_time::QueueTime;
-use crate::summary::{ClassSummary, PoolSummary, TierSummary};
+use crate::summary::{BackendSummary, ClassSummary, PoolSummary, TierSummary};
 use crate::verify::VerifyError;
 use crate::views::{BackendView, ClassView, CustomerView, HeldGrant, ProgressNotice};
 
@@ -327,6 +327,18 @@
         }
     }
 
+    fn backend_summaries(&self, _now: MonoTime) -> Vec<BackendSummary> {
+        let summary = |state: &FifoBackend| BackendSummary {
+            backend: state.view.backend,
+            running: state.outstanding,
+            limit: state.view.slots,
+            speed: state.view.speed,
+            leaving: state.view.leaving,
+            ejected: false,
+        };
+        self.backends.values().map(summary).collect()
+    }
+
     fn dump(&self, now: MonoTime) -> String {
         let mut text = self.summary(now).to_string();
         for state in self.backends.values() {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -38,7 +38,7 @@
 pub use length::LengthEstimator;
 pub use policy::{Decision, DecisionNotice, ParsePolicyError, PolicyKind, PoolPolicy, open};
 pub use rendezvous::{DispatcherCandidate, choose_dispatcher};
-pub use summary::{ClassSummary, PoolSummary, TierSummary};
+pub use summary::{BackendSummary, ClassSummary, PoolSummary, TierSummary};
 pub use tiered::TieredPool;
 pub use verify::VerifyError;
 pub use views::{BackendView, ClassView, CustomerView, HeldGrant, ProgressNotice};
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -10,7 +10,7 @@
 
 use crate::baseline::{FifoOrder, FifoPool};
 use crate::config::PoolConfig;
-use crate::summary::PoolSummary;
+use crate::summary::{BackendSummary, PoolSummary};
 use crate::tiered::TieredPool;
 use crate::verify::VerifyError;
 use crate::views::{BackendView, ClassView, CustomerView, HeldGrant, ProgressNotice};
@@ -97,6 +97,9 @@
     /// Returns figures for screens and for spill-over.
     fn summary(&self, now: MonoTime) -> PoolSummary;
 
+    /// Returns the figures of each backend server, for screens.
+    fn backend_summaries(&self, now: MonoTime) -> Vec<BackendSummary>;
+
     /// Returns the state as text.
     fn dump(&self, now: MonoTime) -> String;
 
--- a/crates/decide/src/summary.rs
+++ b/crates/decide/src/summary.rs
@@ -26,6 +26,23 @@
     pub classes: Vec<ClassSummary>,
 }
 
+/// The state of one backend server in figures.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct BackendSummary {
+    /// The backend server.
+    pub backend: BackendId,
+    /// Requests of this pool's grants there.
+    pub running: u32,
+    /// Requests that may be there at a time now.
+    pub limit: u32,
+    /// Its speed against the reference, as measured or, before that, as recorded.
+    pub speed: f64,
+    /// Whether it gets no new work because it leaves.
+    pub leaving: bool,
+    /// Whether it gets no new work, or only probes, for failures.
+    pub ejected: bool,
+}
+
 /// The queue of one tier in figures.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TierSummary {
--- a/crates/decide/src/tiered.rs
+++ b/crates/decide/src/tiered.rs
@@ -27,7 +27,7 @@
 use crate::share_ledger::ShareLedger;
 use crate::slot_limit::TargetSample;
 use crate::speed::SpeedSample;
-use crate::summary::{ClassSummary, PoolSummary, TierSummary};
+use crate::summary::{BackendSummary, ClassSummary, PoolSummary, TierSummary};
 use crate::verify::VerifyError;
 use crate::views::{BackendView, ClassView, CustomerView, HeldGrant, ProgressNotice};
 
@@ -388,6 +388,10 @@
         }
     }
 
+    fn backend_summaries(&self, now: MonoTime) -> Vec<BackendSummary> {
+        self.backends.iter().filter(|state| state.listed).map(|state| state.summary(now)).collect()
+    }
+
     fn dump(&self, now: MonoTime) -> String {
         let mut text = self.summary(now).to_string();
         self.backends.dump(self.config.report_stale, now, &mut text);
--- /dev/null
+++ b/crates/entry/src/control.rs
@@ -0,0 +1,153 @@
+//! The periodic work of an entry VM, on one thread beside the request path.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use oleander_base::prelude::*;
+use oleander_base::monotonic_now;
+use oleander_peer::{MemberState, MemberView, PeerEndpoint, PeerMessage};
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::limit_board::LimitBoard;
+use crate::node::EntryNode;
+use crate::spill::SpillBoard;
+use crate::status::StatusMessage;
+use crate::view::FleetMember;
+
+/// The time between two ticks of the pools.
+const POOL_PERIOD: Duration = Duration::from_millis(20);
+/// The time between two checks of answers and repeated offers.
+const DESK_PERIOD: Duration = Duration::from_millis(100);
+/// The time between two divisions of the customers' limits.
+const LIMIT_PERIOD: Duration = Duration::from_millis(1_000);
+/// The time between two summaries of a pool for the other entry VMs.
+const SUMMARY_PERIOD: Duration = Duration::from_millis(500);
+/// The time between two statuses for watched screens.
+const STATUS_PERIOD: Duration = Duration::from_millis(1_000);
+/// How long an answer that ended stays for a caller that reconnects.
+const ANSWER_LINGER: Span = Span::from_secs(10);
+
+/// Runs the periodic work until the channel of members closes.
+pub(crate) async fn run_control(node: Arc<EntryNode>, peers: PeerEndpoint) {
+    let mut members = peers.watch_members();
+    apply_members(&node, &peers.members());
+    let mut pools = ticker(POOL_PERIOD);
+    let mut desk = ticker(DESK_PERIOD);
+    let mut limits = ticker(LIMIT_PERIOD);
+    let mut summaries = ticker(SUMMARY_PERIOD);
+    let mut statuses = ticker(STATUS_PERIOD);
+    loop {
+        tokio::select! {
+            changed = members.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                let view = latest(&mut members);
+                apply_members(&node, &view);
+            }
+            _ = pools.tick() => node.tick(),
+            _ = desk.tick() => {
+                node.offer_again();
+                node.answers.sweep(monotonic_now(), ANSWER_LINGER);
+            }
+            _ = limits.tick() => divide_limits(&node, &peers),
+            _ = summaries.tick() => send_summaries(&node, &peers),
+            _ = statuses.tick() => send_statuses(&node, &peers),
+        }
+    }
+}
+
+fn ticker(period: Duration) -> tokio::time::Interval {
+    let mut ticker = interval(period);
+    ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    ticker
+}
+
+fn latest(members: &mut watch::Receiver<Arc<MemberView>>) -> Arc<MemberView> {
+    Arc::clone(&members.borrow_and_update())
+}
+
+/// Turns the membership into the members of the view, and notes what changed.
+fn apply_members(node: &EntryNode, view: &MemberView) {
+    let members: Vec<FleetMember> = view
+        .members
+        .values()
+        .filter(|member| member.state.is_reachable())
+        .map(|member| FleetMember {
+            instance: member.instance,
+            centre: member.centre,
+            weight: f64::from(member.weight),
+            takes_roles: member.state.takes_work(),
+        })
+        .collect();
+    note_members(node, view);
+    node.set_members(members);
+}
+
+fn note_members(node: &EntryNode, view: &MemberView) {
+    let mut known = node.member_states.lock();
+    for member in view.members.values() {
+        let before = known.insert(member.instance, member.state);
+        if before == Some(member.state) || (before.is_none() && member.state == MemberState::Gone) {
+            continue;
+        }
+        let before = before.map_or("unknown", MemberState::as_str);
+        let what = format!("entry VM {} is {}", member.instance, member.state);
+        node.changes.note(what, format!("the membership had it as {before}"));
+    }
+    known.retain(|instance, _| view.members.contains_key(instance));
+}
+
+fn others(node: &EntryNode) -> Vec<InstanceId> {
+    let view = node.view();
+    let others = view.members.iter().map(|member| member.instance);
+    others.filter(|instance| *instance != node.me).collect()
+}
+
+fn divide_limits(node: &EntryNode, peers: &PeerEndpoint) {
+    let records = Arc::clone(&node.view().records);
+    let demand = node.limit_board.own_demand(node.me, &node.limits.take_use(), &records);
+    let others = others(node);
+    if !demand.is_empty() {
+        let message = PeerMessage::Limits(LimitBoard::encode(&demand));
+        for instance in &others {
+            peers.send(*instance, &message);
+        }
+    }
+    let mut live = others;
+    live.push(node.me);
+    node.limit_board.divide(node.me, &live, &records, &node.limits);
+}
+
+/// Tells the entry VMs how full the pools are that this VM dispatches.
+fn send_summaries(node: &EntryNode, peers: &PeerEndpoint) {
+    let statuses = node.board.summaries(monotonic_now());
+    if statuses.is_empty() {
+        return;
+    }
+    let summaries: Vec<_> = statuses.into_iter().map(|status| status.summary).collect();
+    let message = PeerMessage::PoolSummaries(SpillBoard::encode(&summaries));
+    node.spill.note(summaries);
+    for instance in others(node) {
+        peers.send(instance, &message);
+    }
+}
+
+fn send_statuses(node: &EntryNode, peers: &PeerEndpoint) {
+    if node.statuses.is_watched() {
+        let message = PeerMessage::Status(StatusMessage::Subscribe.encode());
+        for instance in others(node) {
+            peers.send(instance, &message);
+        }
+    }
+    let subscribers = node.statuses.subscribers();
+    if subscribers.is_empty() {
+        return;
+    }
+    let status = Box::new(node.own_status());
+    let message = PeerMessage::Status(StatusMessage::Report(status).encode());
+    for instance in subscribers {
+        peers.send(instance, &message);
+    }
+}
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -8,6 +8,8 @@
 //! one outcome; a grant for a ticket that is not pending is answered with a release, so that the
 //! dispatcher gets the slot back.
 
+use std::collections::BTreeMap;
+
 use oleander_base::prelude::*;
 use oleander_base::{GrantNotice, HeldGrant, ShedNotice, ShedReason};
 use parking_lot::Mutex;
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -11,7 +11,7 @@
 use oleander_base::prelude::*;
 use oleander_base::{CacheEvent, HeldGrant, LoadReport, ProgressNotice, ReleaseNotice};
 use oleander_decide::{
-    BackendView, ClassView, CustomerView, Decision, PolicyKind, PoolConfig, PoolKind, PoolPolicy,
+    BackendSummary, BackendView, ClassView, CustomerView, Decision, PolicyKind, PoolConfig, PoolKind, PoolPolicy,
     PoolSummary,
 };
 use parking_lot::{Mutex, RwLock};
@@ -215,6 +215,12 @@
         self.ids().into_iter().filter_map(summary).collect()
     }
 
+    /// Returns the figures of every backend server of the pools that are dispatched here.
+    pub fn backend_summaries(&self, now: MonoTime) -> Vec<BackendSummary> {
+        let pools = self.ids().into_iter().filter_map(|id| self.pool(id));
+        pools.flat_map(|pool| pool.lock().policy.backend_summaries(now)).collect()
+    }
+
     /// Returns a summary of one pool.
     pub fn summary(&self, id: PoolId, now: MonoTime) -> Option<PoolSummary> {
         Some(self.pool(id)?.lock().policy.summary(now))
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -162,7 +162,7 @@
     /// Queues a ticket and waits for its outcome or the caller's departure.
     async fn wait_for_slot(&mut self) -> SlotEnd {
         let node = &self.context.node;
-        let Some(choice) = node.choose_pool(ModelId::from_name(&self.job.call.model), self.job.tier) else {
+        let Some(choice) = node.choose_pool(ModelId::from_name(&self.job.call.model)) else {
             return SlotEnd::Refused(no_pool(&self.job.call.model));
         };
         let pool = choice.pool;
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -122,6 +122,15 @@
             .collect()
     }
 
+    /// Returns the last entries, the oldest first.
+    pub fn latest(&self, limit: usize) -> Vec<JournalEntry> {
+        let last = {
+            let ring = self.ring.lock();
+            ring.dropped + ring.entries.len() as u64
+        };
+        self.after(last.saturating_sub(limit as u64), limit)
+    }
+
     fn push(&self, entry: RawEntry) {
         let mut ring = self.ring.lock();
         if ring.entries.len() == JOURNAL_LIMIT {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -16,20 +16,30 @@
     monotonic_now,
 };
 use oleander_decide::{Decision, DecisionNotice};
-use oleander_peer::PeerMessage;
+use oleander_caller::{CallerError, ErrorCode};
+use oleander_peer::{MemberState, PeerMessage};
 use oleander_records::RecordSet;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
 use crate::answer::AnswerShelf;
-use crate::counters::{EntryCounters, bump};
+use crate::changes::ChangeLog;
+use crate::counters::{EntryCounters, ServiceKey, bump};
 use crate::desk::{GrantEffect, TicketDesk, TicketOutcome};
 use crate::dispatch::{DispatchBoard, OfferEnd};
 use crate::journal::Journal;
 use crate::life::{LifeCycle, LifeStage};
+use crate::limit_board::LimitBoard;
+use crate::limits::LimitDesk;
+use crate::retries::RetryDesk;
 use crate::settings::EntrySettings;
+use crate::spill::{PoolChoice, SpillBoard};
+use crate::status::{BackendUse, InstanceStatus, StatusBoard};
 use crate::view::{FleetMember, FleetView};
 
+/// Changes of state in a status.
+const STATUS_CHANGES: usize = 30;
+
 /// The way to the other entry VMs.
 pub trait PeerLink: Send + Sync {
     /// Queues a message for sending; a message that cannot be queued is dropped and counted.
@@ -63,6 +73,20 @@
     pub counters: EntryCounters,
     /// Whether the VM takes requests.
     pub life: LifeCycle,
+    /// Customers' limits here.
+    pub limits: LimitDesk,
+    /// How the limits are divided among the entry VMs.
+    pub limit_board: LimitBoard,
+    /// The budget of repeated attempts.
+    pub retries: RetryDesk,
+    /// How full the pools of all data centres are.
+    pub spill: SpillBoard,
+    /// The other entry VMs' statuses.
+    pub statuses: StatusBoard,
+    /// The last changes of state.
+    pub changes: ChangeLog,
+    /// The members' states as they were last noted.
+    pub member_states: Mutex<FastMap<InstanceId, MemberState>>,
     view: ArcSwap<FleetView>,
     inputs: Mutex<ViewInputs>,
     link: OnceLock<Arc<dyn PeerLink>>,
@@ -99,6 +123,13 @@
             journal,
             counters: EntryCounters::default(),
             life: LifeCycle::default(),
+            limits: LimitDesk::default(),
+            limit_board: LimitBoard::default(),
+            retries: RetryDesk::new(monotonic_now()),
+            spill: SpillBoard::default(),
+            statuses: StatusBoard::default(),
+            changes: ChangeLog::default(),
+            member_states: Mutex::new(FastMap::default()),
             view: ArcSwap::from_pointee(empty),
             inputs: Mutex::new(ViewInputs::default()),
             link: OnceLock::new(),
@@ -165,7 +196,7 @@
                 .pool(id)
                 .is_some_and(|route| route.dispatcher == Some(self.me));
             if !mine && self.board.drop_pool(id) {
-                log::info!("pool {id} is dispatched elsewhere now");
+                self.changes.note(format!("pool {id} is dispatched elsewhere now"), "the live entry VMs changed");
             }
         }
         let mine = view
@@ -176,7 +207,7 @@
                 continue;
             };
             if self.board.take_over(id, &pool_view, now) {
-                log::info!("pool {id} is dispatched here now");
+                self.changes.note(format!("pool {id} is dispatched here now"), "the live entry VMs changed");
             } else {
                 self.deliver(self.board.set_view(id, &pool_view, now));
             }
@@ -464,6 +495,55 @@
         }
     }
 
+    /// Chooses the pool that serves a request of this VM.
+    pub fn choose_pool(&self, model: ModelId) -> Option<PoolChoice> {
+        let spill = self.settings.dispatch.spill;
+        let choice = self.spill.choose(&self.view(), self.centre, model, spill)?;
+        if choice.spilled {
+            bump(&self.counters.process.spilled);
+        }
+        Some(choice)
+    }
+
+    /// Counts a request against its customer's limits, or refuses it.
+    pub fn enter_limits(&self, key: ServiceKey) -> Result<(), CallerError> {
+        match self.limits.enter(key.customer, monotonic_now()) {
+            Ok(()) => {
+                self.counters.count(key, |count| count.accepted += 1);
+                Ok(())
+            }
+            Err(refusal) => {
+                self.counters.count(key, |count| count.over_limit += 1);
+                let error = CallerError::not_run(ErrorCode::OverLimit, refusal.to_string());
+                Err(error.after(refusal.retry_after))
+            }
+        }
+    }
+
+    /// Returns the status of this VM for the screens.
+    pub fn own_status(&self) -> InstanceStatus {
+        let now = monotonic_now();
+        let count = self.desk.count();
+        let held_by_backend = self.desk.held_by_backend();
+        InstanceStatus {
+            instance: self.me,
+            name: self.settings.instance.name.clone(),
+            centre: self.settings.instance.centre.clone(),
+            stage: self.life.stage(),
+            revision: self.view().records.revision,
+            pending: count.pending as u32,
+            held: count.held as u32,
+            held_by_backend: held_by_backend
+                .into_iter()
+                .map(|(backend, held)| BackendUse { backend, held })
+                .collect(),
+            lines: self.counters.lines(),
+            pools: self.board.summaries(now).into_iter().map(|status| status.summary).collect(),
+            backends: self.board.backend_summaries(now),
+            changes: self.changes.latest(STATUS_CHANGES),
+        }
+    }
+
     /// Returns whether the VM takes roles and new requests.
     pub fn is_ready(&self) -> bool {
         self.life.stage() == LifeStage::Ready
--- /dev/null
+++ b/crates/entry/src/operator_desk.rs
@@ -0,0 +1,404 @@
+//! What operators see and change at this entry VM.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use oleander_base::prelude::*;
+use oleander_base::monotonic_now;
+use oleander_decide::{BackendSummary, PoolSummary};
+use oleander_operator::{
+    BackendLine, BackendStage, CentreLine, ChangeLine, ChangeRefusal, ClassLine, CustomerLine,
+    DeskFuture, EntryLine, FleetScreen, MetricName, MetricPoint, OperatorDesk, PoolLine,
+    RecordChange, RecordLine, StopLine, TrafficCount,
+};
+use oleander_peer::{MemberView, PeerEndpoint};
+use oleander_records::StopTarget;
+
+use crate::changes::unix_ms;
+use crate::counters::ServiceCount;
+use crate::metric_table::{METRICS, metric_points};
+use crate::node::EntryNode;
+use crate::records_feed::RecordFeed;
+use crate::status::{InstanceStatus, SeenStatus};
+use crate::view::FleetView;
+
+/// Changes that a screen shows.
+const SCREEN_CHANGES: usize = 40;
+
+/// The operators' desk of one entry VM.
+pub struct EntryDesk {
+    node: Arc<EntryNode>,
+    records: Arc<RecordFeed>,
+    peers: PeerEndpoint,
+}
+
+impl std::fmt::Debug for EntryDesk {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EntryDesk").field("node", &self.node).finish_non_exhaustive()
+    }
+}
+
+impl EntryDesk {
+    /// Makes the desk of a process.
+    pub fn new(node: Arc<EntryNode>, records: Arc<RecordFeed>, peers: PeerEndpoint) -> Self {
+        Self { node, records, peers }
+    }
+}
+
+impl OperatorDesk for EntryDesk {
+    fn screen(&self) -> FleetScreen {
+        self.node.statuses.note_watched();
+        let view = self.node.view();
+        let seen = self.all_statuses();
+        let screen = ScreenMaker { now: monotonic_now(), view: &view, seen: &seen };
+        FleetScreen {
+            at_unix_ms: unix_ms(),
+            shown_by: self.node.settings.instance.name.clone(),
+            revision: view.records.revision.0,
+            policy: self.node.settings.dispatch.policy.to_string(),
+            customers: screen.customers(),
+            classes: screen.classes(),
+            pools: screen.pools(),
+            backends: screen.backends(),
+            entries: screen.entries(&self.peers.members()),
+            centres: screen.centres(&self.peers.members()),
+            stops: screen.stops(),
+            faults: self.records.faults(),
+            changes: screen.changes(),
+        }
+    }
+
+    fn dump_text(&self) -> String {
+        let now = monotonic_now();
+        let node = &self.node;
+        let count = node.desk.count();
+        let mut text = format!("instance {} stage {:?}\n", node.me, node.life.stage());
+        text.push_str(&format!("tickets pending {} slots held {}\n", count.pending, count.held));
+        text.push_str(&format!("answers kept {}\n", node.answers.len()));
+        text.push_str("\n[members]\n");
+        text.push_str(&self.peers.members().dump());
+        text.push_str("\n[records]\n");
+        text.push_str(&self.records.dump());
+        text.push_str("\n[pools]\n");
+        text.push_str(&node.board.dump(now));
+        text.push_str("\n[last decisions]\n");
+        for entry in node.journal.latest(DUMP_DECISIONS) {
+            let line = serde_json::to_string(&entry).unwrap_or_default();
+            text.push_str(&line);
+            text.push('\n');
+        }
+        text
+    }
+
+    fn dump_json(&self) -> String {
+        let status = self.node.own_status();
+        let journal = self.node.journal.latest(DUMP_DECISIONS);
+        let dump = serde_json::json!({
+            "status": status,
+            "members": self.peers.members().dump().lines().collect::<Vec<_>>(),
+            "records": self.records.lines(),
+            "decisions": journal,
+        });
+        dump.to_string()
+    }
+
+    fn journal(&self, after: u64, limit: usize) -> String {
+        let mut text = String::new();
+        for entry in self.node.journal.after(after, limit) {
+            text.push_str(&serde_json::to_string(&entry).unwrap_or_default());
+            text.push('\n');
+        }
+        text
+    }
+
+    fn metric_names(&self) -> &'static [MetricName] {
+        METRICS
+    }
+
+    fn metric_points(&self, name: &str) -> Vec<MetricPoint> {
+        metric_points(&self.node, &self.peers, name)
+    }
+
+    fn records(&self) -> Vec<RecordLine> {
+        self.records.lines()
+    }
+
+    fn check(&self, change: RecordChange) -> Result<(), ChangeRefusal> {
+        self.records.check(&change)
+    }
+
+    fn change(&self, change: RecordChange) -> DeskFuture<Result<u64, ChangeRefusal>> {
+        let records = Arc::clone(&self.records);
+        Box::pin(async move { records.change(change).await })
+    }
+}
+
+/// Decisions in a dump.
+const DUMP_DECISIONS: usize = 200;
+
+impl EntryDesk {
+    fn all_statuses(&self) -> Vec<SeenStatus> {
+        let mut seen = self.node.statuses.seen();
+        seen.retain(|seen| seen.status.instance != self.node.me);
+        seen.push(SeenStatus { status: self.node.own_status(), seen: monotonic_now() });
+        seen
+    }
+}
+
+/// Puts a screen together from statuses and the view.
+struct ScreenMaker<'a> {
+    now: MonoTime,
+    view: &'a FleetView,
+    seen: &'a [SeenStatus],
+}
+
+impl ScreenMaker<'_> {
+    fn age_ms(&self, seen: &SeenStatus) -> u64 {
+        self.now.since(seen.seen).0 / 1_000
+    }
+
+    fn customers(&self) -> Vec<CustomerLine> {
+        let mut counts: BTreeMap<CustomerId, TrafficCount> = BTreeMap::new();
+        for line in self.seen.iter().flat_map(|seen| &seen.status.lines) {
+            counts.entry(line.key.customer).or_default().add(&traffic(&line.count));
+        }
+        let records = self.view.records.customers.iter();
+        records
+            .map(|(customer, record)| CustomerLine {
+                name: record.name.clone(),
+                share: record.share,
+                count: counts.get(customer).copied().unwrap_or_default(),
+            })
+            .collect()
+    }
+
+    fn classes(&self) -> Vec<ClassLine> {
+        let mut counts: BTreeMap<ClassId, TrafficCount> = BTreeMap::new();
+        for line in self.seen.iter().flat_map(|seen| &seen.status.lines) {
+            counts.entry(line.key.class).or_default().add(&traffic(&line.count));
+        }
+        let mut queues: BTreeMap<ClassId, (u32, u32)> = BTreeMap::new();
+        for class in self.pool_summaries().flat_map(|(_, pool)| &pool.classes) {
+            let queue = queues.entry(class.class).or_default();
+            queue.0 += class.queued;
+            queue.1 += class.running;
+        }
+        let records = self.view.records.classes.iter();
+        let mut lines: Vec<ClassLine> = records
+            .map(|(class, record)| {
+                let (queued, running) = queues.get(class).copied().unwrap_or_default();
+                ClassLine {
+                    name: record.name.clone(),
+                    tier: record.tier.0,
+                    first_token_target_ms: record.first_token_target_ms,
+                    queued,
+                    running,
+                    count: counts.get(class).copied().unwrap_or_default(),
+                }
+            })
+            .collect();
+        lines.sort_by(|a, b| (a.tier, &a.name).cmp(&(b.tier, &b.name)));
+        lines
+    }
+
+    fn pool_summaries(&self) -> impl Iterator<Item = (&SeenStatus, &PoolSummary)> {
+        self.seen.iter().flat_map(|seen| seen.status.pools.iter().map(move |pool| (seen, pool)))
+    }
+
+    fn pools(&self) -> Vec<PoolLine> {
+        let mut lines: Vec<PoolLine> = self
+            .pool_summaries()
+            .map(|(seen, pool)| PoolLine {
+                name: self.pool_name(pool.pool),
+                dispatcher: seen.status.name.clone(),
+                slots_used: pool.slots_used,
+                slots_total: pool.slots_total,
+                queued: pool.queued(),
+                saturated: pool.saturated,
+                age_ms: self.age_ms(seen),
+            })
+            .collect();
+        lines.sort_by(|a, b| a.name.cmp(&b.name));
+        lines
+    }
+
+    fn pool_name(&self, pool: PoolId) -> String {
+        let record = self.view.pool(pool).and_then(|route| self.view.backend(*route.backends.first()?));
+        match record {
+            Some(record) => {
+                let served = record.serves.iter().find(|name| ModelId::from_name(name) == pool.model);
+                format!("{}/{}", record.centre, served.map_or("", String::as_str))
+            }
+            None => pool.to_string(),
+        }
+    }
+
+    fn backends(&self) -> Vec<BackendLine> {
+        let mut held: BTreeMap<BackendId, u32> = BTreeMap::new();
+        for used in self.seen.iter().flat_map(|seen| &seen.status.held_by_backend) {
+            *held.entry(used.backend).or_default() += used.held;
+        }
+        let mut known: BTreeMap<BackendId, (&SeenStatus, &BackendSummary)> = BTreeMap::new();
+        for seen in self.seen {
+            known.extend(seen.status.backends.iter().map(|backend| (backend.backend, (seen, backend))));
+        }
+        let mut lines: Vec<BackendLine> = self
+            .view
+            .records
+            .backends
+            .iter()
+            .map(|(id, record)| {
+                let summary = known.get(id).copied();
+                let (stage, reason) = backend_stage(self.view, *id, summary.map(|(_, backend)| backend));
+                BackendLine {
+                    name: record.name.clone(),
+                    centre: record.centre.clone(),
+                    stage,
+                    reason,
+                    running: held.get(id).copied().unwrap_or(0),
+                    limit: summary.map_or(record.slots, |(_, backend)| backend.limit),
+                    speed: summary.map_or(record.speed, |(_, backend)| backend.speed),
+                    age_ms: summary.map_or(0, |(seen, _)| self.age_ms(seen)),
+                }
+            })
+            .collect();
+        lines.sort_by(|a, b| (&a.centre, &a.name).cmp(&(&b.centre, &b.name)));
+        lines
+    }
+
+    fn entries(&self, members: &MemberView) -> Vec<EntryLine> {
+        let status = |instance: InstanceId| self.seen.iter().find(|seen| seen.status.instance == instance);
+        let mut lines: Vec<EntryLine> = members
+            .members
+            .values()
+            .map(|member| {
+                let seen = status(member.instance);
+                let of = |get: fn(&InstanceStatus) -> u64| seen.map_or(0, |seen| get(&seen.status));
+                EntryLine {
+                    name: seen.map_or_else(|| member.instance.to_string(), |seen| seen.status.name.clone()),
+                    instance: member.instance.to_string(),
+                    centre: seen.map_or_else(|| self.centre_name(member.centre), |seen| seen.status.centre.clone()),
+                    stage: member.state.to_string(),
+                    revision: of(|status| status.revision.0).max(member.revision.0),
+                    pending: of(|status| u64::from(status.pending)),
+                    held: of(|status| u64::from(status.held)),
+                    age_ms: seen.map_or(u64::MAX, |seen| self.age_ms(seen)),
+                }
+            })
+            .collect();
+        lines.sort_by(|a, b| (&a.centre, &a.name).cmp(&(&b.centre, &b.name)));
+        lines
+    }
+
+    fn centre_name(&self, centre: CentreId) -> String {
+        let mut records = self.view.records.backends.values();
+        let named = records.find(|record| CentreId::from_name(&record.centre) == centre);
+        named.map_or_else(|| centre.to_string(), |record| record.centre.clone())
+    }
+
+    fn centres(&self, members: &MemberView) -> Vec<CentreLine> {
+        let mut lines: Vec<CentreLine> = members
+            .centres
+            .iter()
+            .map(|(centre, seen)| CentreLine {
+                name: self.centre_name(*centre),
+                seen: seen.visible,
+                unseen_ms: if seen.visible { 0 } else { self.now.since(seen.since).0 / 1_000 },
+                entries: seen.live,
+            })
+            .collect();
+        lines.sort_by(|a, b| a.name.cmp(&b.name));
+        lines
+    }
+
+    fn stops(&self) -> Vec<StopLine> {
+        let mut held: BTreeMap<BackendId, u32> = BTreeMap::new();
+        for used in self.seen.iter().flat_map(|seen| &seen.status.held_by_backend) {
+            *held.entry(used.backend).or_default() += used.held;
+        }
+        let left = |target: &StopTarget| match target {
+            StopTarget::Backend(name) => held.get(&BackendId::from_name(name)).copied().unwrap_or(0),
+            StopTarget::Entry(address) => {
+                let mut seen = self.seen.iter();
+                seen.find(|seen| seen.status.instance.address == *address).map_or(0, |seen| seen.status.held)
+            }
+            StopTarget::Centre(name) => self.held_in_centre(name, &held),
+        };
+        let records = self.view.records.stops.values();
+        records
+            .map(|record| StopLine {
+                name: record.name.clone(),
+                target: stop_text(&record.target),
+                reason: record.reason.clone(),
+                streams_left: left(&record.target),
+            })
+            .collect()
+    }
+
+    fn held_in_centre(&self, name: &str, held: &BTreeMap<BackendId, u32>) -> u32 {
+        let inside = self.view.records.backends.iter().filter(|(_, record)| record.centre == name);
+        inside.filter_map(|(backend, _)| held.get(backend)).sum()
+    }
+
+    fn changes(&self) -> Vec<ChangeLine> {
+        let mut lines: Vec<ChangeLine> = self
+            .seen
+            .iter()
+            .flat_map(|seen| seen.status.changes.iter().map(move |change| (seen, change)))
+            .map(|(seen, change)| ChangeLine {
+                at_unix_ms: change.at_unix_ms,
+                seen_by: seen.status.name.clone(),
+                what: change.what.clone(),
+                reason: change.reason.clone(),
+            })
+            .collect();
+        lines.sort_by_key(|line| std::cmp::Reverse(line.at_unix_ms));
+        lines.truncate(SCREEN_CHANGES);
+        lines
+    }
+}
+
+fn backend_stage(
+    view: &FleetView,
+    id: BackendId,
+    summary: Option<&BackendSummary>,
+) -> (BackendStage, String) {
+    if view.leaving.contains(&id) {
+        return (BackendStage::Leaving, "a planned stop, the VM list or the server says so".to_owned());
+    }
+    match summary {
+        None => (BackendStage::Joining, "no dispatcher reports on it yet".to_owned()),
+        Some(summary) if summary.leaving => (BackendStage::Leaving, "its load report says so".to_owned()),
+        Some(summary) if summary.ejected => (BackendStage::Ejected, "it failed; a trickle of work probes it".to_owned()),
+        Some(_) => (BackendStage::Serving, String::new()),
+    }
+}
+
+fn stop_text(target: &StopTarget) -> String {
+    match target {
+        StopTarget::Backend(name) => format!("backend server {name}"),
+        StopTarget::Entry(address) => format!("entry VM {address}"),
+        StopTarget::Centre(name) => format!("data centre {name}"),
+    }
+}
+
+fn traffic(count: &ServiceCount) -> TrafficCount {
+    TrafficCount {
+        accepted: count.accepted,
+        over_limit: count.over_limit,
+        shed: count.shed,
+        whole: count.whole,
+        on_time: count.on_time,
+        failed: count.failed,
+        cancelled: count.cancelled,
+        goodput: count.goodput,
+        useful_tokens: count.useful_tokens,
+        wasted_tokens: count.wasted_tokens,
+    }
+}
+
+/// Reads a process counter for the metrics.
+pub(crate) fn read_counter(counter: &std::sync::atomic::AtomicU64) -> f64 {
+    counter.load(Ordering::Relaxed) as f64
+}
--- /dev/null
+++ b/crates/entry/src/peering.rs
@@ -0,0 +1,127 @@
+//! The receiver of everything that other entry VMs send.
+
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use oleander_base::prelude::*;
+use oleander_once::OnceGuard;
+use oleander_peer::{PeerCall, PeerEndpoint, PeerHandler, PeerMessage, PeerReply, PeerStream, StreamOpen};
+
+use crate::forward::ForwardDesk;
+use crate::node::{EntryNode, PeerLink};
+use crate::reconnect::serve_reconnect;
+use crate::records_feed::RecordFeed;
+use crate::serve_service::known_request;
+use crate::status::StatusMessage;
+
+/// What peers can ask of this process; the parts are set while it starts.
+#[derive(Default)]
+pub struct PeerDesk {
+    parts: OnceLock<PeerParts>,
+}
+
+/// The parts of a process that answer peers.
+#[derive(Clone)]
+pub struct PeerParts {
+    /// The shared state.
+    pub node: Arc<EntryNode>,
+    /// The guard of non-idempotent requests.
+    pub guard: Arc<dyn OnceGuard>,
+    /// The records.
+    pub records: Arc<RecordFeed>,
+    /// Where forwarded calls run.
+    pub forwards: ForwardDesk,
+}
+
+impl std::fmt::Debug for PeerDesk {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PeerDesk").finish_non_exhaustive()
+    }
+}
+
+impl std::fmt::Debug for PeerParts {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PeerParts").finish_non_exhaustive()
+    }
+}
+
+impl PeerDesk {
+    /// Sets the parts; what peers send before that is dropped, and they send it again.
+    pub fn open(&self, parts: PeerParts) {
+        let _ = self.parts.set(parts);
+    }
+}
+
+impl PeerHandler for PeerDesk {
+    fn on_message(&self, from: InstanceId, message: PeerMessage) {
+        let Some(parts) = self.parts.get() else { return };
+        match message {
+            PeerMessage::Records(bytes) => parts.records.on_gossip(from, &bytes),
+            PeerMessage::Status(bytes) => {
+                if let Some(message) = StatusMessage::decode(&bytes) {
+                    parts.node.statuses.on_message(from, message);
+                }
+            }
+            PeerMessage::Limits(bytes) => parts.node.limit_board.on_message(from, &bytes),
+            PeerMessage::PoolSummaries(bytes) => parts.node.spill.on_message(&bytes),
+            dispatch => parts.node.on_dispatch(from, dispatch),
+        }
+    }
+
+    fn on_call(&self, _from: InstanceId, call: PeerCall) -> BoxFuture<'static, PeerReply> {
+        let Some(parts) = self.parts.get().cloned() else {
+            return Box::pin(async { PeerReply::Refused("this entry VM is starting".to_owned()) });
+        };
+        Box::pin(async move {
+            match call {
+                PeerCall::FetchRecords(after) => PeerReply::Answer(parts.records.delta_after(&after)),
+                PeerCall::FetchSnapshot(_) => PeerReply::Answer(parts.records.snapshot()),
+                PeerCall::ForwardRequest(body) => parts.forwards.run(body).await,
+                PeerCall::RequestStatus(id) => request_status(&parts, id),
+            }
+        })
+    }
+
+    fn on_stream(&self, _from: InstanceId, open: StreamOpen, stream: PeerStream) {
+        let Some(parts) = self.parts.get().cloned() else { return };
+        match open {
+            StreamOpen::Reconnect(head) => {
+                tokio::spawn(serve_reconnect(parts.node, head, stream));
+            }
+            StreamOpen::ForwardRequest(_) => log::debug!("a stream of a kind that is not served"),
+        }
+    }
+
+    fn on_woke_up(&self, paused: Duration) {
+        if let Some(parts) = self.parts.get() {
+            let what = format!("this process was paused for {:.1} s", paused.as_secs_f64());
+            parts.node.changes.note(what, "the monotonic clock jumped; old state is checked first");
+        }
+    }
+}
+
+fn request_status(parts: &PeerParts, id: RequestId) -> PeerReply {
+    let known = parts.guard.lookup(id).and_then(known_request);
+    let bytes = known.and_then(|known| postcard::to_allocvec(&known).ok());
+    match bytes {
+        Some(bytes) => PeerReply::Answer(bytes.into()),
+        None => PeerReply::Refused("the request is not known here".to_owned()),
+    }
+}
+
+/// The way to the other entry VMs over their endpoint.
+#[derive(Clone)]
+pub struct EndpointLink(pub PeerEndpoint);
+
+impl std::fmt::Debug for EndpointLink {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EndpointLink").finish_non_exhaustive()
+    }
+}
+
+impl PeerLink for EndpointLink {
+    fn send(&self, to: InstanceId, message: PeerMessage) {
+        self.0.send(to, &message);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/process.rs
@@ -0,0 +1,253 @@
+//! Starts the parts of an entry VM's process, and stops them in order.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use ntex::web::{App, HttpServer};
+use oleander_base::prelude::*;
+use oleander_base::{monotonic_now, process_origin};
+use oleander_once::{
+    ClaimBook, ClaimSettings, GuardParts, GuardSettings, LoneRoute, MonoClock, OnceGuard, RequestGuard,
+    ShortSecret, TokenIssuer, TokenKey,
+};
+use oleander_operator::{OperatorContext, OperatorDesk};
+use oleander_peer::{PeerEndpoint, PeerError, PeerSettings, TlsFiles};
+use thiserror::Error;
+use tokio::runtime::{Builder, Runtime};
+
+use crate::control::run_control;
+use crate::forward::ForwardDesk;
+use crate::life::LifeStage;
+use crate::node::EntryNode;
+use crate::operator_desk::EntryDesk;
+use crate::peering::{EndpointLink, PeerDesk, PeerParts};
+use crate::records_feed::RecordFeed;
+use crate::serve::spawn_callers;
+use crate::server::ServerThread;
+use crate::settings::EntrySettings;
+use crate::worker::SharedContext;
+
+/// Threads for peers, the platform and periodic work.
+const BACKGROUND_THREADS: usize = 2;
+/// How often a draining process looks whether its last request has ended.
+const DRAIN_PERIOD: Duration = Duration::from_millis(100);
+/// How long a process that leaves goes on serving new requests, for balancers to notice.
+const LEAVE_GRACE: Duration = Duration::from_secs(2);
+/// The reference of the peers' weights.
+const WEIGHT_UNIT: f64 = PeerSettings::REFERENCE_WEIGHT as f64;
+
+/// Why a process could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// A socket or thread could not be had.
+    #[error("{what}: {error}")]
+    System {
+        /// What was tried.
+        what: String,
+        /// What the system said.
+        error: io::Error,
+    },
+    /// The peers' endpoint could not be opened.
+    #[error(transparent)]
+    Peers(#[from] PeerError),
+    /// The key of bound tokens is too short.
+    #[error("the key file {file} is too short for a token key: {error}")]
+    TokenKey {
+        /// The file.
+        file: PathBuf,
+        /// What is wrong.
+        error: ShortSecret,
+    },
+    /// The metrics could not be registered.
+    #[error("the metrics cannot be registered: {0}")]
+    Metrics(String),
+}
+
+fn system(what: impl Into<String>) -> impl FnOnce(io::Error) -> StartError {
+    let what = what.into();
+    move |error| StartError::System { what, error }
+}
+
+/// The clock that all parts share.
+#[derive(Debug, Clone, Copy)]
+struct NodeClock;
+
+impl MonoClock for NodeClock {
+    fn now(&self) -> MonoTime {
+        monotonic_now()
+    }
+}
+
+/// A running entry VM.
+pub struct EntryProcess {
+    node: Arc<EntryNode>,
+    peers: PeerEndpoint,
+    callers: ServerThread,
+    operators: ServerThread,
+    records: Arc<RecordFeed>,
+    runtime: Option<Runtime>,
+}
+
+impl std::fmt::Debug for EntryProcess {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EntryProcess").field("node", &self.node).finish_non_exhaustive()
+    }
+}
+
+impl EntryProcess {
+    /// Starts every part; requests are refused until records are in force.
+    pub fn spawn(settings: EntrySettings) -> Result<Self, StartError> {
+        let runtime = background_runtime()?;
+        let callers = listen("callers", settings.callers.listen)?;
+        let operators = listen("operators", settings.operators.listen)?;
+        let operator_key = read_secret(&settings.operators.key_file)?;
+        let issuer = token_issuer(&settings.platform.token_key_file)?;
+        let desk = Arc::new(PeerDesk::default());
+        let peers = PeerEndpoint::bind(peer_settings(&settings, &runtime), desk.clone())?;
+        let node = EntryNode::new(settings, peers.instance());
+        node.connect(Arc::new(EndpointLink(peers.clone())));
+        let guard = open_guard(&node, issuer, &runtime);
+        let shared = SharedContext { node: Arc::clone(&node), guard: Arc::clone(&guard), peers: peers.clone() };
+        let records = Arc::new(RecordFeed::new(Arc::clone(&node)));
+        let forwards = ForwardDesk::spawn(shared.clone()).map_err(system("forwarded calls"))?;
+        desk.open(PeerParts { node: Arc::clone(&node), guard, records: Arc::clone(&records), forwards });
+        runtime.spawn(run_control(Arc::clone(&node), peers.clone()));
+        let entry_desk = EntryDesk::new(Arc::clone(&node), Arc::clone(&records), peers.clone());
+        let operators = spawn_operators(Arc::new(entry_desk), &operator_key, operators)?;
+        let callers = spawn_callers(shared, callers).map_err(system("the callers' server"))?;
+        node.changes.note(format!("entry VM {} started", node.me), "the process was started");
+        Ok(Self { node, peers, callers, operators, records, runtime: Some(runtime) })
+    }
+
+    /// Returns the shared state.
+    pub fn node(&self) -> &Arc<EntryNode> {
+        &self.node
+    }
+
+    /// Returns the records.
+    pub fn records(&self) -> &Arc<RecordFeed> {
+        &self.records
+    }
+
+    /// Returns where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Returns where operators connect.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// Serves until SIGTERM or SIGINT, then drains.
+    pub fn run_until_signal(mut self) {
+        let runtime = self.runtime.take().expect("the runtime is there until the end");
+        let signal = runtime.block_on(wait_for_signal());
+        match signal {
+            Ok(name) => self.leave(name),
+            Err(error) => log::error!("signals cannot be received: {error}"),
+        }
+        runtime.block_on(drain(&self.node));
+        self.peers.shutdown();
+        self.callers.stop();
+        self.operators.stop();
+        runtime.shutdown_background();
+    }
+
+    /// Begins a planned stop: the readiness check fails and the roles go to other entry VMs.
+    pub fn leave(&self, reason: &str) {
+        if self.node.life.enter(LifeStage::Leaving) {
+            self.node.changes.note(format!("entry VM {} is leaving", self.node.me), reason);
+        }
+        self.peers.leave();
+    }
+
+    /// Stops at once; what still runs is cut off.
+    pub fn stop(mut self) {
+        self.peers.shutdown();
+        self.callers.stop();
+        self.operators.stop();
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+fn background_runtime() -> Result<Runtime, StartError> {
+    Builder::new_multi_thread()
+        .worker_threads(BACKGROUND_THREADS)
+        .thread_name("background")
+        .enable_all()
+        .build()
+        .map_err(system("background threads"))
+}
+
+fn listen(name: &str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).map_err(system(format!("the {name}' socket on {address}")))
+}
+
+fn read_secret(file: &Path) -> Result<String, StartError> {
+    let text = std::fs::read_to_string(file).map_err(system(format!("file {}", file.display())))?;
+    Ok(text.trim().to_owned())
+}
+
+fn token_issuer(file: &Path) -> Result<TokenIssuer, StartError> {
+    let secret = read_secret(file)?;
+    let key = TokenKey::new(1, secret.as_bytes())
+        .map_err(|error| StartError::TokenKey { file: file.to_owned(), error })?;
+    Ok(TokenIssuer::new(key, None))
+}
+
+fn peer_settings(settings: &EntrySettings, runtime: &Runtime) -> PeerSettings {
+    let section = &settings.peers;
+    let tls = TlsFiles {
+        certificate: section.certificate.clone(),
+        key: section.key.clone(),
+        authority: section.authority.clone(),
+    };
+    let centre = CentreId::from_name(&settings.instance.centre);
+    let mut peers = PeerSettings::new(section.listen, centre, tls);
+    peers.weight = (settings.instance.weight * WEIGHT_UNIT).clamp(1.0, f64::from(u16::MAX)) as u16;
+    peers.seeds.clone_from(&section.seeds);
+    peers.runtime = Some(runtime.handle().clone());
+    peers.origin = process_origin();
+    peers
+}
+
+fn spawn_operators(
+    desk: Arc<dyn OperatorDesk>,
+    key: &str,
+    listener: TcpListener,
+) -> Result<ServerThread, StartError> {
+    let context = OperatorContext::open(desk, key).map_err(StartError::Metrics)?;
+    let server = ServerThread::spawn("operators", listener, move |listener| {
+        let server = HttpServer::new(async move || {
+            let context = context.clone();
+            App::new().configure(move |config| context.configure(config))
+        });
+        Ok(server.workers(1).disable_signals().listen(listener)?.run())
+    });
+    server.map_err(system("the operators' server"))
+}
+
+async fn wait_for_signal() -> io::Result<&'static str> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => Ok("SIGTERM"),
+        _ = interrupt.recv() => Ok("SIGINT"),
+    }
+}
+
+/// Waits until the last request has ended, however long that takes.
+async fn drain(node: &EntryNode) {
+    tokio::time::sleep(LEAVE_GRACE).await;
+    while node.is_busy() {
+        tokio::time::sleep(DRAIN_PERIOD).await;
+    }
+    node.changes.note(format!("entry VM {} stops", node.me), "its last request has ended");
+}
--- /dev/null
+++ b/crates/entry/src/reconnect.rs
@@ -0,0 +1,130 @@
+//! Answers that a caller reads on at another entry VM than the one that holds them.
+//!
+//! The VM where the caller came back opens a stream to the home of the request and passes its
+//! bytes on. The home writes the same text that it would send to the caller itself.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt, stream};
+use oleander_base::prelude::*;
+use oleander_caller::{CallerError, ErrorCode};
+use oleander_peer::{PeerEndpoint, PeerReceiver, PeerStream, StreamOpen};
+use serde::{Deserialize, Serialize};
+
+use crate::answer::{AnswerReader, EventsDropped};
+use crate::node::EntryNode;
+use crate::sse::{EventBody, EventPlace};
+
+/// The first bytes of a stream: who reads, and from where.
+#[derive(Debug, Serialize, Deserialize)]
+struct ReconnectHead {
+    request: RequestId,
+    customer: CustomerId,
+    number: u64,
+    tokens: u32,
+}
+
+/// The first byte of the home's answer if it holds the answer.
+const FOUND: u8 = 1;
+/// The first byte if it does not.
+const MISSING: u8 = 0;
+
+/// Places a reader in an answer that this VM holds.
+pub(crate) fn local_reader(
+    node: &EntryNode,
+    customer: CustomerId,
+    request: RequestId,
+    place: EventPlace,
+) -> Result<AnswerReader, CallerError> {
+    let buffer = Some(request)
+        .filter(|request| request.home == node.me)
+        .and_then(|request| node.answers.get(request.serial))
+        .filter(|buffer| buffer.customer == customer)
+        .ok_or_else(|| missing(request))?;
+    buffer.reader(place.number).map_err(|EventsDropped| missing(request))
+}
+
+fn missing(request: RequestId) -> CallerError {
+    let message = "this answer is not kept any more; send the request again with last-event-id";
+    CallerError::not_run(ErrorCode::NotFound, message).of(request).with_verdict(Verdict::MayHaveRun)
+}
+
+/// Opens the rest of an answer at its home; the stream ends in an error unless it is whole.
+pub(crate) async fn remote_events(
+    peers: &PeerEndpoint,
+    customer: CustomerId,
+    request: RequestId,
+    place: EventPlace,
+) -> Result<impl Stream<Item = Result<ntex::util::Bytes, CallerError>> + use<>, CallerError> {
+    let head = ReconnectHead { request, customer, number: place.number, tokens: place.tokens };
+    let head = postcard::to_allocvec(&head).map_err(|_| missing(request))?;
+    let opened = peers.open_stream(request.home, StreamOpen::Reconnect(head.into())).await;
+    let mut opened = opened.map_err(|_| missing(request))?;
+    let first = match opened.receive().await {
+        Ok(Some(bytes)) if bytes[0] == FOUND => bytes.slice(1..),
+        _ => return Err(missing(request)),
+    };
+    let (sender, receiver) = opened.split();
+    let state = RemoteEvents { receiver, _sender: sender, first: Some(first), request };
+    Ok(stream::unfold(Some(state), |state| async move { state?.next().await }).boxed_local())
+}
+
+struct RemoteEvents {
+    receiver: PeerReceiver,
+    /// Dropping the sender tells the home that the caller left.
+    _sender: oleander_peer::PeerSender,
+    first: Option<Bytes>,
+    request: RequestId,
+}
+
+type EventItem = (Result<ntex::util::Bytes, CallerError>, Option<RemoteEvents>);
+
+impl RemoteEvents {
+    async fn next(mut self) -> Option<EventItem> {
+        if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
+            return Some((Ok(copy(&first)), Some(self)));
+        }
+        match self.receiver.receive().await {
+            Ok(Some(bytes)) => Some((Ok(copy(&bytes)), Some(self))),
+            Ok(None) => None,
+            Err(error) => {
+                let broken = CallerError::not_run(ErrorCode::BackendFailed, error.to_string())
+                    .of(self.request)
+                    .with_verdict(Verdict::MayHaveRun);
+                Some((Err(broken), None))
+            }
+        }
+    }
+}
+
+fn copy(bytes: &Bytes) -> ntex::util::Bytes {
+    ntex::util::Bytes::copy_from_slice(bytes)
+}
+
+/// Serves a caller that came back at another entry VM.
+pub(crate) async fn serve_reconnect(node: Arc<EntryNode>, head: Bytes, mut stream: PeerStream) {
+    let reader = postcard::from_bytes::<ReconnectHead>(&head).ok().and_then(|head| {
+        let place = EventPlace { number: head.number, tokens: head.tokens };
+        local_reader(&node, head.customer, head.request, place).ok()
+    });
+    let Some(reader) = reader else {
+        if stream.send(Bytes::from_static(&[MISSING])).await.is_ok() {
+            stream.finish();
+        }
+        return;
+    };
+    let (mut sender, _receiver) = stream.split();
+    if sender.send(Bytes::from_static(&[FOUND])).await.is_err() {
+        return;
+    }
+    let mut events = EventBody::new(reader);
+    while let Some(event) = events.next().await {
+        let Ok(text) = event else { return };
+        if sender.send(Bytes::copy_from_slice(&text)).await.is_err() {
+            return;
+        }
+    }
+    sender.finish();
+    sender.stopped().await;
+}
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -10,6 +10,7 @@
 use ntex::http::HeaderMap;
 use ntex::server::Server;
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
+use ntex::http::ResponseBuilder as HttpResponseBuilder;
 use oleander_base::monotonic_now;
 use oleander_base::prelude::*;
 use oleander_caller::{
@@ -21,6 +22,8 @@
 use crate::counters::{ServiceKey, bump};
 use crate::drive::{CompletionJob, RequestDrive};
 use crate::life::LifeStage;
+use crate::reconnect::{local_reader, remote_events};
+use crate::serve_service::{service, status, tokens};
 use crate::server::ServerThread;
 use crate::sse::{EventBody, EventPlace};
 use crate::worker::{SharedContext, WorkerContext};
@@ -28,7 +31,7 @@
 /// The longest that an answer stays for a caller that has gone, in seconds.
 const KEEP_LIMIT_SECS: u64 = 120;
 
-type Context = web::types::State<Rc<WorkerContext>>;
+pub(crate) type Context = web::types::State<Rc<WorkerContext>>;
 
 /// Starts the callers' server.
 pub fn spawn_callers(shared: SharedContext, listener: TcpListener) -> io::Result<ServerThread> {
@@ -41,6 +44,9 @@
                 .service(web::resource("/v1/completions").route(web::post().to(text)))
                 .service(web::resource("/v1/models").route(web::get().to(models)))
                 .service(web::resource("/v1/requests/{id}/events").route(web::get().to(reconnect)))
+                .service(web::resource("/v1/requests/{id}").route(web::get().to(status)))
+                .service(web::resource("/v1/tokens").route(web::post().to(tokens)))
+                .service(web::resource("/services/{name}/{rest}*").route(web::route().to(service)))
                 .service(web::resource("/healthz").route(web::get().to(health)))
                 .service(web::resource("/readyz").route(web::get().to(readiness)))
                 .default_service(web::route().to(not_found))
@@ -178,19 +184,8 @@
 
 /// Counts the request against its customer's limits.
 fn enter_limits(context: &WorkerContext, job: &CompletionJob) -> Result<(), CallerError> {
-    let node = &context.node;
     let key = ServiceKey { customer: job.customer, class: job.class };
-    match node.limits.enter(job.customer, monotonic_now()) {
-        Ok(()) => {
-            node.counters.count(key, |count| count.accepted += 1);
-            Ok(())
-        }
-        Err(refusal) => {
-            node.counters.count(key, |count| count.over_limit += 1);
-            let error = CallerError::not_run(ErrorCode::OverLimit, refusal.to_string());
-            Err(error.after(refusal.retry_after).of(job.request))
-        }
-    }
+    context.node.enter_limits(key).map_err(|error| error.of(job.request))
 }
 
 fn keep_span(headers: &HeaderMap) -> Result<Span, CallerError> {
@@ -235,11 +230,15 @@
 
 /// Returns the answer to a caller that reads events.
 pub(crate) fn stream_response(id: RequestId, reader: AnswerReader) -> HttpResponse {
-    HttpResponse::Ok()
-        .content_type("text/event-stream")
-        .header("cache-control", "no-store")
-        .header(REQUEST_HEADER, id.to_string())
-        .streaming(EventBody::new(reader))
+    event_response(id).streaming(EventBody::new(reader))
+}
+
+fn event_response(id: RequestId) -> HttpResponseBuilder {
+    let mut response = HttpResponse::Ok();
+    response.content_type("text/event-stream");
+    response.header("cache-control", "no-store");
+    response.header(REQUEST_HEADER, id.to_string());
+    response
 }
 
 async fn whole_response(
@@ -280,25 +279,11 @@
         .parse()
         .map_err(|error| CallerError::not_run(ErrorCode::BadRequest, format!("{error}")))?;
     let place = resume_place(request.headers())?;
-    let reader = local_reader(context, identity.customer, id, place)?;
-    Ok(stream_response(id, reader))
-}
-
-/// Places a reader in an answer that this VM holds.
-pub(crate) fn local_reader(
-    context: &WorkerContext,
-    customer: CustomerId,
-    id: RequestId,
-    place: EventPlace,
-) -> Result<AnswerReader, CallerError> {
-    let missing = || {
-        let message = "this answer is not kept any more; send the request again with last-event-id";
-        CallerError::not_run(ErrorCode::NotFound, message).of(id).with_verdict(Verdict::MayHaveRun)
-    };
-    let buffer = Some(id)
-        .filter(|id| id.home == context.node.me)
-        .and_then(|id| context.node.answers.get(id.serial))
-        .filter(|buffer| buffer.customer == customer)
-        .ok_or_else(missing)?;
-    buffer.reader(place.number).map_err(|_| missing())
+    if id.home == context.node.me {
+        let reader = local_reader(&context.node, identity.customer, id, place)?;
+        return Ok(stream_response(id, reader));
+    }
+    bump(&context.node.counters.process.forwarded);
+    let events = remote_events(&context.shared.peers, identity.customer, id, place).await?;
+    Ok(event_response(id).streaming(events))
 }
--- a/crates/entry/src/serve_service.rs
+++ b/crates/entry/src/serve_service.rs
@@ -85,7 +85,7 @@
     let identity = identify(headers, &view.records)?;
     let choice = context
         .node
-        .choose_pool(ModelId::from_name(&path.name), identity.tier)
+        .choose_pool(ModelId::from_name(&path.name))
         .ok_or_else(|| no_service(&path.name))?;
     let route = view.pool(choice.pool).ok_or_else(|| no_service(&path.name))?;
     let record = route.backends.iter().find_map(|backend| view.backend(*backend));
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use oleander_base::prelude::*;
 use oleander_base::monotonic_now;
-use oleander_decide::PoolSummary;
+use oleander_decide::{BackendSummary, PoolSummary};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +45,8 @@
     pub lines: Vec<ServiceLine>,
     /// Pools that it dispatches.
     pub pools: Vec<PoolSummary>,
+    /// Backend servers of these pools.
+    pub backends: Vec<BackendSummary>,
     /// Its last changes of state, the newest first.
     pub changes: Vec<ChangeEntry>,
 }
