--- a/crates/once/src/handle.rs
+++ b/crates/once/src/handle.rs
@@ -1,12 +1,12 @@
 //! The claim book as a running service: claims a key before the send, once over the fleet.
 
-use std::fmt;
+use std::fmt::{self, Write as _};
 use std::sync::Arc;
 
-use bytes::Bytes;
 use oleander_base::prelude::*;
-use oleander_platform::{Expected, KeyValueStore, StoreError};
+use oleander_platform::KeyValueStore;
 use parking_lot::Mutex;
+use tokio::time::timeout;
 
 use crate::answer::{KeptAnswer, KeptResult};
 use crate::book::{BookStep, ClaimOutcome, ClaimRecords};
@@ -14,6 +14,8 @@
 use crate::hash::{BodyHash, KeyHash};
 use crate::route::{ClaimEntry, ClaimReply, ClaimRoute, CommitPlace, NotWritten, ShardId};
 use crate::settings::ClaimSettings;
+use crate::shard::{ShardDoor, ShardParts};
+use crate::stats::{ClaimCounters, ClaimStats};
 
 /// A request's wish to claim a key.
 #[derive(Debug, Clone, Copy)]
@@ -51,11 +53,23 @@
         settings: ClaimSettings,
     ) -> ClaimHandle {
         let records = ClaimRecords::new(me, settings.book_limits());
-        let shared = ClaimShared {
+        let counters = Arc::new(ClaimCounters::default());
+        let parts = Arc::new(ShardParts {
             store,
+            clock: Arc::clone(&clock),
+            route: Arc::clone(&route),
+            settings,
+            counters: Arc::clone(&counters),
+        });
+        let shards = (0..settings.shards.max(1))
+            .map(|shard| ShardDoor::spawn(ShardId(shard), Arc::clone(&parts)))
+            .collect();
+        let shared = ClaimShared {
             clock,
             route,
             settings,
+            counters,
+            shards,
             records: Mutex::new(records),
         };
         ClaimHandle {
@@ -65,10 +79,11 @@
 }
 
 struct ClaimShared {
-    store: Arc<dyn KeyValueStore>,
     clock: Arc<dyn MonoClock>,
     route: Arc<dyn ClaimRoute>,
     settings: ClaimSettings,
+    counters: Arc<ClaimCounters>,
+    shards: Vec<ShardDoor>,
     records: Mutex<ClaimRecords>,
 }
 
@@ -80,13 +95,10 @@
 
 impl ClaimHandle {
     /// Claims a key for a request, or tells what is known of it.
+    ///
+    /// A caller that drops the future gives the claim up: the request is never sent under it.
     pub async fn claim(&self, wish: KeyClaim) -> ClaimAnswer {
-        let now = self.shared.clock.now();
-        let step =
-            self.shared
-                .records
-                .lock()
-                .begin(wish.key, wish.body, wish.request, wish.arrived, now);
+        let step = self.begin(&wish);
         if step != BookStep::Claim {
             return ClaimAnswer::Book(step);
         }
@@ -100,57 +112,66 @@
             request: wish.request,
         };
         let wait = self.shared.settings.claim_wait;
-        let reply = tokio::time::timeout(wait, self.reach_log(entry)).await;
-        let reply = reply.unwrap_or(ClaimReply::Unknown);
-        let now = self.shared.clock.now();
-        let mut records = self.shared.records.lock();
-        let outcome = records.settle(wish.key, wish.request, reply, now);
-        drop(records);
+        let reply = timeout(wait, self.reach_log(entry)).await;
+        let outcome = self.settle(&wish, reply.unwrap_or(ClaimReply::Unknown));
         drop(guard);
         ClaimAnswer::Log(outcome)
     }
 
+    fn begin(&self, wish: &KeyClaim) -> BookStep {
+        let now = self.shared.clock.now();
+        let mut records = self.shared.records.lock();
+        records.begin(wish.key, wish.body, wish.request, wish.arrived, now)
+    }
+
+    fn settle(&self, wish: &KeyClaim, reply: ClaimReply) -> ClaimOutcome {
+        let now = self.shared.clock.now();
+        let mut records = self.shared.records.lock();
+        records.settle(wish.key, wish.request, reply, now)
+    }
+
+    /// Asks the shard's committer, and commits here where it gives no certain reply.
+    ///
+    /// The same claim may so be written by two committers; the log takes it once, since its
+    /// request's id is the same.
     async fn reach_log(&self, entry: ClaimEntry) -> ClaimReply {
         let shard = ShardId::of(entry.key, self.shared.settings.shards);
+        self.shared.counters.claims.add(1);
+        let mut is_unsettled = false;
         if let CommitPlace::Peer(peer) = self.shared.route.place(shard) {
-            let carried = self.shared.route.carry(peer, entry).await;
-            if let Ok(reply) = carried {
-                return reply;
+            match self.carry(peer, entry).await {
+                reply @ (ClaimReply::Granted | ClaimReply::Taken { .. }) => return reply,
+                ClaimReply::Unknown => is_unsettled = true,
+                ClaimReply::NotWritten(_) => {}
             }
         }
-        self.commit(entry).await
+        match self.commit(entry).await {
+            ClaimReply::NotWritten(_) if is_unsettled => ClaimReply::Unknown,
+            reply => reply,
+        }
+    }
+
+    async fn carry(&self, peer: InstanceId, entry: ClaimEntry) -> ClaimReply {
+        self.shared.counters.carried.add(1);
+        let wait = self.shared.settings.claim_wait / 2;
+        match timeout(wait, self.shared.route.carry(peer, entry)).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(_)) | Err(_) => ClaimReply::Unknown,
+        }
     }
 
     /// Commits a claim here, for this instance or for a peer.
     pub async fn commit(&self, entry: ClaimEntry) -> ClaimReply {
-        let key = format!("claims/{}", entry.key);
-        let value = postcard::to_allocvec(&entry).map(Bytes::from);
-        let Ok(value) = value else {
-            return ClaimReply::NotWritten(NotWritten::Overloaded);
-        };
-        let put = self.shared.store.put(&key, Expected::Absent, value, None);
-        match put.await {
-            Ok(_) => ClaimReply::Granted,
-            Err(StoreError::Conflict { .. }) => self.read_holder(&key, entry).await,
-            Err(error) if error.verdict() == Verdict::NotRun => {
-                ClaimReply::NotWritten(NotWritten::StoreAway)
-            }
-            Err(_) => self.read_holder(&key, entry).await,
+        let shard = ShardId::of(entry.key, self.shared.settings.shards);
+        match self.shared.shards.get(usize::from(shard.0)) {
+            Some(door) => door.commit(entry).await,
+            None => ClaimReply::NotWritten(NotWritten::StoreAway),
         }
     }
 
-    async fn read_holder(&self, key: &str, entry: ClaimEntry) -> ClaimReply {
-        let Ok(Some(found)) = self.shared.store.get(key).await else {
-            return ClaimReply::Unknown;
-        };
-        match postcard::from_bytes::<ClaimEntry>(&found.value) {
-            Ok(holder) if holder.request == entry.request => ClaimReply::Granted,
-            Ok(holder) => ClaimReply::Taken {
-                holder: holder.request,
-                body: holder.body,
-            },
-            Err(_) => ClaimReply::Unknown,
-        }
+    /// Returns the counters of this instance's part in the log.
+    pub fn stats(&self) -> ClaimStats {
+        self.shared.counters.read()
     }
 
     /// Records how a request under a claim ended.
@@ -172,7 +193,11 @@
 
     /// Returns the state as text.
     pub fn dump(&self) -> String {
-        self.shared.records.lock().dump()
+        let mut text = self.shared.records.lock().dump();
+        for (shard, door) in self.shared.shards.iter().enumerate() {
+            let _ = writeln!(text, "claim log shard{shard}: {}", door.dump());
+        }
+        text
     }
 }
 
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -7,7 +7,8 @@
 //!   instance's memory decides, so the way needs no store and holds under every partition.
 //! - A caller's Idempotency-Key is claimed by compare-and-swap in the platform's key-value
 //!   service ([`ClaimBook`]) before the send. What the log says of ownership and what the owner
-//!   did with it are kept apart: [`ClaimRecords`] is the owner's side.
+//!   did with it are kept apart: [`ShardWriter`] writes the log, and
+//!   [`ClaimRecords`] is the owner's side.
 //!
 //! A claim never passes to another owner. All decisions are pure state machines; only
 //! [`ClaimHandle`] and [`RequestGuard`] do I/O. docs/AT-MOST-ONCE.md gives the ways that were
@@ -26,9 +27,13 @@
 mod open;
 mod permit;
 mod route;
+mod segment;
 mod settings;
+mod shard;
+mod stats;
 mod status;
 mod token;
+mod writer;
 
 pub use answer::{AnswerShelf, KeptAnswer, KeptResult};
 pub use attempt::{AlreadySent, Attempt, AttemptId, AttemptLog, RepeatRule};
@@ -48,6 +53,9 @@
 pub use route::{
     ClaimEntry, ClaimReply, ClaimRoute, CommitPlace, LoneRoute, NotWritten, RouteError, ShardId,
 };
+pub use segment::{Segment, SegmentError};
 pub use settings::ClaimSettings;
+pub use stats::ClaimStats;
 pub use status::{KnownStatus, StatusTable};
 pub use token::{BoundToken, ShortSecret, TokenFault, TokenIssuer, TokenKey};
+pub use writer::{ListedArchive, LogFault, ShardWriter, StoreStep, WriterLimits};
--- a/crates/once/src/route.rs
+++ b/crates/once/src/route.rs
@@ -72,11 +72,8 @@
 /// Where the claims of a shard are committed at present.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CommitPlace {
-    /// Here; `writers` is how many instances may be committing this shard at present.
-    Here {
-        /// One, unless peers that would share the work are out of reach.
-        writers: u32,
-    },
+    /// Here.
+    Here,
     /// At a peer.
     Peer(InstanceId),
 }
@@ -96,6 +93,12 @@
     /// Returns where the claims of a shard are committed: rendezvous over the reachable peers.
     fn place(&self, shard: ShardId) -> CommitPlace;
 
+    /// Returns how many instances may commit a shard that is not theirs at present: the live ones.
+    ///
+    /// Each of them commits that much more seldom, so that together they write no more than the
+    /// shard's own committer does.
+    fn writers(&self) -> u32;
+
     /// Takes a claim to a peer, which calls `ClaimHandle::commit`, and returns its reply.
     fn carry(
         &self,
@@ -110,7 +113,11 @@
 
 impl ClaimRoute for LoneRoute {
     fn place(&self, _shard: ShardId) -> CommitPlace {
-        CommitPlace::Here { writers: 1 }
+        CommitPlace::Here
+    }
+
+    fn writers(&self) -> u32 {
+        1
     }
 
     fn carry(
--- /dev/null
+++ b/crates/once/src/segment.rs
@@ -0,0 +1,128 @@
+//! The segments of a claim log, as they stand in the store.
+//!
+//! A shard's log is one tail key that is only ever written by compare-and-swap on its revision
+//! and never deleted, and archives, one key for each segment that was full. The tail carries the
+//! number of its segment, the floor (the lowest archive that still counts) and the log's own
+//! time, a lower bound of the real time that passed since the log began.
+
+use bytes::Bytes;
+use oleander_base::prelude::*;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::hash::{BodyHash, KeyHash};
+use crate::route::ClaimEntry;
+
+/// The first byte of every segment; another layout takes another number.
+const SEGMENT_VERSION: u8 = 1;
+
+/// A segment in the store cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum SegmentError {
+    /// The layout is of another version.
+    #[error("segment layout {0} is not known")]
+    Version(u8),
+    /// The bytes are no segment.
+    #[error("the segment's bytes do not parse")]
+    Malformed,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct PackedClaim {
+    key: KeyHash,
+    body: BodyHash,
+    owner: u32,
+    serial: u64,
+}
+
+/// A part of a shard's claim log.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Segment {
+    /// The number of the segment; it only rises.
+    pub seq: u64,
+    /// The lowest archive that still counts.
+    pub floor: u64,
+    /// The log's time when the segment was last written.
+    pub log_time: Span,
+    /// Whether the segment is full; a sealed one never changes again.
+    pub is_sealed: bool,
+    owners: Vec<InstanceId>,
+    claims: Vec<PackedClaim>,
+}
+
+impl Segment {
+    /// Returns the empty segment that follows this one in the tail.
+    #[must_use]
+    pub fn next(&self) -> Self {
+        Self {
+            seq: self.seq + 1,
+            floor: self.floor,
+            log_time: self.log_time,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a claim.
+    pub fn push(&mut self, entry: &ClaimEntry) {
+        let owner = self.owner_index(entry.request.home);
+        self.claims.push(PackedClaim {
+            key: entry.key,
+            body: entry.body,
+            owner,
+            serial: entry.request.serial,
+        });
+    }
+
+    fn owner_index(&mut self, home: InstanceId) -> u32 {
+        let known = self.owners.iter().position(|owner| *owner == home);
+        let index = known.unwrap_or_else(|| {
+            self.owners.push(home);
+            self.owners.len() - 1
+        });
+        index as u32
+    }
+
+    /// Returns the claims in their order.
+    pub fn entries(&self) -> impl Iterator<Item = ClaimEntry> {
+        self.claims.iter().map(|claim| ClaimEntry {
+            key: claim.key,
+            body: claim.body,
+            request: RequestId {
+                home: self.owners[claim.owner as usize],
+                serial: claim.serial,
+            },
+        })
+    }
+
+    /// Returns how many claims the segment holds.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns whether the segment holds no claim.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// Returns the bytes for the store.
+    pub fn encode(&self) -> Bytes {
+        let bytes = postcard::to_extend(self, vec![SEGMENT_VERSION]);
+        bytes.unwrap_or_default().into()
+    }
+
+    /// Reads the bytes of the store.
+    pub fn decode(bytes: &[u8]) -> Result<Self, SegmentError> {
+        let (version, rest) = bytes.split_first().ok_or(SegmentError::Malformed)?;
+        if *version != SEGMENT_VERSION {
+            return Err(SegmentError::Version(*version));
+        }
+        let segment: Self = postcard::from_bytes(rest).map_err(|_| SegmentError::Malformed)?;
+        let owners = segment.owners.len();
+        let is_whole = segment.claims.iter().all(|c| (c.owner as usize) < owners);
+        if is_whole && segment.floor <= segment.seq {
+            Ok(segment)
+        } else {
+            Err(SegmentError::Malformed)
+        }
+    }
+}
--- /dev/null
+++ b/crates/once/src/shard.rs
@@ -0,0 +1,432 @@
+//! The task that commits the claims of one shard in groups.
+//!
+//! The first claim after an idle time is committed at once; while commits follow each other, the
+//! claims that arrive within the commit interval share the next one. So a claim waits at most one
+//! interval and one write, and a shard's tail is written at most once an interval whatever the
+//! demand is.
+
+use std::fmt::Write as _;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use oleander_base::prelude::*;
+use oleander_platform::{BoxFuture, Expected, KeyValueStore, ListPage, StoreError};
+use parking_lot::Mutex;
+use thiserror::Error;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::gate::MonoClock;
+use crate::route::{ClaimEntry, ClaimReply, ClaimRoute, CommitPlace, NotWritten, ShardId};
+use crate::settings::ClaimSettings;
+use crate::stats::ClaimCounters;
+use crate::writer::{ListedArchive, LogFault, ShardWriter, StoreStep, WriterLimits};
+
+/// The longest wait for the store's call budget before a claim is refused.
+const BUDGET_WAIT_LIMIT: Duration = Duration::from_millis(200);
+
+/// After how many writes with an unknown outcome a group of claims is given up.
+const UNKNOWN_WRITES: u32 = 3;
+/// Names the number of shards that the log was laid out for.
+const LAYOUT_KEY: &str = "claims/layout";
+
+/// A claim that waits for a commit.
+pub(crate) struct QueuedClaim {
+    pub(crate) entry: ClaimEntry,
+    pub(crate) reply: oneshot::Sender<ClaimReply>,
+}
+
+/// What all shards of a claim book share.
+pub(crate) struct ShardParts {
+    pub(crate) store: Arc<dyn KeyValueStore>,
+    pub(crate) clock: Arc<dyn MonoClock>,
+    pub(crate) route: Arc<dyn ClaimRoute>,
+    pub(crate) settings: ClaimSettings,
+    pub(crate) counters: Arc<ClaimCounters>,
+}
+
+/// The door to a shard's task.
+pub(crate) struct ShardDoor {
+    queue: mpsc::Sender<QueuedClaim>,
+    state: Arc<ShardState>,
+    clock: Arc<dyn MonoClock>,
+    probe_interval: Span,
+}
+
+/// What a shard's task shows to its door.
+struct ShardState {
+    /// When a claim may try the store again, in microseconds; zero while the store answers.
+    probe_at: AtomicU64,
+    dump: Mutex<String>,
+}
+
+impl ShardDoor {
+    /// Starts the task of a shard; it ends when the door is dropped.
+    pub(crate) fn spawn(shard: ShardId, parts: Arc<ShardParts>) -> Self {
+        let (queue, claims) = mpsc::channel(parts.settings.queue_claims.max(1));
+        let state = Arc::new(ShardState {
+            probe_at: AtomicU64::new(0),
+            dump: Mutex::new("not read yet".to_owned()),
+        });
+        let door = Self {
+            queue,
+            state: Arc::clone(&state),
+            clock: Arc::clone(&parts.clock),
+            probe_interval: parts.settings.probe_interval,
+        };
+        let task = ShardTask::new(shard, parts, state);
+        tokio::spawn(task.run(claims));
+        door
+    }
+
+    /// Queues a claim and waits for the log's reply.
+    pub(crate) async fn commit(&self, entry: ClaimEntry) -> ClaimReply {
+        if !self.may_try() {
+            return ClaimReply::NotWritten(NotWritten::StoreAway);
+        }
+        let (reply, answer) = oneshot::channel();
+        let queued = QueuedClaim { entry, reply };
+        if self.queue.try_send(queued).is_err() {
+            return ClaimReply::NotWritten(NotWritten::Overloaded);
+        }
+        answer.await.unwrap_or(ClaimReply::Unknown)
+    }
+
+    /// While the store is away, one claim in each probe interval tries it again.
+    fn may_try(&self) -> bool {
+        let probe_at = self.state.probe_at.load(Ordering::Acquire);
+        if probe_at == 0 {
+            return true;
+        }
+        let now = self.clock.now();
+        if now.0 < probe_at {
+            return false;
+        }
+        let next = (now + self.probe_interval).0;
+        let swap = self.state.probe_at.compare_exchange(
+            probe_at,
+            next,
+            Ordering::AcqRel,
+            Ordering::Acquire,
+        );
+        swap.is_ok()
+    }
+
+    /// Returns the shard's state as text.
+    pub(crate) fn dump(&self) -> String {
+        let mut text = self.state.dump.lock().clone();
+        if self.state.probe_at.load(Ordering::Acquire) != 0 {
+            let _ = write!(text, ", store away");
+        }
+        text
+    }
+}
+
+/// Why a group of claims could not be settled.
+#[derive(Debug, Error)]
+enum GroupFailure {
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    #[error(transparent)]
+    Log(#[from] LogFault),
+    #[error("the log was laid out for {found} shards")]
+    Layout { found: String },
+    #[error("the log is full")]
+    Full,
+}
+
+struct ShardTask {
+    shard: ShardId,
+    parts: Arc<ShardParts>,
+    state: Arc<ShardState>,
+    writer: ShardWriter,
+    next_slot: MonoTime,
+    is_layout_checked: bool,
+    /// How many writes with the present group's claims had an unknown outcome.
+    unknown_writes: u32,
+}
+
+impl ShardTask {
+    fn new(shard: ShardId, parts: Arc<ShardParts>, state: Arc<ShardState>) -> Self {
+        let settings = &parts.settings;
+        let writer = ShardWriter::new(WriterLimits {
+            segment_bytes: settings.segment_bytes,
+            segments: settings.segments,
+            retention: settings.retention,
+        });
+        Self {
+            shard,
+            parts,
+            state,
+            writer,
+            next_slot: MonoTime(0),
+            is_layout_checked: false,
+            unknown_writes: 0,
+        }
+    }
+
+    async fn run(mut self, mut claims: mpsc::Receiver<QueuedClaim>) {
+        while let Some(first) = claims.recv().await {
+            let mut group = vec![first];
+            self.answer_known(&mut group);
+            if group.is_empty() {
+                continue;
+            }
+            self.wait_for_slot().await;
+            while group.len() < self.parts.settings.batch_claims {
+                match claims.try_recv() {
+                    Ok(queued) => group.push(queued),
+                    Err(_) => break,
+                }
+            }
+            self.commit_group(group, &mut claims).await;
+            *self.state.dump.lock() = self.writer.dump();
+        }
+    }
+
+    /// Answers the claims whose keys were read already; a claim once seen stays true.
+    fn answer_known(&self, group: &mut Vec<QueuedClaim>) {
+        let mut rest = Vec::new();
+        for queued in group.drain(..) {
+            match self.writer.answer(&queued.entry) {
+                Some(reply) => drop(queued.reply.send(reply)),
+                None => rest.push(queued),
+            }
+        }
+        *group = rest;
+    }
+
+    async fn commit_group(
+        &mut self,
+        mut group: Vec<QueuedClaim>,
+        claims: &mut mpsc::Receiver<QueuedClaim>,
+    ) {
+        self.unknown_writes = 0;
+        group.retain(|queued| !queued.reply.is_closed());
+        if group.is_empty() {
+            return;
+        }
+        let batch: Vec<_> = group.iter().map(|queued| queued.entry).collect();
+        match self.settle(&batch).await {
+            Ok(()) => {
+                self.note_success();
+                self.answer_known(&mut group);
+                self.delete_garbage().await;
+            }
+            Err(failure) => {
+                let reason = self.note_failure(&failure);
+                self.answer_known(&mut group);
+                self.refuse(group, claims, reason);
+            }
+        }
+    }
+
+    /// Refuses a group, and with it the claims that came while it failed.
+    fn refuse(
+        &self,
+        group: Vec<QueuedClaim>,
+        claims: &mut mpsc::Receiver<QueuedClaim>,
+        reason: NotWritten,
+    ) {
+        let not_written = ClaimReply::NotWritten(reason);
+        let reply = match self.unknown_writes {
+            0 => not_written,
+            _ => ClaimReply::Unknown,
+        };
+        for queued in group {
+            let _ = queued.reply.send(reply);
+        }
+        while let Ok(queued) = claims.try_recv() {
+            let reply = self.writer.answer(&queued.entry).unwrap_or(not_written);
+            let _ = queued.reply.send(reply);
+        }
+    }
+
+    fn note_success(&self) {
+        if self.state.probe_at.swap(0, Ordering::AcqRel) != 0 {
+            log::info!("claims of {}: the store answers again", self.shard);
+        }
+    }
+
+    fn note_failure(&self, failure: &GroupFailure) -> NotWritten {
+        if let GroupFailure::Full = failure {
+            return NotWritten::Overloaded;
+        }
+        self.parts.counters.failures.add(1);
+        let probe_at = self.parts.clock.now() + self.parts.settings.probe_interval;
+        let was_away = self.state.probe_at.swap(probe_at.0, Ordering::AcqRel) != 0;
+        if !was_away {
+            log::warn!("claims of {} are refused: {failure}", self.shard);
+        }
+        NotWritten::StoreAway
+    }
+
+    /// Executes the writer's steps until every claim of the batch has an answer.
+    async fn settle(&mut self, batch: &[ClaimEntry]) -> Result<(), GroupFailure> {
+        self.check_layout().await?;
+        loop {
+            let now = self.parts.clock.now();
+            match self.writer.next_step(batch, now) {
+                StoreStep::Settled => return Ok(()),
+                StoreStep::Full => return Err(GroupFailure::Full),
+                StoreStep::ReadTail => self.read_tail().await?,
+                StoreStep::ListArchives { after } => self.list_archives(after).await?,
+                StoreStep::WriteArchive { seq, value } => self.write_archive(seq, value).await?,
+                StoreStep::WriteTail { expected, value } => {
+                    self.write_tail(expected, value).await?;
+                }
+            }
+        }
+    }
+
+    /// Checks that the log was laid out for as many shards as we use, for two layouts at once
+    /// would let a key be claimed in each.
+    async fn check_layout(&mut self) -> Result<(), GroupFailure> {
+        if self.is_layout_checked {
+            return Ok(());
+        }
+        let wanted = Bytes::from(self.parts.settings.shards.to_string());
+        let store = &self.parts.store;
+        let mut found = self.call(store.get(LAYOUT_KEY)).await?;
+        if found.is_none() {
+            let put = store.put(LAYOUT_KEY, Expected::Absent, wanted.clone(), None);
+            // Whoever wrote the key first, reading it again tells what holds.
+            let _ = self.call(put).await;
+            found = self.call(store.get(LAYOUT_KEY)).await?;
+        }
+        let found = found.map_or_else(Bytes::new, |entry| entry.value);
+        if found != wanted {
+            let found = String::from_utf8_lossy(&found).into_owned();
+            return Err(GroupFailure::Layout { found });
+        }
+        self.is_layout_checked = true;
+        Ok(())
+    }
+
+    async fn read_tail(&mut self) -> Result<(), GroupFailure> {
+        let key = self.tail_key();
+        let found = self.call(self.parts.store.get(&key)).await?;
+        let now = self.parts.clock.now();
+        let tail = found
+            .as_ref()
+            .map(|entry| (entry.revision, &entry.value[..]));
+        self.writer.on_tail(tail, now)?;
+        Ok(())
+    }
+
+    async fn list_archives(&mut self, after: Option<u64>) -> Result<(), GroupFailure> {
+        let prefix = self.archive_prefix();
+        let after = after.map(|seq| self.archive_key(seq));
+        let page = self
+            .call(self.parts.store.list(&prefix, after.as_deref()))
+            .await?;
+        let archives = listed_archives(&prefix, &page);
+        self.writer.on_archives(&archives, page.more)?;
+        Ok(())
+    }
+
+    async fn write_archive(&mut self, seq: u64, value: Bytes) -> Result<(), GroupFailure> {
+        let counters = &self.parts.counters;
+        counters.archive_writes.add(1);
+        counters.written_bytes.add(value.len() as u64);
+        let key = self.archive_key(seq);
+        let put = self.parts.store.put(&key, Expected::Absent, value, None);
+        let result = self.call(put).await;
+        self.writer.on_archive_written(&result);
+        self.go_on_after(result.err()).await
+    }
+
+    async fn write_tail(&mut self, expected: Expected, value: Bytes) -> Result<(), GroupFailure> {
+        self.wait_for_slot().await;
+        let counters = &self.parts.counters;
+        counters.tail_writes.add(1);
+        counters.written_bytes.add(value.len() as u64);
+        self.next_slot = self.parts.clock.now() + self.interval();
+        let key = self.tail_key();
+        let put = self.parts.store.put(&key, expected, value, None);
+        let result = self.call(put).await;
+        self.writer.on_tail_written(&result, self.parts.clock.now());
+        match &result {
+            Err(StoreError::Unknown { .. }) => self.unknown_writes += 1,
+            Err(StoreError::Conflict { .. }) => self.parts.counters.conflicts.add(1),
+            _ => {}
+        }
+        self.go_on_after(result.err()).await
+    }
+
+    /// Waits out a lack of call budget; a conflict or an unknown outcome is settled by reading.
+    async fn go_on_after(&self, error: Option<StoreError>) -> Result<(), GroupFailure> {
+        match error {
+            None | Some(StoreError::Conflict { .. }) => Ok(()),
+            Some(StoreError::Unknown { .. }) if self.unknown_writes < UNKNOWN_WRITES => Ok(()),
+            Some(StoreError::OverBudget { retry_after }) if retry_after <= BUDGET_WAIT_LIMIT => {
+                tokio::time::sleep(retry_after).await;
+                Ok(())
+            }
+            Some(error) => Err(error.into()),
+        }
+    }
+
+    async fn delete_garbage(&mut self) {
+        let Some((seq, revision)) = self.writer.take_garbage() else {
+            return;
+        };
+        self.parts.counters.deletes.add(1);
+        let key = self.archive_key(seq);
+        let delete = self.parts.store.delete(&key, Expected::At(revision));
+        // A delete that fails leaves an archive below the floor, which the next writer's first
+        // listing finds again.
+        let _ = self.call(delete).await;
+    }
+
+    async fn call<T>(&self, call: BoxFuture<'_, Result<T, StoreError>>) -> Result<T, StoreError> {
+        let limit = self.parts.settings.store_timeout;
+        let result = tokio::time::timeout(limit, call).await;
+        result.unwrap_or_else(|_| {
+            let reason = format!("no answer within {limit:?}");
+            Err(StoreError::Unknown { reason })
+        })
+    }
+
+    async fn wait_for_slot(&self) {
+        let wait = self.next_slot.since(self.parts.clock.now());
+        if wait > Span::ZERO {
+            tokio::time::sleep(wait.into()).await;
+        }
+    }
+
+    /// An instance that commits a shard of another one does so the more seldom, the more could.
+    fn interval(&self) -> Span {
+        let interval = self.parts.settings.commit_interval;
+        match self.parts.route.place(self.shard) {
+            CommitPlace::Here => interval,
+            CommitPlace::Peer(_) => Span(interval.0 * u64::from(self.parts.route.writers().max(1))),
+        }
+    }
+
+    fn tail_key(&self) -> String {
+        format!("claims/{:03}/tail", self.shard.0)
+    }
+
+    fn archive_prefix(&self) -> String {
+        format!("claims/{:03}/archive/", self.shard.0)
+    }
+
+    fn archive_key(&self, seq: u64) -> String {
+        format!("claims/{:03}/archive/{seq:016x}", self.shard.0)
+    }
+}
+
+fn listed_archives(prefix: &str, page: &ListPage) -> Vec<ListedArchive> {
+    let archives = page.entries.iter().filter_map(|entry| {
+        let digits = entry.key.strip_prefix(prefix)?;
+        let seq = u64::from_str_radix(digits, 16).ok()?;
+        Some(ListedArchive {
+            seq,
+            revision: entry.revision,
+            value: entry.value.clone(),
+        })
+    });
+    archives.collect()
+}
--- /dev/null
+++ b/crates/once/src/writer.rs
@@ -0,0 +1,461 @@
+//! The writer of one shard's claim log: a pure state machine.
+//!
+//! The driver asks for the next [`StoreStep`], executes it, and reports what came back. A claim is
+//! written only after the writer has read every live segment, by compare-and-swap on the revision
+//! of the tail that it read; so of any number of writers each claim is decided by one, who saw
+//! all earlier claims. This is the version-checked commit that carries its dedupe marks in the
+//! same write (docs/AT-MOST-ONCE.md, "The log").
+//!
+//! Invariants:
+//!
+//! - The tail key is never deleted and revisions never return, so a paused writer's write with an
+//!   old revision fails whatever happened meanwhile. No claim is ever written by creating a key,
+//!   but for the first of a shard.
+//! - A sealed tail is copied to its archive before the tail turns to the next segment, and a
+//!   sealed segment has one content, so late copies of it do no harm.
+//! - The floor rises only in a tail write, and only over archives that were sealed at least the
+//!   retention ago in the log's time, which runs slower than real time or equally fast. Archives
+//!   below the floor are deleted later, by anybody.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use bytes::Bytes;
+use oleander_base::prelude::*;
+use oleander_platform::{Expected, StoreError};
+use thiserror::Error;
+
+use crate::hash::{BodyHash, KeyHash};
+use crate::route::{ClaimEntry, ClaimReply};
+use crate::segment::{Segment, SegmentError};
+
+/// How often the archives are listed again before a missing one is reported.
+const RELIST_LIMIT: u32 = 3;
+
+/// Bounds of a shard's log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WriterLimits {
+    /// The size at which a segment is sealed, in bytes.
+    pub segment_bytes: usize,
+    /// The most archives that count at a time.
+    pub segments: u64,
+    /// How long an archive counts after it was sealed, at least.
+    pub retention: Span,
+}
+
+/// What the driver does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreStep {
+    /// Reads the tail and calls `on_tail`.
+    ReadTail,
+    /// Lists the archives after this one (all, if none) and calls `on_archives`.
+    ListArchives {
+        /// The archive before the first that is wanted.
+        after: Option<u64>,
+    },
+    /// Creates an archive and calls `on_archive_written`.
+    WriteArchive {
+        /// Its number.
+        seq: u64,
+        /// Its content.
+        value: Bytes,
+    },
+    /// Writes the tail and calls `on_tail_written`.
+    WriteTail {
+        /// What the write must find.
+        expected: Expected,
+        /// The content.
+        value: Bytes,
+    },
+    /// Every claim of the batch has an answer.
+    Settled,
+    /// The log holds as many archives as it may; nothing is claimed until some may go.
+    Full,
+}
+
+/// An archive as it was listed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedArchive {
+    /// Its number.
+    pub seq: u64,
+    /// The revision of its key.
+    pub revision: Revision,
+    /// Its content.
+    pub value: Bytes,
+}
+
+/// The log in the store is not as it must be; nothing is claimed.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum LogFault {
+    /// A segment cannot be read.
+    #[error("segment {seq:?}: {error}")]
+    Segment {
+        /// The archive, or none for the tail.
+        seq: Option<u64>,
+        /// What is wrong.
+        error: SegmentError,
+    },
+    /// The tail was there and is gone; earlier claims may be lost.
+    #[error("the log's tail has disappeared from the store")]
+    TailLost,
+    /// An archive that must be there is not.
+    #[error("archive {seq} is missing")]
+    ArchiveMissing {
+        /// Its number.
+        seq: u64,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ViewPhase {
+    /// The tail must be read.
+    Stale,
+    /// Archives after this one must be listed.
+    Listing { after: Option<u64> },
+    /// Every live segment up to the tail's revision was read.
+    Complete,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct ClaimHolder {
+    request: RequestId,
+    body: BodyHash,
+    seq: u64,
+}
+
+#[derive(Debug, Clone)]
+struct ArchiveNote {
+    revision: Revision,
+    sealed_at: Span,
+    keys: Vec<KeyHash>,
+}
+
+/// The state of one writer of one shard.
+#[derive(Debug, Clone)]
+pub struct ShardWriter {
+    limits: WriterLimits,
+    phase: ViewPhase,
+    tail: Segment,
+    tail_revision: Option<Revision>,
+    learned_at: MonoTime,
+    has_listed: bool,
+    relists: u32,
+    pending: Option<Segment>,
+    index: BTreeMap<KeyHash, ClaimHolder>,
+    archives: BTreeMap<u64, ArchiveNote>,
+    garbage: BTreeMap<u64, Revision>,
+}
+
+impl ShardWriter {
+    /// Returns a writer that has read nothing yet.
+    pub fn new(limits: WriterLimits) -> Self {
+        Self {
+            limits,
+            phase: ViewPhase::Stale,
+            tail: Segment::default(),
+            tail_revision: None,
+            learned_at: MonoTime(0),
+            has_listed: false,
+            relists: 0,
+            pending: None,
+            index: BTreeMap::new(),
+            archives: BTreeMap::new(),
+            garbage: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the log's answer to a claim, if the segments read so far hold its key.
+    pub fn answer(&self, entry: &ClaimEntry) -> Option<ClaimReply> {
+        let holder = self.index.get(&entry.key)?;
+        if holder.request == entry.request {
+            return Some(ClaimReply::Granted);
+        }
+        Some(ClaimReply::Taken {
+            holder: holder.request,
+            body: holder.body,
+        })
+    }
+
+    /// Returns what must be done to settle a batch of claims.
+    pub fn next_step(&mut self, batch: &[ClaimEntry], now: MonoTime) -> StoreStep {
+        match self.phase {
+            ViewPhase::Stale => return StoreStep::ReadTail,
+            ViewPhase::Listing { after } => return StoreStep::ListArchives { after },
+            ViewPhase::Complete => {}
+        }
+        if batch.iter().all(|entry| self.answer(entry).is_some()) {
+            return StoreStep::Settled;
+        }
+        if self.tail.is_sealed && !self.archives.contains_key(&self.tail.seq) {
+            return StoreStep::WriteArchive {
+                seq: self.tail.seq,
+                value: self.tail.encode(),
+            };
+        }
+        self.compose_tail(batch, now)
+    }
+
+    fn compose_tail(&mut self, batch: &[ClaimEntry], now: MonoTime) -> StoreStep {
+        let mut segment = match self.tail.is_sealed {
+            true => self.tail.next(),
+            false => self.tail.clone(),
+        };
+        segment.log_time = self.tail.log_time + now.since(self.learned_at);
+        segment.floor = self.next_floor(segment.log_time);
+        if segment.seq - segment.floor > self.limits.segments {
+            return StoreStep::Full;
+        }
+        self.push_new(&mut segment, batch);
+        let mut value = segment.encode();
+        if value.len() >= self.limits.segment_bytes {
+            segment.is_sealed = true;
+            value = segment.encode();
+        }
+        self.pending = Some(segment);
+        let expected = self.tail_revision.map_or(Expected::Absent, Expected::At);
+        StoreStep::WriteTail { expected, value }
+    }
+
+    fn push_new(&self, segment: &mut Segment, batch: &[ClaimEntry]) {
+        let mut added = FastSet::default();
+        for entry in batch {
+            if self.answer(entry).is_none() && added.insert(entry.key) {
+                segment.push(entry);
+            }
+        }
+    }
+
+    fn next_floor(&self, log_time: Span) -> u64 {
+        let mut floor = self.tail.floor;
+        for (seq, note) in &self.archives {
+            let age = log_time.saturating_sub(note.sealed_at);
+            if *seq != floor || age < self.limits.retention {
+                break;
+            }
+            floor = seq + 1;
+        }
+        floor
+    }
+
+    /// Takes the tail as it was read; none means that the key is absent.
+    pub fn on_tail(
+        &mut self,
+        found: Option<(Revision, &[u8])>,
+        now: MonoTime,
+    ) -> Result<(), LogFault> {
+        let Some((revision, bytes)) = found else {
+            return self.on_absent_tail(now);
+        };
+        let segment = Segment::decode(bytes);
+        let segment = segment.map_err(|error| LogFault::Segment { seq: None, error })?;
+        self.accept_tail(segment, revision, now);
+        self.phase = match self.missing_archive() {
+            // The first listing covers archives below the floor too, which nobody deleted yet.
+            _ if !self.has_listed => ViewPhase::Listing { after: None },
+            Some(seq) => ViewPhase::Listing {
+                after: seq.checked_sub(1),
+            },
+            None => ViewPhase::Complete,
+        };
+        Ok(())
+    }
+
+    fn on_absent_tail(&mut self, now: MonoTime) -> Result<(), LogFault> {
+        if self.tail_revision.is_some() {
+            return Err(LogFault::TailLost);
+        }
+        self.learned_at = now;
+        self.phase = ViewPhase::Complete;
+        Ok(())
+    }
+
+    fn accept_tail(&mut self, segment: Segment, revision: Revision, now: MonoTime) {
+        for entry in segment.entries() {
+            self.add_to_index(&entry, segment.seq);
+        }
+        let old_seq = std::mem::replace(&mut self.tail, segment).seq;
+        self.tail_revision = Some(revision);
+        self.learned_at = now;
+        self.drop_below_floor();
+        let floor = self.tail.floor;
+        if old_seq < floor {
+            self.index.retain(|_, holder| holder.seq >= floor);
+        }
+    }
+
+    fn add_to_index(&mut self, entry: &ClaimEntry, seq: u64) {
+        let holder = ClaimHolder {
+            request: entry.request,
+            body: entry.body,
+            seq,
+        };
+        let known = self.index.entry(entry.key).or_insert(holder);
+        if known.seq < seq {
+            *known = holder;
+        }
+    }
+
+    fn missing_archive(&self) -> Option<u64> {
+        let mut wanted = self.tail.floor..self.tail.seq;
+        wanted.find(|seq| !self.archives.contains_key(seq))
+    }
+
+    fn drop_below_floor(&mut self) {
+        while let Some(first) = self.archives.first_entry() {
+            if *first.key() >= self.tail.floor {
+                break;
+            }
+            let (seq, note) = first.remove_entry();
+            for key in &note.keys {
+                if self.index.get(key).is_some_and(|holder| holder.seq == seq) {
+                    self.index.remove(key);
+                }
+            }
+            self.garbage.insert(seq, note.revision);
+        }
+    }
+
+    /// Takes a page of archives.
+    pub fn on_archives(&mut self, page: &[ListedArchive], more: bool) -> Result<(), LogFault> {
+        for archive in page {
+            self.accept_archive(archive)?;
+        }
+        let last = page.last().map(|archive| archive.seq);
+        if more && last.is_some() {
+            self.phase = ViewPhase::Listing { after: last };
+            return Ok(());
+        }
+        self.has_listed = true;
+        let Some(seq) = self.missing_archive() else {
+            self.relists = 0;
+            self.phase = ViewPhase::Complete;
+            return Ok(());
+        };
+        // The floor may have risen since the tail was read, so a missing archive is looked for
+        // again under a new tail before it is reported.
+        self.phase = ViewPhase::Stale;
+        self.relists += 1;
+        if self.relists <= RELIST_LIMIT {
+            return Ok(());
+        }
+        self.relists = 0;
+        Err(LogFault::ArchiveMissing { seq })
+    }
+
+    fn accept_archive(&mut self, archive: &ListedArchive) -> Result<(), LogFault> {
+        let seq = archive.seq;
+        if seq < self.tail.floor {
+            self.garbage.insert(seq, archive.revision);
+            return Ok(());
+        }
+        if seq >= self.tail.seq {
+            return Ok(());
+        }
+        let segment = Segment::decode(&archive.value).map_err(|error| {
+            let seq = Some(seq);
+            LogFault::Segment { seq, error }
+        })?;
+        for entry in segment.entries() {
+            self.add_to_index(&entry, seq);
+        }
+        self.note_archive(&segment, seq, archive.revision);
+        Ok(())
+    }
+
+    fn note_archive(&mut self, segment: &Segment, seq: u64, revision: Revision) {
+        let note = ArchiveNote {
+            revision,
+            sealed_at: segment.log_time,
+            keys: segment.entries().map(|entry| entry.key).collect(),
+        };
+        self.archives.insert(seq, note);
+    }
+
+    /// Takes the outcome of an archive's creation.
+    ///
+    /// A conflict means that the archive is there, with the one content that it can have.
+    pub fn on_archive_written(&mut self, result: &Result<Revision, StoreError>) {
+        let revision = match result {
+            Ok(revision) => *revision,
+            Err(StoreError::Conflict {
+                current: Some(revision),
+            }) => *revision,
+            Err(StoreError::Unavailable { .. } | StoreError::OverBudget { .. }) => return,
+            Err(_) => {
+                self.phase = ViewPhase::Stale;
+                return;
+            }
+        };
+        let segment = std::mem::take(&mut self.tail);
+        self.note_archive(&segment, segment.seq, revision);
+        self.tail = segment;
+    }
+
+    /// Takes the outcome of a tail write; whatever is not certain is read again.
+    pub fn on_tail_written(&mut self, result: &Result<Revision, StoreError>, now: MonoTime) {
+        let pending = self.pending.take();
+        match (result, pending) {
+            (Ok(revision), Some(segment)) => self.accept_tail(segment, *revision, now),
+            (Err(StoreError::Unavailable { .. } | StoreError::OverBudget { .. }), _) => {}
+            _ => self.phase = ViewPhase::Stale,
+        }
+    }
+
+    /// Takes one archive that no longer counts, for deletion.
+    pub fn take_garbage(&mut self) -> Option<(u64, Revision)> {
+        self.garbage.pop_first()
+    }
+
+    /// Returns how many claims the writer knows.
+    pub fn len(&self) -> usize {
+        self.index.len()
+    }
+
+    /// Returns whether the writer knows no claim.
+    pub fn is_empty(&self) -> bool {
+        self.index.is_empty()
+    }
+
+    /// Checks the writer's invariants.
+    pub fn verify(&self) -> Result<(), String> {
+        let is_complete = self.phase == ViewPhase::Complete;
+        if let Some(seq) = self.missing_archive().filter(|_| is_complete) {
+            return Err(format!("complete without archive {seq}"));
+        }
+        if let Some(entry) = self
+            .tail
+            .entries()
+            .find(|e| !self.index.contains_key(&e.key))
+        {
+            return Err(format!("{} is in the tail and not in the index", entry.key));
+        }
+        let low = self.archives.keys().find(|seq| **seq < self.tail.floor);
+        if let Some(seq) = low {
+            return Err(format!("archive {seq} counts below the floor"));
+        }
+        let known = |seq: &u64| *seq == self.tail.seq || self.archives.contains_key(seq);
+        let mut holders = self.index.values();
+        match holders.find(|holder| is_complete && !known(&holder.seq)) {
+            Some(holder) => Err(format!("a claim of unknown segment {}", holder.seq)),
+            None => Ok(()),
+        }
+    }
+
+    /// Returns the writer's state as text.
+    pub fn dump(&self) -> String {
+        let mut text = String::new();
+        let _ = write!(
+            text,
+            "{:?}, segment {} (floor {}, {} claims, sealed {}), archives {}, claims {}, garbage {}",
+            self.phase,
+            self.tail.seq,
+            self.tail.floor,
+            self.tail.len(),
+            self.tail.is_sealed,
+            self.archives.len(),
+            self.index.len(),
+            self.garbage.len()
+        );
+        text
+    }
+}
--- /dev/null
+++ b/crates/once/tests/claims.rs
@@ -0,0 +1,361 @@
+//! The running claim book against a store with faults.
+
+mod fake;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use fake::{FakeStore, StoreMood, TestClock, instance};
+use oleander_base::prelude::*;
+use oleander_once::{
+    BodyHash, BookStep, ClaimAnswer, ClaimBook, ClaimEntry, ClaimHandle, ClaimOutcome, ClaimReply,
+    ClaimRoute, ClaimSettings, CommitPlace, KeyClaim, KeyHash, LoneRoute, MonoClock, RouteError,
+    ShardId,
+};
+use oleander_platform::BoxFuture;
+use parking_lot::Mutex;
+
+const CUSTOMER: CustomerId = CustomerId(1);
+const BODY: BodyHash = BodyHash([1; 8]);
+
+struct TestNode {
+    me: InstanceId,
+    clock: Arc<TestClock>,
+    claims: ClaimHandle,
+    serial: AtomicU64,
+}
+
+fn settings() -> ClaimSettings {
+    ClaimSettings {
+        commit_interval: Span::from_millis(5),
+        store_timeout: Duration::from_millis(200),
+        probe_interval: Span::from_millis(50),
+        segment_bytes: 128,
+        ..ClaimSettings::default()
+    }
+}
+
+impl TestNode {
+    fn spawn(store: &FakeStore, me: InstanceId, route: Arc<dyn ClaimRoute>) -> Self {
+        let clock = TestClock::start();
+        let shared = Arc::clone(&clock) as Arc<dyn MonoClock>;
+        let claims = ClaimBook::spawn(Arc::new(store.clone()), me, shared, route, settings());
+        Self {
+            me,
+            clock,
+            claims,
+            serial: AtomicU64::new(0),
+        }
+    }
+
+    fn lone(store: &FakeStore, port: u16) -> Self {
+        Self::spawn(store, instance(port, 1), Arc::new(LoneRoute))
+    }
+
+    fn wish(&self, key: &str, body: BodyHash) -> KeyClaim {
+        let serial = self.serial.fetch_add(1, Ordering::SeqCst);
+        KeyClaim {
+            key: KeyHash::of(CUSTOMER, key),
+            body,
+            request: RequestId {
+                home: self.me,
+                serial,
+            },
+            arrived: self.clock.now(),
+        }
+    }
+
+    async fn claim(&self, key: &str) -> ClaimAnswer {
+        self.claims.claim(self.wish(key, BODY)).await
+    }
+
+    async fn claim_until_settled(&self, key: &str) -> ClaimAnswer {
+        loop {
+            match self.claim(key).await {
+                ClaimAnswer::Log(ClaimOutcome::NotWritten(_) | ClaimOutcome::Unsettled) => {
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+                answer => return answer,
+            }
+        }
+    }
+}
+
+fn runs(answer: &ClaimAnswer) -> bool {
+    matches!(
+        answer,
+        ClaimAnswer::Log(ClaimOutcome::Run { .. }) | ClaimAnswer::Book(BookStep::Run { .. })
+    )
+}
+
+#[tokio::test]
+async fn key_is_claimed_once_and_repeats_lead_to_its_owner() {
+    let store = FakeStore::default();
+    let (first, second) = (TestNode::lone(&store, 1), TestNode::lone(&store, 2));
+    let wish = first.wish("k", BODY);
+    assert!(runs(&first.claims.claim(wish).await));
+    let holder = wish.request;
+    assert_eq!(
+        second.claim("k").await,
+        ClaimAnswer::Log(ClaimOutcome::Repeat { holder })
+    );
+    assert_eq!(
+        first.claim("k").await,
+        ClaimAnswer::Book(BookStep::Busy(holder))
+    );
+    first.claims.finish(wish.key, holder, Verdict::Ran, None);
+    assert!(matches!(
+        first.claim("k").await,
+        ClaimAnswer::Book(BookStep::Done(_))
+    ));
+    let other = second.wish("k", BodyHash([2; 8]));
+    assert_eq!(
+        second.claims.claim(other).await,
+        ClaimAnswer::Log(ClaimOutcome::BodyMismatch)
+    );
+}
+
+#[tokio::test]
+async fn request_that_did_not_run_may_run_again_at_its_owner() {
+    let store = FakeStore::default();
+    let node = TestNode::lone(&store, 1);
+    let wish = node.wish("k", BODY);
+    assert!(runs(&node.claims.claim(wish).await));
+    node.claims
+        .finish(wish.key, wish.request, Verdict::NotRun, None);
+    assert!(runs(&node.claim("k").await));
+    node.clock.push(Span::from_secs(61));
+    let late = node.wish("k", BODY);
+    assert!(!runs(&node.claims.claim(late).await));
+}
+
+#[tokio::test]
+async fn store_outage_refuses_and_ends_by_itself() {
+    let store = FakeStore::default();
+    let node = TestNode::lone(&store, 1);
+    store.set_mood(StoreMood::Down);
+    for key in 0..20 {
+        let answer = node.claim(&key.to_string()).await;
+        assert!(matches!(
+            answer,
+            ClaimAnswer::Log(ClaimOutcome::NotWritten(_))
+        ));
+    }
+    store.set_mood(StoreMood::Well);
+    assert!(runs(&node.claim_until_settled("0").await));
+}
+
+#[tokio::test]
+async fn silent_store_leaves_a_claim_that_its_owner_takes_up() {
+    let store = FakeStore::default();
+    let node = TestNode::lone(&store, 1);
+    assert!(runs(&node.claim("warm").await));
+    store.set_mood(StoreMood::Silent);
+    let answer = node.claim("k").await;
+    assert!(!runs(&answer), "{answer:?}");
+    store.set_mood(StoreMood::Well);
+    assert!(runs(&node.claim_until_settled("k").await));
+}
+
+#[tokio::test]
+async fn lost_answer_is_settled_by_the_request_id() {
+    let store = FakeStore::default();
+    let node = TestNode::lone(&store, 1);
+    assert!(runs(&node.claim("warm").await));
+    store.set_mood(StoreMood::LosesAnswers);
+    assert!(runs(&node.claim("k").await));
+    store.set_mood(StoreMood::LosesWrites);
+    let answer = node.claim("lost").await;
+    assert_eq!(answer, ClaimAnswer::Log(ClaimOutcome::Unsettled));
+    store.set_mood(StoreMood::Well);
+    assert!(runs(&node.claim_until_settled("lost").await));
+}
+
+#[tokio::test]
+async fn dropped_claim_never_runs_by_itself() {
+    let store = FakeStore::default();
+    let node = TestNode::lone(&store, 1);
+    store.0.lock().delay = Duration::from_millis(20);
+    let wish = node.wish("k", BODY);
+    let hurried = tokio::time::timeout(Duration::from_millis(1), node.claims.claim(wish));
+    assert!(hurried.await.is_err());
+    let answer = node.claim_until_settled("k").await;
+    assert!(
+        runs(&answer),
+        "the owner may take its unused claim up: {answer:?}"
+    );
+    assert_eq!(
+        node.claim("k").await,
+        ClaimAnswer::Book(BookStep::Busy(RequestId {
+            home: node.me,
+            serial: 1
+        }))
+    );
+}
+
+#[tokio::test]
+async fn replaced_owner_forgets_and_says_so() {
+    let store = FakeStore::default();
+    let old = TestNode::lone(&store, 1);
+    let wish = old.wish("k", BODY);
+    assert!(runs(&old.claims.claim(wish).await));
+    // The same instance id with an empty memory stands for a book that evicted the record.
+    let emptied = TestNode::lone(&store, 1);
+    emptied.serial.store(100, Ordering::SeqCst);
+    let holder = wish.request;
+    assert_eq!(
+        emptied.claim("k").await,
+        ClaimAnswer::Log(ClaimOutcome::Forgotten { holder })
+    );
+}
+
+#[tokio::test]
+async fn many_writers_grant_each_key_once() {
+    let store = FakeStore::default();
+    let nodes: Vec<_> = (1..=4)
+        .map(|port| Arc::new(TestNode::lone(&store, port)))
+        .collect();
+    let mut granted = [0; 40];
+    // Claims in waves fill several segments, so that archives are written under contention.
+    for wave in 0..4 {
+        let mut tasks = Vec::new();
+        for node in &nodes {
+            for key in wave * 10..(wave + 1) * 10 {
+                let node = Arc::clone(node);
+                let task =
+                    async move { (key, runs(&node.claim_until_settled(&key.to_string()).await)) };
+                tasks.push(tokio::spawn(task));
+            }
+        }
+        for task in tasks {
+            let (key, has_run) = task.await.unwrap();
+            granted[key] += u32::from(has_run);
+        }
+    }
+    assert_eq!(granted, [1; 40]);
+    assert!(store.keys("claims/") > 5, "some segments were archived");
+}
+
+#[tokio::test]
+async fn old_segments_go_and_a_fresh_writer_reads_the_rest() {
+    let store = FakeStore::default();
+    let node = TestNode::lone(&store, 1);
+    for key in 0..60 {
+        assert!(runs(&node.claim(&format!("old{key}")).await));
+    }
+    let before = store.keys("claims/");
+    node.clock.push(Span::from_secs(1_801));
+    for key in 0..60 {
+        assert!(runs(&node.claim(&format!("new{key}")).await));
+    }
+    assert!(
+        store.keys("claims/") <= before + 4,
+        "the old segments are deleted"
+    );
+    let fresh = TestNode::lone(&store, 2);
+    for key in 0..60 {
+        let answer = fresh.claim(&format!("new{key}")).await;
+        assert!(matches!(
+            answer,
+            ClaimAnswer::Log(ClaimOutcome::Repeat { .. })
+        ));
+    }
+}
+
+#[tokio::test]
+async fn other_layout_is_refused() {
+    let store = FakeStore::default();
+    let node = TestNode::lone(&store, 1);
+    assert!(runs(&node.claim("k").await));
+    let clock = TestClock::start();
+    let settings = ClaimSettings {
+        shards: 5,
+        ..settings()
+    };
+    let other = ClaimBook::spawn(
+        Arc::new(store.clone()),
+        instance(2, 1),
+        clock,
+        Arc::new(LoneRoute),
+        settings,
+    );
+    let answer = other.claim(node.wish("k2", BODY)).await;
+    assert!(matches!(
+        answer,
+        ClaimAnswer::Log(ClaimOutcome::NotWritten(_))
+    ));
+}
+
+/// A route that leads to one committer, or loses what it carries.
+#[derive(Default)]
+struct TestRoute {
+    committer: Mutex<Option<(InstanceId, ClaimHandle)>>,
+    loses_replies: bool,
+}
+
+impl ClaimRoute for TestRoute {
+    fn place(&self, _shard: ShardId) -> CommitPlace {
+        let committer = self.committer.lock();
+        committer
+            .as_ref()
+            .map_or(CommitPlace::Here, |(peer, _)| CommitPlace::Peer(*peer))
+    }
+
+    fn writers(&self) -> u32 {
+        2
+    }
+
+    fn carry(
+        &self,
+        peer: InstanceId,
+        claim: ClaimEntry,
+    ) -> BoxFuture<'_, Result<ClaimReply, RouteError>> {
+        let handle = self
+            .committer
+            .lock()
+            .as_ref()
+            .map(|(_, handle)| handle.clone());
+        let loses_replies = self.loses_replies;
+        Box::pin(async move {
+            let reply = match handle {
+                Some(handle) => handle.commit(claim).await,
+                None => ClaimReply::Unknown,
+            };
+            if loses_replies {
+                let reason = "lost".to_owned();
+                return Err(RouteError { peer, reason });
+            }
+            Ok(reply)
+        })
+    }
+}
+
+async fn claim_over_route(loses_replies: bool) -> (ClaimAnswer, u64) {
+    let store = FakeStore::default();
+    let committer = TestNode::lone(&store, 1);
+    let route = TestRoute {
+        committer: Mutex::new(Some((committer.me, committer.claims.clone()))),
+        loses_replies,
+    };
+    let node = TestNode::spawn(&store, instance(2, 1), Arc::new(route));
+    let answer = node.claim("k").await;
+    assert!(matches!(
+        committer.claim("k").await,
+        ClaimAnswer::Log(ClaimOutcome::Repeat { holder }) if holder.home == node.me
+    ));
+    (answer, node.claims.stats().tail_writes)
+}
+
+#[tokio::test]
+async fn carried_claim_is_owned_by_its_request() {
+    let (answer, own_writes) = claim_over_route(false).await;
+    assert!(runs(&answer));
+    assert_eq!(own_writes, 0);
+}
+
+#[tokio::test]
+async fn lost_reply_of_the_committer_is_settled_in_the_log() {
+    let (answer, _) = claim_over_route(true).await;
+    assert!(runs(&answer));
+}
