--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -7,11 +7,16 @@
 
 static PROCESS_START: LazyLock<Instant> = LazyLock::new(Instant::now);
 
+/// Returns the moment that [`monotonic_now`] counts from.
+pub fn process_origin() -> Instant {
+    *PROCESS_START
+}
+
 /// Reads the monotonic clock; drivers call this and pass the result to decision code.
 ///
 /// The clock goes on while the process is stopped by a signal, so a paused process that goes on
 /// sees the gap.
 pub fn monotonic_now() -> MonoTime {
-    let start = *PROCESS_START;
-    MonoTime(u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX))
+    let elapsed = process_origin().elapsed();
+    MonoTime(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
 }
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub mod prelude;
 
-pub use clock::monotonic_now;
+pub use clock::{monotonic_now, process_origin};
 pub use dispatch::{
     EndKind, GrantNotice, HeldGrant, PrefixHash, ProgressNotice, ReleaseNotice, ShedNotice,
     ShedReason, Ticket, WithdrawNotice,
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -376,6 +376,15 @@
         }
     }
 
+    /// Returns whether an answer is still in progress or being read.
+    pub fn has_unfinished(&self) -> bool {
+        let unfinished = |buffer: &Arc<AnswerBuffer>| {
+            let state = buffer.state.lock();
+            state.end.is_none() || !state.readers.is_empty()
+        };
+        self.shards.iter().any(|shard| shard.lock().values().any(unfinished))
+    }
+
     /// Counts the answers on the shelf.
     pub fn len(&self) -> usize {
         self.shards.iter().map(|shard| shard.lock().len()).sum()
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,25 +5,55 @@
 
 mod answer;
 mod changes;
+mod control;
 mod counters;
 mod desk;
 mod dispatch;
+mod drive;
+mod forward;
+mod http_answer;
 mod journal;
 mod life;
+mod limit_board;
+mod limits;
+mod logging;
+mod metric_table;
 mod node;
+mod operator_desk;
+mod peering;
+mod process;
+mod reconnect;
+mod records_feed;
+mod retries;
+mod serve;
+mod serve_service;
+mod server;
+mod service_job;
 mod settings;
 mod settings_check;
+mod spill;
 mod sse;
+mod status;
 mod view;
+mod worker;
 
-pub use answer::{AnswerBuffer, AnswerEnd, AnswerEvent, AnswerReader, AnswerShelf, ReadItem};
+pub use answer::{AnswerBuffer, AnswerEnd, AnswerEvent, AnswerReader, AnswerShelf, EventsDropped, ReadItem};
 pub use changes::{ChangeEntry, ChangeLog};
-pub use counters::{EntryCounters, ServiceCount, ServiceKey, ServiceLine};
-pub use desk::{DeskCount, GrantEffect, HeldSlot, TicketDesk, TicketOutcome};
+pub use counters::{EntryCounters, ProcessCounters, ServiceCount, ServiceKey, ServiceLine};
+pub use desk::{DeskCount, GrantEffect, HeldSlot, RepeatedOffer, TicketDesk, TicketOutcome};
 pub use dispatch::{DispatchBoard, OfferEnd, PoolStatus, PoolView};
 pub use journal::{Journal, JournalEntry, JournalEvent};
 pub use life::{LifeCycle, LifeStage};
+pub use limits::{LimitDesk, LimitKind, LimitPart, LimitRefusal, LimitUse};
+pub use logging::start_logging;
 pub use node::{EntryNode, PeerLink};
-pub use settings::{EntrySettings, SettingsError, SettingsFault};
+pub use process::{EntryProcess, StartError};
+pub use records_feed::RecordFeed;
+pub use settings::{
+    CallerSettings, DispatchSection, EntrySettings, InstanceSettings, LogLevel, LogSection,
+    OperatorSettings, PeerSection, PlatformSection, SettingsError, SettingsFault,
+};
+pub use spill::{PoolChoice, SpillBoard};
 pub use sse::{EventBody, EventPlace};
+pub use status::{BackendUse, InstanceStatus, SeenStatus, StatusBoard, StatusMessage};
 pub use view::{FleetMember, FleetView, PoolRoute};
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -544,6 +544,12 @@
         }
     }
 
+    /// Returns whether a request of this VM is still in progress.
+    pub fn is_busy(&self) -> bool {
+        let count = self.desk.count();
+        count.pending > 0 || count.held > 0 || self.answers.has_unfinished()
+    }
+
     /// Returns whether the VM takes roles and new requests.
     pub fn is_ready(&self) -> bool {
         self.life.stage() == LifeStage::Ready
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -15,6 +15,7 @@
 };
 use oleander_operator::{OperatorContext, OperatorDesk};
 use oleander_peer::{PeerEndpoint, PeerError, PeerSettings, TlsFiles};
+use oleander_platform::{ClientSettings, KeyValueStore, PlatformClient};
 use thiserror::Error;
 use tokio::runtime::{Builder, Runtime};
 
@@ -109,7 +110,9 @@
         let peers = PeerEndpoint::bind(peer_settings(&settings, &runtime), desk.clone())?;
         let node = EntryNode::new(settings, peers.instance());
         node.connect(Arc::new(EndpointLink(peers.clone())));
-        let guard = open_guard(&node, issuer, &runtime);
+        let platform = PlatformClient::open(ClientSettings::new(node.settings.platform.address))
+            .map_err(system("the platform's client"))?;
+        let guard = open_guard(&node, Arc::new(platform.clone()), issuer, &runtime);
         let shared = SharedContext { node: Arc::clone(&node), guard: Arc::clone(&guard), peers: peers.clone() };
         let records = Arc::new(RecordFeed::new(Arc::clone(&node)));
         let forwards = ForwardDesk::spawn(shared.clone()).map_err(system("forwarded calls"))?;
@@ -217,6 +220,21 @@
     peers
 }
 
+fn open_guard(
+    node: &Arc<EntryNode>,
+    store: Arc<dyn KeyValueStore>,
+    issuer: TokenIssuer,
+    runtime: &Runtime,
+) -> Arc<dyn OnceGuard> {
+    let _entered = runtime.enter();
+    let clock: Arc<dyn MonoClock> = Arc::new(NodeClock);
+    let route = Arc::new(LoneRoute);
+    let claims =
+        ClaimBook::spawn(store, node.me, Arc::clone(&clock), route, ClaimSettings::default());
+    let parts = GuardParts { me: node.me, centre: node.centre, clock, issuer: Some(issuer), claims };
+    RequestGuard::open(parts, GuardSettings::default())
+}
+
 fn spawn_operators(
     desk: Arc<dyn OperatorDesk>,
     key: &str,
