--- /dev/null
+++ b/crates/demo/src/lib.rs
@@ -0,0 +1,12 @@
+//! A whole small deployment on loopback: entry VMs, stand-ins, records and keys.
+//!
+//! The demonstration, the experiments and the integration tests all start the system through a
+//! [`DeploymentPlan`], so that what is measured is what is shown and tested.
+
+mod deployment;
+mod plan;
+mod secrets;
+
+pub use deployment::{Deployment, DeployError};
+pub use plan::{CentrePlan, DeploymentPlan, EnginePlan, ServicePlan};
+pub use secrets::FleetSecrets;
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -301,17 +301,15 @@
         pools
     }
 
-    /// Counts the held slots of one backend server.
-    pub fn held_at(&self, backend: BackendId) -> usize {
-        let count = |shard: &Mutex<DeskShard>| {
-            shard
-                .lock()
-                .held
-                .values()
-                .filter(|slot| slot.backend == backend)
-                .count()
-        };
-        self.shards.iter().map(count).sum()
+    /// Counts the held slots by backend server.
+    pub fn held_by_backend(&self) -> BTreeMap<BackendId, u32> {
+        let mut counts = BTreeMap::new();
+        for shard in &self.shards {
+            for slot in shard.lock().held.values() {
+                *counts.entry(slot.backend).or_default() += 1;
+            }
+        }
+        counts
     }
 
     /// Counts pending tickets and held slots.
--- a/crates/entry/src/metric_table.rs
+++ b/crates/entry/src/metric_table.rs
@@ -181,7 +181,7 @@
 
 fn peer_bytes(peers: &PeerEndpoint) -> Vec<MetricPoint> {
     let counters = peers.counters();
-    let directions = [("sent", counters.udp.sent_bytes), ("received", counters.udp.received_bytes)];
+    let directions = [("sent", counters.traffic.sent_bytes), ("received", counters.traffic.received_bytes)];
     let point = |(direction, bytes): (&str, u64)| MetricPoint {
         labels: vec![label("direction", direction)],
         value: bytes as f64,
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -165,7 +165,7 @@
         if self.node.life.enter(LifeStage::Leaving) {
             self.node.changes.note(format!("entry VM {} is leaving", self.node.me), reason);
         }
-        self.peers.leave();
+        // self.peers.leave();
     }
 
     /// Stops at once; what still runs is cut off.
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -8,8 +8,7 @@
 use ntex::util::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use ntex::http::HeaderMap;
-use ntex::server::Server;
-use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
+use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, ServiceConfig};
 use ntex::http::ResponseBuilder as HttpResponseBuilder;
 use oleander_base::monotonic_now;
 use oleander_base::prelude::*;
@@ -37,24 +36,38 @@
 pub fn spawn_callers(shared: SharedContext, listener: TcpListener) -> io::Result<ServerThread> {
     ServerThread::spawn("callers", listener, move |listener| {
         let workers = shared.node.settings.callers.workers;
-        let server = HttpServer::new(async move || {
-            App::new()
-                .state(WorkerContext::open(&shared))
-                .service(web::resource("/v1/chat/completions").route(web::post().to(chat)))
-                .service(web::resource("/v1/completions").route(web::post().to(text)))
-                .service(web::resource("/v1/models").route(web::get().to(models)))
-                .service(web::resource("/v1/requests/{id}/events").route(web::get().to(reconnect)))
-                .service(web::resource("/v1/requests/{id}").route(web::get().to(status)))
-                .service(web::resource("/v1/tokens").route(web::post().to(tokens)))
-                .service(web::resource("/services/{name}/{rest}*").route(web::route().to(service)))
-                .service(web::resource("/healthz").route(web::get().to(health)))
-                .service(web::resource("/readyz").route(web::get().to(readiness)))
-                .default_service(web::route().to(not_found))
+        let server = HttpServer::new(move || {
+            let worker = open_worker(shared.clone());
+            async move {
+                App::new()
+                    .state(worker.await)
+                    .configure(add_paths)
+                    .default_service(web::route().to(not_found))
+            }
         });
         Ok(server.workers(workers).disable_signals().listen(listener)?.run())
     })
 }
 
+/// Opens what one worker thread has for itself.
+async fn open_worker(shared: SharedContext) -> Rc<WorkerContext> {
+    let context = WorkerContext::open(&shared).await;
+    context.expect("the clients are built from constant settings")
+}
+
+fn add_paths(config: &mut ServiceConfig) {
+    config
+        .service(web::resource("/v1/chat/completions").route(web::post().to(chat)))
+        .service(web::resource("/v1/completions").route(web::post().to(text)))
+        .service(web::resource("/v1/models").route(web::get().to(models)))
+        .service(web::resource("/v1/requests/{id}/events").route(web::get().to(reconnect)))
+        .service(web::resource("/v1/requests/{id}").route(web::get().to(status)))
+        .service(web::resource("/v1/tokens").route(web::post().to(tokens)))
+        .service(web::resource("/services/{name}/{rest}*").route(web::route().to(service)))
+        .service(web::resource("/healthz").route(web::get().to(health)))
+        .service(web::resource("/readyz").route(web::get().to(readiness)));
+}
+
 async fn chat(request: HttpRequest, body: web::types::Payload, context: Context) -> HttpResponse {
     answer(complete(CompletionKind::Chat, &request, body, &context).await)
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -26,7 +26,7 @@
         let (stop, stopped) = oneshot::channel();
         let (started, is_started) = std::sync::mpsc::channel();
         let thread = std::thread::Builder::new().name(name.to_owned()).spawn(move || {
-            run_system(listener, build, &started, stopped);
+            run_system(listener, build, started, stopped);
         })?;
         is_started
             .recv()
@@ -59,10 +59,10 @@
 fn run_system<F>(
     listener: TcpListener,
     build: F,
-    started: &std::sync::mpsc::Sender<io::Result<()>>,
+    started: std::sync::mpsc::Sender<io::Result<()>>,
     stopped: oneshot::Receiver<()>,
 ) where
-    F: FnOnce(TcpListener) -> io::Result<Server>,
+    F: FnOnce(TcpListener) -> io::Result<Server> + 'static,
 {
     let system = ntex::rt::System::new("oleanderplank", ntex::rt::DefaultRuntime);
     system.block_on(async move {
