--- a/crates/decide/src/dispatch.rs
+++ b/crates/decide/src/dispatch.rs
@@ -96,6 +96,12 @@
         if !starved && shed.iter().flatten().any(is_recent) {
             return false;
         }
+        self.leaves_patience(entry, now)
+    }
+
+    /// Returns whether every ticket of the higher tiers keeps its patience if this one goes first.
+    pub(crate) fn leaves_patience(&self, entry: &QueuedTicket, now: MonoTime) -> bool {
+        let tier = entry.ticket.tier;
         let Some(capacity) = self.backends.capacity() else {
             return true;
         };
--- a/crates/decide/src/share_ledger.rs
+++ b/crates/decide/src/share_ledger.rs
@@ -19,6 +19,9 @@
 /// The most that a class may save up, in grants.
 const CREDIT_LIMIT: f64 = 2.0;
 
+/// For how long after its last ticket a class still counts as having demand.
+const DEMAND_MEMORY: Span = Span::from_secs(5);
+
 /// The account of one class.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ClassAccount {
@@ -29,8 +32,10 @@
     pub(crate) granted: u64,
     pub(crate) granted_by_share: u64,
     pub(crate) shed: u64,
-    /// When the class last got a grant, or began to wait for one.
+    /// When the class last got a grant, or began to wait for one after it had no demand.
     pub(crate) served: MonoTime,
+    /// When the class last had no ticket left.
+    emptied: MonoTime,
 }
 
 impl ClassAccount {
@@ -44,6 +49,7 @@
             granted_by_share: 0,
             shed: 0,
             served: now,
+            emptied: now,
         }
     }
 
@@ -95,9 +101,12 @@
     }
 
     /// Counts a ticket that begins to wait.
+    ///
+    /// Tickets that are shed before they get a grant leave a class without tickets for a moment,
+    /// which must not make it look served.
     pub(crate) fn queued(&mut self, class: ClassId, now: MonoTime) {
         let account = self.account(class, now);
-        if account.queued == 0 {
+        if account.queued == 0 && now.since(account.emptied) >= DEMAND_MEMORY {
             account.served = now;
         }
         account.queued += 1;
@@ -107,6 +116,7 @@
     pub(crate) fn left(&mut self, class: ClassId, now: MonoTime) {
         let account = self.account(class, now);
         account.queued = account.queued.saturating_sub(1);
+        account.emptied = now;
     }
 
     /// Counts a shed ticket.
--- a/crates/decide/src/shed.rs
+++ b/crates/decide/src/shed.rs
@@ -12,7 +12,7 @@
 use oleander_base::{ShedNotice, ShedReason};
 
 use crate::policy::{Decision, DecisionNotice};
-use crate::pool_queue::TicketKey;
+use crate::pool_queue::{QueuedTicket, TicketKey};
 use crate::queue_time::QueueTime;
 use crate::tiered::TieredPool;
 
@@ -20,8 +20,9 @@
 const RETRY_FLOOR: Span = Span::from_secs(1);
 const RETRY_LIMIT: Span = Span::from_secs(60);
 
-/// The share of the time to its target that a ticket may be expected to wait.
-const WAIT_SHARE: f64 = 0.8;
+/// How far the expected wait must exceed the time left, because the rates that it comes from
+/// scatter and a ticket given up wrongly cannot be taken back.
+const WAIT_TOLERANCE: f64 = 1.6;
 
 /// The least share of the pool that a tier is expected to get.
 const TIER_SHARE_FLOOR: f64 = 0.02;
@@ -108,7 +109,7 @@
     fn is_turn_too_late(&self, tier: Tier, due: QueueTime, now: MonoTime) -> bool {
         let left = due.after(now).saturating_sub(self.backends.usual_first());
         let wait = self.expected_wait(tier, now).unwrap_or(Span::ZERO);
-        wait.as_secs_f64() > left.as_secs_f64() * WAIT_SHARE
+        wait.as_secs_f64() > left.as_secs_f64() * WAIT_TOLERANCE
     }
 
     fn is_overloaded(&self, now: MonoTime) -> bool {
@@ -126,16 +127,21 @@
         }
     }
 
+    /// Gives up hopeless tickets of the lowest tier, and of the next one while none is left there.
     fn shed_hopeless(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
-        if !self.is_overloaded(now) {
-            return;
+        while self.is_overloaded(now)
+            && let Some(lowest) = self.queue.lowest()
+        {
+            self.shed_hopeless_of(lowest, now, out);
+            if self.queue.lowest() == Some(lowest) {
+                return;
+            }
         }
-        let Some(lowest) = self.queue.lowest() else {
-            return;
-        };
-        let late_before = self.late_before(now);
-        self.queue.age_out(lowest, late_before);
-        let Some(queue) = self.queue.tier(lowest) else {
+    }
+
+    fn shed_hopeless_of(&mut self, tier: Tier, now: MonoTime, out: &mut Vec<Decision>) {
+        self.queue.age_out(tier, self.late_before(now));
+        let Some(queue) = self.queue.tier(tier) else {
             return;
         };
         let late: Vec<TicketKey> = queue.late().take(HOPELESS_BOUND).collect();
@@ -145,7 +151,7 @@
         }
         for key in last {
             let due = self.queue.get(key).map(|entry| entry.due);
-            if !due.is_some_and(|due| self.is_turn_too_late(lowest, due, now)) {
+            if !due.is_some_and(|due| self.is_turn_too_late(tier, due, now)) {
                 return;
             }
             self.give_up_hopeless(key, now, out);
@@ -153,17 +159,22 @@
     }
 
     fn give_up_hopeless(&mut self, key: TicketKey, now: MonoTime, out: &mut Vec<Decision>) {
-        let class = self.queue.get(key).map(|entry| entry.ticket.class);
-        if class.is_some_and(|class| !self.is_last_of(class, now)) {
+        let entry = self.queue.get(key);
+        if entry.is_some_and(|entry| !self.is_kept(entry, now)) {
             self.give_up(key, ShedReason::Hopeless, now, out);
         }
     }
 
-    /// Returns whether a class's ticket must be kept, as the only one or for want of grants.
-    fn is_last_of(&self, class: ClassId, now: MonoTime) -> bool {
-        self.ledger.get(class).is_none_or(|account| {
-            account.queued <= 1 || account.is_starved(self.config.progress_span, now)
-        })
+    /// Returns whether a ticket is kept for its class's minimum share.
+    ///
+    /// It is the class's only one, or the class has had no grant for long. A ticket that may not
+    /// overtake the higher tiers is not kept, because it would keep hopeless tickets of theirs
+    /// from being given up.
+    fn is_kept(&self, entry: &QueuedTicket, now: MonoTime) -> bool {
+        let span = self.config.progress_span;
+        let account = self.ledger.get(entry.ticket.class);
+        account.is_none_or(|account| account.queued <= 1 || account.is_starved(span, now))
+            && self.leaves_patience(entry, now)
     }
 
     fn shed_without_backend(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
--- a/crates/decide/src/tiered.rs
+++ b/crates/decide/src/tiered.rs
@@ -35,7 +35,7 @@
 const GAP_TOKENS: u32 = 8;
 
 /// The window of the rate at which work arrives.
-const ARRIVAL_WINDOW: Span = Span::from_secs(2);
+const ARRIVAL_WINDOW: Span = Span::from_secs(10);
 
 /// The product's policy.
 #[derive(Debug)]
@@ -222,8 +222,8 @@
 
     fn settle(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
         self.latest = self.latest.max(now);
-        self.dispatch(now, out);
         self.shed(now, out);
+        self.dispatch(now, out);
     }
 }
 
