Limits, budgets, hedges and spill-over of an entry VM

Retries and hedges come from one budget in proportion to successes. Spill-over compares distance and wait, has hysteresis, makes one hop at most and spreads tickets over targets in proportion to their room, since all senders see the same late figures.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,16 +5,20 @@
 //! and sends the [`Decision`]s that come out to the entry VMs. [`TieredPool`] is the policy of the
 //! product; [`FifoPool`] gives the baselines that experiments compare it with.
 //!
-//! What an entry VM decides alone stands beside it: which instance is a pool's dispatcher
-//! ([`choose_dispatcher`]).
+//! What an entry VM decides by itself stands beside it: which instance is a pool's dispatcher
+//! ([`choose_dispatcher`]), whether to try again ([`RetryBudget`], [`HedgePolicy`]), whether a
+//! customer is within its limits ([`RateLimiter`], [`split_rate`]), and whether a ticket goes to
+//! another data centre ([`SpillPolicy`]).
 
 mod backend_set;
 mod backend_state;
 mod baseline;
 mod config;
 mod dispatch;
+mod fleet_share;
 mod grant_table;
 mod health;
+mod hedge;
 mod length;
 mod meter;
 mod other_load;
@@ -22,11 +26,14 @@
 mod pool_queue;
 mod prefix_index;
 mod queue_time;
+mod rate_limiter;
 mod rendezvous;
+mod retry_budget;
 mod share_ledger;
 mod shed;
 mod slot_limit;
 mod speed;
+mod spill;
 mod summary;
 mod tier_queue;
 mod tiered;
@@ -35,9 +42,14 @@
 
 pub use baseline::{FifoOrder, FifoPool};
 pub use config::{PoolConfig, PoolKind};
+pub use fleet_share::{InstanceDemand, InstanceShare, split_rate, split_slots};
+pub use hedge::{HedgeConfig, HedgePolicy, HedgeQuery};
 pub use length::LengthEstimator;
 pub use policy::{Decision, DecisionNotice, ParsePolicyError, PolicyKind, PoolPolicy, open};
+pub use rate_limiter::{CustomerAllotment, CustomerDemand, LimitError, RateLimiter};
 pub use rendezvous::{DispatcherCandidate, choose_dispatcher};
+pub use retry_budget::{RetryBudget, RetryConfig};
+pub use spill::{HomeLoad, SpillConfig, SpillOption, SpillPolicy, spill_target};
 pub use summary::{ClassSummary, PoolSummary, TierSummary};
 pub use tiered::TieredPool;
 pub use verify::VerifyError;
