--- a/crates/decide/src/backend_set.rs
+++ b/crates/decide/src/backend_set.rs
@@ -74,6 +74,20 @@
                 .set_view(view);
         }
         self.drop_unlisted();
+        self.keep_one(now);
+    }
+
+    /// Lets ejected backend servers be probed if no other one could take work.
+    ///
+    /// Those that were not ejected may have left since.
+    pub(crate) fn keep_one(&mut self, now: MonoTime) {
+        let mut usable = self.states.values().filter(|state| state.is_usable());
+        if usable.any(|state| !state.health.is_ejected(now)) {
+            return;
+        }
+        for state in self.states.values_mut().filter(|s| s.is_usable()) {
+            state.health.limit_to_probes();
+        }
     }
 
     /// Returns one backend server.
@@ -163,6 +177,7 @@
             state.health.tick(now);
         }
         self.drop_unlisted();
+        self.keep_one(now);
         self.update_reference();
         self.update_capacity(now);
     }
--- a/crates/decide/src/tiered.rs
+++ b/crates/decide/src/tiered.rs
@@ -340,6 +340,7 @@
     ) {
         if let Some(state) = self.backends.get_mut(backend) {
             state.report(report, now);
+            self.backends.keep_one(now);
             self.settle(now, out);
         }
     }
