--- a/crates/decide/src/backend_set.rs
+++ b/crates/decide/src/backend_set.rs
@@ -45,17 +45,19 @@
 pub(crate) struct BackendSet {
     states: BTreeMap<BackendId, BackendState>,
     prefixes: PrefixIndex,
+    report_stale: Span,
     reference: ReferenceSpeed,
     capacity: Option<f64>,
     mean_occupancy: f64,
 }
 
 impl BackendSet {
-    /// Opens an empty set.
-    pub(crate) fn open() -> Self {
+    /// Opens an empty set; reports older than `report_stale` tell nothing of the load.
+    pub(crate) fn open(report_stale: Span) -> Self {
         Self {
             states: BTreeMap::new(),
             prefixes: PrefixIndex::default(),
+            report_stale,
             reference: DEFAULT_REFERENCE,
             capacity: None,
             mean_occupancy: 0.0,
@@ -141,13 +143,12 @@
     pub(crate) fn choose(&self, ticket: &Ticket, work: u32, now: MonoTime) -> Option<BackendId> {
         let adapter = ticket.adapter.filter(|adapter| self.any_has(*adapter));
         let avoid = ticket.avoid.filter(|backend| self.has_other(*backend));
-        let stale = Span::from_secs(5);
         self.states
             .values()
             .filter(|state| Some(state.view.backend) != avoid)
             .filter(|state| adapter.is_none_or(|a| state.has_adapter(a) != Some(false)))
             .filter(|state| state.free(now) > 0 && state.has_model(ticket.pool.model))
-            .map(|state| (self.expected_finish(state, ticket, work, stale, now), state))
+            .map(|state| (self.expected_finish(state, ticket, work, now), state))
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, state)| state.view.backend)
     }
@@ -209,12 +210,12 @@
     }
 
     /// Writes one line for each backend server.
-    pub(crate) fn dump(&self, stale: Span, now: MonoTime, text: &mut String) {
+    pub(crate) fn dump(&self, now: MonoTime, text: &mut String) {
         if let Some(capacity) = self.capacity {
             let _ = writeln!(text, "  capacity {capacity:.1}/s");
         }
         for state in self.states.values() {
-            state.dump(stale, now, text);
+            state.dump(self.report_stale, now, text);
         }
     }
 
@@ -223,7 +224,6 @@
         state: &BackendState,
         ticket: &Ticket,
         work: u32,
-        stale: Span,
         now: MonoTime,
     ) -> f64 {
         let limit = f64::from(state.limit.get().max(1));
@@ -239,7 +239,7 @@
             let first = state.speed.first().unwrap_or(self.reference.first / speed);
             seconds -= PREFIX_SAVING * first;
         }
-        if state.load.is_unknown(stale, now) {
+        if state.load.is_unknown(self.report_stale, now) {
             seconds *= UNKNOWN_PENALTY;
         }
         let overdue = (state.overdue(now) - OVERDUE_TOLERANCE).max(0.0);
--- /dev/null
+++ b/crates/decide/src/learn.rs
@@ -0,0 +1,106 @@
+//! What the tiered policy learns from the end of a grant.
+
+use oleander_base::prelude::*;
+use oleander_base::{EndKind, ReleaseNotice};
+
+use crate::config::PoolKind;
+use crate::grant_table::GrantEntry;
+use crate::health::FailureEffect;
+use crate::slot_limit::TargetSample;
+use crate::speed::SpeedSample;
+use crate::tiered::TieredPool;
+
+/// Answers shorter than this say nothing of the time between tokens.
+const GAP_TOKENS: u32 = 8;
+
+impl TieredPool {
+    /// Learns from the end of a grant.
+    pub(crate) fn learn(&mut self, entry: &GrantEntry, release: &ReleaseNotice, now: MonoTime) {
+        match release.end {
+            EndKind::Finished => self.learn_finished(entry, release, now),
+            EndKind::Cancelled => {
+                if release.tokens > 0
+                    && let Some(state) = self.backends.get_mut(entry.backend)
+                {
+                    state.progressed(now);
+                }
+            }
+            EndKind::Failed => self.learn_failure(entry.backend, now),
+            EndKind::Refused => {
+                if let Some(state) = self.backends.get_mut(entry.backend) {
+                    state.limit.refused();
+                }
+                self.learn_failure(entry.backend, now);
+            }
+        }
+    }
+
+    fn learn_finished(&mut self, entry: &GrantEntry, release: &ReleaseNotice, now: MonoTime) {
+        let ticket = &entry.ticket;
+        let is_engine = self.config.kind == PoolKind::Engines;
+        if is_engine {
+            self.lengths
+                .observe(ticket.class, ticket.customer, release.tokens);
+        }
+        let gap_target = self
+            .classes
+            .get(&ticket.class)
+            .map(|class| class.token_gap_target);
+        let Some(state) = self.backends.get_mut(entry.backend) else {
+            return;
+        };
+        state.progressed(now);
+        state.health.succeeded(state.view.slots, now);
+        let first = release.first_token.filter(|_| is_engine);
+        let load = state.occupancy();
+        state.speed.observe(&SpeedSample {
+            work: if is_engine {
+                f64::from(release.tokens)
+            } else {
+                1.0
+            },
+            first: first.filter(|_| !entry.first_seen),
+            total: release.total,
+            load,
+        });
+        let served = if is_engine {
+            first
+        } else {
+            Some(release.total)
+        };
+        let gap = gap_target
+            .filter(|_| is_engine)
+            .and_then(|target| gap_sample(release, target));
+        state
+            .limit
+            .observe(gap, served.map(|span| sample(span, ticket.target)));
+    }
+
+    fn learn_failure(&mut self, backend: BackendId, now: MonoTime) {
+        let Some(state) = self.backends.get_mut(backend) else {
+            return;
+        };
+        if state.health.failed(now) == FailureEffect::Eject {
+            self.backends
+                .eject(backend, self.config.ejection_share, now);
+        }
+    }
+}
+
+fn sample(seen: Span, target: Span) -> TargetSample {
+    TargetSample {
+        seen: seen.0 as f64,
+        target: target.0 as f64,
+    }
+}
+
+fn gap_sample(release: &ReleaseNotice, target: Span) -> Option<TargetSample> {
+    if release.tokens < GAP_TOKENS {
+        return None;
+    }
+    let streamed = release.total.saturating_sub(release.first_token?);
+    Some(TargetSample {
+        seen: streamed.0 as f64 / f64::from(release.tokens - 1),
+        target: target.0 as f64,
+    })
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,6 +19,8 @@
 mod grant_table;
 mod health;
 mod hedge;
+mod inspect;
+mod learn;
 mod length;
 mod meter;
 mod other_load;
--- a/crates/decide/src/other_load.rs
+++ b/crates/decide/src/other_load.rs
@@ -13,8 +13,12 @@
 /// How far back changes are kept; a report older than this is ignored.
 const HISTORY_SPAN: Span = Span::from_secs(10);
 
-/// The weight of one report against the estimate so far.
-const REPORT_WEIGHT: f64 = 0.5;
+/// The weight of a report that says more than the estimate so far.
+///
+/// A report whose true age is unknown shows requests of ours that have ended since as those of
+/// others. Such errors only ever add, so that a larger number has to come again to be believed,
+/// and a smaller one is believed at once.
+const RISE_WEIGHT: f64 = 0.3;
 
 #[derive(Debug, Clone, Copy)]
 struct OwnChange {
@@ -55,10 +59,8 @@
         let step: i32 = since.map(|change| change.step).sum();
         let own_then = (i64::from(own) - i64::from(step)).max(0);
         let others = (i64::from(total) - own_then).max(0) as f64;
-        let weight = match self.reported {
-            None => 1.0,
-            Some(_) => REPORT_WEIGHT,
-        };
+        let is_rise = self.reported.is_some() && others > self.others;
+        let weight = if is_rise { RISE_WEIGHT } else { 1.0 };
         self.others += weight * (others - self.others);
         self.reported = Some(taken);
     }
--- a/crates/decide/src/share_ledger.rs
+++ b/crates/decide/src/share_ledger.rs
@@ -87,6 +87,13 @@
         self.accounts.get(&class)
     }
 
+    /// Sets every class back to the smallest share.
+    pub(crate) fn clear_shares(&mut self) {
+        for account in self.accounts.values_mut() {
+            account.share = SHARE_FLOOR;
+        }
+    }
+
     /// Sets the minimum share of a class.
     pub(crate) fn set_share(&mut self, class: ClassId, share: f64, now: MonoTime) {
         self.account(class, now).share = share.clamp(SHARE_FLOOR, 1.0);
--- a/crates/decide/src/tiered.rs
+++ b/crates/decide/src/tiered.rs
@@ -10,30 +10,22 @@
 //! - A backend server never gets a grant beyond its limit, nor any grant while it is leaving.
 //! - Every offered ticket has exactly one outcome.
 
-use std::fmt::Write as _;
-
 use oleander_base::prelude::*;
-use oleander_base::{CacheEvent, EndKind, GrantNotice, LoadReport, ReleaseNotice};
+use oleander_base::{CacheEvent, GrantNotice, LoadReport, ReleaseNotice};
 
 use crate::backend_set::BackendSet;
 use crate::config::{PoolConfig, PoolKind};
 use crate::grant_table::{GrantEntry, GrantTable};
-use crate::health::FailureEffect;
 use crate::length::LengthEstimator;
 use crate::meter::RateMeter;
 use crate::policy::{Decision, DecisionNotice, PoolPolicy};
 use crate::pool_queue::PoolQueue;
 use crate::queue_time::QueueTime;
 use crate::share_ledger::ShareLedger;
-use crate::slot_limit::TargetSample;
-use crate::speed::SpeedSample;
-use crate::summary::{ClassSummary, PoolSummary, TierSummary};
+use crate::summary::PoolSummary;
 use crate::verify::VerifyError;
 use crate::views::{BackendView, ClassView, CustomerView, HeldGrant, ProgressNotice};
 
-/// Answers shorter than this say nothing of the time between tokens.
-const GAP_TOKENS: u32 = 8;
-
 /// The window of the rate at which work arrives.
 const ARRIVAL_WINDOW: Span = Span::from_secs(10);
 
@@ -51,7 +43,7 @@
     pub(crate) last_shed: [Option<MonoTime>; Tier::COUNT],
     pub(crate) saturated: Option<MonoTime>,
     pub(crate) without_backend: Option<MonoTime>,
-    latest: MonoTime,
+    pub(crate) latest: MonoTime,
 }
 
 impl TieredPool {
@@ -60,7 +52,7 @@
         Self {
             queue: PoolQueue::open(config.fairness_window),
             grants: GrantTable::default(),
-            backends: BackendSet::open(),
+            backends: BackendSet::open(config.report_stale),
             ledger: ShareLedger::open(),
             lengths: LengthEstimator::open(),
             classes: FastMap::default(),
@@ -123,78 +115,6 @@
         }
     }
 
-    /// Learns from the end of a grant.
-    fn learn(&mut self, entry: &GrantEntry, release: &ReleaseNotice, now: MonoTime) {
-        match release.end {
-            EndKind::Finished => self.learn_finished(entry, release, now),
-            EndKind::Cancelled => {
-                if release.tokens > 0
-                    && let Some(state) = self.backends.get_mut(entry.backend)
-                {
-                    state.progressed(now);
-                }
-            }
-            EndKind::Failed => self.learn_failure(entry.backend, now),
-            EndKind::Refused => {
-                if let Some(state) = self.backends.get_mut(entry.backend) {
-                    state.limit.refused();
-                }
-                self.learn_failure(entry.backend, now);
-            }
-        }
-    }
-
-    fn learn_finished(&mut self, entry: &GrantEntry, release: &ReleaseNotice, now: MonoTime) {
-        let ticket = &entry.ticket;
-        let is_engine = self.config.kind == PoolKind::Engines;
-        if is_engine {
-            self.lengths
-                .observe(ticket.class, ticket.customer, release.tokens);
-        }
-        let gap_target = self
-            .classes
-            .get(&ticket.class)
-            .map(|class| class.token_gap_target);
-        let Some(state) = self.backends.get_mut(entry.backend) else {
-            return;
-        };
-        state.progressed(now);
-        state.health.succeeded(state.view.slots, now);
-        let first = release.first_token.filter(|_| is_engine);
-        let load = state.occupancy();
-        state.speed.observe(&SpeedSample {
-            work: if is_engine {
-                f64::from(release.tokens)
-            } else {
-                1.0
-            },
-            first: first.filter(|_| !entry.first_seen),
-            total: release.total,
-            load,
-        });
-        let served = if is_engine {
-            first
-        } else {
-            Some(release.total)
-        };
-        let gap = gap_target
-            .filter(|_| is_engine)
-            .and_then(|target| gap_sample(release, target));
-        state
-            .limit
-            .observe(gap, served.map(|span| sample(span, ticket.target)));
-    }
-
-    fn learn_failure(&mut self, backend: BackendId, now: MonoTime) {
-        let Some(state) = self.backends.get_mut(backend) else {
-            return;
-        };
-        if state.health.failed(now) == FailureEffect::Eject {
-            self.backends
-                .eject(backend, self.config.ejection_share, now);
-        }
-    }
-
     /// Counts a ticket out of the queue.
     pub(crate) fn unqueue(&mut self, request: RequestId, now: MonoTime) -> bool {
         let Some(key) = self.queue.find(request) else {
@@ -206,18 +126,9 @@
         true
     }
 
-    fn class_summaries(&self) -> Vec<ClassSummary> {
-        let accounts = self.ledger.accounts();
-        accounts
-            .map(|(class, account)| ClassSummary {
-                class,
-                queued: account.queued,
-                running: account.running,
-                granted: account.granted,
-                granted_by_share: account.granted_by_share,
-                shed: account.shed,
-            })
-            .collect()
+    /// Returns the bound before which a deadline can no longer be met.
+    pub(crate) fn late_before(&self, now: MonoTime) -> QueueTime {
+        QueueTime::from(now + self.backends.usual_first())
     }
 
     fn settle(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
@@ -242,6 +153,7 @@
         out: &mut Vec<Decision>,
     ) {
         self.classes.clear();
+        self.ledger.clear_shares();
         for class in classes {
             self.ledger.set_share(class.class, class.minimum_share, now);
             self.classes.insert(class.class, class.clone());
@@ -371,91 +283,15 @@
     }
 
     fn summary(&self, now: MonoTime) -> PoolSummary {
-        let states = || self.backends.iter().filter(|state| state.is_usable());
-        let tiers = self.queue.tiers().map(|(tier, queue)| TierSummary {
-            tier,
-            queued: queue.len() as u32,
-            expected_wait: self.expected_wait(tier, now).unwrap_or(Span::ZERO),
-        });
-        PoolSummary {
-            pool: self.config.pool,
-            slots_total: states().map(|state| state.ceiling(now)).sum(),
-            slots_used: states().map(|state| state.in_use()).sum(),
-            backends_usable: states().count() as u32,
-            backends_ejected: states().filter(|s| s.health.is_ejected(now)).count() as u32,
-            saturated: self.saturated.is_some(),
-            tiers: tiers.collect(),
-            classes: self.class_summaries(),
-        }
+        self.summarize(now)
     }
 
     fn dump(&self, now: MonoTime) -> String {
-        let mut text = self.summary(now).to_string();
-        self.backends.dump(self.config.report_stale, now, &mut text);
-        let mut entries: Vec<_> = self.queue.iter().collect();
-        entries.sort_unstable_by_key(|entry| (entry.ticket.tier, entry.due, entry.key));
-        for entry in entries {
-            let ticket = &entry.ticket;
-            let _ = writeln!(
-                text,
-                "  queued {} {} {} {} due {} expires {} work {}",
-                ticket.request,
-                ticket.tier,
-                ticket.class,
-                ticket.customer,
-                entry.due,
-                entry.expires,
-                entry.work
-            );
-        }
-        let mut grants: Vec<_> = self.grants.iter().collect();
-        grants.sort_unstable_by_key(|entry| (entry.granted, entry.ticket.request));
-        for entry in grants {
-            let _ = writeln!(
-                text,
-                "  granted {} {} at {}",
-                entry.ticket.request, entry.backend, entry.granted
-            );
-        }
-        text
+        self.dump_text(now)
     }
 
     fn verify(&self) -> Result<(), VerifyError> {
-        self.queue.verify()?;
-        self.backends.verify(self.latest)?;
-        let bound = self.config.queue_bound;
-        if self.queue.len() > bound {
-            let queued = self.queue.len();
-            return Err(VerifyError::QueueBound { queued, bound });
-        }
-        let twice = self.queue.iter().map(|entry| entry.ticket.request);
-        if let Some(request) = twice.into_iter().find(|r| self.grants.contains(*r)) {
-            return Err(VerifyError::TwoStates(request));
-        }
-        let mut counts: FastMap<BackendId, u32> = FastMap::default();
-        for entry in self.grants.iter() {
-            *counts.entry(entry.backend).or_default() += 1;
-        }
-        for state in self.backends.iter() {
-            let backend = state.view.backend;
-            let grants = counts.remove(&backend).unwrap_or(0);
-            let counted = state.outstanding();
-            if counted != grants {
-                return Err(VerifyError::SlotCount {
-                    backend,
-                    counted,
-                    grants,
-                });
-            }
-        }
-        match counts.into_iter().next() {
-            None => Ok(()),
-            Some((backend, grants)) => Err(VerifyError::SlotCount {
-                backend,
-                counted: 0,
-                grants,
-            }),
-        }
+        self.check()
     }
 }
 
@@ -463,28 +299,3 @@
     let notice = DecisionNotice::Grant(GrantNotice { request, backend });
     Decision { to, notice }
 }
-
-fn sample(seen: Span, target: Span) -> TargetSample {
-    TargetSample {
-        seen: seen.0 as f64,
-        target: target.0 as f64,
-    }
-}
-
-fn gap_sample(release: &ReleaseNotice, target: Span) -> Option<TargetSample> {
-    if release.tokens < GAP_TOKENS {
-        return None;
-    }
-    let streamed = release.total.saturating_sub(release.first_token?);
-    Some(TargetSample {
-        seen: streamed.0 as f64 / f64::from(release.tokens - 1),
-        target: target.0 as f64,
-    })
-}
-
-impl TieredPool {
-    /// Returns the bound before which a deadline can no longer be met.
-    pub(crate) fn late_before(&self, now: MonoTime) -> QueueTime {
-        QueueTime::from(now + self.backends.usual_first())
-    }
-}
