--- a/crates/engine/tests/client.rs
+++ b/crates/engine/tests/client.rs
@@ -223,6 +223,7 @@
     wait_until(|| engine.totals().started == 2).await;
     drop(waiting);
     wait_until(|| engine.totals().cancelled == 1).await;
+    assert_eq!(engine.totals().finished, 0);
     assert!(running.next().await.unwrap().is_ok());
 }
 
--- a/crates/standin/src/engine_http.rs
+++ b/crates/standin/src/engine_http.rs
@@ -1,5 +1,6 @@
 //! The HTTP interface of an engine's stand-in.
 
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -11,6 +12,7 @@
 use ntex::http::body::BodyStream;
 use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::http::{Method, Request, Response, StatusCode};
+use ntex::io::{IoRef, OnDisconnect};
 use ntex::util::{Bytes, BytesMut, stream_recv};
 use oleander_base::{CacheEvent, EngineRole, PrefixHash};
 use serde::{Deserialize, Serialize};
@@ -195,11 +197,13 @@
     } else {
         "application/json"
     };
+    let gone = request.io().map(IoRef::on_disconnect);
     let id = core.submit(open, prefix_of(request, &prompt));
     let body = AnswerBody {
         core: core.clone(),
         id,
         stream,
+        gone,
     };
     Ok(Response::build(StatusCode::OK)
         .header("content-type", content_type)
@@ -230,17 +234,30 @@
 }
 
 /// The body of an answer; dropping it, as a closed connection does, cancels the sequence.
+///
+/// The server notices a closed connection only when it writes, so a body that still waits for its
+/// first token watches the connection itself.
 struct AnswerBody {
     core: Rc<EngineCore>,
     id: SequenceId,
     stream: mpsc::Receiver<io::Result<Bytes>>,
+    gone: Option<OnDisconnect>,
 }
 
 impl Stream for AnswerBody {
     type Item = io::Result<Bytes>;
 
-    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.stream.poll_recv(cx)
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if let Poll::Ready(item) = self.stream.poll_recv(cx) {
+            return Poll::Ready(item);
+        }
+        let Some(gone) = &mut self.gone else {
+            return Poll::Pending;
+        };
+        Pin::new(gone).poll(cx).map(|()| {
+            let reason = io::Error::from(io::ErrorKind::ConnectionAborted);
+            Some(Err(reason))
+        })
     }
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,6 +14,8 @@
 mod engine_loop;
 mod faults;
 mod host;
+mod proxy;
+mod proxy_udp;
 mod service;
 
 pub use answer::{AnswerCheck, AnswerPlan, AnswerTag, AnswerWriter, answer_hint, token_text};
@@ -22,4 +24,6 @@
 pub use counters::{EngineCounters, EngineTotals, ServiceCounters, ServiceTotals};
 pub use engine::{EngineSettings, EngineStandIn, run_engine};
 pub use faults::{EngineFault, FaultError, OrderMode, ServiceFault};
+pub use proxy::{CutPoint, DirectionFault, FaultProxy, ProxyFaults};
+pub use proxy_udp::{DatagramFault, DatagramFaults, UdpFaultProxy};
 pub use service::{EffectRecord, ServiceSettings, ServiceStandIn, run_service};
--- /dev/null
+++ b/crates/standin/src/proxy.rs
@@ -0,0 +1,338 @@
+//! A TCP proxy that causes network failures between two real processes.
+//!
+//! Each direction of a connection is a reader and a writer with a queue between them. The reader
+//! stamps every piece with the time it may leave, so that a delay keeps order and throughput. A
+//! blocked direction holds its bytes and lets them go when the fault ends, as a healed partition
+//! does. A cut closes both sides at once.
+
+use std::future::Future;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener as StdListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+use crate::counters::bump;
+
+/// The size of one piece, in bytes.
+const PIECE_BYTES: usize = 16 << 10;
+
+/// How many pieces one direction holds back.
+const HELD_PIECES: usize = 1_024;
+
+/// Where a connection is cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum CutPoint {
+    /// Nowhere.
+    #[default]
+    Never,
+    /// As soon as it is accepted.
+    AtAccept,
+    /// When the first byte of the request comes; nothing is passed on.
+    BeforeRequest,
+    /// After so many bytes of the request were passed on.
+    InRequest(u64),
+    /// When the first byte of the answer comes; the request was passed on, the answer is not.
+    BeforeAnswer,
+    /// After so many bytes of the answer were passed on.
+    InAnswer(u64),
+}
+
+/// The faults of one direction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct DirectionFault {
+    /// How much later everything arrives.
+    pub delay: Duration,
+    /// Whether nothing passes.
+    pub blocked: bool,
+}
+
+/// The faults of a proxy; the default passes everything on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ProxyFaults {
+    /// Where connections are cut.
+    pub cut: CutPoint,
+    /// From the caller to the target.
+    pub to_target: DirectionFault,
+    /// From the target to the caller.
+    pub to_caller: DirectionFault,
+}
+
+/// What a proxy has counted.
+#[derive(Debug, Default)]
+struct ProxyCounters {
+    connections: AtomicU64,
+    cuts: AtomicU64,
+}
+
+/// A running proxy; dropping it ends its thread and cuts its connections.
+#[derive(Debug)]
+pub struct FaultProxy {
+    address: SocketAddr,
+    faults: watch::Sender<ProxyFaults>,
+    cut_all: watch::Sender<u64>,
+    counters: Arc<ProxyCounters>,
+    stop: Arc<Notify>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl FaultProxy {
+    /// Binds a port of its own on loopback in front of `target`.
+    pub fn bind(target: SocketAddr) -> io::Result<Self> {
+        let listener = StdListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let (faults, fault_view) = watch::channel(ProxyFaults::default());
+        let (cut_all, cut_view) = watch::channel(0);
+        let counters = Arc::new(ProxyCounters::default());
+        let stop = Arc::new(Notify::new());
+        let route = ProxyRoute {
+            target,
+            faults: fault_view,
+            cut_all: cut_view,
+            counters: counters.clone(),
+        };
+        let stopped = stop.clone();
+        let thread = spawn_runtime("fault-proxy", async move {
+            tokio::select! {
+                () = accept_all(listener, route) => {}
+                () = stopped.notified() => {}
+            }
+        })?;
+        Ok(Self {
+            address,
+            faults,
+            cut_all,
+            counters,
+            stop,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns the address in front of the target.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Puts these faults in force, for open connections too.
+    pub fn set(&self, faults: ProxyFaults) {
+        self.faults.send_replace(faults);
+    }
+
+    /// Ends all faults.
+    pub fn allow(&self) {
+        self.set(ProxyFaults::default());
+    }
+
+    /// Cuts all open connections.
+    pub fn cut_all(&self) {
+        self.cut_all.send_modify(|count| *count += 1);
+    }
+
+    /// Returns the number of connections that were accepted.
+    pub fn connections(&self) -> u64 {
+        self.counters.connections.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of connections that a fault cut.
+    pub fn cuts(&self) -> u64 {
+        self.counters.cuts.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        self.stop.notify_one();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Runs a future on a thread of its own.
+pub(crate) fn spawn_runtime(
+    name: &str,
+    future: impl Future<Output = ()> + Send + 'static,
+) -> io::Result<JoinHandle<()>> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    std::thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || LocalSet::new().block_on(&runtime, future))
+}
+
+/// What every connection of a proxy needs.
+#[derive(Debug, Clone)]
+struct ProxyRoute {
+    target: SocketAddr,
+    faults: watch::Receiver<ProxyFaults>,
+    cut_all: watch::Receiver<u64>,
+    counters: Arc<ProxyCounters>,
+}
+
+async fn accept_all(listener: StdListener, route: ProxyRoute) {
+    let Ok(listener) = TcpListener::from_std(listener) else {
+        return;
+    };
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        bump(&route.counters.connections);
+        tokio::task::spawn_local(serve(stream, route.clone()));
+    }
+}
+
+async fn serve(caller: TcpStream, mut route: ProxyRoute) {
+    route.cut_all.mark_unchanged();
+    if route.faults.borrow().cut == CutPoint::AtAccept {
+        bump(&route.counters.cuts);
+        return;
+    }
+    let Ok(target) = TcpStream::connect(route.target).await else {
+        return;
+    };
+    let _ = caller.set_nodelay(true);
+    let _ = target.set_nodelay(true);
+    let (caller_read, caller_write) = caller.into_split();
+    let (target_read, target_write) = target.into_split();
+    let requests = pump(caller_read, target_write, route.clone(), Way::ToTarget);
+    let answers = pump(target_read, caller_write, route.clone(), Way::ToCaller);
+    let counters = route.counters.clone();
+    let cut = async {
+        let _ = route.cut_all.changed().await;
+        // Counted before the connection closes, so that whoever sees it closed sees it counted.
+        bump(&counters.cuts);
+    };
+    tokio::select! {
+        () = join_pumps(requests, answers) => {}
+        () = cut => {}
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    ToTarget,
+    ToCaller,
+}
+
+/// What came of one direction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PumpEnd {
+    /// The sender closed it, and the receiver was told.
+    Closed,
+    /// One side is gone, or a fault cuts the connection.
+    Broken,
+}
+
+/// Waits for both directions, or for the first that takes the connection down.
+async fn join_pumps(
+    requests: impl Future<Output = PumpEnd>,
+    answers: impl Future<Output = PumpEnd>,
+) {
+    tokio::pin!(requests, answers);
+    let (first, rest) = tokio::select! {
+        end = &mut requests => (end, Way::ToCaller),
+        end = &mut answers => (end, Way::ToTarget),
+    };
+    match (first, rest) {
+        (PumpEnd::Closed, Way::ToCaller) => answers.await,
+        (PumpEnd::Closed, Way::ToTarget) => requests.await,
+        (PumpEnd::Broken, _) => PumpEnd::Broken,
+    };
+}
+
+impl Way {
+    fn fault(self, faults: &ProxyFaults) -> DirectionFault {
+        match self {
+            Self::ToTarget => faults.to_target,
+            Self::ToCaller => faults.to_caller,
+        }
+    }
+
+    /// Returns how many bytes may pass in all before the connection is cut.
+    fn allowance(self, cut: CutPoint) -> u64 {
+        match (self, cut) {
+            (Self::ToTarget, CutPoint::BeforeRequest) => 0,
+            (Self::ToTarget, CutPoint::InRequest(bytes)) => bytes,
+            (Self::ToCaller, CutPoint::BeforeAnswer) => 0,
+            (Self::ToCaller, CutPoint::InAnswer(bytes)) => bytes,
+            _ => u64::MAX,
+        }
+    }
+}
+
+type HeldPiece = (Instant, Vec<u8>);
+
+async fn pump(from: OwnedReadHalf, to: OwnedWriteHalf, route: ProxyRoute, way: Way) -> PumpEnd {
+    let (queue, held) = mpsc::channel(HELD_PIECES);
+    let reading = read_pieces(from, queue, route.faults.clone(), way);
+    let writing = write_pieces(to, held, route, way);
+    let ((), end) = tokio::join!(reading, writing);
+    end
+}
+
+async fn read_pieces(
+    mut from: OwnedReadHalf,
+    queue: mpsc::Sender<HeldPiece>,
+    faults: watch::Receiver<ProxyFaults>,
+    way: Way,
+) {
+    loop {
+        let mut piece = vec![0; PIECE_BYTES];
+        let read = tokio::select! {
+            read = from.read(&mut piece) => read.unwrap_or(0),
+            () = queue.closed() => 0,
+        };
+        if read == 0 {
+            return;
+        }
+        piece.truncate(read);
+        let due = Instant::now() + way.fault(&faults.borrow()).delay;
+        if queue.send((due, piece)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn write_pieces(
+    mut to: OwnedWriteHalf,
+    mut held: mpsc::Receiver<HeldPiece>,
+    mut route: ProxyRoute,
+    way: Way,
+) -> PumpEnd {
+    let mut passed = 0;
+    while let Some((due, piece)) = held.recv().await {
+        tokio::time::sleep_until(due).await;
+        let open = route
+            .faults
+            .wait_for(|faults| !way.fault(faults).blocked)
+            .await;
+        let Ok(cut) = open.map(|faults| faults.cut) else {
+            return PumpEnd::Broken;
+        };
+        let left = way.allowance(cut).saturating_sub(passed);
+        let part = piece.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+        if to.write_all(&piece[..part]).await.is_err() {
+            return PumpEnd::Broken;
+        }
+        passed += part as u64;
+        if part < piece.len() {
+            bump(&route.counters.cuts);
+            return PumpEnd::Broken;
+        }
+    }
+    match to.shutdown().await {
+        Ok(()) => PumpEnd::Closed,
+        Err(_) => PumpEnd::Broken,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/proxy_udp.rs
@@ -0,0 +1,228 @@
+//! A UDP proxy that loses, holds back and delays the datagrams between two processes.
+//!
+//! Every sender gets a socket of its own towards the target, so that answers find their way back.
+//! A datagram that a fault stops is lost, as on a network; QUIC above it sees a partition.
+
+use std::future::Future;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket as StdSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use oleander_base::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, watch};
+
+use crate::counters::bump;
+use crate::proxy::spawn_runtime;
+
+/// The largest datagram, in bytes.
+const DATAGRAM_BYTES: usize = 64 << 10;
+
+/// The faults of one direction.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct DatagramFault {
+    /// The share of datagrams that is lost, 0 to 1.
+    pub loss: f64,
+    /// How much later a datagram arrives.
+    pub delay: Duration,
+    /// Whether nothing passes.
+    pub blocked: bool,
+}
+
+/// The faults of a proxy; the default passes everything on.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct DatagramFaults {
+    /// From the sender to the target.
+    pub to_target: DatagramFault,
+    /// From the target to the sender.
+    pub to_sender: DatagramFault,
+}
+
+impl DatagramFaults {
+    /// Returns the faults of a network that passes nothing in either direction.
+    pub fn partition() -> Self {
+        let blocked = DatagramFault {
+            blocked: true,
+            ..DatagramFault::default()
+        };
+        Self {
+            to_target: blocked,
+            to_sender: blocked,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct DatagramCounters {
+    passed: AtomicU64,
+    lost: AtomicU64,
+}
+
+/// A running proxy; dropping it ends its thread.
+#[derive(Debug)]
+pub struct UdpFaultProxy {
+    address: SocketAddr,
+    faults: watch::Sender<DatagramFaults>,
+    counters: Arc<DatagramCounters>,
+    stop: Arc<Notify>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl UdpFaultProxy {
+    /// Binds a port of its own on loopback in front of `target`; `seed` decides what is lost.
+    pub fn bind(target: SocketAddr, seed: u64) -> io::Result<Self> {
+        let socket = bind_socket()?;
+        let address = socket.local_addr()?;
+        let (faults, view) = watch::channel(DatagramFaults::default());
+        let counters = Arc::new(DatagramCounters::default());
+        let stop = Arc::new(Notify::new());
+        let route = DatagramRoute {
+            target,
+            faults: view,
+            counters: counters.clone(),
+        };
+        let stopped = stop.clone();
+        let thread = spawn_runtime("udp-fault-proxy", async move {
+            tokio::select! {
+                _ = forward_all(socket, route, seed) => {}
+                () = stopped.notified() => {}
+            }
+        })?;
+        Ok(Self {
+            address,
+            faults,
+            counters,
+            stop,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns the address in front of the target.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Puts these faults in force.
+    pub fn set(&self, faults: DatagramFaults) {
+        self.faults.send_replace(faults);
+    }
+
+    /// Ends all faults.
+    pub fn allow(&self) {
+        self.set(DatagramFaults::default());
+    }
+
+    /// Returns the number of datagrams that were passed on.
+    pub fn passed(&self) -> u64 {
+        self.counters.passed.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of datagrams that a fault stopped.
+    pub fn lost(&self) -> u64 {
+        self.counters.lost.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for UdpFaultProxy {
+    fn drop(&mut self) {
+        self.stop.notify_one();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn bind_socket() -> io::Result<StdSocket> {
+    let socket = StdSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
+
+#[derive(Debug, Clone)]
+struct DatagramRoute {
+    target: SocketAddr,
+    faults: watch::Receiver<DatagramFaults>,
+    counters: Arc<DatagramCounters>,
+}
+
+async fn forward_all(socket: StdSocket, route: DatagramRoute, seed: u64) -> io::Result<()> {
+    let front = Arc::new(UdpSocket::from_std(socket)?);
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut senders: FastMap<SocketAddr, Arc<UdpSocket>> = FastMap::default();
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        // A port that nobody listens on shows as an error of the next call; it is no end.
+        let Ok((size, sender)) = front.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let back = match senders.get(&sender) {
+            Some(back) => back.clone(),
+            None => {
+                let back = open_back(&route, front.clone(), sender, random.random())?;
+                senders.insert(sender, back.clone());
+                back
+            }
+        };
+        let fault = route.faults.borrow().to_target;
+        let datagram = buffer[..size].to_vec();
+        pass(&route, fault, &mut random, async move {
+            let _ = back.send(&datagram).await;
+        });
+    }
+}
+
+/// Opens the socket towards the target for one sender and starts passing its answers back.
+fn open_back(
+    route: &DatagramRoute,
+    front: Arc<UdpSocket>,
+    sender: SocketAddr,
+    seed: u64,
+) -> io::Result<Arc<UdpSocket>> {
+    let socket = bind_socket()?;
+    socket.connect(route.target)?;
+    let back = Arc::new(UdpSocket::from_std(socket)?);
+    let (socket, route) = (back.clone(), route.clone());
+    tokio::task::spawn_local(async move {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            let Ok(size) = socket.recv(&mut buffer).await else {
+                tokio::task::yield_now().await;
+                continue;
+            };
+            let fault = route.faults.borrow().to_sender;
+            let datagram = buffer[..size].to_vec();
+            let front = front.clone();
+            pass(&route, fault, &mut random, async move {
+                let _ = front.send_to(&datagram, sender).await;
+            });
+        }
+    });
+    Ok(back)
+}
+
+/// Sends a datagram on, now or later, unless a fault stops it.
+fn pass(
+    route: &DatagramRoute,
+    fault: DatagramFault,
+    random: &mut ChaCha8Rng,
+    send: impl Future<Output = ()> + 'static,
+) {
+    let lost = fault.loss > 0.0 && random.random_bool(fault.loss.min(1.0));
+    if fault.blocked || lost {
+        bump(&route.counters.lost);
+        return;
+    }
+    bump(&route.counters.passed);
+    tokio::task::spawn_local(async move {
+        if !fault.delay.is_zero() {
+            tokio::time::sleep(fault.delay).await;
+        }
+        send.await;
+    });
+}
