--- /dev/null
+++ b/crates/load/src/settle.rs
@@ -0,0 +1,109 @@
+//! Holds what callers were told against what engines and services counted.
+
+use std::collections::BTreeMap;
+
+use oleander_base::prelude::*;
+use oleander_standin::{EffectRecord, EngineStandIn, EngineTotals, ServiceStandIn};
+use serde::Serialize;
+
+use crate::outcome::{CallOutcome, CallRecord};
+use crate::report::RunReport;
+
+/// What the stand-ins counted over a whole run.
+#[derive(Debug, Clone, Default)]
+pub struct SettleInput {
+    /// The sum of the engines' counters.
+    pub engines: EngineTotals,
+    /// The stamps of all answers that any engine began.
+    pub started: FastSet<u64>,
+    /// The plain services' records, by operation id, summed over their servers.
+    pub effects: BTreeMap<String, EffectRecord>,
+}
+
+impl SettleInput {
+    /// Gathers what these stand-ins have counted so far.
+    pub fn gather(engines: &[EngineStandIn], services: &[ServiceStandIn]) -> Self {
+        let mut input = Self::default();
+        for engine in engines {
+            input.engines = input.engines.plus(&engine.totals());
+            let tags = engine.started_tags();
+            input.started.extend(tags.into_iter().map(|tag| tag.0));
+        }
+        for service in services {
+            for (operation, record) in service.records() {
+                let sum = input.effects.entry(operation).or_default();
+                sum.arrivals += record.arrivals;
+                sum.effects += record.effects;
+            }
+        }
+        input
+    }
+}
+
+/// What the comparison found.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize)]
+pub struct SettleReport {
+    /// Tokens that engines generated.
+    pub generated: u64,
+    /// Tokens in answers that a caller got whole.
+    pub delivered: u64,
+    /// Generated tokens that no caller got in a whole answer, as a share.
+    pub wasted_share: f64,
+    /// Answers that an engine began although the caller was told that the call did not run.
+    pub false_not_run: u64,
+    /// Calls of plain services that took effect although the caller was told they did not run.
+    pub false_not_run_effects: u64,
+    /// Operations that took effect more than once.
+    pub doubled_effects: u64,
+    /// Operations that were answered as done and took no effect.
+    pub lost_effects: u64,
+}
+
+impl RunReport {
+    /// Compares the run with what the stand-ins counted, and keeps the result in the report.
+    pub fn settle(&mut self, input: &SettleInput) -> SettleReport {
+        let mut report = SettleReport {
+            generated: input.engines.tokens,
+            ..SettleReport::default()
+        };
+        for record in &self.records {
+            settle_answer(record, input, &mut report);
+            settle_effect(record, input, &mut report);
+        }
+        let wasted = report.generated.saturating_sub(report.delivered);
+        report.wasted_share = wasted as f64 / report.generated.max(1) as f64;
+        let effects = input.effects.values();
+        report.doubled_effects = effects.filter(|record| record.effects > 1).count() as u64;
+        self.settled = Some(report);
+        report
+    }
+}
+
+fn settle_answer(record: &CallRecord, input: &SettleInput, report: &mut SettleReport) {
+    let Some(tag) = record.tag else {
+        return;
+    };
+    if record.outcome == CallOutcome::Whole {
+        report.delivered += u64::from(record.tokens);
+    }
+    if record.verdict == Some(Verdict::NotRun) && input.started.contains(&tag) {
+        report.false_not_run += 1;
+    }
+}
+
+fn settle_effect(record: &CallRecord, input: &SettleInput, report: &mut SettleReport) {
+    let Some(operation) = &record.operation else {
+        return;
+    };
+    let effects = input
+        .effects
+        .get(operation)
+        .map_or(0, |record| record.effects);
+    if record.verdict == Some(Verdict::NotRun) && effects > 0 {
+        report.false_not_run_effects += 1;
+    }
+    let known = input.effects.contains_key(operation);
+    if record.acknowledged > 0 && known && effects == 0 {
+        report.lost_effects += 1;
+    }
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -5,14 +5,20 @@
 use std::sync::Arc;
 
 use oleander_base::EngineRole;
+use oleander_base::prelude::*;
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
+use crate::answer::AnswerTag;
 use crate::batch::BatchSpeed;
 use crate::counters::{EngineCounters, EngineTotals};
 use crate::engine_loop::EngineCore;
 use crate::faults::{EngineFault, FaultError, OrderMode};
 use crate::host::HttpHost;
 
+/// The stamps of the answers that an engine has begun, shared with its handle.
+pub(crate) type StartedTags = Arc<Mutex<FastSet<AnswerTag>>>;
+
 /// What a model engine's stand-in is like.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -100,6 +106,7 @@
 pub struct EngineStandIn {
     host: HttpHost<EngineFault>,
     counters: Arc<EngineCounters>,
+    started: StartedTags,
     settings: EngineSettings,
 }
 
@@ -107,14 +114,16 @@
     /// Binds the address and starts the engine's thread.
     pub fn bind(settings: EngineSettings) -> io::Result<Self> {
         let counters = Arc::new(EngineCounters::default());
-        let shared = counters.clone();
+        let started = StartedTags::default();
+        let (shared, tags) = (counters.clone(), started.clone());
         let copy = settings.clone();
         let host = HttpHost::spawn(&settings.name, settings.listen, move |commands| {
-            EngineCore::new(copy, shared, commands)
+            EngineCore::new(copy, shared, tags, commands)
         })?;
         Ok(Self {
             host,
             counters,
+            started,
             settings,
         })
     }
@@ -134,6 +143,11 @@
         self.counters.totals()
     }
 
+    /// Returns the stamps of all answers that the engine has begun.
+    pub fn started_tags(&self) -> Vec<AnswerTag> {
+        self.started.lock().iter().copied().collect()
+    }
+
     /// Sets a fault and waits until it is in force.
     pub fn fault(&self, fault: EngineFault) -> Result<(), FaultError> {
         self.host.command(fault)
--- a/crates/standin/src/engine_loop.rs
+++ b/crates/standin/src/engine_loop.rs
@@ -25,7 +25,7 @@
 use crate::batch::{BatchSequence, EngineBatch, SequenceId, StepToken};
 use crate::cache::PrefixCache;
 use crate::counters::{EngineCounters, add, bump};
-use crate::engine::EngineSettings;
+use crate::engine::{EngineSettings, StartedTags};
 use crate::engine_http::{AnswerShape, handle_request};
 use crate::faults::EngineFault;
 use crate::host::{CommandSender, HostAction, HostedService, LocalFuture};
@@ -98,6 +98,7 @@
 pub(crate) struct EngineCore {
     pub(crate) settings: EngineSettings,
     pub(crate) counters: Arc<EngineCounters>,
+    started: StartedTags,
     pub(crate) commands: CommandSender<EngineFault>,
     pub(crate) state: RefCell<EngineState>,
     wake: Notify,
@@ -109,6 +110,7 @@
     pub(crate) fn new(
         settings: EngineSettings,
         counters: Arc<EngineCounters>,
+        started: StartedTags,
         commands: CommandSender<EngineFault>,
     ) -> Self {
         let state = EngineState {
@@ -130,6 +132,7 @@
         Self {
             settings,
             counters,
+            started,
             commands,
             state: RefCell::new(state),
             wake: Notify::new(),
@@ -157,6 +160,7 @@
         }
         answer.sequence.prompt_left = prompt - saved;
         bump(&self.counters.started);
+        self.started.lock().insert(answer.sequence.plan.tag);
         if answer.sequence.next_token > 0 {
             bump(&self.counters.resumed);
         }
