--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,6 +20,8 @@
 mod platform_faults;
 mod platform_http;
 mod platform_state;
+mod proxy;
+mod proxy_udp;
 mod service;
 
 pub use answer::{AnswerCheck, AnswerPlan, AnswerTag, AnswerWriter, answer_hint, token_text};
@@ -30,4 +32,6 @@
 pub use faults::{EngineFault, FaultError, OrderMode, ServiceFault};
 pub use platform::{PlatformSettings, PlatformStandIn, run_platform};
 pub use platform_faults::{FaultPlan, OutageKind, PlatformCounters};
+pub use proxy::{CutPoint, DirectionFault, FaultProxy, ProxyFaults};
+pub use proxy_udp::{DatagramFault, DatagramFaults, UdpFaultProxy};
 pub use service::{EffectRecord, ServiceSettings, ServiceStandIn, run_service};
