Peers: drive membership over QUIC datagrams

Cause: the endpoint knew only itself.

Before: no view of the fleet. After: probes and gossip ride in datagrams on the peers' connections; views reach watchers and the handler; a pause is noticed by the age of the last tick before membership itself runs; a member taken for gone keeps its connection while the transport still answers.

Conclusion: one socket and one connection a pair carry dispatch, calls, streams and membership.

--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -139,7 +139,7 @@
 }
 
 /// Appends a message's frame to `out` and returns its size.
-pub(crate) fn encode_message(message: &PeerMessage, out: &mut BytesMut) -> usize {
+pub fn encode_message(message: &PeerMessage, out: &mut BytesMut) -> usize {
     let kind = message.kind() as u16;
     match message {
         PeerMessage::Offer(list) => put_value(kind, list, out),
--- a/crates/peer/src/counters.rs
+++ b/crates/peer/src/counters.rs
@@ -119,6 +119,10 @@
         self.kinds[kind as usize - 1].add_received(bytes);
     }
 
+    pub(crate) fn add_probe_sent(&self, bytes: usize) {
+        self.membership.add_sent(bytes);
+    }
+
     pub(crate) fn add_probe_received(&self, bytes: usize) {
         self.membership.add_received(bytes);
     }
--- /dev/null
+++ b/crates/peer/src/driver.rs
@@ -0,0 +1,215 @@
+//! The driver of membership: gives it time and datagrams, and carries out its actions.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use log::{info, warn};
+use oleander_base::prelude::*;
+use oleander_membership::{MemberState, MemberView, Membership, MembershipAction};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use crate::core::EndpointCore;
+use crate::counters::add;
+use crate::link::Link;
+use crate::peering::Peering;
+
+/// The longest time between two ticks of membership.
+const LONGEST_TICK: Duration = Duration::from_millis(50);
+
+/// The shortest time between two ticks of membership.
+const SHORTEST_TICK: Duration = Duration::from_millis(2);
+
+/// A datagram that only asks the transport for an acknowledgement.
+const KEEP_ALIVE: &[u8] = &[0];
+
+/// Time between two keep-alives on connections that carry calls or streams.
+const KEEP_ALIVE_PERIOD: Duration = Duration::from_secs(5);
+
+/// How long a connection to a member that is taken for gone may be silent before it is closed.
+const SILENCE: Duration = Duration::from_millis(500);
+
+impl EndpointCore {
+    /// Returns the time on this endpoint's clock.
+    pub(crate) fn now(&self) -> MonoTime {
+        MonoTime(Span::from(self.settings.origin.elapsed()).0)
+    }
+
+    pub(crate) fn is_current(&self) -> bool {
+        let last = MonoTime(self.last_tick.load(Ordering::Acquire));
+        let gap = self.now().since(last);
+        gap <= self.settings.membership.pause_bound && self.view.borrow().is_current()
+    }
+
+    /// Gives membership an input, publishes the view and carries the actions out.
+    pub(crate) fn drive(self: &Arc<Self>, input: impl FnOnce(&mut Membership, MonoTime)) {
+        let mut membership = self.membership.lock();
+        let now = self.now();
+        let before = membership.version();
+        input(&mut membership, now);
+        let actions = membership.take_actions();
+        let view = (membership.version() != before).then(|| Arc::new(membership.view()));
+        drop(membership);
+        if let Some(view) = view {
+            self.publish(view);
+        }
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn publish(self: &Arc<Self>, new: Arc<MemberView>) {
+        let mut gone = Vec::new();
+        self.view.send_if_modified(|view| {
+            if view.version >= new.version {
+                return false;
+            }
+            gone = newly_gone(view, &new);
+            *view = new;
+            true
+        });
+        for instance in gone {
+            let link = self.links.read().get(&instance).cloned();
+            if let Some(link) = link {
+                self.spawn(close_if_silent(Arc::clone(self), link));
+            }
+        }
+    }
+
+    fn carry_out(self: &Arc<Self>, action: MembershipAction) {
+        match action {
+            MembershipAction::Send { to, datagram } => self.send_datagram(to, datagram.into()),
+            MembershipAction::Dial { address } => {
+                self.spawn(dial_address(Arc::clone(self), address));
+            }
+            MembershipAction::WokeUp { paused } => {
+                info!("this process was paused for {paused}");
+                self.handler.on_woke_up(paused.into());
+            }
+            MembershipAction::Superseded => {
+                if !self.is_closed() {
+                    warn!("another instance answers at {}", self.me.address);
+                    self.handler.on_superseded();
+                }
+            }
+        }
+    }
+
+    fn send_datagram(self: &Arc<Self>, to: InstanceId, datagram: Bytes) {
+        let link = self.link(to);
+        if let Some(peering) = link.open_peering() {
+            self.write_datagram(&peering, datagram);
+            return;
+        }
+        let core = Arc::clone(self);
+        self.spawn(async move {
+            if let Ok(peering) = link.connect(&core).await {
+                core.write_datagram(&peering, datagram);
+            }
+        });
+    }
+
+    fn write_datagram(&self, peering: &Peering, datagram: Bytes) {
+        let size = datagram.len();
+        if peering.connection.send_datagram(datagram).is_ok() {
+            self.counters.add_probe_sent(size);
+        }
+    }
+
+    /// Takes a datagram that arrived on a connection.
+    pub(crate) fn on_datagram(self: &Arc<Self>, peering: &Peering, datagram: &[u8]) {
+        self.counters.add_probe_received(datagram.len());
+        if datagram == KEEP_ALIVE {
+            return;
+        }
+        let mut parsed = true;
+        self.drive(|membership, now| {
+            parsed = membership.receive(peering.remote, datagram, now);
+        });
+        if !parsed {
+            add(&self.counters.malformed, 1);
+        }
+    }
+
+    /// Tells membership who answered at an address that was dialled.
+    pub(crate) fn on_answer(self: &Arc<Self>, address: SocketAddr, found: Option<InstanceId>) {
+        self.drive(|membership, now| membership.answered(address, found, now));
+    }
+
+    /// Has an instance probed that may have stopped answering.
+    pub(crate) fn on_doubt(self: &Arc<Self>, instance: InstanceId) {
+        self.drive(|membership, now| membership.doubt(instance, now));
+    }
+
+    fn keep_active_alive(&self) {
+        for peering in self.peerings.lock().iter() {
+            if peering.active.load(Ordering::Relaxed) > 0 {
+                self.write_datagram(peering, Bytes::from_static(KEEP_ALIVE));
+            }
+        }
+    }
+}
+
+/// Runs membership until the endpoint closes.
+pub(crate) async fn run_ticks(core: Arc<EndpointCore>) {
+    let timeout = Duration::from(core.settings.membership.probe_timeout);
+    let period = (timeout / 4).clamp(SHORTEST_TICK, LONGEST_TICK);
+    let mut ticks = interval(period);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut since_alive = Duration::ZERO;
+    while !core.is_closed() {
+        ticks.tick().await;
+        core.drive(|membership, now| {
+            membership.tick(now);
+            core.last_tick.store(now.0, Ordering::Release);
+        });
+        since_alive += period;
+        if since_alive >= KEEP_ALIVE_PERIOD {
+            since_alive = Duration::ZERO;
+            core.keep_active_alive();
+        }
+    }
+}
+
+/// Hands each new view to the handler, in order.
+pub(crate) async fn forward_views(core: Arc<EndpointCore>) {
+    let mut views = core.view.subscribe();
+    while !core.is_closed() && views.changed().await.is_ok() {
+        let view = views.borrow_and_update().clone();
+        core.handler.on_view(&view);
+    }
+}
+
+async fn dial_address(core: Arc<EndpointCore>, address: SocketAddr) {
+    if core.dial(address).await.is_err() {
+        core.on_answer(address, None);
+    }
+}
+
+/// Closes the link of a member that is taken for gone, unless its transport still answers.
+///
+/// A member may be taken for gone by mistake, and its streams are worth more than the suspicion.
+async fn close_if_silent(core: Arc<EndpointCore>, link: Arc<Link>) {
+    if let Some(peering) = link.open_peering() {
+        let received = || peering.connection.stats().udp_rx.datagrams;
+        let before = received();
+        core.write_datagram(&peering, Bytes::from_static(KEEP_ALIVE));
+        sleep(SILENCE).await;
+        if peering.is_open() && received() > before {
+            return;
+        }
+    }
+    link.close(&core);
+    core.remove_link(&link);
+}
+
+fn newly_gone(old: &MemberView, new: &MemberView) -> Vec<InstanceId> {
+    new.members
+        .values()
+        .filter(|member| member.state == MemberState::Gone)
+        .filter(|member| old.state(member.instance) != MemberState::Gone)
+        .map(|member| member.instance)
+        .collect()
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -11,9 +11,12 @@
 //! Messages carry a kind number and a length, so an older program skips what it does not know and
 //! counts it. docs/PEERS.md describes the wire format.
 
+mod call;
 mod certs;
 mod codec;
+mod core;
 mod counters;
+mod driver;
 mod endpoint;
 mod error;
 mod link;
@@ -26,6 +29,7 @@
 pub use certs::{CertificateAuthority, NodeFiles};
 pub use codec::{
     CodecError, DecodedMessage, FRAME_LIMIT, FrameBuffer, ProtocolRange, ProtocolVersion,
+    encode_message,
 };
 pub use counters::{KindCount, PeerCounters, TrafficCount};
 pub use endpoint::PeerEndpoint;
@@ -34,6 +38,8 @@
     BackendCacheEvents, BackendReport, HeldSlot, MessageKind, PeerCall, PeerHandler, PeerMessage,
     PeerReply, StreamOpen,
 };
-pub use oleander_membership::{CentreView, Member, MemberState, MemberView};
+pub use oleander_membership::{
+    CentreView, ListedVm, Member, MemberState, MemberView, MembershipSettings,
+};
 pub use settings::{PeerSettings, TlsFiles};
 pub use stream::{PeerReceiver, PeerSender, PeerStream};
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -15,8 +15,8 @@
 use tokio::time::{sleep, timeout};
 
 use crate::codec::encode_message;
+use crate::core::EndpointCore;
 use crate::counters::add;
-use crate::endpoint::EndpointCore;
 use crate::error::{PeerError, PeerResult};
 use crate::message::PeerMessage;
 use crate::peering::{CLOSE_NORMAL, Peering};
@@ -153,12 +153,14 @@
         }
     }
 
-    /// Lets a closed connection go.
-    pub(crate) fn forget(&self, closed: &Arc<Peering>) {
+    /// Lets a closed connection go; returns whether it was the one in use.
+    pub(crate) fn forget(&self, closed: &Arc<Peering>) -> bool {
         let mut slot = self.peering.lock();
-        if slot.as_ref().is_some_and(|p| Arc::ptr_eq(p, closed)) {
+        let used = slot.as_ref().is_some_and(|p| Arc::ptr_eq(p, closed));
+        if used {
             *slot = None;
         }
+        used
     }
 
     /// Closes the link for good, after its instance has gone.
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -215,6 +215,9 @@
         let _ = view;
     }
 
+    /// Learns that another instance answers at this one's address, so that peers avoid this one.
+    fn on_superseded(&self) {}
+
     /// Learns that this process was paused and must not act on what it knew before, until the
     /// view is current again ([`MemberView::is_current`]).
     fn on_woke_up(&self, paused: Duration) {
--- a/crates/peer/src/peering.rs
+++ b/crates/peer/src/peering.rs
@@ -15,8 +15,8 @@
     CodecError, DecodedMessage, FrameBuffer, Hello, Opening, ProtocolVersion, decode_hello,
     decode_opening, encode_hello, encode_reply,
 };
+use crate::core::EndpointCore;
 use crate::counters::add;
-use crate::endpoint::EndpointCore;
 use crate::error::{PeerError, PeerResult};
 use crate::message::PeerReply;
 use crate::stream::{ActiveGuard, PeerStream, read_frame};
@@ -233,7 +233,7 @@
 
 async fn read_datagrams(core: Arc<EndpointCore>, peering: Arc<Peering>) {
     while let Ok(datagram) = peering.connection.read_datagram().await {
-        core.counters.add_probe_received(datagram.len());
+        core.on_datagram(&peering, &datagram);
     }
 }
 
--- a/crates/peer/src/settings.rs
+++ b/crates/peer/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use oleander_base::prelude::*;
+use oleander_membership::MembershipSettings;
 use tokio::runtime::Handle;
 
 use crate::codec::ProtocolRange;
@@ -43,6 +44,8 @@
     pub origin: Instant,
     /// The protocol versions to speak.
     pub protocol: ProtocolRange,
+    /// Periods and bounds of membership.
+    pub membership: MembershipSettings,
     /// The most bytes that wait for one peer; further messages are dropped and counted.
     pub queue_limit: usize,
 }
@@ -67,6 +70,7 @@
             runtime: None,
             origin: Instant::now(),
             protocol: ProtocolRange::SPOKEN,
+            membership: MembershipSettings::default(),
             queue_limit: Self::DEFAULT_QUEUE_LIMIT,
         }
     }
--- a/crates/peer/tests/common/mod.rs
+++ b/crates/peer/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+pub mod proxy;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,8 +13,8 @@
 use futures_util::future::BoxFuture;
 use oleander_base::prelude::*;
 use oleander_peer::{
-    CertificateAuthority, PeerCall, PeerEndpoint, PeerHandler, PeerMessage, PeerReply,
-    PeerSettings, PeerStream, StreamOpen, TlsFiles,
+    CertificateAuthority, MemberState, MemberView, MembershipSettings, PeerCall, PeerEndpoint,
+    PeerHandler, PeerMessage, PeerReply, PeerSettings, PeerStream, StreamOpen, TlsFiles,
 };
 use parking_lot::Mutex;
 
@@ -40,6 +42,7 @@
 pub struct EchoHandler {
     pub messages: Mutex<Vec<(InstanceId, PeerMessage)>>,
     pub woke_up: Mutex<u32>,
+    pub views: Mutex<u64>,
 }
 
 impl PeerHandler for EchoHandler {
@@ -71,6 +74,10 @@
         });
     }
 
+    fn on_view(&self, view: &Arc<MemberView>) {
+        *self.views.lock() = view.version;
+    }
+
     fn on_woke_up(&self, _paused: Duration) {
         *self.woke_up.lock() += 1;
     }
@@ -93,6 +100,34 @@
     TestNode { endpoint, handler }
 }
 
+/// Settings with membership that is fast enough for tests.
+pub fn fast_settings(files: &TestFiles, centre: &str, seeds: &[SocketAddr]) -> PeerSettings {
+    let mut settings = settings(files, centre);
+    settings.seeds = seeds.to_vec();
+    settings.membership = MembershipSettings::default().faster(2);
+    settings
+}
+
+impl TestNode {
+    pub fn id(&self) -> InstanceId {
+        self.endpoint.instance()
+    }
+
+    pub fn sees(&self, other: InstanceId) -> MemberState {
+        self.endpoint.members().state(other)
+    }
+}
+
+/// Waits until every node sees every other one live.
+pub fn wait_all_live(nodes: &[&TestNode]) {
+    wait_until("all see each other live", || {
+        nodes.iter().all(|viewer| {
+            let live = |node: &&TestNode| viewer.sees(node.id()) == MemberState::Live;
+            nodes.iter().all(live)
+        })
+    });
+}
+
 /// Waits until a condition holds, and fails with `what` if it does not come to hold.
 pub fn wait_until(what: &str, condition: impl Fn() -> bool) {
     let end = Instant::now() + PATIENCE;
--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -76,6 +76,7 @@
     assert_eq!(error.expect_err("no reply").verdict(), Verdict::MayHaveRun);
 
     second.endpoint.shutdown();
+    block(second.endpoint.closed());
     let error = call(PeerCall::FetchRecords(Bytes::new())).expect_err("nobody there");
     assert_eq!(error.verdict(), Verdict::NotRun, "{error}");
 }
