--- a/crates/decide/src/tiered.rs
+++ b/crates/decide/src/tiered.rs
@@ -287,7 +287,11 @@
     }
 
     fn backend_summaries(&self, now: MonoTime) -> Vec<BackendSummary> {
-        self.backends.iter().filter(|state| state.listed).map(|state| state.summary(now)).collect()
+        self.backends
+            .iter()
+            .filter(|state| state.listed)
+            .map(|state| state.summary(now))
+            .collect()
     }
 
     fn dump(&self, now: MonoTime) -> String {
--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -48,9 +48,23 @@
     /// Starts the stand-ins and the entry VMs and puts the plan's records into force.
     pub fn spawn(plan: DeploymentPlan) -> Result<Self, DeployError> {
         let secrets = FleetSecrets::generate()?;
-        let engines = plan.engines.iter().map(spawn_engine).collect::<io::Result<Vec<_>>>()?;
-        let services = plan.services.iter().map(spawn_service).collect::<io::Result<Vec<_>>>()?;
-        let mut deployment = Self { plan, secrets, engines, services, entries: Vec::new() };
+        let engines = plan
+            .engines
+            .iter()
+            .map(spawn_engine)
+            .collect::<io::Result<Vec<_>>>()?;
+        let services = plan
+            .services
+            .iter()
+            .map(spawn_service)
+            .collect::<io::Result<Vec<_>>>()?;
+        let mut deployment = Self {
+            plan,
+            secrets,
+            engines,
+            services,
+            entries: Vec::new(),
+        };
         deployment.spawn_entries()?;
         Ok(deployment)
     }
@@ -100,7 +114,10 @@
                 tls_certificate: None,
                 tls_key: None,
             },
-            operators: OperatorSettings { listen: any, key_file: files.operator_key },
+            operators: OperatorSettings {
+                listen: any,
+                key_file: files.operator_key,
+            },
             peers: PeerSection {
                 listen: any,
                 seeds: seeds.to_vec(),
@@ -113,7 +130,10 @@
                 calls_per_second: 50.0,
                 token_key_file: files.token_key,
             },
-            dispatch: DispatchSection { policy: self.plan.policy, ..DispatchSection::default() },
+            dispatch: DispatchSection {
+                policy: self.plan.policy,
+                ..DispatchSection::default()
+            },
             log: LogSection::default(),
         })
     }
@@ -130,5 +150,8 @@
 }
 
 fn spawn_service(plan: &ServicePlan) -> io::Result<ServiceStandIn> {
-    ServiceStandIn::bind(ServiceSettings { name: plan.name.clone(), ..ServiceSettings::default() })
+    ServiceStandIn::bind(ServiceSettings {
+        name: plan.name.clone(),
+        ..ServiceSettings::default()
+    })
 }
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -7,6 +7,6 @@
 mod plan;
 mod secrets;
 
-pub use deployment::{Deployment, DeployError};
+pub use deployment::{DeployError, Deployment};
 pub use plan::{CentrePlan, DeploymentPlan, EnginePlan, ServicePlan};
 pub use secrets::FleetSecrets;
--- a/crates/demo/src/plan.rs
+++ b/crates/demo/src/plan.rs
@@ -88,12 +88,17 @@
         Self {
             centres: centres
                 .iter()
-                .map(|name| CentrePlan { name: (*name).to_owned(), entries: 2 })
+                .map(|name| CentrePlan {
+                    name: (*name).to_owned(),
+                    entries: 2,
+                })
                 .collect(),
             engines,
             services: services.collect(),
             classes: demo_classes(),
-            customers: ["denník", "rozhlas", "týždenník"].map(str::to_owned).to_vec(),
+            customers: ["denník", "rozhlas", "týždenník"]
+                .map(str::to_owned)
+                .to_vec(),
             policy: PolicyKind::Tiered,
             workers: 1,
         }
@@ -106,18 +111,31 @@
 
     /// Returns the records of the plan, given where the stand-ins listen.
     pub fn records(&self, engines: &[SocketAddr], services: &[SocketAddr]) -> RecordSet {
-        let mut records = RecordSet { revision: Revision(1), ..RecordSet::default() };
+        let mut records = RecordSet {
+            revision: Revision(1),
+            ..RecordSet::default()
+        };
         for name in &self.customers {
-            records.customers.insert(CustomerId::from_name(name), self.customer(name));
+            records
+                .customers
+                .insert(CustomerId::from_name(name), self.customer(name));
         }
         for class in &self.classes {
-            records.classes.insert(ClassId::from_name(&class.name), class.clone());
+            records
+                .classes
+                .insert(ClassId::from_name(&class.name), class.clone());
         }
         for (plan, address) in self.engines.iter().zip(engines) {
-            records.backends.insert(BackendId::from_name(&plan.name), engine_record(plan, *address));
+            records.backends.insert(
+                BackendId::from_name(&plan.name),
+                engine_record(plan, *address),
+            );
         }
         for (plan, address) in self.services.iter().zip(services) {
-            records.backends.insert(BackendId::from_name(&plan.name), service_record(plan, *address));
+            records.backends.insert(
+                BackendId::from_name(&plan.name),
+                service_record(plan, *address),
+            );
         }
         records
     }
@@ -129,7 +147,11 @@
             share: 1.0,
             rate_limit: None,
             concurrency_limit: None,
-            default_class: self.classes.first().map(|class| class.name.clone()).unwrap_or_default(),
+            default_class: self
+                .classes
+                .first()
+                .map(|class| class.name.clone())
+                .unwrap_or_default(),
         }
     }
 }
@@ -183,6 +205,9 @@
         speed: 1.0,
         checks_fencing: false,
         wanted: None,
-        routes: vec![route("GET", "/stock/*", true), route("GET", "/entries/*", true)],
+        routes: vec![
+            route("GET", "/stock/*", true),
+            route("GET", "/entries/*", true),
+        ],
     }
 }
--- a/crates/demo/src/secrets.rs
+++ b/crates/demo/src/secrets.rs
@@ -38,7 +38,11 @@
         let operator_key = random_key();
         fs::write(directory.path().join("operator.key"), &operator_key)?;
         fs::write(directory.path().join("token.key"), random_key())?;
-        Ok(Self { directory, authority, operator_key })
+        Ok(Self {
+            directory,
+            authority,
+            operator_key,
+        })
     }
 
     /// Returns the operators' key.
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -13,8 +13,8 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
 
-use ntex::util::Bytes;
 use futures_util::Stream;
+use ntex::util::Bytes;
 use oleander_base::prelude::*;
 use oleander_caller::CallerError;
 use parking_lot::Mutex;
@@ -382,7 +382,9 @@
             let state = buffer.state.lock();
             state.end.is_none() || !state.readers.is_empty()
         };
-        self.shards.iter().any(|shard| shard.lock().values().any(unfinished))
+        self.shards
+            .iter()
+            .any(|shard| shard.lock().values().any(unfinished))
     }
 
     /// Counts the answers on the shelf.
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oleander_base::prelude::*;
 use oleander_base::monotonic_now;
+use oleander_base::prelude::*;
 use oleander_peer::{MemberState, MemberView, PeerEndpoint, PeerMessage};
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
@@ -94,7 +94,8 @@
         }
         let before = before.map_or("unknown", MemberState::as_str);
         let what = format!("entry VM {} is {}", member.instance, member.state);
-        node.changes.note(what, format!("the membership had it as {before}"));
+        node.changes
+            .note(what, format!("the membership had it as {before}"));
     }
     known.retain(|instance, _| view.members.contains_key(instance));
 }
@@ -107,7 +108,9 @@
 
 fn divide_limits(node: &EntryNode, peers: &PeerEndpoint) {
     let records = Arc::clone(&node.view().records);
-    let demand = node.limit_board.own_demand(node.me, &node.limits.take_use(), &records);
+    let demand = node
+        .limit_board
+        .own_demand(node.me, &node.limits.take_use(), &records);
     let others = others(node);
     if !demand.is_empty() {
         let message = PeerMessage::Limits(LimitBoard::encode(&demand));
@@ -117,7 +120,8 @@
     }
     let mut live = others;
     live.push(node.me);
-    node.limit_board.divide(node.me, &live, &records, &node.limits);
+    node.limit_board
+        .divide(node.me, &live, &records, &node.limits);
 }
 
 /// Tells the entry VMs how full the pools are that this VM dispatches.
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -11,8 +11,8 @@
 use oleander_base::prelude::*;
 use oleander_base::{CacheEvent, HeldGrant, LoadReport, ProgressNotice, ReleaseNotice};
 use oleander_decide::{
-    BackendSummary, BackendView, ClassView, CustomerView, Decision, PolicyKind, PoolConfig, PoolKind, PoolPolicy,
-    PoolSummary,
+    BackendSummary, BackendView, ClassView, CustomerView, Decision, PolicyKind, PoolConfig,
+    PoolKind, PoolPolicy, PoolSummary,
 };
 use parking_lot::{Mutex, RwLock};
 
@@ -218,7 +218,9 @@
     /// Returns the figures of every backend server of the pools that are dispatched here.
     pub fn backend_summaries(&self, now: MonoTime) -> Vec<BackendSummary> {
         let pools = self.ids().into_iter().filter_map(|id| self.pool(id));
-        pools.flat_map(|pool| pool.lock().policy.backend_summaries(now)).collect()
+        pools
+            .flat_map(|pool| pool.lock().policy.backend_summaries(now))
+            .collect()
     }
 
     /// Returns a summary of one pool.
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -11,10 +11,10 @@
 use std::time::Duration;
 
 use ntex::util::Bytes;
+use oleander_attempt::{AttemptFailure, AttemptTimeouts};
 use oleander_base::prelude::*;
 use oleander_base::{EndKind, ProgressNotice, ReleaseNotice, monotonic_now};
 use oleander_caller::{CallerError, CompletionCall, CompletionKind, ErrorCode};
-use oleander_attempt::{AttemptFailure, AttemptTimeouts};
 use oleander_engine::{
     EngineCall, EngineError, EngineEvent, EngineFailure, EnginePath, EngineStream, ResumePoint,
 };
@@ -38,7 +38,7 @@
 
 /// A completion request that was accepted for dispatch.
 #[derive(Debug, Clone)]
-pub struct CompletionJob {
+pub(crate) struct CompletionJob {
     /// The request.
     pub request: RequestId,
     /// The customer.
@@ -94,7 +94,7 @@
 
 /// The state of a request on its way.
 #[derive(Debug)]
-pub struct RequestDrive {
+pub(crate) struct RequestDrive {
     context: Rc<WorkerContext>,
     job: CompletionJob,
     buffer: Arc<AnswerBuffer>,
@@ -108,7 +108,7 @@
 
 impl RequestDrive {
     /// Starts the task of a request.
-    pub fn spawn(context: Rc<WorkerContext>, job: CompletionJob, buffer: Arc<AnswerBuffer>) {
+    pub(crate) fn spawn(context: Rc<WorkerContext>, job: CompletionJob, buffer: Arc<AnswerBuffer>) {
         let tokens = job.resume_tokens;
         let drive = Self {
             context,
@@ -167,7 +167,8 @@
         };
         let pool = choice.pool;
         let Some(outcome) = node.ask(self.ticket(pool, choice.spilled)) else {
-            let error = CallerError::not_run(ErrorCode::Shed, "no entry VM can dispatch the request now");
+            let error =
+                CallerError::not_run(ErrorCode::Shed, "no entry VM can dispatch the request now");
             return SlotEnd::Refused(error.after(NO_DISPATCHER_RETRY));
         };
         let buffer = Arc::clone(&self.buffer);
@@ -180,9 +181,10 @@
         };
         match outcome {
             Ok(TicketOutcome::Granted(backend)) => SlotEnd::Granted(backend, pool),
-            Ok(TicketOutcome::Shed { reason, retry_after }) => {
-                SlotEnd::Refused(CallerError::shed(reason, retry_after))
-            }
+            Ok(TicketOutcome::Shed {
+                reason,
+                retry_after,
+            }) => SlotEnd::Refused(CallerError::shed(reason, retry_after)),
             Err(_) => {
                 let error = CallerError::not_run(ErrorCode::NotReady, "the entry VM is stopping");
                 SlotEnd::Refused(error.after(NO_DISPATCHER_RETRY))
@@ -274,10 +276,15 @@
     async fn start(&mut self, backend: BackendId) -> Result<EngineStream, AttemptEnd> {
         let Some(address) = self.context.node.view().address(backend) else {
             let failure = AttemptFailure::Connect(format!("{backend} is not on record any more"));
-            let error = EngineError { failure: EngineFailure::Attempt(failure), verdict: Verdict::NotRun };
+            let error = EngineError {
+                failure: EngineFailure::Attempt(failure),
+                verdict: Verdict::NotRun,
+            };
             return Err(AttemptEnd::Failed(error));
         };
-        let resume = (self.tokens > 0).then_some(ResumePoint { from_token: self.tokens });
+        let resume = (self.tokens > 0).then_some(ResumePoint {
+            from_token: self.tokens,
+        });
         if resume.is_some() {
             bump(&self.context.node.counters.process.resumes);
         }
@@ -311,7 +318,12 @@
         let now = monotonic_now();
         self.first_token.get_or_insert(now);
         let first_token = now.since(sent);
-        let notice = ProgressNotice { request: self.job.request, pool, backend, first_token };
+        let notice = ProgressNotice {
+            request: self.job.request,
+            pool,
+            backend,
+            first_token,
+        };
         self.context.node.progress(notice);
         first_token
     }
@@ -339,29 +351,37 @@
     }
 
     fn count(&self, end: &RequestEnd) {
-        let key = ServiceKey { customer: self.job.customer, class: self.job.class };
+        let key = ServiceKey {
+            customer: self.job.customer,
+            class: self.job.class,
+        };
         let generated = u64::from(self.tokens - self.job.resume_tokens);
         let on_time = self.is_on_time();
         let weight = self.job.goodput_weight;
-        self.context.node.counters.count(key, |count: &mut ServiceCount| match end {
-            RequestEnd::Whole => {
-                count.whole += 1;
-                count.on_time += u64::from(on_time);
-                count.goodput += weight;
-                count.useful_tokens += generated;
-            }
-            RequestEnd::Refused(error) if error.code == ErrorCode::Shed && self.attempts == 0 => {
-                count.shed += 1;
-            }
-            RequestEnd::Refused(_) | RequestEnd::Failed(_) => {
-                count.failed += 1;
-                count.wasted_tokens += generated;
-            }
-            RequestEnd::Departed => {
-                count.cancelled += 1;
-                count.wasted_tokens += generated;
-            }
-        });
+        self.context
+            .node
+            .counters
+            .count(key, |count: &mut ServiceCount| match end {
+                RequestEnd::Whole => {
+                    count.whole += 1;
+                    count.on_time += u64::from(on_time);
+                    count.goodput += weight;
+                    count.useful_tokens += generated;
+                }
+                RequestEnd::Refused(error)
+                    if error.code == ErrorCode::Shed && self.attempts == 0 =>
+                {
+                    count.shed += 1;
+                }
+                RequestEnd::Refused(_) | RequestEnd::Failed(_) => {
+                    count.failed += 1;
+                    count.wasted_tokens += generated;
+                }
+                RequestEnd::Departed => {
+                    count.cancelled += 1;
+                    count.wasted_tokens += generated;
+                }
+            });
         if matches!(end, RequestEnd::Whole) {
             self.context.node.retries.deposit(monotonic_now());
         }
@@ -396,7 +416,9 @@
 fn is_retryable(error: &EngineError) -> bool {
     match &error.failure {
         EngineFailure::Status { status, .. } => *status >= 500,
-        EngineFailure::Attempt(AttemptFailure::Request(_) | AttemptFailure::TooLarge { .. }) => false,
+        EngineFailure::Attempt(AttemptFailure::Request(_) | AttemptFailure::TooLarge { .. }) => {
+            false
+        }
         _ => true,
     }
 }
@@ -404,7 +426,9 @@
 fn failure(error: &EngineError) -> CallerError {
     let code = match &error.failure {
         EngineFailure::Attempt(
-            AttemptFailure::ConnectTimeout | AttemptFailure::FirstByteTimeout | AttemptFailure::IdleTimeout,
+            AttemptFailure::ConnectTimeout
+            | AttemptFailure::FirstByteTimeout
+            | AttemptFailure::IdleTimeout,
         ) => ErrorCode::Timeout,
         EngineFailure::Status { status, .. } if *status < 500 => ErrorCode::BadRequest,
         _ => ErrorCode::BackendFailed,
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -64,7 +64,11 @@
             goodput_weight: job.goodput_weight,
             method: job.method.as_str().to_owned(),
             path: job.path.clone(),
-            headers: job.headers.iter().filter_map(|(name, value)| text(name, value)).collect(),
+            headers: job
+                .headers
+                .iter()
+                .filter_map(|(name, value)| text(name, value))
+                .collect(),
             body: job.body.to_vec(),
             idempotent: job.idempotent,
             token: job.token.clone(),
@@ -103,7 +107,7 @@
 }
 
 /// Sends a call to the instance that decides, and returns its answer.
-pub async fn forward_call(
+pub(crate) async fn forward_call(
     context: &WorkerContext,
     job: &ServiceJob,
     to: InstanceId,
@@ -140,28 +144,32 @@
 
 /// Runs the calls that other entry VMs forward here, on a thread of its own.
 #[derive(Debug, Clone)]
-pub struct ForwardDesk {
+pub(crate) struct ForwardDesk {
     calls: mpsc::UnboundedSender<ForwardedCall>,
 }
 
 impl ForwardDesk {
     /// Starts the thread.
-    pub fn spawn(shared: SharedContext) -> io::Result<Self> {
+    pub(crate) fn spawn(shared: SharedContext) -> io::Result<Self> {
         let (calls, incoming) = mpsc::unbounded_channel();
-        std::thread::Builder::new().name("forwarded".to_owned()).spawn(move || {
-            let system = ntex::rt::System::new("forwarded", ntex::rt::DefaultRuntime);
-            system.block_on(serve_forwarded(shared, incoming));
-        })?;
+        std::thread::Builder::new()
+            .name("forwarded".to_owned())
+            .spawn(move || {
+                let system = ntex::rt::System::new("forwarded", ntex::rt::DefaultRuntime);
+                system.block_on(serve_forwarded(shared, incoming));
+            })?;
         Ok(Self { calls })
     }
 
     /// Runs a call and returns the reply for the peer.
-    pub async fn run(&self, body: bytes::Bytes) -> PeerReply {
+    pub(crate) async fn run(&self, body: bytes::Bytes) -> PeerReply {
         let (reply, answer) = oneshot::channel();
         if self.calls.send(ForwardedCall { body, reply }).is_err() {
             return PeerReply::Refused("this entry VM is stopping".to_owned());
         }
-        answer.await.unwrap_or_else(|_| PeerReply::Refused("this entry VM is stopping".to_owned()))
+        answer
+            .await
+            .unwrap_or_else(|_| PeerReply::Refused("this entry VM is stopping".to_owned()))
     }
 }
 
@@ -185,12 +193,16 @@
 }
 
 async fn run_forwarded(context: &Rc<WorkerContext>, body: &[u8]) -> PeerReply {
-    let job = postcard::from_bytes::<WireCall>(body).ok().and_then(WireCall::into_job);
+    let job = postcard::from_bytes::<WireCall>(body)
+        .ok()
+        .and_then(WireCall::into_job);
     let Some(job) = job else {
         return PeerReply::Refused("the call cannot be read".to_owned());
     };
     match run_service(context, &job).await {
         ServiceStep::Answered(answer) => PeerReply::Answer(answer.encode()),
-        ServiceStep::Forward(_) => PeerReply::Refused("a forwarded call is not passed on".to_owned()),
+        ServiceStep::Forward(_) => {
+            PeerReply::Refused("a forwarded call is not passed on".to_owned())
+        }
     }
 }
--- a/crates/entry/src/http_answer.rs
+++ b/crates/entry/src/http_answer.rs
@@ -9,7 +9,7 @@
 
 /// A whole HTTP answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HttpAnswer {
+pub(crate) struct HttpAnswer {
     /// The status.
     pub status: u16,
     /// Headers that are passed to the caller.
@@ -28,7 +28,7 @@
 
 impl HttpAnswer {
     /// Makes the answer of an error.
-    pub fn of_error(error: &CallerError) -> Self {
+    pub(crate) fn of_error(error: &CallerError) -> Self {
         let mut headers = vec![
             ("content-type".to_owned(), "application/json".to_owned()),
             (VERDICT_HEADER.to_owned(), error.verdict.as_str().to_owned()),
@@ -37,27 +37,34 @@
             headers.push((REQUEST_HEADER.to_owned(), request.to_string()));
         }
         if let Some(span) = error.retry_after {
-            headers.push(("retry-after".to_owned(), span.0.div_ceil(1_000_000).max(1).to_string()));
+            headers.push((
+                "retry-after".to_owned(),
+                span.0.div_ceil(1_000_000).max(1).to_string(),
+            ));
+        }
+        Self {
+            status: error.code.status().as_u16(),
+            headers,
+            body: Bytes::from(error.to_json()),
         }
-        Self { status: error.code.status().as_u16(), headers, body: Bytes::from(error.to_json()) }
     }
 
     /// Adds the request's id and verdict.
     #[must_use]
-    pub fn with_verdict(self, request: RequestId, verdict: Verdict) -> Self {
+    pub(crate) fn with_verdict(self, request: RequestId, verdict: Verdict) -> Self {
         self.with_header(REQUEST_HEADER, &request.to_string())
             .with_header(VERDICT_HEADER, verdict.as_str())
     }
 
     /// Adds a header.
     #[must_use]
-    pub fn with_header(mut self, name: &str, value: &str) -> Self {
+    pub(crate) fn with_header(mut self, name: &str, value: &str) -> Self {
         self.headers.push((name.to_owned(), value.to_owned()));
         self
     }
 
     /// Returns the answer for the HTTP server.
-    pub fn into_response(self) -> HttpResponse {
+    pub(crate) fn into_response(self) -> HttpResponse {
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
         let mut response = HttpResponse::build(status);
         for (name, value) in &self.headers {
@@ -67,18 +74,24 @@
     }
 
     /// Returns the form between entry VMs.
-    pub fn encode(&self) -> bytes::Bytes {
+    pub(crate) fn encode(&self) -> bytes::Bytes {
         let wire = WireAnswer {
             status: self.status,
             headers: self.headers.clone(),
             body: self.body.to_vec(),
         };
-        postcard::to_allocvec(&wire).map(bytes::Bytes::from).unwrap_or_default()
+        postcard::to_allocvec(&wire)
+            .map(bytes::Bytes::from)
+            .unwrap_or_default()
     }
 
     /// Reads the form between entry VMs.
-    pub fn decode(bytes: &[u8]) -> Option<Self> {
+    pub(crate) fn decode(bytes: &[u8]) -> Option<Self> {
         let wire: WireAnswer = postcard::from_bytes(bytes).ok()?;
-        Some(Self { status: wire.status, headers: wire.headers, body: Bytes::from(wire.body) })
+        Some(Self {
+            status: wire.status,
+            headers: wire.headers,
+            body: Bytes::from(wire.body),
+        })
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -37,18 +37,22 @@
 mod view;
 mod worker;
 
-pub use answer::{AnswerBuffer, AnswerEnd, AnswerEvent, AnswerReader, AnswerShelf, EventsDropped, ReadItem};
+pub use answer::{
+    AnswerBuffer, AnswerEnd, AnswerEvent, AnswerReader, AnswerShelf, EventsDropped, ReadItem,
+};
 pub use changes::{ChangeEntry, ChangeLog};
 pub use counters::{EntryCounters, ProcessCounters, ServiceCount, ServiceKey, ServiceLine};
 pub use desk::{DeskCount, GrantEffect, HeldSlot, RepeatedOffer, TicketDesk, TicketOutcome};
 pub use dispatch::{DispatchBoard, OfferEnd, PoolStatus, PoolView};
 pub use journal::{Journal, JournalEntry, JournalEvent};
 pub use life::{LifeCycle, LifeStage};
+pub use limit_board::{CustomerDemand, LimitBoard};
 pub use limits::{LimitDesk, LimitKind, LimitPart, LimitRefusal, LimitUse};
 pub use logging::start_logging;
 pub use node::{EntryNode, PeerLink};
 pub use process::{EntryProcess, StartError};
 pub use records_feed::RecordFeed;
+pub use retries::RetryDesk;
 pub use settings::{
     CallerSettings, DispatchSection, EntrySettings, InstanceSettings, LogLevel, LogSection,
     OperatorSettings, PeerSection, PlatformSection, SettingsError, SettingsFault,
--- a/crates/entry/src/limit_board.rs
+++ b/crates/entry/src/limit_board.rs
@@ -6,8 +6,8 @@
 //! they don't, the sum may exceed it for as long as a message takes.
 
 use bytes::Bytes;
-use oleander_base::prelude::*;
 use oleander_base::monotonic_now;
+use oleander_base::prelude::*;
 use oleander_records::{CustomerRecord, RecordSet};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -42,24 +42,35 @@
 
 impl LimitBoard {
     /// Takes in the demand at another entry VM.
-    pub fn on_message(&self, from: InstanceId, bytes: &[u8]) {
+    pub(crate) fn on_message(&self, from: InstanceId, bytes: &[u8]) {
         if let Ok(demand) = postcard::from_bytes::<Vec<CustomerDemand>>(bytes) {
             self.note(from, &demand);
         }
     }
 
     /// Returns the bytes that tell other entry VMs of the demand here.
-    pub fn encode(demand: &[CustomerDemand]) -> Bytes {
-        postcard::to_allocvec(demand).map(Bytes::from).unwrap_or_default()
+    pub(crate) fn encode(demand: &[CustomerDemand]) -> Bytes {
+        postcard::to_allocvec(demand)
+            .map(Bytes::from)
+            .unwrap_or_default()
     }
 
     /// Reads the demand of limited customers at this VM.
-    pub fn own_demand(&self, me: InstanceId, uses: &[LimitUse], records: &RecordSet) -> Vec<CustomerDemand> {
-        let is_limited = |customer: &CustomerId| records.customers.get(customer).is_some_and(has_limit);
+    pub(crate) fn own_demand(
+        &self,
+        me: InstanceId,
+        uses: &[LimitUse],
+        records: &RecordSet,
+    ) -> Vec<CustomerDemand> {
+        let is_limited =
+            |customer: &CustomerId| records.customers.get(customer).is_some_and(has_limit);
         let demand: Vec<CustomerDemand> = uses
             .iter()
             .filter(|usage| is_limited(&usage.customer))
-            .map(|usage| CustomerDemand { customer: usage.customer, amount: usage.running + usage.arrived })
+            .map(|usage| CustomerDemand {
+                customer: usage.customer,
+                amount: usage.running + usage.arrived,
+            })
             .filter(|demand| demand.amount > 0)
             .collect();
         self.note(me, &demand);
@@ -67,15 +78,32 @@
     }
 
     /// Sets this VM's parts of all limits.
-    pub fn divide(&self, me: InstanceId, live: &[InstanceId], records: &RecordSet, desk: &LimitDesk) {
+    pub(crate) fn divide(
+        &self,
+        me: InstanceId,
+        live: &[InstanceId],
+        records: &RecordSet,
+        desk: &LimitDesk,
+    ) {
         let now = monotonic_now();
         let mut state = self.state.lock();
         let BoardState { demand, seen } = &mut *state;
         seen.retain(|instance, seen| now.since(*seen) < DEMAND_LIFE && live.contains(instance));
         demand.retain(|instance, _| seen.contains_key(instance));
-        for (customer, record) in records.customers.iter().filter(|(_, record)| has_limit(record)) {
-            let total: u32 = demand.values().filter_map(|demand| demand.get(customer)).sum();
-            let own = demand.get(&me).and_then(|demand| demand.get(customer)).copied().unwrap_or(0);
+        for (customer, record) in records
+            .customers
+            .iter()
+            .filter(|(_, record)| has_limit(record))
+        {
+            let total: u32 = demand
+                .values()
+                .filter_map(|demand| demand.get(customer))
+                .sum();
+            let own = demand
+                .get(&me)
+                .and_then(|demand| demand.get(customer))
+                .copied()
+                .unwrap_or(0);
             let part = own_part(own, total, live.len().max(1));
             desk.set_part(*customer, limit_part(record, part), now);
         }
@@ -83,7 +111,10 @@
 
     fn note(&self, from: InstanceId, demand: &[CustomerDemand]) {
         let mut state = self.state.lock();
-        let demand = demand.iter().map(|demand| (demand.customer, demand.amount)).collect();
+        let demand = demand
+            .iter()
+            .map(|demand| (demand.customer, demand.amount))
+            .collect();
         state.demand.insert(from, demand);
         state.seen.insert(from, monotonic_now());
     }
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -67,7 +67,13 @@
 
 impl CustomerUse {
     fn new(now: MonoTime) -> Self {
-        Self { part: LimitPart::default(), tokens: 0.0, refilled: now, running: 0, arrived: 0 }
+        Self {
+            part: LimitPart::default(),
+            tokens: 0.0,
+            refilled: now,
+            running: 0,
+            arrived: 0,
+        }
     }
 
     fn refill(&mut self, rate: f64, now: MonoTime) {
@@ -79,16 +85,26 @@
 
     fn enter(&mut self, now: MonoTime) -> Result<(), LimitRefusal> {
         self.arrived += 1;
-        if self.part.concurrency.is_some_and(|limit| self.running >= limit) {
+        if self
+            .part
+            .concurrency
+            .is_some_and(|limit| self.running >= limit)
+        {
             let kind = LimitKind::Concurrency;
-            return Err(LimitRefusal { kind, retry_after: CONCURRENCY_RETRY });
+            return Err(LimitRefusal {
+                kind,
+                retry_after: CONCURRENCY_RETRY,
+            });
         }
         if let Some(rate) = self.part.rate {
             self.refill(rate, now);
             if self.tokens < 1.0 {
                 let wait = (1.0 - self.tokens) / rate.max(f64::MIN_POSITIVE);
                 let retry_after = Span((wait.min(60.0) * 1_000_000.0) as u64);
-                return Err(LimitRefusal { kind: LimitKind::Rate, retry_after });
+                return Err(LimitRefusal {
+                    kind: LimitKind::Rate,
+                    retry_after,
+                });
             }
             self.tokens -= 1.0;
         }
@@ -105,7 +121,9 @@
 
 impl Default for LimitDesk {
     fn default() -> Self {
-        Self { shards: std::array::from_fn(|_| Mutex::new(FastMap::default())) }
+        Self {
+            shards: std::array::from_fn(|_| Mutex::new(FastMap::default())),
+        }
     }
 }
 
@@ -113,7 +131,10 @@
     /// Counts a request in, or refuses it.
     pub fn enter(&self, customer: CustomerId, now: MonoTime) -> Result<(), LimitRefusal> {
         let mut shard = self.shard(customer).lock();
-        shard.entry(customer).or_insert_with(|| CustomerUse::new(now)).enter(now)
+        shard
+            .entry(customer)
+            .or_insert_with(|| CustomerUse::new(now))
+            .enter(now)
     }
 
     /// Counts a request out.
@@ -126,7 +147,9 @@
     /// Sets this VM's part of a customer's limits.
     pub fn set_part(&self, customer: CustomerId, part: LimitPart, now: MonoTime) {
         let mut shard = self.shard(customer).lock();
-        let usage = shard.entry(customer).or_insert_with(|| CustomerUse::new(now));
+        let usage = shard
+            .entry(customer)
+            .or_insert_with(|| CustomerUse::new(now));
         if usage.part.rate.is_none() {
             usage.tokens = part.rate.unwrap_or(0.0) * BURST.as_secs_f64();
             usage.refilled = now;
@@ -140,7 +163,11 @@
         for shard in &self.shards {
             for (customer, usage) in shard.lock().iter_mut() {
                 let arrived = std::mem::take(&mut usage.arrived);
-                uses.push(LimitUse { customer: *customer, running: usage.running, arrived });
+                uses.push(LimitUse {
+                    customer: *customer,
+                    running: usage.running,
+                    arrived,
+                });
             }
         }
         uses
--- a/crates/entry/src/logging.rs
+++ b/crates/entry/src/logging.rs
@@ -20,7 +20,12 @@
     let logger: Box<dyn SharedLogger> = if section.json {
         Box::new(JsonLogger { level })
     } else {
-        TermLogger::new(level, text_config(), TerminalMode::Stderr, ColorChoice::Never)
+        TermLogger::new(
+            level,
+            text_config(),
+            TerminalMode::Stderr,
+            ColorChoice::Never,
+        )
     };
     if CombinedLogger::init(vec![logger]).is_err() {
         log::debug!("a logger is set already");
@@ -64,7 +69,9 @@
 
 impl Log for JsonLogger {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
-        let quiet = QUIET_TARGETS.iter().any(|target| metadata.target().starts_with(target));
+        let quiet = QUIET_TARGETS
+            .iter()
+            .any(|target| metadata.target().starts_with(target));
         metadata.level() <= self.level && !quiet
     }
 
@@ -72,7 +79,9 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         let line = JsonLine {
             time_ms: since_epoch.as_millis(),
             level: record.level().as_str(),
--- a/crates/entry/src/metric_table.rs
+++ b/crates/entry/src/metric_table.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::AtomicU64;
 
-use oleander_base::prelude::*;
 use oleander_base::monotonic_now;
+use oleander_base::prelude::*;
 use oleander_operator::{MetricKind, MetricLabel, MetricName, MetricPoint};
 use oleander_peer::PeerEndpoint;
 
@@ -18,30 +18,109 @@
 
 macro_rules! metric {
     ($kind:ident, $name:literal, $unit:literal, $description:literal) => {
-        MetricName { name: $name, unit: $unit, description: $description, kind: MetricKind::$kind }
+        MetricName {
+            name: $name,
+            unit: $unit,
+            description: $description,
+            kind: MetricKind::$kind,
+        }
     };
 }
 
 /// Every metric of an entry VM.
 pub(crate) const METRICS: &[MetricName] = &[
-    metric!(Counter, "oleander.class.requests", "{request}", "Requests by class and outcome"),
-    metric!(Counter, "oleander.class.on_time", "{request}", "Whole answers within the class's targets"),
-    metric!(Counter, "oleander.class.goodput", "1", "Completed requests by the class's weight"),
-    metric!(Counter, "oleander.class.tokens", "{token}", "Generated tokens by class and use"),
-    metric!(Counter, "oleander.customer.requests", "{request}", "Requests by customer and outcome"),
-    metric!(Gauge, "oleander.desk.pending", "{request}", "Requests of this entry VM that wait for a slot"),
-    metric!(Gauge, "oleander.desk.held", "{request}", "Requests of this entry VM at backend servers"),
-    metric!(Gauge, "oleander.answers.kept", "{answer}", "Answers in progress or kept for a reconnect"),
-    metric!(Gauge, "oleander.pool.queued", "{request}", "Tickets that wait in pools dispatched here, by tier"),
-    metric!(Gauge, "oleander.pool.slots", "{slot}", "Slots of pools dispatched here, by use"),
-    metric!(Gauge, "oleander.records.revision", "1", "The newest record revision in force"),
-    metric!(Gauge, "oleander.fleet.members", "{instance}", "Entry VMs by state"),
-    metric!(Counter, "oleander.process.events", "{event}", "Retries, resumes and other events of this process"),
-    metric!(Counter, "oleander.peers.bytes", "By", "Bytes between entry VMs by direction"),
+    metric!(
+        Counter,
+        "oleander.class.requests",
+        "{request}",
+        "Requests by class and outcome"
+    ),
+    metric!(
+        Counter,
+        "oleander.class.on_time",
+        "{request}",
+        "Whole answers within the class's targets"
+    ),
+    metric!(
+        Counter,
+        "oleander.class.goodput",
+        "1",
+        "Completed requests by the class's weight"
+    ),
+    metric!(
+        Counter,
+        "oleander.class.tokens",
+        "{token}",
+        "Generated tokens by class and use"
+    ),
+    metric!(
+        Counter,
+        "oleander.customer.requests",
+        "{request}",
+        "Requests by customer and outcome"
+    ),
+    metric!(
+        Gauge,
+        "oleander.desk.pending",
+        "{request}",
+        "Requests of this entry VM that wait for a slot"
+    ),
+    metric!(
+        Gauge,
+        "oleander.desk.held",
+        "{request}",
+        "Requests of this entry VM at backend servers"
+    ),
+    metric!(
+        Gauge,
+        "oleander.answers.kept",
+        "{answer}",
+        "Answers in progress or kept for a reconnect"
+    ),
+    metric!(
+        Gauge,
+        "oleander.pool.queued",
+        "{request}",
+        "Tickets that wait in pools dispatched here, by tier"
+    ),
+    metric!(
+        Gauge,
+        "oleander.pool.slots",
+        "{slot}",
+        "Slots of pools dispatched here, by use"
+    ),
+    metric!(
+        Gauge,
+        "oleander.records.revision",
+        "1",
+        "The newest record revision in force"
+    ),
+    metric!(
+        Gauge,
+        "oleander.fleet.members",
+        "{instance}",
+        "Entry VMs by state"
+    ),
+    metric!(
+        Counter,
+        "oleander.process.events",
+        "{event}",
+        "Retries, resumes and other events of this process"
+    ),
+    metric!(
+        Counter,
+        "oleander.peers.bytes",
+        "By",
+        "Bytes between entry VMs by direction"
+    ),
 ];
 
 /// Returns the figures of one metric.
-pub(crate) fn metric_points(node: &EntryNode, peers: &PeerEndpoint, name: &str) -> Vec<MetricPoint> {
+pub(crate) fn metric_points(
+    node: &EntryNode,
+    peers: &PeerEndpoint,
+    name: &str,
+) -> Vec<MetricPoint> {
     match name {
         "oleander.class.requests" => by_class(node, outcomes),
         "oleander.class.on_time" => by_class(node, |count| vec![("", count.on_time as f64)]),
@@ -62,11 +141,17 @@
 }
 
 fn one(value: f64) -> Vec<MetricPoint> {
-    vec![MetricPoint { labels: Vec::new(), value }]
+    vec![MetricPoint {
+        labels: Vec::new(),
+        value,
+    }]
 }
 
 fn label(name: &'static str, value: impl Into<String>) -> MetricLabel {
-    MetricLabel { name, value: value.into() }
+    MetricLabel {
+        name,
+        value: value.into(),
+    }
 }
 
 fn outcomes(count: &ServiceCount) -> Vec<(&'static str, f64)> {
@@ -81,7 +166,10 @@
 }
 
 fn token_uses(count: &ServiceCount) -> Vec<(&'static str, f64)> {
-    vec![("useful", count.useful_tokens as f64), ("wasted", count.wasted_tokens as f64)]
+    vec![
+        ("useful", count.useful_tokens as f64),
+        ("wasted", count.wasted_tokens as f64),
+    ]
 }
 
 fn by_class(
@@ -93,7 +181,12 @@
         totals.entry(line.key.class).or_default().add(&line.count);
     }
     let view = node.view();
-    let name = |class: &ClassId| view.records.classes.get(class).map(|record| record.name.clone());
+    let name = |class: &ClassId| {
+        view.records
+            .classes
+            .get(class)
+            .map(|record| record.name.clone())
+    };
     let mut points = Vec::new();
     for (class, count) in &totals {
         let class = name(class).unwrap_or_else(|| class.to_string());
@@ -111,7 +204,10 @@
 fn by_customer(node: &EntryNode) -> Vec<MetricPoint> {
     let mut totals: BTreeMap<CustomerId, ServiceCount> = BTreeMap::new();
     for line in node.counters.lines() {
-        totals.entry(line.key.customer).or_default().add(&line.count);
+        totals
+            .entry(line.key.customer)
+            .or_default()
+            .add(&line.count);
     }
     let view = node.view();
     let mut points = Vec::new();
@@ -130,8 +226,14 @@
     let mut points = Vec::new();
     for status in node.board.summaries(monotonic_now()) {
         for tier in &status.summary.tiers {
-            let labels = vec![label("pool", status.id.to_string()), label("tier", tier.tier.to_string())];
-            points.push(MetricPoint { labels, value: f64::from(tier.queued) });
+            let labels = vec![
+                label("pool", status.id.to_string()),
+                label("tier", tier.tier.to_string()),
+            ];
+            points.push(MetricPoint {
+                labels,
+                value: f64::from(tier.queued),
+            });
         }
     }
     points
@@ -140,10 +242,16 @@
 fn slots(node: &EntryNode) -> Vec<MetricPoint> {
     let mut points = Vec::new();
     for status in node.board.summaries(monotonic_now()) {
-        let uses = [("used", status.summary.slots_used), ("total", status.summary.slots_total)];
+        let uses = [
+            ("used", status.summary.slots_used),
+            ("total", status.summary.slots_total),
+        ];
         for (kind, value) in uses {
             let labels = vec![label("pool", status.id.to_string()), label("kind", kind)];
-            points.push(MetricPoint { labels, value: f64::from(value) });
+            points.push(MetricPoint {
+                labels,
+                value: f64::from(value),
+            });
         }
     }
     points
@@ -181,7 +289,10 @@
 
 fn peer_bytes(peers: &PeerEndpoint) -> Vec<MetricPoint> {
     let counters = peers.counters();
-    let directions = [("sent", counters.traffic.sent_bytes), ("received", counters.traffic.received_bytes)];
+    let directions = [
+        ("sent", counters.traffic.sent_bytes),
+        ("received", counters.traffic.received_bytes),
+    ];
     let point = |(direction, bytes): (&str, u64)| MetricPoint {
         labels: vec![label("direction", direction)],
         value: bytes as f64,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -15,8 +15,8 @@
     GrantNotice, HeldGrant, ProgressNotice, ReleaseNotice, ShedNotice, WithdrawNotice,
     monotonic_now,
 };
-use oleander_decide::{Decision, DecisionNotice};
 use oleander_caller::{CallerError, ErrorCode};
+use oleander_decide::{Decision, DecisionNotice};
 use oleander_peer::{MemberState, PeerMessage};
 use oleander_records::RecordSet;
 use parking_lot::Mutex;
@@ -196,7 +196,10 @@
                 .pool(id)
                 .is_some_and(|route| route.dispatcher == Some(self.me));
             if !mine && self.board.drop_pool(id) {
-                self.changes.note(format!("pool {id} is dispatched elsewhere now"), "the live entry VMs changed");
+                self.changes.note(
+                    format!("pool {id} is dispatched elsewhere now"),
+                    "the live entry VMs changed",
+                );
             }
         }
         let mine = view
@@ -207,7 +210,10 @@
                 continue;
             };
             if self.board.take_over(id, &pool_view, now) {
-                self.changes.note(format!("pool {id} is dispatched here now"), "the live entry VMs changed");
+                self.changes.note(
+                    format!("pool {id} is dispatched here now"),
+                    "the live entry VMs changed",
+                );
             } else {
                 self.deliver(self.board.set_view(id, &pool_view, now));
             }
@@ -538,7 +544,12 @@
                 .map(|(backend, held)| BackendUse { backend, held })
                 .collect(),
             lines: self.counters.lines(),
-            pools: self.board.summaries(now).into_iter().map(|status| status.summary).collect(),
+            pools: self
+                .board
+                .summaries(now)
+                .into_iter()
+                .map(|status| status.summary)
+                .collect(),
             backends: self.board.backend_summaries(now),
             changes: self.changes.latest(STATUS_CHANGES),
         }
--- a/crates/entry/src/operator_desk.rs
+++ b/crates/entry/src/operator_desk.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use oleander_base::prelude::*;
 use oleander_base::monotonic_now;
+use oleander_base::prelude::*;
 use oleander_decide::{BackendSummary, PoolSummary};
 use oleander_operator::{
     BackendLine, BackendStage, CentreLine, ChangeLine, ChangeRefusal, ClassLine, CustomerLine,
@@ -27,7 +27,7 @@
 const SCREEN_CHANGES: usize = 40;
 
 /// The operators' desk of one entry VM.
-pub struct EntryDesk {
+pub(crate) struct EntryDesk {
     node: Arc<EntryNode>,
     records: Arc<RecordFeed>,
     peers: PeerEndpoint,
@@ -35,14 +35,20 @@
 
 impl std::fmt::Debug for EntryDesk {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("EntryDesk").field("node", &self.node).finish_non_exhaustive()
+        f.debug_struct("EntryDesk")
+            .field("node", &self.node)
+            .finish_non_exhaustive()
     }
 }
 
 impl EntryDesk {
     /// Makes the desk of a process.
-    pub fn new(node: Arc<EntryNode>, records: Arc<RecordFeed>, peers: PeerEndpoint) -> Self {
-        Self { node, records, peers }
+    pub(crate) fn new(node: Arc<EntryNode>, records: Arc<RecordFeed>, peers: PeerEndpoint) -> Self {
+        Self {
+            node,
+            records,
+            peers,
+        }
     }
 }
 
@@ -51,7 +57,11 @@
         self.node.statuses.note_watched();
         let view = self.node.view();
         let seen = self.all_statuses();
-        let screen = ScreenMaker { now: monotonic_now(), view: &view, seen: &seen };
+        let screen = ScreenMaker {
+            now: monotonic_now(),
+            view: &view,
+            seen: &seen,
+        };
         FleetScreen {
             at_unix_ms: unix_ms(),
             shown_by: self.node.settings.instance.name.clone(),
@@ -74,7 +84,10 @@
         let node = &self.node;
         let count = node.desk.count();
         let mut text = format!("instance {} stage {:?}\n", node.me, node.life.stage());
-        text.push_str(&format!("tickets pending {} slots held {}\n", count.pending, count.held));
+        text.push_str(&format!(
+            "tickets pending {} slots held {}\n",
+            count.pending, count.held
+        ));
         text.push_str(&format!("answers kept {}\n", node.answers.len()));
         text.push_str("\n[members]\n");
         text.push_str(&self.peers.members().dump());
@@ -141,7 +154,10 @@
     fn all_statuses(&self) -> Vec<SeenStatus> {
         let mut seen = self.node.statuses.seen();
         seen.retain(|seen| seen.status.instance != self.node.me);
-        seen.push(SeenStatus { status: self.node.own_status(), seen: monotonic_now() });
+        seen.push(SeenStatus {
+            status: self.node.own_status(),
+            seen: monotonic_now(),
+        });
         seen
     }
 }
@@ -161,7 +177,10 @@
     fn customers(&self) -> Vec<CustomerLine> {
         let mut counts: BTreeMap<CustomerId, TrafficCount> = BTreeMap::new();
         for line in self.seen.iter().flat_map(|seen| &seen.status.lines) {
-            counts.entry(line.key.customer).or_default().add(&traffic(&line.count));
+            counts
+                .entry(line.key.customer)
+                .or_default()
+                .add(&traffic(&line.count));
         }
         let records = self.view.records.customers.iter();
         records
@@ -176,7 +195,10 @@
     fn classes(&self) -> Vec<ClassLine> {
         let mut counts: BTreeMap<ClassId, TrafficCount> = BTreeMap::new();
         for line in self.seen.iter().flat_map(|seen| &seen.status.lines) {
-            counts.entry(line.key.class).or_default().add(&traffic(&line.count));
+            counts
+                .entry(line.key.class)
+                .or_default()
+                .add(&traffic(&line.count));
         }
         let mut queues: BTreeMap<ClassId, (u32, u32)> = BTreeMap::new();
         for class in self.pool_summaries().flat_map(|(_, pool)| &pool.classes) {
@@ -203,7 +225,9 @@
     }
 
     fn pool_summaries(&self) -> impl Iterator<Item = (&SeenStatus, &PoolSummary)> {
-        self.seen.iter().flat_map(|seen| seen.status.pools.iter().map(move |pool| (seen, pool)))
+        self.seen
+            .iter()
+            .flat_map(|seen| seen.status.pools.iter().map(move |pool| (seen, pool)))
     }
 
     fn pools(&self) -> Vec<PoolLine> {
@@ -224,10 +248,16 @@
     }
 
     fn pool_name(&self, pool: PoolId) -> String {
-        let record = self.view.pool(pool).and_then(|route| self.view.backend(*route.backends.first()?));
+        let record = self
+            .view
+            .pool(pool)
+            .and_then(|route| self.view.backend(*route.backends.first()?));
         match record {
             Some(record) => {
-                let served = record.serves.iter().find(|name| ModelId::from_name(name) == pool.model);
+                let served = record
+                    .serves
+                    .iter()
+                    .find(|name| ModelId::from_name(name) == pool.model);
                 format!("{}/{}", record.centre, served.map_or("", String::as_str))
             }
             None => pool.to_string(),
@@ -236,12 +266,21 @@
 
     fn backends(&self) -> Vec<BackendLine> {
         let mut held: BTreeMap<BackendId, u32> = BTreeMap::new();
-        for used in self.seen.iter().flat_map(|seen| &seen.status.held_by_backend) {
+        for used in self
+            .seen
+            .iter()
+            .flat_map(|seen| &seen.status.held_by_backend)
+        {
             *held.entry(used.backend).or_default() += used.held;
         }
         let mut known: BTreeMap<BackendId, (&SeenStatus, &BackendSummary)> = BTreeMap::new();
         for seen in self.seen {
-            known.extend(seen.status.backends.iter().map(|backend| (backend.backend, (seen, backend))));
+            known.extend(
+                seen.status
+                    .backends
+                    .iter()
+                    .map(|backend| (backend.backend, (seen, backend))),
+            );
         }
         let mut lines: Vec<BackendLine> = self
             .view
@@ -250,7 +289,8 @@
             .iter()
             .map(|(id, record)| {
                 let summary = known.get(id).copied();
-                let (stage, reason) = backend_stage(self.view, *id, summary.map(|(_, backend)| backend));
+                let (stage, reason) =
+                    backend_stage(self.view, *id, summary.map(|(_, backend)| backend));
                 BackendLine {
                     name: record.name.clone(),
                     centre: record.centre.clone(),
@@ -268,7 +308,11 @@
     }
 
     fn entries(&self, members: &MemberView) -> Vec<EntryLine> {
-        let status = |instance: InstanceId| self.seen.iter().find(|seen| seen.status.instance == instance);
+        let status = |instance: InstanceId| {
+            self.seen
+                .iter()
+                .find(|seen| seen.status.instance == instance)
+        };
         let mut lines: Vec<EntryLine> = members
             .members
             .values()
@@ -276,9 +320,15 @@
                 let seen = status(member.instance);
                 let of = |get: fn(&InstanceStatus) -> u64| seen.map_or(0, |seen| get(&seen.status));
                 EntryLine {
-                    name: seen.map_or_else(|| member.instance.to_string(), |seen| seen.status.name.clone()),
+                    name: seen.map_or_else(
+                        || member.instance.to_string(),
+                        |seen| seen.status.name.clone(),
+                    ),
                     instance: member.instance.to_string(),
-                    centre: seen.map_or_else(|| self.centre_name(member.centre), |seen| seen.status.centre.clone()),
+                    centre: seen.map_or_else(
+                        || self.centre_name(member.centre),
+                        |seen| seen.status.centre.clone(),
+                    ),
                     stage: member.state.to_string(),
                     revision: of(|status| status.revision.0).max(member.revision.0),
                     pending: of(|status| u64::from(status.pending)),
@@ -304,7 +354,11 @@
             .map(|(centre, seen)| CentreLine {
                 name: self.centre_name(*centre),
                 seen: seen.visible,
-                unseen_ms: if seen.visible { 0 } else { self.now.since(seen.since).0 / 1_000 },
+                unseen_ms: if seen.visible {
+                    0
+                } else {
+                    self.now.since(seen.since).0 / 1_000
+                },
                 entries: seen.live,
             })
             .collect();
@@ -314,14 +368,21 @@
 
     fn stops(&self) -> Vec<StopLine> {
         let mut held: BTreeMap<BackendId, u32> = BTreeMap::new();
-        for used in self.seen.iter().flat_map(|seen| &seen.status.held_by_backend) {
+        for used in self
+            .seen
+            .iter()
+            .flat_map(|seen| &seen.status.held_by_backend)
+        {
             *held.entry(used.backend).or_default() += used.held;
         }
         let left = |target: &StopTarget| match target {
-            StopTarget::Backend(name) => held.get(&BackendId::from_name(name)).copied().unwrap_or(0),
+            StopTarget::Backend(name) => {
+                held.get(&BackendId::from_name(name)).copied().unwrap_or(0)
+            }
             StopTarget::Entry(address) => {
                 let mut seen = self.seen.iter();
-                seen.find(|seen| seen.status.instance.address == *address).map_or(0, |seen| seen.status.held)
+                seen.find(|seen| seen.status.instance.address == *address)
+                    .map_or(0, |seen| seen.status.held)
             }
             StopTarget::Centre(name) => self.held_in_centre(name, &held),
         };
@@ -337,7 +398,12 @@
     }
 
     fn held_in_centre(&self, name: &str, held: &BTreeMap<BackendId, u32>) -> u32 {
-        let inside = self.view.records.backends.iter().filter(|(_, record)| record.centre == name);
+        let inside = self
+            .view
+            .records
+            .backends
+            .iter()
+            .filter(|(_, record)| record.centre == name);
         inside.filter_map(|(backend, _)| held.get(backend)).sum()
     }
 
@@ -365,12 +431,23 @@
     summary: Option<&BackendSummary>,
 ) -> (BackendStage, String) {
     if view.leaving.contains(&id) {
-        return (BackendStage::Leaving, "a planned stop, the VM list or the server says so".to_owned());
+        return (
+            BackendStage::Leaving,
+            "a planned stop, the VM list or the server says so".to_owned(),
+        );
     }
     match summary {
-        None => (BackendStage::Joining, "no dispatcher reports on it yet".to_owned()),
-        Some(summary) if summary.leaving => (BackendStage::Leaving, "its load report says so".to_owned()),
-        Some(summary) if summary.ejected => (BackendStage::Ejected, "it failed; a trickle of work probes it".to_owned()),
+        None => (
+            BackendStage::Joining,
+            "no dispatcher reports on it yet".to_owned(),
+        ),
+        Some(summary) if summary.leaving => {
+            (BackendStage::Leaving, "its load report says so".to_owned())
+        }
+        Some(summary) if summary.ejected => (
+            BackendStage::Ejected,
+            "it failed; a trickle of work probes it".to_owned(),
+        ),
         Some(_) => (BackendStage::Serving, String::new()),
     }
 }
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -6,7 +6,9 @@
 use futures_util::future::BoxFuture;
 use oleander_base::prelude::*;
 use oleander_once::OnceGuard;
-use oleander_peer::{PeerCall, PeerEndpoint, PeerHandler, PeerMessage, PeerReply, PeerStream, StreamOpen};
+use oleander_peer::{
+    PeerCall, PeerEndpoint, PeerHandler, PeerMessage, PeerReply, PeerStream, StreamOpen,
+};
 
 use crate::forward::ForwardDesk;
 use crate::node::{EntryNode, PeerLink};
@@ -17,13 +19,13 @@
 
 /// What peers can ask of this process; the parts are set while it starts.
 #[derive(Default)]
-pub struct PeerDesk {
+pub(crate) struct PeerDesk {
     parts: OnceLock<PeerParts>,
 }
 
 /// The parts of a process that answer peers.
 #[derive(Clone)]
-pub struct PeerParts {
+pub(crate) struct PeerParts {
     /// The shared state.
     pub node: Arc<EntryNode>,
     /// The guard of non-idempotent requests.
@@ -48,14 +50,16 @@
 
 impl PeerDesk {
     /// Sets the parts; what peers send before that is dropped, and they send it again.
-    pub fn open(&self, parts: PeerParts) {
+    pub(crate) fn open(&self, parts: PeerParts) {
         let _ = self.parts.set(parts);
     }
 }
 
 impl PeerHandler for PeerDesk {
     fn on_message(&self, from: InstanceId, message: PeerMessage) {
-        let Some(parts) = self.parts.get() else { return };
+        let Some(parts) = self.parts.get() else {
+            return;
+        };
         match message {
             PeerMessage::Records(bytes) => parts.records.on_gossip(from, &bytes),
             PeerMessage::Status(bytes) => {
@@ -75,7 +79,9 @@
         };
         Box::pin(async move {
             match call {
-                PeerCall::FetchRecords(after) => PeerReply::Answer(parts.records.delta_after(&after)),
+                PeerCall::FetchRecords(after) => {
+                    PeerReply::Answer(parts.records.delta_after(&after))
+                }
                 PeerCall::FetchSnapshot(_) => PeerReply::Answer(parts.records.snapshot()),
                 PeerCall::ForwardRequest(body) => parts.forwards.run(body).await,
                 PeerCall::RequestStatus(id) => request_status(&parts, id),
@@ -84,7 +90,9 @@
     }
 
     fn on_stream(&self, _from: InstanceId, open: StreamOpen, stream: PeerStream) {
-        let Some(parts) = self.parts.get().cloned() else { return };
+        let Some(parts) = self.parts.get().cloned() else {
+            return;
+        };
         match open {
             StreamOpen::Reconnect(head) => {
                 tokio::spawn(serve_reconnect(parts.node, head, stream));
@@ -96,7 +104,10 @@
     fn on_woke_up(&self, paused: Duration) {
         if let Some(parts) = self.parts.get() {
             let what = format!("this process was paused for {:.1} s", paused.as_secs_f64());
-            parts.node.changes.note(what, "the monotonic clock jumped; old state is checked first");
+            parts.node.changes.note(
+                what,
+                "the monotonic clock jumped; old state is checked first",
+            );
         }
     }
 }
@@ -112,7 +123,7 @@
 
 /// The way to the other entry VMs over their endpoint.
 #[derive(Clone)]
-pub struct EndpointLink(pub PeerEndpoint);
+pub(crate) struct EndpointLink(pub PeerEndpoint);
 
 impl std::fmt::Debug for EndpointLink {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -10,8 +10,8 @@
 use oleander_base::prelude::*;
 use oleander_base::{monotonic_now, process_origin};
 use oleander_once::{
-    ClaimBook, ClaimSettings, GuardParts, GuardSettings, LoneRoute, MonoClock, OnceGuard, RequestGuard,
-    ShortSecret, TokenIssuer, TokenKey,
+    ClaimBook, ClaimSettings, GuardParts, GuardSettings, LoneRoute, MonoClock, OnceGuard,
+    RequestGuard, ShortSecret, TokenIssuer, TokenKey,
 };
 use oleander_operator::{OperatorContext, OperatorDesk};
 use oleander_peer::{PeerEndpoint, PeerError, PeerSettings, TlsFiles};
@@ -94,7 +94,9 @@
 
 impl std::fmt::Debug for EntryProcess {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("EntryProcess").field("node", &self.node).finish_non_exhaustive()
+        f.debug_struct("EntryProcess")
+            .field("node", &self.node)
+            .finish_non_exhaustive()
     }
 }
 
@@ -112,17 +114,36 @@
         node.connect(Arc::new(EndpointLink(peers.clone())));
         let platform = PlatformClient::open(ClientSettings::new(node.settings.platform.address))
             .map_err(system("the platform's client"))?;
-        let guard = open_guard(&node, Arc::new(platform.clone()), issuer, &runtime);
-        let shared = SharedContext { node: Arc::clone(&node), guard: Arc::clone(&guard), peers: peers.clone() };
-        let records = Arc::new(RecordFeed::new(Arc::clone(&node)));
+        let guard = open_guard(&node, Arc::new(platform), issuer, &runtime);
+        let shared = SharedContext {
+            node: Arc::clone(&node),
+            guard: Arc::clone(&guard),
+            peers: peers.clone(),
+        };
+        let records = Arc::new(RecordFeed::new(Arc::clone(&node), peers.clone()));
         let forwards = ForwardDesk::spawn(shared.clone()).map_err(system("forwarded calls"))?;
-        desk.open(PeerParts { node: Arc::clone(&node), guard, records: Arc::clone(&records), forwards });
+        desk.open(PeerParts {
+            node: Arc::clone(&node),
+            guard,
+            records: Arc::clone(&records),
+            forwards,
+        });
         runtime.spawn(run_control(Arc::clone(&node), peers.clone()));
         let entry_desk = EntryDesk::new(Arc::clone(&node), Arc::clone(&records), peers.clone());
         let operators = spawn_operators(Arc::new(entry_desk), &operator_key, operators)?;
         let callers = spawn_callers(shared, callers).map_err(system("the callers' server"))?;
-        node.changes.note(format!("entry VM {} started", node.me), "the process was started");
-        Ok(Self { node, peers, callers, operators, records, runtime: Some(runtime) })
+        node.changes.note(
+            format!("entry VM {} started", node.me),
+            "the process was started",
+        );
+        Ok(Self {
+            node,
+            peers,
+            callers,
+            operators,
+            records,
+            runtime: Some(runtime),
+        })
     }
 
     /// Returns the shared state.
@@ -147,7 +168,10 @@
 
     /// Serves until SIGTERM or SIGINT, then drains.
     pub fn run_until_signal(mut self) {
-        let runtime = self.runtime.take().expect("the runtime is there until the end");
+        let runtime = self
+            .runtime
+            .take()
+            .expect("the runtime is there until the end");
         let signal = runtime.block_on(wait_for_signal());
         match signal {
             Ok(name) => self.leave(name),
@@ -163,16 +187,17 @@
     /// Begins a planned stop: the readiness check fails and the roles go to other entry VMs.
     pub fn leave(&self, reason: &str) {
         if self.node.life.enter(LifeStage::Leaving) {
-            self.node.changes.note(format!("entry VM {} is leaving", self.node.me), reason);
+            self.node
+                .changes
+                .note(format!("entry VM {} is leaving", self.node.me), reason);
         }
-        // self.peers.leave();
+        self.peers.leave();
     }
+}
 
-    /// Stops at once; what still runs is cut off.
-    pub fn stop(mut self) {
+impl Drop for EntryProcess {
+    fn drop(&mut self) {
         self.peers.shutdown();
-        self.callers.stop();
-        self.operators.stop();
         if let Some(runtime) = self.runtime.take() {
             runtime.shutdown_background();
         }
@@ -199,8 +224,10 @@
 
 fn token_issuer(file: &Path) -> Result<TokenIssuer, StartError> {
     let secret = read_secret(file)?;
-    let key = TokenKey::new(1, secret.as_bytes())
-        .map_err(|error| StartError::TokenKey { file: file.to_owned(), error })?;
+    let key = TokenKey::new(1, secret.as_bytes()).map_err(|error| StartError::TokenKey {
+        file: file.to_owned(),
+        error,
+    })?;
     Ok(TokenIssuer::new(key, None))
 }
 
@@ -229,9 +256,20 @@
     let _entered = runtime.enter();
     let clock: Arc<dyn MonoClock> = Arc::new(NodeClock);
     let route = Arc::new(LoneRoute);
-    let claims =
-        ClaimBook::spawn(store, node.me, Arc::clone(&clock), route, ClaimSettings::default());
-    let parts = GuardParts { me: node.me, centre: node.centre, clock, issuer: Some(issuer), claims };
+    let claims = ClaimBook::spawn(
+        store,
+        node.me,
+        Arc::clone(&clock),
+        route,
+        ClaimSettings::default(),
+    );
+    let parts = GuardParts {
+        me: node.me,
+        centre: node.centre,
+        clock,
+        issuer: Some(issuer),
+        claims,
+    };
     RequestGuard::open(parts, GuardSettings::default())
 }
 
@@ -267,5 +305,8 @@
     while node.is_busy() {
         tokio::time::sleep(DRAIN_PERIOD).await;
     }
-    node.changes.note(format!("entry VM {} stops", node.me), "its last request has ended");
+    node.changes.note(
+        format!("entry VM {} stops", node.me),
+        "its last request has ended",
+    );
 }
--- a/crates/entry/src/reconnect.rs
+++ b/crates/entry/src/reconnect.rs
@@ -42,12 +42,16 @@
         .and_then(|request| node.answers.get(request.serial))
         .filter(|buffer| buffer.customer == customer)
         .ok_or_else(|| missing(request))?;
-    buffer.reader(place.number).map_err(|EventsDropped| missing(request))
+    buffer
+        .reader(place.number)
+        .map_err(|EventsDropped| missing(request))
 }
 
 fn missing(request: RequestId) -> CallerError {
     let message = "this answer is not kept any more; send the request again with last-event-id";
-    CallerError::not_run(ErrorCode::NotFound, message).of(request).with_verdict(Verdict::MayHaveRun)
+    CallerError::not_run(ErrorCode::NotFound, message)
+        .of(request)
+        .with_verdict(Verdict::MayHaveRun)
 }
 
 /// Opens the rest of an answer at its home; the stream ends in an error unless it is whole.
@@ -57,16 +61,28 @@
     request: RequestId,
     place: EventPlace,
 ) -> Result<impl Stream<Item = Result<ntex::util::Bytes, CallerError>> + use<>, CallerError> {
-    let head = ReconnectHead { request, customer, number: place.number, tokens: place.tokens };
+    let head = ReconnectHead {
+        request,
+        customer,
+        number: place.number,
+        tokens: place.tokens,
+    };
     let head = postcard::to_allocvec(&head).map_err(|_| missing(request))?;
-    let opened = peers.open_stream(request.home, StreamOpen::Reconnect(head.into())).await;
+    let opened = peers
+        .open_stream(request.home, StreamOpen::Reconnect(head.into()))
+        .await;
     let mut opened = opened.map_err(|_| missing(request))?;
     let first = match opened.receive().await {
         Ok(Some(bytes)) if bytes[0] == FOUND => bytes.slice(1..),
         _ => return Err(missing(request)),
     };
     let (sender, receiver) = opened.split();
-    let state = RemoteEvents { receiver, _sender: sender, first: Some(first), request };
+    let state = RemoteEvents {
+        receiver,
+        _sender: sender,
+        first: Some(first),
+        request,
+    };
     Ok(stream::unfold(Some(state), |state| async move { state?.next().await }).boxed_local())
 }
 
@@ -104,10 +120,15 @@
 
 /// Serves a caller that came back at another entry VM.
 pub(crate) async fn serve_reconnect(node: Arc<EntryNode>, head: Bytes, mut stream: PeerStream) {
-    let reader = postcard::from_bytes::<ReconnectHead>(&head).ok().and_then(|head| {
-        let place = EventPlace { number: head.number, tokens: head.tokens };
-        local_reader(&node, head.customer, head.request, place).ok()
-    });
+    let reader = postcard::from_bytes::<ReconnectHead>(&head)
+        .ok()
+        .and_then(|head| {
+            let place = EventPlace {
+                number: head.number,
+                tokens: head.tokens,
+            };
+            local_reader(&node, head.customer, head.request, place).ok()
+        });
     let Some(reader) = reader else {
         if stream.send(Bytes::from_static(&[MISSING])).await.is_ok() {
             stream.finish();
--- a/crates/entry/src/records_feed.rs
+++ b/crates/entry/src/records_feed.rs
@@ -5,25 +5,27 @@
 use bytes::Bytes;
 use oleander_base::prelude::*;
 use oleander_operator::{ChangeRefusal, FaultLine, RecordChange, RecordLine};
+use oleander_peer::PeerEndpoint;
 use oleander_records::RecordSet;
 
 use crate::node::EntryNode;
 
 /// Interim.
-#[derive(Debug)]
 pub struct RecordFeed {
     node: Arc<EntryNode>,
+    peers: PeerEndpoint,
 }
 
 impl RecordFeed {
     /// Interim.
-    pub fn new(node: Arc<EntryNode>) -> Self {
-        Self { node }
+    pub fn new(node: Arc<EntryNode>, peers: PeerEndpoint) -> Self {
+        Self { node, peers }
     }
     /// Interim.
     pub fn set(&self, records: RecordSet) {
         self.node.set_records(Arc::new(records));
         self.node.life.enter(crate::life::LifeStage::Ready);
+        self.peers.serve();
     }
     /// Interim.
     pub fn on_gossip(&self, _from: InstanceId, _bytes: &[u8]) {}
--- a/crates/entry/src/retries.rs
+++ b/crates/entry/src/retries.rs
@@ -33,19 +33,24 @@
 
 impl RetryDesk {
     /// Makes a budget with some retries saved up.
-    pub fn new(now: MonoTime) -> Self {
-        Self { state: Mutex::new(BudgetState { balance: BUDGET_CEILING / 10.0, refilled: now }) }
+    pub(crate) fn new(now: MonoTime) -> Self {
+        Self {
+            state: Mutex::new(BudgetState {
+                balance: BUDGET_CEILING / 10.0,
+                refilled: now,
+            }),
+        }
     }
 
     /// Adds what one success pays for.
-    pub fn deposit(&self, now: MonoTime) {
+    pub(crate) fn deposit(&self, now: MonoTime) {
         let mut state = self.state.lock();
         state.refill(now);
         state.balance = (state.balance + RETRIES_PER_SUCCESS).min(BUDGET_CEILING);
     }
 
     /// Takes one retry, if the budget has one.
-    pub fn try_spend(&self, now: MonoTime) -> bool {
+    pub(crate) fn try_spend(&self, now: MonoTime) -> bool {
         let mut state = self.state.lock();
         state.refill(now);
         if state.balance < 1.0 {
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use ntex::util::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use ntex::http::HeaderMap;
-use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, ServiceConfig};
 use ntex::http::ResponseBuilder as HttpResponseBuilder;
+use ntex::util::{Bytes, BytesMut};
+use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, ServiceConfig};
 use oleander_base::monotonic_now;
 use oleander_base::prelude::*;
 use oleander_caller::{
@@ -33,7 +33,10 @@
 pub(crate) type Context = web::types::State<Rc<WorkerContext>>;
 
 /// Starts the callers' server.
-pub fn spawn_callers(shared: SharedContext, listener: TcpListener) -> io::Result<ServerThread> {
+pub(crate) fn spawn_callers(
+    shared: SharedContext,
+    listener: TcpListener,
+) -> io::Result<ServerThread> {
     ServerThread::spawn("callers", listener, move |listener| {
         let workers = shared.node.settings.callers.workers;
         let server = HttpServer::new(move || {
@@ -45,7 +48,11 @@
                     .default_service(web::route().to(not_found))
             }
         });
-        Ok(server.workers(workers).disable_signals().listen(listener)?.run())
+        Ok(server
+            .workers(workers)
+            .disable_signals()
+            .listen(listener)?
+            .run())
     })
 }
 
@@ -81,9 +88,14 @@
     if let Err(error) = identify(request.headers(), &view.records) {
         return error.to_response();
     }
-    let engines = view.records.backends.values().filter(|b| b.kind == oleander_records::BackendKind::Engine);
-    let names: std::collections::BTreeSet<&str> =
-        engines.flat_map(|record| record.serves.iter().map(String::as_str)).collect();
+    let engines = view
+        .records
+        .backends
+        .values()
+        .filter(|b| b.kind == oleander_records::BackendKind::Engine);
+    let names: std::collections::BTreeSet<&str> = engines
+        .flat_map(|record| record.serves.iter().map(String::as_str))
+        .collect();
     let list = ModelList::new(names);
     HttpResponse::Ok().json(&list)
 }
@@ -95,13 +107,19 @@
 async fn readiness(context: Context) -> HttpResponse {
     match context.node.life.stage() {
         LifeStage::Ready => HttpResponse::Ok().body("ready\n"),
-        LifeStage::Starting => HttpResponse::ServiceUnavailable().body("starting: no records are in force yet\n"),
+        LifeStage::Starting => {
+            HttpResponse::ServiceUnavailable().body("starting: no records are in force yet\n")
+        }
         LifeStage::Leaving => HttpResponse::ServiceUnavailable().body("leaving\n"),
     }
 }
 
 async fn not_found() -> HttpResponse {
-    CallerError::not_run(ErrorCode::NotFound, "no such path; docs/INTERFACES.md lists them").to_response()
+    CallerError::not_run(
+        ErrorCode::NotFound,
+        "no such path; docs/INTERFACES.md lists them",
+    )
+    .to_response()
 }
 
 /// Turns the outcome of a handler into an HTTP answer.
@@ -117,7 +135,10 @@
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|error| {
-            CallerError::not_run(ErrorCode::BadRequest, format!("the body broke off: {error}"))
+            CallerError::not_run(
+                ErrorCode::BadRequest,
+                format!("the body broke off: {error}"),
+            )
         })?;
         if body.len() + chunk.len() > limit {
             let message = format!("the body is over {limit} bytes");
@@ -136,7 +157,10 @@
         return Err(error.after(Span::from_secs(1)));
     }
     if node.answers.len() >= node.settings.callers.request_limit {
-        let error = CallerError::not_run(ErrorCode::Shed, "this entry VM holds as many requests as it may");
+        let error = CallerError::not_run(
+            ErrorCode::Shed,
+            "this entry VM holds as many requests as it may",
+        );
         return Err(error.after(Span::from_secs(1)));
     }
     Ok(())
@@ -159,8 +183,13 @@
     let keep = keep_span(headers)?;
     let place = resume_place(headers)?;
     let buffer = AnswerBuffer::new(job.customer, job.call.stream, keep, place.number);
-    let reader = buffer.reader(place.number).expect("a new buffer has no dropped events");
-    context.node.answers.insert(job.request.serial, Arc::clone(&buffer));
+    let reader = buffer
+        .reader(place.number)
+        .expect("a new buffer has no dropped events");
+    context
+        .node
+        .answers
+        .insert(job.request.serial, Arc::clone(&buffer));
     let id = job.request;
     let stream = job.call.stream;
     RequestDrive::spawn(Rc::clone(context), job, buffer);
@@ -197,15 +226,25 @@
 
 /// Counts the request against its customer's limits.
 fn enter_limits(context: &WorkerContext, job: &CompletionJob) -> Result<(), CallerError> {
-    let key = ServiceKey { customer: job.customer, class: job.class };
-    context.node.enter_limits(key).map_err(|error| error.of(job.request))
+    let key = ServiceKey {
+        customer: job.customer,
+        class: job.class,
+    };
+    context
+        .node
+        .enter_limits(key)
+        .map_err(|error| error.of(job.request))
 }
 
 fn keep_span(headers: &HeaderMap) -> Result<Span, CallerError> {
     let Some(text) = header_text(headers, KEEP_HEADER) else {
         return Ok(Span::ZERO);
     };
-    let secs: Option<u64> = text.trim().parse().ok().filter(|secs| *secs <= KEEP_LIMIT_SECS);
+    let secs: Option<u64> = text
+        .trim()
+        .parse()
+        .ok()
+        .filter(|secs| *secs <= KEEP_LIMIT_SECS);
     secs.map(Span::from_secs).ok_or_else(|| {
         let message = format!("{KEEP_HEADER} must be 0 to {KEEP_LIMIT_SECS} seconds");
         CallerError::not_run(ErrorCode::BadRequest, message)
--- a/crates/entry/src/serve_service.rs
+++ b/crates/entry/src/serve_service.rs
@@ -87,13 +87,22 @@
         .node
         .choose_pool(ModelId::from_name(&path.name))
         .ok_or_else(|| no_service(&path.name))?;
-    let route = view.pool(choice.pool).ok_or_else(|| no_service(&path.name))?;
-    let record = route.backends.iter().find_map(|backend| view.backend(*backend));
+    let route = view
+        .pool(choice.pool)
+        .ok_or_else(|| no_service(&path.name))?;
+    let record = route
+        .backends
+        .iter()
+        .find_map(|backend| view.backend(*backend));
     let below = format!("/{}", path.rest);
     let method = request.method().clone();
     let idempotent = record.is_some_and(|record| is_idempotent(record, method.as_str(), &below));
     let query = request.query_string();
-    let full_path = if query.is_empty() { below } else { format!("{below}?{query}") };
+    let full_path = if query.is_empty() {
+        below
+    } else {
+        format!("{below}?{query}")
+    };
     let class = identity.class_record;
     Ok(ServiceJob {
         request: context.node.next_request(),
@@ -130,12 +139,22 @@
                 None => path == route.path,
             }
     };
-    record.routes.iter().find(matches).is_some_and(|route| route.idempotent)
+    record
+        .routes
+        .iter()
+        .find(matches)
+        .is_some_and(|route| route.idempotent)
 }
 
 fn enter_limits(context: &WorkerContext, job: &ServiceJob) -> Result<(), CallerError> {
-    let key = ServiceKey { customer: job.customer, class: job.class };
-    context.node.enter_limits(key).map_err(|error| error.of(job.request))
+    let key = ServiceKey {
+        customer: job.customer,
+        class: job.class,
+    };
+    context
+        .node
+        .enter_limits(key)
+        .map_err(|error| error.of(job.request))
 }
 
 #[derive(Debug, Deserialize)]
@@ -178,14 +197,20 @@
             CallerError::not_run(ErrorCode::BadRequest, message)
         })?
     };
-    let tokens = context.shared.guard.issue(customer, call.count).map_err(|error| issue_error(&error))?;
+    let tokens = context
+        .shared
+        .guard
+        .issue(customer, call.count)
+        .map_err(|error| issue_error(&error))?;
     Ok(HttpResponse::Ok().json(&TokenList { tokens }))
 }
 
 fn issue_error(error: &IssueError) -> CallerError {
     match error {
         IssueError::NoTokenKey => CallerError::not_run(ErrorCode::NotFound, error.to_string()),
-        IssueError::TooMany { .. } => CallerError::not_run(ErrorCode::BadRequest, error.to_string()),
+        IssueError::TooMany { .. } => {
+            CallerError::not_run(ErrorCode::BadRequest, error.to_string())
+        }
         IssueError::Full { retry_after } => {
             CallerError::not_run(ErrorCode::Shed, error.to_string()).after(*retry_after)
         }
@@ -221,15 +246,27 @@
         local_status(context, id)
     } else {
         let call = PeerCall::RequestStatus(id);
-        match context.shared.peers.call(id.home, call, STATUS_TIMEOUT).await {
+        match context
+            .shared
+            .peers
+            .call(id.home, call, STATUS_TIMEOUT)
+            .await
+        {
             Ok(PeerReply::Answer(bytes)) => postcard::from_bytes(&bytes).ok(),
             _ => None,
         }
     };
-    let known = known.unwrap_or(KnownRequest { ended: false, verdict: Verdict::MayHaveRun });
+    let known = known.unwrap_or(KnownRequest {
+        ended: false,
+        verdict: Verdict::MayHaveRun,
+    });
     let body = StatusBody {
         request: id.to_string(),
-        state: if known.ended { "ended" } else { "not-known-to-have-ended" },
+        state: if known.ended {
+            "ended"
+        } else {
+            "not-known-to-have-ended"
+        },
         verdict: known.verdict,
     };
     Ok(HttpResponse::Ok().json(&body))
@@ -251,8 +288,17 @@
 /// Returns what a guard's status says, in the form between entry VMs.
 pub(crate) fn known_request(status: RequestStatus) -> Option<KnownRequest> {
     Some(match status {
-        RequestStatus::Running => KnownRequest { ended: false, verdict: Verdict::MayHaveRun },
-        RequestStatus::Ended(verdict) => KnownRequest { ended: true, verdict },
-        RequestStatus::Kept(result) => KnownRequest { ended: true, verdict: result.verdict },
+        RequestStatus::Running => KnownRequest {
+            ended: false,
+            verdict: Verdict::MayHaveRun,
+        },
+        RequestStatus::Ended(verdict) => KnownRequest {
+            ended: true,
+            verdict,
+        },
+        RequestStatus::Kept(result) => KnownRequest {
+            ended: true,
+            verdict: result.verdict,
+        },
     })
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -9,7 +9,7 @@
 
 /// A server that runs.
 #[derive(Debug)]
-pub struct ServerThread {
+pub(crate) struct ServerThread {
     address: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
@@ -17,7 +17,7 @@
 
 impl ServerThread {
     /// Starts a thread with an ntex system and runs the server that `build` returns in it.
-    pub fn spawn<F>(name: &str, listener: TcpListener, build: F) -> io::Result<Self>
+    pub(crate) fn spawn<F>(name: &str, listener: TcpListener, build: F) -> io::Result<Self>
     where
         F: FnOnce(TcpListener) -> io::Result<Server> + Send + 'static,
     {
@@ -25,22 +25,28 @@
         listener.set_nonblocking(true)?;
         let (stop, stopped) = oneshot::channel();
         let (started, is_started) = std::sync::mpsc::channel();
-        let thread = std::thread::Builder::new().name(name.to_owned()).spawn(move || {
-            run_system(listener, build, started, stopped);
-        })?;
+        let thread = std::thread::Builder::new()
+            .name(name.to_owned())
+            .spawn(move || {
+                run_system(listener, build, started, stopped);
+            })?;
         is_started
             .recv()
             .map_err(|_| io::Error::other("the server's thread ended before it served"))??;
-        Ok(Self { address, stop: Some(stop), thread: Some(thread) })
+        Ok(Self {
+            address,
+            stop: Some(stop),
+            thread: Some(thread),
+        })
     }
 
     /// Returns where the server listens.
-    pub fn address(&self) -> SocketAddr {
+    pub(crate) fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Stops the server and waits for its thread; requests that still run are cut off.
-    pub fn stop(&mut self) {
+    pub(crate) fn stop(&mut self) {
         if let Some(stop) = self.stop.take() {
             let _ = stop.send(());
         }
--- a/crates/entry/src/service_job.rs
+++ b/crates/entry/src/service_job.rs
@@ -33,7 +33,7 @@
 
 /// A call to a plain service that was accepted for dispatch.
 #[derive(Debug, Clone)]
-pub struct ServiceJob {
+pub(crate) struct ServiceJob {
     /// The request.
     pub request: RequestId,
     /// The pool of the service in this data centre, or where it is served.
@@ -74,7 +74,7 @@
 
 /// What is to be done with a call.
 #[derive(Debug)]
-pub enum ServiceStep {
+pub(crate) enum ServiceStep {
     /// It ended here.
     Answered(HttpAnswer),
     /// This instance decides.
@@ -96,7 +96,7 @@
 }
 
 /// Runs a call as far as this VM can.
-pub async fn run_service(context: &Rc<WorkerContext>, job: &ServiceJob) -> ServiceStep {
+pub(crate) async fn run_service(context: &Rc<WorkerContext>, job: &ServiceJob) -> ServiceStep {
     if job.idempotent {
         return ServiceStep::Answered(ServiceRun::new(context, job).repeatable().await);
     }
@@ -104,7 +104,11 @@
         customer: job.customer,
         request: job.request,
         arrived: job.arrived,
-        body: BodyHash::of(&[job.method.as_str().as_bytes(), job.path.as_bytes(), &job.body]),
+        body: BodyHash::of(&[
+            job.method.as_str().as_bytes(),
+            job.path.as_bytes(),
+            &job.body,
+        ]),
         token: job.token.as_deref(),
         key: job.key.as_deref(),
         forwarded: job.forwarded,
@@ -115,9 +119,7 @@
         }
         Admission::Forward(instance) => ServiceStep::Forward(instance),
         Admission::Answer(repeat) => ServiceStep::Answered(repeat_answer(repeat)),
-        Admission::Refuse(refusal) => {
-            ServiceStep::Answered(refusal_answer(&refusal, job.request))
-        }
+        Admission::Refuse(refusal) => ServiceStep::Answered(refusal_answer(&refusal, job.request)),
     }
 }
 
@@ -131,7 +133,13 @@
 
 impl<'a> ServiceRun<'a> {
     fn new(context: &'a Rc<WorkerContext>, job: &'a ServiceJob) -> Self {
-        Self { context, job, attempts: 0, verdict: Verdict::NotRun, avoid: None }
+        Self {
+            context,
+            job,
+            attempts: 0,
+            verdict: Verdict::NotRun,
+            avoid: None,
+        }
     }
 
     /// Runs a call that may be repeated.
@@ -212,13 +220,15 @@
             avoid: self.avoid,
             spilled: job.spilled,
         };
-        let away = || CallerError::not_run(ErrorCode::Shed, "no entry VM can dispatch the call now");
+        let away =
+            || CallerError::not_run(ErrorCode::Shed, "no entry VM can dispatch the call now");
         let outcome = self.context.node.ask(ticket).ok_or_else(away)?.await;
         match outcome {
             Ok(TicketOutcome::Granted(backend)) => Ok(backend),
-            Ok(TicketOutcome::Shed { reason, retry_after }) => {
-                Err(CallerError::shed(reason, retry_after))
-            }
+            Ok(TicketOutcome::Shed {
+                reason,
+                retry_after,
+            }) => Err(CallerError::shed(reason, retry_after)),
             Err(_) => Err(away()),
         }
     }
@@ -262,7 +272,11 @@
             total: Span::ZERO,
             tokens: 0,
         };
-        SlotUse { context: Rc::clone(self.context), notice, sent: monotonic_now() }
+        SlotUse {
+            context: Rc::clone(self.context),
+            notice,
+            sent: monotonic_now(),
+        }
     }
 
     /// Frees a slot that was granted and not used.
@@ -306,7 +320,12 @@
                 count.failed += 1;
             }
         });
-        HttpAnswer::of_error(&error.clone().with_verdict(self.verdict).of(self.job.request))
+        HttpAnswer::of_error(
+            &error
+                .clone()
+                .with_verdict(self.verdict)
+                .of(self.job.request),
+        )
     }
 
     fn failed(&self, error: &ServiceError) -> HttpAnswer {
@@ -318,7 +337,10 @@
     }
 
     fn count(&self, change: impl FnOnce(&mut ServiceCount)) {
-        let key = ServiceKey { customer: self.job.customer, class: self.job.class };
+        let key = ServiceKey {
+            customer: self.job.customer,
+            class: self.job.class,
+        };
         self.context.node.counters.count(key, change);
     }
 }
@@ -330,7 +352,10 @@
 }
 
 fn kept_answer(answer: &ServiceAnswer) -> KeptAnswer {
-    let content_type = answer.headers.iter().find(|(name, _)| name == "content-type");
+    let content_type = answer
+        .headers
+        .iter()
+        .find(|(name, _)| name == "content-type");
     KeptAnswer {
         status: answer.status.as_u16(),
         content_type: content_type.map(|(_, value)| value.clone()),
@@ -340,7 +365,10 @@
 
 fn repeat_answer(repeat: RepeatAnswer) -> HttpAnswer {
     let content_type = repeat.answer.content_type;
-    let headers = content_type.map(|value| ("content-type".to_owned(), value)).into_iter().collect();
+    let headers = content_type
+        .map(|value| ("content-type".to_owned(), value))
+        .into_iter()
+        .collect();
     HttpAnswer {
         status: repeat.answer.status,
         headers,
--- a/crates/entry/src/spill.rs
+++ b/crates/entry/src/spill.rs
@@ -6,8 +6,8 @@
 //! pass it to and fro.
 
 use bytes::Bytes;
-use oleander_base::prelude::*;
 use oleander_base::monotonic_now;
+use oleander_base::prelude::*;
 use oleander_decide::PoolSummary;
 use parking_lot::RwLock;
 
@@ -40,7 +40,9 @@
 impl SpillBoard {
     /// Returns the bytes that tell other entry VMs of pools.
     pub fn encode(summaries: &[PoolSummary]) -> Bytes {
-        postcard::to_allocvec(summaries).map(Bytes::from).unwrap_or_default()
+        postcard::to_allocvec(summaries)
+            .map(Bytes::from)
+            .unwrap_or_default()
     }
 
     /// Takes in the summaries of another entry VM.
@@ -79,21 +81,46 @@
         let own = pools.iter().copied().find(|pool| pool.centre == centre);
         let is_usable = |pool: PoolId| view.has_work_for(pool);
         match own.filter(|pool| is_usable(*pool)) {
-            Some(own) if !spill || !self.is_full(own) => Some(PoolChoice { pool: own, spilled: false }),
+            Some(own) if !spill || !self.is_full(own) => Some(PoolChoice {
+                pool: own,
+                spilled: false,
+            }),
             Some(own) => {
-                let other = self.roomiest(pools.iter().copied().filter(|pool| *pool != own && is_usable(*pool)));
-                Some(other.map_or(PoolChoice { pool: own, spilled: false }, spilled))
+                let other = self.roomiest(
+                    pools
+                        .iter()
+                        .copied()
+                        .filter(|pool| *pool != own && is_usable(*pool)),
+                );
+                Some(other.map_or(
+                    PoolChoice {
+                        pool: own,
+                        spilled: false,
+                    },
+                    spilled,
+                ))
             }
             None => {
-                let others = || pools.iter().copied().filter(|pool| pool.centre != centre && is_usable(*pool));
+                let others = || {
+                    pools
+                        .iter()
+                        .copied()
+                        .filter(|pool| pool.centre != centre && is_usable(*pool))
+                };
                 let other = self.roomiest(others()).or_else(|| others().next());
-                other.map(spilled).or_else(|| own.map(|pool| PoolChoice { pool, spilled: false }))
+                other.map(spilled).or_else(|| {
+                    own.map(|pool| PoolChoice {
+                        pool,
+                        spilled: false,
+                    })
+                })
             }
         }
     }
 
     fn is_full(&self, pool: PoolId) -> bool {
-        self.summary(pool).is_some_and(|summary| summary.saturated || summary.slots_free() == 0)
+        self.summary(pool)
+            .is_some_and(|summary| summary.saturated || summary.slots_free() == 0)
     }
 
     fn roomiest(&self, pools: impl Iterator<Item = PoolId>) -> Option<PoolId> {
@@ -106,5 +133,8 @@
 }
 
 fn spilled(pool: PoolId) -> PoolChoice {
-    PoolChoice { pool, spilled: true }
+    PoolChoice {
+        pool,
+        spilled: true,
+    }
 }
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -5,8 +5,8 @@
 //! sends nothing for the screens.
 
 use bytes::Bytes;
-use oleander_base::prelude::*;
 use oleander_base::monotonic_now;
+use oleander_base::prelude::*;
 use oleander_decide::{BackendSummary, PoolSummary};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -72,7 +72,9 @@
 impl StatusMessage {
     /// Returns the bytes of the message.
     pub fn encode(&self) -> Bytes {
-        postcard::to_allocvec(self).map(Bytes::from).unwrap_or_default()
+        postcard::to_allocvec(self)
+            .map(Bytes::from)
+            .unwrap_or_default()
     }
 
     /// Reads a message; bytes that a newer program wrote differently are none.
@@ -113,7 +115,13 @@
                 state.subscribers.insert(from, now + SUBSCRIPTION);
             }
             StatusMessage::Report(status) => {
-                state.seen.insert(from, SeenStatus { status: *status, seen: now });
+                state.seen.insert(
+                    from,
+                    SeenStatus {
+                        status: *status,
+                        seen: now,
+                    },
+                );
             }
         }
     }
@@ -126,7 +134,10 @@
     /// Returns whether this VM should subscribe at the others.
     pub fn is_watched(&self) -> bool {
         let now = monotonic_now();
-        self.state.lock().watched.is_some_and(|watched| now.since(watched) < WATCH_TIME)
+        self.state
+            .lock()
+            .watched
+            .is_some_and(|watched| now.since(watched) < WATCH_TIME)
     }
 
     /// Returns who wants this VM's status now.
@@ -141,7 +152,9 @@
     pub fn seen(&self) -> Vec<SeenStatus> {
         let now = monotonic_now();
         let mut state = self.state.lock();
-        state.seen.retain(|_, seen| now.since(seen.seen) < STATUS_KEEP);
+        state
+            .seen
+            .retain(|_, seen| now.since(seen.seen) < STATUS_KEEP);
         let mut seen: Vec<SeenStatus> = state.seen.values().cloned().collect();
         seen.sort_by_key(|seen| seen.status.instance);
         seen
--- a/crates/entry/src/worker.rs
+++ b/crates/entry/src/worker.rs
@@ -13,7 +13,7 @@
 
 /// What all workers share.
 #[derive(Clone)]
-pub struct SharedContext {
+pub(crate) struct SharedContext {
     /// The state of the process.
     pub node: Arc<EntryNode>,
     /// The guard of non-idempotent requests.
@@ -24,13 +24,15 @@
 
 impl std::fmt::Debug for SharedContext {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("SharedContext").field("node", &self.node).finish_non_exhaustive()
+        f.debug_struct("SharedContext")
+            .field("node", &self.node)
+            .finish_non_exhaustive()
     }
 }
 
 /// The clients and shared state of one worker thread.
 #[derive(Debug)]
-pub struct WorkerContext {
+pub(crate) struct WorkerContext {
     /// The state of the process.
     pub node: Arc<EntryNode>,
     /// What all workers share.
@@ -43,7 +45,7 @@
 
 impl WorkerContext {
     /// Opens the clients of this thread.
-    pub async fn open(shared: &SharedContext) -> io::Result<Rc<Self>> {
+    pub(crate) async fn open(shared: &SharedContext) -> io::Result<Rc<Self>> {
         Ok(Rc::new(Self {
             node: Arc::clone(&shared.node),
             shared: shared.clone(),
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -2,7 +2,7 @@
 
 use bytes::BytesMut;
 use oleander_base::prelude::*;
-use oleander_base::{GrantNotice, ShedNotice, ShedReason};
+use oleander_base::{GrantNotice, ShedNotice, ShedReason, WithdrawNotice};
 use oleander_peer::{DecodedMessage, FrameBuffer, PeerMessage, encode_message};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -25,6 +25,13 @@
         request,
         backend: BackendId(7),
     };
+    let withdraw = |request| WithdrawNotice {
+        request,
+        pool: PoolId {
+            centre: CentreId(1),
+            model: ModelId(2),
+        },
+    };
     let shed = |request| ShedNotice {
         request,
         reason: ShedReason::Expired,
@@ -32,7 +39,8 @@
     };
     let bytes = || proptest::collection::vec(any::<u8>(), 0..40);
     prop_oneof![
-        requests().prop_map(PeerMessage::Withdraw),
+        requests().prop_map(move |r| PeerMessage::Withdraw(r.into_iter().map(withdraw).collect())),
+        requests().prop_map(PeerMessage::Misrouted),
         requests().prop_map(move |r| PeerMessage::Grant(r.into_iter().map(grant).collect())),
         requests().prop_map(move |r| PeerMessage::Shed(r.into_iter().map(shed).collect())),
         bytes().prop_map(|b| PeerMessage::Records(b.into())),
--- a/crates/records/src/keys.rs
+++ b/crates/records/src/keys.rs
@@ -24,5 +24,8 @@
 
 /// Returns the form in which a record keeps an API key: lower-case hexadecimal SHA-256.
 pub fn key_hash(key: &str) -> String {
-    Sha256::digest(key.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+    Sha256::digest(key.as_bytes())
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
 }
