--- a/crates/demo/src/plan.rs
+++ b/crates/demo/src/plan.rs
@@ -5,7 +5,7 @@
 use oleander_base::prelude::*;
 use oleander_decide::PolicyKind;
 use oleander_records::{
-    BackendKind, BackendRecord, ClassRecord, CustomerRecord, RecordSet, ServiceRoute, key_hash,
+    BackendKind, BackendRecord, ClassRecord, CustomerRecord, RecordSet, ServiceRoute, hash_key,
 };
 use serde::{Deserialize, Serialize};
 
@@ -143,7 +143,7 @@
     fn customer(&self, name: &str) -> CustomerRecord {
         CustomerRecord {
             name: name.to_owned(),
-            key_hashes: vec![key_hash(&Self::api_key(name))],
+            key_hashes: vec![hash_key(&Self::api_key(name))],
             share: 1.0,
             rate_limit: None,
             concurrency_limit: None,
