--- a/crates/load/src/schedule.rs
+++ b/crates/load/src/schedule.rs
@@ -146,13 +146,16 @@
     let mut times = Vec::new();
     let mut now_s = 0.0;
     for step in steps {
-        while step.rate > 0.0 {
+        if step.rate <= 0.0 {
+            now_s = step.until_s;
+            continue;
+        }
+        loop {
             let unit: f64 = random.random();
-            let next_s = now_s - (1.0 - unit).ln() / step.rate;
-            if next_s >= step.until_s {
+            now_s -= (1.0 - unit).ln() / step.rate;
+            if now_s >= step.until_s {
                 break;
             }
-            now_s = next_s;
             times.push(Span((now_s * 1_000_000.0) as u64));
         }
         now_s = step.until_s;
