Records reach the entry VMs through the platform's stand-in

Cause: records were handed to each process by hand.

Two VMs of a data centre read the store for all, the board orders by revision, and VMs compare digests. Conclusion: the whole path runs on stored records.

--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -2,17 +2,31 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
 
 use oleander_entry::{
     CallerSettings, DispatchSection, EntryProcess, EntrySettings, InstanceSettings, LogSection,
     OperatorSettings, PeerSection, PlatformSection, StartError,
 };
-use oleander_standin::{EngineSettings, EngineStandIn, ServiceSettings, ServiceStandIn};
+use oleander_platform::{
+    BudgetLimits, ClientSettings, Expected, KeyValueStore, PlatformClient, StoreError,
+};
+use oleander_standin::{
+    EngineSettings, EngineStandIn, PlatformSettings, PlatformStandIn, ServiceSettings,
+    ServiceStandIn,
+};
 use thiserror::Error;
+use tokio::runtime::Builder;
 
-use crate::plan::{DeploymentPlan, EnginePlan, ServicePlan};
+use crate::plan::{DeploymentPlan, EnginePlan, PlanDocument, ServicePlan};
 use crate::secrets::FleetSecrets;
 
+/// How often a deployment that starts is looked at.
+const READY_PERIOD: Duration = Duration::from_millis(20);
+/// Calls a second while the records of a plan are written.
+const SETUP_CALLS: f64 = 10_000.0;
 /// The largest body, in bytes.
 const BODY_LIMIT: usize = 4 * 1024 * 1024;
 /// Requests that an entry VM may hold.
@@ -24,6 +38,9 @@
     /// A stand-in could not be started, or files could not be written.
     #[error(transparent)]
     System(#[from] io::Error),
+    /// The platform refused a record.
+    #[error(transparent)]
+    Store(#[from] StoreError),
     /// An entry VM could not be started.
     #[error(transparent)]
     Entry(#[from] StartError),
@@ -40,6 +57,8 @@
     pub engines: Vec<EngineStandIn>,
     /// Plain services, in the order of the plan.
     pub services: Vec<ServiceStandIn>,
+    /// The platform.
+    pub platform: PlatformStandIn,
     /// Entry VMs, by data centre in the order of the plan.
     pub entries: Vec<EntryProcess>,
 }
@@ -58,13 +77,16 @@
             .iter()
             .map(spawn_service)
             .collect::<io::Result<Vec<_>>>()?;
+        let platform = PlatformStandIn::bind(PlatformSettings::default())?;
         let mut deployment = Self {
             plan,
             secrets,
             engines,
             services,
+            platform,
             entries: Vec::new(),
         };
+        deployment.write_records()?;
         deployment.spawn_entries()?;
         Ok(deployment)
     }
@@ -74,17 +96,50 @@
         self.entries.iter().map(EntryProcess::callers).collect()
     }
 
-    fn spawn_entries(&mut self) -> Result<(), DeployError> {
+    /// Waits until every entry VM has the records in force and sees all others.
+    pub fn wait_until_ready(&self, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        while !self.is_ready() {
+            if Instant::now() > until {
+                return false;
+            }
+            std::thread::sleep(READY_PERIOD);
+        }
+        true
+    }
+
+    fn is_ready(&self) -> bool {
+        let count = self.entries.len();
+        self.entries.iter().all(|entry| {
+            let view = entry.node().view();
+            let live = view
+                .members
+                .iter()
+                .filter(|member| member.takes_roles)
+                .count();
+            entry.node().is_ready() && live == count
+        })
+    }
+
+    /// Writes the plan's records to the platform.
+    fn write_records(&self) -> Result<(), DeployError> {
         let engines: Vec<SocketAddr> = self.engines.iter().map(EngineStandIn::address).collect();
         let services: Vec<SocketAddr> = self.services.iter().map(ServiceStandIn::address).collect();
-        let records = self.plan.records(&engines, &services);
+        let documents = self.plan.documents(&engines, &services);
+        let address = self.platform.address();
+        // The caller may be a task of a runtime, in which another one cannot be driven.
+        let written =
+            std::thread::scope(|scope| scope.spawn(|| write_documents(address, &documents)).join());
+        written.unwrap_or_else(|panic| std::panic::resume_unwind(panic))
+    }
+
+    fn spawn_entries(&mut self) -> Result<(), DeployError> {
         let mut seeds = Vec::new();
         for centre in self.plan.centres.clone() {
             for number in 1..=centre.entries {
                 let name = format!("{}-entry-{number}", centre.name);
                 let settings = self.entry_settings(&name, &centre.name, &seeds)?;
                 let process = EntryProcess::spawn(settings)?;
-                process.records().set(records.clone());
                 seeds.push(process.node().me.address);
                 self.entries.push(process);
             }
@@ -126,7 +181,7 @@
                 authority: files.authority,
             },
             platform: PlatformSection {
-                address: any,
+                address: self.platform.address(),
                 calls_per_second: 50.0,
                 token_key_file: files.token_key,
             },
@@ -139,6 +194,25 @@
     }
 }
 
+fn write_documents(address: SocketAddr, documents: &[PlanDocument]) -> Result<(), DeployError> {
+    let mut settings = ClientSettings::new(address);
+    settings.limits = BudgetLimits {
+        reads_per_second: SETUP_CALLS,
+        writes_per_second: SETUP_CALLS,
+    };
+    let client = PlatformClient::open(settings)?;
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        for document in documents {
+            let value = Bytes::copy_from_slice(document.text.as_bytes());
+            client
+                .put(&document.key, Expected::Absent, value, None)
+                .await?;
+        }
+        Ok(())
+    })
+}
+
 fn spawn_engine(plan: &EnginePlan) -> io::Result<EngineStandIn> {
     EngineStandIn::bind(EngineSettings {
         name: plan.name.clone(),
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -8,5 +8,5 @@
 mod secrets;
 
 pub use deployment::{DeployError, Deployment};
-pub use plan::{CentrePlan, DeploymentPlan, EnginePlan, ServicePlan};
+pub use plan::{CentrePlan, DeploymentPlan, EnginePlan, PlanDocument, ServicePlan};
 pub use secrets::FleetSecrets;
--- a/crates/demo/src/plan.rs
+++ b/crates/demo/src/plan.rs
@@ -5,7 +5,7 @@
 use oleander_base::prelude::*;
 use oleander_decide::PolicyKind;
 use oleander_records::{
-    BackendKind, BackendRecord, ClassRecord, CustomerRecord, RecordSet, ServiceRoute, hash_key,
+    BackendKind, BackendRecord, ClassRecord, CustomerRecord, RECORD_PREFIX, ServiceRoute, hash_key,
 };
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +46,28 @@
     pub slots: u32,
 }
 
+/// A record's document under its key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlanDocument {
+    /// The key in the store.
+    pub key: String,
+    /// The document in JSON.
+    pub text: String,
+}
+
+impl PlanDocument {
+    fn new(kind: &str, name: &str, schema: u32, record: &impl Serialize) -> Self {
+        let mut value = serde_json::to_value(record).expect("a record is plain data");
+        let fields = value.as_object_mut().expect("a record is an object");
+        fields.retain(|_, field| !field.is_null());
+        fields.insert("schema".to_owned(), schema.into());
+        Self {
+            key: format!("{RECORD_PREFIX}{kind}/{name}"),
+            text: value.to_string(),
+        }
+    }
+}
+
 /// A whole deployment.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DeploymentPlan {
@@ -96,7 +118,7 @@
             engines,
             services: services.collect(),
             classes: demo_classes(),
-            customers: ["denník", "rozhlas", "týždenník"]
+            customers: ["dennik", "rozhlas", "tyzdennik"]
                 .map(str::to_owned)
                 .to_vec(),
             policy: PolicyKind::Tiered,
@@ -109,35 +131,24 @@
         format!("{customer}-key")
     }
 
-    /// Returns the records of the plan, given where the stand-ins listen.
-    pub fn records(&self, engines: &[SocketAddr], services: &[SocketAddr]) -> RecordSet {
-        let mut records = RecordSet {
-            revision: Revision(1),
-            ..RecordSet::default()
-        };
-        for name in &self.customers {
-            records
-                .customers
-                .insert(CustomerId::from_name(name), self.customer(name));
-        }
+    /// Returns the documents of the plan's records by key, given where the stand-ins listen.
+    pub fn documents(&self, engines: &[SocketAddr], services: &[SocketAddr]) -> Vec<PlanDocument> {
+        let mut documents = Vec::new();
         for class in &self.classes {
-            records
-                .classes
-                .insert(ClassId::from_name(&class.name), class.clone());
+            documents.push(PlanDocument::new("class", &class.name, 2, class));
+        }
+        for name in &self.customers {
+            documents.push(PlanDocument::new("customer", name, 2, &self.customer(name)));
         }
         for (plan, address) in self.engines.iter().zip(engines) {
-            records.backends.insert(
-                BackendId::from_name(&plan.name),
-                engine_record(plan, *address),
-            );
+            let record = engine_record(plan, *address);
+            documents.push(PlanDocument::new("backend", &plan.name, 1, &record));
         }
         for (plan, address) in self.services.iter().zip(services) {
-            records.backends.insert(
-                BackendId::from_name(&plan.name),
-                service_record(plan, *address),
-            );
+            let record = service_record(plan, *address);
+            documents.push(PlanDocument::new("backend", &plan.name, 1, &record));
         }
-        records
+        documents
     }
 
     fn customer(&self, name: &str) -> CustomerRecord {
--- a/crates/demo/tests/thin_path.rs
+++ b/crates/demo/tests/thin_path.rs
@@ -1,10 +1,13 @@
 //! A request goes from a caller through an entry VM to an engine and back.
 
+use std::time::Duration;
+
 use oleander_demo::{Deployment, DeploymentPlan};
 
 #[ntex::test]
 async fn completion_comes_back_whole() {
     let deployment = Deployment::spawn(DeploymentPlan::demo()).unwrap();
+    assert!(deployment.wait_until_ready(Duration::from_secs(30)));
     let client = ntex::client::Client::new().await;
     for (stream, entry) in [(false, 0), (true, 1), (true, 3)] {
         let url = format!("http://{}/v1/chat/completions", deployment.callers()[entry]);
@@ -12,8 +15,7 @@
             "model": "editor", "stream": stream, "max_tokens": 20,
             "messages": [{"role": "user", "content": "compare this story with the archive"}],
         });
-        let key = DeploymentPlan::api_key(&deployment.plan.customers[0]);
-        let mut response = client
+        let response = client
             .post(url)
             .header("x-api-key", "rozhlas-key")
             .header("x-oleander-class", "correction")
@@ -21,9 +23,10 @@
             .send_json(&body)
             .await
             .unwrap();
-        let _ = key;
         let text = response.body().limit(1 << 20).await.unwrap();
-        println!("{} {}", response.status(), String::from_utf8_lossy(&text));
         assert!(response.status().is_success());
+        let text = String::from_utf8_lossy(&text);
+        assert!((0..20).all(|n| text.contains(&format!(".{n} "))), "{text}");
+        assert_eq!(text.contains("[DONE]"), stream);
     }
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -11,6 +11,7 @@
 
 use crate::limit_board::LimitBoard;
 use crate::node::EntryNode;
+use crate::records_feed::RecordFeed;
 use crate::spill::SpillBoard;
 use crate::status::StatusMessage;
 use crate::view::FleetMember;
@@ -29,7 +30,11 @@
 const ANSWER_LINGER: Span = Span::from_secs(10);
 
 /// Runs the periodic work until the channel of members closes.
-pub(crate) async fn run_control(node: Arc<EntryNode>, peers: PeerEndpoint) {
+pub(crate) async fn run_control(
+    node: Arc<EntryNode>,
+    records: Arc<RecordFeed>,
+    peers: PeerEndpoint,
+) {
     let mut members = peers.watch_members();
     apply_members(&node, &peers.members());
     let mut pools = ticker(POOL_PERIOD);
@@ -51,7 +56,10 @@
                 node.offer_again();
                 node.answers.sweep(monotonic_now(), ANSWER_LINGER);
             }
-            _ = limits.tick() => divide_limits(&node, &peers),
+            _ = limits.tick() => {
+                divide_limits(&node, &peers);
+                records.spread_again();
+            }
             _ = summaries.tick() => send_summaries(&node, &peers),
             _ = statuses.tick() => send_statuses(&node, &peers),
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod peering;
 mod process;
 mod reconnect;
+mod record_reader;
 mod records_feed;
 mod retries;
 mod serve;
--- a/crates/entry/src/life.rs
+++ b/crates/entry/src/life.rs
@@ -33,6 +33,14 @@
         }
     }
 
+    /// Becomes ready if the process was starting; returns whether it was.
+    pub fn begin_serving(&self) -> bool {
+        let (from, to) = (LifeStage::Starting as u8, LifeStage::Ready as u8);
+        self.stage
+            .compare_exchange(from, to, Ordering::AcqRel, Ordering::Acquire)
+            .is_ok()
+    }
+
     /// Enters a stage; returns whether it is a change.
     pub fn enter(&self, stage: LifeStage) -> bool {
         self.stage.swap(stage as u8, Ordering::AcqRel) != stage as u8
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -555,6 +555,44 @@
         }
     }
 
+    /// Returns the entry VMs that learn of changed records from this one: all of its own data
+    /// centre, and one of each other.
+    pub fn gossip_targets(&self) -> Vec<InstanceId> {
+        let view = self.view();
+        let mut targets = Vec::new();
+        let mut other_centres: FastMap<CentreId, InstanceId> = FastMap::default();
+        for member in view
+            .members
+            .iter()
+            .filter(|member| member.instance != self.me)
+        {
+            if member.centre == self.centre {
+                targets.push(member.instance);
+            } else {
+                let chosen = other_centres
+                    .entry(member.centre)
+                    .or_insert(member.instance);
+                // Different VMs choose different targets, so that one that cannot be reached
+                // does not keep its data centre uninformed.
+                if gossip_rank(self.me, member.instance) > gossip_rank(self.me, *chosen) {
+                    *chosen = member.instance;
+                }
+            }
+        }
+        targets.extend(other_centres.into_values());
+        targets
+    }
+
+    /// Returns the live entry VMs of this data centre, with this one.
+    pub fn centre_instances(&self) -> Vec<InstanceId> {
+        let view = self.view();
+        let inside = view
+            .members
+            .iter()
+            .filter(|member| member.centre == self.centre);
+        inside.map(|member| member.instance).collect()
+    }
+
     /// Returns whether a request of this VM is still in progress.
     pub fn is_busy(&self) -> bool {
         let count = self.desk.count();
@@ -567,6 +605,10 @@
     }
 }
 
+fn gossip_rank(from: InstanceId, to: InstanceId) -> u64 {
+    (from.incarnation ^ to.incarnation.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
 /// Decisions for other entry VMs, gathered into one message of a kind for each.
 #[derive(Debug, Default)]
 struct DecisionOutbox {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -25,6 +25,7 @@
 use crate::node::EntryNode;
 use crate::operator_desk::EntryDesk;
 use crate::peering::{EndpointLink, PeerDesk, PeerParts};
+use crate::record_reader::run_record_reader;
 use crate::records_feed::RecordFeed;
 use crate::serve::spawn_callers;
 use crate::server::ServerThread;
@@ -114,13 +115,15 @@
         node.connect(Arc::new(EndpointLink(peers.clone())));
         let platform = PlatformClient::open(ClientSettings::new(node.settings.platform.address))
             .map_err(system("the platform's client"))?;
-        let guard = open_guard(&node, Arc::new(platform), issuer, &runtime);
+        let store: Arc<dyn KeyValueStore> = Arc::new(platform);
+        let guard = open_guard(&node, Arc::clone(&store), issuer, &runtime);
         let shared = SharedContext {
             node: Arc::clone(&node),
             guard: Arc::clone(&guard),
             peers: peers.clone(),
         };
-        let records = Arc::new(RecordFeed::new(Arc::clone(&node), peers.clone()));
+        let records = Arc::new(RecordFeed::new(Arc::clone(&node), peers.clone(), store));
+        runtime.spawn(run_record_reader(Arc::clone(&records), Arc::clone(&node)));
         let forwards = ForwardDesk::spawn(shared.clone()).map_err(system("forwarded calls"))?;
         desk.open(PeerParts {
             node: Arc::clone(&node),
@@ -128,7 +131,11 @@
             records: Arc::clone(&records),
             forwards,
         });
-        runtime.spawn(run_control(Arc::clone(&node), peers.clone()));
+        runtime.spawn(run_control(
+            Arc::clone(&node),
+            Arc::clone(&records),
+            peers.clone(),
+        ));
         let entry_desk = EntryDesk::new(Arc::clone(&node), Arc::clone(&records), peers.clone());
         let operators = spawn_operators(Arc::new(entry_desk), &operator_key, operators)?;
         let callers = spawn_callers(shared, callers).map_err(system("the callers' server"))?;
--- a/crates/entry/src/records_feed.rs
+++ b/crates/entry/src/records_feed.rs
@@ -1,60 +1,347 @@
-//! The records in force at this entry VM.
+//! The records in force at this entry VM, and how they get here.
+//!
+//! Every VM holds all records on a [`RecordBoard`], ordered by the store's revision only. One or
+//! two VMs of a data centre read the store for all; the others get what is new from their peers,
+//! and so does a VM that starts while the store is away, or a data centre that is cut off from
+//! the store and not from its peers. VMs compare digests, and the one that is behind asks.
+//!
+//! Invariants: a revision that is in force here never goes back; what was learnt from a peer and
+//! what was read from the store meet in the same board.
 
+use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use oleander_base::monotonic_now;
 use oleander_base::prelude::*;
 use oleander_operator::{ChangeRefusal, FaultLine, RecordChange, RecordLine};
-use oleander_peer::PeerEndpoint;
-use oleander_records::RecordSet;
+use oleander_peer::{PeerCall, PeerEndpoint, PeerMessage, PeerReply};
+use oleander_platform::{Expected, KeyValueStore, StoreError};
+use oleander_records::{
+    DigestOrder, RecordBoard, RecordDelivery, RecordDelta, RecordDigest, RecordKey, RecordKind,
+    parse_document,
+};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
 
 use crate::node::EntryNode;
 
-/// Interim.
+/// The most bytes of one delta.
+const DELTA_LIMIT: usize = 256 * 1024;
+/// How long a peer has for a delta.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
+
+#[derive(Debug, Default)]
+struct FeedState {
+    board: RecordBoard,
+    /// When a peer is being asked for what is missing, so that it is asked once at a time.
+    fetching: bool,
+    /// When a reader of this data centre last reached the store, as far as this VM knows.
+    contact: Option<MonoTime>,
+}
+
+/// What VMs tell each other of their records.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct RecordGossip {
+    digest: RecordDigest,
+    /// How long ago a reader that the sender knows of reached the store.
+    contact_age: Option<Span>,
+}
+
+/// The records of one entry VM.
 pub struct RecordFeed {
     node: Arc<EntryNode>,
     peers: PeerEndpoint,
+    store: Arc<dyn KeyValueStore>,
+    state: Mutex<FeedState>,
+}
+
+impl fmt::Debug for RecordFeed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RecordFeed")
+            .field("node", &self.node)
+            .finish_non_exhaustive()
+    }
 }
 
 impl RecordFeed {
-    /// Interim.
-    pub fn new(node: Arc<EntryNode>, peers: PeerEndpoint) -> Self {
-        Self { node, peers }
-    }
-    /// Interim.
-    pub fn set(&self, records: RecordSet) {
-        self.node.set_records(Arc::new(records));
-        self.node.life.enter(crate::life::LifeStage::Ready);
-        self.peers.serve();
-    }
-    /// Interim.
-    pub fn on_gossip(&self, _from: InstanceId, _bytes: &[u8]) {}
-    /// Interim.
-    pub fn delta_after(&self, _after: &[u8]) -> Bytes {
-        Bytes::new()
-    }
-    /// Interim.
-    pub fn snapshot(&self) -> Bytes {
-        Bytes::new()
-    }
-    /// Interim.
+    /// Makes a feed without records.
+    pub fn new(node: Arc<EntryNode>, peers: PeerEndpoint, store: Arc<dyn KeyValueStore>) -> Self {
+        Self {
+            node,
+            peers,
+            store,
+            state: Mutex::new(FeedState::default()),
+        }
+    }
+
+    /// Returns the platform's store.
+    pub(crate) fn store(&self) -> &dyn KeyValueStore {
+        self.store.as_ref()
+    }
+
+    /// Changes the board, and puts what changed into force.
+    pub(crate) fn update<R>(&self, change: impl FnOnce(&mut RecordBoard) -> R) -> R {
+        let mut state = self.state.lock();
+        let before = state.board.digest();
+        let result = change(&mut state.board);
+        let after = state.board.digest();
+        if after == before {
+            return result;
+        }
+        let set = state.board.set();
+        drop(state);
+        self.put_in_force(before, after, set);
+        result
+    }
+
+    fn put_in_force(
+        &self,
+        before: RecordDigest,
+        after: RecordDigest,
+        set: Arc<oleander_records::RecordSet>,
+    ) {
+        if after.hash != before.hash {
+            self.node.set_records(set);
+        }
+        self.peers.set_revision(after.revision);
+        self.spread(after);
+        if self.node.life.begin_serving() {
+            self.node.changes.note(
+                "requests are served",
+                format!("records up to {} are in force", after.revision),
+            );
+            self.peers.serve();
+        }
+    }
+
+    /// Tells the peers of this data centre and one of each other one which records are here.
+    fn spread(&self, digest: RecordDigest) {
+        let now = monotonic_now();
+        let contact_age = self.state.lock().contact.map(|contact| now.since(contact));
+        let gossip = RecordGossip {
+            digest,
+            contact_age,
+        };
+        let Ok(bytes) = postcard::to_allocvec(&gossip) else {
+            return;
+        };
+        let message = PeerMessage::Records(Bytes::from(bytes));
+        for instance in self.node.gossip_targets() {
+            self.peers.send(instance, &message);
+        }
+    }
+
+    /// Repeats the digest, so that a VM that missed it catches up.
+    pub(crate) fn spread_again(&self) {
+        let digest = self.state.lock().board.digest();
+        self.spread(digest);
+    }
+
+    /// Compares a peer's digest with the board, and asks the peer if it knows more.
+    pub(crate) fn on_gossip(self: &Arc<Self>, from: InstanceId, bytes: &[u8]) {
+        let Ok(gossip) = postcard::from_bytes::<RecordGossip>(bytes) else {
+            return;
+        };
+        let mut state = self.state.lock();
+        if let Some(age) = gossip.contact_age {
+            let contact = monotonic_now() - age;
+            state.contact = Some(state.contact.map_or(contact, |known| known.max(contact)));
+        }
+        let order = state.board.compare(gossip.digest);
+        let wanted = matches!(order, DigestOrder::PeerAhead | DigestOrder::Diverged);
+        if !wanted || state.fetching {
+            return;
+        }
+        state.fetching = true;
+        drop(state);
+        let feed = Arc::clone(self);
+        tokio::spawn(async move {
+            feed.fetch_from(from, order).await;
+            feed.state.lock().fetching = false;
+        });
+    }
+
+    /// Asks a peer for what this board lacks, until there is no more.
+    async fn fetch_from(&self, peer: InstanceId, order: DigestOrder) {
+        let mut whole = order == DigestOrder::Diverged;
+        loop {
+            let since = self.state.lock().board.informed();
+            let call = if whole {
+                PeerCall::FetchSnapshot(Bytes::new())
+            } else {
+                PeerCall::FetchRecords(postcard::to_allocvec(&since).unwrap_or_default().into())
+            };
+            let Ok(PeerReply::Answer(bytes)) = self.peers.call(peer, call, FETCH_TIMEOUT).await
+            else {
+                return;
+            };
+            let Ok(delta) = postcard::from_bytes::<RecordDelta>(&bytes) else {
+                return;
+            };
+            let outcome = self.update(|board| board.merge(&delta));
+            if outcome.has_gap && !whole {
+                whole = true;
+                continue;
+            }
+            if whole || outcome.changed == 0 {
+                return;
+            }
+        }
+    }
+
+    /// Notes that this VM reached the store.
+    pub(crate) fn note_contact(&self) {
+        self.state.lock().contact = Some(monotonic_now());
+    }
+
+    /// Returns how long ago a reader of this data centre reached the store.
+    pub(crate) fn contact_age(&self) -> Span {
+        let now = monotonic_now();
+        let contact = self.state.lock().contact;
+        contact.map_or(Span(now.0), |contact| now.since(contact))
+    }
+
+    /// Returns the revision up to which every record is known here.
+    pub(crate) fn informed(&self) -> Revision {
+        self.state.lock().board.informed()
+    }
+
+    /// Returns the changes after a peer's revision.
+    pub(crate) fn delta_after(&self, after: &[u8]) -> Bytes {
+        let since = postcard::from_bytes::<Revision>(after).unwrap_or_default();
+        let delta = self.state.lock().board.delta(since, DELTA_LIMIT);
+        postcard::to_allocvec(&delta)
+            .map(Bytes::from)
+            .unwrap_or_default()
+    }
+
+    /// Returns a copy of the whole board.
+    pub(crate) fn snapshot(&self) -> Bytes {
+        let delta = self.state.lock().board.whole();
+        postcard::to_allocvec(&delta)
+            .map(Bytes::from)
+            .unwrap_or_default()
+    }
+
+    /// Returns the records that are not in force because they cannot be read.
     pub fn faults(&self) -> Vec<FaultLine> {
-        Vec::new()
+        let faults = self.state.lock().board.faults();
+        let line = |fault: oleander_records::RecordFault| FaultLine {
+            key: fault.key.to_string(),
+            message: fault.problem,
+        };
+        faults.into_iter().map(line).collect()
     }
-    /// Interim.
+
+    /// Returns the state as text.
     pub fn dump(&self) -> String {
-        String::new()
+        self.state.lock().board.dump()
     }
-    /// Interim.
+
+    /// Returns the documents in force.
     pub fn lines(&self) -> Vec<RecordLine> {
-        Vec::new()
+        let state = self.state.lock();
+        let line = |key: &RecordKey| {
+            let (revision, document) = state.board.document(key)?;
+            Some(RecordLine {
+                kind: key.kind.as_str().to_owned(),
+                name: key.name.clone(),
+                revision: revision.0,
+                document: document.to_json(),
+            })
+        };
+        state.board.keys().filter_map(line).collect()
     }
-    /// Interim.
-    pub fn check(&self, _change: &RecordChange) -> Result<(), ChangeRefusal> {
-        Ok(())
+
+    /// Checks a change against the records in force.
+    pub fn check(&self, change: &RecordChange) -> Result<(), ChangeRefusal> {
+        self.checked(change).map(drop)
+    }
+
+    fn checked(&self, change: &RecordChange) -> Result<CheckedChange, ChangeRefusal> {
+        let kind: RecordKind = change.kind.parse().map_err(invalid)?;
+        let key = RecordKey::new(kind, &change.name).map_err(invalid)?;
+        let wish = match &change.document {
+            None => oleander_records::RecordChange::Delete(key.clone()),
+            Some(text) => {
+                let document = parse_document(kind, text.as_bytes()).map_err(invalid)?;
+                if document.key != key {
+                    let message = format!("the document is of {}, not of {key}", document.key);
+                    return Err(ChangeRefusal::Invalid {
+                        messages: vec![message],
+                    });
+                }
+                oleander_records::RecordChange::Put(Box::new(document))
+            }
+        };
+        let set = Arc::clone(&self.node.view().records);
+        oleander_records::check(&set, &wish).map_err(|errors| ChangeRefusal::Invalid {
+            messages: errors.iter().map(ToString::to_string).collect(),
+        })?;
+        let document = match wish {
+            oleander_records::RecordChange::Put(document) => Some(document.to_json()),
+            oleander_records::RecordChange::Delete(_) => None,
+        };
+        Ok(CheckedChange { key, document })
+    }
+
+    /// Makes a change by compare-and-swap and puts it into force here at once.
+    pub async fn change(&self, change: RecordChange) -> Result<u64, ChangeRefusal> {
+        let checked = self.checked(&change)?;
+        let expected = change
+            .expected
+            .map_or(Expected::Absent, |at| Expected::At(Revision(at)));
+        let key = checked.key.to_string();
+        let written = match &checked.document {
+            Some(text) => {
+                let value = Bytes::copy_from_slice(text.as_bytes());
+                self.store.put(&key, expected, value, None).await
+            }
+            None => self.store.delete(&key, expected).await,
+        };
+        let revision = written.map_err(store_refusal)?;
+        let text = checked.document.as_deref().map(str::as_bytes);
+        self.update(|board| {
+            board.apply(&RecordDelivery {
+                key: &key,
+                revision,
+                text,
+            })
+        });
+        self.node.changes.note(
+            format!("record {key} is at revision {revision}"),
+            if text.is_some() {
+                "an operator wrote it here"
+            } else {
+                "an operator deleted it here"
+            },
+        );
+        Ok(revision.0)
+    }
+}
+
+/// A change that was found to be right.
+struct CheckedChange {
+    key: RecordKey,
+    document: Option<String>,
+}
+
+fn invalid(error: impl fmt::Display) -> ChangeRefusal {
+    ChangeRefusal::Invalid {
+        messages: vec![error.to_string()],
     }
-    /// Interim.
-    pub async fn change(&self, _change: RecordChange) -> Result<u64, ChangeRefusal> {
-        Ok(0)
+}
+
+fn store_refusal(error: StoreError) -> ChangeRefusal {
+    match error {
+        StoreError::Conflict { current } => ChangeRefusal::Conflict {
+            current: current.map(|revision| revision.0),
+        },
+        StoreError::Unknown { reason } => ChangeRefusal::Unknown { reason },
+        error => ChangeRefusal::Unavailable {
+            reason: error.to_string(),
+        },
     }
 }
--- a/crates/records/src/board.rs
+++ b/crates/records/src/board.rs
@@ -144,6 +144,11 @@
         self.len() == 0
     }
 
+    /// Returns the keys of all records, deleted ones included.
+    pub fn keys(&self) -> impl Iterator<Item = &RecordKey> {
+        self.entries.keys()
+    }
+
     /// Returns the document in force and its revision.
     pub fn document(&self, key: &RecordKey) -> Option<(Revision, &RecordDocument)> {
         let good = self.entries.get(key)?.good.as_ref()?;
