--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,10 +1,37 @@
-//! Stand-ins of what surrounds the system, for tests and demonstrations.
+//! Stand-ins for what surrounds the system: model engines, plain services, the platform and
+//! faulty networks.
+//!
+//! They are small fakes at the interfaces, for tests, the demonstration and the experiments. A
+//! stand-in runs on one thread of its own and is steered either by the methods of its handle or
+//! over HTTP under `/admin`. Every answer is stamped ([`AnswerTag`]), so that a checker can prove
+//! an answer whole and unmixed without asking the engine that generated it.
 
+mod answer;
+mod batch;
+mod cache;
+mod counters;
+mod engine;
+mod engine_http;
+mod engine_loop;
+mod faults;
+mod host;
 mod platform;
 mod platform_core;
 mod platform_faults;
 mod platform_http;
 mod platform_state;
+mod proxy;
+mod proxy_udp;
+mod service;
 
+pub use answer::{AnswerCheck, AnswerPlan, AnswerTag, AnswerWriter, answer_hint, token_text};
+pub use batch::{BatchSequence, BatchSpeed, EngineBatch, SequenceId, StepToken};
+pub use cache::PrefixCache;
+pub use counters::{EngineCounters, EngineTotals, ServiceCounters, ServiceTotals};
+pub use engine::{EngineSettings, EngineStandIn, run_engine};
+pub use faults::{EngineFault, FaultError, OrderMode, ServiceFault};
 pub use platform::{PlatformSettings, PlatformStandIn, run_platform};
 pub use platform_faults::{FaultPlan, OutageKind, PlatformCounters};
+pub use proxy::{CutPoint, DirectionFault, FaultProxy, ProxyFaults};
+pub use proxy_udp::{DatagramFault, DatagramFaults, UdpFaultProxy};
+pub use service::{EffectRecord, ServiceSettings, ServiceStandIn, run_service};
