The board's digest is kept up to date with each change

Cause: a digest goes into every heartbeat and was a walk over all records. The sum of the records' hashes now changes with each insertion and removal; the verifier compares it with the walk.

--- a/crates/records/src/board.rs
+++ b/crates/records/src/board.rs
@@ -12,9 +12,11 @@
 //! Peers pass the good document on beside the bad one (docs/RECORDS.md).
 
 use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 use oleander_base::prelude::*;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::data::RecordSet;
 use crate::document::{RecordDocument, parse_with};
@@ -72,6 +74,18 @@
     pub(crate) cleared: Revision,
 }
 
+impl BoardEntry {
+    /// Returns a hash of what is in force for a key.
+    pub(crate) fn hash(&self, key: &RecordKey) -> u64 {
+        let mut hasher = Xxh3::new();
+        key.hash(&mut hasher);
+        self.revision.hash(&mut hasher);
+        let good = self.good.as_ref().map(|good| good.revision);
+        good.hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
 /// A record that is not as an operator wants it, for the screens.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordFault {
@@ -92,6 +106,8 @@
     pub(crate) entries: BTreeMap<RecordKey, BoardEntry>,
     pub(crate) informed: Revision,
     pub(crate) floor: Revision,
+    /// The sum of the hashes of the records that are not deleted.
+    pub(crate) hash: u64,
     tombstones: usize,
     tombstone_limit: usize,
     built: Option<(Arc<RecordSet>, Vec<SetFault>)>,
@@ -111,6 +127,7 @@
             entries: BTreeMap::new(),
             informed: Revision::default(),
             floor: Revision::default(),
+            hash: 0,
             tombstones: 0,
             tombstone_limit: TOMBSTONE_LIMIT,
             built: None,
@@ -187,8 +204,7 @@
         if delivery.revision <= known {
             return Applied::Old;
         }
-        let previous = self.entries.remove(&key);
-        self.forget(previous.as_ref());
+        let previous = self.take(&key);
         let entry = self.read_entry(&key, delivery, previous);
         let fault = entry.fault.clone();
         self.insert(key, entry);
@@ -258,16 +274,26 @@
     }
 
     pub(crate) fn insert(&mut self, key: RecordKey, entry: BoardEntry) {
-        if entry.text.is_none() {
-            self.tombstones += 1;
+        match entry.text {
+            Some(_) => self.hash = self.hash.wrapping_add(entry.hash(&key)),
+            None => self.tombstones += 1,
         }
         self.entries.insert(key, entry);
         self.built = None;
     }
 
+    /// Takes an entry off the board.
+    fn take(&mut self, key: &RecordKey) -> Option<BoardEntry> {
+        let entry = self.entries.remove(key)?;
+        match entry.text {
+            Some(_) => self.hash = self.hash.wrapping_sub(entry.hash(key)),
+            None => self.tombstones -= 1,
+        }
+        Some(entry)
+    }
+
     pub(crate) fn insert_tombstone(&mut self, key: RecordKey, revision: Revision) {
-        let previous = self.entries.remove(&key);
-        self.forget(previous.as_ref());
+        self.take(&key);
         let tombstone = BoardEntry {
             revision,
             text: None,
@@ -288,12 +314,13 @@
         cleared: Revision,
         good: Option<(Revision, &[u8])>,
     ) {
-        let Some(entry) = self.entries.get_mut(key) else {
-            return;
-        };
-        if entry.fault.is_none() {
+        let is_bad = |entry: &BoardEntry| entry.fault.is_some();
+        if !self.entries.get(key).is_some_and(is_bad) {
             return;
         }
+        let Some(mut entry) = self.take(key) else {
+            return;
+        };
         if cleared < entry.revision {
             entry.cleared = entry.cleared.max(cleared);
         }
@@ -310,7 +337,7 @@
             .good
             .take()
             .filter(|good| good.revision > entry.cleared);
-        self.built = None;
+        self.insert(key.clone(), entry);
     }
 
     fn read_entry(
@@ -343,12 +370,6 @@
         entry
     }
 
-    fn forget(&mut self, entry: Option<&BoardEntry>) {
-        if entry.is_some_and(|entry| entry.text.is_none()) {
-            self.tombstones -= 1;
-        }
-    }
-
     /// Drops the oldest tombstones over the limit, as far as the board is informed above them.
     fn prune(&mut self) {
         if self.tombstones <= self.tombstone_limit {
--- a/crates/records/src/board_dump.rs
+++ b/crates/records/src/board_dump.rs
@@ -21,6 +21,14 @@
         if self.entries.len() - tombstones.count() != self.len() {
             problems.push("the count of tombstones is wrong".to_owned());
         }
+        let live = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.text.is_some());
+        let hash = live.fold(0_u64, |sum, (key, entry)| sum.wrapping_add(entry.hash(key)));
+        if hash != self.hash {
+            problems.push("the hash is not that of the records".to_owned());
+        }
         problems
     }
 
--- a/crates/records/src/digest.rs
+++ b/crates/records/src/digest.rs
@@ -6,11 +6,9 @@
 //! asker needs, the delta is a whole copy, and records that are not in it are gone.
 
 use std::cmp::Ordering;
-use std::hash::{Hash, Hasher};
 
 use oleander_base::prelude::*;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::board::{Applied, BoardEntry, RecordBoard, RecordDelivery};
 use crate::key::RecordKey;
@@ -91,16 +89,9 @@
 impl RecordBoard {
     /// Returns the digest of the board.
     pub fn digest(&self) -> RecordDigest {
-        let live = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.text.is_some());
-        let hash = live.fold(0_u64, |sum, (key, entry)| {
-            sum.wrapping_add(entry_hash(key, entry))
-        });
         RecordDigest {
             revision: self.informed,
-            hash,
+            hash: self.hash,
         }
     }
 
@@ -226,12 +217,3 @@
     let good = entry.good.as_ref().map_or(0, |good| good.text.len());
     ENTRY_BYTES + entry.key.name.len() + text + good
 }
-
-fn entry_hash(key: &RecordKey, entry: &BoardEntry) -> u64 {
-    let mut hasher = Xxh3::new();
-    key.hash(&mut hasher);
-    entry.revision.hash(&mut hasher);
-    let good = entry.good.as_ref().map(|good| good.revision);
-    good.hash(&mut hasher);
-    hasher.finish()
-}
