--- a/crates/orders/src/budget.rs
+++ b/crates/orders/src/budget.rs
@@ -1,8 +1,9 @@
 //! The budget of loads from the weight store.
 
-use std::fmt;
-
 use oleander_base::prelude::*;
+use oleander_platform::TokenBucket;
+
+const SECONDS_PER_MINUTE: f64 = 60.0;
 
 /// How orders are limited.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -31,39 +32,11 @@
     }
 }
 
-/// A token bucket that starts empty.
-#[derive(Debug, Clone)]
-pub(crate) struct LoadBudget {
-    limits: OrderLimits,
-    tokens: f64,
-    filled: MonoTime,
-}
-
-impl LoadBudget {
-    pub(crate) fn new(limits: OrderLimits, now: MonoTime) -> Self {
-        Self {
-            limits,
-            tokens: 0.0,
-            filled: now,
-        }
-    }
-
-    /// Takes a token for one load, if there is one.
-    pub(crate) fn take(&mut self, now: MonoTime) -> bool {
-        let gained = now.since(self.filled).as_secs_f64() * self.limits.loads_per_minute / 60.0;
-        let capacity = self.limits.loads_at_once.max(1) as f64;
-        self.tokens = (self.tokens + gained).min(capacity);
-        self.filled = self.filled.max(now);
-        if self.tokens < 1.0 {
-            return false;
-        }
-        self.tokens -= 1.0;
-        true
-    }
-}
-
-impl fmt::Display for LoadBudget {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:.1} loads left", self.tokens)
+impl OrderLimits {
+    /// Returns the budget of loads of a holder that begins at `now`; it starts empty.
+    pub(crate) fn budget(&self, now: MonoTime) -> TokenBucket {
+        let rate = self.loads_per_minute / SECONDS_PER_MINUTE;
+        let capacity = self.loads_at_once.max(1) as f64;
+        TokenBucket::empty(rate, capacity, now)
     }
 }
--- a/crates/orders/src/planner.rs
+++ b/crates/orders/src/planner.rs
@@ -20,9 +20,10 @@
 use oleander_base::LoadReport;
 use oleander_base::prelude::*;
 use oleander_engine::EngineOrder;
+use oleander_platform::TokenBucket;
 use oleander_records::{BackendKind, BackendRecord, RecordSet, StopTarget, WantedState};
 
-use crate::budget::{LoadBudget, OrderLimits};
+use crate::budget::OrderLimits;
 use crate::compare::{Difference, compare, order};
 
 /// The model's engines are divided by this to get how many of them may load at once.
@@ -62,7 +63,7 @@
 pub struct OrderPlanner {
     limits: OrderLimits,
     fencing: Option<Revision>,
-    budget: LoadBudget,
+    budget: TokenBucket,
     engines: BTreeMap<BackendId, EngineState>,
 }
 
@@ -72,7 +73,7 @@
         Self {
             limits,
             fencing: None,
-            budget: LoadBudget::new(limits, MonoTime::default()),
+            budget: limits.budget(MonoTime::default()),
             engines: BTreeMap::new(),
         }
     }
@@ -83,7 +84,7 @@
             return;
         }
         self.fencing = fencing;
-        self.budget = LoadBudget::new(self.limits, now);
+        self.budget = self.limits.budget(now);
         for engine in self.engines.values_mut() {
             engine.sent = None;
         }
@@ -227,7 +228,7 @@
             .filter(|other| serves(&set.backends[*other], &wanted.model));
         let centre = &set.backends[&backend].centre;
         let is_spread = twins.count() < model_limit(set, centre, wanted);
-        has_room && is_spread && self.budget.take(now)
+        has_room && is_spread && self.budget.take(now, 0.0).is_ok()
     }
 
     fn note_sent(
@@ -293,7 +294,7 @@
 impl fmt::Display for OrderPlanner {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.fencing {
-            Some(fencing) => writeln!(f, "orders: fencing number {fencing}, {}", self.budget)?,
+            Some(fencing) => writeln!(f, "orders: fencing number {fencing}")?,
             None => writeln!(f, "orders: no lease")?,
         }
         for (backend, engine) in &self.engines {
--- a/crates/platform/src/budget.rs
+++ b/crates/platform/src/budget.rs
@@ -9,6 +9,9 @@
 
 use oleander_base::prelude::*;
 
+/// The least tokens that a bucket of the budget holds.
+const SMALLEST_CAPACITY: f64 = 4.0;
+
 /// What a call is for; the order is the order of importance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum CallClass {
@@ -58,8 +61,9 @@
     }
 }
 
+/// A rate with a burst.
 #[derive(Debug, Clone)]
-struct TokenBucket {
+pub struct TokenBucket {
     rate: f64,
     capacity: f64,
     tokens: f64,
@@ -67,18 +71,31 @@
 }
 
 impl TokenBucket {
-    fn new(rate: f64) -> Self {
-        let rate = rate.max(0.1);
-        let capacity = rate.max(4.0);
+    /// The smallest rate in tokens a second, so that a wait can always be told.
+    const SMALLEST_RATE: f64 = 1e-3;
+
+    /// Returns a full bucket of `rate` tokens a second.
+    pub fn full(rate: f64, capacity: f64) -> Self {
         Self {
-            rate,
+            rate: rate.max(Self::SMALLEST_RATE),
             capacity,
             tokens: capacity,
             filled: MonoTime::default(),
         }
     }
 
-    fn take(&mut self, now: MonoTime, reserve: f64) -> Result<(), Duration> {
+    /// Returns an empty bucket that begins to fill at `now`.
+    pub fn empty(rate: f64, capacity: f64, now: MonoTime) -> Self {
+        Self {
+            tokens: 0.0,
+            filled: now,
+            ..Self::full(rate, capacity)
+        }
+    }
+
+    /// Takes a token if a share `reserve` of the capacity is left after it, or says how long to
+    /// wait.
+    pub fn take(&mut self, now: MonoTime, reserve: f64) -> Result<(), Duration> {
         let gained = now.since(self.filled).as_secs_f64() * self.rate;
         self.tokens = (self.tokens + gained).min(self.capacity);
         self.filled = self.filled.max(now);
@@ -104,8 +121,8 @@
     /// Returns a full budget.
     pub fn new(limits: BudgetLimits) -> Self {
         Self {
-            reads: TokenBucket::new(limits.reads_per_second),
-            writes: TokenBucket::new(limits.writes_per_second),
+            reads: second_of(limits.reads_per_second),
+            writes: second_of(limits.writes_per_second),
             paused_until: MonoTime::default(),
         }
     }
@@ -132,3 +149,8 @@
         self.paused_until = self.paused_until.max(now + retry_after.into());
     }
 }
+
+/// Returns a bucket that holds a second of the rate, or a few tokens if that is less.
+fn second_of(rate: f64) -> TokenBucket {
+    TokenBucket::full(rate, rate.max(SMALLEST_CAPACITY))
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod boot_clock;
 mod budget;
 mod client;
+mod client_store;
 mod client_thread;
 mod lease_holder;
 mod lease_state;
@@ -19,7 +20,7 @@
 pub mod wire;
 
 pub use boot_clock::boot_time;
-pub use budget::{BudgetLimits, CallBudget, CallClass, CallKind};
+pub use budget::{BudgetLimits, CallBudget, CallClass, CallKind, TokenBucket};
 pub use client::{ClientCounters, ClientSettings, PlatformClient, VALUE_LIMIT};
 pub use lease_holder::{LeaseCounters, LeaseHolder, LeaseSettings};
 pub use lease_state::HeldLease;
--- /dev/null
+++ b/crates/records/examples/board_cost.rs
@@ -0,0 +1,103 @@
+//! Measures what a board costs by the number of records, for docs/CAPACITY.md.
+//!
+//! `cargo run --release -p oleander-records --example board_cost -- RECORDS`, once for each size, so
+//! that the memory of one size is not reused by the next.
+
+use std::time::{Duration, Instant};
+
+use oleander_base::prelude::*;
+use oleander_records::{RecordBoard, RecordDelivery, hash_key};
+
+/// The size of the board in records if none is given.
+const USUAL_SIZE: usize = 12_800;
+/// Changes that are applied to a full board.
+const CHANGES: usize = 200;
+/// Bytes of a page of memory.
+const PAGE_BYTES: f64 = 4_096.0;
+
+fn main() {
+    println!("records  load_ms  change_us  build_ms  digest_ns  key_us  delta_kb  memory_mb");
+    let size = std::env::args().nth(1).and_then(|text| text.parse().ok());
+    measure(size.unwrap_or(USUAL_SIZE));
+}
+
+fn measure(size: usize) {
+    let before = resident_mb();
+    let texts: Vec<_> = (0..size).map(record).collect();
+    let began = Instant::now();
+    let mut board = RecordBoard::default();
+    for (index, (key, text)) in texts.iter().enumerate() {
+        apply(&mut board, key, text, index + 1);
+    }
+    board.advance(Revision(size as u64));
+    let load = began.elapsed();
+    drop(texts);
+    let set = board.set();
+    let memory = resident_mb() - before;
+
+    let began = Instant::now();
+    for change in 0..CHANGES {
+        let (key, text) = record(change);
+        apply(&mut board, &key, &text, size + 1 + change);
+    }
+    let change = began.elapsed() / CHANGES as u32;
+    let began = Instant::now();
+    drop(board.set());
+    let build = began.elapsed();
+    let digest = time_each(|| board.digest());
+    let key = time_each(|| set.customer_by_key("key-7"));
+    let delta = board.delta(Revision(0), usize::MAX);
+    let bytes: usize = delta
+        .entries
+        .iter()
+        .map(|entry| entry.text.as_ref().map_or(0, Vec::len))
+        .sum();
+    println!(
+        "{size:7}  {:7.1}  {:9.1}  {:8.2}  {:9.0}  {:6.2}  {:8}  {memory:9.1}",
+        load.as_secs_f64() * 1e3,
+        change.as_secs_f64() * 1e6,
+        build.as_secs_f64() * 1e3,
+        digest.as_secs_f64() * 1e9,
+        key.as_secs_f64() * 1e6,
+        bytes / 1_024,
+    );
+}
+
+/// One customer in twenty records, as at 580 customers and 12,000 engines; the rest are engines.
+fn record(index: usize) -> (String, String) {
+    if index.is_multiple_of(20) {
+        let hash = hash_key(&format!("key-{index}"));
+        let text = format!(
+            r#"{{"schema":2,"name":"c{index}","share":1.5,"default_class":"d","key_hashes":["{hash}"],"write_id":"0123456789abcdef0123456789abcdef"}}"#
+        );
+        return (format!("records/customer/c{index}"), text);
+    }
+    let port = 1 + index;
+    let text = format!(
+        r#"{{"schema":1,"name":"e{index}","kind":"engine","centre":"c{}","address":"10.1.2.3:{port}","serves":["assistant"],"slots":32,"wanted":{{"model":"assistant","version":"7","adapters":["tone"]}},"write_id":"0123456789abcdef0123456789abcdef"}}"#,
+        index % 24
+    );
+    (format!("records/backend/e{index}"), text)
+}
+
+fn apply(board: &mut RecordBoard, key: &str, text: &str, revision: usize) {
+    board.apply(&RecordDelivery {
+        key,
+        revision: Revision(revision as u64),
+        text: Some(text.as_bytes()),
+    });
+}
+
+fn time_each<T>(mut call: impl FnMut() -> T) -> Duration {
+    let began = Instant::now();
+    for _ in 0..CHANGES {
+        std::hint::black_box(call());
+    }
+    began.elapsed() / CHANGES as u32
+}
+
+fn resident_mb() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|field| field.parse().ok());
+    pages.unwrap_or(0.0) * PAGE_BYTES / 1e6
+}
--- a/crates/records/src/board.rs
+++ b/crates/records/src/board.rs
@@ -12,15 +12,13 @@
 //! Peers pass the good document on beside the bad one (docs/RECORDS.md).
 
 use std::collections::BTreeMap;
-use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 use oleander_base::prelude::*;
-use xxhash_rust::xxh3::Xxh3;
 
+use crate::board_entry::{Applied, BoardEntry, RecordDelivery, RecordFault, read_good};
 use crate::data::RecordSet;
 use crate::document::{RecordDocument, parse_with};
-use crate::error::RecordError;
 use crate::key::RecordKey;
 use crate::schema::SchemaCatalog;
 use crate::set_builder::{SetFault, build_set};
@@ -28,77 +26,6 @@
 /// How many tombstones are kept; peers further behind get a whole copy.
 const TOMBSTONE_LIMIT: usize = 20_000;
 
-/// One value of one key, as the store or a peer delivers it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RecordDelivery<'a> {
-    /// The key in the store.
-    pub key: &'a str,
-    /// The revision of the change.
-    pub revision: Revision,
-    /// The document, or none if the record was deleted.
-    pub text: Option<&'a [u8]>,
-}
-
-/// What a delivery did.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Applied {
-    /// The record changed.
-    Changed,
-    /// The board has this revision or a newer one.
-    Old,
-    /// The document does not parse, so the last good one stays in force.
-    Faulty(RecordError),
-    /// The key is not one of a record.
-    Foreign,
-}
-
-/// A document that parsed, with the revision that it came with.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) struct GoodDocument {
-    pub(crate) revision: Revision,
-    pub(crate) text: Arc<[u8]>,
-    pub(crate) document: Arc<RecordDocument>,
-}
-
-/// What the board knows of one key.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) struct BoardEntry {
-    pub(crate) revision: Revision,
-    /// The text at that revision, or none for a tombstone.
-    pub(crate) text: Option<Arc<[u8]>>,
-    /// The newest document that parsed.
-    pub(crate) good: Option<GoodDocument>,
-    /// Why the text does not parse.
-    pub(crate) fault: Option<RecordError>,
-    /// The newest deletion before this entry, as far as it matters for which document is good.
-    pub(crate) cleared: Revision,
-}
-
-impl BoardEntry {
-    /// Returns a hash of what is in force for a key.
-    pub(crate) fn hash(&self, key: &RecordKey) -> u64 {
-        let mut hasher = Xxh3::new();
-        key.hash(&mut hasher);
-        self.revision.hash(&mut hasher);
-        let good = self.good.as_ref().map(|good| good.revision);
-        good.hash(&mut hasher);
-        hasher.finish()
-    }
-}
-
-/// A record that is not as an operator wants it, for the screens.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RecordFault {
-    /// The record.
-    pub key: RecordKey,
-    /// The revision of the faulty document.
-    pub revision: Revision,
-    /// The revision of the document in force in its place, if there is one.
-    pub in_force: Option<Revision>,
-    /// What is wrong.
-    pub problem: String,
-}
-
 /// The records in force at one process.
 #[derive(Debug, Clone)]
 pub struct RecordBoard {
@@ -167,9 +94,10 @@
     }
 
     /// Returns the document in force and its revision.
-    pub fn document(&self, key: &RecordKey) -> Option<(Revision, &RecordDocument)> {
+    pub fn document(&self, key: &RecordKey) -> Option<(Revision, RecordDocument)> {
         let good = self.entries.get(key)?.good.as_ref()?;
-        Some((good.revision, &good.document))
+        let document = parse_with(&self.catalog, key.kind, &good.text).ok()?;
+        Some((good.revision, document))
     }
 
     /// Returns the revision that the next write of a key has to expect; none if it is absent.
@@ -262,7 +190,7 @@
         });
         let mut faults: Vec<_> = bad.collect();
         faults.extend(set_faults.into_iter().filter_map(|fault| {
-            let (revision, _) = self.document(&fault.key)?;
+            let revision = self.entries.get(&fault.key)?.revision;
             Some(RecordFault {
                 revision,
                 in_force: fault.is_in_force.then_some(revision),
@@ -329,7 +257,7 @@
             *revision < entry.revision && own.is_none_or(|own| own < *revision)
         });
         if let Some((revision, text)) = offered
-            && let Ok(good) = read_good(&self.catalog, key, revision, text)
+            && let Ok(good) = read_good(&self.catalog, key, revision, &text.into())
         {
             entry.good = Some(good);
         }
@@ -353,7 +281,7 @@
             fault: None,
             cleared: Revision::default(),
         };
-        let Some(text) = delivery.text else {
+        let Some(text) = &entry.text else {
             entry.cleared = delivery.revision;
             return entry;
         };
@@ -389,33 +317,13 @@
 
     fn build(&mut self) -> &(Arc<RecordSet>, Vec<SetFault>) {
         if self.built.is_none() {
-            let documents = self
-                .entries
-                .values()
-                .filter_map(|entry| entry.good.as_ref())
-                .map(|good| good.document.as_ref());
-            let (set, faults) = build_set(self.informed, documents);
+            let bodies = self.entries.iter().filter_map(|(key, entry)| {
+                let good = entry.good.as_ref()?;
+                Some((key, &good.body))
+            });
+            let (set, faults) = build_set(self.informed, bodies);
             self.built = Some((Arc::new(set), faults));
         }
         self.built.as_ref().expect("it was just built")
     }
 }
-
-/// Reads a document and compares its name with its key.
-pub(crate) fn read_good(
-    catalog: &SchemaCatalog,
-    key: &RecordKey,
-    revision: Revision,
-    text: &[u8],
-) -> Result<GoodDocument, RecordError> {
-    let document = parse_with(catalog, key.kind, text)?;
-    if document.key != *key {
-        let wanted = format!("`{}`, the last part of the key", key.name);
-        return Err(RecordError::field("name", document.key.name, wanted));
-    }
-    Ok(GoodDocument {
-        revision,
-        text: text.into(),
-        document: Arc::new(document),
-    })
-}
--- a/crates/records/src/board_dump.rs
+++ b/crates/records/src/board_dump.rs
@@ -2,7 +2,8 @@
 
 use std::fmt;
 
-use crate::board::{BoardEntry, RecordBoard};
+use crate::board::RecordBoard;
+use crate::board_entry::BoardEntry;
 
 impl RecordBoard {
     /// Returns what is wrong with the board's own state; an empty list is right.
@@ -66,7 +67,7 @@
             write!(f, "  {key} at {}", entry.revision)?;
             match (&entry.text, &entry.fault, &entry.good) {
                 (None, ..) => writeln!(f, ": deleted")?,
-                (Some(_), None, Some(good)) => writeln!(f, ": schema {}", good.document.version)?,
+                (Some(_), None, Some(good)) => writeln!(f, ": schema {}", good.version)?,
                 (Some(_), Some(fault), Some(good)) => {
                     writeln!(f, ": bad ({fault}), {} in force", good.revision)?;
                 }
--- a/crates/records/src/digest.rs
+++ b/crates/records/src/digest.rs
@@ -10,7 +10,8 @@
 use oleander_base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::board::{Applied, BoardEntry, RecordBoard, RecordDelivery};
+use crate::board::RecordBoard;
+use crate::board_entry::{Applied, BoardEntry, RecordDelivery};
 use crate::key::RecordKey;
 
 /// The least bytes that an entry counts for, beside its texts.
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod board;
 mod board_dump;
+mod board_entry;
 mod check;
 mod data;
 mod digest;
@@ -21,7 +22,8 @@
 mod schema_table;
 mod set_builder;
 
-pub use board::{Applied, RecordBoard, RecordDelivery, RecordFault};
+pub use board::RecordBoard;
+pub use board_entry::{Applied, RecordDelivery, RecordFault};
 pub use check::{MINIMUM_SHARE_SUM, RecordChange, check};
 pub use data::{
     BackendKind, BackendRecord, ClassRecord, CustomerRecord, PriorityRecord, RecordSet,
--- a/crates/records/src/set_builder.rs
+++ b/crates/records/src/set_builder.rs
@@ -4,7 +4,7 @@
 use oleander_base::prelude::*;
 
 use crate::data::RecordSet;
-use crate::document::{RecordBody, RecordDocument};
+use crate::document::RecordBody;
 use crate::key::{RecordKey, RecordKind};
 use crate::key_index::KeyIndex;
 
@@ -17,23 +17,23 @@
     pub(crate) is_in_force: bool,
 }
 
-/// Builds the set; documents come in the order of their keys.
+/// Builds the set; bodies come in the order of their keys.
 ///
 /// Of two names with the same reference the first one is in force, so that every process takes
 /// the same one.
 pub(crate) fn build_set<'a>(
     revision: Revision,
-    documents: impl Iterator<Item = &'a RecordDocument>,
+    bodies: impl Iterator<Item = (&'a RecordKey, &'a RecordBody)>,
 ) -> (RecordSet, Vec<SetFault>) {
     let mut set = RecordSet {
         revision,
         ..RecordSet::default()
     };
     let mut faults = Vec::new();
-    for document in documents {
-        if let Some(holder) = insert(&mut set, &document.body) {
+    for (key, body) in bodies {
+        if let Some(holder) = insert(&mut set, body) {
             faults.push(SetFault {
-                key: document.key.clone(),
+                key: key.clone(),
                 problem: format!("its reference is that of `{holder}`; it needs another name"),
                 is_in_force: false,
             });
--- a/crates/records/tests/board.rs
+++ b/crates/records/tests/board.rs
@@ -1,13 +1,15 @@
 //! The board under any order of deliveries, and between peers.
 
+mod common;
+
 use std::collections::BTreeMap;
 
+use common::seeded;
 use oleander_base::prelude::*;
 use oleander_records::{
     Applied, DigestOrder, RecordBoard, RecordDelivery, RecordKey, RecordKind, SchemaCatalog,
 };
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 /// One change in the life of a few keys.
 #[derive(Debug, Clone)]
@@ -97,14 +99,6 @@
     board.finish_listing(revision, &listed);
 }
 
-fn seeded() -> ProptestConfig {
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(6),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
     #![proptest_config(seeded())]
 
--- a/crates/records/tests/documents.rs
+++ b/crates/records/tests/documents.rs
@@ -1,11 +1,13 @@
 //! Documents: forms, versions, defaults, errors, unknown fields.
 
+mod common;
+
+use common::seeded;
 use oleander_base::prelude::*;
 use oleander_records::{
     RecordBody, RecordDocument, RecordKind, SchemaCatalog, parse_document, parse_with, schemas,
 };
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use serde_json::{Map, Value, json};
 
 fn class(text: &str) -> oleander_records::ClassRecord {
@@ -196,14 +198,6 @@
     ]
 }
 
-fn seeded() -> ProptestConfig {
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(6),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
     #![proptest_config(seeded())]
 
--- a/crates/records/tests/readers.rs
+++ b/crates/records/tests/readers.rs
@@ -1,11 +1,13 @@
 //! Who reads the store for a data centre.
 
+mod common;
+
 use std::net::SocketAddr;
 
+use common::seeded;
 use oleander_base::prelude::*;
 use oleander_records::{ReaderLimits, ReaderRole};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 fn instances(count: u16) -> Vec<InstanceId> {
     let instance = |port| InstanceId {
@@ -15,14 +17,6 @@
     (1..=count).map(instance).collect()
 }
 
-fn seeded() -> ProptestConfig {
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(6),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
     #![proptest_config(seeded())]
 
--- a/crates/standin/src/platform_core.rs
+++ b/crates/standin/src/platform_core.rs
@@ -4,18 +4,19 @@
 use std::time::{Duration, Instant};
 
 use oleander_base::prelude::*;
+use oleander_platform::TokenBucket;
 use oleander_platform::wire::{WatchAnswer, WatchBody, WireError, WireVm};
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
 use crate::platform::PlatformSettings;
-use crate::platform_faults::{FaultPlan, FaultState, PlatformCounters, RateLimit};
+use crate::platform_faults::{FaultPlan, FaultState, PlatformCounters};
 use crate::platform_state::StoreState;
 
 #[derive(Debug)]
 struct RateState {
-    reads: RateLimit,
-    writes: RateLimit,
+    reads: TokenBucket,
+    writes: TokenBucket,
 }
 
 /// One version of the VM list and when it was set.
@@ -47,8 +48,8 @@
             settings.page_entries,
         );
         let rates = RateState {
-            reads: RateLimit::new(settings.reads_per_second),
-            writes: RateLimit::new(settings.writes_per_second),
+            reads: second_of(settings.reads_per_second),
+            writes: second_of(settings.writes_per_second),
         };
         Self {
             settings,
@@ -119,8 +120,10 @@
             &mut rates.reads
         };
         limit
-            .take(now)
-            .map_err(|retry_after_ms| WireError::RateLimited { retry_after_ms })
+            .take(now, 0.0)
+            .map_err(|retry_after| WireError::RateLimited {
+                retry_after_ms: retry_after.as_millis() as u64 + 1,
+            })
     }
 
     /// Runs one call on the data, after the leases that have run out are gone.
@@ -194,3 +197,8 @@
         self.changed.send_modify(|count| *count += 1);
     }
 }
+
+/// Returns a bucket that holds one second of a rate.
+fn second_of(rate: f64) -> TokenBucket {
+    TokenBucket::full(rate, rate.max(1.0))
+}
--- a/crates/standin/src/platform_faults.rs
+++ b/crates/standin/src/platform_faults.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use oleander_base::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -81,33 +80,3 @@
         self.plan.drop_share > 0.0 && self.random.random::<f64>() < self.plan.drop_share
     }
 }
-
-/// A rate with a burst of one second.
-#[derive(Debug)]
-pub(crate) struct RateLimit {
-    rate: f64,
-    tokens: f64,
-    filled: MonoTime,
-}
-
-impl RateLimit {
-    pub(crate) fn new(rate: f64) -> Self {
-        Self {
-            rate,
-            tokens: rate,
-            filled: MonoTime::default(),
-        }
-    }
-
-    /// Takes a token, or returns in how many milliseconds there is one.
-    pub(crate) fn take(&mut self, now: MonoTime) -> Result<(), u64> {
-        let gained = now.since(self.filled).as_secs_f64() * self.rate;
-        self.tokens = (self.tokens + gained).min(self.rate);
-        self.filled = self.filled.max(now);
-        if self.tokens >= 1.0 {
-            self.tokens -= 1.0;
-            return Ok(());
-        }
-        Err((1_000.0 * (1.0 - self.tokens) / self.rate).ceil() as u64)
-    }
-}
