--- /dev/null
+++ b/crates/ctl/src/demo.rs
@@ -0,0 +1,66 @@
+//! `oleanderctl demo`.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use oleander_decide::PolicyKind;
+use oleander_demo::{DEMO_SCENARIO, Deployment, run_policy};
+use oleander_load::{FaultAction, LoadRun, LoadTargets, Scenario};
+
+use crate::experiment::{check_promises, print_results};
+use crate::failure::CommandFailure;
+use crate::progress::spinner;
+
+/// How long a deployment may take until every entry VM serves.
+const READY_LIMIT: Duration = Duration::from_secs(60);
+
+/// Runs the command.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), CommandFailure> {
+    let scenario = match matches.get_one::<PathBuf>("scenario") {
+        Some(file) => Scenario::read(file)?,
+        None => Scenario::parse(DEMO_SCENARIO)?,
+    };
+    if matches.get_flag("keep") {
+        return keep(&scenario);
+    }
+    println!(
+        "{} entry VMs in {} data centres, {} engines; {:.0} s of traffic at {:.2} of capacity",
+        scenario.deployment.entries,
+        scenario.deployment.centres.len(),
+        scenario.deployment.engine_plans().len(),
+        scenario.duration_s,
+        scenario.demand,
+    );
+    let bar = spinner("running");
+    let result = run_policy(&scenario, PolicyKind::Tiered);
+    bar.finish_and_clear();
+    let results = [result?];
+    print_results(&results);
+    check_promises(&results)
+}
+
+/// Stays up until the process is ended, with the scenario's traffic over and over.
+fn keep(scenario: &Scenario) -> Result<(), CommandFailure> {
+    let deployment = Deployment::spawn(scenario, PolicyKind::Tiered)?;
+    if !deployment.wait_until_ready(READY_LIMIT) {
+        return Err(oleander_demo::DeployError::NotReady.into());
+    }
+    for entry in &deployment.entries {
+        println!(
+            "{}: callers http://{} screens http://{}/",
+            entry.name, entry.callers, entry.operators
+        );
+    }
+    println!("operators' key: {}", deployment.secrets.operator_key());
+    println!("platform: http://{}", deployment.platform.address());
+    println!("end it with Ctrl-C");
+    loop {
+        let targets = LoadTargets {
+            entries: deployment.callers(),
+            policy: deployment.policy.to_string(),
+        };
+        let run = LoadRun::spawn(scenario, targets, Box::new(|_: &FaultAction| {}))?;
+        run.finish();
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/experiment.rs
@@ -0,0 +1,117 @@
+//! `oleanderctl experiment`.
+
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use oleander_decide::PolicyKind;
+use oleander_demo::{ExperimentResult, run_policy};
+use oleander_load::{RunReport, Scenario, class_table, comparison_table, customer_table};
+
+use crate::failure::CommandFailure;
+use crate::progress::spinner;
+
+/// Runs the command.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), CommandFailure> {
+    let file = matches
+        .get_one::<PathBuf>("scenario")
+        .expect("clap requires the argument");
+    let scenario = Scenario::read(file)?;
+    let mut results = Vec::new();
+    for policy in policies(matches) {
+        let bar = spinner(&format!("{} with {policy}", scenario.name));
+        let result = run_policy(&scenario, policy);
+        bar.finish_and_clear();
+        results.push(result?);
+    }
+    print_results(&results);
+    if let Some(file) = matches.get_one::<PathBuf>("markdown") {
+        append(file, &scenario, &results)?;
+    }
+    check_promises(&results)
+}
+
+fn policies(matches: &ArgMatches) -> Vec<PolicyKind> {
+    match matches.get_many::<String>("policy") {
+        Some(names) => names.filter_map(|name| name.parse().ok()).collect(),
+        None => PolicyKind::ALL.to_vec(),
+    }
+}
+
+/// Prints the tables of all runs.
+pub(crate) fn print_results(results: &[ExperimentResult]) {
+    println!("{}", tables(results));
+}
+
+fn tables(results: &[ExperimentResult]) -> String {
+    let reports: Vec<&RunReport> = results.iter().map(|result| &result.report).collect();
+    let mut text = format!(
+        "{}\n{}\n",
+        comparison_table(&reports),
+        class_table(&reports)
+    );
+    text.push_str(&customer_table(&reports));
+    text.push('\n');
+    for result in results {
+        let tiers = &result.tiers;
+        text.push_str(&format!(
+            "{}: tier promise broken {} times in {} sheds ({} not in a journal)\n",
+            result.policy,
+            tiers.break_count(),
+            tiers.sheds,
+            tiers.unlogged_sheds,
+        ));
+        for line in &tiers.breaks {
+            text.push_str(&format!("  {line}\n"));
+        }
+        if let Some(settled) = &result.report.settled {
+            text.push_str(&format!(
+                "{}: doubled effects {}, lost effects {}, \"not run\" that ran {}, wasted tokens {:.3}\n",
+                result.policy,
+                settled.doubled_effects,
+                settled.lost_effects,
+                settled.false_not_run + settled.false_not_run_effects,
+                settled.wasted_share,
+            ));
+        }
+    }
+    text
+}
+
+fn append(
+    file: &PathBuf,
+    scenario: &Scenario,
+    results: &[ExperimentResult],
+) -> Result<(), CommandFailure> {
+    let mut file = OpenOptions::new().create(true).append(true).open(file)?;
+    let head = format!(
+        "## {}\n\nSeed {}, {} entry VMs, demand {:.2}, {:.0} s of which {:.0} s are not measured.\n",
+        scenario.name,
+        scenario.seed,
+        scenario.deployment.entries,
+        scenario.demand,
+        scenario.duration_s,
+        scenario.warmup_s,
+    );
+    writeln!(file, "{head}\n{}", tables(results))?;
+    Ok(())
+}
+
+/// Fails if the product's policy broke a promise; the baselines make none.
+pub(crate) fn check_promises(results: &[ExperimentResult]) -> Result<(), CommandFailure> {
+    for result in results
+        .iter()
+        .filter(|result| result.policy == PolicyKind::Tiered)
+    {
+        let breaks = result.tiers.break_count();
+        let settled = result.report.settled.unwrap_or_default();
+        let wrong = settled.doubled_effects + settled.false_not_run + settled.false_not_run_effects;
+        if breaks > 0 || wrong > 0 {
+            let message =
+                format!("{breaks} breaks of the tier promise, {wrong} wrong effects or verdicts");
+            return Err(CommandFailure::Broken(message));
+        }
+    }
+    Ok(())
+}
--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -2,31 +2,36 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 
+use oleander_decide::PolicyKind;
 use oleander_entry::{
-    CallerSettings, DispatchSection, EntryProcess, EntrySettings, InstanceSettings, LogSection,
-    OperatorSettings, PeerSection, PlatformSection, StartError,
+    CallerSettings, DispatchSection, EntryNode, EntryProcess, EntrySettings, InstanceSettings,
+    LogSection, OperatorSettings, PeerSection, PlatformSection, StartError,
 };
+use oleander_load::{EnginePlan, FaultAction, Scenario, ServicePlan};
 use oleander_platform::{
     BudgetLimits, ClientSettings, Expected, KeyValueStore, PlatformClient, StoreError,
 };
 use oleander_standin::{
-    EngineSettings, EngineStandIn, PlatformSettings, PlatformStandIn, ServiceSettings,
-    ServiceStandIn,
+    EngineStandIn, FaultPlan, OutageKind, PlatformSettings, PlatformStandIn, ServiceStandIn,
 };
+use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::runtime::Builder;
 
-use crate::plan::{DeploymentPlan, EnginePlan, PlanDocument, ServicePlan};
+use crate::plan::{PlanDocument, scenario_documents};
 use crate::secrets::FleetSecrets;
 
 /// How often a deployment that starts is looked at.
 const READY_PERIOD: Duration = Duration::from_millis(20);
 /// Calls a second while the records of a plan are written.
 const SETUP_CALLS: f64 = 10_000.0;
+/// Worker threads of each entry VM.
+const ENTRY_WORKERS: usize = 1;
 /// The largest body, in bytes.
 const BODY_LIMIT: usize = 4 * 1024 * 1024;
 /// Requests that an entry VM may hold.
@@ -41,6 +46,9 @@
     /// The platform refused a record.
     #[error(transparent)]
     Store(#[from] StoreError),
+    /// The entry VMs did not become ready in time.
+    #[error("the entry VMs did not become ready in time")]
+    NotReady,
     /// An entry VM could not be started.
     #[error(transparent)]
     Entry(#[from] StartError),
@@ -49,51 +57,137 @@
 /// A deployment that runs; it stops when it is dropped.
 #[derive(Debug)]
 pub struct Deployment {
-    /// The plan.
-    pub plan: DeploymentPlan,
+    /// The scenario that it was made for.
+    pub scenario: Scenario,
+    /// The policy of its pools.
+    pub policy: PolicyKind,
     /// The secrets.
     pub secrets: FleetSecrets,
-    /// Model engines, in the order of the plan.
+    /// Model engines, in the order of the scenario's plan.
     pub engines: Vec<EngineStandIn>,
-    /// Plain services, in the order of the plan.
+    /// Plain services, in the order of the scenario's plan.
     pub services: Vec<ServiceStandIn>,
     /// The platform.
     pub platform: PlatformStandIn,
-    /// Entry VMs, by data centre in the order of the plan.
-    pub entries: Vec<EntryProcess>,
+    /// Entry VMs, on the data centres in turn.
+    pub entries: Vec<EntrySlot>,
+}
+
+/// The place of one entry VM, whose process may have been stopped.
+#[derive(Debug)]
+pub struct EntrySlot {
+    /// Its name.
+    pub name: String,
+    /// Its shared state, which outlives the process for the reports.
+    pub node: Arc<EntryNode>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect.
+    pub operators: SocketAddr,
+    process: Mutex<Option<EntryProcess>>,
+}
+
+impl EntrySlot {
+    fn new(name: &str, process: EntryProcess) -> Self {
+        Self {
+            name: name.to_owned(),
+            node: Arc::clone(process.node()),
+            callers: process.callers(),
+            operators: process.operators(),
+            process: Mutex::new(Some(process)),
+        }
+    }
+
+    /// Ends the process without notice.
+    pub fn crash(&self) {
+        drop(self.process.lock().take());
+    }
+
+    /// Begins a planned stop; what still comes is served.
+    pub fn leave(&self) {
+        if let Some(process) = self.process.lock().as_ref() {
+            process.leave("the scenario stops this entry VM");
+        }
+    }
 }
 
 impl Deployment {
-    /// Starts the stand-ins and the entry VMs and puts the plan's records into force.
-    pub fn spawn(plan: DeploymentPlan) -> Result<Self, DeployError> {
-        let secrets = FleetSecrets::generate()?;
-        let engines = plan
-            .engines
-            .iter()
-            .map(spawn_engine)
-            .collect::<io::Result<Vec<_>>>()?;
-        let services = plan
-            .services
-            .iter()
-            .map(spawn_service)
-            .collect::<io::Result<Vec<_>>>()?;
-        let platform = PlatformStandIn::bind(PlatformSettings::default())?;
+    /// Starts the stand-ins, writes the scenario's records and starts the entry VMs.
+    pub fn spawn(scenario: &Scenario, policy: PolicyKind) -> Result<Self, DeployError> {
+        let engine_plans = scenario.deployment.engine_plans();
+        let service_plans = scenario.deployment.service_plans();
+        let bind_engine = |plan: &EnginePlan| EngineStandIn::bind(plan.settings.clone());
+        let bind_service = |plan: &ServicePlan| ServiceStandIn::bind(plan.settings.clone());
         let mut deployment = Self {
-            plan,
-            secrets,
-            engines,
-            services,
-            platform,
+            scenario: scenario.clone(),
+            policy,
+            secrets: FleetSecrets::generate()?,
+            engines: engine_plans
+                .iter()
+                .map(bind_engine)
+                .collect::<io::Result<_>>()?,
+            services: service_plans
+                .iter()
+                .map(bind_service)
+                .collect::<io::Result<_>>()?,
+            platform: PlatformStandIn::bind(PlatformSettings::default())?,
             entries: Vec::new(),
         };
-        deployment.write_records()?;
+        deployment.write_records(&engine_plans, &service_plans)?;
         deployment.spawn_entries()?;
         Ok(deployment)
     }
 
     /// Returns where callers connect, one address for each entry VM.
     pub fn callers(&self) -> Vec<SocketAddr> {
-        self.entries.iter().map(EntryProcess::callers).collect()
+        self.entries.iter().map(|entry| entry.callers).collect()
+    }
+
+    /// Carries out a fault of a scenario; one that names nothing of this deployment is logged.
+    pub fn carry_out(&self, action: &FaultAction) {
+        let done = match action {
+            FaultAction::Engine { name, fault } => {
+                self.engine(name).map(|engine| engine.fault(*fault).is_ok())
+            }
+            FaultAction::Service { name, fault } => self
+                .service(name)
+                .map(|service| service.fault(*fault).is_ok()),
+            FaultAction::EntryCrash { entry } => self.entries.get(*entry as usize).map(|entry| {
+                entry.crash();
+                true
+            }),
+            FaultAction::EntryStop { entry } => self.entries.get(*entry as usize).map(|entry| {
+                entry.leave();
+                true
+            }),
+            FaultAction::StoreDown => Some(self.set_outage(OutageKind::Close)),
+            FaultAction::StoreUp => Some(self.set_outage(OutageKind::None)),
+            FaultAction::CentreCut { .. } | FaultAction::CentreHeal { .. } => None,
+        };
+        match done {
+            Some(true) => log::info!("fault: {action:?}"),
+            _ => log::error!("this deployment cannot carry out {action:?}"),
+        }
+    }
+
+    fn engine(&self, name: &str) -> Option<&EngineStandIn> {
+        self.engines
+            .iter()
+            .find(|engine| engine.settings().name == name)
+    }
+
+    fn service(&self, name: &str) -> Option<&ServiceStandIn> {
+        let plans = self.scenario.deployment.service_plans();
+        let index = plans.iter().position(|plan| plan.settings.name == name)?;
+        self.services.get(index)
+    }
+
+    fn set_outage(&self, outage: OutageKind) -> bool {
+        self.platform.set_faults(FaultPlan {
+            outage,
+            ..FaultPlan::default()
+        });
+        true
     }
 
     /// Waits until every entry VM has the records in force and sees all others.
@@ -111,21 +205,34 @@
     fn is_ready(&self) -> bool {
         let count = self.entries.len();
         self.entries.iter().all(|entry| {
-            let view = entry.node().view();
+            let view = entry.node.view();
             let live = view
                 .members
                 .iter()
                 .filter(|member| member.takes_roles)
                 .count();
-            entry.node().is_ready() && live == count
+            entry.node.is_ready() && live == count
         })
     }
 
-    /// Writes the plan's records to the platform.
-    fn write_records(&self) -> Result<(), DeployError> {
-        let engines: Vec<SocketAddr> = self.engines.iter().map(EngineStandIn::address).collect();
-        let services: Vec<SocketAddr> = self.services.iter().map(ServiceStandIn::address).collect();
-        let documents = self.plan.documents(&engines, &services);
+    /// Writes the scenario's records to the platform.
+    fn write_records(
+        &self,
+        engine_plans: &[EnginePlan],
+        service_plans: &[ServicePlan],
+    ) -> Result<(), DeployError> {
+        let mut documents = scenario_documents(&self.scenario);
+        for (plan, engine) in engine_plans.iter().zip(&self.engines) {
+            documents.push(PlanDocument::of_engine(plan, engine.address()));
+        }
+        for (plan, service) in service_plans.iter().zip(&self.services) {
+            let operations = &self.scenario.operations;
+            documents.push(PlanDocument::of_service(
+                plan,
+                operations,
+                service.address(),
+            ));
+        }
         let address = self.platform.address();
         // The caller may be a task of a runtime, in which another one cannot be driven.
         let written =
@@ -135,14 +242,13 @@
 
     fn spawn_entries(&mut self) -> Result<(), DeployError> {
         let mut seeds = Vec::new();
-        for centre in self.plan.centres.clone() {
-            for number in 1..=centre.entries {
-                let name = format!("{}-entry-{number}", centre.name);
-                let settings = self.entry_settings(&name, &centre.name, &seeds)?;
-                let process = EntryProcess::spawn(settings)?;
-                seeds.push(process.node().me.address);
-                self.entries.push(process);
-            }
+        let centres = self.scenario.deployment.centres.clone();
+        for number in 0..self.scenario.deployment.entries {
+            let centre = &centres[number as usize % centres.len()];
+            let name = format!("{centre}-entry-{number}");
+            let process = EntryProcess::spawn(self.entry_settings(&name, centre, &seeds)?)?;
+            seeds.push(process.node().me.address);
+            self.entries.push(EntrySlot::new(&name, process));
         }
         Ok(())
     }
@@ -163,7 +269,7 @@
             },
             callers: CallerSettings {
                 listen: any,
-                workers: self.plan.workers,
+                workers: ENTRY_WORKERS,
                 body_limit: BODY_LIMIT,
                 request_limit: REQUEST_LIMIT,
                 tls_certificate: None,
@@ -186,7 +292,7 @@
                 token_key_file: files.token_key,
             },
             dispatch: DispatchSection {
-                policy: self.plan.policy,
+                policy: self.policy,
                 ..DispatchSection::default()
             },
             log: LogSection::default(),
@@ -212,20 +318,3 @@
         Ok(())
     })
 }
-
-fn spawn_engine(plan: &EnginePlan) -> io::Result<EngineStandIn> {
-    EngineStandIn::bind(EngineSettings {
-        name: plan.name.clone(),
-        models: vec![plan.model.clone()],
-        speed: plan.speed,
-        batch_limit: plan.slots,
-        ..EngineSettings::default()
-    })
-}
-
-fn spawn_service(plan: &ServicePlan) -> io::Result<ServiceStandIn> {
-    ServiceStandIn::bind(ServiceSettings {
-        name: plan.name.clone(),
-        ..ServiceSettings::default()
-    })
-}
--- /dev/null
+++ b/crates/demo/src/experiment.rs
@@ -0,0 +1,74 @@
+//! Runs a scenario against a fresh deployment, once for each policy.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use oleander_base::prelude::*;
+use oleander_decide::PolicyKind;
+use oleander_load::{
+    FaultAction, LoadRun, LoadTargets, RunReport, Scenario, SettleInput, TierCheck, TierReport,
+};
+
+use crate::deployment::{DeployError, Deployment};
+
+/// How long a deployment may take until every entry VM serves.
+const READY_LIMIT: Duration = Duration::from_secs(60);
+/// How long before a shed a grant of a lower tier counts as given in its place.
+const TIER_WINDOW: Span = Span::from_millis(100);
+/// Journal entries that are read from each entry VM.
+const JOURNAL_LIMIT: usize = 1_000_000;
+
+/// What one policy did in one scenario.
+#[derive(Debug)]
+pub struct ExperimentResult {
+    /// The policy.
+    pub policy: PolicyKind,
+    /// The load tool's report, settled against the stand-ins' counters.
+    pub report: RunReport,
+    /// The check of the tier promise over all entry VMs' journals.
+    pub tiers: TierReport,
+}
+
+/// Runs a scenario once for each policy, each on a deployment of its own.
+pub fn run_experiment(
+    scenario: &Scenario,
+    policies: &[PolicyKind],
+) -> Result<Vec<ExperimentResult>, DeployError> {
+    policies
+        .iter()
+        .map(|policy| run_policy(scenario, *policy))
+        .collect()
+}
+
+/// Runs a scenario with one policy.
+pub fn run_policy(
+    scenario: &Scenario,
+    policy: PolicyKind,
+) -> Result<ExperimentResult, DeployError> {
+    let deployment = Arc::new(Deployment::spawn(scenario, policy)?);
+    if !deployment.wait_until_ready(READY_LIMIT) {
+        return Err(DeployError::NotReady);
+    }
+    let targets = LoadTargets {
+        entries: deployment.callers(),
+        policy: policy.to_string(),
+    };
+    let faulty = Arc::clone(&deployment);
+    let on_fault = Box::new(move |action: &FaultAction| faulty.carry_out(action));
+    let run = LoadRun::spawn(scenario, targets, on_fault)?;
+    let mut report = run.finish();
+    report.settle(&SettleInput::gather(
+        &deployment.engines,
+        &deployment.services,
+    ));
+    let mut check = TierCheck::new();
+    for entry in &deployment.entries {
+        check.add_log(&entry.node.journal.lines(0, JOURNAL_LIMIT));
+    }
+    let tiers = check.run(&report.records, TIER_WINDOW);
+    Ok(ExperimentResult {
+        policy,
+        report,
+        tiers,
+    })
+}
--- a/crates/demo/src/plan.rs
+++ b/crates/demo/src/plan.rs
@@ -1,50 +1,22 @@
-//! What a deployment consists of.
+//! The records of a scenario's deployment.
 
 use std::net::SocketAddr;
 
 use oleander_base::prelude::*;
-use oleander_decide::PolicyKind;
+use oleander_load::{ClassPlan, CustomerPlan, EnginePlan, OperationPlan, Scenario, ServicePlan};
 use oleander_records::{
     BackendKind, BackendRecord, ClassRecord, CustomerRecord, RECORD_PREFIX, ServiceRoute, hash_key,
 };
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
-/// A data centre and its entry VMs.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct CentrePlan {
-    /// The name.
-    pub name: String,
-    /// Entry VMs.
-    pub entries: u32,
-}
-
-/// A model engine's stand-in.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct EnginePlan {
-    /// The name.
-    pub name: String,
-    /// The data centre.
-    pub centre: String,
-    /// The model.
-    pub model: String,
-    /// The speed against the reference.
-    pub speed: f64,
-    /// The largest batch; also the slots of its record.
-    pub slots: u32,
-}
-
-/// A plain service's stand-in.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ServicePlan {
-    /// The name of the backend server.
-    pub name: String,
-    /// The data centre.
-    pub centre: String,
-    /// The service.
-    pub service: String,
-    /// The slots of its record.
-    pub slots: u32,
-}
+/// The schema version of class and customer documents.
+const SCHEMA_TWO: u32 = 2;
+/// The schema version of the other documents.
+const SCHEMA_ONE: u32 = 1;
+/// The target for time between tokens of a plain service's class, which has no tokens.
+const SERVICE_GAP_MS: u64 = 1_000;
+/// The minimum share of a plain service's class.
+const SERVICE_MINIMUM_SHARE: f64 = 0.05;
 
 /// A record's document under its key.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -66,159 +38,103 @@
             text: value.to_string(),
         }
     }
-}
 
-/// A whole deployment.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct DeploymentPlan {
-    /// Data centres.
-    pub centres: Vec<CentrePlan>,
-    /// Model engines.
-    pub engines: Vec<EnginePlan>,
-    /// Plain services.
-    pub services: Vec<ServicePlan>,
-    /// Request classes.
-    pub classes: Vec<ClassRecord>,
-    /// Customers by name; a customer's API key is its name with `-key` behind it.
-    pub customers: Vec<String>,
-    /// The policy of the pools.
-    pub policy: PolicyKind,
-    /// Worker threads of each entry VM.
-    pub workers: usize,
-}
+    /// Returns the document of an engine's stand-in.
+    pub fn of_engine(plan: &EnginePlan, address: SocketAddr) -> Self {
+        let record = BackendRecord {
+            name: plan.settings.name.clone(),
+            kind: BackendKind::Engine,
+            centre: plan.centre.clone(),
+            address,
+            serves: plan.settings.models.clone(),
+            slots: plan.settings.batch_limit,
+            speed: plan.settings.speed,
+            checks_fencing: true,
+            wanted: None,
+            routes: Vec::new(),
+        };
+        Self::new("backend", &record.name, SCHEMA_ONE, &record)
+    }
 
-impl DeploymentPlan {
-    /// Returns the plan of the demonstration: two data centres with two entry VMs each.
-    pub fn demo() -> Self {
-        let centres = ["stred-1", "stred-2"];
-        let mut engines = Vec::new();
-        for (index, speed) in [1.0, 2.0, 4.0, 1.0, 2.0, 1.0].into_iter().enumerate() {
-            engines.push(EnginePlan {
-                name: format!("engine-{}", index + 1),
-                centre: centres[index % centres.len()].to_owned(),
-                model: "editor".to_owned(),
-                speed,
-                slots: 8,
-            });
-        }
-        let services = centres.iter().map(|centre| ServicePlan {
-            name: format!("log-{centre}"),
-            centre: (*centre).to_owned(),
-            service: "log".to_owned(),
-            slots: 16,
+    /// Returns the document of a plain service's stand-in.
+    pub fn of_service(
+        plan: &ServicePlan,
+        operations: &[OperationPlan],
+        address: SocketAddr,
+    ) -> Self {
+        let own = operations
+            .iter()
+            .filter(|operation| operation.service == plan.service);
+        let routes = own.map(|operation| ServiceRoute {
+            method: operation.method.clone(),
+            path: operation.path.clone(),
+            idempotent: operation.idempotent,
         });
-        Self {
-            centres: centres
-                .iter()
-                .map(|name| CentrePlan {
-                    name: (*name).to_owned(),
-                    entries: 2,
-                })
-                .collect(),
-            engines,
-            services: services.collect(),
-            classes: demo_classes(),
-            customers: ["dennik", "rozhlas", "tyzdennik"]
-                .map(str::to_owned)
-                .to_vec(),
-            policy: PolicyKind::Tiered,
-            workers: 1,
-        }
+        let record = BackendRecord {
+            name: plan.settings.name.clone(),
+            kind: BackendKind::Service,
+            centre: plan.centre.clone(),
+            address,
+            serves: vec![plan.service.clone()],
+            slots: plan.slots,
+            speed: 1.0,
+            checks_fencing: false,
+            wanted: None,
+            routes: routes.collect(),
+        };
+        Self::new("backend", &record.name, SCHEMA_ONE, &record)
     }
 
-    /// Returns the API key of a customer.
-    pub fn api_key(customer: &str) -> String {
-        format!("{customer}-key")
+    fn of_class(plan: &ClassPlan) -> Self {
+        let record = ClassRecord {
+            name: plan.name.clone(),
+            tier: Tier(plan.tier),
+            first_token_target_ms: plan.first_token_target_ms,
+            token_gap_target_ms: plan.token_gap_target_ms,
+            patience_ms: plan.patience_ms,
+            goodput_weight: plan.goodput_weight,
+            minimum_share: plan.minimum_share,
+        };
+        Self::new("class", &record.name, SCHEMA_TWO, &record)
     }
 
-    /// Returns the documents of the plan's records by key, given where the stand-ins listen.
-    pub fn documents(&self, engines: &[SocketAddr], services: &[SocketAddr]) -> Vec<PlanDocument> {
-        let mut documents = Vec::new();
-        for class in &self.classes {
-            documents.push(PlanDocument::new("class", &class.name, 2, class));
-        }
-        for name in &self.customers {
-            documents.push(PlanDocument::new("customer", name, 2, &self.customer(name)));
-        }
-        for (plan, address) in self.engines.iter().zip(engines) {
-            let record = engine_record(plan, *address);
-            documents.push(PlanDocument::new("backend", &plan.name, 1, &record));
-        }
-        for (plan, address) in self.services.iter().zip(services) {
-            let record = service_record(plan, *address);
-            documents.push(PlanDocument::new("backend", &plan.name, 1, &record));
-        }
-        documents
+    fn of_operation(plan: &OperationPlan) -> Self {
+        let record = ClassRecord {
+            name: plan.name.clone(),
+            tier: Tier(plan.tier),
+            first_token_target_ms: plan.target_ms,
+            token_gap_target_ms: SERVICE_GAP_MS,
+            patience_ms: plan.patience_ms,
+            goodput_weight: plan.goodput_weight,
+            minimum_share: SERVICE_MINIMUM_SHARE,
+        };
+        Self::new("class", &record.name, SCHEMA_TWO, &record)
     }
 
-    fn customer(&self, name: &str) -> CustomerRecord {
-        CustomerRecord {
-            name: name.to_owned(),
-            key_hashes: vec![hash_key(&Self::api_key(name))],
-            share: 1.0,
+    fn of_customer(plan: &CustomerPlan, default_class: &str) -> Self {
+        let record = CustomerRecord {
+            name: plan.name.clone(),
+            key_hashes: vec![hash_key(&plan.key)],
+            share: plan.share,
             rate_limit: None,
             concurrency_limit: None,
-            default_class: self
-                .classes
-                .first()
-                .map(|class| class.name.clone())
-                .unwrap_or_default(),
-        }
+            default_class: default_class.to_owned(),
+        };
+        Self::new("customer", &record.name, SCHEMA_TWO, &record)
     }
 }
 
-fn demo_classes() -> Vec<ClassRecord> {
-    let class = |name: &str, tier: u8, target: u64, patience: u64, weight: f64| ClassRecord {
-        name: name.to_owned(),
-        tier: Tier(tier),
-        first_token_target_ms: target,
-        token_gap_target_ms: 60,
-        patience_ms: patience,
-        goodput_weight: weight,
-        minimum_share: 0.05,
-    };
-    vec![
-        class("correction", 0, 800, 10_000, 5.0),
-        class("publish", 0, 1_000, 10_000, 10.0),
-        class("lookup", 1, 1_500, 15_000, 1.0),
-        class("summary", 2, 8_000, 60_000, 2.0),
-    ]
-}
-
-fn engine_record(plan: &EnginePlan, address: SocketAddr) -> BackendRecord {
-    BackendRecord {
-        name: plan.name.clone(),
-        kind: BackendKind::Engine,
-        centre: plan.centre.clone(),
-        address,
-        serves: vec![plan.model.clone()],
-        slots: plan.slots,
-        speed: plan.speed,
-        checks_fencing: true,
-        wanted: None,
-        routes: Vec::new(),
-    }
-}
-
-fn service_record(plan: &ServicePlan, address: SocketAddr) -> BackendRecord {
-    let route = |method: &str, path: &str, idempotent: bool| ServiceRoute {
-        method: method.to_owned(),
-        path: path.to_owned(),
-        idempotent,
-    };
-    BackendRecord {
-        name: plan.name.clone(),
-        kind: BackendKind::Service,
-        centre: plan.centre.clone(),
-        address,
-        serves: vec![plan.service.clone()],
-        slots: plan.slots,
-        speed: 1.0,
-        checks_fencing: false,
-        wanted: None,
-        routes: vec![
-            route("GET", "/stock/*", true),
-            route("GET", "/entries/*", true),
-        ],
-    }
+/// Returns the documents of a scenario's classes and customers.
+pub(crate) fn scenario_documents(scenario: &Scenario) -> Vec<PlanDocument> {
+    let default_class = scenario
+        .classes
+        .first()
+        .map_or("", |class| class.name.as_str());
+    let classes = scenario.classes.iter().map(PlanDocument::of_class);
+    let operations = scenario.operations.iter().map(PlanDocument::of_operation);
+    let customers = scenario
+        .customers
+        .iter()
+        .map(|plan| PlanDocument::of_customer(plan, default_class));
+    classes.chain(operations).chain(customers).collect()
 }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -16,6 +16,7 @@
 };
 use parking_lot::{Mutex, RwLock};
 
+use crate::dispatch_pool::DispatchPool;
 use crate::journal::Journal;
 
 /// How long a new dispatcher collects tickets and slots before it grants.
@@ -34,21 +35,6 @@
     pub customers: Vec<CustomerView>,
 }
 
-#[derive(Debug)]
-struct DispatchPool {
-    policy: Box<dyn PoolPolicy>,
-    opens: MonoTime,
-    /// Tickets that came before the pool opened.
-    parked: Vec<ParkedTicket>,
-    scratch: Vec<Decision>,
-}
-
-#[derive(Debug)]
-struct ParkedTicket {
-    ticket: Ticket,
-    from: InstanceId,
-}
-
 /// The pools that this entry VM dispatches, each under its own lock.
 #[derive(Debug)]
 pub struct DispatchBoard {
@@ -76,12 +62,8 @@
             return false;
         }
         let policy = oleander_decide::open(self.kind, self.pool_config(id, view.kind));
-        let mut pool = DispatchPool {
-            policy,
-            opens: now + TAKEOVER_DELAY,
-            parked: Vec::new(),
-            scratch: Vec::new(),
-        };
+        let journal = Arc::clone(&self.journal);
+        let mut pool = DispatchPool::open(id, policy, journal, now + TAKEOVER_DELAY);
         let decisions = pool.set_view(view, now);
         debug_assert!(
             decisions.is_empty(),
@@ -110,32 +92,15 @@
 
     /// Queues a ticket, if its pool is dispatched here.
     pub fn offer(&self, ticket: Ticket, from: InstanceId, now: MonoTime) -> OfferEnd {
-        let Some(pool) = self.pool(ticket.pool) else {
-            return OfferEnd::NotHere;
-        };
-        let id = ticket.pool;
-        let mut pool = pool.lock();
-        self.journal.queued(id, &ticket, now);
-        if now < pool.opens {
-            pool.parked.push(ParkedTicket { ticket, from });
-            return OfferEnd::Queued(Vec::new());
+        match self.pool(ticket.pool) {
+            Some(pool) => OfferEnd::Queued(pool.lock().offer(ticket, from, now)),
+            None => OfferEnd::NotHere,
         }
-        OfferEnd::Queued(pool.decide(
-            |policy, out| policy.offer(ticket, from, now, out),
-            |d| self.journal.decided(id, d, now),
-        ))
     }
 
     /// Takes a ticket back.
     pub fn withdraw(&self, id: PoolId, request: RequestId, now: MonoTime) -> Vec<Decision> {
-        self.with(id, |pool| {
-            pool.parked
-                .retain(|parked| parked.ticket.request != request);
-            pool.decide(
-                |policy, out| policy.withdraw(request, now, out),
-                |d| self.journal.decided(id, d, now),
-            )
-        })
+        self.with(id, |pool| pool.withdraw(request, now))
     }
 
     /// Frees a slot.
@@ -186,19 +151,8 @@
 
     /// Lets time pass in every pool, and opens pools whose take-over is complete.
     pub fn tick(&self, now: MonoTime) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        for id in self.ids() {
-            decisions.extend(self.with(id, |pool| {
-                pool.decide(
-                    |policy, out| policy.tick(now, out),
-                    |d| self.journal.decided(id, d, now),
-                )
-            }));
-            decisions.extend(self.with(id, |pool| {
-                pool.open_if_due(now, |d| self.journal.decided(id, d, now))
-            }));
-        }
-        decisions
+        let tick = |id| self.with(id, |pool| pool.tick(now));
+        self.ids().into_iter().flat_map(tick).collect()
     }
 
     /// Returns a summary of every pool that is dispatched here.
@@ -208,8 +162,8 @@
             let pool = pool.lock();
             Some(PoolStatus {
                 id,
-                parked: pool.parked.len(),
-                summary: pool.policy.summary(now),
+                parked: pool.parked(),
+                summary: pool.policy().summary(now),
             })
         };
         self.ids().into_iter().filter_map(summary).collect()
@@ -219,30 +173,19 @@
     pub fn backend_summaries(&self, now: MonoTime) -> Vec<BackendSummary> {
         let pools = self.ids().into_iter().filter_map(|id| self.pool(id));
         pools
-            .flat_map(|pool| pool.lock().policy.backend_summaries(now))
+            .flat_map(|pool| pool.lock().policy().backend_summaries(now))
             .collect()
     }
 
     /// Returns a summary of one pool.
     pub fn summary(&self, id: PoolId, now: MonoTime) -> Option<PoolSummary> {
-        Some(self.pool(id)?.lock().policy.summary(now))
+        Some(self.pool(id)?.lock().policy().summary(now))
     }
 
     /// Returns the whole state as text.
     pub fn dump(&self, now: MonoTime) -> String {
-        let mut text = String::new();
-        for id in self.ids() {
-            if let Some(pool) = self.pool(id) {
-                let pool = pool.lock();
-                text.push_str(&format!(
-                    "pool {id} opens {} parked {}\n",
-                    pool.opens,
-                    pool.parked.len()
-                ));
-                text.push_str(&pool.policy.dump(now));
-            }
-        }
-        text
+        let pools = self.ids().into_iter().filter_map(|id| self.pool(id));
+        pools.map(|pool| pool.lock().dump(now)).collect()
     }
 
     fn pool_config(&self, id: PoolId, kind: PoolKind) -> PoolConfig {
@@ -275,9 +218,7 @@
         now: MonoTime,
         change: impl FnOnce(&mut dyn PoolPolicy, &mut Vec<Decision>),
     ) -> Vec<Decision> {
-        self.with(id, |pool| {
-            pool.decide(change, |d| self.journal.decided(id, d, now))
-        })
+        self.with(id, |pool| pool.change(now, change))
     }
 
     fn each(
@@ -312,43 +253,3 @@
     /// The policy's own summary.
     pub summary: PoolSummary,
 }
-
-impl DispatchPool {
-    /// Runs one change of the policy and records what it decided, in the order of decision.
-    fn decide(
-        &mut self,
-        change: impl FnOnce(&mut dyn PoolPolicy, &mut Vec<Decision>),
-        mut record: impl FnMut(&Decision),
-    ) -> Vec<Decision> {
-        let mut decisions = std::mem::take(&mut self.scratch);
-        decisions.clear();
-        change(self.policy.as_mut(), &mut decisions);
-        decisions.iter().for_each(&mut record);
-        decisions
-    }
-
-    fn set_view(&mut self, view: &PoolView, now: MonoTime) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        self.policy
-            .set_classes(&view.classes, &view.customers, now, &mut decisions);
-        self.policy
-            .set_backends(&view.backends, now, &mut decisions);
-        decisions
-    }
-
-    fn open_if_due(&mut self, now: MonoTime, record: impl FnMut(&Decision)) -> Vec<Decision> {
-        if now < self.opens || self.parked.is_empty() {
-            return Vec::new();
-        }
-        let mut parked = std::mem::take(&mut self.parked);
-        parked.sort_by_key(|parked| (parked.ticket.tier, std::cmp::Reverse(parked.ticket.waited)));
-        self.decide(
-            |policy, out| {
-                for ParkedTicket { ticket, from } in parked {
-                    policy.offer(ticket, from, now, out);
-                }
-            },
-            record,
-        )
-    }
-}
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -23,6 +23,8 @@
     Grant,
     /// It was given up.
     Shed,
+    /// It left the queue in any other way: the caller left, or it moved to another dispatcher.
+    Leave,
 }
 
 /// One entry of the journal.
@@ -38,8 +40,8 @@
     pub event: JournalEvent,
     /// The request.
     pub request: String,
-    /// Its tier, for entries of the queue.
-    pub tier: Option<u8>,
+    /// Its tier.
+    pub tier: u8,
     /// The backend server of a grant, or the reason of a refusal.
     pub detail: String,
 }
@@ -50,7 +52,7 @@
     pool: PoolId,
     event: JournalEvent,
     request: RequestId,
-    tier: Option<Tier>,
+    tier: Tier,
     detail: RawDetail,
 }
 
@@ -81,13 +83,13 @@
             pool,
             event: JournalEvent::Queue,
             request: ticket.request,
-            tier: Some(ticket.tier),
+            tier: ticket.tier,
             detail: RawDetail::None,
         });
     }
 
     /// Notes a decision.
-    pub fn decided(&self, pool: PoolId, decision: &Decision, now: MonoTime) {
+    pub fn decided(&self, pool: PoolId, decision: &Decision, tier: Tier, now: MonoTime) {
         let (event, request, detail) = match &decision.notice {
             DecisionNotice::Grant(notice) => (
                 JournalEvent::Grant,
@@ -105,11 +107,34 @@
             pool,
             event,
             request,
-            tier: None,
+            tier,
             detail,
         });
     }
 
+    /// Notes that a ticket left the queue without an outcome.
+    pub fn left(&self, pool: PoolId, request: RequestId, tier: Tier, now: MonoTime) {
+        let event = JournalEvent::Leave;
+        self.push(RawEntry {
+            at: now,
+            pool,
+            event,
+            request,
+            tier,
+            detail: RawDetail::None,
+        });
+    }
+
+    /// Returns up to `limit` entries after the one numbered `after`, as JSON lines.
+    pub fn lines(&self, after: u64, limit: usize) -> String {
+        let mut text = String::new();
+        for entry in self.after(after, limit) {
+            text.push_str(&serde_json::to_string(&entry).unwrap_or_default());
+            text.push('\n');
+        }
+        text
+    }
+
     /// Returns up to `limit` entries after the one numbered `after`.
     pub fn after(&self, after: u64, limit: usize) -> Vec<JournalEntry> {
         let ring = self.ring.lock();
@@ -149,7 +174,7 @@
             pool: self.pool.to_string(),
             event: self.event,
             request: self.request.to_string(),
-            tier: self.tier.map(|tier| tier.0),
+            tier: self.tier.0,
             detail: match &self.detail {
                 RawDetail::None => String::new(),
                 RawDetail::Backend(backend) => backend.to_string(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod counters;
 mod desk;
 mod dispatch;
+mod dispatch_pool;
 mod drive;
 mod forward;
 mod http_answer;
--- a/crates/entry/src/operator_desk.rs
+++ b/crates/entry/src/operator_desk.rs
@@ -117,12 +117,7 @@
     }
 
     fn journal(&self, after: u64, limit: usize) -> String {
-        let mut text = String::new();
-        for entry in self.node.journal.after(after, limit) {
-            text.push_str(&serde_json::to_string(&entry).unwrap_or_default());
-            text.push('\n');
-        }
-        text
+        self.node.journal.lines(after, limit)
     }
 
     fn metric_names(&self) -> &'static [MetricName] {
