Infer a backend server's load from late first tokens

Other senders can fill an engine seconds before a report says so, and requests then wait inside it. Where progress notices come, first tokens that are late by more than twice the usual time now count all places of the engine as taken for two seconds.

--- a/crates/decide/examples/policies.rs
+++ b/crates/decide/examples/policies.rs
@@ -1,7 +1,7 @@
 //! Compares the policies on a fake pool in virtual time, on the same seeded arrivals.
 //!
 //! Usage: `cargo run --release -p oleander-decide --example policies -- [SEED [SCENARIO]]`, where
-//! SCENARIO is `steady`, `burst`, `slow` or `crash`. The fake batches continuously: each of `n`
+//! SCENARIO is `steady`, `burst`, `slow`, `crash` or `uneven`. The fake batches continuously: each of `n`
 //! running answers gets a token after a step that grows with `n`, and the first token follows a
 //! prefill. It has one pool of 24 engines of speeds 1 to 4 and no network but a fixed delay.
 
@@ -12,7 +12,7 @@
 use oleander_base::{EndKind, EngineRole, LoadReport, ReleaseNotice};
 use oleander_decide::{
     BackendView, ClassView, CustomerView, Decision, DecisionNotice, PolicyKind, PoolConfig,
-    PoolPolicy, open,
+    PoolPolicy, ProgressNotice, open,
 };
 use rand::Rng as _;
 use rand::SeedableRng as _;
@@ -71,6 +71,7 @@
     Burst,
     Slow,
     Crash,
+    Uneven,
 }
 
 struct Arrival {
@@ -115,6 +116,13 @@
     1.0 + 3.0 * (index % 4) as f64 / 3.0
 }
 
+/// The requests of other senders at an engine, which take part of its batch.
+fn background(scenario: Scenario, index: usize, now: MonoTime) -> usize {
+    let phase = (now.0 / 15_000_000) as usize;
+    let busy = scenario == Scenario::Uneven && (index + phase).is_multiple_of(3);
+    if busy { 8 } else { 0 }
+}
+
 fn capacity() -> f64 {
     (0..24).map(|index| speed(index) * f64::from(SLOTS)).sum()
 }
@@ -289,7 +297,8 @@
 
     fn report(&mut self, now: MonoTime) {
         for (index, engine) in self.engines.iter_mut().enumerate() {
-            engine.reports.push_back((now, engine.running.len() as u32));
+            let total = engine.running.len() + background(self.scenario, index, now);
+            engine.reports.push_back((now, total as u32));
             let Some(&(taken, running)) = engine.reports.front() else {
                 continue;
             };
@@ -326,9 +335,12 @@
             } else {
                 engine.speed
             };
-            let load = engine.running.len() as f64 / f64::from(SLOTS);
+            let background = background(self.scenario, index, now);
+            let batch = (engine.running.len() + background).min(SLOTS as usize);
+            let load = batch as f64 / f64::from(SLOTS);
             let step = STEP_SECONDS * (1.0 + 0.5 * load) / speed;
-            for running in &mut engine.running {
+            let batch = SLOTS as usize - background;
+            for running in engine.running.iter_mut().take(batch) {
                 let mut left = STEP.as_secs_f64();
                 let prefill = running.prefill.min(left * speed);
                 running.prefill -= prefill;
@@ -336,6 +348,12 @@
                 running.done += left / step;
                 if running.done >= 1.0 && running.first.is_none() {
                     running.first = Some(now + STEP);
+                    let progress = ProgressNotice {
+                        request: running.request,
+                        backend: BackendId(index as u32),
+                        first_token: (now + STEP).since(running.sent),
+                    };
+                    self.policy.progress(&progress, now);
                 }
             }
             let arrivals = &self.arrivals;
@@ -429,6 +447,7 @@
         Some("burst") => Scenario::Burst,
         Some("slow") => Scenario::Slow,
         Some("crash") => Scenario::Crash,
+        Some("uneven") => Scenario::Uneven,
         _ => Scenario::Steady,
     };
     println!(
--- a/crates/decide/src/backend_set.rs
+++ b/crates/decide/src/backend_set.rs
@@ -174,8 +174,10 @@
 
     /// Brings the figures of the whole pool up to date.
     pub(crate) fn tick(&mut self, now: MonoTime) {
+        let usual_first = self.usual_first();
         for state in self.states.values_mut() {
             state.health.tick(now);
+            state.infer_load(usual_first, now);
         }
         self.drop_unlisted();
         self.keep_one(now);
@@ -227,11 +229,11 @@
         now: MonoTime,
     ) -> f64 {
         let limit = f64::from(state.limit.get().max(1));
-        let load = f64::from(state.in_use() + 1) / limit;
+        let load = f64::from(state.in_use(now) + 1) / limit;
         let speed = state.speed_factor();
         let work = f64::from(work);
         let mut seconds = state.speed.expected(work, load, speed, &self.reference);
-        let is_near_mean = state.occupancy() <= self.mean_occupancy + PREFIX_LOAD_MARGIN;
+        let is_near_mean = state.occupancy(now) <= self.mean_occupancy + PREFIX_LOAD_MARGIN;
         if let Some(prefix) = ticket.prefix
             && is_near_mean
             && self.prefixes.holds(state.view.backend, prefix, now)
@@ -288,11 +290,11 @@
         };
         let works = usable().map(|state| {
             let rate = state.speed.slot_rate();
-            let slots = state.ceiling(now).saturating_sub(state.load.others());
+            let slots = state.ceiling(now).saturating_sub(state.load.others(now));
             f64::from(slots) * rate.unwrap_or(usual * state.speed_factor())
         });
         self.capacity = Some(works.sum());
-        let occupancy = usable().map(BackendState::occupancy);
+        let occupancy = usable().map(|state| state.occupancy(now));
         self.mean_occupancy = mean(occupancy).unwrap_or(0.0);
     }
 }
--- a/crates/decide/src/backend_state.rs
+++ b/crates/decide/src/backend_state.rs
@@ -24,6 +24,18 @@
 /// The shortest silence that counts as a stall.
 const STALL_FLOOR: Span = Span::from_millis(750);
 
+/// How many usual first-token times a request may wait before it counts as late.
+const FIRST_TOLERANCE: u64 = 2;
+
+/// What is added to it for the scatter of prompts.
+const FIRST_MARGIN: Span = Span::from_millis(100);
+
+/// Late first tokens from which the load of others is inferred.
+const LATE_FLOOR: u32 = 2;
+
+/// For how long after a progress notice the next ones are expected.
+const PROGRESS_MEMORY: Span = Span::from_secs(30);
+
 /// The smallest speed that counts.
 const SPEED_FLOOR: f64 = 0.01;
 
@@ -36,6 +48,8 @@
     pub(crate) view: BackendView,
     pub(crate) listed: bool,
     running: BTreeSet<(MonoTime, RequestId)>,
+    unstarted: BTreeSet<(MonoTime, RequestId)>,
+    progress_seen: Option<MonoTime>,
     pub(crate) limit: SlotLimit,
     pub(crate) health: BackendHealth,
     pub(crate) speed: SpeedEstimate,
@@ -57,6 +71,8 @@
             load: OtherLoad::default(),
             listed: true,
             running: BTreeSet::new(),
+            unstarted: BTreeSet::new(),
+            progress_seen: None,
             batch_limit: None,
             says_leaving: false,
             models: Vec::new(),
@@ -134,13 +150,13 @@
     }
 
     /// Returns the requests of all senders that the backend server has.
-    pub(crate) fn in_use(&self) -> u32 {
-        self.outstanding().saturating_add(self.load.others())
+    pub(crate) fn in_use(&self, now: MonoTime) -> u32 {
+        self.outstanding().saturating_add(self.load.others(now))
     }
 
     /// Returns how many requests may be granted to it now.
     pub(crate) fn free(&self, now: MonoTime) -> u32 {
-        let free = self.ceiling(now).saturating_sub(self.in_use());
+        let free = self.ceiling(now).saturating_sub(self.in_use(now));
         if free > 0 && self.is_stalled(now) {
             return u32::from(now.since(self.last_grant) >= STALL_PROBE_PERIOD);
         }
@@ -153,8 +169,8 @@
     }
 
     /// Returns the share of the slots in use, 0 to 1.
-    pub(crate) fn occupancy(&self) -> f64 {
-        f64::from(self.in_use()) / f64::from(self.limit.get().max(1))
+    pub(crate) fn occupancy(&self, now: MonoTime) -> f64 {
+        f64::from(self.in_use(now)) / f64::from(self.limit.get().max(1))
     }
 
     /// Returns how many releases are overdue, which is near 0 or 1 for one that serves.
@@ -184,17 +200,44 @@
             self.sign_of_life = now;
         }
         self.running.insert((at, request));
+        self.unstarted.insert((at, request));
         self.last_grant = now;
         self.load.granted(now);
     }
 
     /// Counts the end of a grant.
     pub(crate) fn ended(&mut self, request: RequestId, at: MonoTime, now: MonoTime) {
+        self.unstarted.remove(&(at, request));
         if self.running.remove(&(at, request)) {
             self.load.released(now);
         }
     }
 
+    /// Records that a granted request got its first token.
+    pub(crate) fn started(&mut self, request: RequestId, at: MonoTime, now: MonoTime) {
+        self.unstarted.remove(&(at, request));
+        self.progress_seen = Some(now);
+        self.progressed(now);
+    }
+
+    /// Infers the load of others from requests of ours that wait too long for a first token.
+    ///
+    /// This needs the entry VMs' progress notices; without them every request looks unstarted.
+    pub(crate) fn infer_load(&mut self, usual_first: Span, now: MonoTime) {
+        let is_told = self
+            .progress_seen
+            .is_some_and(|seen| now.since(seen) < PROGRESS_MEMORY);
+        let first = self.speed.first().unwrap_or(0.0);
+        let first = Span((first * 1e6) as u64).max(usual_first);
+        let bound = Span(first.0 * FIRST_TOLERANCE) + FIRST_MARGIN;
+        let late = self.unstarted.iter();
+        let late = late.take_while(|(at, _)| now.since(*at) > bound).count() as u32;
+        if is_told && late >= LATE_FLOOR {
+            let taken = self.ceiling(now).saturating_sub(self.outstanding() - late);
+            self.load.infer(taken, now);
+        }
+    }
+
     /// Returns the share of the grants in use that are older than an answer takes on average.
     fn old_share(&self, now: MonoTime) -> f64 {
         let hold = Span((self.speed.hold().unwrap_or(0.0) * 1e6) as u64);
@@ -218,7 +261,7 @@
             self.view.backend,
             self.outstanding(),
             self.ceiling(now),
-            self.load.others(),
+            self.load.others(now),
             self.view.slots,
             self.health,
         );
--- a/crates/decide/src/inspect.rs
+++ b/crates/decide/src/inspect.rs
@@ -20,7 +20,7 @@
         PoolSummary {
             pool: self.config.pool,
             slots_total: states().map(|state| state.ceiling(now)).sum(),
-            slots_used: states().map(|state| state.in_use()).sum(),
+            slots_used: states().map(|state| state.in_use(now)).sum(),
             backends_usable: states().count() as u32,
             backends_ejected: states().filter(|s| s.health.is_ejected(now)).count() as u32,
             saturated: self.saturated.is_some(),
--- a/crates/decide/src/learn.rs
+++ b/crates/decide/src/learn.rs
@@ -52,7 +52,7 @@
         state.progressed(now);
         state.health.succeeded(state.view.slots, now);
         let first = release.first_token.filter(|_| is_engine);
-        let load = state.occupancy();
+        let load = state.occupancy(now);
         state.speed.observe(&SpeedSample {
             work: if is_engine {
                 f64::from(release.tokens)
--- a/crates/decide/src/other_load.rs
+++ b/crates/decide/src/other_load.rs
@@ -5,6 +5,10 @@
 //! what was released since. The rest belongs to other senders, and stays in force until the next
 //! report. A report that grows old does not make a backend server idle: the number stays, and the
 //! choice of a backend server counts the load as unknown.
+//!
+//! Between reports the load can be inferred: where requests of ours wait for their first token far
+//! longer than usual, all places that they do not have are taken. An inference holds for a short
+//! time, so that it needs no report to end.
 
 use std::collections::VecDeque;
 
@@ -18,7 +22,10 @@
 /// A report whose true age is unknown shows requests of ours that have ended since as those of
 /// others. Such errors only ever add, so that a larger number has to come again to be believed,
 /// and a smaller one is believed at once.
-const RISE_WEIGHT: f64 = 0.3;
+const RISE_WEIGHT: f64 = 0.5;
+
+/// How long an inference holds.
+const INFERENCE_SPAN: Span = Span::from_secs(2);
 
 #[derive(Debug, Clone, Copy)]
 struct OwnChange {
@@ -26,11 +33,18 @@
     step: i32,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct InferredLoad {
+    others: u32,
+    until: MonoTime,
+}
+
 /// The estimate of the other senders' requests at one backend server.
 #[derive(Debug, Default)]
 pub(crate) struct OtherLoad {
     changes: VecDeque<OwnChange>,
     others: f64,
+    inferred: Option<InferredLoad>,
     reported: Option<MonoTime>,
 }
 
@@ -65,9 +79,17 @@
         self.reported = Some(taken);
     }
 
+    /// Takes an inference of the other senders' requests.
+    pub(crate) fn infer(&mut self, others: u32, now: MonoTime) {
+        let until = now + INFERENCE_SPAN;
+        self.inferred = Some(InferredLoad { others, until });
+    }
+
     /// Returns the estimate of the other senders' requests.
-    pub(crate) fn others(&self) -> u32 {
-        self.others.round() as u32
+    pub(crate) fn others(&self, now: MonoTime) -> u32 {
+        let reported = self.others.round() as u32;
+        let inferred = self.inferred.filter(|load| now < load.until);
+        inferred.map_or(reported, |load| load.others.max(reported))
     }
 
     /// Returns whether the newest report is older than `stale`, or there was none.
--- a/crates/decide/src/tiered.rs
+++ b/crates/decide/src/tiered.rs
@@ -237,8 +237,9 @@
             return;
         }
         entry.first_seen = true;
+        let granted = entry.granted;
         if let Some(state) = self.backends.get_mut(progress.backend) {
-            state.progressed(now);
+            state.started(progress.request, granted, now);
             state.speed.observe_first(progress.first_token);
         }
     }
--- a/crates/decide/tests/behaviour.rs
+++ b/crates/decide/tests/behaviour.rs
@@ -280,6 +280,30 @@
     );
 }
 
+#[test]
+fn late_first_tokens_show_the_load_of_others_before_a_report() {
+    let mut fixture = Fixture::open(&[backend(1, 6)]);
+    fixture.learn(0, 10);
+    fixture.offers(100..103, 0);
+    let progress = |serial| ProgressNotice {
+        request: common::request(serial),
+        backend: BackendId(1),
+        first_token: Span::from_millis(200),
+    };
+    fixture.policy.progress(&progress(100), fixture.now);
+    fixture.pass(700);
+    let dump = fixture.policy.dump(fixture.now);
+    assert!(dump.contains("3/6 others 5"), "{dump}");
+    fixture.text();
+    fixture.offers(103..104, 0);
+    assert_eq!(fixture.text(), "", "a full backend server got work");
+    fixture.policy.progress(&progress(101), fixture.now);
+    fixture.policy.progress(&progress(102), fixture.now);
+    fixture.pass(2_100);
+    let dump = fixture.policy.dump(fixture.now);
+    assert!(dump.contains("others 0"), "{dump}");
+}
+
 #[test]
 fn adapters_go_where_they_are_loaded() {
     let mut fixture = Fixture::open(&[backend(0, 4), backend(1, 1)]);
