Judge a ticket's wait by its customer's share

One customer's flood made every ticket of its tier look hopeless. The wait is now that of the customer's own queue at its share, if that is shorter, and the fairness window is 250 ms of the pool's capacity in place of 2,000 tokens, which was half a minute of a small pool. New classes start from the mean length of all answers.

--- a/crates/decide/src/config.rs
+++ b/crates/decide/src/config.rs
@@ -22,9 +22,9 @@
     pub queue_bound: usize,
     /// How often [`tick`](crate::PoolPolicy::tick) is called.
     pub tick_period: Span,
-    /// How far a customer may run ahead of its fair share before deadlines stop counting, in
-    /// tokens (or calls) at weight 1.
-    pub fairness_window: u32,
+    /// How far a customer may run ahead of its fair share before deadlines stop counting, as time
+    /// of the whole pool.
+    pub fairness_window: Span,
     /// A class that got no grant for so long may be served ahead of tiers that are being shed.
     pub progress_span: Span,
     /// How long a pool has to be saturated before it gives up tickets that will miss their target.
@@ -51,7 +51,7 @@
             kind: PoolKind::Engines,
             queue_bound: 10_000,
             tick_period: Span::from_millis(20),
-            fairness_window: 2_000,
+            fairness_window: Span::from_millis(250),
             progress_span: Span::from_secs(10),
             overload_span: Span::from_millis(500),
             report_stale: Span::from_secs(5),
@@ -67,7 +67,6 @@
     pub fn services(pool: PoolId) -> Self {
         Self {
             kind: PoolKind::Services,
-            fairness_window: 8,
             ..Self::engines(pool)
         }
     }
--- a/crates/decide/src/length.rs
+++ b/crates/decide/src/length.rs
@@ -1,8 +1,9 @@
 //! Estimates of answer lengths, which nobody knows in advance.
 //!
-//! An exponentially weighted mean is kept for each class and for each customer in a class. A
-//! customer's own mean counts in proportion to its number of samples, so that a new customer
-//! starts from its class. What the caller allows at most bounds the estimate.
+//! An exponentially weighted mean is kept over all answers, for each class, and for each customer
+//! in a class. The narrower mean counts more with each of its samples, so that a new customer
+//! starts from its class and a new class from the whole. What the caller allows at most bounds
+//! the estimate.
 
 use oleander_base::prelude::*;
 
@@ -12,6 +13,9 @@
 /// Samples of a customer at which its own mean counts half.
 const CUSTOMER_SAMPLES: f64 = 16.0;
 
+/// Samples of a class at which its own mean counts half.
+const CLASS_SAMPLES: f64 = 4.0;
+
 /// Customers whose means are kept; the least used are dropped beyond it.
 const CUSTOMER_BOUND: usize = 8_192;
 
@@ -30,11 +34,18 @@
         let weight = SAMPLE_WEIGHT.max(1.0 / self.samples);
         self.mean += weight * (tokens - self.mean);
     }
+
+    /// Returns this mean mixed with a wider one, which counts as many samples as `wider_samples`.
+    fn within(&self, wider: f64, wider_samples: f64) -> f64 {
+        let trust = self.samples / (self.samples + wider_samples);
+        wider + trust * (self.mean - wider)
+    }
 }
 
 /// The length estimates of one pool.
 #[derive(Debug, Default)]
 pub struct LengthEstimator {
+    all: LengthMean,
     classes: FastMap<ClassId, LengthMean>,
     customers: FastMap<(ClassId, CustomerId), LengthMean>,
 }
@@ -48,6 +59,7 @@
     /// Learns the length of a whole answer.
     pub fn observe(&mut self, class: ClassId, customer: CustomerId, tokens: u32) {
         let tokens = f64::from(tokens);
+        self.all.observe(tokens);
         self.classes.entry(class).or_default().observe(tokens);
         if self.customers.len() >= CUSTOMER_BOUND {
             self.customers
@@ -59,17 +71,13 @@
 
     /// Returns the expected length of an answer, in tokens, at least 1 and at most `limit`.
     pub fn estimate(&self, class: ClassId, customer: CustomerId, limit: u32) -> u32 {
-        let base = self
-            .classes
-            .get(&class)
-            .map_or(DEFAULT_TOKENS, |mean| mean.mean);
-        let own = self
-            .customers
-            .get(&(class, customer))
-            .copied()
-            .unwrap_or_default();
-        let trust = own.samples / (own.samples + CUSTOMER_SAMPLES);
-        let tokens = base + trust * (own.mean - base);
+        let mut tokens = self.all.within(DEFAULT_TOKENS, 1.0);
+        if let Some(mean) = self.classes.get(&class) {
+            tokens = mean.within(tokens, CLASS_SAMPLES);
+        }
+        if let Some(mean) = self.customers.get(&(class, customer)) {
+            tokens = mean.within(tokens, CUSTOMER_SAMPLES);
+        }
         (tokens.round() as u32).clamp(1, limit.max(1))
     }
 }
--- a/crates/decide/src/pool_queue.rs
+++ b/crates/decide/src/pool_queue.rs
@@ -10,6 +10,9 @@
 use crate::tier_queue::TierQueue;
 use crate::verify::VerifyError;
 
+/// The fairness window until the pool's capacity is known, in units of work.
+const DEFAULT_WINDOW: f64 = 500.0;
+
 /// The number of a queued ticket, in the order of the offers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct TicketKey(u64);
@@ -29,7 +32,7 @@
 /// The tickets of one pool.
 #[derive(Debug)]
 pub(crate) struct PoolQueue {
-    window: u32,
+    window: f64,
     next_key: u64,
     entries: FastMap<TicketKey, QueuedTicket>,
     by_request: FastMap<RequestId, TicketKey>,
@@ -39,10 +42,10 @@
 }
 
 impl PoolQueue {
-    /// Opens an empty queue with the fairness window of each tier.
-    pub(crate) fn open(window: u32) -> Self {
+    /// Opens an empty queue.
+    pub(crate) fn open() -> Self {
         Self {
-            window,
+            window: DEFAULT_WINDOW,
             next_key: 0,
             entries: FastMap::default(),
             by_request: FastMap::default(),
@@ -210,8 +213,21 @@
         }
     }
 
-    /// Replaces the customers' weights.
-    pub(crate) fn set_weights(&mut self, weights: FastMap<CustomerId, f64>) {
+    /// Sets the fairness window of every tier, in units of work of a customer of mean weight.
+    pub(crate) fn set_window(&mut self, window: f64) {
+        self.window = window;
+        for queue in self.tiers.values_mut() {
+            queue.set_window(window);
+        }
+    }
+
+    /// Replaces the customers' weights, which are scaled to a mean of 1.
+    pub(crate) fn set_weights(&mut self, mut weights: FastMap<CustomerId, f64>) {
+        let sum: f64 = weights.values().sum();
+        let mean = sum / weights.len().max(1) as f64;
+        if mean > 0.0 {
+            weights.values_mut().for_each(|weight| *weight /= mean);
+        }
         for queue in self.tiers.values_mut() {
             for (customer, weight) in &weights {
                 queue.set_weight(*customer, *weight);
--- a/crates/decide/src/shed.rs
+++ b/crates/decide/src/shed.rs
@@ -14,6 +14,7 @@
 use crate::policy::{Decision, DecisionNotice};
 use crate::pool_queue::{QueuedTicket, TicketKey};
 use crate::queue_time::QueueTime;
+use crate::tier_queue::TierQueue;
 use crate::tiered::TieredPool;
 
 /// The bounds of what a caller is told to wait.
@@ -22,7 +23,7 @@
 
 /// How far the expected wait must exceed the time left, because the rates that it comes from
 /// scatter and a ticket given up wrongly cannot be taken back.
-const WAIT_TOLERANCE: f64 = 1.6;
+const WAIT_TOLERANCE: f64 = 2.0;
 
 /// The least share of the pool that a tier is expected to get.
 const TIER_SHARE_FLOOR: f64 = 0.02;
@@ -75,12 +76,26 @@
 
     /// Returns how long a ticket of a tier that comes now is expected to wait, once it is known.
     pub(crate) fn expected_wait(&self, tier: Tier, now: MonoTime) -> Option<Span> {
+        let own = self.queue.tier(tier).map_or(0, TierQueue::work);
+        self.wait_behind(tier, own, now)
+    }
+
+    /// Returns how long a customer's ticket that comes now is expected to wait.
+    fn customer_wait(&self, tier: Tier, customer: CustomerId, now: MonoTime) -> Option<Span> {
+        let queue = self.queue.tier(tier);
+        let own = queue.map_or(0, |queue| queue.work_before(customer));
+        self.wait_behind(tier, own, now)
+    }
+
+    /// Returns how long the higher tiers' work and some work of a tier itself take.
+    fn wait_behind(&self, tier: Tier, own: u64, now: MonoTime) -> Option<Span> {
         let capacity = self.backends.capacity()?;
-        let queues = self.queue.tiers().take_while(|(t, _)| !tier.is_above(*t));
-        let work: u64 = queues.map(|(_, queue)| queue.work()).sum();
+        let higher = self.queue.tiers().take_while(|(t, _)| t.is_above(tier));
+        let work = own + higher.map(|(_, queue)| queue.work()).sum::<u64>();
         let above = &self.arrivals[..Self::tier_index(tier)];
         let arriving: f64 = above.iter().map(|meter| meter.rate(now)).sum();
-        let classes = self.queue.tier(tier).into_iter().flat_map(|q| q.classes());
+        let queue = self.queue.tier(tier);
+        let classes = queue.into_iter().flat_map(TierQueue::classes);
         let share: f64 = classes.map(|class| self.ledger.share(class)).sum();
         let rate = (capacity - arriving).max(capacity * share.max(TIER_SHARE_FLOOR));
         Some(Span((work as f64 / rate.max(1e-3) * 1e6) as u64))
@@ -102,13 +117,14 @@
         self.is_overloaded(now)
             && self.queue.lowest() <= Some(ticket.tier)
             && !self.is_spared(ticket.class, now)
-            && self.is_turn_too_late(ticket.tier, due, now)
+            && self.is_turn_too_late(ticket, due, now)
     }
 
-    /// Returns whether a ticket at the end of a tier's queue is expected to miss its deadline.
-    fn is_turn_too_late(&self, tier: Tier, due: QueueTime, now: MonoTime) -> bool {
+    /// Returns whether a ticket at the end of its customer's queue is expected to miss its deadline.
+    fn is_turn_too_late(&self, ticket: &Ticket, due: QueueTime, now: MonoTime) -> bool {
         let left = due.after(now).saturating_sub(self.backends.usual_first());
-        let wait = self.expected_wait(tier, now).unwrap_or(Span::ZERO);
+        let wait = self.customer_wait(ticket.tier, ticket.customer, now);
+        let wait = wait.unwrap_or(Span::ZERO);
         wait.as_secs_f64() > left.as_secs_f64() * WAIT_TOLERANCE
     }
 
@@ -150,8 +166,8 @@
             self.give_up_hopeless(key, now, out);
         }
         for key in last {
-            let due = self.queue.get(key).map(|entry| entry.due);
-            if !due.is_some_and(|due| self.is_turn_too_late(tier, due, now)) {
+            let entry = self.queue.get(key);
+            if !entry.is_some_and(|entry| self.is_turn_too_late(&entry.ticket, entry.due, now)) {
                 return;
             }
             self.give_up_hopeless(key, now, out);
--- a/crates/decide/src/tier_queue.rs
+++ b/crates/decide/src/tier_queue.rs
@@ -35,9 +35,17 @@
     Ahead(u64),
 }
 
+/// What the order by deadline needs to take a ticket out of its lane.
+#[derive(Debug, Clone, Copy)]
+struct LaneTicket {
+    customer: CustomerId,
+    work: u32,
+}
+
 #[derive(Debug)]
 struct CustomerLane {
     tickets: BTreeSet<(QueueTime, TicketKey)>,
+    work: u64,
     tag: u64,
     weight: f64,
     place: LanePlace,
@@ -52,7 +60,7 @@
     lanes: FastMap<CustomerId, CustomerLane>,
     eligible: BTreeSet<(QueueTime, CustomerId)>,
     ahead: BTreeSet<(u64, CustomerId)>,
-    by_due: BTreeMap<(QueueTime, TicketKey), CustomerId>,
+    by_due: BTreeMap<(QueueTime, TicketKey), LaneTicket>,
     late: BTreeSet<(QueueTime, TicketKey)>,
     by_age: BTreeSet<(QueueTime, TicketKey)>,
     by_class: BTreeMap<ClassId, BTreeSet<(QueueTime, TicketKey)>>,
@@ -62,9 +70,9 @@
 
 impl TierQueue {
     /// Opens an empty queue; `window` is in units of work at weight 1.
-    pub(crate) fn open(window: u32) -> Self {
+    pub(crate) fn open(window: f64) -> Self {
         Self {
-            window: (f64::from(window) * TAG_SCALE) as u64,
+            window: (window * TAG_SCALE) as u64,
             virtual_time: 0,
             active_weight: 0.0,
             lanes: FastMap::default(),
@@ -79,6 +87,11 @@
         }
     }
 
+    /// Sets the window.
+    pub(crate) fn set_window(&mut self, window: f64) {
+        self.window = (window * TAG_SCALE) as u64;
+    }
+
     /// Returns how many tickets wait.
     pub(crate) fn len(&self) -> usize {
         self.by_age.len()
@@ -94,6 +107,19 @@
         self.work
     }
 
+    /// Returns the work that goes before a new ticket of a customer.
+    ///
+    /// It is that of the whole tier, or, for a customer whose tickets are less than its share, what
+    /// the tier does while the customer's own tickets are served. So one customer's flood does not
+    /// make another's tickets look hopeless.
+    pub(crate) fn work_before(&self, customer: CustomerId) -> u64 {
+        let Some(lane) = self.lanes.get(&customer) else {
+            return 0;
+        };
+        let others = self.active_weight / lane.weight;
+        self.work.min((lane.work as f64 * others) as u64)
+    }
+
     /// Returns the classes that have tickets here.
     pub(crate) fn classes(&self) -> impl Iterator<Item = ClassId> + '_ {
         self.by_class.keys().copied()
@@ -163,8 +189,8 @@
             return;
         }
         let due = (entry.due, entry.key);
-        if self.by_due.remove(&due).is_some() {
-            self.leave_lane(entry.ticket.customer, due);
+        if let Some(ticket) = self.by_due.remove(&due) {
+            self.leave_lane(ticket, due);
         }
     }
 
@@ -179,12 +205,12 @@
         late_before: QueueTime,
         arrived: impl Fn(TicketKey) -> QueueTime,
     ) {
-        while let Some((&due, &customer)) = self.by_due.first_key_value() {
+        while let Some((&due, &ticket)) = self.by_due.first_key_value() {
             if due.0 >= late_before {
                 return;
             }
             self.by_due.pop_first();
-            self.leave_lane(customer, due);
+            self.leave_lane(ticket, due);
             self.late.insert((arrived(due.1), due.1));
         }
     }
@@ -261,6 +287,7 @@
         let virtual_time = self.virtual_time;
         let lane = self.lanes.entry(customer).or_insert_with(|| CustomerLane {
             tickets: BTreeSet::new(),
+            work: 0,
             tag: virtual_time,
             weight: weight.max(WEIGHT_FLOOR),
             place: LanePlace::Idle,
@@ -270,14 +297,17 @@
             LanePlace::Eligible(_) | LanePlace::Ahead(_) => lane.tag,
         };
         lane.tickets.insert(due);
-        self.by_due.insert(due, customer);
+        lane.work += u64::from(entry.work);
+        let work = entry.work;
+        self.by_due.insert(due, LaneTicket { customer, work });
         self.settle(customer);
     }
 
-    fn leave_lane(&mut self, customer: CustomerId, due: (QueueTime, TicketKey)) {
-        if let Some(lane) = self.lanes.get_mut(&customer) {
+    fn leave_lane(&mut self, ticket: LaneTicket, due: (QueueTime, TicketKey)) {
+        if let Some(lane) = self.lanes.get_mut(&ticket.customer) {
             lane.tickets.remove(&due);
-            self.settle(customer);
+            lane.work -= u64::from(ticket.work);
+            self.settle(ticket.customer);
         }
     }
 
--- a/crates/decide/src/tiered.rs
+++ b/crates/decide/src/tiered.rs
@@ -50,7 +50,7 @@
     /// Opens an empty pool.
     pub fn open(config: PoolConfig) -> Self {
         Self {
-            queue: PoolQueue::open(config.fairness_window),
+            queue: PoolQueue::open(),
             grants: GrantTable::default(),
             backends: BackendSet::open(config.report_stale),
             ledger: ShareLedger::open(),
@@ -280,6 +280,10 @@
         }
         self.backends.tick(now);
         self.queue.sweep();
+        if let Some(capacity) = self.backends.capacity() {
+            let window = capacity * self.config.fairness_window.as_secs_f64();
+            self.queue.set_window(window);
+        }
         self.settle(now, out);
     }
 
--- a/crates/decide/tests/behaviour.rs
+++ b/crates/decide/tests/behaviour.rs
@@ -181,6 +181,27 @@
     assert!((280..=320).contains(&counts[1]), "{counts:?}");
 }
 
+#[test]
+fn a_flood_of_one_customer_leaves_another_its_place() {
+    let mut fixture = Fixture::open(&[backend(1, 1)]);
+    fixture.learn(0, 40);
+    fixture.pass(60_000);
+    fixture.offers(100..140, 1);
+    fixture.pass(20);
+    fixture.pass(600);
+    fixture.text();
+    fixture.offers(140..160, 1);
+    let mut other = ticket(160, 1);
+    other.customer = CustomerId(1);
+    fixture.offer(other);
+    let shed = fixture.text();
+    assert!(shed.contains("shed 159 Hopeless"), "{shed}");
+    assert!(!shed.contains("shed 160"), "{shed}");
+    fixture.release(100, 1, EndKind::Finished);
+    fixture.release(101, 1, EndKind::Finished);
+    assert!(fixture.text().contains("grant 160 on 1"));
+}
+
 #[test]
 fn a_failing_backend_server_is_ejected_probed_and_returned_slowly() {
     let mut fixture = Fixture::open(&[backend(0, 4), backend(1, 4)]);
