Reserve slots for light higher tiers in small pools

Trunk reservation keeps up to a tenth of the slots from lower tiers where that lowers the chance of a miss under its bound, and the minimum share no longer overtakes a tier that is light enough to empty its queue anyway.

--- a/crates/decide/src/backend_set.rs
+++ b/crates/decide/src/backend_set.rs
@@ -124,9 +124,14 @@
         self.states.values().any(BackendState::is_usable)
     }
 
-    /// Returns whether any slot is free.
-    pub(crate) fn has_free(&self, now: MonoTime) -> bool {
-        self.states.values().any(|state| state.free(now) > 0)
+    /// Returns how many slots are free.
+    pub(crate) fn free(&self, now: MonoTime) -> u32 {
+        self.states.values().map(|state| state.free(now)).sum()
+    }
+
+    /// Returns how many slots may be in use at once.
+    pub(crate) fn ceiling(&self, now: MonoTime) -> u32 {
+        self.states.values().map(|state| state.ceiling(now)).sum()
     }
 
     /// Returns the work that the pool does in a second with all slots in use, once it is known.
--- a/crates/decide/src/dispatch.rs
+++ b/crates/decide/src/dispatch.rs
@@ -1,7 +1,8 @@
 //! The order of dispatch.
 //!
 //! While a slot is free, the next ticket is that of the highest tier, in the order of its
-//! [`TierQueue`](crate::tier_queue::TierQueue). A ticket that no free slot can serve, because of
+//! [`TierQueue`](crate::tier_queue::TierQueue). A few slots may be kept free for higher tiers, see
+//! [`SlotReserve`](crate::slot_reserve::SlotReserve). A ticket that no free slot can serve, because of
 //! its adapter or the backend server that it avoids, is set aside until the round ends.
 //!
 //! The exception is the minimum share. A class with credit in the
@@ -9,7 +10,9 @@
 //! - every ticket of the higher tiers can still be served before the first of them loses its
 //!   patience, with one more grant in between, and
 //! - no higher tier lost a ticket to a full queue or as hopeless a short time ago, or the class
-//!   has had no grant for the configured span.
+//!   has had no grant for the configured span, and
+//! - no ticket waits in a higher tier that is light, so that its queue will be empty soon anyway,
+//!   or the class has had no grant for that span.
 
 use oleander_base::prelude::*;
 
@@ -29,19 +32,34 @@
 impl TieredPool {
     /// Grants free slots until none is left or no ticket can use one.
     pub(crate) fn dispatch(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
-        while !self.queue.is_empty()
-            && self.queue.parked().len() < PARKED_BOUND
-            && self.backends.has_free(now)
-        {
-            let by_share = self.pick_by_share(now);
+        let mut is_saturated = false;
+        while !self.queue.is_empty() && self.queue.parked().len() < PARKED_BOUND {
+            let free = self.backends.free(now);
+            let by_share = if free > 0 {
+                self.pick_by_share(now)
+            } else {
+                None
+            };
             let late_before = self.late_before(now);
             let Some(key) = by_share.or_else(|| self.queue.pick(late_before)) else {
                 break;
             };
+            is_saturated = free <= self.reserved_before(key);
+            if is_saturated {
+                break;
+            }
             self.dispatch_one(key, by_share.is_some(), now, out);
         }
         self.queue.unpark();
-        self.note_saturation(now);
+        self.note_saturation(is_saturated, now);
+    }
+
+    /// Returns how many free slots a ticket must leave to higher tiers.
+    fn reserved_before(&self, key: TicketKey) -> u32 {
+        let entry = self.queue.get(key);
+        entry.map_or(0, |entry| {
+            self.reserve.get(Self::tier_index(entry.ticket.tier))
+        })
     }
 
     fn dispatch_one(
@@ -96,6 +114,10 @@
         if !starved && shed.iter().flatten().any(is_recent) {
             return false;
         }
+        let mut higher = self.queue.tiers().take_while(|(t, _)| t.is_above(tier));
+        if !starved && higher.any(|(t, _)| self.reserve.is_light(Self::tier_index(t))) {
+            return false;
+        }
         self.leaves_patience(entry, now)
     }
 
@@ -106,8 +128,7 @@
             return true;
         };
         let mut work = f64::from(entry.work);
-        for (higher, queue) in self.queue.tiers().take_while(|(t, _)| t.is_above(tier)) {
-            debug_assert!(higher.is_above(tier));
+        for (_, queue) in self.queue.tiers().take_while(|(t, _)| t.is_above(tier)) {
             work += queue.work() as f64;
             let needed = PATIENCE_MARGIN * work / capacity.max(1.0);
             let left = queue.first_expiry().map(|(expires, _)| expires.after(now));
@@ -118,8 +139,8 @@
         true
     }
 
-    fn note_saturation(&mut self, now: MonoTime) {
-        if self.queue.is_empty() || self.backends.has_free(now) {
+    fn note_saturation(&mut self, is_saturated: bool, now: MonoTime) {
+        if !is_saturated {
             self.saturated = None;
         } else if self.saturated.is_none() {
             self.saturated = Some(now);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -34,6 +34,7 @@
 mod share_ledger;
 mod shed;
 mod slot_limit;
+mod slot_reserve;
 mod speed;
 mod spill;
 mod summary;
--- a/crates/decide/src/tiered.rs
+++ b/crates/decide/src/tiered.rs
@@ -22,6 +22,7 @@
 use crate::pool_queue::PoolQueue;
 use crate::queue_time::QueueTime;
 use crate::share_ledger::ShareLedger;
+use crate::slot_reserve::{PoolSupply, SlotReserve, TierDemand};
 use crate::summary::PoolSummary;
 use crate::verify::VerifyError;
 use crate::views::{BackendView, ClassView, CustomerView, HeldGrant, ProgressNotice};
@@ -40,6 +41,9 @@
     pub(crate) lengths: LengthEstimator,
     pub(crate) classes: FastMap<ClassId, ClassView>,
     pub(crate) arrivals: [RateMeter; Tier::COUNT],
+    releases: RateMeter,
+    targets: [Span; Tier::COUNT],
+    pub(crate) reserve: SlotReserve,
     pub(crate) last_shed: [Option<MonoTime>; Tier::COUNT],
     pub(crate) saturated: Option<MonoTime>,
     pub(crate) without_backend: Option<MonoTime>,
@@ -57,6 +61,9 @@
             lengths: LengthEstimator::open(),
             classes: FastMap::default(),
             arrivals: [RateMeter::open(ARRIVAL_WINDOW); Tier::COUNT],
+            releases: RateMeter::open(ARRIVAL_WINDOW),
+            targets: [Span(u64::MAX); Tier::COUNT],
+            reserve: SlotReserve::default(),
             last_shed: [None; Tier::COUNT],
             saturated: None,
             without_backend: None,
@@ -115,6 +122,26 @@
         }
     }
 
+    /// Adapts the slots that lower tiers leave free.
+    fn update_reserve(&mut self, now: MonoTime) {
+        let Some(capacity) = self.backends.capacity() else {
+            return;
+        };
+        let first = self.backends.usual_first();
+        let mut demands = [TierDemand::default(); Tier::COUNT];
+        for (index, demand) in demands.iter_mut().enumerate() {
+            let slack = self.targets[index].saturating_sub(first);
+            demand.slack = slack.as_secs_f64();
+            demand.work_rate = self.arrivals[index].rate(now);
+        }
+        let supply = PoolSupply {
+            capacity,
+            release_rate: self.releases.rate(now),
+            slots: self.backends.ceiling(now),
+        };
+        self.reserve.update(&demands, &supply);
+    }
+
     /// Counts a ticket out of the queue.
     pub(crate) fn unqueue(&mut self, request: RequestId, now: MonoTime) -> bool {
         let Some(key) = self.queue.find(request) else {
@@ -176,7 +203,9 @@
         }
         self.latest = self.latest.max(now);
         let work = self.work(&ticket);
-        self.arrivals[Self::tier_index(ticket.tier)].add(f64::from(work), now);
+        let index = Self::tier_index(ticket.tier);
+        self.arrivals[index].add(f64::from(work), now);
+        self.targets[index] = self.targets[index].min(ticket.target);
         if self.admit(&ticket, from, now, out) {
             self.ledger.queued(ticket.class, now);
             self.queue.insert(ticket, from, work, now);
@@ -196,6 +225,7 @@
         let Some(entry) = self.grants.remove(release.request) else {
             return;
         };
+        self.releases.add(1.0, now);
         self.free_slot(&entry, now);
         self.learn(&entry, release, now);
         self.settle(now, out);
@@ -280,6 +310,7 @@
         }
         self.backends.tick(now);
         self.queue.sweep();
+        self.update_reserve(now);
         if let Some(capacity) = self.backends.capacity() {
             let window = capacity * self.config.fairness_window.as_secs_f64();
             self.queue.set_window(window);
