--- a/crates/decide/examples/policies.rs
+++ b/crates/decide/examples/policies.rs
@@ -1,9 +1,9 @@
 //! Compares the policies on a fake pool in virtual time, on the same seeded arrivals.
 //!
-//! Usage: `cargo run --release -p oleander-decide --example policies -- [SEED [SCENARIO]]`, where
-//! SCENARIO is `steady`, `burst`, `slow`, `crash` or `uneven`. The fake batches continuously: each of `n`
-//! running answers gets a token after a step that grows with `n`, and the first token follows a
-//! prefill. It has one pool of 24 engines of speeds 1 to 4 and no network but a fixed delay.
+//! Usage: `cargo run --release -p oleander-decide --example policies -- [SEED [SCENARIO [ENGINES
+//! [SLOTS]]]]`, where SCENARIO is `steady`, `burst`, `slow`, `crash` or `uneven`. The fake batches
+//! continuously: each of `n` running answers gets a token after a step that grows with `n`, and the
+//! first token follows a prefill. It has one pool of engines of speeds 1 to 4 and no network.
 
 use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -23,7 +23,6 @@
 const WARMUP: Span = Span::from_secs(10);
 const FAULT: (u64, u64) = (40_000_000, 70_000_000);
 const REPORT_LAG: Span = Span::from_secs(2);
-const SLOTS: u32 = 16;
 const STEP_SECONDS: f64 = 0.02;
 const PREFILL_SECONDS: f64 = 0.15;
 const WINDOW: Span = Span::from_secs(30);
@@ -74,6 +73,27 @@
     Uneven,
 }
 
+#[derive(Clone, Copy)]
+struct Site {
+    engines: u32,
+    slots: u32,
+    scenario: Scenario,
+}
+
+impl Site {
+    fn capacity(self) -> f64 {
+        let speeds = (0..self.engines).map(|index| speed(index as usize));
+        speeds.sum::<f64>() * f64::from(self.slots)
+    }
+
+    /// The requests of other senders at an engine, which take part of its batch.
+    fn background(self, index: usize, now: MonoTime) -> usize {
+        let phase = (now.0 / 15_000_000) as usize;
+        let busy = self.scenario == Scenario::Uneven && (index + phase).is_multiple_of(3);
+        if busy { self.slots as usize / 2 } else { 0 }
+    }
+}
+
 struct Arrival {
     at: MonoTime,
     class: usize,
@@ -116,25 +136,15 @@
     1.0 + 3.0 * (index % 4) as f64 / 3.0
 }
 
-/// The requests of other senders at an engine, which take part of its batch.
-fn background(scenario: Scenario, index: usize, now: MonoTime) -> usize {
-    let phase = (now.0 / 15_000_000) as usize;
-    let busy = scenario == Scenario::Uneven && (index + phase).is_multiple_of(3);
-    if busy { 8 } else { 0 }
-}
-
-fn capacity() -> f64 {
-    (0..24).map(|index| speed(index) * f64::from(SLOTS)).sum()
-}
-
-fn arrivals(demand: f64, scenario: Scenario, seed: u64) -> Vec<Arrival> {
+fn arrivals(demand: f64, site: Site, seed: u64) -> Vec<Arrival> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut list = Vec::new();
     for (index, class) in CLASSES.iter().enumerate() {
-        let rate = demand * class.part * capacity() / slot_seconds(class.tokens);
+        let rate = demand * class.part * site.capacity() / slot_seconds(class.tokens);
         let mut at = 0.0;
         while at < LENGTH.as_secs_f64() {
-            let burst = scenario == Scenario::Burst && index == 2 && (40.0..50.0).contains(&at);
+            let burst =
+                site.scenario == Scenario::Burst && index == 2 && (40.0..50.0).contains(&at);
             let rate = if burst { rate * 5.0 } else { rate };
             at -= rng.random::<f64>().max(1e-12).ln() / rate;
             let tokens = -class.tokens * rng.random::<f64>().max(1e-12).ln();
@@ -151,7 +161,7 @@
 }
 
 struct Bench {
-    scenario: Scenario,
+    site: Site,
     policy: Box<dyn PoolPolicy>,
     arrivals: Vec<Arrival>,
     engines: Vec<Engine>,
@@ -161,7 +171,7 @@
 }
 
 impl Bench {
-    fn open(kind: PolicyKind, demand: f64, scenario: Scenario, seed: u64) -> Self {
+    fn open(kind: PolicyKind, demand: f64, site: Site, seed: u64) -> Self {
         let pool = PoolId {
             centre: CentreId(1),
             model: ModelId(1),
@@ -172,10 +182,10 @@
             reports: VecDeque::new(),
         };
         let mut bench = Self {
-            scenario,
+            site,
             policy: open(kind, PoolConfig::engines(pool)),
-            arrivals: arrivals(demand, scenario, seed),
-            engines: (0..24).map(engine).collect(),
+            arrivals: arrivals(demand, site, seed),
+            engines: (0..site.engines as usize).map(engine).collect(),
             tallies: vec![Tally::default(); CLASSES.len()],
             decisions: Vec::new(),
             home: InstanceId {
@@ -188,10 +198,10 @@
     }
 
     fn set_records(&mut self) {
-        let backends: Vec<BackendView> = (0..24)
+        let backends: Vec<BackendView> = (0..self.site.engines)
             .map(|index| BackendView {
                 backend: BackendId(index),
-                slots: SLOTS,
+                slots: self.site.slots,
                 speed: speed(index as usize),
                 leaving: false,
                 reachable: true,
@@ -297,7 +307,7 @@
 
     fn report(&mut self, now: MonoTime) {
         for (index, engine) in self.engines.iter_mut().enumerate() {
-            let total = engine.running.len() + background(self.scenario, index, now);
+            let total = engine.running.len() + self.site.background(index, now);
             engine.reports.push_back((now, total as u32));
             let Some(&(taken, running)) = engine.reports.front() else {
                 continue;
@@ -310,7 +320,7 @@
                 age: now.since(taken),
                 running,
                 waiting: 0,
-                batch_limit: SLOTS,
+                batch_limit: self.site.slots,
                 tokens_per_second: 0.0,
                 cache_used: 0.0,
                 role: EngineRole::Full,
@@ -324,22 +334,23 @@
     }
 
     fn advance(&mut self, now: MonoTime) {
+        let slots = self.site.slots as usize;
         let is_fault = (FAULT.0..FAULT.1).contains(&now.0);
         let mut ended = Vec::new();
         for (index, engine) in self.engines.iter_mut().enumerate() {
             let faulty = is_fault && index == 3;
-            let crashed = faulty && self.scenario == Scenario::Crash;
-            let slow = faulty && self.scenario == Scenario::Slow;
+            let crashed = faulty && self.site.scenario == Scenario::Crash;
+            let slow = faulty && self.site.scenario == Scenario::Slow;
             let speed = if slow {
                 engine.speed / 10.0
             } else {
                 engine.speed
             };
-            let background = background(self.scenario, index, now);
-            let batch = (engine.running.len() + background).min(SLOTS as usize);
-            let load = batch as f64 / f64::from(SLOTS);
+            let background = self.site.background(index, now);
+            let batch = (engine.running.len() + background).min(slots);
+            let load = batch as f64 / slots as f64;
             let step = STEP_SECONDS * (1.0 + 0.5 * load) / speed;
-            let batch = SLOTS as usize - background;
+            let batch = slots - background;
             for running in engine.running.iter_mut().take(batch) {
                 let mut left = STEP.as_secs_f64();
                 let prefill = running.prefill.min(left * speed);
@@ -410,7 +421,7 @@
 
     fn print(&self, kind: PolicyKind, demand: f64) {
         let measured = (LENGTH.saturating_sub(WARMUP)).as_secs_f64();
-        let able = capacity() * measured * demand.min(1.0);
+        let able = self.site.capacity() * measured * demand.min(1.0);
         let sum = |f: fn(&Tally) -> f64| self.tallies.iter().map(f).sum::<f64>();
         let in_time = sum(|t| t.work_in_time);
         let late = sum(|t| t.work_late);
@@ -450,12 +461,18 @@
         Some("uneven") => Scenario::Uneven,
         _ => Scenario::Steady,
     };
+    let mut number = |usual| args.next().and_then(|t| t.parse().ok()).unwrap_or(usual);
+    let site = Site {
+        engines: number(24),
+        slots: number(16),
+        scenario,
+    };
     println!(
         "policy     demand | attain in-time  done waste | by class (least: fewest answers in 30 s)"
     );
     for demand in [0.7, 1.0, 1.5] {
         for kind in PolicyKind::ALL {
-            let mut bench = Bench::open(kind, demand, scenario, seed);
+            let mut bench = Bench::open(kind, demand, site, seed);
             bench.run();
             bench.print(kind, demand);
         }
--- a/crates/decide/src/shed.rs
+++ b/crates/decide/src/shed.rs
@@ -4,7 +4,9 @@
 //! - A pool that has been saturated for a while gives up tickets that will miss their target, and
 //!   only those of the lowest tier that is queued: the late ones, and those whose turn is expected
 //!   to come too late. Callers so get their final answer early, and slots go to tickets that can
-//!   still be served in time. A class that has had no grant for long is spared.
+//!   still be served in time. A class that has had no grant for long is spared, and so are late
+//!   tickets of a tier that loads the pool, together with those above it, by less than its
+//!   capacity: its queue is about to be served, late but whole.
 //! - A ticket whose patience has ended is given up, whatever its tier.
 //! - A pool without any backend server gives all tickets up after a grace time, the lowest first.
 
@@ -25,6 +27,9 @@
 /// scatter and a ticket given up wrongly cannot be taken back.
 const WAIT_TOLERANCE: f64 = 2.0;
 
+/// The load from which a tier, with those above it, counts as more than the pool can do.
+const OUTGROWN_LOAD: f64 = 0.95;
+
 /// The least share of the pool that a tier is expected to get.
 const TIER_SHARE_FLOOR: f64 = 0.02;
 
@@ -113,21 +118,34 @@
 
     /// Returns whether a new ticket will miss its target in a saturated pool.
     fn is_hopeless(&self, ticket: &Ticket, now: MonoTime) -> bool {
-        let due = QueueTime::before(now, ticket.waited).plus(ticket.target);
         self.is_overloaded(now)
             && self.queue.lowest() <= Some(ticket.tier)
             && !self.is_spared(ticket.class, now)
-            && self.is_turn_too_late(ticket, due, now)
+            && self.is_turn_too_late(ticket, QueueTime::before(now, ticket.waited), now)
     }
 
-    /// Returns whether a ticket at the end of its customer's queue is expected to miss its deadline.
-    fn is_turn_too_late(&self, ticket: &Ticket, due: QueueTime, now: MonoTime) -> bool {
-        let left = due.after(now).saturating_sub(self.backends.usual_first());
+    /// Returns whether a ticket at the end of its customer's queue comes to its turn too late.
+    fn is_turn_too_late(&self, ticket: &Ticket, arrived: QueueTime, now: MonoTime) -> bool {
+        let bound = if self.is_outgrown(ticket.tier, now) {
+            ticket.target
+        } else {
+            ticket.patience
+        };
+        let left = arrived.plus(bound).after(now);
+        let left = left.saturating_sub(self.backends.usual_first());
         let wait = self.customer_wait(ticket.tier, ticket.customer, now);
         let wait = wait.unwrap_or(Span::ZERO);
         wait.as_secs_f64() > left.as_secs_f64() * WAIT_TOLERANCE
     }
 
+    /// Returns whether the tiers down to this one ask for more than the pool can do.
+    fn is_outgrown(&self, tier: Tier, now: MonoTime) -> bool {
+        let tiers = &self.arrivals[..=Self::tier_index(tier)];
+        let arriving: f64 = tiers.iter().map(|meter| meter.rate(now)).sum();
+        let capacity = self.backends.capacity();
+        capacity.is_some_and(|capacity| arriving >= capacity * OUTGROWN_LOAD)
+    }
+
     fn is_overloaded(&self, now: MonoTime) -> bool {
         self.saturated
             .is_some_and(|since| now.since(since) >= self.config.overload_span)
@@ -162,12 +180,14 @@
         };
         let late: Vec<TicketKey> = queue.late().take(HOPELESS_BOUND).collect();
         let last: Vec<TicketKey> = queue.latest_due().take(HOPELESS_BOUND).collect();
-        for key in late {
+        let is_outgrown = self.is_outgrown(tier, now);
+        for key in late.into_iter().filter(|_| is_outgrown) {
             self.give_up_hopeless(key, now, out);
         }
         for key in last {
             let entry = self.queue.get(key);
-            if !entry.is_some_and(|entry| self.is_turn_too_late(&entry.ticket, entry.due, now)) {
+            let is_late = |e: &QueuedTicket| self.is_turn_too_late(&e.ticket, e.arrived, now);
+            if !entry.is_some_and(is_late) {
                 return;
             }
             self.give_up_hopeless(key, now, out);
--- a/crates/decide/src/slot_reserve.rs
+++ b/crates/decide/src/slot_reserve.rs
@@ -14,7 +14,7 @@
 use oleander_base::prelude::*;
 
 /// The bound on the chance that a ticket misses its target for want of a free slot.
-const MISS_CHANCE: f64 = 0.008;
+const MISS_CHANCE: f64 = 0.004;
 
 /// The load from which no slots are reserved for a tier.
 const LOAD_LIMIT: f64 = 0.75;
