Give up late tickets of an outgrown tier, after all lower ones

Now the lower tiers go first, then the late ones, unless a lower class is starved; a pool that can serve the tier keeps its late tickets.

--- a/crates/decide/src/shed.rs
+++ b/crates/decide/src/shed.rs
@@ -7,6 +7,9 @@
 //!   still be served in time. A class that has had no grant for long is spared, and so are late
 //!   tickets of a tier that loads the pool, together with those above it, by less than its
 //!   capacity: its queue is about to be served, late but whole.
+//! - A tier that asks, with those above it, for more than the pool can do gives its late tickets
+//!   up, after all tickets of lower tiers, which could get no more than their minimum share.
+//!   Otherwise the late ones, which go before lower tiers, would take slots for nothing.
 //! - A ticket whose patience has ended is given up, whatever its tier.
 //! - A pool without any backend server gives all tickets up after a grace time, the lowest first.
 
@@ -168,11 +171,46 @@
         {
             self.shed_hopeless_of(lowest, now, out);
             if self.queue.lowest() == Some(lowest) {
+                self.shed_below_outgrown(lowest, now, out);
                 return;
             }
         }
     }
 
+    /// Gives up the tiers below one that asks for more than the pool can do and has late tickets,
+    /// and then those late ones.
+    fn shed_below_outgrown(&mut self, lowest: Tier, now: MonoTime, out: &mut Vec<Decision>) {
+        let late_before = self.late_before(now);
+        let tiers: Vec<Tier> = self.queue.tiers().map(|(tier, _)| tier).collect();
+        for tier in tiers.into_iter().filter(|tier| tier.is_above(lowest)) {
+            self.queue.age_out(tier, late_before);
+            let late = self.queue.tier(tier).and_then(|queue| queue.late().next());
+            if late.is_none() || !self.is_outgrown(tier, now) {
+                continue;
+            }
+            if self.is_any_starved_below(tier, now) {
+                return;
+            }
+            while let Some(lower) = self.queue.lowest().filter(|lower| tier.is_above(*lower)) {
+                let Some(key) = self.queue.tier(lower).and_then(TierQueue::newest) else {
+                    return;
+                };
+                self.give_up(key, ShedReason::Hopeless, now, out);
+            }
+            self.shed_hopeless_of(tier, now, out);
+            return;
+        }
+    }
+
+    fn is_any_starved_below(&self, tier: Tier, now: MonoTime) -> bool {
+        let lower = self.queue.tiers().filter(|(t, _)| tier.is_above(*t));
+        let mut classes = lower.flat_map(|(_, queue)| queue.classes());
+        classes.any(|class| {
+            let account = self.ledger.get(class);
+            account.is_some_and(|account| account.is_starved(self.config.progress_span, now))
+        })
+    }
+
     fn shed_hopeless_of(&mut self, tier: Tier, now: MonoTime, out: &mut Vec<Decision>) {
         self.queue.age_out(tier, self.late_before(now));
         let Some(queue) = self.queue.tier(tier) else {
