--- a/crates/decide/examples/policies.rs
+++ b/crates/decide/examples/policies.rs
@@ -1,8 +1,10 @@
 //! Compares the policies on a fake pool in virtual time, on the same seeded arrivals.
 //!
 //! Usage: `cargo run --release -p oleander-decide --example policies -- [SEED [SCENARIO [ENGINES
-//! [SLOTS]]]]`, where SCENARIO is `steady`, `burst`, `slow`, `crash` or `uneven`. The fake batches
-//! continuously: each of `n` running answers gets a token after a step that grows with `n`, and the
+//! [SLOTS [SHARING]]]]]`, where SCENARIO is `steady`, `burst`, `slow`, `crash` or `uneven`, and
+//! SHARING is how 8 entry VMs share the pool: `one` dispatcher with the one queue, each `alone` by
+//! the load that engines report, or the slots `split` evenly. `broken` counts tickets that were
+//! shed while another entry VM had a lower tier queued. The fake batches continuously: each of `n` running answers gets a token after a step that grows with `n`, and the
 //! first token follows a prefill. It has one pool of engines of speeds 1 to 4 and no network.
 
 use std::collections::VecDeque;
@@ -18,6 +20,7 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
+const ENTRY_VMS: u32 = 8;
 const STEP: Span = Span::from_millis(5);
 const LENGTH: Span = Span::from_secs(120);
 const WARMUP: Span = Span::from_secs(10);
@@ -73,8 +76,16 @@
     Uneven,
 }
 
+#[derive(Clone, Copy, PartialEq)]
+enum Sharing {
+    One,
+    Alone,
+    Split,
+}
+
 #[derive(Clone, Copy)]
 struct Site {
+    sharing: Sharing,
     engines: u32,
     slots: u32,
     scenario: Scenario,
@@ -86,6 +97,23 @@
         speeds.sum::<f64>() * f64::from(self.slots)
     }
 
+    fn dispatchers(self) -> usize {
+        match self.sharing {
+            Sharing::One => 1,
+            Sharing::Alone | Sharing::Split => ENTRY_VMS as usize,
+        }
+    }
+
+    /// The slots of an engine that each dispatcher may use.
+    ///
+    /// Where they are split, reports would count the other dispatchers' slots twice.
+    fn own_slots(self) -> u32 {
+        match self.sharing {
+            Sharing::One | Sharing::Alone => self.slots,
+            Sharing::Split => (self.slots / ENTRY_VMS).max(1),
+        }
+    }
+
     /// The requests of other senders at an engine, which take part of its batch.
     fn background(self, index: usize, now: MonoTime) -> usize {
         let phase = (now.0 / 15_000_000) as usize;
@@ -162,7 +190,8 @@
 
 struct Bench {
     site: Site,
-    policy: Box<dyn PoolPolicy>,
+    policies: Vec<Box<dyn PoolPolicy>>,
+    broken: u32,
     arrivals: Vec<Arrival>,
     engines: Vec<Engine>,
     tallies: Vec<Tally>,
@@ -183,7 +212,10 @@
         };
         let mut bench = Self {
             site,
-            policy: open(kind, PoolConfig::engines(pool)),
+            policies: (0..site.dispatchers())
+                .map(|_| open(kind, PoolConfig::engines(pool)))
+                .collect(),
+            broken: 0,
             arrivals: arrivals(demand, site, seed),
             engines: (0..site.engines as usize).map(engine).collect(),
             tallies: vec![Tally::default(); CLASSES.len()],
@@ -201,7 +233,7 @@
         let backends: Vec<BackendView> = (0..self.site.engines)
             .map(|index| BackendView {
                 backend: BackendId(index),
-                slots: self.site.slots,
+                slots: self.site.own_slots(),
                 speed: speed(index as usize),
                 leaving: false,
                 reachable: true,
@@ -222,10 +254,10 @@
             })
             .collect();
         let now = MonoTime(0);
-        self.policy
-            .set_classes(&classes, &customers, now, &mut self.decisions);
-        self.policy
-            .set_backends(&backends, now, &mut self.decisions);
+        for policy in &mut self.policies {
+            policy.set_classes(&classes, &customers, now, &mut self.decisions);
+            policy.set_backends(&backends, now, &mut self.decisions);
+        }
     }
 
     fn run(&mut self) {
@@ -238,9 +270,11 @@
                 next += 1;
             }
             if now.0.is_multiple_of(20_000) {
-                self.policy.tick(now, &mut self.decisions);
+                for policy in &mut self.policies {
+                    policy.tick(now, &mut self.decisions);
+                }
             }
-            if now.0.is_multiple_of(1_000_000) {
+            if now.0.is_multiple_of(1_000_000) && self.site.sharing != Sharing::Split {
                 self.report(now);
             }
             self.apply(now);
@@ -277,8 +311,25 @@
         if arrival.at.0 > WARMUP.0 {
             self.tallies[arrival.class].offered += 1;
         }
-        self.policy
-            .offer(ticket, self.home, now, &mut self.decisions);
+        let dispatcher = self.dispatcher(index);
+        let home = self.home;
+        self.policies[dispatcher].offer(ticket, home, now, &mut self.decisions);
+    }
+
+    fn dispatcher(&self, index: usize) -> usize {
+        index % self.policies.len()
+    }
+
+    /// Counts a shed ticket, and whether another dispatcher has a lower tier queued.
+    fn count_shed(&mut self, index: usize, now: MonoTime) {
+        let own = self.dispatcher(index);
+        let class = self.arrivals[index].class;
+        let others = self.policies.iter().enumerate().filter(|(i, _)| *i != own);
+        let mut queued = others.flat_map(|(_, policy)| policy.summary(now).tiers);
+        self.broken += u32::from(queued.any(|tier| usize::from(tier.tier.0) > class));
+        if self.arrivals[index].at.0 > WARMUP.0 {
+            self.tallies[class].shed += 1;
+        }
     }
 
     fn apply(&mut self, now: MonoTime) {
@@ -296,10 +347,7 @@
                     self.engines[grant.backend.0 as usize].running.push(running);
                 }
                 DecisionNotice::Shed(shed) => {
-                    let arrival = &self.arrivals[shed.request.serial as usize];
-                    if arrival.at.0 > WARMUP.0 {
-                        self.tallies[arrival.class].shed += 1;
-                    }
+                    self.count_shed(shed.request.serial as usize, now);
                 }
             }
         }
@@ -328,8 +376,9 @@
                 leaving: false,
             };
             let backend = BackendId(index as u32);
-            self.policy
-                .report(backend, &report, now, &mut self.decisions);
+            for policy in &mut self.policies {
+                policy.report(backend, &report, now, &mut self.decisions);
+            }
         }
     }
 
@@ -364,7 +413,8 @@
                         backend: BackendId(index as u32),
                         first_token: (now + STEP).since(running.sent),
                     };
-                    self.policy.progress(&progress, now);
+                    let dispatcher = running.index % self.policies.len();
+                    self.policies[dispatcher].progress(&progress, now);
                 }
             }
             let arrivals = &self.arrivals;
@@ -416,7 +466,8 @@
             total,
             tokens,
         };
-        self.policy.release(&release, now, &mut self.decisions);
+        let dispatcher = self.dispatcher(running.index);
+        self.policies[dispatcher].release(&release, now, &mut self.decisions);
     }
 
     fn print(&self, kind: PolicyKind, demand: f64) {
@@ -447,7 +498,7 @@
                 least.copied().unwrap_or(0),
             );
         }
-        println!();
+        println!(" broken {}", self.broken);
     }
 }
 
@@ -462,9 +513,16 @@
         _ => Scenario::Steady,
     };
     let mut number = |usual| args.next().and_then(|t| t.parse().ok()).unwrap_or(usual);
+    let (engines, slots) = (number(24), number(16));
+    let sharing = match args.next().as_deref() {
+        Some("alone") => Sharing::Alone,
+        Some("split") => Sharing::Split,
+        _ => Sharing::One,
+    };
     let site = Site {
-        engines: number(24),
-        slots: number(16),
+        sharing,
+        engines,
+        slots,
         scenario,
     };
     println!(
