--- a/crates/decide/examples/policies.rs
+++ b/crates/decide/examples/policies.rs
@@ -1,9 +1,11 @@
 //! Compares the policies on a fake pool in virtual time, on the same seeded arrivals.
 //!
-//! Usage: `cargo run --release -p oleander-decide --example policies -- [SEED [SCENARIO]]`, where
-//! SCENARIO is `steady`, `burst`, `slow` or `crash`. The fake batches continuously: each of `n`
-//! running answers gets a token after a step that grows with `n`, and the first token follows a
-//! prefill. It has one pool of 24 engines of speeds 1 to 4 and no network but a fixed delay.
+//! Usage: `cargo run --release -p oleander-decide --example policies -- [SEED [SCENARIO [ENGINES
+//! [SLOTS [SHARING]]]]]`, where SCENARIO is `steady`, `burst`, `slow`, `crash` or `uneven`, and
+//! SHARING is how 8 entry VMs share the pool: `one` dispatcher with the one queue, each `alone` by
+//! the load that engines report, or the slots `split` evenly. `broken` counts tickets that were
+//! shed while another entry VM had a lower tier queued. The fake batches continuously: each of `n` running answers gets a token after a step that grows with `n`, and the
+//! first token follows a prefill. It has one pool of engines of speeds 1 to 4 and no network.
 
 use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -12,18 +14,18 @@
 use oleander_base::{EndKind, EngineRole, LoadReport, ReleaseNotice};
 use oleander_decide::{
     BackendView, ClassView, CustomerView, Decision, DecisionNotice, PolicyKind, PoolConfig,
-    PoolPolicy, open,
+    PoolPolicy, ProgressNotice, open,
 };
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
+const ENTRY_VMS: u32 = 8;
 const STEP: Span = Span::from_millis(5);
 const LENGTH: Span = Span::from_secs(120);
 const WARMUP: Span = Span::from_secs(10);
 const FAULT: (u64, u64) = (40_000_000, 70_000_000);
 const REPORT_LAG: Span = Span::from_secs(2);
-const SLOTS: u32 = 16;
 const STEP_SECONDS: f64 = 0.02;
 const PREFILL_SECONDS: f64 = 0.15;
 const WINDOW: Span = Span::from_secs(30);
@@ -71,6 +73,53 @@
     Burst,
     Slow,
     Crash,
+    Uneven,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Sharing {
+    One,
+    Alone,
+    Split,
+}
+
+#[derive(Clone, Copy)]
+struct Site {
+    sharing: Sharing,
+    engines: u32,
+    slots: u32,
+    scenario: Scenario,
+}
+
+impl Site {
+    fn capacity(self) -> f64 {
+        let speeds = (0..self.engines).map(|index| speed(index as usize));
+        speeds.sum::<f64>() * f64::from(self.slots)
+    }
+
+    fn dispatchers(self) -> usize {
+        match self.sharing {
+            Sharing::One => 1,
+            Sharing::Alone | Sharing::Split => ENTRY_VMS as usize,
+        }
+    }
+
+    /// The slots of an engine that each dispatcher may use.
+    ///
+    /// Where they are split, reports would count the other dispatchers' slots twice.
+    fn own_slots(self) -> u32 {
+        match self.sharing {
+            Sharing::One | Sharing::Alone => self.slots,
+            Sharing::Split => (self.slots / ENTRY_VMS).max(1),
+        }
+    }
+
+    /// The requests of other senders at an engine, which take part of its batch.
+    fn background(self, index: usize, now: MonoTime) -> usize {
+        let phase = (now.0 / 15_000_000) as usize;
+        let busy = self.scenario == Scenario::Uneven && (index + phase).is_multiple_of(3);
+        if busy { self.slots as usize / 2 } else { 0 }
+    }
 }
 
 struct Arrival {
@@ -115,18 +164,15 @@
     1.0 + 3.0 * (index % 4) as f64 / 3.0
 }
 
-fn capacity() -> f64 {
-    (0..24).map(|index| speed(index) * f64::from(SLOTS)).sum()
-}
-
-fn arrivals(demand: f64, scenario: Scenario, seed: u64) -> Vec<Arrival> {
+fn arrivals(demand: f64, site: Site, seed: u64) -> Vec<Arrival> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut list = Vec::new();
     for (index, class) in CLASSES.iter().enumerate() {
-        let rate = demand * class.part * capacity() / slot_seconds(class.tokens);
+        let rate = demand * class.part * site.capacity() / slot_seconds(class.tokens);
         let mut at = 0.0;
         while at < LENGTH.as_secs_f64() {
-            let burst = scenario == Scenario::Burst && index == 2 && (40.0..50.0).contains(&at);
+            let burst =
+                site.scenario == Scenario::Burst && index == 2 && (40.0..50.0).contains(&at);
             let rate = if burst { rate * 5.0 } else { rate };
             at -= rng.random::<f64>().max(1e-12).ln() / rate;
             let tokens = -class.tokens * rng.random::<f64>().max(1e-12).ln();
@@ -143,8 +189,9 @@
 }
 
 struct Bench {
-    scenario: Scenario,
-    policy: Box<dyn PoolPolicy>,
+    site: Site,
+    policies: Vec<Box<dyn PoolPolicy>>,
+    broken: u32,
     arrivals: Vec<Arrival>,
     engines: Vec<Engine>,
     tallies: Vec<Tally>,
@@ -153,7 +200,7 @@
 }
 
 impl Bench {
-    fn open(kind: PolicyKind, demand: f64, scenario: Scenario, seed: u64) -> Self {
+    fn open(kind: PolicyKind, demand: f64, site: Site, seed: u64) -> Self {
         let pool = PoolId {
             centre: CentreId(1),
             model: ModelId(1),
@@ -164,10 +211,13 @@
             reports: VecDeque::new(),
         };
         let mut bench = Self {
-            scenario,
-            policy: open(kind, PoolConfig::engines(pool)),
-            arrivals: arrivals(demand, scenario, seed),
-            engines: (0..24).map(engine).collect(),
+            site,
+            policies: (0..site.dispatchers())
+                .map(|_| open(kind, PoolConfig::engines(pool)))
+                .collect(),
+            broken: 0,
+            arrivals: arrivals(demand, site, seed),
+            engines: (0..site.engines as usize).map(engine).collect(),
             tallies: vec![Tally::default(); CLASSES.len()],
             decisions: Vec::new(),
             home: InstanceId {
@@ -180,10 +230,10 @@
     }
 
     fn set_records(&mut self) {
-        let backends: Vec<BackendView> = (0..24)
+        let backends: Vec<BackendView> = (0..self.site.engines)
             .map(|index| BackendView {
                 backend: BackendId(index),
-                slots: SLOTS,
+                slots: self.site.own_slots(),
                 speed: speed(index as usize),
                 leaving: false,
                 reachable: true,
@@ -204,10 +254,10 @@
             })
             .collect();
         let now = MonoTime(0);
-        self.policy
-            .set_classes(&classes, &customers, now, &mut self.decisions);
-        self.policy
-            .set_backends(&backends, now, &mut self.decisions);
+        for policy in &mut self.policies {
+            policy.set_classes(&classes, &customers, now, &mut self.decisions);
+            policy.set_backends(&backends, now, &mut self.decisions);
+        }
     }
 
     fn run(&mut self) {
@@ -220,9 +270,11 @@
                 next += 1;
             }
             if now.0.is_multiple_of(20_000) {
-                self.policy.tick(now, &mut self.decisions);
+                for policy in &mut self.policies {
+                    policy.tick(now, &mut self.decisions);
+                }
             }
-            if now.0.is_multiple_of(1_000_000) {
+            if now.0.is_multiple_of(1_000_000) && self.site.sharing != Sharing::Split {
                 self.report(now);
             }
             self.apply(now);
@@ -259,8 +311,25 @@
         if arrival.at.0 > WARMUP.0 {
             self.tallies[arrival.class].offered += 1;
         }
-        self.policy
-            .offer(ticket, self.home, now, &mut self.decisions);
+        let dispatcher = self.dispatcher(index);
+        let home = self.home;
+        self.policies[dispatcher].offer(ticket, home, now, &mut self.decisions);
+    }
+
+    fn dispatcher(&self, index: usize) -> usize {
+        index % self.policies.len()
+    }
+
+    /// Counts a shed ticket, and whether another dispatcher has a lower tier queued.
+    fn count_shed(&mut self, index: usize, now: MonoTime) {
+        let own = self.dispatcher(index);
+        let class = self.arrivals[index].class;
+        let others = self.policies.iter().enumerate().filter(|(i, _)| *i != own);
+        let mut queued = others.flat_map(|(_, policy)| policy.summary(now).tiers);
+        self.broken += u32::from(queued.any(|tier| usize::from(tier.tier.0) > class));
+        if self.arrivals[index].at.0 > WARMUP.0 {
+            self.tallies[class].shed += 1;
+        }
     }
 
     fn apply(&mut self, now: MonoTime) {
@@ -278,10 +347,7 @@
                     self.engines[grant.backend.0 as usize].running.push(running);
                 }
                 DecisionNotice::Shed(shed) => {
-                    let arrival = &self.arrivals[shed.request.serial as usize];
-                    if arrival.at.0 > WARMUP.0 {
-                        self.tallies[arrival.class].shed += 1;
-                    }
+                    self.count_shed(shed.request.serial as usize, now);
                 }
             }
         }
@@ -289,7 +355,8 @@
 
     fn report(&mut self, now: MonoTime) {
         for (index, engine) in self.engines.iter_mut().enumerate() {
-            engine.reports.push_back((now, engine.running.len() as u32));
+            let total = engine.running.len() + self.site.background(index, now);
+            engine.reports.push_back((now, total as u32));
             let Some(&(taken, running)) = engine.reports.front() else {
                 continue;
             };
@@ -301,7 +368,7 @@
                 age: now.since(taken),
                 running,
                 waiting: 0,
-                batch_limit: SLOTS,
+                batch_limit: self.site.slots,
                 tokens_per_second: 0.0,
                 cache_used: 0.0,
                 role: EngineRole::Full,
@@ -309,26 +376,31 @@
                 leaving: false,
             };
             let backend = BackendId(index as u32);
-            self.policy
-                .report(backend, &report, now, &mut self.decisions);
+            for policy in &mut self.policies {
+                policy.report(backend, &report, now, &mut self.decisions);
+            }
         }
     }
 
     fn advance(&mut self, now: MonoTime) {
+        let slots = self.site.slots as usize;
         let is_fault = (FAULT.0..FAULT.1).contains(&now.0);
         let mut ended = Vec::new();
         for (index, engine) in self.engines.iter_mut().enumerate() {
             let faulty = is_fault && index == 3;
-            let crashed = faulty && self.scenario == Scenario::Crash;
-            let slow = faulty && self.scenario == Scenario::Slow;
+            let crashed = faulty && self.site.scenario == Scenario::Crash;
+            let slow = faulty && self.site.scenario == Scenario::Slow;
             let speed = if slow {
                 engine.speed / 10.0
             } else {
                 engine.speed
             };
-            let load = engine.running.len() as f64 / f64::from(SLOTS);
+            let background = self.site.background(index, now);
+            let batch = (engine.running.len() + background).min(slots);
+            let load = batch as f64 / slots as f64;
             let step = STEP_SECONDS * (1.0 + 0.5 * load) / speed;
-            for running in &mut engine.running {
+            let batch = slots - background;
+            for running in engine.running.iter_mut().take(batch) {
                 let mut left = STEP.as_secs_f64();
                 let prefill = running.prefill.min(left * speed);
                 running.prefill -= prefill;
@@ -336,6 +408,13 @@
                 running.done += left / step;
                 if running.done >= 1.0 && running.first.is_none() {
                     running.first = Some(now + STEP);
+                    let progress = ProgressNotice {
+                        request: running.request,
+                        backend: BackendId(index as u32),
+                        first_token: (now + STEP).since(running.sent),
+                    };
+                    let dispatcher = running.index % self.policies.len();
+                    self.policies[dispatcher].progress(&progress, now);
                 }
             }
             let arrivals = &self.arrivals;
@@ -387,12 +466,13 @@
             total,
             tokens,
         };
-        self.policy.release(&release, now, &mut self.decisions);
+        let dispatcher = self.dispatcher(running.index);
+        self.policies[dispatcher].release(&release, now, &mut self.decisions);
     }
 
     fn print(&self, kind: PolicyKind, demand: f64) {
         let measured = (LENGTH.saturating_sub(WARMUP)).as_secs_f64();
-        let able = capacity() * measured * demand.min(1.0);
+        let able = self.site.capacity() * measured * demand.min(1.0);
         let sum = |f: fn(&Tally) -> f64| self.tallies.iter().map(f).sum::<f64>();
         let in_time = sum(|t| t.work_in_time);
         let late = sum(|t| t.work_late);
@@ -418,7 +498,7 @@
                 least.copied().unwrap_or(0),
             );
         }
-        println!();
+        println!(" broken {}", self.broken);
     }
 }
 
@@ -429,14 +509,28 @@
         Some("burst") => Scenario::Burst,
         Some("slow") => Scenario::Slow,
         Some("crash") => Scenario::Crash,
+        Some("uneven") => Scenario::Uneven,
         _ => Scenario::Steady,
     };
+    let mut number = |usual| args.next().and_then(|t| t.parse().ok()).unwrap_or(usual);
+    let (engines, slots) = (number(24), number(16));
+    let sharing = match args.next().as_deref() {
+        Some("alone") => Sharing::Alone,
+        Some("split") => Sharing::Split,
+        _ => Sharing::One,
+    };
+    let site = Site {
+        sharing,
+        engines,
+        slots,
+        scenario,
+    };
     println!(
         "policy     demand | attain in-time  done waste | by class (least: fewest answers in 30 s)"
     );
     for demand in [0.7, 1.0, 1.5] {
         for kind in PolicyKind::ALL {
-            let mut bench = Bench::open(kind, demand, scenario, seed);
+            let mut bench = Bench::open(kind, demand, site, seed);
             bench.run();
             bench.print(kind, demand);
         }
--- a/crates/decide/src/shed.rs
+++ b/crates/decide/src/shed.rs
@@ -4,7 +4,12 @@
 //! - A pool that has been saturated for a while gives up tickets that will miss their target, and
 //!   only those of the lowest tier that is queued: the late ones, and those whose turn is expected
 //!   to come too late. Callers so get their final answer early, and slots go to tickets that can
-//!   still be served in time. A class that has had no grant for long is spared.
+//!   still be served in time. A class that has had no grant for long is spared, and so are late
+//!   tickets of a tier that loads the pool, together with those above it, by less than its
+//!   capacity: its queue is about to be served, late but whole.
+//! - A tier that asks, with those above it, for more than the pool can do gives its late tickets
+//!   up, after all tickets of lower tiers, which could get no more than their minimum share.
+//!   Otherwise the late ones, which go before lower tiers, would take slots for nothing.
 //! - A ticket whose patience has ended is given up, whatever its tier.
 //! - A pool without any backend server gives all tickets up after a grace time, the lowest first.
 
@@ -14,6 +19,7 @@
 use crate::policy::{Decision, DecisionNotice};
 use crate::pool_queue::{QueuedTicket, TicketKey};
 use crate::queue_time::QueueTime;
+use crate::tier_queue::TierQueue;
 use crate::tiered::TieredPool;
 
 /// The bounds of what a caller is told to wait.
@@ -22,7 +28,10 @@
 
 /// How far the expected wait must exceed the time left, because the rates that it comes from
 /// scatter and a ticket given up wrongly cannot be taken back.
-const WAIT_TOLERANCE: f64 = 1.6;
+const WAIT_TOLERANCE: f64 = 2.0;
+
+/// The load from which a tier, with those above it, counts as more than the pool can do.
+const OUTGROWN_LOAD: f64 = 0.95;
 
 /// The least share of the pool that a tier is expected to get.
 const TIER_SHARE_FLOOR: f64 = 0.02;
@@ -75,12 +84,26 @@
 
     /// Returns how long a ticket of a tier that comes now is expected to wait, once it is known.
     pub(crate) fn expected_wait(&self, tier: Tier, now: MonoTime) -> Option<Span> {
+        let own = self.queue.tier(tier).map_or(0, TierQueue::work);
+        self.wait_behind(tier, own, now)
+    }
+
+    /// Returns how long a customer's ticket that comes now is expected to wait.
+    fn customer_wait(&self, tier: Tier, customer: CustomerId, now: MonoTime) -> Option<Span> {
+        let queue = self.queue.tier(tier);
+        let own = queue.map_or(0, |queue| queue.work_before(customer));
+        self.wait_behind(tier, own, now)
+    }
+
+    /// Returns how long the higher tiers' work and some work of a tier itself take.
+    fn wait_behind(&self, tier: Tier, own: u64, now: MonoTime) -> Option<Span> {
         let capacity = self.backends.capacity()?;
-        let queues = self.queue.tiers().take_while(|(t, _)| !tier.is_above(*t));
-        let work: u64 = queues.map(|(_, queue)| queue.work()).sum();
+        let higher = self.queue.tiers().take_while(|(t, _)| t.is_above(tier));
+        let work = own + higher.map(|(_, queue)| queue.work()).sum::<u64>();
         let above = &self.arrivals[..Self::tier_index(tier)];
         let arriving: f64 = above.iter().map(|meter| meter.rate(now)).sum();
-        let classes = self.queue.tier(tier).into_iter().flat_map(|q| q.classes());
+        let queue = self.queue.tier(tier);
+        let classes = queue.into_iter().flat_map(TierQueue::classes);
         let share: f64 = classes.map(|class| self.ledger.share(class)).sum();
         let rate = (capacity - arriving).max(capacity * share.max(TIER_SHARE_FLOOR));
         Some(Span((work as f64 / rate.max(1e-3) * 1e6) as u64))
@@ -98,20 +121,34 @@
 
     /// Returns whether a new ticket will miss its target in a saturated pool.
     fn is_hopeless(&self, ticket: &Ticket, now: MonoTime) -> bool {
-        let due = QueueTime::before(now, ticket.waited).plus(ticket.target);
         self.is_overloaded(now)
             && self.queue.lowest() <= Some(ticket.tier)
             && !self.is_spared(ticket.class, now)
-            && self.is_turn_too_late(ticket.tier, due, now)
+            && self.is_turn_too_late(ticket, QueueTime::before(now, ticket.waited), now)
     }
 
-    /// Returns whether a ticket at the end of a tier's queue is expected to miss its deadline.
-    fn is_turn_too_late(&self, tier: Tier, due: QueueTime, now: MonoTime) -> bool {
-        let left = due.after(now).saturating_sub(self.backends.usual_first());
-        let wait = self.expected_wait(tier, now).unwrap_or(Span::ZERO);
+    /// Returns whether a ticket at the end of its customer's queue comes to its turn too late.
+    fn is_turn_too_late(&self, ticket: &Ticket, arrived: QueueTime, now: MonoTime) -> bool {
+        let bound = if self.is_outgrown(ticket.tier, now) {
+            ticket.target
+        } else {
+            ticket.patience
+        };
+        let left = arrived.plus(bound).after(now);
+        let left = left.saturating_sub(self.backends.usual_first());
+        let wait = self.customer_wait(ticket.tier, ticket.customer, now);
+        let wait = wait.unwrap_or(Span::ZERO);
         wait.as_secs_f64() > left.as_secs_f64() * WAIT_TOLERANCE
     }
 
+    /// Returns whether the tiers down to this one ask for more than the pool can do.
+    fn is_outgrown(&self, tier: Tier, now: MonoTime) -> bool {
+        let tiers = &self.arrivals[..=Self::tier_index(tier)];
+        let arriving: f64 = tiers.iter().map(|meter| meter.rate(now)).sum();
+        let capacity = self.backends.capacity();
+        capacity.is_some_and(|capacity| arriving >= capacity * OUTGROWN_LOAD)
+    }
+
     fn is_overloaded(&self, now: MonoTime) -> bool {
         self.saturated
             .is_some_and(|since| now.since(since) >= self.config.overload_span)
@@ -134,11 +171,46 @@
         {
             self.shed_hopeless_of(lowest, now, out);
             if self.queue.lowest() == Some(lowest) {
+                self.shed_below_outgrown(lowest, now, out);
+                return;
+            }
+        }
+    }
+
+    /// Gives up the tiers below one that asks for more than the pool can do and has late tickets,
+    /// and then those late ones.
+    fn shed_below_outgrown(&mut self, lowest: Tier, now: MonoTime, out: &mut Vec<Decision>) {
+        let late_before = self.late_before(now);
+        let tiers: Vec<Tier> = self.queue.tiers().map(|(tier, _)| tier).collect();
+        for tier in tiers.into_iter().filter(|tier| tier.is_above(lowest)) {
+            self.queue.age_out(tier, late_before);
+            let late = self.queue.tier(tier).and_then(|queue| queue.late().next());
+            if late.is_none() || !self.is_outgrown(tier, now) {
+                continue;
+            }
+            if self.is_any_starved_below(tier, now) {
                 return;
             }
+            while let Some(lower) = self.queue.lowest().filter(|lower| tier.is_above(*lower)) {
+                let Some(key) = self.queue.tier(lower).and_then(TierQueue::newest) else {
+                    return;
+                };
+                self.give_up(key, ShedReason::Hopeless, now, out);
+            }
+            self.shed_hopeless_of(tier, now, out);
+            return;
         }
     }
 
+    fn is_any_starved_below(&self, tier: Tier, now: MonoTime) -> bool {
+        let lower = self.queue.tiers().filter(|(t, _)| tier.is_above(*t));
+        let mut classes = lower.flat_map(|(_, queue)| queue.classes());
+        classes.any(|class| {
+            let account = self.ledger.get(class);
+            account.is_some_and(|account| account.is_starved(self.config.progress_span, now))
+        })
+    }
+
     fn shed_hopeless_of(&mut self, tier: Tier, now: MonoTime, out: &mut Vec<Decision>) {
         self.queue.age_out(tier, self.late_before(now));
         let Some(queue) = self.queue.tier(tier) else {
@@ -146,12 +218,14 @@
         };
         let late: Vec<TicketKey> = queue.late().take(HOPELESS_BOUND).collect();
         let last: Vec<TicketKey> = queue.latest_due().take(HOPELESS_BOUND).collect();
-        for key in late {
+        let is_outgrown = self.is_outgrown(tier, now);
+        for key in late.into_iter().filter(|_| is_outgrown) {
             self.give_up_hopeless(key, now, out);
         }
         for key in last {
-            let due = self.queue.get(key).map(|entry| entry.due);
-            if !due.is_some_and(|due| self.is_turn_too_late(tier, due, now)) {
+            let entry = self.queue.get(key);
+            let is_late = |e: &QueuedTicket| self.is_turn_too_late(&e.ticket, e.arrived, now);
+            if !entry.is_some_and(is_late) {
                 return;
             }
             self.give_up_hopeless(key, now, out);
