--- a/crates/once/src/answer.rs
+++ b/crates/once/src/answer.rs
@@ -11,7 +11,7 @@
 const RESULT_OVERHEAD_BYTES: usize = 160;
 
 /// A whole answer of a backend server, small enough to be kept.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct KeptAnswer {
     /// The HTTP status.
     pub status: u16,
@@ -22,7 +22,7 @@
 }
 
 /// How a request ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct KeptResult {
     /// The request that ended.
     pub request: RequestId,
@@ -42,7 +42,7 @@
 }
 
 /// Kept results by key; the oldest go first when the memory is used up.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 pub struct AnswerShelf<K> {
     limit: usize,
     answer_limit: usize,
--- a/crates/once/src/book.rs
+++ b/crates/once/src/book.rs
@@ -22,7 +22,7 @@
 const UNSETTLED_LIMIT: usize = 8;
 
 /// Bounds of a claim book.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct BookLimits {
     /// How long after its arrival a claiming request may be sent.
     pub send_limit: Span,
@@ -37,13 +37,13 @@
 }
 
 /// A claim that was asked for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct ClaimTry {
     request: RequestId,
     arrived: MonoTime,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum RecordState {
     /// A claim is on its way.
     Claiming(ClaimTry),
@@ -60,7 +60,7 @@
     },
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 struct ClaimRecord {
     born: MonoTime,
     body: BodyHash,
@@ -126,7 +126,7 @@
 }
 
 /// The claims of one entry VM.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 pub struct ClaimRecords {
     me: InstanceId,
     limits: BookLimits,
--- a/crates/once/src/segment.rs
+++ b/crates/once/src/segment.rs
@@ -27,7 +27,7 @@
     Malformed,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 struct PackedClaim {
     key: KeyHash,
     body: BodyHash,
@@ -36,7 +36,7 @@
 }
 
 /// A part of a shard's claim log.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
 pub struct Segment {
     /// The number of the segment; it only rises.
     pub seq: u64,
--- a/crates/once/src/writer.rs
+++ b/crates/once/src/writer.rs
@@ -33,7 +33,7 @@
 const RELIST_LIMIT: u32 = 3;
 
 /// Bounds of a shard's log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct WriterLimits {
     /// The size at which a segment is sealed, in bytes.
     pub segment_bytes: usize,
@@ -106,7 +106,7 @@
     },
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum ViewPhase {
     /// The tail must be read.
     Stale,
@@ -116,14 +116,14 @@
     Complete,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct ClaimHolder {
     request: RequestId,
     body: BodyHash,
     seq: u64,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 struct ArchiveNote {
     revision: Revision,
     sealed_at: Span,
@@ -131,7 +131,7 @@
 }
 
 /// The state of one writer of one shard.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 pub struct ShardWriter {
     limits: WriterLimits,
     phase: ViewPhase,
--- a/crates/once/tests/token.rs
+++ b/crates/once/tests/token.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use oleander_base::prelude::*;
 use oleander_once::{
-    BodyHash, KeptAnswer, LedgerLimits, TokenDecision, TokenFault, TokenIssuer, TokenKey,
-    TokenLedger,
+    BodyHash, BoundToken, KeptAnswer, LedgerLimits, TokenDecision, TokenFault, TokenIssuer,
+    TokenKey, TokenLedger,
 };
 use proptest::prelude::*;
 
@@ -242,3 +242,108 @@
         prop_assert!(effects.iter().all(|count| *count <= 1));
     }
 }
+
+/// What can happen to one token that two callers use through two entry VMs.
+#[derive(Debug, Clone, Copy)]
+enum TokenEvent {
+    ArrivesAtHome,
+    ArrivesElsewhere,
+    Ends(Verdict),
+    HomeIsReplaced,
+    TimePasses,
+}
+
+const TOKEN_EVENTS: [TokenEvent; 7] = [
+    TokenEvent::ArrivesAtHome,
+    TokenEvent::ArrivesElsewhere,
+    TokenEvent::Ends(Verdict::NotRun),
+    TokenEvent::Ends(Verdict::MayHaveRun),
+    TokenEvent::Ends(Verdict::Ran),
+    TokenEvent::HomeIsReplaced,
+    TokenEvent::TimePasses,
+];
+
+#[derive(Clone)]
+struct TokenWorld {
+    home: TokenLedger,
+    away: TokenLedger,
+    now: MonoTime,
+    is_running: bool,
+    effects: u32,
+}
+
+impl TokenWorld {
+    /// Returns what the caller of a request is told, or none while it runs.
+    fn arrive(&mut self, token: &BoundToken) -> Option<Verdict> {
+        match self.home.begin(token, BODY, request(1), self.now) {
+            TokenDecision::Run => {
+                assert!(!self.is_running, "two requests run with one token");
+                self.is_running = true;
+                None
+            }
+            TokenDecision::Running(_) | TokenDecision::Gone(_) => Some(Verdict::MayHaveRun),
+            TokenDecision::Done(result) => Some(result.verdict),
+            TokenDecision::Ended(verdict) | TokenDecision::Expired(verdict) => Some(verdict),
+            decision => panic!("{decision:?} for a genuine token of home"),
+        }
+    }
+
+    fn step(&mut self, event: TokenEvent, token: &BoundToken) {
+        match event {
+            TokenEvent::ArrivesAtHome => self.check_told(token),
+            TokenEvent::ArrivesElsewhere => {
+                let decision = self.away.begin(token, BODY, request(2), self.now);
+                assert_eq!(decision, TokenDecision::Foreign(instance(1, 1)));
+                self.check_told(token);
+            }
+            TokenEvent::Ends(verdict) if self.is_running => {
+                self.is_running = false;
+                self.effects += u32::from(verdict != Verdict::NotRun);
+                self.home.finish(0, verdict, None);
+            }
+            TokenEvent::Ends(_) => {}
+            TokenEvent::HomeIsReplaced => {
+                // A request under way at the crash may have had its effect.
+                self.effects += u32::from(self.is_running);
+                self.is_running = false;
+                self.home = TokenLedger::new(instance(1, 2), CENTRE, limits());
+            }
+            TokenEvent::TimePasses => self.now = self.now + Span::from_secs(11),
+        }
+        assert!(self.effects <= 1, "two effects");
+    }
+
+    fn check_told(&mut self, token: &BoundToken) {
+        let told = self.arrive(token);
+        assert!(
+            told != Some(Verdict::NotRun) || self.effects == 0,
+            "not-run that ran"
+        );
+    }
+}
+
+fn visit(world: &TokenWorld, token: &BoundToken, depth: u32) -> u64 {
+    if depth == 0 {
+        return 1;
+    }
+    let visits = TOKEN_EVENTS.iter().map(|event| {
+        let mut next = world.clone();
+        next.step(*event, token);
+        visit(&next, token, depth - 1)
+    });
+    visits.sum()
+}
+
+#[test]
+fn every_order_of_repeats_ends_crashes_and_expiry_is_sound() {
+    let mut home = ledger();
+    let token = home.issue(CUSTOMER, 1, MonoTime(0)).unwrap()[0];
+    let world = TokenWorld {
+        home,
+        away: TokenLedger::new(instance(2, 2), CENTRE, limits()),
+        now: MonoTime(0),
+        is_running: false,
+        effects: 0,
+    };
+    assert_eq!(visit(&world, &token, 6), 7_u64.pow(6));
+}
