--- a/crates/once/src/guard.rs
+++ b/crates/once/src/guard.rs
@@ -7,6 +7,7 @@
 use crate::answer::{KeptAnswer, KeptResult};
 use crate::hash::BodyHash;
 use crate::permit::RunPermit;
+use crate::stats::GuardStats;
 
 /// A non-idempotent request as it reached this entry VM.
 #[derive(Debug, Clone, Copy)]
@@ -211,6 +212,9 @@
     /// Returns what is known of a request of this instance, or none if it is not remembered.
     fn lookup(&self, request: RequestId) -> Option<RequestStatus>;
 
+    /// Returns the guard's counters.
+    fn stats(&self) -> GuardStats;
+
     /// Returns the guard's state as text.
     fn dump(&self) -> String;
 }
--- a/crates/once/src/handle.rs
+++ b/crates/once/src/handle.rs
@@ -9,12 +9,13 @@
 use tokio::time::timeout;
 
 use crate::answer::{KeptAnswer, KeptResult};
-use crate::book::{BookStep, ClaimOutcome, ClaimRecords};
+use crate::book::ClaimRecords;
+use crate::door::{ShardDoor, ShardParts};
 use crate::gate::MonoClock;
 use crate::hash::{BodyHash, KeyHash};
+use crate::outcome::{BookStep, ClaimOutcome};
 use crate::route::{ClaimEntry, ClaimReply, ClaimRoute, CommitPlace, NotWritten, ShardId};
 use crate::settings::ClaimSettings;
-use crate::shard::{ShardDoor, ShardParts};
 use crate::stats::{ClaimCounters, ClaimStats};
 
 /// A request's wish to claim a key.
@@ -174,6 +175,11 @@
         self.shared.counters.read()
     }
 
+    /// Returns how long after its arrival a request with a key may be sent.
+    pub fn send_limit(&self) -> Span {
+        self.shared.settings.send_limit
+    }
+
     /// Records how a request under a claim ended.
     pub fn finish(
         &self,
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -17,6 +17,7 @@
 mod answer;
 mod attempt;
 mod book;
+mod door;
 mod gate;
 mod guard;
 mod handle;
@@ -25,19 +26,23 @@
 mod once;
 #[cfg(feature = "open-guard")]
 mod open;
+mod outcome;
+mod parts;
 mod permit;
+mod repeat;
 mod route;
 mod segment;
 mod settings;
 mod shard;
 mod stats;
 mod status;
+mod step;
 mod token;
 mod writer;
 
 pub use answer::{AnswerShelf, KeptAnswer, KeptResult};
 pub use attempt::{AlreadySent, Attempt, AttemptId, AttemptLog, RepeatRule};
-pub use book::{BookLimits, BookStep, ClaimOutcome, ClaimRecords};
+pub use book::ClaimRecords;
 pub use gate::{MonoClock, PauseWatch, ProcessClock, SendGate, StaleSend};
 pub use guard::{
     Admission, IssueError, OnceCall, OnceGuard, Refusal, RefuseReason, RepeatAnswer, RequestStatus,
@@ -46,16 +51,19 @@
 pub use handle::{ClaimAnswer, ClaimBook, ClaimHandle, KeyClaim};
 pub use hash::{BodyHash, KeyHash};
 pub use ledger::{LedgerFull, LedgerLimits, TokenDecision, TokenLedger};
-pub use once::{GuardParts, GuardSettings, RequestGuard};
+pub use once::RequestGuard;
 #[cfg(feature = "open-guard")]
 pub use open::OpenGuard;
+pub use outcome::{BookLimits, BookStep, ClaimOutcome};
+pub use parts::{GuardParts, GuardSettings};
 pub use permit::{PermitBasis, PermitEnd, PermitSink, PermitTerms, RunPermit, SendRefused};
 pub use route::{
     ClaimEntry, ClaimReply, ClaimRoute, CommitPlace, LoneRoute, NotWritten, RouteError, ShardId,
 };
 pub use segment::{Segment, SegmentError};
 pub use settings::ClaimSettings;
-pub use stats::ClaimStats;
+pub use stats::{ClaimStats, GuardStats};
 pub use status::{KnownStatus, StatusTable};
+pub use step::{ListedArchive, LogFault, StoreStep, WriterLimits};
 pub use token::{BoundToken, ShortSecret, TokenFault, TokenIssuer, TokenKey};
-pub use writer::{ListedArchive, LogFault, ShardWriter, StoreStep, WriterLimits};
+pub use writer::ShardWriter;
--- a/crates/once/src/once.rs
+++ b/crates/once/src/once.rs
@@ -1,88 +1,35 @@
 //! The guard of the request path: tokens, claimed keys, and our own care where there is neither.
 
 use std::fmt;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Weak};
 
 use oleander_base::prelude::*;
 use oleander_platform::BoxFuture;
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use crate::answer::KeptResult;
 use crate::attempt::RepeatRule;
-use crate::book::{BookStep, ClaimOutcome};
 use crate::gate::{MonoClock, PauseWatch, SendGate};
 use crate::guard::{
-    Admission, IssueError, OnceCall, OnceGuard, Refusal, RefuseReason, RepeatAnswer, RequestStatus,
+    Admission, IssueError, OnceCall, OnceGuard, Refusal, RefuseReason, RequestStatus,
 };
 use crate::handle::{ClaimAnswer, ClaimHandle, KeyClaim};
 use crate::hash::KeyHash;
-use crate::ledger::{LedgerLimits, TokenDecision, TokenLedger};
+use crate::ledger::{TokenDecision, TokenLedger};
+use crate::outcome::{BookStep, ClaimOutcome};
+use crate::parts::{GuardParts, GuardSettings};
 use crate::permit::{PermitBasis, PermitEnd, PermitSink, PermitTerms, RunPermit};
+use crate::repeat::{Repeat, fault_reason, repeat_of, still_running};
 use crate::route::NotWritten;
+use crate::stats::{GuardCounters, GuardStats};
 use crate::status::StatusTable;
-use crate::token::{TokenFault, TokenIssuer};
+use crate::token::TokenIssuer;
 
 /// The longest Idempotency-Key, in bytes.
 const KEY_LIMIT_BYTES: usize = 255;
 /// The most tokens that one call issues.
 const ISSUE_LIMIT: u32 = 1_000;
 
-/// Settings of the guard.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct GuardSettings {
-    /// How long after its arrival a request may be sent.
-    pub send_limit: Span,
-    /// How long a repeat waits for a running request before it is refused.
-    pub repeat_wait: Duration,
-    /// A gap in this process's running that counts as a pause; far below the retention.
-    pub pause_limit: Span,
-    /// How long keyed requests are refused after a pause.
-    pub pause_quiet: Span,
-    /// The most ended requests whose verdict is remembered by request id.
-    pub statuses: usize,
-    /// Bounds of the token ledger.
-    pub ledger: LedgerLimits,
-}
-
-impl Default for GuardSettings {
-    fn default() -> Self {
-        Self {
-            send_limit: Span::from_secs(60),
-            repeat_wait: Duration::from_secs(10),
-            pause_limit: Span::from_secs(120),
-            pause_quiet: Span::from_secs(5),
-            statuses: 100_000,
-            ledger: LedgerLimits::default(),
-        }
-    }
-}
-
-/// What a guard is built from.
-#[derive(Clone)]
-pub struct GuardParts {
-    /// This instance.
-    pub me: InstanceId,
-    /// Its data centre.
-    pub centre: CentreId,
-    /// The process's clock.
-    pub clock: Arc<dyn MonoClock>,
-    /// Token keys, if tokens are offered.
-    pub issuer: Option<TokenIssuer>,
-    /// The running claim book.
-    pub claims: ClaimHandle,
-}
-
-impl fmt::Debug for GuardParts {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("GuardParts")
-            .field("me", &self.me)
-            .field("centre", &self.centre)
-            .finish_non_exhaustive()
-    }
-}
-
 struct GuardState {
     me: InstanceId,
     clock: Arc<dyn MonoClock>,
@@ -93,12 +40,7 @@
     statuses: Mutex<StatusTable>,
     pauses: Mutex<PauseWatch>,
     ends: watch::Sender<()>,
-}
-
-/// What is known of an earlier request with the same key or token.
-enum Repeat {
-    Busy(RequestId),
-    Settled(Box<Admission>),
+    counters: GuardCounters,
 }
 
 /// What the caller bound its request to.
@@ -108,18 +50,6 @@
     Key(KeyHash),
 }
 
-impl From<Admission> for Repeat {
-    fn from(admission: Admission) -> Self {
-        Self::Settled(Box::new(admission))
-    }
-}
-
-impl From<Refusal> for Repeat {
-    fn from(refusal: Refusal) -> Self {
-        Admission::Refuse(refusal).into()
-    }
-}
-
 /// The guard of an entry VM.
 #[derive(Clone)]
 pub struct RequestGuard {
@@ -135,7 +65,7 @@
 }
 
 impl RequestGuard {
-    /// Opens the guard of an instance.
+    /// Opens the guard of an instance; call it inside the runtime.
     pub fn open(parts: GuardParts, settings: GuardSettings) -> Arc<dyn OnceGuard> {
         let now = parts.clock.now();
         let ledger = TokenLedger::new(parts.me, parts.centre, settings.ledger);
@@ -150,17 +80,23 @@
             statuses: Mutex::new(StatusTable::new(settings.statuses)),
             pauses: Mutex::new(pauses),
             ends: watch::Sender::new(()),
+            counters: GuardCounters::default(),
         };
         let state = Arc::new(state);
+        tokio::spawn(watch_pauses(Arc::downgrade(&state)));
         Arc::new(Self { state })
     }
 
     fn permit(&self, call: &OnceCall<'_>, basis: PermitBasis, since: MonoTime) -> Admission {
         let state = &self.state;
         state.statuses.lock().start(call.request, basis);
+        let limit = match basis {
+            PermitBasis::Key(_) => state.claims.send_limit(),
+            PermitBasis::Unbound | PermitBasis::Token(_) => state.settings.send_limit,
+        };
         let terms = PermitTerms {
             basis,
-            gate: SendGate::new(since, state.settings.send_limit),
+            gate: SendGate::new(since, limit),
             rule: RepeatRule::AtMostOnce,
             clock: Arc::clone(&state.clock),
             sink: Arc::clone(&self.state) as Arc<dyn PermitSink>,
@@ -217,7 +153,11 @@
         };
         match self.state.claims.claim(wish).await {
             ClaimAnswer::Book(step) => self.book_repeat(call, key, step),
-            ClaimAnswer::Log(outcome) => self.log_repeat(call, key, outcome),
+            ClaimAnswer::Log(outcome) => {
+                // A repeat that waits for this claim may try its own luck if it failed.
+                self.state.ends.send_replace(());
+                self.log_repeat(call, key, outcome)
+            }
         }
     }
 
@@ -265,7 +205,11 @@
 
 impl OnceGuard for RequestGuard {
     fn admit<'a>(&'a self, call: OnceCall<'a>) -> BoxFuture<'a, Admission> {
-        Box::pin(self.decide(call))
+        Box::pin(async move {
+            let admission = self.decide(call).await;
+            self.state.counters.count(&admission);
+            admission
+        })
     }
 
     fn issue(&self, customer: CustomerId, count: u32) -> Result<Vec<String>, IssueError> {
@@ -278,6 +222,7 @@
         let tokens = issued.map_err(|full| IssueError::Full {
             retry_after: full.retry_after,
         })?;
+        self.state.counters.issued.add(u64::from(count));
         Ok(tokens.iter().map(|token| issuer.write(token)).collect())
     }
 
@@ -297,6 +242,10 @@
         Some(status)
     }
 
+    fn stats(&self) -> GuardStats {
+        self.state.counters.read(self.state.claims.stats())
+    }
+
     fn dump(&self) -> String {
         let running = self.state.statuses.lock().running();
         let ledger = self.state.ledger.lock().dump();
@@ -332,20 +281,13 @@
         if key.is_empty() || key.len() > KEY_LIMIT_BYTES {
             return Err(Refusal::not_run(RefuseReason::BadKey, None));
         }
-        let quiet = self.observe_pause();
+        let quiet = self.state.observe_pause();
         if quiet > Span::ZERO {
             return Err(Refusal::not_run(RefuseReason::AfterPause, Some(quiet)));
         }
         Ok(())
     }
 
-    fn observe_pause(&self) -> Span {
-        let now = self.state.clock.now();
-        let mut pauses = self.state.pauses.lock();
-        pauses.observe(now);
-        pauses.remaining_quiet(now)
-    }
-
     /// Asks again after each end of a request until the earlier one has ended or the wait is over.
     async fn wait_for_end(&self, call: &OnceCall<'_>, binding: Binding<'_>) -> Admission {
         let mut ends = self.state.ends.subscribe();
@@ -365,6 +307,26 @@
     }
 }
 
+impl GuardState {
+    /// Takes note that the process runs; returns how long keyed requests must be refused.
+    fn observe_pause(&self) -> Span {
+        let now = self.clock.now();
+        let mut pauses = self.pauses.lock();
+        pauses.observe(now);
+        pauses.remaining_quiet(now)
+    }
+}
+
+/// Observes the clock often enough that an idle process does not look like a paused one.
+async fn watch_pauses(state: Weak<GuardState>) {
+    while let Some(limit) = state.upgrade().map(|state| state.settings.pause_limit) {
+        tokio::time::sleep(Span(limit.0 / 4).into()).await;
+        if let Some(state) = state.upgrade() {
+            let _ = state.observe_pause();
+        }
+    }
+}
+
 impl PermitSink for GuardState {
     fn close(&self, basis: PermitBasis, request: RequestId, end: PermitEnd) {
         self.statuses.lock().end(request, end.verdict);
@@ -381,27 +343,3 @@
         self.ends.send_replace(());
     }
 }
-
-fn still_running(earlier: RequestId) -> Refusal {
-    let reason = RefuseReason::StillRunning;
-    Refusal::of_all(Verdict::MayHaveRun, reason, Some(earlier)).with_retry(Span::from_secs(1))
-}
-
-fn repeat_of(result: KeptResult) -> Admission {
-    let request = result.request;
-    match result.answer {
-        Some(answer) => Admission::Answer(RepeatAnswer { request, answer }),
-        None => {
-            let reason = RefuseReason::AlreadyEnded;
-            Admission::Refuse(Refusal::of_all(result.verdict, reason, Some(request)))
-        }
-    }
-}
-
-fn fault_reason(fault: TokenFault) -> RefuseReason {
-    match fault {
-        TokenFault::Malformed => RefuseReason::TokenMalformed,
-        TokenFault::Forged => RefuseReason::TokenForged,
-        TokenFault::ForeignCustomer => RefuseReason::TokenForeignCustomer,
-    }
-}
--- a/crates/once/src/open.rs
+++ b/crates/once/src/open.rs
@@ -10,6 +10,7 @@
 use crate::gate::{MonoClock, SendGate};
 use crate::guard::{Admission, IssueError, OnceCall, OnceGuard, RequestStatus};
 use crate::permit::{PermitBasis, PermitEnd, PermitSink, PermitTerms, RunPermit};
+use crate::stats::GuardStats;
 
 /// Lets every request run, whatever its token or key, as often as it comes.
 pub struct OpenGuard {
@@ -56,6 +57,10 @@
         None
     }
 
+    fn stats(&self) -> GuardStats {
+        GuardStats::default()
+    }
+
     fn dump(&self) -> String {
         "no guard: every request runs\n".to_owned()
     }
--- a/crates/once/src/settings.rs
+++ b/crates/once/src/settings.rs
@@ -4,7 +4,7 @@
 
 use oleander_base::prelude::*;
 
-use crate::book::BookLimits;
+use crate::outcome::BookLimits;
 
 /// Settings of a claim book; those of the log must be equal at every instance of the fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/once/src/stats.rs
+++ b/crates/once/src/stats.rs
@@ -1,7 +1,9 @@
-//! Counters of the claim log, for metrics and measurements.
+//! Counters of the guard and of the claim log, for metrics and measurements.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use crate::guard::Admission;
+
 /// A counter that only rises.
 #[derive(Debug, Default)]
 pub(crate) struct RisingCounter(AtomicU64);
@@ -30,7 +32,7 @@
 }
 
 /// A reading of the claim log's counters at one instance.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ClaimStats {
     /// Claims that were asked for here.
     pub claims: u64,
@@ -64,3 +66,53 @@
         }
     }
 }
+
+/// The counters of a guard.
+#[derive(Debug, Default)]
+pub(crate) struct GuardCounters {
+    pub(crate) issued: RisingCounter,
+    run: RisingCounter,
+    forwarded: RisingCounter,
+    answered: RisingCounter,
+    refused: RisingCounter,
+}
+
+/// A reading of a guard's counters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct GuardStats {
+    /// Tokens that were issued.
+    pub issued: u64,
+    /// Requests that were let run.
+    pub run: u64,
+    /// Requests that were forwarded to the instance that decides.
+    pub forwarded: u64,
+    /// Repeats that got a kept answer.
+    pub answered: u64,
+    /// Requests that were refused.
+    pub refused: u64,
+    /// The claim log's counters.
+    pub claims: ClaimStats,
+}
+
+impl GuardCounters {
+    pub(crate) fn count(&self, admission: &Admission) {
+        let counter = match admission {
+            Admission::Run(_) => &self.run,
+            Admission::Forward(_) => &self.forwarded,
+            Admission::Answer(_) => &self.answered,
+            Admission::Refuse(_) => &self.refused,
+        };
+        counter.add(1);
+    }
+
+    pub(crate) fn read(&self, claims: ClaimStats) -> GuardStats {
+        GuardStats {
+            issued: self.issued.get(),
+            run: self.run.get(),
+            forwarded: self.forwarded.get(),
+            answered: self.answered.get(),
+            refused: self.refused.get(),
+            claims,
+        }
+    }
+}
