--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -44,6 +44,9 @@
     /// How old load reports are, in milliseconds.
     #[serde(default = "default_lag_ms")]
     pub report_lag_ms: u64,
+    /// The memory of the prefix cache, in tokens.
+    #[serde(default = "default_cache_tokens")]
+    pub cache_tokens: u32,
     /// What they do with fencing numbers.
     #[serde(default)]
     pub orders: OrderMode,
@@ -89,6 +92,10 @@
     500
 }
 
+fn default_cache_tokens() -> u32 {
+    8_000
+}
+
 impl EngineGroup {
     /// Returns the batch speed of an engine of the group at speed 1.
     pub fn unit_speed(&self) -> BatchSpeed {
@@ -180,6 +187,7 @@
         batch_limit: group.batch_limit,
         speed: group.speed(number),
         report_lag_ms: group.report_lag_ms,
+        cache_tokens: group.cache_tokens,
         orders: group.orders,
         ..EngineSettings::default()
     }
--- a/crates/standin/src/engine_http.rs
+++ b/crates/standin/src/engine_http.rs
@@ -22,7 +22,7 @@
 use crate::answer::{AnswerPlan, AnswerWriter, token_text};
 use crate::batch::{BatchSequence, SequenceId, StepToken};
 use crate::counters::bump;
-use crate::engine_loop::{EngineCore, OpenAnswer};
+use crate::engine_loop::{EngineCore, OpenAnswer, PromptPrefix};
 use crate::faults::{EngineFault, OrderMode};
 use crate::host::HostCommand;
 
@@ -32,7 +32,7 @@
 /// How many bytes of a prompt one token stands for.
 const BYTES_PER_TOKEN: usize = 4;
 
-/// The part of a prompt whose hash names its prefix, in bytes, if the request names none.
+/// The first part of a prompt that is kept if it consists of one message, in bytes.
 const PREFIX_BYTES: usize = 512;
 
 /// The priority of a request that names none.
@@ -100,6 +100,26 @@
 }
 
 impl AnswerRequest {
+    /// Returns the part of the prompt that the cache keeps: the first of several messages, or else
+    /// a first part of fixed size.
+    fn prefix(&self, request: &Request, prompt: &str) -> PromptPrefix {
+        let text = match self.messages.as_slice() {
+            [first, _, ..] => first.text(),
+            _ => String::new(),
+        };
+        let bytes = if text.is_empty() {
+            &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)]
+        } else {
+            text.as_bytes()
+        };
+        let named =
+            header(request, "x-prefix-hash").and_then(|hex| u64::from_str_radix(&hex, 16).ok());
+        PromptPrefix {
+            hash: PrefixHash(named.unwrap_or_else(|| xxh3_64(bytes))),
+            tokens: (bytes.len() / BYTES_PER_TOKEN) as u32,
+        }
+    }
+
     fn prompt_text(&self) -> String {
         if let Some(prompt) = &self.prompt {
             return prompt.clone();
@@ -161,6 +181,7 @@
         return Ok(response);
     }
     let prompt = parsed.prompt_text();
+    let prefix = parsed.prefix(request, &prompt);
     let plan = AnswerPlan::of(&parsed.model, &prompt, parsed.max_tokens);
     let next_token = parsed.resume.as_ref().map_or(0, |point| point.from_token);
     if next_token >= plan.length {
@@ -198,7 +219,7 @@
         "application/json"
     };
     let gone = request.io().map(IoRef::on_disconnect);
-    let id = core.submit(open, prefix_of(request, &prompt));
+    let id = core.submit(open, prefix);
     let body = AnswerBody {
         core: core.clone(),
         id,
@@ -482,15 +503,6 @@
         .unwrap_or(DEFAULT_PRIORITY)
 }
 
-fn prefix_of(request: &Request, prompt: &str) -> PrefixHash {
-    let named = header(request, "x-prefix-hash").and_then(|hex| u64::from_str_radix(&hex, 16).ok());
-    let hash = named.unwrap_or_else(|| {
-        let bytes = prompt.as_bytes();
-        xxh3_64(&bytes[..bytes.len().min(PREFIX_BYTES)])
-    });
-    PrefixHash(hash)
-}
-
 fn refusal(core: &EngineCore, status: StatusCode, message: &str) -> Response {
     bump(&core.counters.refused);
     let mut response = error_response(status, message);
--- a/crates/standin/src/engine_loop.rs
+++ b/crates/standin/src/engine_loop.rs
@@ -39,6 +39,13 @@
 /// The sending end of an answer's body.
 pub(crate) type BodySender = mpsc::Sender<io::Result<Bytes>>;
 
+/// The part of a prompt that the prefix cache keeps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct PromptPrefix {
+    pub(crate) hash: PrefixHash,
+    pub(crate) tokens: u32,
+}
+
 /// An answer on its way to whoever asked.
 pub(crate) struct OpenAnswer {
     pub(crate) body: BodySender,
@@ -147,14 +154,17 @@
     }
 
     /// Submits a sequence and returns its identity.
-    pub(crate) fn submit(&self, mut answer: OpenAnswer, prefix: PrefixHash) -> SequenceId {
+    pub(crate) fn submit(&self, mut answer: OpenAnswer, prefix: PromptPrefix) -> SequenceId {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         state.next_sequence += 1;
         let id = SequenceId(state.next_sequence);
         answer.sequence.id = id;
         let prompt = answer.sequence.prompt_left;
-        let saved = state.cache.touch(prefix, prompt, now);
+        let saved = state
+            .cache
+            .touch(prefix.hash, prefix.tokens, now)
+            .min(prompt);
         if saved > 0 {
             bump(&self.counters.cache_hits);
         }
