--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 //! dispatch, and no behaviour beyond what keeps these types consistent. Every other package
 //! depends on it and it depends on none of them. docs/DESIGN.md tells how the packages fit.
 
+mod clock;
 mod dispatch;
 mod entity;
 mod hash;
@@ -15,8 +16,10 @@
 
 pub mod prelude;
 
+pub use clock::{monotonic_now, process_origin};
 pub use dispatch::{
-    EndKind, GrantNotice, PrefixHash, ReleaseNotice, ShedNotice, ShedReason, Ticket,
+    EndKind, GrantNotice, HeldGrant, PrefixHash, ProgressNotice, ReleaseNotice, ShedNotice,
+    ShedReason, Ticket, WithdrawNotice,
 };
 pub use entity::{
     AdapterId, BackendId, CentreId, ClassId, CustomerId, ModelId, PoolId, Revision, StopId, Tier,
--- /dev/null
+++ b/crates/decide/src/tiered.rs
@@ -0,0 +1,309 @@
+//! The product's policy of a pool: tiers, deadlines, shares, adaptive limits and ejection.
+//!
+//! The order of dispatch stands in [`dispatch`](crate::dispatch), the rules of giving tickets up
+//! in [`shed`](crate::shed). What they promise together:
+//!
+//! - A ticket is dispatched ahead of a higher tier only by the minimum share of its class, and
+//!   never while a higher tier's ticket would lose its patience by that.
+//! - At the moment when a ticket is shed because the queue is full or because it is hopeless, no
+//!   ticket of a lower tier is queued.
+//! - A backend server never gets a grant beyond its limit, nor any grant while it is leaving.
+//! - Every offered ticket has exactly one outcome.
+
+use oleander_base::prelude::*;
+use oleander_base::{CacheEvent, GrantNotice, LoadReport, ReleaseNotice};
+
+use crate::backend_set::BackendSet;
+use crate::config::{PoolConfig, PoolKind};
+use crate::grant_table::{GrantEntry, GrantTable};
+use crate::length::LengthEstimator;
+use crate::meter::RateMeter;
+use crate::policy::{Decision, DecisionNotice, PoolPolicy};
+use crate::pool_queue::PoolQueue;
+use crate::queue_time::QueueTime;
+use crate::share_ledger::ShareLedger;
+use crate::summary::{BackendSummary, PoolSummary};
+use crate::verify::VerifyError;
+use crate::views::{BackendView, ClassView, CustomerView, HeldGrant, ProgressNotice};
+
+/// The window of the rate at which work arrives.
+const ARRIVAL_WINDOW: Span = Span::from_secs(10);
+
+/// The product's policy.
+#[derive(Debug)]
+pub struct TieredPool {
+    pub(crate) config: PoolConfig,
+    pub(crate) queue: PoolQueue,
+    pub(crate) grants: GrantTable,
+    pub(crate) backends: BackendSet,
+    pub(crate) ledger: ShareLedger,
+    pub(crate) lengths: LengthEstimator,
+    pub(crate) classes: FastMap<ClassId, ClassView>,
+    pub(crate) arrivals: [RateMeter; Tier::COUNT],
+    pub(crate) last_shed: [Option<MonoTime>; Tier::COUNT],
+    pub(crate) saturated: Option<MonoTime>,
+    pub(crate) without_backend: Option<MonoTime>,
+    pub(crate) latest: MonoTime,
+}
+
+impl TieredPool {
+    /// Opens an empty pool.
+    pub fn open(config: PoolConfig) -> Self {
+        Self {
+            queue: PoolQueue::open(config.fairness_window),
+            grants: GrantTable::default(),
+            backends: BackendSet::open(config.report_stale),
+            ledger: ShareLedger::open(),
+            lengths: LengthEstimator::open(),
+            classes: FastMap::default(),
+            arrivals: [RateMeter::open(ARRIVAL_WINDOW); Tier::COUNT],
+            last_shed: [None; Tier::COUNT],
+            saturated: None,
+            without_backend: None,
+            latest: MonoTime::default(),
+            config,
+        }
+    }
+
+    /// Returns the index of a tier in arrays over the tiers.
+    pub(crate) fn tier_index(tier: Tier) -> usize {
+        usize::from(tier.0).min(Tier::COUNT - 1)
+    }
+
+    /// Returns the estimated work of a ticket.
+    pub(crate) fn work(&self, ticket: &Ticket) -> u32 {
+        match self.config.kind {
+            PoolKind::Engines => {
+                self.lengths
+                    .estimate(ticket.class, ticket.customer, ticket.answer_limit)
+            }
+            PoolKind::Services => 1,
+        }
+    }
+
+    /// Grants a backend server's slot to a ticket that is no longer queued.
+    pub(crate) fn grant(
+        &mut self,
+        ticket: Ticket,
+        owner: InstanceId,
+        backend: BackendId,
+        now: MonoTime,
+        out: &mut Vec<Decision>,
+    ) {
+        if let Some(state) = self.backends.get_mut(backend) {
+            state.granted(ticket.request, now, now);
+        }
+        if let Some(prefix) = ticket.prefix {
+            self.backends.prefixes_mut().store(backend, prefix, now);
+        }
+        out.push(grant_decision(ticket.request, backend, owner));
+        self.grants.insert(GrantEntry {
+            ticket,
+            owner,
+            backend,
+            granted: now,
+            first_seen: false,
+            lapses: None,
+        });
+    }
+
+    /// Frees the slot of a grant that was removed from the table.
+    fn free_slot(&mut self, entry: &GrantEntry, now: MonoTime) {
+        self.ledger.ended(entry.ticket.class, now);
+        if let Some(state) = self.backends.get_mut(entry.backend) {
+            state.ended(entry.ticket.request, entry.granted, now);
+        }
+    }
+
+    /// Counts a ticket out of the queue.
+    pub(crate) fn unqueue(&mut self, request: RequestId, now: MonoTime) -> bool {
+        let Some(key) = self.queue.find(request) else {
+            return false;
+        };
+        if let Some(entry) = self.queue.remove(key) {
+            self.ledger.left(entry.ticket.class, now);
+        }
+        true
+    }
+
+    /// Returns the bound before which a deadline can no longer be met.
+    pub(crate) fn late_before(&self, now: MonoTime) -> QueueTime {
+        QueueTime::from(now + self.backends.usual_first())
+    }
+
+    fn settle(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
+        self.latest = self.latest.max(now);
+        self.shed(now, out);
+        self.dispatch(now, out);
+    }
+}
+
+impl PoolPolicy for TieredPool {
+    fn set_backends(&mut self, backends: &[BackendView], now: MonoTime, out: &mut Vec<Decision>) {
+        self.backends.set_views(backends, &self.config, now);
+        self.backends.tick(now);
+        self.settle(now, out);
+    }
+
+    fn set_classes(
+        &mut self,
+        classes: &[ClassView],
+        customers: &[CustomerView],
+        now: MonoTime,
+        out: &mut Vec<Decision>,
+    ) {
+        self.classes.clear();
+        self.ledger.clear_shares();
+        for class in classes {
+            self.ledger.set_share(class.class, class.minimum_share, now);
+            self.classes.insert(class.class, class.clone());
+        }
+        let weights = customers.iter().map(|view| (view.customer, view.weight));
+        self.queue.set_weights(weights.collect());
+        self.settle(now, out);
+    }
+
+    fn offer(&mut self, ticket: Ticket, from: InstanceId, now: MonoTime, out: &mut Vec<Decision>) {
+        if let Some(entry) = self.grants.get_mut(ticket.request) {
+            entry.owner = from;
+            entry.lapses = None;
+            out.push(grant_decision(ticket.request, entry.backend, from));
+            return;
+        }
+        if let Some(key) = self.queue.find(ticket.request) {
+            self.queue.set_owner(key, from);
+            return;
+        }
+        self.latest = self.latest.max(now);
+        let work = self.work(&ticket);
+        self.arrivals[Self::tier_index(ticket.tier)].add(f64::from(work), now);
+        if self.admit(&ticket, from, now, out) {
+            self.ledger.queued(ticket.class, now);
+            self.queue.insert(ticket, from, work, now);
+            self.settle(now, out);
+        }
+    }
+
+    fn withdraw(&mut self, request: RequestId, now: MonoTime, out: &mut Vec<Decision>) {
+        self.unqueue(request, now);
+        if let Some(entry) = self.grants.remove(request) {
+            self.free_slot(&entry, now);
+        }
+        self.settle(now, out);
+    }
+
+    fn release(&mut self, release: &ReleaseNotice, now: MonoTime, out: &mut Vec<Decision>) {
+        let Some(entry) = self.grants.remove(release.request) else {
+            return;
+        };
+        self.free_slot(&entry, now);
+        self.learn(&entry, release, now);
+        self.settle(now, out);
+    }
+
+    fn adopt(
+        &mut self,
+        holding: &HeldGrant,
+        from: InstanceId,
+        now: MonoTime,
+        out: &mut Vec<Decision>,
+    ) {
+        let request = holding.ticket.request;
+        self.unqueue(request, now);
+        if let Some(entry) = self.grants.remove(request) {
+            self.free_slot(&entry, now);
+        }
+        let granted = now - holding.age;
+        self.backends
+            .get_or_open(holding.backend, &self.config, now)
+            .granted(request, granted, now);
+        self.ledger.adopted(holding.ticket.class, now);
+        self.grants.insert(GrantEntry {
+            ticket: holding.ticket.clone(),
+            owner: from,
+            backend: holding.backend,
+            granted,
+            first_seen: false,
+            lapses: None,
+        });
+        self.settle(now, out);
+    }
+
+    fn progress(&mut self, progress: &ProgressNotice, now: MonoTime) {
+        let Some(entry) = self.grants.get_mut(progress.request) else {
+            return;
+        };
+        if entry.first_seen || entry.backend != progress.backend {
+            return;
+        }
+        entry.first_seen = true;
+        if let Some(state) = self.backends.get_mut(progress.backend) {
+            state.progressed(now);
+            state.speed.observe_first(progress.first_token);
+        }
+    }
+
+    fn report(
+        &mut self,
+        backend: BackendId,
+        report: &LoadReport,
+        now: MonoTime,
+        out: &mut Vec<Decision>,
+    ) {
+        if let Some(state) = self.backends.get_mut(backend) {
+            state.report(report, now);
+            self.backends.keep_one(now);
+            self.settle(now, out);
+        }
+    }
+
+    fn cache_event(&mut self, backend: BackendId, event: CacheEvent, now: MonoTime) {
+        if self.backends.get_mut(backend).is_some() {
+            self.backends.prefixes_mut().event(backend, event, now);
+        }
+    }
+
+    fn instance_gone(&mut self, instance: InstanceId, now: MonoTime, out: &mut Vec<Decision>) {
+        let gone = self.queue.iter().filter(|entry| entry.owner == instance);
+        let gone: Vec<RequestId> = gone.map(|entry| entry.ticket.request).collect();
+        for request in gone {
+            self.unqueue(request, now);
+        }
+        self.grants.orphan(instance, now + self.config.orphan_delay);
+        self.settle(now, out);
+    }
+
+    fn tick(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
+        for entry in self.grants.take_lapsed(now) {
+            self.free_slot(&entry, now);
+        }
+        self.backends.tick(now);
+        self.queue.sweep();
+        self.settle(now, out);
+    }
+
+    fn summary(&self, now: MonoTime) -> PoolSummary {
+        self.summarize(now)
+    }
+
+    fn backend_summaries(&self, now: MonoTime) -> Vec<BackendSummary> {
+        self.backends
+            .iter()
+            .filter(|state| state.listed)
+            .map(|state| state.summary(now))
+            .collect()
+    }
+
+    fn dump(&self, now: MonoTime) -> String {
+        self.dump_text(now)
+    }
+
+    fn verify(&self) -> Result<(), VerifyError> {
+        self.check()
+    }
+}
+
+fn grant_decision(request: RequestId, backend: BackendId, to: InstanceId) -> Decision {
+    let notice = DecisionNotice::Grant(GrantNotice { request, backend });
+    Decision { to, notice }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,4 +1,5 @@
-//! Stand-ins for what surrounds the system: model engines, plain services and faulty networks.
+//! Stand-ins for what surrounds the system: model engines, plain services, the platform and
+//! faulty networks.
 //!
 //! They are small fakes at the interfaces, for tests, the demonstration and the experiments. A
 //! stand-in runs on one thread of its own and is steered either by the methods of its handle or
@@ -14,6 +15,11 @@
 mod engine_loop;
 mod faults;
 mod host;
+mod platform;
+mod platform_core;
+mod platform_faults;
+mod platform_http;
+mod platform_state;
 mod proxy;
 mod proxy_udp;
 mod service;
@@ -24,6 +30,8 @@
 pub use counters::{EngineCounters, EngineTotals, ServiceCounters, ServiceTotals};
 pub use engine::{EngineSettings, EngineStandIn, run_engine};
 pub use faults::{EngineFault, FaultError, OrderMode, ServiceFault};
+pub use platform::{PlatformSettings, PlatformStandIn, run_platform};
+pub use platform_faults::{FaultPlan, OutageKind, PlatformCounters};
 pub use proxy::{CutPoint, DirectionFault, FaultProxy, ProxyFaults};
 pub use proxy_udp::{DatagramFault, DatagramFaults, UdpFaultProxy};
 pub use service::{EffectRecord, ServiceSettings, ServiceStandIn, run_service};
