--- /dev/null
+++ b/crates/standin/src/engine_answer.rs
@@ -0,0 +1,92 @@
+//! The form in which an engine's stand-in gives its answers.
+
+use ntex::util::Bytes;
+use serde_json::json;
+
+use crate::answer::token_text;
+use crate::batch::StepToken;
+use crate::engine_loop::OpenAnswer;
+
+/// The interface that an answer is given on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct AnswerShape {
+    pub(crate) chat: bool,
+    pub(crate) stream: bool,
+    pub(crate) model: String,
+    pub(crate) prompt_tokens: u32,
+}
+
+impl OpenAnswer {
+    /// Sends one token, or keeps it if the answer goes out in one piece.
+    pub(crate) fn push(&mut self, token: &StepToken, engine: &str) {
+        self.sent += 1;
+        let tag = self.sequence.plan.tag;
+        if self.shape.stream {
+            let mut text = self.event(&token_text(tag, token.index), None, token.index + 1);
+            if token.last {
+                let reason = self.sequence.plan.finish_reason();
+                text.push_str(&self.event("", Some(reason), token.index + 1));
+                text.push_str("data: [DONE]\n\n");
+            }
+            let _ = self.body.send(Ok(Bytes::from(text)));
+            return;
+        }
+        self.writer.push(tag, token.index);
+        if token.last {
+            let whole = self.whole(engine, token.index + 1);
+            let _ = self.body.send(Ok(Bytes::from(whole)));
+        }
+    }
+
+    fn event(&self, content: &str, reason: Option<&str>, count: u32) -> String {
+        let tag = self.sequence.plan.tag;
+        let model = &self.shape.model;
+        let object = if self.shape.chat {
+            "chat.completion.chunk"
+        } else {
+            "text_completion"
+        };
+        let payload = if self.shape.chat {
+            format!("\"delta\":{{\"content\":\"{content}\"}}")
+        } else {
+            format!("\"text\":\"{content}\"")
+        };
+        let (finish, usage) = match reason {
+            Some(reason) => (
+                format!("\"{reason}\""),
+                format!(
+                    ",\"usage\":{{\"prompt_tokens\":{},\"completion_tokens\":{count}}}",
+                    self.shape.prompt_tokens
+                ),
+            ),
+            None => ("null".to_owned(), String::new()),
+        };
+        format!(
+            "data: {{\"id\":\"answer-{tag}\",\"object\":\"{object}\",\"model\":{model:?},\
+             \"choices\":[{{\"index\":0,{payload},\"finish_reason\":{finish}}}]{usage}}}\n\n"
+        )
+    }
+
+    fn whole(&self, engine: &str, count: u32) -> String {
+        let text = self.writer.as_str();
+        let choice = if self.shape.chat {
+            json!({"index": 0, "message": {"role": "assistant", "content": text},
+                   "finish_reason": self.sequence.plan.finish_reason()})
+        } else {
+            json!({"index": 0, "text": text,
+                   "finish_reason": self.sequence.plan.finish_reason()})
+        };
+        json!({
+            "id": format!("answer-{}", self.sequence.plan.tag),
+            "object": if self.shape.chat { "chat.completion" } else { "text_completion" },
+            "model": self.shape.model,
+            "engine": engine,
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": self.shape.prompt_tokens,
+                "completion_tokens": count,
+            },
+        })
+        .to_string()
+    }
+}
--- a/crates/standin/src/engine_http.rs
+++ b/crates/standin/src/engine_http.rs
@@ -5,7 +5,6 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use futures_util::Stream;
 use ntex::channel::mpsc;
@@ -14,17 +13,19 @@
 use ntex::http::{Method, Request, Response, StatusCode};
 use ntex::io::{IoRef, OnDisconnect};
 use ntex::util::{Bytes, BytesMut, stream_recv};
-use oleander_base::{CacheEvent, EngineRole, PrefixHash};
+use oleander_base::PrefixHash;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::answer::{AnswerPlan, AnswerWriter, token_text};
-use crate::batch::{BatchSequence, SequenceId, StepToken};
+use crate::answer::{AnswerPlan, AnswerWriter};
+use crate::batch::{BatchSequence, SequenceId};
 use crate::counters::bump;
+use crate::engine_admin::{
+    cache_events, cancel, export_prefix, fault, import_prefix, models, order,
+};
+use crate::engine_answer::AnswerShape;
 use crate::engine_loop::{EngineCore, OpenAnswer, PromptPrefix};
-use crate::faults::{EngineFault, OrderMode};
-use crate::host::HostCommand;
 
 /// The largest request body, in bytes.
 const BODY_LIMIT: usize = 4 << 20;
@@ -38,15 +39,6 @@
 /// The priority of a request that names none.
 const DEFAULT_PRIORITY: u8 = 8;
 
-/// The interface that an answer is given on.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct AnswerShape {
-    chat: bool,
-    stream: bool,
-    model: String,
-    prompt_tokens: u32,
-}
-
 #[derive(Debug, Deserialize)]
 struct AnswerRequest {
     model: String,
@@ -73,32 +65,6 @@
     from_token: u32,
 }
 
-#[derive(Debug, Deserialize)]
-struct EngineOrder {
-    fencing: u64,
-    models: Option<Vec<String>>,
-    version: Option<String>,
-    adapters: Option<Vec<String>>,
-    role: Option<EngineRole>,
-}
-
-#[derive(Debug, Serialize)]
-struct EventPage {
-    events: Vec<NumberedEvent>,
-}
-
-#[derive(Debug, Serialize)]
-struct NumberedEvent {
-    number: u64,
-    event: CacheEvent,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct ExportedPrefix {
-    prefix: PrefixHash,
-    tokens: u32,
-}
-
 impl AnswerRequest {
     /// Returns the part of the prompt that the cache keeps: the first of several messages, or else
     /// a first part of fixed size.
@@ -288,215 +254,6 @@
     }
 }
 
-impl OpenAnswer {
-    /// Sends one token, or keeps it if the answer goes out in one piece.
-    pub(crate) fn push(&mut self, token: &StepToken, engine: &str) {
-        self.sent += 1;
-        let tag = self.sequence.plan.tag;
-        if self.shape.stream {
-            let mut text = self.event(&token_text(tag, token.index), None, token.index + 1);
-            if token.last {
-                let reason = self.sequence.plan.finish_reason();
-                text.push_str(&self.event("", Some(reason), token.index + 1));
-                text.push_str("data: [DONE]\n\n");
-            }
-            let _ = self.body.send(Ok(Bytes::from(text)));
-            return;
-        }
-        self.writer.push(tag, token.index);
-        if token.last {
-            let whole = self.whole(engine, token.index + 1);
-            let _ = self.body.send(Ok(Bytes::from(whole)));
-        }
-    }
-
-    fn event(&self, content: &str, reason: Option<&str>, count: u32) -> String {
-        let tag = self.sequence.plan.tag;
-        let model = &self.shape.model;
-        let object = if self.shape.chat {
-            "chat.completion.chunk"
-        } else {
-            "text_completion"
-        };
-        let payload = if self.shape.chat {
-            format!("\"delta\":{{\"content\":\"{content}\"}}")
-        } else {
-            format!("\"text\":\"{content}\"")
-        };
-        let (finish, usage) = match reason {
-            Some(reason) => (
-                format!("\"{reason}\""),
-                format!(
-                    ",\"usage\":{{\"prompt_tokens\":{},\"completion_tokens\":{count}}}",
-                    self.shape.prompt_tokens
-                ),
-            ),
-            None => ("null".to_owned(), String::new()),
-        };
-        format!(
-            "data: {{\"id\":\"answer-{tag}\",\"object\":\"{object}\",\"model\":{model:?},\
-             \"choices\":[{{\"index\":0,{payload},\"finish_reason\":{finish}}}]{usage}}}\n\n"
-        )
-    }
-
-    fn whole(&self, engine: &str, count: u32) -> String {
-        let text = self.writer.as_str();
-        let choice = if self.shape.chat {
-            json!({"index": 0, "message": {"role": "assistant", "content": text},
-                   "finish_reason": self.sequence.plan.finish_reason()})
-        } else {
-            json!({"index": 0, "text": text,
-                   "finish_reason": self.sequence.plan.finish_reason()})
-        };
-        json!({
-            "id": format!("answer-{}", self.sequence.plan.tag),
-            "object": if self.shape.chat { "chat.completion" } else { "text_completion" },
-            "model": self.shape.model,
-            "engine": engine,
-            "choices": [choice],
-            "usage": {
-                "prompt_tokens": self.shape.prompt_tokens,
-                "completion_tokens": count,
-            },
-        })
-        .to_string()
-    }
-}
-
-fn cancel(core: &Rc<EngineCore>, path: &str) -> Response {
-    let wanted = path.trim_start_matches("/v1/requests/");
-    let found = core
-        .state
-        .borrow()
-        .answers
-        .iter()
-        .find(|(_, answer)| !wanted.is_empty() && answer.request_id == wanted)
-        .map(|(id, _)| *id);
-    match found {
-        Some(id) => {
-            core.abort(id);
-            json_response(StatusCode::OK, &json!({"cancelled": true}))
-        }
-        None => error_response(StatusCode::NOT_FOUND, "no such request"),
-    }
-}
-
-fn cache_events(core: &EngineCore, request: &Request) -> Response {
-    let query = request.uri().query().unwrap_or_default();
-    let after = query
-        .split('&')
-        .find_map(|pair| pair.strip_prefix("after="))
-        .and_then(|number| number.parse().ok())
-        .unwrap_or(0);
-    let lag = oleander_base::Span::from_millis(core.settings.event_lag_ms);
-    let events = core
-        .state
-        .borrow()
-        .cache
-        .events_after(after, core.now() - lag);
-    let events = events
-        .into_iter()
-        .map(|(number, event)| NumberedEvent { number, event });
-    json_response(
-        StatusCode::OK,
-        &EventPage {
-            events: events.collect(),
-        },
-    )
-}
-
-fn models(core: &EngineCore) -> Response {
-    let state = core.state.borrow();
-    let data: Vec<_> = state
-        .loaded
-        .models
-        .iter()
-        .map(|model| json!({"id": model, "object": "model"}))
-        .collect();
-    json_response(StatusCode::OK, &json!({"object": "list", "data": data}))
-}
-
-async fn order(core: &Rc<EngineCore>, request: &mut Request) -> io::Result<Response> {
-    let body = read_body(request).await?;
-    let order: EngineOrder = match serde_json::from_slice(&body) {
-        Ok(order) => order,
-        Err(error) => {
-            return Ok(error_response(StatusCode::BAD_REQUEST, &error.to_string()));
-        }
-    };
-    let newest = core.state.borrow().loaded.newest_fencing;
-    if core.settings.orders == OrderMode::Checks && order.fencing < newest {
-        bump(&core.counters.orders_refused);
-        return Ok(json_response(
-            StatusCode::CONFLICT,
-            &json!({"error": {"message": "old fencing number", "newest": newest}}),
-        ));
-    }
-    core.state.borrow_mut().loaded.newest_fencing = newest.max(order.fencing);
-    bump(&core.counters.orders);
-    ntex::rt::spawn(carry_out(core.clone(), order));
-    Ok(json_response(
-        StatusCode::ACCEPTED,
-        &json!({"accepted": true}),
-    ))
-}
-
-async fn carry_out(core: Rc<EngineCore>, order: EngineOrder) {
-    tokio::time::sleep(Duration::from_millis(core.settings.load_ms)).await;
-    let loaded = &mut core.state.borrow_mut().loaded;
-    if let Some(models) = order.models {
-        loaded.models = models;
-    }
-    if let Some(version) = order.version {
-        loaded.version = version;
-    }
-    if let Some(adapters) = order.adapters {
-        loaded.adapters = adapters;
-    }
-    if let Some(role) = order.role {
-        loaded.role = role;
-    }
-}
-
-fn export_prefix(core: &EngineCore, path: &str) -> Response {
-    let hex = path.trim_start_matches("/v1/kv/");
-    let prefix = u64::from_str_radix(hex, 16).ok().map(PrefixHash);
-    let tokens = prefix.and_then(|prefix| core.state.borrow().cache.tokens_of(prefix));
-    match (prefix, tokens) {
-        (Some(prefix), Some(tokens)) => {
-            json_response(StatusCode::OK, &ExportedPrefix { prefix, tokens })
-        }
-        _ => error_response(StatusCode::NOT_FOUND, "the prefix is not held"),
-    }
-}
-
-async fn import_prefix(core: &EngineCore, request: &mut Request) -> io::Result<Response> {
-    let body = read_body(request).await?;
-    let Ok(exported) = serde_json::from_slice::<ExportedPrefix>(&body) else {
-        return Ok(error_response(
-            StatusCode::BAD_REQUEST,
-            "not an exported prefix",
-        ));
-    };
-    let now = core.now();
-    core.state
-        .borrow_mut()
-        .cache
-        .touch(exported.prefix, exported.tokens, now);
-    Ok(json_response(StatusCode::OK, &json!({"imported": true})))
-}
-
-async fn fault(core: &EngineCore, request: &mut Request) -> io::Result<Response> {
-    let body = read_body(request).await?;
-    match serde_json::from_slice::<EngineFault>(&body) {
-        Ok(fault) => {
-            let _ = core.commands.send(HostCommand::detached(fault));
-            Ok(json_response(StatusCode::OK, &json!({"set": true})))
-        }
-        Err(error) => Ok(error_response(StatusCode::BAD_REQUEST, &error.to_string())),
-    }
-}
-
 fn priority(request: &Request) -> u8 {
     header(request, "x-priority")
         .and_then(|text| text.parse().ok())
--- a/crates/standin/src/engine_loop.rs
+++ b/crates/standin/src/engine_loop.rs
@@ -26,7 +26,9 @@
 use crate::cache::PrefixCache;
 use crate::counters::{EngineCounters, add, bump};
 use crate::engine::{EngineSettings, StartedTags};
-use crate::engine_http::{AnswerShape, handle_request};
+use crate::engine_answer::AnswerShape;
+use crate::engine_http::handle_request;
+use crate::engine_state::{FaultState, LoadedState};
 use crate::faults::EngineFault;
 use crate::host::{CommandSender, HostAction, HostedService, LocalFuture};
 
@@ -57,38 +59,6 @@
     pub(crate) io: Option<IoRef>,
 }
 
-/// The faults in force.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct FaultState {
-    pub(crate) slowness: f64,
-    pub(crate) frozen: bool,
-    pub(crate) refuses: bool,
-    pub(crate) leaving: bool,
-    pub(crate) drop_after: Option<u32>,
-}
-
-impl Default for FaultState {
-    fn default() -> Self {
-        Self {
-            slowness: 1.0,
-            frozen: false,
-            refuses: false,
-            leaving: false,
-            drop_after: None,
-        }
-    }
-}
-
-/// What the engine has in memory.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct LoadedState {
-    pub(crate) models: Vec<String>,
-    pub(crate) version: String,
-    pub(crate) adapters: Vec<String>,
-    pub(crate) role: oleander_base::EngineRole,
-    pub(crate) newest_fencing: u64,
-}
-
 /// The state that the handlers and the step task share on the engine's thread.
 pub(crate) struct EngineState {
     pub(crate) batch: EngineBatch,
--- /dev/null
+++ b/crates/standin/src/engine_state.rs
@@ -0,0 +1,33 @@
+//! The faults of an engine's stand-in and what it has in memory, as plain data.
+
+/// The faults in force.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct FaultState {
+    pub(crate) slowness: f64,
+    pub(crate) frozen: bool,
+    pub(crate) refuses: bool,
+    pub(crate) leaving: bool,
+    pub(crate) drop_after: Option<u32>,
+}
+
+impl Default for FaultState {
+    fn default() -> Self {
+        Self {
+            slowness: 1.0,
+            frozen: false,
+            refuses: false,
+            leaving: false,
+            drop_after: None,
+        }
+    }
+}
+
+/// What the engine has in memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct LoadedState {
+    pub(crate) models: Vec<String>,
+    pub(crate) version: String,
+    pub(crate) adapters: Vec<String>,
+    pub(crate) role: oleander_base::EngineRole,
+    pub(crate) newest_fencing: u64,
+}
