Callers of the load tool come back for the rest of a broken answer

A class may say how often. The caller asks any entry VM for the events after the last that it has and, if the one that held the answer is gone, sends the request again with that event's id. Verdicts of all attempts are joined. Errors are told apart by the system's codes instead of the status, since 503 has three meanings.

--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -51,6 +51,7 @@
 #[derive(Debug, Default)]
 pub struct EventParser {
     buffer: Bytes,
+    last_id: Option<Bytes>,
 }
 
 impl EventParser {
@@ -76,6 +77,9 @@
             let (end, skip) = blank_line(&self.buffer)?;
             let block = self.buffer.split_to(end);
             let _ = self.buffer.split_to(skip);
+            if let Some(id) = event_id(&block) {
+                self.last_id = Some(id);
+            }
             if let Some(data) = event_data(&block) {
                 if &data[..] == END_MARK {
                     return Some(RawEvent::End);
@@ -85,6 +89,11 @@
         }
     }
 
+    /// Returns the id of the last complete event that has one.
+    pub fn last_id(&self) -> Option<&str> {
+        std::str::from_utf8(self.last_id.as_ref()?).ok()
+    }
+
     /// Returns whether a part of an event is left.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
@@ -129,6 +138,17 @@
     found
 }
 
+/// Returns the id of an event whose lines begin with it, or none.
+fn event_id(block: &Bytes) -> Option<Bytes> {
+    if !block.starts_with(b"id:") {
+        return None;
+    }
+    let end = block.iter().position(|byte| *byte == b'\n');
+    let line = &block[..end.unwrap_or(block.len())];
+    let value = line[3..].trim_ascii();
+    Some(Bytes::copy_from_slice(value))
+}
+
 fn join_lines(first: &[u8], second: &[u8]) -> Bytes {
     let mut joined = BytesMut::with_capacity(first.len() + second.len() + 1);
     joined.extend_from_slice(first);
--- a/crates/engine/tests/event.rs
+++ b/crates/engine/tests/event.rs
@@ -26,6 +26,20 @@
     assert_eq!(parse(&[text]), wanted);
 }
 
+#[test]
+fn the_last_id_is_that_of_a_complete_event() {
+    let mut parser = EventParser::default();
+    parser
+        .push(Bytes::from_static(b"id: 1.1\ndata: a\n\nid: 2."))
+        .unwrap();
+    assert!(parser.next_event().is_some());
+    assert!(parser.next_event().is_none());
+    assert_eq!(parser.last_id(), Some("1.1"));
+    parser.push(Bytes::from_static(b"5\ndata: b\n\n")).unwrap();
+    assert!(parser.next_event().is_some());
+    assert_eq!(parser.last_id(), Some("2.5"));
+}
+
 proptest! {
     #[test]
     fn division_does_not_matter(
--- a/crates/load/src/classify.rs
+++ b/crates/load/src/classify.rs
@@ -9,11 +9,11 @@
 /// The largest error body, in bytes.
 const ERROR_LIMIT: usize = 64 << 10;
 
-/// The status of a call over its customer's own limit.
-const STATUS_OVER_LIMIT: u16 = 429;
+/// The code of a call over its customer's own limit.
+const CODE_OVER_LIMIT: &str = "over-limit";
 
-/// The status of a call that was shed.
-const STATUS_SHED: u16 = 503;
+/// The code of a call that was shed.
+const CODE_SHED: &str = "shed";
 
 #[derive(Debug, Default, Deserialize)]
 struct ErrorBody {
@@ -67,9 +67,9 @@
     let status = response.status.as_u16();
     let body = response.body.read(ERROR_LIMIT).await.unwrap_or_default();
     word.add_error(&body);
-    let outcome = match (status, word.verdict) {
-        (STATUS_OVER_LIMIT, _) => CallOutcome::Refused,
-        (STATUS_SHED, Some(Verdict::NotRun)) => CallOutcome::Shed,
+    let outcome = match word.code.as_deref() {
+        Some(CODE_OVER_LIMIT) => CallOutcome::Refused,
+        Some(CODE_SHED) => CallOutcome::Shed,
         _ => CallOutcome::Failed,
     };
     word.code = word.code.or(Some(format!("status-{status}")));
--- /dev/null
+++ b/crates/load/src/course.rs
@@ -0,0 +1,92 @@
+//! The course of one answer: its text, its times, and the judgement of both.
+
+use std::time::Duration;
+
+use oleander_base::prelude::*;
+use oleander_standin::{AnswerCheck, AnswerPlan};
+use serde::Deserialize;
+use tokio::time::Instant;
+
+use crate::outcome::CallOutcome;
+
+/// The part of an answer's JSON that holds its text.
+#[derive(Debug, Default, Deserialize)]
+pub(crate) struct AnswerBody {
+    #[serde(default)]
+    choices: Vec<AnswerChoice>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct AnswerChoice {
+    #[serde(default)]
+    delta: AnswerText,
+    #[serde(default)]
+    message: AnswerText,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct AnswerText {
+    #[serde(default)]
+    content: Option<String>,
+}
+
+impl AnswerBody {
+    /// Returns the text of a chunk or of a whole answer.
+    pub(crate) fn text(&self) -> &str {
+        let choice = self.choices.first();
+        let text = choice.and_then(|choice| {
+            let streamed = choice.delta.content.as_deref();
+            streamed.or(choice.message.content.as_deref())
+        });
+        text.unwrap_or_default()
+    }
+}
+
+/// The course of one answer.
+#[derive(Debug, Default)]
+pub(crate) struct AnswerCourse {
+    pub(crate) text: String,
+    pub(crate) first: Option<Instant>,
+    pub(crate) last_id: Option<String>,
+    pub(crate) pieces: u32,
+    last: Option<Instant>,
+}
+
+impl AnswerCourse {
+    /// Adds text and returns the time since the text before.
+    pub(crate) fn push(&mut self, text: &str) -> Option<Duration> {
+        if text.is_empty() {
+            return None;
+        }
+        let now = Instant::now();
+        let gap = self.last.map(|last| now - last);
+        self.text.push_str(text);
+        self.pieces += 1;
+        self.first.get_or_insert(now);
+        self.last = Some(now);
+        gap
+    }
+
+    /// Returns the mean time between tokens.
+    pub(crate) fn mean_gap(&self) -> Option<Span> {
+        let length = self.last? - self.first?;
+        (self.pieces > 1).then(|| Span::from(length / (self.pieces - 1)))
+    }
+}
+
+/// Judges an answer that claims to be complete.
+pub(crate) fn judge(plan: &AnswerPlan, text: &str) -> CallOutcome {
+    match AnswerCheck::of(plan, text) {
+        AnswerCheck::Whole => CallOutcome::Whole,
+        AnswerCheck::Truncated { .. } => CallOutcome::Truncated,
+        AnswerCheck::Mixed { .. } => CallOutcome::Mixed,
+    }
+}
+
+/// Judges an answer that ended with an error; what came must still be its own.
+pub(crate) fn judge_broken(plan: &AnswerPlan, text: &str) -> CallOutcome {
+    match AnswerCheck::of(plan, text) {
+        AnswerCheck::Mixed { .. } => CallOutcome::Mixed,
+        _ => CallOutcome::Broken,
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -9,8 +9,12 @@
 
 mod caller;
 mod classify;
+mod completion;
+mod course;
 mod deployment;
+mod operation;
 mod outcome;
+mod prompt;
 mod record;
 mod report;
 mod run;
--- a/crates/load/src/outcome.rs
+++ b/crates/load/src/outcome.rs
@@ -71,9 +71,19 @@
     pub operation: Option<String>,
     /// How often a plain service's call was answered as done.
     pub acknowledged: u32,
+    /// How often the caller came back for the rest of its answer.
+    pub reconnects: u32,
 }
 
 impl CallRecord {
+    /// Joins what was said of one more attempt to what was said before.
+    pub(crate) fn add_verdict(&mut self, verdict: Option<Verdict>) {
+        self.verdict = match (self.verdict, verdict) {
+            (Some(first), Some(second)) => Some(first.join(second)),
+            (first, second) => first.or(second),
+        };
+    }
+
     /// Returns when the call ended, from the start.
     pub fn ended(&self) -> Span {
         self.at + self.total
--- a/crates/load/src/scenario.rs
+++ b/crates/load/src/scenario.rs
@@ -119,6 +119,9 @@
     /// Whether answers are streamed.
     #[serde(default = "default_stream")]
     pub stream: bool,
+    /// How often a caller comes back for the rest of a streamed answer that broke.
+    #[serde(default)]
+    pub reconnects: u32,
 }
 
 /// A time of higher demand of one class.
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -131,8 +131,7 @@
     assert_eq!(json["classes"][0]["name"], "streamed");
 }
 
-#[test]
-fn a_crash_shows_as_broken_and_as_waste() {
+fn crashing_scenario() -> Scenario {
     let mut scenario = Scenario::parse(SCENARIO).unwrap();
     scenario.demand = 0.9;
     scenario.faults.push(FaultEvent {
@@ -142,6 +141,27 @@
             fault: EngineFault::Crash { for_ms: None },
         },
     });
+    scenario
+}
+
+#[test]
+fn callers_that_come_back_get_whole_answers() {
+    // The engine that is left must be able to take over all of it.
+    let mut scenario = crashing_scenario();
+    scenario.demand = 0.5;
+    for class in &mut scenario.classes {
+        class.reconnects = 3;
+    }
+    let engines = bind(&scenario);
+    let report = run(&scenario, &engines);
+    assert!(report.records.iter().any(|record| record.reconnects > 0));
+    assert_eq!(report.totals.outcomes.len(), 1, "{:?}", report.totals);
+    assert!(report.count(CallOutcome::Whole) > 50);
+}
+
+#[test]
+fn a_crash_shows_as_broken_and_as_waste() {
+    let scenario = crashing_scenario();
     let engines = bind(&scenario);
     let report = run(&scenario, &engines);
     let settled = report.settled.unwrap();
