--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -66,6 +66,9 @@
     /// Its state in the view of this instance.
     pub state: MemberState,
     /// The newest records that it is known to have in force.
+    ///
+    /// It is kept up to date inside our data centre only; of another one, see
+    /// [`crate::CentreView::oldest_revision`].
     pub revision: Revision,
     /// When the state last changed, on this instance's clock.
     pub since: MonoTime,
--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -66,11 +66,16 @@
     }
 
     /// Returns the member of a data centre to talk to: a relay, or anyone when in doubt.
+    ///
+    /// Relays talk to those of their own rank, so that few connections stay in use and none of
+    /// them falls idle.
     fn choose_target(&mut self, centre: CentreId) -> Option<InstanceId> {
         let record = self.centres.get(centre)?;
         let relays = self.relays_of(centre);
         if record.failures == 0 && !relays.is_empty() {
-            return relays.choose(&mut self.rng).copied();
+            let rank = self.relays_of(self.centre);
+            let rank = rank.iter().position(|i| *i == self.me).unwrap_or(0);
+            return relays.get(rank % relays.len()).copied();
         }
         self.table
             .records()
--- a/crates/membership/src/survey.rs
+++ b/crates/membership/src/survey.rs
@@ -84,6 +84,7 @@
             live: 0,
             weight: 0,
             oldest_revision,
+            relays: self.relays_of(id),
         }
     }
 
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -8,7 +8,7 @@
 use crate::member::{Member, MemberState};
 
 /// What an instance knows of one data centre.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CentreView {
     /// Whether the data centre can be seen from here.
     pub visible: bool,
@@ -18,8 +18,10 @@
     pub live: u32,
     /// The sum of their weights.
     pub weight: u32,
-    /// The oldest revision in force on a reachable member, if there is one.
+    /// The oldest revision in force on a member that serves, by the data centre's own word.
     pub oldest_revision: Option<Revision>,
+    /// The members that talk to other data centres, in the order of their rank.
+    pub relays: Vec<InstanceId>,
 }
 
 /// A view of the fleet; immutable, shared and replaced as a whole.
@@ -62,6 +64,7 @@
                     0
                 },
                 oldest_revision: Some(me.revision),
+                relays: vec![me.instance],
             },
         );
         view
@@ -91,6 +94,12 @@
             .filter(|m| m.instance != self.me && m.state.is_reachable())
     }
 
+    /// Returns whether this instance talks to other data centres.
+    pub fn is_relay(&self) -> bool {
+        let centre = self.centres.get(&self.centre);
+        centre.is_some_and(|centre| centre.relays.contains(&self.me))
+    }
+
     /// Returns whether the view may be acted on: the instance was not just paused.
     pub fn is_current(&self) -> bool {
         self.stale_since.is_none()
--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -11,7 +11,7 @@
 use crate::core::{EndpointCore, unreachable};
 use crate::error::{PeerError, PeerResult};
 use crate::message::{PeerCall, PeerReply};
-use crate::stream::{ActiveGuard, lost, read_frame};
+use crate::stream::{ActiveGuard, check_size, lost, read_frame};
 
 /// Sends a call and waits for its reply, up to a limit.
 pub(crate) async fn run_call(
@@ -38,12 +38,12 @@
     call: &PeerCall,
     sent: &AtomicBool,
 ) -> PeerResult<PeerReply> {
-    let peering = core.link(to).connect(core).await?;
+    let peering = core.connect(to).await?;
     let _active = ActiveGuard::new(&peering.active);
+    let bytes = check_size(encode_call(call))?;
     let opened = peering.connection.open_bi().await;
     let (mut send, mut receive) = opened.map_err(|e| unreachable(to.address, &e))?;
     sent.store(true, Ordering::Relaxed);
-    let bytes = encode_call(call);
     send.write_chunk(bytes).await.map_err(|e| lost(to, &e))?;
     let _ = send.finish();
     let (frame, _) = read_frame(to, &mut receive).await?;
--- a/crates/peer/src/core.rs
+++ b/crates/peer/src/core.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use log::{debug, warn};
+use log::debug;
 use oleander_base::prelude::*;
 use oleander_membership::{MemberView, Membership};
 use parking_lot::{Mutex, RwLock};
@@ -93,7 +93,7 @@
 
     /// Hands a message to the link of an instance, or drops and counts it.
     pub(crate) fn send(self: &Arc<Self>, to: InstanceId, message: &PeerMessage) {
-        while !self.is_closed() {
+        while !self.is_closed() && to != self.me {
             match self.link(to).enqueue(self, message) {
                 Enqueued::Queued => return,
                 Enqueued::Full => break,
@@ -119,6 +119,7 @@
                 add(&self.counters.dialled, 1);
                 self.on_answer(address, Some(peering.remote));
             }
+            Err(PeerError::Itself { .. }) => self.on_answer(address, Some(self.me)),
             Err(_) => add(&self.counters.dial_failures, 1),
         }
         result
@@ -137,6 +138,16 @@
         establish(self, connection, true).await
     }
 
+    /// Returns the open connection to an instance, or opens one.
+    pub(crate) async fn connect(self: &Arc<Self>, to: InstanceId) -> PeerResult<Arc<Peering>> {
+        if to == self.me {
+            return Err(PeerError::Itself {
+                address: to.address,
+            });
+        }
+        self.link(to).connect(self).await
+    }
+
     /// Opens a connection to one instance, and fails if another one answers.
     pub(crate) async fn dial_instance(
         self: &Arc<Self>,
@@ -234,7 +245,7 @@
     let accepted = timeout(DIAL_TIMEOUT, incoming).await;
     let Ok(Ok(connection)) = accepted else {
         add(&core.counters.refused, 1);
-        warn!("a connection from {address} was refused");
+        debug!("a connection from {address} was refused");
         return;
     };
     if establish(&core, connection, false).await.is_ok() {
--- a/crates/peer/src/endpoint.rs
+++ b/crates/peer/src/endpoint.rs
@@ -24,7 +24,7 @@
 use crate::error::{PeerError, PeerResult};
 use crate::message::{PeerCall, PeerHandler, PeerMessage, PeerReply, StreamOpen};
 use crate::settings::PeerSettings;
-use crate::stream::{PeerStream, lost};
+use crate::stream::{PeerStream, check_size, lost};
 use crate::tls::TlsConfigs;
 
 /// The threads of an endpoint's own runtime.
@@ -106,8 +106,8 @@
 
     /// Hands a message to the link of an instance.
     ///
-    /// The call never blocks. A message is dropped and counted if the link's queue is full or the
-    /// instance cannot be reached.
+    /// The call never blocks. A message is dropped and counted if the link's queue is full, the
+    /// instance cannot be reached or is this one, or the message is larger than a frame may be.
     pub fn send(&self, to: InstanceId, message: &PeerMessage) {
         self.core.send(to, message);
     }
@@ -128,10 +128,10 @@
     pub async fn open_stream(&self, to: InstanceId, open: StreamOpen) -> PeerResult<PeerStream> {
         let core = Arc::clone(&self.core);
         let task = async move {
-            let peering = core.link(to).connect(&core).await?;
+            let head = check_size(encode_open(&open))?;
+            let peering = core.connect(to).await?;
             let connection = &peering.connection;
             let (mut send, receive) = connection.open_bi().await.map_err(|e| lost(to, &e))?;
-            let head = encode_open(&open);
             send.write_chunk(head).await.map_err(|e| lost(to, &e))?;
             let active = &peering.active;
             Ok(PeerStream::new(to, send, receive, Bytes::new(), active))
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -41,6 +41,12 @@
         /// The instance that answered.
         found: InstanceId,
     },
+    /// The address leads back to this instance; nothing was sent.
+    #[error("{address} is an address of this instance")]
+    Itself {
+        /// The address that was dialled.
+        address: SocketAddr,
+    },
     /// The peer speaks no common protocol version; nothing was sent.
     #[error("peer {address} speaks no common protocol version")]
     Version {
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-use crate::codec::encode_message;
+use crate::codec::{FRAME_LIMIT, encode_message};
 use crate::core::EndpointCore;
 use crate::counters::add;
 use crate::error::{PeerError, PeerResult};
@@ -89,7 +89,12 @@
         if queue.buffer.len() >= core.queue_limit {
             return Enqueued::Full;
         }
+        let before = queue.buffer.len();
         let size = encode_message(message, &mut queue.buffer);
+        if size > FRAME_LIMIT {
+            queue.buffer.truncate(before);
+            return Enqueued::Full;
+        }
         queue.messages += 1;
         drop(queue);
         core.counters.add_sent(message.kind(), size);
--- a/crates/peer/src/peering.rs
+++ b/crates/peer/src/peering.rs
@@ -12,8 +12,8 @@
 use tokio::time::timeout;
 
 use crate::codec::{
-    CodecError, DecodedMessage, FrameBuffer, Hello, Opening, ProtocolVersion, decode_hello,
-    decode_opening, encode_hello, encode_reply,
+    CodecError, DecodedMessage, FRAME_LIMIT, FrameBuffer, Hello, Opening, ProtocolVersion,
+    decode_hello, decode_opening, encode_hello, encode_reply,
 };
 use crate::core::EndpointCore;
 use crate::counters::add;
@@ -80,6 +80,12 @@
             return Err(unreachable(&connection, &"no hello in time"));
         }
     };
+    if hello.instance == core.me {
+        close_failed(core, &connection);
+        return Err(PeerError::Itself {
+            address: connection.remote_address(),
+        });
+    }
     let Some(version) = core.protocol.common(hello.protocol) else {
         add(&core.counters.refused, 1);
         connection.close(CLOSE_VERSION, b"version");
@@ -206,7 +212,7 @@
     match decode_opening(&frame) {
         Ok(Opening::Call(call)) => {
             let reply = core.handler.on_call(from, call).await;
-            send_reply(&mut send, &reply).await;
+            send_reply(&mut send, &bounded(reply)).await;
         }
         Ok(Opening::Stream(open)) => {
             let stream = PeerStream::new(from, send, receive, rest, &peering.active);
@@ -224,6 +230,16 @@
     drop(guard);
 }
 
+/// Refuses to send a reply that the peer would not take.
+fn bounded(reply: PeerReply) -> PeerReply {
+    match reply {
+        PeerReply::Answer(body) if body.len() > FRAME_LIMIT => {
+            PeerReply::Refused(format!("the answer has {} bytes", body.len()))
+        }
+        reply => reply,
+    }
+}
+
 async fn send_reply(send: &mut SendStream, reply: &PeerReply) {
     if send.write_chunk(encode_reply(reply)).await.is_ok() {
         let _ = send.finish();
--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -177,6 +177,17 @@
     }
 }
 
+/// Checks that the peer will take an encoded frame.
+pub(crate) fn check_size(frame: Bytes) -> PeerResult<Bytes> {
+    if frame.len() > FRAME_LIMIT {
+        return Err(PeerError::TooLarge {
+            size: frame.len(),
+            limit: FRAME_LIMIT,
+        });
+    }
+    Ok(frame)
+}
+
 pub(crate) fn lost(peer: InstanceId, reason: &dyn std::fmt::Display) -> PeerError {
     PeerError::Lost {
         peer,
--- a/crates/peer/src/tls.rs
+++ b/crates/peer/src/tls.rs
@@ -7,6 +7,7 @@
 use std::io::BufReader;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::{ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt};
@@ -26,6 +27,9 @@
 /// A connection without any packet is dropped after this many milliseconds.
 const IDLE_TIMEOUT_MS: u32 = 30_000;
 
+/// The round trip that a new connection assumes, which sets how soon a lost packet is sent again.
+const INITIAL_ROUND_TRIP: Duration = Duration::from_millis(100);
+
 /// The most streams that one peer may have open towards us.
 const STREAM_LIMIT: u32 = 4_096;
 
@@ -97,6 +101,7 @@
 fn transport() -> TransportConfig {
     let mut config = TransportConfig::default();
     config
+        .initial_rtt(INITIAL_ROUND_TRIP)
         .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
         .max_concurrent_bidi_streams(VarInt::from_u32(STREAM_LIMIT))
         .max_concurrent_uni_streams(VarInt::from_u32(4))
