Decision core's examples and tests name the pool in progress notices

Cause: the notice of the first token names its pool since it travels between entry VMs. Conclusion: no change of behaviour; the workspace is clean under the linter.

--- a/crates/decide/examples/policies.rs
+++ b/crates/decide/examples/policies.rs
@@ -199,12 +199,15 @@
     home: InstanceId,
 }
 
+/// The pool of the bench.
+const POOL: PoolId = PoolId {
+    centre: CentreId(1),
+    model: ModelId(1),
+};
+
 impl Bench {
     fn open(kind: PolicyKind, demand: f64, site: Site, seed: u64) -> Self {
-        let pool = PoolId {
-            centre: CentreId(1),
-            model: ModelId(1),
-        };
+        let pool = POOL;
         let engine = |index| Engine {
             speed: speed(index),
             running: Vec::new(),
@@ -291,10 +294,7 @@
                 home: self.home,
                 serial: index as u64,
             },
-            pool: PoolId {
-                centre: CentreId(1),
-                model: ModelId(1),
-            },
+            pool: POOL,
             class: ClassId(arrival.class as u32),
             tier: Tier(arrival.class as u8),
             customer: CustomerId(arrival.customer),
@@ -410,6 +410,7 @@
                     running.first = Some(now + STEP);
                     let progress = ProgressNotice {
                         request: running.request,
+                        pool: POOL,
                         backend: BackendId(index as u32),
                         first_token: (now + STEP).since(running.sent),
                     };
@@ -452,10 +453,7 @@
         tally.windows[window] += u32::from(!crashed);
         let release = ReleaseNotice {
             request: running.request,
-            pool: PoolId {
-                centre: CentreId(1),
-                model: ModelId(1),
-            },
+            pool: POOL,
             backend: BackendId(engine as u32),
             end: if crashed {
                 EndKind::Failed
--- a/crates/decide/tests/behaviour.rs
+++ b/crates/decide/tests/behaviour.rs
@@ -308,6 +308,7 @@
     fixture.offers(100..103, 0);
     let progress = |serial| ProgressNotice {
         request: common::request(serial),
+        pool: common::pool(),
         backend: BackendId(1),
         first_token: Span::from_millis(200),
     };
