Entry VM: load reports, VM list, fleet-wide claims, spill-over and limits by the decision core

Cause: the entry VM had small copies of retry budget, limits and spill-over, claims were committed by each VM alone, and engines' reports and the VM list reached nobody.

The decision core's pieces take the copies' place; a pool's dispatcher asks its engines; readers read the VM list and pass on which backend servers leave; a shard's claims go to one VM.

--- /dev/null
+++ b/crates/entry/src/claim_route.rs
@@ -0,0 +1,96 @@
+//! Which entry VM commits the claims of a shard.
+//!
+//! Weighted rendezvous hashing over the live entry VMs chooses one for each shard, so that claims
+//! of the whole fleet share the store's few writes. The choice is soft: the log itself orders two
+//! VMs that commit the same shard.
+
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use oleander_base::prelude::*;
+use oleander_decide::{DispatcherCandidate, choose_dispatcher};
+use oleander_once::{ClaimEntry, ClaimReply, ClaimRoute, CommitPlace, RouteError, ShardId};
+use oleander_peer::{PeerCall, PeerEndpoint, PeerReply};
+use oleander_platform::BoxFuture;
+
+use crate::node::EntryNode;
+
+/// How long a peer has to commit a claim.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
+/// The name of the claim log among the pools of the hash.
+const SHARD_SPACE: &str = "claim shards";
+
+/// The route of claims through the fleet.
+pub(crate) struct FleetRoute {
+    node: Weak<EntryNode>,
+    peers: PeerEndpoint,
+}
+
+impl FleetRoute {
+    /// Makes the route of a process.
+    pub(crate) fn new(node: &Arc<EntryNode>, peers: PeerEndpoint) -> Self {
+        Self {
+            node: Arc::downgrade(node),
+            peers,
+        }
+    }
+}
+
+impl ClaimRoute for FleetRoute {
+    fn place(&self, shard: ShardId) -> CommitPlace {
+        let alone = CommitPlace::Here { writers: 1 };
+        let Some(node) = self.node.upgrade() else {
+            return alone;
+        };
+        let view = node.view();
+        let live = view.members.iter().filter(|member| member.takes_roles);
+        let candidates: Vec<DispatcherCandidate> = live
+            .map(|member| DispatcherCandidate {
+                instance: member.instance,
+                weight: member.weight,
+            })
+            .collect();
+        let key = PoolId {
+            centre: CentreId(u32::from(shard.0)),
+            model: ModelId::from_name(SHARD_SPACE),
+        };
+        match choose_dispatcher(key, &candidates) {
+            Some(instance) if instance != node.me => CommitPlace::Peer(instance),
+            _ => CommitPlace::Here {
+                writers: self.writers(),
+            },
+        }
+    }
+
+    fn carry(
+        &self,
+        peer: InstanceId,
+        claim: ClaimEntry,
+    ) -> BoxFuture<'_, Result<ClaimReply, RouteError>> {
+        Box::pin(async move {
+            let failed = |reason: String| RouteError { peer, reason };
+            let body = postcard::to_allocvec(&claim).map_err(|error| failed(error.to_string()))?;
+            let call = PeerCall::CommitClaim(body.into());
+            let reply = self.peers.call(peer, call, COMMIT_TIMEOUT).await;
+            match reply.map_err(|error| failed(error.to_string()))? {
+                PeerReply::Answer(bytes) => {
+                    postcard::from_bytes(&bytes).map_err(|error| failed(error.to_string()))
+                }
+                other => Err(failed(format!("{other:?}"))),
+            }
+        })
+    }
+}
+
+impl FleetRoute {
+    /// Returns how many instances may commit a shard now: one for each data centre that this one
+    /// cannot see, and itself.
+    fn writers(&self) -> u32 {
+        let members = self.peers.members();
+        1 + members
+            .centres
+            .values()
+            .filter(|centre| !centre.visible)
+            .count() as u32
+    }
+}
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -116,9 +116,9 @@
 
 fn divide_limits(node: &EntryNode, peers: &PeerEndpoint) {
     let records = Arc::clone(&node.view().records);
-    let demand = node
-        .limit_board
-        .own_demand(node.me, &node.limits.take_use(), &records);
+    let demand =
+        node.limit_board
+            .own_demand(node.me, &node.limits.take_demand(monotonic_now()), &records);
     let others = others(node);
     if !demand.is_empty() {
         let message = PeerMessage::Limits(LimitBoard::encode(&demand));
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -78,6 +78,11 @@
         self.pools.write().remove(&id).is_some()
     }
 
+    /// Returns whether a pool is dispatched here.
+    pub fn has(&self, id: PoolId) -> bool {
+        self.pools.read().contains_key(&id)
+    }
+
     /// Returns the pools that are dispatched here.
     pub fn ids(&self) -> Vec<PoolId> {
         let mut ids: Vec<PoolId> = self.pools.read().keys().copied().collect();
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -162,11 +162,13 @@
     /// Queues a ticket and waits for its outcome or the caller's departure.
     async fn wait_for_slot(&mut self) -> SlotEnd {
         let node = &self.context.node;
-        let Some(choice) = node.choose_pool(ModelId::from_name(&self.job.call.model)) else {
+        let Some(home) = node.home_pool(ModelId::from_name(&self.job.call.model)) else {
             return SlotEnd::Refused(no_pool(&self.job.call.model));
         };
-        let pool = choice.pool;
-        let Some(outcome) = node.ask(self.ticket(pool, choice.spilled)) else {
+        let mut ticket = self.ticket(home, home.centre != node.centre);
+        node.spill_over(&mut ticket);
+        let pool = ticket.pool;
+        let Some(outcome) = node.ask(ticket) else {
             let error =
                 CallerError::not_run(ErrorCode::Shed, "no entry VM can dispatch the request now");
             return SlotEnd::Refused(error.after(NO_DISPATCHER_RETRY));
@@ -341,7 +343,7 @@
         let safe = self.job.idempotent || self.verdict == Verdict::NotRun;
         let in_time = monotonic_now().since(self.job.arrived) < self.job.patience;
         let worthwhile = self.attempts < ATTEMPT_LIMIT && is_retryable(error);
-        safe && in_time && worthwhile && self.context.node.retries.try_spend(monotonic_now())
+        safe && in_time && worthwhile && self.context.node.retries.try_take()
     }
 
     fn departed_error(&self) -> CallerError {
@@ -383,7 +385,7 @@
                 }
             });
         if matches!(end, RequestEnd::Whole) {
-            self.context.node.retries.deposit(monotonic_now());
+            self.context.node.retries.succeeded();
         }
     }
 
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -30,7 +30,6 @@
 struct WireCall {
     request: RequestId,
     pool: PoolId,
-    spilled: bool,
     customer: CustomerId,
     class: ClassId,
     tier: Tier,
@@ -55,7 +54,6 @@
         Self {
             request: job.request,
             pool: job.pool,
-            spilled: job.spilled,
             customer: job.customer,
             class: job.class,
             tier: job.tier,
@@ -86,7 +84,6 @@
         Some(ServiceJob {
             request: self.request,
             pool: self.pool,
-            spilled: self.spilled,
             customer: self.customer,
             class: self.class,
             tier: self.tier,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod changes;
+mod claim_route;
 mod control;
 mod counters;
 mod desk;
@@ -26,6 +27,7 @@
 mod reconnect;
 mod record_reader;
 mod records_feed;
+mod report_watch;
 mod retries;
 mod serve;
 mod serve_service;
@@ -37,6 +39,7 @@
 mod sse;
 mod status;
 mod view;
+mod vm_watch;
 mod worker;
 
 pub use answer::{
@@ -48,8 +51,8 @@
 pub use dispatch::{DispatchBoard, OfferEnd, PoolStatus, PoolView};
 pub use journal::{Journal, JournalEntry, JournalEvent};
 pub use life::{LifeCycle, LifeStage};
-pub use limit_board::{CustomerDemand, LimitBoard};
-pub use limits::{LimitDesk, LimitKind, LimitPart, LimitRefusal, LimitUse};
+pub use limit_board::{DemandLine, LimitBoard};
+pub use limits::{LimitDesk, LimitUse};
 pub use logging::start_logging;
 pub use node::{EntryNode, PeerLink};
 pub use process::{EntryProcess, StartError};
@@ -59,7 +62,7 @@
     CallerSettings, DispatchSection, EntrySettings, InstanceSettings, LogLevel, LogSection,
     OperatorSettings, PeerSection, PlatformSection, SettingsError, SettingsFault,
 };
-pub use spill::{PoolChoice, SpillBoard};
+pub use spill::SpillBoard;
 pub use sse::{EventBody, EventPlace};
 pub use status::{BackendUse, InstanceStatus, SeenStatus, StatusBoard, StatusMessage};
 pub use view::{FleetMember, FleetView, PoolRoute};
--- a/crates/entry/src/limit_board.rs
+++ b/crates/entry/src/limit_board.rs
@@ -1,84 +1,88 @@
 //! How the customers' limits are divided among the entry VMs.
 //!
-//! Every VM tells the others which limited customers it serves and how much they ask for; each
-//! computes its own part from what it knows of all. Only customers with a limit and with traffic
-//! appear in a message. The parts add up to the limit when all VMs know the same demand; while
-//! they don't, the sum may exceed it for as long as a message takes.
+//! Every VM tells the others what its limited customers ask for, and each computes the same split
+//! from what it knows of all. Only customers with a limit and with traffic appear in a message.
+//! The allotments sum to at most the limit when all VMs know the same demand; while they don't,
+//! the sum may exceed it for as long as a message takes.
 
 use bytes::Bytes;
 use oleander_base::monotonic_now;
 use oleander_base::prelude::*;
+use oleander_decide::{CustomerAllotment, InstanceDemand, InstanceShare, split_rate, split_slots};
 use oleander_records::{CustomerRecord, RecordSet};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
-use crate::limits::{LimitDesk, LimitPart, LimitUse};
+use crate::limits::{LimitDesk, LimitUse};
 
 /// A VM that says nothing for so long asks for nothing.
 const DEMAND_LIFE: Span = Span::from_secs(3);
-/// The share of a limit that is spread evenly, so that a VM without demand can begin.
-const EVEN_SHARE: f64 = 0.2;
 
-/// The demand of one customer at one entry VM.
+/// The demand of one customer at one entry VM, between VMs.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct CustomerDemand {
+pub struct DemandLine {
     /// The customer.
     pub customer: CustomerId,
-    /// Requests in progress and arrivals of the last period.
-    pub amount: u32,
+    /// Requests a second.
+    pub rate: f32,
+    /// Requests at a time.
+    pub concurrency: u32,
 }
 
-#[derive(Debug, Default)]
-struct BoardState {
-    demand: FastMap<InstanceId, FastMap<CustomerId, u32>>,
-    seen: FastMap<InstanceId, MonoTime>,
+#[derive(Debug)]
+struct SeenDemand {
+    lines: FastMap<CustomerId, DemandLine>,
+    seen: MonoTime,
 }
 
 /// What is known of the demand at all entry VMs.
 #[derive(Debug, Default)]
 pub struct LimitBoard {
-    state: Mutex<BoardState>,
+    seen: Mutex<FastMap<InstanceId, SeenDemand>>,
 }
 
 impl LimitBoard {
     /// Takes in the demand at another entry VM.
-    pub(crate) fn on_message(&self, from: InstanceId, bytes: &[u8]) {
-        if let Ok(demand) = postcard::from_bytes::<Vec<CustomerDemand>>(bytes) {
-            self.note(from, &demand);
+    pub fn on_message(&self, from: InstanceId, bytes: &[u8]) {
+        if let Ok(lines) = postcard::from_bytes::<Vec<DemandLine>>(bytes) {
+            self.note(from, &lines);
         }
     }
 
     /// Returns the bytes that tell other entry VMs of the demand here.
-    pub(crate) fn encode(demand: &[CustomerDemand]) -> Bytes {
-        postcard::to_allocvec(demand)
+    pub fn encode(lines: &[DemandLine]) -> Bytes {
+        postcard::to_allocvec(lines)
             .map(Bytes::from)
             .unwrap_or_default()
     }
 
-    /// Reads the demand of limited customers at this VM.
-    pub(crate) fn own_demand(
+    /// Notes the demand of limited customers at this VM, and returns it for the others.
+    pub fn own_demand(
         &self,
         me: InstanceId,
         uses: &[LimitUse],
         records: &RecordSet,
-    ) -> Vec<CustomerDemand> {
-        let is_limited =
-            |customer: &CustomerId| records.customers.get(customer).is_some_and(has_limit);
-        let demand: Vec<CustomerDemand> = uses
+    ) -> Vec<DemandLine> {
+        let limited = |usage: &&LimitUse| {
+            let record = records.customers.get(&usage.customer);
+            record.is_some_and(has_limit)
+        };
+        let lines: Vec<DemandLine> = uses
             .iter()
-            .filter(|usage| is_limited(&usage.customer))
-            .map(|usage| CustomerDemand {
+            .filter(limited)
+            .map(|usage| DemandLine {
                 customer: usage.customer,
-                amount: usage.running + usage.arrived,
+                rate: usage.demand.rate as f32,
+                concurrency: usage.demand.concurrency,
             })
-            .filter(|demand| demand.amount > 0)
+            .filter(|line| line.rate > 0.0 || line.concurrency > 0)
             .collect();
-        self.note(me, &demand);
-        demand
+        self.note(me, &lines);
+        lines
     }
 
-    /// Sets this VM's parts of all limits.
-    pub(crate) fn divide(
+    /// Sets this VM's allotments of all limits.
+    pub fn divide(
         &self,
         me: InstanceId,
         live: &[InstanceId],
@@ -86,37 +90,40 @@
         desk: &LimitDesk,
     ) {
         let now = monotonic_now();
-        let mut state = self.state.lock();
-        let BoardState { demand, seen } = &mut *state;
-        seen.retain(|instance, seen| now.since(*seen) < DEMAND_LIFE && live.contains(instance));
-        demand.retain(|instance, _| seen.contains_key(instance));
-        for (customer, record) in records
-            .customers
-            .iter()
-            .filter(|(_, record)| has_limit(record))
-        {
-            let total: u32 = demand
-                .values()
-                .filter_map(|demand| demand.get(customer))
-                .sum();
-            let own = demand
-                .get(&me)
-                .and_then(|demand| demand.get(customer))
-                .copied()
-                .unwrap_or(0);
-            let part = own_part(own, total, live.len().max(1));
-            desk.set_part(*customer, limit_part(record, part), now);
+        let mut seen = self.seen.lock();
+        seen.retain(|instance, demand| {
+            now.since(demand.seen) < DEMAND_LIFE && live.contains(instance)
+        });
+        for (customer, record) in &records.customers {
+            let line = |instance: &InstanceId| seen.get(instance)?.lines.get(customer).copied();
+            let demands = |amount: fn(DemandLine) -> f64| -> Vec<InstanceDemand> {
+                let demand = |instance: &InstanceId| InstanceDemand {
+                    instance: *instance,
+                    demand: line(instance).map_or(0.0, amount),
+                };
+                live.iter().map(demand).collect()
+            };
+            let rates = demands(|line| f64::from(line.rate));
+            let slots = demands(|line| f64::from(line.concurrency));
+            let allotment = CustomerAllotment {
+                rate: record
+                    .rate_limit
+                    .map(|limit| share_of(me, &split_rate(limit, &rates))),
+                concurrency: record
+                    .concurrency_limit
+                    .map(|limit| share_of(me, &split_slots(limit, &slots)) as u32),
+            };
+            desk.set_allotment(*customer, allotment, now);
         }
     }
 
-    fn note(&self, from: InstanceId, demand: &[CustomerDemand]) {
-        let mut state = self.state.lock();
-        let demand = demand
-            .iter()
-            .map(|demand| (demand.customer, demand.amount))
-            .collect();
-        state.demand.insert(from, demand);
-        state.seen.insert(from, monotonic_now());
+    fn note(&self, from: InstanceId, lines: &[DemandLine]) {
+        let lines = lines.iter().map(|line| (line.customer, *line)).collect();
+        let demand = SeenDemand {
+            lines,
+            seen: monotonic_now(),
+        };
+        self.seen.lock().insert(from, demand);
     }
 }
 
@@ -124,20 +131,9 @@
     record.rate_limit.is_some() || record.concurrency_limit.is_some()
 }
 
-/// Returns this VM's share of a limit, 0 to 1.
-fn own_part(own: u32, total: u32, live: usize) -> f64 {
-    let even = 1.0 / live as f64;
-    if total == 0 {
-        return even;
-    }
-    EVEN_SHARE * even + (1.0 - EVEN_SHARE) * f64::from(own) / f64::from(total)
-}
-
-fn limit_part(record: &CustomerRecord, part: f64) -> LimitPart {
-    LimitPart {
-        rate: record.rate_limit.map(|rate| rate * part),
-        concurrency: record
-            .concurrency_limit
-            .map(|limit| (f64::from(limit) * part).round().max(1.0) as u32),
-    }
+fn share_of(me: InstanceId, shares: &[InstanceShare]) -> f64 {
+    shares
+        .iter()
+        .find(|share| share.instance == me)
+        .map_or(0.0, |share| share.share)
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -12,8 +12,8 @@
 use arc_swap::ArcSwap;
 use oleander_base::prelude::*;
 use oleander_base::{
-    GrantNotice, HeldGrant, ProgressNotice, ReleaseNotice, ShedNotice, WithdrawNotice,
-    monotonic_now,
+    CacheEvent, GrantNotice, HeldGrant, LoadReport, ProgressNotice, ReleaseNotice, ShedNotice,
+    WithdrawNotice, monotonic_now,
 };
 use oleander_caller::{CallerError, ErrorCode};
 use oleander_decide::{Decision, DecisionNotice};
@@ -33,7 +33,7 @@
 use crate::limits::LimitDesk;
 use crate::retries::RetryDesk;
 use crate::settings::EntrySettings;
-use crate::spill::{PoolChoice, SpillBoard};
+use crate::spill::SpillBoard;
 use crate::status::{BackendUse, InstanceStatus, StatusBoard};
 use crate::view::{FleetMember, FleetView};
 
@@ -125,7 +125,7 @@
             life: LifeCycle::default(),
             limits: LimitDesk::default(),
             limit_board: LimitBoard::default(),
-            retries: RetryDesk::new(monotonic_now()),
+            retries: RetryDesk::default(),
             spill: SpillBoard::default(),
             statuses: StatusBoard::default(),
             changes: ChangeLog::default(),
@@ -429,31 +429,22 @@
 
     /// Gives an unwanted grant back to the dispatcher that made it.
     fn return_grant(&self, from: InstanceId, grant: &GrantNotice, now: MonoTime) -> Vec<Decision> {
-        let Some(pool) = self.pool_of(grant.backend) else {
-            return Vec::new();
-        };
+        let pools = self.view().pools_with(grant.backend);
         if from == self.me {
-            return self.board.withdraw(pool, grant.request, now);
+            let withdraw = |pool| self.board.withdraw(pool, grant.request, now);
+            return pools.into_iter().flat_map(withdraw).collect();
         }
-        let notice = WithdrawNotice {
+        let notice = |pool| WithdrawNotice {
             request: grant.request,
             pool,
         };
-        self.send(from, PeerMessage::Withdraw(vec![notice]));
+        self.send(
+            from,
+            PeerMessage::Withdraw(pools.into_iter().map(notice).collect()),
+        );
         Vec::new()
     }
 
-    fn pool_of(&self, backend: BackendId) -> Option<PoolId> {
-        let view = self.view();
-        let record = view.backend(backend)?;
-        let name = record.serves.first()?;
-        let centre = CentreId::from_name(&record.centre);
-        Some(PoolId {
-            centre,
-            model: ModelId::from_name(name),
-        })
-    }
-
     fn send_offer(&self, to: InstanceId, tickets: Vec<Ticket>, now: MonoTime) {
         if to == self.me {
             self.on_offer(self.me, tickets, now);
@@ -501,14 +492,51 @@
         }
     }
 
-    /// Chooses the pool that serves a request of this VM.
-    pub fn choose_pool(&self, model: ModelId) -> Option<PoolChoice> {
-        let spill = self.settings.dispatch.spill;
-        let choice = self.spill.choose(&self.view(), self.centre, model, spill)?;
-        if choice.spilled {
+    /// Returns the pool of a model that a request of this VM goes to by default: the own data
+    /// centre's, or any other if that has no backend server on record.
+    pub fn home_pool(&self, model: ModelId) -> Option<PoolId> {
+        let view = self.view();
+        let pools = view.pools_of(model);
+        let own = pools.iter().find(|pool| pool.centre == self.centre);
+        own.or_else(|| pools.first()).copied()
+    }
+
+    /// Sends a ticket to another data centre if that serves it better than its own.
+    pub fn spill_over(&self, ticket: &mut Ticket) {
+        if !self.settings.dispatch.spill {
+            return;
+        }
+        if let Some(pool) = self.spill.choose(&self.view(), ticket) {
+            ticket.pool = pool;
+            ticket.spilled = true;
             bump(&self.counters.process.spilled);
         }
-        Some(choice)
+    }
+
+    /// Takes in a load report of a backend server whose pools are dispatched here.
+    pub fn take_report(&self, backend: BackendId, report: &LoadReport) {
+        let now = monotonic_now();
+        for pool in self.view().pools_with(backend) {
+            self.deliver(self.board.report(pool, backend, report, now));
+        }
+    }
+
+    /// Takes in an event of an engine's prefix cache.
+    pub fn take_cache_event(&self, backend: BackendId, event: CacheEvent) {
+        let now = monotonic_now();
+        for pool in self.view().pools_with(backend) {
+            self.board.cache_event(pool, backend, event, now);
+        }
+    }
+
+    /// Drops every pool that is dispatched here; they are rebuilt from what entry VMs hold.
+    ///
+    /// A process that was paused calls this, since others may have taken its pools over.
+    pub fn forget_pools(&self) {
+        for id in self.board.ids() {
+            self.board.drop_pool(id);
+        }
+        self.rebuild(|_| {}, None);
     }
 
     /// Counts a request against its customer's limits, or refuses it.
@@ -521,7 +549,7 @@
             Err(refusal) => {
                 self.counters.count(key, |count| count.over_limit += 1);
                 let error = CallerError::not_run(ErrorCode::OverLimit, refusal.to_string());
-                Err(error.after(refusal.retry_after))
+                Err(error.after(refusal.retry_after()))
             }
         }
     }
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -5,7 +5,7 @@
 
 use futures_util::future::BoxFuture;
 use oleander_base::prelude::*;
-use oleander_once::OnceGuard;
+use oleander_once::{ClaimEntry, ClaimHandle, OnceGuard};
 use oleander_peer::{
     PeerCall, PeerEndpoint, PeerHandler, PeerMessage, PeerReply, PeerStream, StreamOpen,
 };
@@ -30,6 +30,8 @@
     pub node: Arc<EntryNode>,
     /// The guard of non-idempotent requests.
     pub guard: Arc<dyn OnceGuard>,
+    /// The claims that this VM commits for the fleet.
+    pub claims: ClaimHandle,
     /// The records.
     pub records: Arc<RecordFeed>,
     /// Where forwarded calls run.
@@ -85,6 +87,7 @@
                 PeerCall::FetchSnapshot(_) => PeerReply::Answer(parts.records.snapshot()),
                 PeerCall::ForwardRequest(body) => parts.forwards.run(body).await,
                 PeerCall::RequestStatus(id) => request_status(&parts, id),
+                PeerCall::CommitClaim(body) => commit_claim(&parts, &body).await,
             }
         })
     }
@@ -104,6 +107,7 @@
     fn on_woke_up(&self, paused: Duration) {
         if let Some(parts) = self.parts.get() {
             let what = format!("this process was paused for {:.1} s", paused.as_secs_f64());
+            parts.node.forget_pools();
             parts.node.changes.note(
                 what,
                 "the monotonic clock jumped; old state is checked first",
@@ -112,6 +116,17 @@
     }
 }
 
+async fn commit_claim(parts: &PeerParts, body: &[u8]) -> PeerReply {
+    let Ok(entry) = postcard::from_bytes::<ClaimEntry>(body) else {
+        return PeerReply::Refused("the claim cannot be read".to_owned());
+    };
+    let reply = parts.claims.commit(entry).await;
+    match postcard::to_allocvec(&reply) {
+        Ok(bytes) => PeerReply::Answer(bytes.into()),
+        Err(error) => PeerReply::Refused(error.to_string()),
+    }
+}
+
 fn request_status(parts: &PeerParts, id: RequestId) -> PeerReply {
     let known = parts.guard.lookup(id).and_then(known_request);
     let bytes = known.and_then(|known| postcard::to_allocvec(&known).ok());
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -10,15 +10,16 @@
 use oleander_base::prelude::*;
 use oleander_base::{monotonic_now, process_origin};
 use oleander_once::{
-    ClaimBook, ClaimSettings, GuardParts, GuardSettings, LoneRoute, MonoClock, OnceGuard,
+    ClaimBook, ClaimHandle, ClaimSettings, GuardParts, GuardSettings, MonoClock, OnceGuard,
     RequestGuard, ShortSecret, TokenIssuer, TokenKey,
 };
 use oleander_operator::{OperatorContext, OperatorDesk};
 use oleander_peer::{PeerEndpoint, PeerError, PeerSettings, TlsFiles};
-use oleander_platform::{ClientSettings, KeyValueStore, PlatformClient};
+use oleander_platform::{ClientSettings, KeyValueStore, PlatformClient, VmList};
 use thiserror::Error;
 use tokio::runtime::{Builder, Runtime};
 
+use crate::claim_route::FleetRoute;
 use crate::control::run_control;
 use crate::forward::ForwardDesk;
 use crate::life::LifeStage;
@@ -27,9 +28,11 @@
 use crate::peering::{EndpointLink, PeerDesk, PeerParts};
 use crate::record_reader::run_record_reader;
 use crate::records_feed::RecordFeed;
+use crate::report_watch::spawn_report_watch;
 use crate::serve::spawn_callers;
 use crate::server::ServerThread;
 use crate::settings::EntrySettings;
+use crate::vm_watch::run_vm_watch;
 use crate::worker::SharedContext;
 
 /// Threads for peers, the platform and periodic work.
@@ -115,8 +118,10 @@
         node.connect(Arc::new(EndpointLink(peers.clone())));
         let platform = PlatformClient::open(ClientSettings::new(node.settings.platform.address))
             .map_err(system("the platform's client"))?;
+        let list: Arc<dyn VmList> = Arc::new(platform.clone());
         let store: Arc<dyn KeyValueStore> = Arc::new(platform);
-        let guard = open_guard(&node, Arc::clone(&store), issuer, &runtime);
+        let claims = open_claims(&node, Arc::clone(&store), &peers, &runtime);
+        let guard = open_guard(&node, claims.clone(), issuer);
         let shared = SharedContext {
             node: Arc::clone(&node),
             guard: Arc::clone(&guard),
@@ -128,9 +133,17 @@
         desk.open(PeerParts {
             node: Arc::clone(&node),
             guard,
+            claims,
             records: Arc::clone(&records),
             forwards,
         });
+        runtime.spawn(run_vm_watch(
+            list,
+            Arc::clone(&records),
+            Arc::clone(&node),
+            peers.clone(),
+        ));
+        spawn_report_watch(Arc::clone(&node)).map_err(system("load reports"))?;
         runtime.spawn(run_control(
             Arc::clone(&node),
             Arc::clone(&records),
@@ -254,22 +267,8 @@
     peers
 }
 
-fn open_guard(
-    node: &Arc<EntryNode>,
-    store: Arc<dyn KeyValueStore>,
-    issuer: TokenIssuer,
-    runtime: &Runtime,
-) -> Arc<dyn OnceGuard> {
-    let _entered = runtime.enter();
-    let clock: Arc<dyn MonoClock> = Arc::new(NodeClock);
-    let route = Arc::new(LoneRoute);
-    let claims = ClaimBook::spawn(
-        store,
-        node.me,
-        Arc::clone(&clock),
-        route,
-        ClaimSettings::default(),
-    );
+fn open_guard(node: &EntryNode, claims: ClaimHandle, issuer: TokenIssuer) -> Arc<dyn OnceGuard> {
+    let clock = Arc::new(NodeClock);
     let parts = GuardParts {
         me: node.me,
         centre: node.centre,
@@ -280,6 +279,23 @@
     RequestGuard::open(parts, GuardSettings::default())
 }
 
+fn open_claims(
+    node: &Arc<EntryNode>,
+    store: Arc<dyn KeyValueStore>,
+    peers: &PeerEndpoint,
+    runtime: &Runtime,
+) -> ClaimHandle {
+    let _entered = runtime.enter();
+    let route = Arc::new(FleetRoute::new(node, peers.clone()));
+    ClaimBook::spawn(
+        store,
+        node.me,
+        Arc::new(NodeClock),
+        route,
+        ClaimSettings::default(),
+    )
+}
+
 fn spawn_operators(
     desk: Arc<dyn OperatorDesk>,
     key: &str,
--- a/crates/entry/src/record_reader.rs
+++ b/crates/entry/src/record_reader.rs
@@ -31,7 +31,9 @@
     let mut listed = false;
     loop {
         let role = ReaderRole::choose(node.centre, &node.centre_instances());
-        if !role.is_reader(&node.me, feed.contact_age(), &limits) {
+        let is_reader = role.is_reader(&node.me, feed.contact_age(), &limits);
+        feed.set_reading(is_reader);
+        if !is_reader {
             listed = false;
             tokio::time::sleep(ROLE_PERIOD).await;
             continue;
--- a/crates/entry/src/records_feed.rs
+++ b/crates/entry/src/records_feed.rs
@@ -39,14 +39,20 @@
     fetching: bool,
     /// When a reader of this data centre last reached the store, as far as this VM knows.
     contact: Option<MonoTime>,
+    /// What the VM list said at that time.
+    leaving: FastSet<BackendId>,
+    /// Whether this VM is a reader now.
+    reading: bool,
 }
 
 /// What VMs tell each other of their records.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 struct RecordGossip {
     digest: RecordDigest,
     /// How long ago a reader that the sender knows of reached the store.
     contact_age: Option<Span>,
+    /// Backend servers that the VM list called leaving when that reader read it.
+    leaving: Vec<BackendId>,
 }
 
 /// The records of one entry VM.
@@ -119,10 +125,14 @@
     /// Tells the peers of this data centre and one of each other one which records are here.
     fn spread(&self, digest: RecordDigest) {
         let now = monotonic_now();
-        let contact_age = self.state.lock().contact.map(|contact| now.since(contact));
+        let state = self.state.lock();
+        let contact_age = state.contact.map(|contact| now.since(contact));
+        let leaving = state.leaving.iter().copied().collect();
+        drop(state);
         let gossip = RecordGossip {
             digest,
             contact_age,
+            leaving,
         };
         let Ok(bytes) = postcard::to_allocvec(&gossip) else {
             return;
@@ -147,7 +157,16 @@
         let mut state = self.state.lock();
         if let Some(age) = gossip.contact_age {
             let contact = monotonic_now() - age;
-            state.contact = Some(state.contact.map_or(contact, |known| known.max(contact)));
+            if state.contact.is_none_or(|known| known < contact) {
+                state.contact = Some(contact);
+                let leaving: FastSet<BackendId> = gossip.leaving.iter().copied().collect();
+                if state.leaving != leaving {
+                    state.leaving.clone_from(&leaving);
+                    drop(state);
+                    self.node.set_listed_leaving(leaving);
+                    state = self.state.lock();
+                }
+            }
         }
         let order = state.board.compare(gossip.digest);
         let wanted = matches!(order, DigestOrder::PeerAhead | DigestOrder::Diverged);
@@ -196,6 +215,29 @@
         self.state.lock().contact = Some(monotonic_now());
     }
 
+    /// Notes what the VM list says of backend servers.
+    pub(crate) fn note_leaving(&self, leaving: FastSet<BackendId>) {
+        let mut state = self.state.lock();
+        state.contact = Some(monotonic_now());
+        if state.leaving == leaving {
+            return;
+        }
+        state.leaving.clone_from(&leaving);
+        drop(state);
+        self.node.set_listed_leaving(leaving);
+        self.spread_again();
+    }
+
+    /// Notes whether this VM reads the platform for its data centre.
+    pub(crate) fn set_reading(&self, reading: bool) {
+        self.state.lock().reading = reading;
+    }
+
+    /// Returns whether this VM reads the platform for its data centre.
+    pub(crate) fn is_reader(&self) -> bool {
+        self.state.lock().reading
+    }
+
     /// Returns how long ago a reader of this data centre reached the store.
     pub(crate) fn contact_age(&self) -> Span {
         let now = monotonic_now();
--- /dev/null
+++ b/crates/entry/src/report_watch.rs
@@ -0,0 +1,88 @@
+//! Reads load reports and cache events of the model engines whose pools are dispatched here.
+//!
+//! Each engine is asked by its pool's dispatcher only, so the number of questions does not grow
+//! with the number of entry VMs.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use oleander_base::prelude::*;
+use oleander_decide::PoolKind;
+use oleander_engine::{
+    ClientSettings, EngineClient, EngineNews, PollTarget, PollerSettings, ReportPoller,
+};
+
+use crate::node::EntryNode;
+
+/// How often the set of engines to ask is worked out again.
+const TARGET_PERIOD: Duration = Duration::from_millis(500);
+
+/// Starts the thread that asks engines.
+pub(crate) fn spawn_report_watch(node: Arc<EntryNode>) -> io::Result<()> {
+    std::thread::Builder::new()
+        .name("reports".to_owned())
+        .spawn(move || {
+            let system = ntex::rt::System::new("reports", ntex::rt::DefaultRuntime);
+            system.block_on(watch_reports(node));
+        })?;
+    Ok(())
+}
+
+async fn watch_reports(node: Arc<EntryNode>) {
+    let client = match EngineClient::open(ClientSettings::default()).await {
+        Ok(client) => client,
+        Err(error) => {
+            log::error!("load reports cannot be read: {error}");
+            return;
+        }
+    };
+    let interval = Duration::from_millis(node.settings.dispatch.report_interval_ms);
+    let settings = PollerSettings {
+        interval,
+        ..PollerSettings::default()
+    };
+    let receiver = Arc::downgrade(&node);
+    let poller = ReportPoller::open(client, settings, move |backend, news| {
+        if let Some(node) = receiver.upgrade() {
+            take_news(&node, backend, &news);
+        }
+    });
+    let watched = Arc::downgrade(&node);
+    drop(node);
+    while let Some(node) = watched.upgrade() {
+        poller.set_targets(&targets(&node));
+        drop(node);
+        tokio::time::sleep(TARGET_PERIOD).await;
+    }
+}
+
+/// Returns the engines of the pools that are dispatched here.
+fn targets(node: &EntryNode) -> Vec<PollTarget> {
+    let view = node.view();
+    let is_mine = |pool: PoolId| node.board.has(pool);
+    let pools = view
+        .pools()
+        .filter(|route| route.kind == PoolKind::Engines && is_mine(route.pool));
+    let backends = pools.flat_map(|route| &route.backends);
+    let target = |backend: &BackendId| {
+        Some(PollTarget {
+            backend: *backend,
+            address: view.address(*backend)?,
+        })
+    };
+    backends.filter_map(target).collect()
+}
+
+fn take_news(node: &EntryNode, backend: BackendId, news: &EngineNews) {
+    match news {
+        EngineNews::Report(report) => node.take_report(backend, report),
+        EngineNews::Cache(news) => {
+            for event in &news.events {
+                node.take_cache_event(backend, *event);
+            }
+        }
+        // Reports grow old by themselves, and requests tell more of a failure than a question.
+        EngineNews::Failed(_) => {}
+    }
+}
--- a/crates/entry/src/serve_service.rs
+++ b/crates/entry/src/serve_service.rs
@@ -83,13 +83,11 @@
     let view = context.node.view();
     let headers = request.headers();
     let identity = identify(headers, &view.records)?;
-    let choice = context
+    let pool = context
         .node
-        .choose_pool(ModelId::from_name(&path.name))
-        .ok_or_else(|| no_service(&path.name))?;
-    let route = view
-        .pool(choice.pool)
+        .home_pool(ModelId::from_name(&path.name))
         .ok_or_else(|| no_service(&path.name))?;
+    let route = view.pool(pool).ok_or_else(|| no_service(&path.name))?;
     let record = route
         .backends
         .iter()
@@ -106,8 +104,7 @@
     let class = identity.class_record;
     Ok(ServiceJob {
         request: context.node.next_request(),
-        pool: choice.pool,
-        spilled: choice.spilled,
+        pool,
         customer: identity.customer,
         class: identity.class,
         tier: identity.tier,
--- a/crates/entry/src/service_job.rs
+++ b/crates/entry/src/service_job.rs
@@ -36,10 +36,8 @@
 pub(crate) struct ServiceJob {
     /// The request.
     pub request: RequestId,
-    /// The pool of the service in this data centre, or where it is served.
+    /// The pool of the service where the call entered, or where it is served.
     pub pool: PoolId,
-    /// Whether the pool is in another data centre.
-    pub spilled: bool,
     /// The customer.
     pub customer: CustomerId,
     /// The request class.
@@ -126,6 +124,7 @@
 struct ServiceRun<'a> {
     context: &'a Rc<WorkerContext>,
     job: &'a ServiceJob,
+    pool: PoolId,
     attempts: u32,
     verdict: Verdict,
     avoid: Option<BackendId>,
@@ -136,6 +135,7 @@
         Self {
             context,
             job,
+            pool: job.pool,
             attempts: 0,
             verdict: Verdict::NotRun,
             avoid: None,
@@ -202,9 +202,9 @@
         }
     }
 
-    async fn wait_for_slot(&self) -> Result<BackendId, CallerError> {
+    async fn wait_for_slot(&mut self) -> Result<BackendId, CallerError> {
         let job = self.job;
-        let ticket = Ticket {
+        let mut ticket = Ticket {
             request: job.request,
             pool: job.pool,
             class: job.class,
@@ -218,8 +218,10 @@
             prefix: None,
             adapter: None,
             avoid: self.avoid,
-            spilled: job.spilled,
+            spilled: job.pool.centre != self.context.node.centre,
         };
+        self.context.node.spill_over(&mut ticket);
+        self.pool = ticket.pool;
         let away =
             || CallerError::not_run(ErrorCode::Shed, "no entry VM can dispatch the call now");
         let outcome = self.context.node.ask(ticket).ok_or_else(away)?.await;
@@ -265,7 +267,7 @@
     fn slot(&self, backend: BackendId) -> SlotUse {
         let notice = ReleaseNotice {
             request: self.job.request,
-            pool: self.job.pool,
+            pool: self.pool,
             backend,
             end: EndKind::Cancelled,
             first_token: None,
@@ -287,8 +289,7 @@
     fn is_retry_allowed(&self) -> bool {
         let node = &self.context.node;
         let in_time = monotonic_now().since(self.job.arrived) < self.job.patience;
-        let allowed =
-            in_time && self.attempts < ATTEMPT_LIMIT && node.retries.try_spend(monotonic_now());
+        let allowed = in_time && self.attempts < ATTEMPT_LIMIT && node.retries.try_take();
         if allowed {
             bump(&node.counters.process.retries);
         }
@@ -303,7 +304,7 @@
             count.on_time += u64::from(on_time);
             count.goodput += job.goodput_weight;
         });
-        self.context.node.retries.deposit(monotonic_now());
+        self.context.node.retries.succeeded();
         HttpAnswer {
             status: answer.status.as_u16(),
             headers: answer.headers.clone(),
--- a/crates/entry/src/spill.rs
+++ b/crates/entry/src/spill.rs
@@ -1,40 +1,46 @@
 //! Which data centre's pool serves a request.
 //!
-//! Dispatchers tell the other data centres how full their pools are. A request goes to its own
-//! data centre unless that has no backend server for it, or is saturated while another one has
-//! free slots. A ticket that was spilled over never moves again, so two full data centres cannot
-//! pass it to and fro.
+//! Dispatchers tell the other data centres how full their pools are, and [`SpillPolicy`] decides.
+//! A request goes to its own data centre unless that has no backend server for it, or makes it
+//! wait while another one has room. A ticket that was spilled over never moves again, so two full
+//! data centres cannot pass it to and fro.
 
 use bytes::Bytes;
 use oleander_base::monotonic_now;
 use oleander_base::prelude::*;
-use oleander_decide::PoolSummary;
-use parking_lot::RwLock;
+use oleander_decide::{HomeLoad, PoolSummary, SpillConfig, SpillOption, SpillPolicy};
+use parking_lot::Mutex;
 
 use crate::view::FleetView;
 
-/// A summary that is older says nothing.
-const SUMMARY_LIFE: Span = Span::from_secs(3);
-
-/// The pool that a request's ticket goes to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PoolChoice {
-    /// The pool.
-    pub pool: PoolId,
-    /// Whether it is in another data centre.
-    pub spilled: bool,
-}
+/// The time of a message between two data centres, one way, while none has been measured.
+const CENTRE_DISTANCE: Span = Span(1_500);
 
 #[derive(Debug, Clone)]
 struct SeenSummary {
     summary: PoolSummary,
     seen: MonoTime,
+    /// Tickets sent there since then.
+    in_transit: u32,
+}
+
+/// The spill-over of one tier of one pool is decided by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct TierPool {
+    pool: PoolId,
+    tier: Tier,
+}
+
+#[derive(Debug, Default)]
+struct SpillState {
+    seen: FastMap<PoolId, SeenSummary>,
+    policies: FastMap<TierPool, SpillPolicy>,
 }
 
 /// What is known of the pools of all data centres.
 #[derive(Debug, Default)]
 pub struct SpillBoard {
-    seen: RwLock<FastMap<PoolId, SeenSummary>>,
+    state: Mutex<SpillState>,
 }
 
 impl SpillBoard {
@@ -55,86 +61,87 @@
     /// Notes summaries.
     pub fn note(&self, summaries: Vec<PoolSummary>) {
         let now = monotonic_now();
-        let mut seen = self.seen.write();
+        let mut state = self.state.lock();
         for summary in summaries {
-            seen.insert(summary.pool, SeenSummary { summary, seen: now });
+            let seen = SeenSummary {
+                summary,
+                seen: now,
+                in_transit: 0,
+            };
+            state.seen.insert(seen.summary.pool, seen);
         }
     }
 
-    /// Returns the summary of a pool, unless it is too old.
-    pub fn summary(&self, pool: PoolId) -> Option<PoolSummary> {
+    /// Returns the data centre's pool that a ticket should go to in place of its own, if another
+    /// one serves it better.
+    pub fn choose(&self, view: &FleetView, ticket: &Ticket) -> Option<PoolId> {
         let now = monotonic_now();
-        let seen = self.seen.read();
-        let seen = seen.get(&pool)?;
-        (now.since(seen.seen) < SUMMARY_LIFE).then(|| seen.summary.clone())
-    }
-
-    /// Chooses the pool of a request.
-    pub fn choose(
-        &self,
-        view: &FleetView,
-        centre: CentreId,
-        model: ModelId,
-        spill: bool,
-    ) -> Option<PoolChoice> {
-        let pools = view.pools_of(model);
-        let own = pools.iter().copied().find(|pool| pool.centre == centre);
-        let is_usable = |pool: PoolId| view.has_work_for(pool);
-        match own.filter(|pool| is_usable(*pool)) {
-            Some(own) if !spill || !self.is_full(own) => Some(PoolChoice {
-                pool: own,
-                spilled: false,
-            }),
-            Some(own) => {
-                let other = self.roomiest(
-                    pools
-                        .iter()
-                        .copied()
-                        .filter(|pool| *pool != own && is_usable(*pool)),
-                );
-                Some(other.map_or(
-                    PoolChoice {
-                        pool: own,
-                        spilled: false,
-                    },
-                    spilled,
-                ))
-            }
-            None => {
-                let others = || {
-                    pools
-                        .iter()
-                        .copied()
-                        .filter(|pool| pool.centre != centre && is_usable(*pool))
-                };
-                let other = self.roomiest(others()).or_else(|| others().next());
-                other.map(spilled).or_else(|| {
-                    own.map(|pool| PoolChoice {
-                        pool,
-                        spilled: false,
-                    })
-                })
-            }
+        let mut state = self.state.lock();
+        let SpillState { seen, policies } = &mut *state;
+        let home = home_load(view, ticket, seen, now);
+        let pools = view.pools_of(ticket.pool.model).iter().copied();
+        let others = pools.filter(|pool| *pool != ticket.pool && view.has_work_for(*pool));
+        let options: Vec<SpillOption> = others
+            .filter_map(|pool| spill_option(seen.get(&pool)?, ticket.tier, now))
+            .collect();
+        let key = TierPool {
+            pool: ticket.pool,
+            tier: ticket.tier,
+        };
+        let policy = policies
+            .entry(key)
+            .or_insert_with(|| SpillPolicy::open(SpillConfig::default()));
+        let centre = policy.choose(ticket, &home, &options)?;
+        let target = PoolId {
+            centre,
+            model: ticket.pool.model,
+        };
+        if let Some(seen) = seen.get_mut(&target) {
+            seen.in_transit += 1;
         }
+        Some(target)
     }
+}
 
-    fn is_full(&self, pool: PoolId) -> bool {
-        self.summary(pool)
-            .is_some_and(|summary| summary.saturated || summary.slots_free() == 0)
+fn home_load(
+    view: &FleetView,
+    ticket: &Ticket,
+    seen: &FastMap<PoolId, SeenSummary>,
+    now: MonoTime,
+) -> HomeLoad {
+    if !view.has_work_for(ticket.pool) {
+        return HomeLoad {
+            backends_usable: 0,
+            expected_wait: Span::ZERO,
+        };
     }
-
-    fn roomiest(&self, pools: impl Iterator<Item = PoolId>) -> Option<PoolId> {
-        pools
-            .filter_map(|pool| self.summary(pool))
-            .filter(|summary| !summary.saturated && summary.slots_free() > summary.slots_total / 4)
-            .max_by_key(|summary| (summary.slots_free(), summary.pool))
-            .map(|summary| summary.pool)
+    let stale = SpillConfig::default().stale;
+    let fresh = seen
+        .get(&ticket.pool)
+        .filter(|seen| now.since(seen.seen) <= stale);
+    match fresh {
+        Some(seen) => HomeLoad {
+            backends_usable: seen.summary.backends_usable,
+            expected_wait: seen.summary.expected_wait(ticket.tier),
+        },
+        // A pool that nothing is known of is tried.
+        None => HomeLoad {
+            backends_usable: 1,
+            expected_wait: Span::ZERO,
+        },
     }
 }
 
-fn spilled(pool: PoolId) -> PoolChoice {
-    PoolChoice {
-        pool,
-        spilled: true,
-    }
+fn spill_option(seen: &SeenSummary, tier: Tier, now: MonoTime) -> Option<SpillOption> {
+    let summary = &seen.summary;
+    Some(SpillOption {
+        centre: summary.pool.centre,
+        distance: CENTRE_DISTANCE,
+        expected_wait: summary.expected_wait(tier),
+        backends_usable: summary.backends_usable,
+        slots_total: summary.slots_total,
+        slots_free: summary.slots_free(),
+        in_transit: seen.in_transit,
+        age: now.since(seen.seen),
+    })
 }
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -84,6 +84,19 @@
         self.pools.get(&id)
     }
 
+    /// Returns the pools that a backend server belongs to.
+    pub fn pools_with(&self, backend: BackendId) -> Vec<PoolId> {
+        let Some(record) = self.backend(backend) else {
+            return Vec::new();
+        };
+        let centre = CentreId::from_name(&record.centre);
+        let pool = |name: &String| PoolId {
+            centre,
+            model: ModelId::from_name(name),
+        };
+        record.serves.iter().map(pool).collect()
+    }
+
     /// Returns every pool, in no particular order.
     pub fn pools(&self) -> impl Iterator<Item = &PoolRoute> {
         self.pools.values()
--- /dev/null
+++ b/crates/entry/src/vm_watch.rs
@@ -0,0 +1,73 @@
+//! Reads the platform's VM list, for all entry VMs of a data centre.
+//!
+//! The list lags, so it only adds entry VMs to look for and says which VMs are leaving; it never
+//! ends one that answers. The readers of the records read the list too, and what it says of
+//! backend servers travels with the records' digests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use oleander_base::prelude::*;
+use oleander_peer::{ListedVm, PeerEndpoint};
+use oleander_platform::{VmEntry, VmList, VmState};
+
+use crate::node::EntryNode;
+use crate::records_feed::RecordFeed;
+
+/// The time between two readings of the list.
+const LIST_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Reads the list while this VM is a reader, for as long as the process runs.
+pub(crate) async fn run_vm_watch(
+    list: Arc<dyn VmList>,
+    feed: Arc<RecordFeed>,
+    node: Arc<EntryNode>,
+    peers: PeerEndpoint,
+) {
+    loop {
+        tokio::time::sleep(LIST_PERIOD).await;
+        if !feed.is_reader() {
+            continue;
+        }
+        match list.read().await {
+            Ok(entries) => take_list(&entries, &feed, &node, &peers),
+            Err(error) => log::debug!("the VM list cannot be read: {error}"),
+        }
+    }
+}
+
+fn take_list(entries: &[VmEntry], feed: &RecordFeed, node: &EntryNode, peers: &PeerEndpoint) {
+    let view = node.view();
+    let leaving: Vec<&VmEntry> = entries
+        .iter()
+        .filter(|vm| vm.state == VmState::Leaving)
+        .collect();
+    let is_listed = |address: std::net::SocketAddr| {
+        leaving.iter().any(|vm| {
+            vm.address == address.ip() && vm.port.is_none_or(|port| port == address.port())
+        })
+    };
+    let backends = view
+        .records
+        .backends
+        .iter()
+        .filter(|(_, record)| is_listed(record.address));
+    feed.note_leaving(backends.map(|(backend, _)| *backend).collect());
+    let is_backend = |vm: &VmEntry| {
+        let mut records = view.records.backends.values();
+        vm.port.is_some()
+            && records.any(|record| {
+                Some(record.address.port()) == vm.port && record.address.ip() == vm.address
+            })
+    };
+    let listed: Vec<ListedVm> = entries
+        .iter()
+        .filter(|vm| !is_backend(vm))
+        .map(|vm| ListedVm {
+            address: vm.address,
+            port: vm.port,
+            leaving: vm.state == VmState::Leaving,
+        })
+        .collect();
+    peers.observe_vm_list(&listed);
+}
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -22,6 +22,7 @@
 const CALL_FETCH_SNAPSHOT: u16 = 0x101;
 const CALL_FORWARD_REQUEST: u16 = 0x102;
 const CALL_REQUEST_STATUS: u16 = 0x103;
+const CALL_COMMIT_CLAIM: u16 = 0x104;
 const STREAM_FORWARD_REQUEST: u16 = 0x200;
 const STREAM_RECONNECT: u16 = 0x201;
 const REPLY_ANSWER: u16 = 0x300;
@@ -202,6 +203,7 @@
         PeerCall::FetchSnapshot(body) => put_bytes(CALL_FETCH_SNAPSHOT, body, &mut out),
         PeerCall::ForwardRequest(body) => put_bytes(CALL_FORWARD_REQUEST, body, &mut out),
         PeerCall::RequestStatus(id) => put_value(CALL_REQUEST_STATUS, id, &mut out),
+        PeerCall::CommitClaim(body) => put_bytes(CALL_COMMIT_CLAIM, body, &mut out),
     };
     out.freeze()
 }
@@ -230,6 +232,7 @@
         CALL_FETCH_SNAPSHOT => Opening::Call(PeerCall::FetchSnapshot(body)),
         CALL_FORWARD_REQUEST => Opening::Call(PeerCall::ForwardRequest(body)),
         CALL_REQUEST_STATUS => Opening::Call(PeerCall::RequestStatus(take_value(frame)?)),
+        CALL_COMMIT_CLAIM => Opening::Call(PeerCall::CommitClaim(body)),
         STREAM_FORWARD_REQUEST => Opening::Stream(StreamOpen::ForwardRequest(body)),
         STREAM_RECONNECT => Opening::Stream(StreamOpen::Reconnect(body)),
         kind => Opening::Unknown(kind),
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -181,6 +181,8 @@
     ForwardRequest(Bytes),
     /// Asks what became of a request.
     RequestStatus(RequestId),
+    /// Asks the peer to commit the claim of a key.
+    CommitClaim(Bytes),
 }
 
 /// The reply to a [`PeerCall`].
