Find slots whose release got lost by comparing lists

A release that is lost with its connection kept a slot in use for ever. An entry VM now names the grants that it holds now and then, and the policy frees those of it that are older than 5 s and not in the list.

--- a/crates/decide/src/baseline.rs
+++ b/crates/decide/src/baseline.rs
@@ -40,6 +40,7 @@
     owner: InstanceId,
     backend: BackendId,
     class: ClassId,
+    granted: MonoTime,
     lapses: Option<MonoTime>,
 }
 
@@ -104,7 +105,7 @@
                 self.queue.push_front(entry);
                 return;
             };
-            self.grant(&entry.ticket, entry.owner, backend, out);
+            self.grant(&entry.ticket, entry.owner, backend, now, out);
         }
     }
 
@@ -113,10 +114,11 @@
         ticket: &Ticket,
         owner: InstanceId,
         backend: BackendId,
+        now: MonoTime,
         out: &mut Vec<Decision>,
     ) {
         self.last = Some(backend);
-        self.hold(ticket, owner, backend);
+        self.hold(ticket, owner, backend, now);
         self.class(ticket.class).granted += 1;
         let notice = DecisionNotice::Grant(GrantNotice {
             request: ticket.request,
@@ -125,7 +127,7 @@
         out.push(Decision { to: owner, notice });
     }
 
-    fn hold(&mut self, ticket: &Ticket, owner: InstanceId, backend: BackendId) {
+    fn hold(&mut self, ticket: &Ticket, owner: InstanceId, backend: BackendId, granted: MonoTime) {
         if let Some(state) = self.backends.get_mut(&backend) {
             state.outstanding += 1;
         }
@@ -134,6 +136,7 @@
             owner,
             backend,
             class: ticket.class,
+            granted,
             lapses: None,
         };
         self.grants.insert(ticket.request, grant);
@@ -261,7 +264,25 @@
         let request = holding.ticket.request;
         self.queue.retain(|entry| entry.ticket.request != request);
         self.free(request);
-        self.hold(&holding.ticket, from, holding.backend);
+        self.hold(&holding.ticket, from, holding.backend, now - holding.age);
+        self.settle(now, out);
+    }
+
+    fn reconcile(
+        &mut self,
+        from: InstanceId,
+        held: &[RequestId],
+        now: MonoTime,
+        out: &mut Vec<Decision>,
+    ) {
+        let before = now - self.config.reconcile_delay;
+        let lost = self.grants.iter().filter(|(request, grant)| {
+            grant.owner == from && grant.granted < before && !held.contains(request)
+        });
+        let lost: Vec<RequestId> = lost.map(|(request, _)| *request).collect();
+        for request in lost {
+            self.free(request);
+        }
         self.settle(now, out);
     }
 
--- a/crates/decide/src/config.rs
+++ b/crates/decide/src/config.rs
@@ -33,6 +33,8 @@
     pub report_stale: Span,
     /// How long a slot stays in use after the entry VM that held it is gone.
     pub orphan_delay: Span,
+    /// How old a grant must be for its absence from an entry VM's list to mean that it ended.
+    pub reconcile_delay: Span,
     /// How long tickets wait for a backend server if the pool has none.
     pub no_backend_grace: Span,
     /// The first pause of an ejected backend server; each further failure doubles it.
@@ -56,6 +58,7 @@
             overload_span: Span::from_millis(500),
             report_stale: Span::from_secs(5),
             orphan_delay: Span::from_secs(2),
+            reconcile_delay: Span::from_secs(5),
             no_backend_grace: Span::from_secs(2),
             ejection_pause: Span::from_secs(1),
             ejection_pause_limit: Span::from_secs(30),
--- a/crates/decide/src/grant_table.rs
+++ b/crates/decide/src/grant_table.rs
@@ -47,6 +47,21 @@
         self.entries.remove(&request)
     }
 
+    /// Removes and returns an entry VM's grants from before a point in time that it does not hold.
+    pub(crate) fn take_lost(
+        &mut self,
+        owner: InstanceId,
+        held: &[RequestId],
+        before: MonoTime,
+    ) -> Vec<GrantEntry> {
+        let held: FastSet<RequestId> = held.iter().copied().collect();
+        let is_lost = |entry: &GrantEntry| {
+            entry.owner == owner && entry.granted < before && !held.contains(&entry.ticket.request)
+        };
+        let lost = self.entries.extract_if(|_, entry| is_lost(entry));
+        lost.map(|(_, entry)| entry).collect()
+    }
+
     /// Lets the grants of an entry VM that is gone lapse at a point in time.
     pub(crate) fn orphan(&mut self, owner: InstanceId, lapses: MonoTime) {
         for entry in self.entries.values_mut() {
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -72,6 +72,18 @@
         out: &mut Vec<Decision>,
     );
 
+    /// Compares the grants that an entry VM holds with those in use here.
+    ///
+    /// A grant of that entry VM that is not in its list, and is older than
+    /// [`PoolConfig::reconcile_delay`], was ended by a release that got lost; its slot is freed.
+    fn reconcile(
+        &mut self,
+        from: InstanceId,
+        held: &[RequestId],
+        now: MonoTime,
+        out: &mut Vec<Decision>,
+    );
+
     /// Learns that a granted request got its first token; this is sent ahead of the release.
     fn progress(&mut self, progress: &ProgressNotice, now: MonoTime);
 
--- a/crates/decide/src/tiered.rs
+++ b/crates/decide/src/tiered.rs
@@ -259,6 +259,20 @@
         self.settle(now, out);
     }
 
+    fn reconcile(
+        &mut self,
+        from: InstanceId,
+        held: &[RequestId],
+        now: MonoTime,
+        out: &mut Vec<Decision>,
+    ) {
+        let before = now - self.config.reconcile_delay;
+        for entry in self.grants.take_lost(from, held, before) {
+            self.free_slot(&entry, now);
+        }
+        self.settle(now, out);
+    }
+
     fn progress(&mut self, progress: &ProgressNotice, now: MonoTime) {
         let Some(entry) = self.grants.get_mut(progress.request) else {
             return;
--- a/crates/decide/tests/behaviour.rs
+++ b/crates/decide/tests/behaviour.rs
@@ -395,6 +395,35 @@
     assert_eq!(fixture.text(), "grant 1 on 1\n");
 }
 
+#[test]
+fn a_lost_release_is_found_by_comparison() {
+    let mut fixture = Fixture::open(&[backend(1, 2)]);
+    fixture.offers(0..2, 0);
+    fixture.offers(2..3, 3);
+    fixture.text();
+    let held = [common::request(1)];
+    fixture.pass(4_900);
+    let now = fixture.now;
+    fixture
+        .policy
+        .reconcile(instance(0), &held, now, &mut fixture.out);
+    assert_eq!(fixture.text(), "", "a fresh grant may still be on its way");
+    fixture.pass(200);
+    let now = fixture.now;
+    fixture
+        .policy
+        .reconcile(instance(2), &[], now, &mut fixture.out);
+    assert_eq!(
+        fixture.text(),
+        "",
+        "another entry VM's grants are not concerned"
+    );
+    fixture
+        .policy
+        .reconcile(instance(0), &held, now, &mut fixture.out);
+    assert_eq!(fixture.text(), "grant 2 on 1\n");
+}
+
 #[test]
 fn progress_keeps_a_long_answer_from_looking_stalled() {
     let mut fixture = Fixture::open(&[backend(1, 4)]);
