Wait for the grants of an earlier dispatcher, and judge services whole

A new dispatcher can now wait for rebuild_span before its first grant, so that entry VMs first tell of the grants in use. A plain service's answer counts as its own first token, and a first token that a progress notice told of is no longer counted into the time for each token. PoolSummary gives spill-over its inputs.

--- a/crates/decide/src/config.rs
+++ b/crates/decide/src/config.rs
@@ -20,6 +20,9 @@
     pub kind: PoolKind,
     /// The most tickets that may wait.
     pub queue_bound: usize,
+    /// For how long a new policy grants nothing, so that entry VMs can first tell of the grants of
+    /// the dispatcher before.
+    pub rebuild_span: Span,
     /// How often [`tick`](crate::PoolPolicy::tick) is called.
     pub tick_period: Span,
     /// How far a customer may run ahead of its fair share before deadlines stop counting, as time
@@ -52,6 +55,7 @@
             pool,
             kind: PoolKind::Engines,
             queue_bound: 10_000,
+            rebuild_span: Span::ZERO,
             tick_period: Span::from_millis(20),
             fairness_window: Span::from_millis(250),
             progress_span: Span::from_secs(10),
--- a/crates/decide/src/dispatch.rs
+++ b/crates/decide/src/dispatch.rs
@@ -32,6 +32,9 @@
 impl TieredPool {
     /// Grants free slots until none is left or no ticket can use one.
     pub(crate) fn dispatch(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
+        if self.is_rebuilding(now) {
+            return;
+        }
         let mut is_saturated = false;
         while !self.queue.is_empty() && self.queue.parked().len() < PARKED_BOUND {
             let free = self.backends.free(now);
@@ -54,6 +57,12 @@
         self.note_saturation(is_saturated, now);
     }
 
+    /// Returns whether grants of an earlier dispatcher may still be unknown.
+    fn is_rebuilding(&mut self, now: MonoTime) -> bool {
+        let opened = *self.opened.get_or_insert(now);
+        now.since(opened) < self.config.rebuild_span
+    }
+
     /// Returns how many free slots a ticket must leave to higher tiers.
     fn reserved_before(&self, key: TicketKey) -> u32 {
         let entry = self.queue.get(key);
--- a/crates/decide/src/learn.rs
+++ b/crates/decide/src/learn.rs
@@ -35,6 +35,7 @@
         }
     }
 
+    /// Learns from a whole answer; a plain service's answer counts as its own first token.
     fn learn_finished(&mut self, entry: &GrantEntry, release: &ReleaseNotice, now: MonoTime) {
         let ticket = &entry.ticket;
         let is_engine = self.config.kind == PoolKind::Engines;
@@ -51,7 +52,11 @@
         };
         state.progressed(now);
         state.health.succeeded(state.view.slots, now);
-        let first = release.first_token.filter(|_| is_engine);
+        let first = if is_engine {
+            release.first_token
+        } else {
+            Some(release.total)
+        };
         let load = state.occupancy(now);
         state.speed.observe(&SpeedSample {
             work: if is_engine {
@@ -59,21 +64,17 @@
             } else {
                 1.0
             },
-            first: first.filter(|_| !entry.first_seen),
+            first,
+            is_first_known: entry.first_seen,
             total: release.total,
             load,
         });
-        let served = if is_engine {
-            first
-        } else {
-            Some(release.total)
-        };
         let gap = gap_target
             .filter(|_| is_engine)
             .and_then(|target| gap_sample(release, target));
         state
             .limit
-            .observe(gap, served.map(|span| sample(span, ticket.target)));
+            .observe(gap, first.map(|span| sample(span, ticket.target)));
     }
 
     fn learn_failure(&mut self, backend: BackendId, now: MonoTime) {
--- a/crates/decide/src/share_ledger.rs
+++ b/crates/decide/src/share_ledger.rs
@@ -96,6 +96,7 @@
 
     /// Sets the minimum share of a class.
     pub(crate) fn set_share(&mut self, class: ClassId, share: f64, now: MonoTime) {
+        let share = if share.is_nan() { 0.0 } else { share };
         self.account(class, now).share = share.clamp(SHARE_FLOOR, 1.0);
         let sum: f64 = self.accounts.values().map(|account| account.share).sum();
         self.scale = (SHARE_SUM_LIMIT / sum).min(1.0);
--- a/crates/decide/src/speed.rs
+++ b/crates/decide/src/speed.rs
@@ -21,6 +21,8 @@
     pub(crate) work: f64,
     /// Time to the first token.
     pub(crate) first: Option<Span>,
+    /// Whether that time is in the mean already.
+    pub(crate) is_first_known: bool,
     /// Time to the end.
     pub(crate) total: Span,
     /// The share of the slots in use, 0 to 1.
@@ -52,7 +54,7 @@
         self.hold.observe(total, SAMPLE_WEIGHT);
         self.work.observe(sample.work, SAMPLE_WEIGHT);
         let first = sample.first.map_or(0.0, Span::as_secs_f64);
-        if sample.first.is_some() {
+        if sample.first.is_some() && !sample.is_first_known {
             self.first.observe(first, SAMPLE_WEIGHT);
         }
         let unit = (total - first).max(0.0) / sample.work.max(1.0);
--- a/crates/decide/src/summary.rs
+++ b/crates/decide/src/summary.rs
@@ -5,6 +5,8 @@
 use oleander_base::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::spill::{HomeLoad, SpillOption};
+
 /// The state of a pool in figures.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PoolSummary {
@@ -66,14 +68,46 @@
     }
 
     /// Returns how long a ticket of this tier that comes now is expected to wait.
+    ///
+    /// Without tickets of its own tier it waits as long as one of the next higher tier that has
+    /// any.
     pub fn expected_wait(&self, tier: Tier) -> Span {
-        self.tiers
+        let ahead = self
+            .tiers
             .iter()
-            .filter(|summary| !summary.tier.is_above(tier) || summary.tier == tier)
-            .chain(self.tiers.iter().rev())
-            .find(|summary| summary.tier == tier || summary.tier.is_above(tier))
+            .filter(|summary| !tier.is_above(summary.tier));
+        ahead
+            .max_by_key(|summary| summary.tier)
             .map_or(Span::ZERO, |summary| summary.expected_wait)
     }
+
+    /// Returns what spill-over needs to know of this pool for a ticket of this tier.
+    pub fn home_load(&self, tier: Tier) -> HomeLoad {
+        HomeLoad {
+            backends_usable: self.backends_usable,
+            expected_wait: self.expected_wait(tier),
+        }
+    }
+
+    /// Returns this pool as a target of spill-over for a ticket of this tier.
+    pub fn spill_option(
+        &self,
+        tier: Tier,
+        distance: Span,
+        in_transit: u32,
+        age: Span,
+    ) -> SpillOption {
+        SpillOption {
+            centre: self.pool.centre,
+            distance,
+            expected_wait: self.expected_wait(tier),
+            backends_usable: self.backends_usable,
+            slots_total: self.slots_total,
+            slots_free: self.slots_free(),
+            in_transit,
+            age,
+        }
+    }
 }
 
 impl fmt::Display for PoolSummary {
--- a/crates/decide/src/tiered.rs
+++ b/crates/decide/src/tiered.rs
@@ -9,6 +9,11 @@
 //!   ticket of a lower tier is queued.
 //! - A backend server never gets a grant beyond its limit, nor any grant while it is leaving.
 //! - Every offered ticket has exactly one outcome.
+//!
+//! Two dispatchers of one pool at once each keep to the limits by the grants that they know of, so
+//! together they send at most twice the slots of a backend server, until its next load report
+//! shows each of them the other's requests. A new dispatcher that waits for
+//! [`PoolConfig::rebuild_span`] learns of the grants before it from the entry VMs.
 
 use oleander_base::prelude::*;
 use oleander_base::{CacheEvent, GrantNotice, LoadReport, ReleaseNotice};
@@ -47,6 +52,7 @@
     pub(crate) last_shed: [Option<MonoTime>; Tier::COUNT],
     pub(crate) saturated: Option<MonoTime>,
     pub(crate) without_backend: Option<MonoTime>,
+    pub(crate) opened: Option<MonoTime>,
     pub(crate) latest: MonoTime,
 }
 
@@ -67,6 +73,7 @@
             last_shed: [None; Tier::COUNT],
             saturated: None,
             without_backend: None,
+            opened: None,
             latest: MonoTime::default(),
             config,
         }
--- a/crates/decide/tests/behaviour.rs
+++ b/crates/decide/tests/behaviour.rs
@@ -6,8 +6,8 @@
 use oleander_base::prelude::*;
 use oleander_base::{EndKind, EngineRole, LoadReport, LoadedModel, PrefixHash};
 use oleander_decide::{
-    BackendView, CustomerView, Decision, DecisionNotice, HeldGrant, PoolPolicy, ProgressNotice,
-    TieredPool,
+    BackendView, CustomerView, Decision, DecisionNotice, HeldGrant, PoolConfig, PoolPolicy,
+    ProgressNotice, TieredPool,
 };
 
 struct Fixture {
@@ -395,6 +395,71 @@
     assert_eq!(fixture.text(), "grant 1 on 1\n");
 }
 
+#[test]
+fn a_new_dispatcher_grants_nothing_until_it_knows_the_grants_before_it() {
+    let mut fixture = Fixture::open(&[]);
+    let mut rebuilt = config();
+    rebuilt.rebuild_span = Span::from_millis(300);
+    fixture.policy = TieredPool::open(rebuilt);
+    let now = fixture.now;
+    let backends = [backend(1, 1)];
+    fixture
+        .policy
+        .set_backends(&backends, now, &mut fixture.out);
+    fixture.offers(0..1, 0);
+    let holding = HeldGrant {
+        ticket: ticket(7, 3),
+        backend: BackendId(1),
+        age: Span::from_secs(3),
+    };
+    fixture
+        .policy
+        .adopt(&holding, instance(1), now, &mut fixture.out);
+    fixture.pass(400);
+    assert_eq!(fixture.text(), "", "the slot is in use by an older grant");
+    fixture.release(7, 1, EndKind::Finished);
+    assert_eq!(fixture.text(), "grant 0 on 1\n");
+}
+
+#[test]
+fn a_plain_service_is_judged_by_its_whole_answer() {
+    let mut fixture = Fixture::open(&[]);
+    fixture.policy = TieredPool::open(PoolConfig::services(common::pool()));
+    let now = fixture.now;
+    let backends = [backend(0, 8), backend(1, 8)];
+    fixture
+        .policy
+        .set_backends(&backends, now, &mut fixture.out);
+    for serial in 0..40 {
+        fixture.offers(serial..serial + 1, 0);
+        let number = u32::from(fixture.text().ends_with("on 1\n"));
+        let mut notice = release(serial, number, EndKind::Finished, 9_000);
+        notice.first_token = None;
+        notice.total = Span::from_millis(20 + 80 * u64::from(number));
+        let now = fixture.now;
+        fixture.policy.release(&notice, now, &mut fixture.out);
+        fixture.pass(20);
+    }
+    fixture.offers(40..44, 0);
+    assert_eq!(fixture.text().matches("on 0").count(), 4);
+}
+
+#[test]
+fn a_summary_tells_spill_over_what_a_tier_waits() {
+    let mut fixture = Fixture::open(&[backend(1, 1)]);
+    fixture.learn(0, 40);
+    fixture.pass(60_000);
+    fixture.offers(100..103, 1);
+    let summary = fixture.policy.summary(fixture.now);
+    assert_eq!(summary.expected_wait(Tier(0)), Span::ZERO);
+    let wait = summary.expected_wait(Tier(1));
+    assert!(wait > Span::from_millis(900), "{wait}");
+    assert_eq!(summary.expected_wait(Tier(3)), wait);
+    assert_eq!(summary.home_load(Tier(2)).expected_wait, wait);
+    let option = summary.spill_option(Tier(2), Span::from_millis(2), 3, Span::ZERO);
+    assert_eq!((option.slots_free, option.in_transit), (0, 3));
+}
+
 #[test]
 fn a_lost_release_is_found_by_comparison() {
     let mut fixture = Fixture::open(&[backend(1, 2)]);
