--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Builders that the tests of the pool's policy share.
 #![allow(dead_code, reason = "each test file uses its part")]
 
+pub(crate) mod events;
+
 use std::net::{Ipv4Addr, SocketAddr};
 
 use oleander_base::prelude::*;
--- a/crates/decide/tests/promises.rs
+++ b/crates/decide/tests/promises.rs
@@ -1,4 +1,6 @@
-//! The promises of the tiered policy under any order of events.
+//! The promises of the policies under any order of events.
+//!
+//! The tiered policy is held to all of them, the baselines to those that concern no tiers.
 //!
 //! The test keeps its own account of what is queued and granted, from the calls that it makes and
 //! the decisions that come out, and holds each decision against it.
@@ -7,107 +9,19 @@
 
 use std::collections::BTreeMap;
 
+use common::events::{BACKENDS, Event, event, report};
 use common::{backend, classes, config, instance, release, request, ticket};
 use oleander_base::prelude::*;
-use oleander_base::{CacheEvent, EndKind, EngineRole, LoadReport, PrefixHash, ShedReason};
+use oleander_base::{CacheEvent, EndKind, PrefixHash, ShedReason};
 use oleander_decide::{
-    BackendView, Decision, DecisionNotice, HeldGrant, PoolConfig, PoolPolicy, ProgressNotice,
-    TieredPool,
+    BackendView, Decision, DecisionNotice, HeldGrant, PolicyKind, PoolConfig, PoolPolicy,
+    ProgressNotice, TieredPool,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-const BACKENDS: u32 = 4;
 const QUEUE_BOUND: usize = 24;
 
-#[derive(Debug, Clone)]
-enum Event {
-    Offer {
-        class: u8,
-        customer: u32,
-        waited: u64,
-        owner: u16,
-        avoid: Option<u32>,
-    },
-    Offers {
-        class: u8,
-        count: u8,
-    },
-    Reoffer {
-        pick: usize,
-        owner: u16,
-    },
-    Withdraw {
-        pick: usize,
-    },
-    Release {
-        pick: usize,
-        end: EndKind,
-        tokens: u32,
-    },
-    Adopt {
-        class: u8,
-        backend: u32,
-        age: u64,
-    },
-    Report {
-        backend: u32,
-        running: u32,
-        age: u64,
-        leaving: bool,
-    },
-    Backends {
-        leaving: u8,
-        unreachable: u8,
-        slots: u32,
-    },
-    Progress {
-        pick: usize,
-    },
-    Cache {
-        backend: u32,
-        prefix: u64,
-    },
-    Gone {
-        owner: u16,
-    },
-    Pass {
-        millis: u64,
-    },
-}
-
-fn event() -> impl Strategy<Value = Event> {
-    let end = prop_oneof![
-        6 => Just(EndKind::Finished),
-        1 => Just(EndKind::Cancelled),
-        2 => Just(EndKind::Failed),
-        1 => Just(EndKind::Refused),
-    ];
-    let avoid = prop::option::weighted(0.1, 0..BACKENDS);
-    prop_oneof![
-        10 => (0u8..4, 0u32..3, 0u64..3_000, 0u16..3, avoid).prop_map(
-            |(class, customer, waited, owner, avoid)| Event::Offer { class, customer, waited, owner, avoid }
-        ),
-        2 => (0u8..4, 1u8..20).prop_map(|(class, count)| Event::Offers { class, count }),
-        2 => (any::<usize>(), 0u16..3).prop_map(|(pick, owner)| Event::Reoffer { pick, owner }),
-        1 => any::<usize>().prop_map(|pick| Event::Withdraw { pick }),
-        12 => (any::<usize>(), end, 0u32..200)
-            .prop_map(|(pick, end, tokens)| Event::Release { pick, end, tokens }),
-        1 => (0u8..4, 0..BACKENDS + 1, 0u64..9_000)
-            .prop_map(|(class, backend, age)| Event::Adopt { class, backend, age }),
-        2 => (0..BACKENDS, 0u32..12, 0u64..12_000, prop::bool::weighted(0.1)).prop_map(
-            |(backend, running, age, leaving)| Event::Report { backend, running, age, leaving }
-        ),
-        1 => (any::<u8>(), any::<u8>(), 0u32..6).prop_map(|(leaving, unreachable, slots)| {
-            Event::Backends { leaving, unreachable, slots }
-        }),
-        1 => any::<usize>().prop_map(|pick| Event::Progress { pick }),
-        1 => (0..BACKENDS, 0u64..4).prop_map(|(backend, prefix)| Event::Cache { backend, prefix }),
-        1 => (0u16..3).prop_map(|owner| Event::Gone { owner }),
-        8 => (0u64..1_500).prop_map(|millis| Event::Pass { millis }),
-    ]
-}
-
 #[derive(Debug, Clone)]
 struct Waiting {
     ticket: Ticket,
@@ -117,7 +31,8 @@
 
 #[derive(Debug)]
 struct Account {
-    policy: TieredPool,
+    kind: PolicyKind,
+    policy: Box<dyn PoolPolicy>,
     now: MonoTime,
     views: Vec<BackendView>,
     says_leaving: BTreeMap<BackendId, bool>,
@@ -130,13 +45,14 @@
 }
 
 impl Account {
-    fn open() -> Self {
+    fn open(kind: PolicyKind) -> Self {
         let config = PoolConfig {
             queue_bound: QUEUE_BOUND,
             ..config()
         };
         let mut account = Self {
-            policy: TieredPool::open(config),
+            kind,
+            policy: oleander_decide::open(kind, config),
             now: MonoTime(5_000_000),
             views: (0..BACKENDS).map(|number| backend(number, 3)).collect(),
             says_leaving: BTreeMap::new(),
@@ -357,7 +273,8 @@
         let view = self.views.iter().find(|view| view.backend == backend);
         let view = view.expect("a grant on an unknown backend server");
         assert!(!view.leaving && view.reachable, "a grant on {view:?}");
-        assert_ne!(self.says_leaving.get(&backend), Some(&true));
+        let is_tiered = self.kind == PolicyKind::Tiered;
+        assert!(!is_tiered || self.says_leaving.get(&backend) != Some(&true));
         let used = self
             .granted
             .values()
@@ -373,6 +290,9 @@
             assert!(waited >= waiting.ticket.patience);
             return;
         }
+        if self.kind != PolicyKind::Tiered {
+            return;
+        }
         let lower = self
             .waiting
             .values()
@@ -384,6 +304,9 @@
     }
 
     fn check_overtakes(&self) {
+        if self.kind != PolicyKind::Tiered {
+            return;
+        }
         let summary = self.policy.summary(self.now);
         let by_share: u64 = summary
             .classes
@@ -407,20 +330,6 @@
     }
 }
 
-fn report(running: u32, age: u64, leaving: bool) -> LoadReport {
-    LoadReport {
-        age: Span::from_millis(age),
-        running,
-        waiting: 0,
-        batch_limit: 8,
-        tokens_per_second: 0.0,
-        cache_used: 0.0,
-        role: EngineRole::Full,
-        models: Vec::new(),
-        leaving,
-    }
-}
-
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 400,
@@ -431,14 +340,24 @@
 
     #[test]
     fn promises_hold_in_any_order_of_events(events in prop::collection::vec(event(), 1..250)) {
-        let mut account = Account::open();
-        for event in &events {
-            account.apply(event);
-            account.check();
-            account.check_overtakes();
-        }
-        account.finish();
+        run(PolicyKind::Tiered, &events);
+    }
+
+    #[test]
+    fn baselines_keep_to_slots_and_outcomes(events in prop::collection::vec(event(), 1..120)) {
+        run(PolicyKind::RoundRobin, &events);
+        run(PolicyKind::Least, &events);
+    }
+}
+
+fn run(kind: PolicyKind, events: &[Event]) {
+    let mut account = Account::open(kind);
+    for event in events {
+        account.apply(event);
+        account.check();
+        account.check_overtakes();
     }
+    account.finish();
 }
 
 /// Under a flood of the highest tier, which is always queued, a class of the lowest tier gets a
