Count a tier as outgrown from 0.9 of the capacity

The reserve and the minimum shares take a tenth of a small pool, so a tier at 0.95 of it cannot be served in time.

--- a/crates/decide/src/shed.rs
+++ b/crates/decide/src/shed.rs
@@ -31,7 +31,7 @@
 const WAIT_TOLERANCE: f64 = 2.0;
 
 /// The load from which a tier, with those above it, counts as more than the pool can do.
-const OUTGROWN_LOAD: f64 = 0.95;
+const OUTGROWN_LOAD: f64 = 0.9;
 
 /// The least share of the pool that a tier is expected to get.
 const TIER_SHARE_FLOOR: f64 = 0.02;
--- a/crates/decide/src/slot_reserve.rs
+++ b/crates/decide/src/slot_reserve.rs
@@ -20,7 +20,7 @@
 const LOAD_LIMIT: f64 = 0.75;
 
 /// The most slots that are reserved, as a share of the pool's.
-const SLOT_SHARE: f64 = 0.1;
+const SLOT_SHARE: f64 = 0.125;
 
 /// What one tier asks of the pool.
 #[derive(Debug, Clone, Copy, Default)]
