--- a/crates/decide/src/config.rs
+++ b/crates/decide/src/config.rs
@@ -20,6 +20,9 @@
     pub kind: PoolKind,
     /// The most tickets that may wait.
     pub queue_bound: usize,
+    /// For how long a new policy grants nothing, so that entry VMs can first tell of the grants of
+    /// the dispatcher before.
+    pub rebuild_span: Span,
     /// How often [`tick`](crate::PoolPolicy::tick) is called.
     pub tick_period: Span,
     /// How far a customer may run ahead of its fair share before deadlines stop counting, as time
@@ -33,6 +36,8 @@
     pub report_stale: Span,
     /// How long a slot stays in use after the entry VM that held it is gone.
     pub orphan_delay: Span,
+    /// How old a grant must be for its absence from an entry VM's list to mean that it ended.
+    pub reconcile_delay: Span,
     /// How long tickets wait for a backend server if the pool has none.
     pub no_backend_grace: Span,
     /// The first pause of an ejected backend server; each further failure doubles it.
@@ -50,12 +55,14 @@
             pool,
             kind: PoolKind::Engines,
             queue_bound: 10_000,
+            rebuild_span: Span::ZERO,
             tick_period: Span::from_millis(20),
             fairness_window: Span::from_millis(250),
             progress_span: Span::from_secs(10),
             overload_span: Span::from_millis(500),
             report_stale: Span::from_secs(5),
             orphan_delay: Span::from_secs(2),
+            reconcile_delay: Span::from_secs(5),
             no_backend_grace: Span::from_secs(2),
             ejection_pause: Span::from_secs(1),
             ejection_pause_limit: Span::from_secs(30),
