once: committers of one shard share its commits out

Eight committers for each shard at once, as in a partition between peers, conflicted at every commit because their view was old after the wait for the slot: at 100 claims/s 92.8 % were granted with 376 writes/s and p99 965 ms; doubling the interval after conflicts starved seven of eight (15.4 %). The tail now counts its commits; a writer that saw others' takes that many intervals and reads the tail right before its write.

--- a/crates/once/src/door.rs
+++ b/crates/once/src/door.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::gate::MonoClock;
-use crate::route::{ClaimEntry, ClaimReply, ClaimRoute, NotWritten, ShardId};
+use crate::route::{ClaimEntry, ClaimReply, NotWritten, ShardId};
 use crate::settings::ClaimSettings;
 use crate::shard::ShardTask;
 use crate::stats::ClaimCounters;
@@ -25,7 +25,6 @@
 pub(crate) struct ShardParts {
     pub(crate) store: Arc<dyn KeyValueStore>,
     pub(crate) clock: Arc<dyn MonoClock>,
-    pub(crate) route: Arc<dyn ClaimRoute>,
     pub(crate) settings: ClaimSettings,
     pub(crate) counters: Arc<ClaimCounters>,
 }
--- a/crates/once/src/handle.rs
+++ b/crates/once/src/handle.rs
@@ -58,7 +58,6 @@
         let parts = Arc::new(ShardParts {
             store,
             clock: Arc::clone(&clock),
-            route: Arc::clone(&route),
             settings,
             counters: Arc::clone(&counters),
         });
--- a/crates/once/src/route.rs
+++ b/crates/once/src/route.rs
@@ -93,12 +93,6 @@
     /// Returns where the claims of a shard are committed: rendezvous over the reachable peers.
     fn place(&self, shard: ShardId) -> CommitPlace;
 
-    /// Returns how many instances may commit a shard that is not theirs at present: the live ones.
-    ///
-    /// Each of them commits that much more seldom, so that together they write no more than the
-    /// shard's own committer does.
-    fn writers(&self) -> u32;
-
     /// Takes a claim to a peer, which calls `ClaimHandle::commit`, and returns its reply.
     fn carry(
         &self,
@@ -116,10 +110,6 @@
         CommitPlace::Here
     }
 
-    fn writers(&self) -> u32 {
-        1
-    }
-
     fn carry(
         &self,
         peer: InstanceId,
--- a/crates/once/src/segment.rs
+++ b/crates/once/src/segment.rs
@@ -42,6 +42,8 @@
     pub seq: u64,
     /// The lowest archive that still counts.
     pub floor: u64,
+    /// How often the tail was written since the log began; tells a writer of others.
+    pub commits: u64,
     /// The log's time when the segment was last written.
     pub log_time: Span,
     /// Whether the segment is full; a sealed one never changes again.
@@ -57,6 +59,7 @@
         Self {
             seq: self.seq + 1,
             floor: self.floor,
+            commits: self.commits,
             log_time: self.log_time,
             ..Self::default()
         }
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 
 use crate::door::{QueuedClaim, ShardParts, ShardState};
-use crate::route::{ClaimEntry, ClaimReply, CommitPlace, NotWritten, ShardId};
+use crate::route::{ClaimEntry, ClaimReply, NotWritten, ShardId};
 use crate::step::{ListedArchive, LogFault, StoreStep, WriterLimits};
 use crate::writer::ShardWriter;
 
@@ -25,6 +25,10 @@
 
 /// After how many writes with an unknown outcome a group of claims is given up.
 const UNKNOWN_WRITES: u32 = 3;
+/// After how many conflicts a group waits for its next slot.
+const CONFLICTS_PER_SLOT: u32 = 3;
+/// The most writers among whom a shard's commits are shared out.
+const WRITERS_LIMIT: u64 = 16;
 /// Names the number of shards that the log was laid out for.
 const LAYOUT_KEY: &str = "claims/layout";
 
@@ -47,6 +51,8 @@
     state: Arc<ShardState>,
     writer: ShardWriter,
     next_slot: MonoTime,
+    /// How many of the present group's writes met another writer's.
+    conflicts: u32,
     is_layout_checked: bool,
     /// How many writes with the present group's claims had an unknown outcome.
     unknown_writes: u32,
@@ -66,6 +72,7 @@
             state,
             writer,
             next_slot: MonoTime(0),
+            conflicts: 0,
             is_layout_checked: false,
             unknown_writes: 0,
         }
@@ -108,6 +115,10 @@
         claims: &mut mpsc::Receiver<QueuedClaim>,
     ) {
         self.unknown_writes = 0;
+        self.conflicts = 0;
+        if self.writer.foreign_commits() > 0 {
+            self.writer.refresh();
+        }
         group.retain(|queued| !queued.reply.is_closed());
         if group.is_empty() {
             return;
@@ -243,7 +254,6 @@
     }
 
     async fn write_tail(&mut self, expected: Expected, value: Bytes) -> Result<(), GroupFailure> {
-        self.wait_for_slot().await;
         let counters = &self.parts.counters;
         counters.tail_writes.add(1);
         counters.written_bytes.add(value.len() as u64);
@@ -254,7 +264,7 @@
         self.writer.on_tail_written(&result, self.parts.clock.now());
         match &result {
             Err(StoreError::Unknown { .. }) => self.unknown_writes += 1,
-            Err(StoreError::Conflict { .. }) => self.parts.counters.conflicts.add(1),
+            Err(StoreError::Conflict { .. }) => self.conflicts += 1,
             _ => {}
         }
         self.go_on_after(result.err()).await
@@ -263,7 +273,14 @@
     /// Waits out a lack of call budget; a conflict or an unknown outcome is settled by reading.
     async fn go_on_after(&self, error: Option<StoreError>) -> Result<(), GroupFailure> {
         match error {
-            None | Some(StoreError::Conflict { .. }) => Ok(()),
+            None => Ok(()),
+            Some(StoreError::Conflict { .. }) => {
+                self.parts.counters.conflicts.add(1);
+                if self.conflicts.is_multiple_of(CONFLICTS_PER_SLOT) {
+                    self.wait_for_slot().await;
+                }
+                Ok(())
+            }
             Some(StoreError::Unknown { .. }) if self.unknown_writes < UNKNOWN_WRITES => Ok(()),
             Some(StoreError::OverBudget { retry_after }) if retry_after <= BUDGET_WAIT_LIMIT => {
                 tokio::time::sleep(retry_after).await;
@@ -301,13 +318,10 @@
         }
     }
 
-    /// An instance that commits a shard of another one does so the more seldom, the more could.
+    /// Writers of one shard share its commits out: each counts the others' between its own.
     fn interval(&self) -> Span {
-        let interval = self.parts.settings.commit_interval;
-        match self.parts.route.place(self.shard) {
-            CommitPlace::Here => interval,
-            CommitPlace::Peer(_) => Span(interval.0 * u64::from(self.parts.route.writers().max(1))),
-        }
+        let writers = (self.writer.foreign_commits() + 1).min(WRITERS_LIMIT);
+        Span(self.parts.settings.commit_interval.0 * writers)
     }
 
     fn tail_key(&self) -> String {
--- a/crates/once/src/writer.rs
+++ b/crates/once/src/writer.rs
@@ -66,6 +66,8 @@
     has_listed: bool,
     relists: u32,
     pending: Option<Segment>,
+    own_commits: Option<u64>,
+    foreign_commits: u64,
     index: BTreeMap<KeyHash, ClaimHolder>,
     archives: BTreeMap<u64, ArchiveNote>,
     garbage: BTreeMap<u64, Revision>,
@@ -83,6 +85,8 @@
             has_listed: false,
             relists: 0,
             pending: None,
+            own_commits: None,
+            foreign_commits: 0,
             index: BTreeMap::new(),
             archives: BTreeMap::new(),
             garbage: BTreeMap::new(),
@@ -125,6 +129,7 @@
             true => self.tail.next(),
             false => self.tail.clone(),
         };
+        segment.commits = self.tail.commits + 1;
         segment.log_time = self.tail.log_time + now.since(self.learned_at);
         segment.floor = self.next_floor(segment.log_time);
         if segment.seq - segment.floor > self.limits.segments {
@@ -320,12 +325,30 @@
     pub fn on_tail_written(&mut self, result: &Result<Revision, StoreError>, now: MonoTime) {
         let pending = self.pending.take();
         match (result, pending) {
-            (Ok(revision), Some(segment)) => self.accept_tail(segment, *revision, now),
+            (Ok(revision), Some(segment)) => {
+                self.note_own_commit(segment.commits);
+                self.accept_tail(segment, *revision, now);
+            }
             (Err(StoreError::Unavailable { .. } | StoreError::OverBudget { .. }), _) => {}
             _ => self.phase = ViewPhase::Stale,
         }
     }
 
+    fn note_own_commit(&mut self, commits: u64) {
+        let before = self.own_commits.replace(commits);
+        self.foreign_commits = before.map_or(0, |before| commits - before - 1);
+    }
+
+    /// Returns how often others wrote the tail between the last two writes of this writer.
+    pub fn foreign_commits(&self) -> u64 {
+        self.foreign_commits
+    }
+
+    /// Has the tail read again before the next write, which is likely to conflict otherwise.
+    pub fn refresh(&mut self) {
+        self.phase = ViewPhase::Stale;
+    }
+
     /// Takes one archive that no longer counts, for deletion.
     pub fn take_garbage(&mut self) -> Option<(u64, Revision)> {
         self.garbage.pop_first()
--- a/crates/once/tests/claims.rs
+++ b/crates/once/tests/claims.rs
@@ -302,10 +302,6 @@
             .map_or(CommitPlace::Here, |(peer, _)| CommitPlace::Peer(*peer))
     }
 
-    fn writers(&self) -> u32 {
-        2
-    }
-
     fn carry(
         &self,
         peer: InstanceId,
