--- /dev/null
+++ b/crates/attempt/tests/attempt.rs
@@ -0,0 +1,174 @@
+//! Attempts against a server that follows a script to the byte.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use ntex::http::{Method, StatusCode};
+use ntex::util::Bytes;
+use oleander_attempt::{
+    AttemptClient, AttemptFailure, AttemptRequest, AttemptSettings, AttemptTimeouts,
+};
+use oleander_base::prelude::*;
+
+const LONG_WAIT: Duration = Duration::from_secs(20);
+/// Less than the script server's queue of connections that are not accepted yet.
+const MANY: u32 = 100;
+const SHORT_WAIT: Duration = Duration::from_millis(80);
+
+/// A server that answers every request with the same bytes.
+struct ScriptServer {
+    address: SocketAddr,
+    requests: Arc<AtomicU32>,
+}
+
+impl ScriptServer {
+    /// Binds the server; with `stay` it keeps the connection open after the answer.
+    fn bind(answer: &'static str, stay: bool) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::new(AtomicU32::new(0));
+        let count = requests.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let count = count.clone();
+                std::thread::spawn(move || serve(stream, answer, stay, &count));
+            }
+        });
+        Self { address, requests }
+    }
+
+    fn requests(&self) -> u32 {
+        self.requests.load(Ordering::SeqCst)
+    }
+}
+
+fn serve(mut stream: TcpStream, answer: &str, stay: bool, count: &AtomicU32) {
+    let mut seen = Vec::new();
+    let mut buffer = [0; 4_096];
+    while let Ok(size) = stream.read(&mut buffer) {
+        if size == 0 {
+            return;
+        }
+        seen.extend_from_slice(&buffer[..size]);
+        if !seen.windows(4).any(|window| window == b"\r\n\r\n") {
+            continue;
+        }
+        count.fetch_add(1, Ordering::SeqCst);
+        seen.clear();
+        if stream.write_all(answer.as_bytes()).is_err() || !stay {
+            return;
+        }
+    }
+}
+
+async fn open() -> AttemptClient {
+    AttemptClient::open(AttemptSettings::default())
+        .await
+        .unwrap()
+}
+
+fn get(address: SocketAddr) -> AttemptRequest<'static> {
+    AttemptRequest {
+        method: Method::GET,
+        address,
+        path: "/",
+        headers: &[],
+        body: Bytes::new(),
+        fresh: false,
+        timeouts: AttemptTimeouts {
+            connect: LONG_WAIT,
+            first_byte: LONG_WAIT,
+            idle: SHORT_WAIT,
+        },
+    }
+}
+
+#[ntex::test]
+async fn a_redirect_is_an_answer_and_not_followed() {
+    let answer =
+        "HTTP/1.1 307 Temporary Redirect\r\nlocation: /elsewhere\r\ncontent-length: 0\r\n\r\n";
+    let server = ScriptServer::bind(answer, true);
+    let response = open().await.send(get(server.address)).await.unwrap();
+    assert_eq!(response.status, StatusCode::TEMPORARY_REDIRECT);
+    assert_eq!(response.header("location"), Some("/elsewhere"));
+    assert_eq!(server.requests(), 1);
+}
+
+#[ntex::test]
+async fn a_close_instead_of_an_answer_may_have_run_and_is_not_repeated() {
+    let server = ScriptServer::bind("", false);
+    let client = open().await;
+    for round in 1..=20 {
+        let error = client.send(get(server.address)).await.unwrap_err();
+        assert_eq!(error.verdict, Verdict::MayHaveRun, "{error}");
+        assert_eq!(server.requests(), round);
+    }
+}
+
+#[ntex::test]
+async fn no_server_means_not_run() {
+    let free = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let error = open().await.send(get(free)).await.unwrap_err();
+    assert_eq!(error.verdict, Verdict::NotRun);
+    assert!(matches!(error.failure, AttemptFailure::Connect(_)));
+}
+
+#[ntex::test]
+async fn what_is_no_http_may_have_run() {
+    let server = ScriptServer::bind("hello there\r\n\r\n", false);
+    let error = open().await.send(get(server.address)).await.unwrap_err();
+    assert_eq!(error.verdict, Verdict::MayHaveRun);
+}
+
+#[ntex::test]
+async fn a_body_that_stands_still_or_stops_short_is_an_error() {
+    let part = "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf";
+    for (stay, still) in [(true, true), (false, false)] {
+        let server = ScriptServer::bind(part, stay);
+        let response = open().await.send(get(server.address)).await.unwrap();
+        let error = response.body.read(100).await.unwrap_err();
+        assert_eq!(error.verdict, Verdict::MayHaveRun);
+        assert_eq!(
+            error.failure == AttemptFailure::IdleTimeout,
+            still,
+            "{error}"
+        );
+    }
+}
+
+#[ntex::test]
+async fn a_body_over_the_limit_is_not_taken() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n0123456789";
+    let server = ScriptServer::bind(answer, true);
+    let client = open().await;
+    let response = client.send(get(server.address)).await.unwrap();
+    let error = response.body.read(9).await.unwrap_err();
+    assert_eq!(error.failure, AttemptFailure::TooLarge { limit: 9 });
+    let response = client.send(get(server.address)).await.unwrap();
+    assert_eq!(&response.body.read(10).await.unwrap()[..], b"0123456789");
+}
+
+#[ntex::test]
+async fn many_requests_at_once_all_find_a_connection() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    let server = ScriptServer::bind(answer, true);
+    let client = open().await;
+    let mut tasks = Vec::new();
+    for _ in 0..MANY {
+        let (client, address) = (client.clone(), server.address);
+        tasks.push(ntex::rt::spawn(async move {
+            let response = client.send(get(address)).await.unwrap();
+            response.body.read(10).await.unwrap()
+        }));
+    }
+    for task in tasks {
+        assert_eq!(&task.await.unwrap()[..], b"ok");
+    }
+    assert_eq!(server.requests(), MANY);
+}
