Open claims and guard inside the background runtime

Cause: the guard starts a task that watches for pauses, outside of any runtime; the process ended at its start. Conclusion: the parts that spawn tasks are opened under one guard of the runtime.

--- a/crates/ctl/src/experiment.rs
+++ b/crates/ctl/src/experiment.rs
@@ -65,6 +65,10 @@
         for line in &tiers.breaks {
             text.push_str(&format!("  {line}\n"));
         }
+        text.push_str(&format!(
+            "{}: error codes {:?}\n",
+            result.policy, result.report.totals.codes
+        ));
         if let Some(settled) = &result.report.settled {
             text.push_str(&format!(
                 "{}: doubled effects {}, lost effects {}, \"not run\" that ran {}, wasted tokens {:.3}\n",
--- a/crates/entry/src/claim_route.rs
+++ b/crates/entry/src/claim_route.rs
@@ -38,7 +38,7 @@
 
 impl ClaimRoute for FleetRoute {
     fn place(&self, shard: ShardId) -> CommitPlace {
-        let alone = CommitPlace::Here { writers: 1 };
+        let alone = CommitPlace::Here;
         let Some(node) = self.node.upgrade() else {
             return alone;
         };
@@ -56,9 +56,7 @@
         };
         match choose_dispatcher(key, &candidates) {
             Some(instance) if instance != node.me => CommitPlace::Peer(instance),
-            _ => CommitPlace::Here {
-                writers: self.writers(),
-            },
+            _ => CommitPlace::Here,
         }
     }
 
@@ -81,16 +79,3 @@
         })
     }
 }
-
-impl FleetRoute {
-    /// Returns how many instances may commit a shard now: one for each data centre that this one
-    /// cannot see, and itself.
-    fn writers(&self) -> u32 {
-        let members = self.peers.members();
-        1 + members
-            .centres
-            .values()
-            .filter(|centre| !centre.visible)
-            .count() as u32
-    }
-}
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -50,7 +50,7 @@
     /// Sets this VM's allotment of a customer's limits.
     pub fn set_allotment(&self, customer: CustomerId, allotment: CustomerAllotment, now: MonoTime) {
         self.with(customer, now, |limiter| {
-            limiter.set_allotment(allotment, now)
+            limiter.set_allotment(allotment, now);
         });
     }
 
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -120,8 +120,10 @@
             .map_err(system("the platform's client"))?;
         let list: Arc<dyn VmList> = Arc::new(platform.clone());
         let store: Arc<dyn KeyValueStore> = Arc::new(platform);
-        let claims = open_claims(&node, Arc::clone(&store), &peers, &runtime);
+        let entered = runtime.enter();
+        let claims = open_claims(&node, Arc::clone(&store), &peers);
         let guard = open_guard(&node, claims.clone(), issuer);
+        drop(entered);
         let shared = SharedContext {
             node: Arc::clone(&node),
             guard: Arc::clone(&guard),
@@ -283,9 +285,7 @@
     node: &Arc<EntryNode>,
     store: Arc<dyn KeyValueStore>,
     peers: &PeerEndpoint,
-    runtime: &Runtime,
 ) -> ClaimHandle {
-    let _entered = runtime.enter();
     let route = Arc::new(FleetRoute::new(node, peers.clone()));
     ClaimBook::spawn(
         store,
--- a/crates/entry/src/vm_watch.rs
+++ b/crates/entry/src/vm_watch.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oleander_base::prelude::*;
 use oleander_peer::{ListedVm, PeerEndpoint};
 use oleander_platform::{VmEntry, VmList, VmState};
 
