--- a/crates/once/src/segment.rs
+++ b/crates/once/src/segment.rs
@@ -27,7 +27,7 @@
     Malformed,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 struct PackedClaim {
     key: KeyHash,
     body: BodyHash,
@@ -36,12 +36,14 @@
 }
 
 /// A part of a shard's claim log.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
 pub struct Segment {
     /// The number of the segment; it only rises.
     pub seq: u64,
     /// The lowest archive that still counts.
     pub floor: u64,
+    /// How often the tail was written since the log began; tells a writer of others.
+    pub commits: u64,
     /// The log's time when the segment was last written.
     pub log_time: Span,
     /// Whether the segment is full; a sealed one never changes again.
@@ -57,6 +59,7 @@
         Self {
             seq: self.seq + 1,
             floor: self.floor,
+            commits: self.commits,
             log_time: self.log_time,
             ..Self::default()
         }
--- a/crates/once/src/settings.rs
+++ b/crates/once/src/settings.rs
@@ -4,7 +4,7 @@
 
 use oleander_base::prelude::*;
 
-use crate::book::BookLimits;
+use crate::outcome::BookLimits;
 
 /// Settings of a claim book; those of the log must be equal at every instance of the fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,8 +45,8 @@
             shards: 4,
             commit_interval: Span::from_millis(50),
             batch_claims: 100,
-            segment_bytes: 16 << 10,
-            segments: 4_096,
+            segment_bytes: 4 << 10,
+            segments: 8_192,
             retention: Span::from_secs(1_800),
             send_limit: Span::from_secs(60),
             claim_wait: Duration::from_millis(2_000),
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -5,124 +5,33 @@
 //! interval and one write, and a shard's tail is written at most once an interval whatever the
 //! demand is.
 
-use std::fmt::Write as _;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use oleander_base::prelude::*;
-use oleander_platform::{BoxFuture, Expected, KeyValueStore, ListPage, StoreError};
-use parking_lot::Mutex;
+use oleander_platform::{BoxFuture, Expected, ListPage, StoreError};
 use thiserror::Error;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
-use crate::gate::MonoClock;
-use crate::route::{ClaimEntry, ClaimReply, ClaimRoute, CommitPlace, NotWritten, ShardId};
-use crate::settings::ClaimSettings;
-use crate::stats::ClaimCounters;
-use crate::writer::{ListedArchive, LogFault, ShardWriter, StoreStep, WriterLimits};
+use crate::door::{QueuedClaim, ShardParts, ShardState};
+use crate::route::{ClaimEntry, ClaimReply, NotWritten, ShardId};
+use crate::step::{ListedArchive, LogFault, StoreStep, WriterLimits};
+use crate::writer::ShardWriter;
 
 /// The longest wait for the store's call budget before a claim is refused.
 const BUDGET_WAIT_LIMIT: Duration = Duration::from_millis(200);
 
 /// After how many writes with an unknown outcome a group of claims is given up.
 const UNKNOWN_WRITES: u32 = 3;
+/// After how many conflicts a group waits for its next slot.
+const CONFLICTS_PER_SLOT: u32 = 3;
+/// The most writers among whom a shard's commits are shared out.
+const WRITERS_LIMIT: u64 = 16;
 /// Names the number of shards that the log was laid out for.
 const LAYOUT_KEY: &str = "claims/layout";
 
-/// A claim that waits for a commit.
-pub(crate) struct QueuedClaim {
-    pub(crate) entry: ClaimEntry,
-    pub(crate) reply: oneshot::Sender<ClaimReply>,
-}
-
-/// What all shards of a claim book share.
-pub(crate) struct ShardParts {
-    pub(crate) store: Arc<dyn KeyValueStore>,
-    pub(crate) clock: Arc<dyn MonoClock>,
-    pub(crate) route: Arc<dyn ClaimRoute>,
-    pub(crate) settings: ClaimSettings,
-    pub(crate) counters: Arc<ClaimCounters>,
-}
-
-/// The door to a shard's task.
-pub(crate) struct ShardDoor {
-    queue: mpsc::Sender<QueuedClaim>,
-    state: Arc<ShardState>,
-    clock: Arc<dyn MonoClock>,
-    probe_interval: Span,
-}
-
-/// What a shard's task shows to its door.
-struct ShardState {
-    /// When a claim may try the store again, in microseconds; zero while the store answers.
-    probe_at: AtomicU64,
-    dump: Mutex<String>,
-}
-
-impl ShardDoor {
-    /// Starts the task of a shard; it ends when the door is dropped.
-    pub(crate) fn spawn(shard: ShardId, parts: Arc<ShardParts>) -> Self {
-        let (queue, claims) = mpsc::channel(parts.settings.queue_claims.max(1));
-        let state = Arc::new(ShardState {
-            probe_at: AtomicU64::new(0),
-            dump: Mutex::new("not read yet".to_owned()),
-        });
-        let door = Self {
-            queue,
-            state: Arc::clone(&state),
-            clock: Arc::clone(&parts.clock),
-            probe_interval: parts.settings.probe_interval,
-        };
-        let task = ShardTask::new(shard, parts, state);
-        tokio::spawn(task.run(claims));
-        door
-    }
-
-    /// Queues a claim and waits for the log's reply.
-    pub(crate) async fn commit(&self, entry: ClaimEntry) -> ClaimReply {
-        if !self.may_try() {
-            return ClaimReply::NotWritten(NotWritten::StoreAway);
-        }
-        let (reply, answer) = oneshot::channel();
-        let queued = QueuedClaim { entry, reply };
-        if self.queue.try_send(queued).is_err() {
-            return ClaimReply::NotWritten(NotWritten::Overloaded);
-        }
-        answer.await.unwrap_or(ClaimReply::Unknown)
-    }
-
-    /// While the store is away, one claim in each probe interval tries it again.
-    fn may_try(&self) -> bool {
-        let probe_at = self.state.probe_at.load(Ordering::Acquire);
-        if probe_at == 0 {
-            return true;
-        }
-        let now = self.clock.now();
-        if now.0 < probe_at {
-            return false;
-        }
-        let next = (now + self.probe_interval).0;
-        let swap = self.state.probe_at.compare_exchange(
-            probe_at,
-            next,
-            Ordering::AcqRel,
-            Ordering::Acquire,
-        );
-        swap.is_ok()
-    }
-
-    /// Returns the shard's state as text.
-    pub(crate) fn dump(&self) -> String {
-        let mut text = self.state.dump.lock().clone();
-        if self.state.probe_at.load(Ordering::Acquire) != 0 {
-            let _ = write!(text, ", store away");
-        }
-        text
-    }
-}
-
 /// Why a group of claims could not be settled.
 #[derive(Debug, Error)]
 enum GroupFailure {
@@ -136,19 +45,21 @@
     Full,
 }
 
-struct ShardTask {
+pub(crate) struct ShardTask {
     shard: ShardId,
     parts: Arc<ShardParts>,
     state: Arc<ShardState>,
     writer: ShardWriter,
     next_slot: MonoTime,
+    /// How many of the present group's writes met another writer's.
+    conflicts: u32,
     is_layout_checked: bool,
     /// How many writes with the present group's claims had an unknown outcome.
     unknown_writes: u32,
 }
 
 impl ShardTask {
-    fn new(shard: ShardId, parts: Arc<ShardParts>, state: Arc<ShardState>) -> Self {
+    pub(crate) fn new(shard: ShardId, parts: Arc<ShardParts>, state: Arc<ShardState>) -> Self {
         let settings = &parts.settings;
         let writer = ShardWriter::new(WriterLimits {
             segment_bytes: settings.segment_bytes,
@@ -161,12 +72,13 @@
             state,
             writer,
             next_slot: MonoTime(0),
+            conflicts: 0,
             is_layout_checked: false,
             unknown_writes: 0,
         }
     }
 
-    async fn run(mut self, mut claims: mpsc::Receiver<QueuedClaim>) {
+    pub(crate) async fn run(mut self, mut claims: mpsc::Receiver<QueuedClaim>) {
         while let Some(first) = claims.recv().await {
             let mut group = vec![first];
             self.answer_known(&mut group);
@@ -203,6 +115,10 @@
         claims: &mut mpsc::Receiver<QueuedClaim>,
     ) {
         self.unknown_writes = 0;
+        self.conflicts = 0;
+        if self.writer.foreign_commits() > 0 {
+            self.writer.refresh();
+        }
         group.retain(|queued| !queued.reply.is_closed());
         if group.is_empty() {
             return;
@@ -338,7 +254,6 @@
     }
 
     async fn write_tail(&mut self, expected: Expected, value: Bytes) -> Result<(), GroupFailure> {
-        self.wait_for_slot().await;
         let counters = &self.parts.counters;
         counters.tail_writes.add(1);
         counters.written_bytes.add(value.len() as u64);
@@ -349,7 +264,7 @@
         self.writer.on_tail_written(&result, self.parts.clock.now());
         match &result {
             Err(StoreError::Unknown { .. }) => self.unknown_writes += 1,
-            Err(StoreError::Conflict { .. }) => self.parts.counters.conflicts.add(1),
+            Err(StoreError::Conflict { .. }) => self.conflicts += 1,
             _ => {}
         }
         self.go_on_after(result.err()).await
@@ -358,7 +273,14 @@
     /// Waits out a lack of call budget; a conflict or an unknown outcome is settled by reading.
     async fn go_on_after(&self, error: Option<StoreError>) -> Result<(), GroupFailure> {
         match error {
-            None | Some(StoreError::Conflict { .. }) => Ok(()),
+            None => Ok(()),
+            Some(StoreError::Conflict { .. }) => {
+                self.parts.counters.conflicts.add(1);
+                if self.conflicts.is_multiple_of(CONFLICTS_PER_SLOT) {
+                    self.wait_for_slot().await;
+                }
+                Ok(())
+            }
             Some(StoreError::Unknown { .. }) if self.unknown_writes < UNKNOWN_WRITES => Ok(()),
             Some(StoreError::OverBudget { retry_after }) if retry_after <= BUDGET_WAIT_LIMIT => {
                 tokio::time::sleep(retry_after).await;
@@ -396,13 +318,10 @@
         }
     }
 
-    /// An instance that commits a shard of another one does so the more seldom, the more could.
+    /// Writers of one shard share its commits out: each counts the others' between its own.
     fn interval(&self) -> Span {
-        let interval = self.parts.settings.commit_interval;
-        match self.parts.route.place(self.shard) {
-            CommitPlace::Here => interval,
-            CommitPlace::Peer(_) => Span(interval.0 * u64::from(self.parts.route.writers().max(1))),
-        }
+        let writers = (self.writer.foreign_commits() + 1).min(WRITERS_LIMIT);
+        Span(self.parts.settings.commit_interval.0 * writers)
     }
 
     fn tail_key(&self) -> String {
--- a/crates/once/src/writer.rs
+++ b/crates/once/src/writer.rs
@@ -20,93 +20,18 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
-use bytes::Bytes;
 use oleander_base::prelude::*;
 use oleander_platform::{Expected, StoreError};
-use thiserror::Error;
 
 use crate::hash::{BodyHash, KeyHash};
 use crate::route::{ClaimEntry, ClaimReply};
-use crate::segment::{Segment, SegmentError};
+use crate::segment::Segment;
+use crate::step::{ListedArchive, LogFault, StoreStep, WriterLimits};
 
 /// How often the archives are listed again before a missing one is reported.
 const RELIST_LIMIT: u32 = 3;
 
-/// Bounds of a shard's log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WriterLimits {
-    /// The size at which a segment is sealed, in bytes.
-    pub segment_bytes: usize,
-    /// The most archives that count at a time.
-    pub segments: u64,
-    /// How long an archive counts after it was sealed, at least.
-    pub retention: Span,
-}
-
-/// What the driver does next.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum StoreStep {
-    /// Reads the tail and calls `on_tail`.
-    ReadTail,
-    /// Lists the archives after this one (all, if none) and calls `on_archives`.
-    ListArchives {
-        /// The archive before the first that is wanted.
-        after: Option<u64>,
-    },
-    /// Creates an archive and calls `on_archive_written`.
-    WriteArchive {
-        /// Its number.
-        seq: u64,
-        /// Its content.
-        value: Bytes,
-    },
-    /// Writes the tail and calls `on_tail_written`.
-    WriteTail {
-        /// What the write must find.
-        expected: Expected,
-        /// The content.
-        value: Bytes,
-    },
-    /// Every claim of the batch has an answer.
-    Settled,
-    /// The log holds as many archives as it may; nothing is claimed until some may go.
-    Full,
-}
-
-/// An archive as it was listed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ListedArchive {
-    /// Its number.
-    pub seq: u64,
-    /// The revision of its key.
-    pub revision: Revision,
-    /// Its content.
-    pub value: Bytes,
-}
-
-/// The log in the store is not as it must be; nothing is claimed.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum LogFault {
-    /// A segment cannot be read.
-    #[error("segment {seq:?}: {error}")]
-    Segment {
-        /// The archive, or none for the tail.
-        seq: Option<u64>,
-        /// What is wrong.
-        error: SegmentError,
-    },
-    /// The tail was there and is gone; earlier claims may be lost.
-    #[error("the log's tail has disappeared from the store")]
-    TailLost,
-    /// An archive that must be there is not.
-    #[error("archive {seq} is missing")]
-    ArchiveMissing {
-        /// Its number.
-        seq: u64,
-    },
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum ViewPhase {
     /// The tail must be read.
     Stale,
@@ -116,14 +41,14 @@
     Complete,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct ClaimHolder {
     request: RequestId,
     body: BodyHash,
     seq: u64,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 struct ArchiveNote {
     revision: Revision,
     sealed_at: Span,
@@ -131,7 +56,7 @@
 }
 
 /// The state of one writer of one shard.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 pub struct ShardWriter {
     limits: WriterLimits,
     phase: ViewPhase,
@@ -141,6 +66,8 @@
     has_listed: bool,
     relists: u32,
     pending: Option<Segment>,
+    own_commits: Option<u64>,
+    foreign_commits: u64,
     index: BTreeMap<KeyHash, ClaimHolder>,
     archives: BTreeMap<u64, ArchiveNote>,
     garbage: BTreeMap<u64, Revision>,
@@ -158,6 +85,8 @@
             has_listed: false,
             relists: 0,
             pending: None,
+            own_commits: None,
+            foreign_commits: 0,
             index: BTreeMap::new(),
             archives: BTreeMap::new(),
             garbage: BTreeMap::new(),
@@ -200,6 +129,7 @@
             true => self.tail.next(),
             false => self.tail.clone(),
         };
+        segment.commits = self.tail.commits + 1;
         segment.log_time = self.tail.log_time + now.since(self.learned_at);
         segment.floor = self.next_floor(segment.log_time);
         if segment.seq - segment.floor > self.limits.segments {
@@ -395,12 +325,30 @@
     pub fn on_tail_written(&mut self, result: &Result<Revision, StoreError>, now: MonoTime) {
         let pending = self.pending.take();
         match (result, pending) {
-            (Ok(revision), Some(segment)) => self.accept_tail(segment, *revision, now),
+            (Ok(revision), Some(segment)) => {
+                self.note_own_commit(segment.commits);
+                self.accept_tail(segment, *revision, now);
+            }
             (Err(StoreError::Unavailable { .. } | StoreError::OverBudget { .. }), _) => {}
             _ => self.phase = ViewPhase::Stale,
         }
     }
 
+    fn note_own_commit(&mut self, commits: u64) {
+        let before = self.own_commits.replace(commits);
+        self.foreign_commits = before.map_or(0, |before| commits - before - 1);
+    }
+
+    /// Returns how often others wrote the tail between the last two writes of this writer.
+    pub fn foreign_commits(&self) -> u64 {
+        self.foreign_commits
+    }
+
+    /// Has the tail read again before the next write, which is likely to conflict otherwise.
+    pub fn refresh(&mut self) {
+        self.phase = ViewPhase::Stale;
+    }
+
     /// Takes one archive that no longer counts, for deletion.
     pub fn take_garbage(&mut self) -> Option<(u64, Revision)> {
         self.garbage.pop_first()
--- a/crates/standin/src/engine_loop.rs
+++ b/crates/standin/src/engine_loop.rs
@@ -26,7 +26,9 @@
 use crate::cache::PrefixCache;
 use crate::counters::{EngineCounters, add, bump};
 use crate::engine::{EngineSettings, StartedTags};
-use crate::engine_http::{AnswerShape, handle_request};
+use crate::engine_answer::AnswerShape;
+use crate::engine_http::handle_request;
+use crate::engine_state::{FaultState, LoadedState};
 use crate::faults::EngineFault;
 use crate::host::{CommandSender, HostAction, HostedService, LocalFuture};
 
@@ -39,6 +41,13 @@
 /// The sending end of an answer's body.
 pub(crate) type BodySender = mpsc::Sender<io::Result<Bytes>>;
 
+/// The part of a prompt that the prefix cache keeps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct PromptPrefix {
+    pub(crate) hash: PrefixHash,
+    pub(crate) tokens: u32,
+}
+
 /// An answer on its way to whoever asked.
 pub(crate) struct OpenAnswer {
     pub(crate) body: BodySender,
@@ -50,38 +59,6 @@
     pub(crate) io: Option<IoRef>,
 }
 
-/// The faults in force.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct FaultState {
-    pub(crate) slowness: f64,
-    pub(crate) frozen: bool,
-    pub(crate) refuses: bool,
-    pub(crate) leaving: bool,
-    pub(crate) drop_after: Option<u32>,
-}
-
-impl Default for FaultState {
-    fn default() -> Self {
-        Self {
-            slowness: 1.0,
-            frozen: false,
-            refuses: false,
-            leaving: false,
-            drop_after: None,
-        }
-    }
-}
-
-/// What the engine has in memory.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct LoadedState {
-    pub(crate) models: Vec<String>,
-    pub(crate) version: String,
-    pub(crate) adapters: Vec<String>,
-    pub(crate) role: oleander_base::EngineRole,
-    pub(crate) newest_fencing: u64,
-}
-
 /// The state that the handlers and the step task share on the engine's thread.
 pub(crate) struct EngineState {
     pub(crate) batch: EngineBatch,
@@ -147,14 +124,17 @@
     }
 
     /// Submits a sequence and returns its identity.
-    pub(crate) fn submit(&self, mut answer: OpenAnswer, prefix: PrefixHash) -> SequenceId {
+    pub(crate) fn submit(&self, mut answer: OpenAnswer, prefix: PromptPrefix) -> SequenceId {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         state.next_sequence += 1;
         let id = SequenceId(state.next_sequence);
         answer.sequence.id = id;
         let prompt = answer.sequence.prompt_left;
-        let saved = state.cache.touch(prefix, prompt, now);
+        let saved = state
+            .cache
+            .touch(prefix.hash, prefix.tokens, now)
+            .min(prompt);
         if saved > 0 {
             bump(&self.counters.cache_hits);
         }
