--- a/crates/once/src/book.rs
+++ b/crates/once/src/book.rs
@@ -9,8 +9,9 @@
 //! Invariants: at most one request runs under a key at a time; after one that ran or may have run
 //! none starts; claiming and running records are never evicted.
 
+mod check;
+
 use std::collections::{BTreeMap, VecDeque};
-use std::fmt::Write as _;
 
 use oleander_base::prelude::*;
 
@@ -371,50 +372,4 @@
             Some(RecordState::Claiming(_) | RecordState::Running { .. })
         )
     }
-
-    /// Checks the book's invariants.
-    pub fn verify(&self) -> Result<(), String> {
-        self.shelf.verify()?;
-        for (key, record) in &self.records {
-            let has_result = self.shelf.get(key).is_some();
-            let is_ended = matches!(record.state, RecordState::Ended { .. });
-            if has_result && !is_ended {
-                return Err(format!(
-                    "{key}: a result is kept and the claim has not ended"
-                ));
-            }
-            if record.unsettled.len() > UNSETTLED_LIMIT {
-                return Err(format!("{key}: too many unsettled claims"));
-            }
-        }
-        if self.records.len() > self.limits.records {
-            return Err("more records than the limit".to_owned());
-        }
-        Ok(())
-    }
-
-    /// Returns the book's state as text.
-    pub fn dump(&self) -> String {
-        let mut counts = [0_usize; 5];
-        for record in self.records.values() {
-            let slot = match record.state {
-                RecordState::Claiming(_) => 0,
-                RecordState::Unsettled => 1,
-                RecordState::Open(_) => 2,
-                RecordState::Running { .. } => 3,
-                RecordState::Ended { .. } => 4,
-            };
-            counts[slot] += 1;
-        }
-        let [claiming, unsettled, open, running, ended] = counts;
-        let mut text = String::new();
-        let _ = writeln!(
-            text,
-            "claims of {}: claiming {claiming}, unsettled {unsettled}, open {open}, \
-             running {running}, ended {ended}, kept {} bytes",
-            self.me,
-            self.shelf.used()
-        );
-        text
-    }
 }
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -27,8 +27,6 @@
 const UNKNOWN_WRITES: u32 = 3;
 /// After how many conflicts a group waits for its next slot.
 const CONFLICTS_PER_SLOT: u32 = 3;
-/// The most writers among whom a shard's commits are shared out.
-const WRITERS_LIMIT: u64 = 16;
 /// Names the number of shards that the log was laid out for.
 const LAYOUT_KEY: &str = "claims/layout";
 
@@ -116,7 +114,7 @@
     ) {
         self.unknown_writes = 0;
         self.conflicts = 0;
-        if self.writer.foreign_commits() > 0 {
+        if self.writer.is_contended() {
             self.writer.refresh();
         }
         group.retain(|queued| !queued.reply.is_closed());
@@ -257,7 +255,8 @@
         let counters = &self.parts.counters;
         counters.tail_writes.add(1);
         counters.written_bytes.add(value.len() as u64);
-        self.next_slot = self.parts.clock.now() + self.interval();
+        let interval = self.parts.settings.commit_interval;
+        self.next_slot = self.parts.clock.now() + self.writer.shared_interval(interval);
         let key = self.tail_key();
         let put = self.parts.store.put(&key, expected, value, None);
         let result = self.call(put).await;
@@ -318,12 +317,6 @@
         }
     }
 
-    /// Writers of one shard share its commits out: each counts the others' between its own.
-    fn interval(&self) -> Span {
-        let writers = (self.writer.foreign_commits() + 1).min(WRITERS_LIMIT);
-        Span(self.parts.settings.commit_interval.0 * writers)
-    }
-
     fn tail_key(&self) -> String {
         format!("claims/{:03}/tail", self.shard.0)
     }
--- a/crates/once/src/writer.rs
+++ b/crates/once/src/writer.rs
@@ -17,8 +17,9 @@
 //!   retention ago in the log's time, which runs slower than real time or equally fast. Archives
 //!   below the floor are deleted later, by anybody.
 
+mod check;
+
 use std::collections::BTreeMap;
-use std::fmt::Write as _;
 
 use oleander_base::prelude::*;
 use oleander_platform::{Expected, StoreError};
@@ -30,6 +31,8 @@
 
 /// How often the archives are listed again before a missing one is reported.
 const RELIST_LIMIT: u32 = 3;
+/// The most writers among whom a shard's commits are shared out.
+const WRITERS_LIMIT: f64 = 16.0;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum ViewPhase {
@@ -48,6 +51,12 @@
     seq: u64,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct OwnCommit {
+    commits: u64,
+    at: MonoTime,
+}
+
 #[derive(Debug, Clone, Hash)]
 struct ArchiveNote {
     revision: Revision,
@@ -66,8 +75,9 @@
     has_listed: bool,
     relists: u32,
     pending: Option<Segment>,
-    own_commits: Option<u64>,
+    own_commit: Option<OwnCommit>,
     foreign_commits: u64,
+    own_gap: Span,
     index: BTreeMap<KeyHash, ClaimHolder>,
     archives: BTreeMap<u64, ArchiveNote>,
     garbage: BTreeMap<u64, Revision>,
@@ -85,8 +95,9 @@
             has_listed: false,
             relists: 0,
             pending: None,
-            own_commits: None,
+            own_commit: None,
             foreign_commits: 0,
+            own_gap: Span::ZERO,
             index: BTreeMap::new(),
             archives: BTreeMap::new(),
             garbage: BTreeMap::new(),
@@ -326,7 +337,7 @@
         let pending = self.pending.take();
         match (result, pending) {
             (Ok(revision), Some(segment)) => {
-                self.note_own_commit(segment.commits);
+                self.note_own_commit(segment.commits, now);
                 self.accept_tail(segment, *revision, now);
             }
             (Err(StoreError::Unavailable { .. } | StoreError::OverBudget { .. }), _) => {}
@@ -334,14 +345,30 @@
         }
     }
 
-    fn note_own_commit(&mut self, commits: u64) {
-        let before = self.own_commits.replace(commits);
-        self.foreign_commits = before.map_or(0, |before| commits - before - 1);
+    fn note_own_commit(&mut self, commits: u64, at: MonoTime) {
+        let before = self.own_commit.replace(OwnCommit { commits, at });
+        if let Some(before) = before {
+            self.foreign_commits = commits - before.commits - 1;
+            self.own_gap = at.since(before.at);
+        }
+    }
+
+    /// Returns whether others wrote the tail between the last two writes of this writer.
+    pub fn is_contended(&self) -> bool {
+        self.foreign_commits > 0
     }
 
-    /// Returns how often others wrote the tail between the last two writes of this writer.
-    pub fn foreign_commits(&self) -> u64 {
-        self.foreign_commits
+    /// Returns this writer's share of a commit interval, from the others' commits between its
+    /// own: all together then commit about once an interval.
+    pub fn shared_interval(&self, interval: Span) -> Span {
+        let foreign = self.foreign_commits as f64;
+        let slots = self.own_gap.0 as f64 / interval.0.max(1) as f64;
+        let by_count = (foreign + 1.0).min(WRITERS_LIMIT);
+        let factor = match slots > foreign {
+            true => by_count.min(slots / (slots - foreign)),
+            false => by_count,
+        };
+        Span((interval.0 as f64 * factor) as u64)
     }
 
     /// Has the tail read again before the next write, which is likely to conflict otherwise.
@@ -363,47 +390,4 @@
     pub fn is_empty(&self) -> bool {
         self.index.is_empty()
     }
-
-    /// Checks the writer's invariants.
-    pub fn verify(&self) -> Result<(), String> {
-        let is_complete = self.phase == ViewPhase::Complete;
-        if let Some(seq) = self.missing_archive().filter(|_| is_complete) {
-            return Err(format!("complete without archive {seq}"));
-        }
-        if let Some(entry) = self
-            .tail
-            .entries()
-            .find(|e| !self.index.contains_key(&e.key))
-        {
-            return Err(format!("{} is in the tail and not in the index", entry.key));
-        }
-        let low = self.archives.keys().find(|seq| **seq < self.tail.floor);
-        if let Some(seq) = low {
-            return Err(format!("archive {seq} counts below the floor"));
-        }
-        let known = |seq: &u64| *seq == self.tail.seq || self.archives.contains_key(seq);
-        let mut holders = self.index.values();
-        match holders.find(|holder| is_complete && !known(&holder.seq)) {
-            Some(holder) => Err(format!("a claim of unknown segment {}", holder.seq)),
-            None => Ok(()),
-        }
-    }
-
-    /// Returns the writer's state as text.
-    pub fn dump(&self) -> String {
-        let mut text = String::new();
-        let _ = write!(
-            text,
-            "{:?}, segment {} (floor {}, {} claims, sealed {}), archives {}, claims {}, garbage {}",
-            self.phase,
-            self.tail.seq,
-            self.tail.floor,
-            self.tail.len(),
-            self.tail.is_sealed,
-            self.archives.len(),
-            self.index.len(),
-            self.garbage.len()
-        );
-        text
-    }
 }
