Orders, planned stops of entry VMs, TLS for callers, the shared record reader

Cause: the packages for orders and reading records stood beside the process without being used, and a planned stop of an entry VM on record had no effect.

The platform package's reader takes the place of the entry VM's own; one VM of a data centre holds the order lease; a VM leaves while a stop names it and returns when the record is deleted.

--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -281,6 +281,7 @@
             },
             peers: PeerSection {
                 listen: any,
+                advertise: None,
                 seeds: seeds.to_vec(),
                 certificate: files.certificate,
                 key: files.key,
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,6 +1,7 @@
 //! The periodic work of an entry VM, on one thread beside the request path.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use oleander_base::monotonic_now;
@@ -9,6 +10,7 @@
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::life::LifeStage;
 use crate::limit_board::LimitBoard;
 use crate::node::EntryNode;
 use crate::records_feed::RecordFeed;
@@ -53,6 +55,7 @@
             }
             _ = pools.tick() => node.tick(),
             _ = desk.tick() => {
+                follow_stop(&node, &peers);
                 node.offer_again();
                 node.answers.sweep(monotonic_now(), ANSWER_LINGER);
             }
@@ -66,6 +69,26 @@
     }
 }
 
+/// Leaves while a planned stop of this VM is on record, and comes back when it is taken back.
+fn follow_stop(node: &EntryNode, peers: &PeerEndpoint) {
+    let stopping = node.view().is_stopping(node.me.address, node.centre);
+    if stopping && node.life.begin_leaving() {
+        node.changes.note(
+            format!("entry VM {} is leaving", node.me),
+            "a planned stop is on record",
+        );
+        node.stopped_by_record.store(true, Ordering::Release);
+        peers.leave();
+    } else if !stopping && node.stopped_by_record.swap(false, Ordering::AcqRel) {
+        node.changes.note(
+            format!("entry VM {} serves again", node.me),
+            "its planned stop was taken back",
+        );
+        node.life.enter(LifeStage::Ready);
+        peers.serve();
+    }
+}
+
 fn ticker(period: Duration) -> tokio::time::Interval {
     let mut ticker = interval(period);
     ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/entry/src/life.rs
+++ b/crates/entry/src/life.rs
@@ -41,6 +41,14 @@
             .is_ok()
     }
 
+    /// Leaves if the process was ready; returns whether it was.
+    pub fn begin_leaving(&self) -> bool {
+        let (from, to) = (LifeStage::Ready as u8, LifeStage::Leaving as u8);
+        self.stage
+            .compare_exchange(from, to, Ordering::AcqRel, Ordering::Acquire)
+            .is_ok()
+    }
+
     /// Enters a stage; returns whether it is a change.
     pub fn enter(&self, stage: LifeStage) -> bool {
         self.stage.swap(stage as u8, Ordering::AcqRel) != stage as u8
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 use std::fmt;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 
 use arc_swap::ArcSwap;
@@ -31,6 +31,7 @@
 use crate::life::{LifeCycle, LifeStage};
 use crate::limit_board::LimitBoard;
 use crate::limits::LimitDesk;
+use crate::order_role::OrderRole;
 use crate::retries::RetryDesk;
 use crate::settings::EntrySettings;
 use crate::spill::SpillBoard;
@@ -87,9 +88,12 @@
     pub changes: ChangeLog,
     /// The members' states as they were last noted.
     pub member_states: Mutex<FastMap<InstanceId, MemberState>>,
+    /// Whether a planned stop on record made this VM leave.
+    pub stopped_by_record: AtomicBool,
     view: ArcSwap<FleetView>,
     inputs: Mutex<ViewInputs>,
     link: OnceLock<Arc<dyn PeerLink>>,
+    orders: OnceLock<Arc<OrderRole>>,
     serial: AtomicU64,
 }
 
@@ -130,9 +134,11 @@
             statuses: StatusBoard::default(),
             changes: ChangeLog::default(),
             member_states: Mutex::new(FastMap::default()),
+            stopped_by_record: AtomicBool::new(false),
             view: ArcSwap::from_pointee(empty),
             inputs: Mutex::new(ViewInputs::default()),
             link: OnceLock::new(),
+            orders: OnceLock::new(),
             serial: AtomicU64::new(0),
         })
     }
@@ -142,6 +148,16 @@
         let _ = self.link.set(link);
     }
 
+    /// Sets the role of sending orders; only the first call counts.
+    pub fn set_orders(&self, orders: Arc<OrderRole>) {
+        let _ = self.orders.set(orders);
+    }
+
+    /// Returns the role of sending orders, once the process has opened it.
+    pub fn orders(&self) -> Option<&Arc<OrderRole>> {
+        self.orders.get()
+    }
+
     /// Returns the fleet as this VM sees it now.
     pub fn view(&self) -> arc_swap::Guard<Arc<FleetView>> {
         self.view.load()
@@ -515,6 +531,9 @@
 
     /// Takes in a load report of a backend server whose pools are dispatched here.
     pub fn take_report(&self, backend: BackendId, report: &LoadReport) {
+        if let Some(orders) = self.orders() {
+            orders.note_report(backend, report.clone());
+        }
         let now = monotonic_now();
         for pool in self.view().pools_with(backend) {
             self.deliver(self.board.report(pool, backend, report, now));
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -25,6 +25,7 @@
 use crate::life::LifeStage;
 use crate::node::EntryNode;
 use crate::operator_desk::EntryDesk;
+use crate::order_role::{OrderRole, run_orders};
 use crate::peering::{EndpointLink, PeerDesk, PeerParts};
 use crate::record_reader::run_record_reader;
 use crate::records_feed::RecordFeed;
@@ -32,6 +33,7 @@
 use crate::serve::spawn_callers;
 use crate::server::ServerThread;
 use crate::settings::EntrySettings;
+use crate::tls::caller_tls;
 use crate::vm_watch::run_vm_watch;
 use crate::worker::SharedContext;
 
@@ -123,14 +125,25 @@
         let entered = runtime.enter();
         let claims = open_claims(&node, Arc::clone(&store), &peers);
         let guard = open_guard(&node, claims.clone(), issuer);
+        let orders = OrderRole::open(&node, Arc::clone(&store)).map_err(system("orders"))?;
+        node.set_orders(Arc::clone(&orders));
         drop(entered);
         let shared = SharedContext {
             node: Arc::clone(&node),
             guard: Arc::clone(&guard),
             peers: peers.clone(),
         };
-        let records = Arc::new(RecordFeed::new(Arc::clone(&node), peers.clone(), store));
-        runtime.spawn(run_record_reader(Arc::clone(&records), Arc::clone(&node)));
+        let records = Arc::new(RecordFeed::new(
+            Arc::clone(&node),
+            peers.clone(),
+            Arc::clone(&store),
+        ));
+        runtime.spawn(run_record_reader(
+            Arc::clone(&store),
+            Arc::clone(&records),
+            Arc::clone(&node),
+        ));
+        runtime.spawn(run_orders(Arc::clone(&node), Arc::clone(&orders)));
         let forwards = ForwardDesk::spawn(shared.clone()).map_err(system("forwarded calls"))?;
         desk.open(PeerParts {
             node: Arc::clone(&node),
@@ -153,7 +166,8 @@
         ));
         let entry_desk = EntryDesk::new(Arc::clone(&node), Arc::clone(&records), peers.clone());
         let operators = spawn_operators(Arc::new(entry_desk), &operator_key, operators)?;
-        let callers = spawn_callers(shared, callers).map_err(system("the callers' server"))?;
+        let tls = caller_tls(&node.settings.callers).map_err(system("the callers' certificate"))?;
+        let callers = spawn_callers(shared, callers, tls).map_err(system("the callers' server"))?;
         node.changes.note(
             format!("entry VM {} started", node.me),
             "the process was started",
@@ -200,6 +214,9 @@
             Err(error) => log::error!("signals cannot be received: {error}"),
         }
         runtime.block_on(drain(&self.node));
+        if let Some(orders) = self.node.orders() {
+            runtime.block_on(orders.stop());
+        }
         self.peers.shutdown();
         self.callers.stop();
         self.operators.stop();
@@ -264,6 +281,7 @@
     let mut peers = PeerSettings::new(section.listen, centre, tls);
     peers.weight = (settings.instance.weight * WEIGHT_UNIT).clamp(1.0, f64::from(u16::MAX)) as u16;
     peers.seeds.clone_from(&section.seeds);
+    peers.advertise = section.advertise;
     peers.runtime = Some(runtime.handle().clone());
     peers.origin = process_origin();
     peers
--- a/crates/entry/src/records_feed.rs
+++ b/crates/entry/src/records_feed.rs
@@ -82,11 +82,6 @@
         }
     }
 
-    /// Returns the platform's store.
-    pub(crate) fn store(&self) -> &dyn KeyValueStore {
-        self.store.as_ref()
-    }
-
     /// Changes the board, and puts what changed into force.
     pub(crate) fn update<R>(&self, change: impl FnOnce(&mut RecordBoard) -> R) -> R {
         let mut state = self.state.lock();
--- a/crates/entry/src/report_watch.rs
+++ b/crates/entry/src/report_watch.rs
@@ -3,6 +3,7 @@
 //! Each engine is asked by its pool's dispatcher only, so the number of questions does not grow
 //! with the number of entry VMs.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +14,8 @@
     ClientSettings, EngineClient, EngineNews, PollTarget, PollerSettings, ReportPoller,
 };
 
+use oleander_records::RecordSet;
+
 use crate::node::EntryNode;
 
 /// How often the set of engines to ask is worked out again.
@@ -57,21 +60,41 @@
     }
 }
 
-/// Returns the engines of the pools that are dispatched here.
+/// Returns the engines of the pools that are dispatched here, and those that get orders from here.
 fn targets(node: &EntryNode) -> Vec<PollTarget> {
     let view = node.view();
     let is_mine = |pool: PoolId| node.board.has(pool);
     let pools = view
         .pools()
         .filter(|route| route.kind == PoolKind::Engines && is_mine(route.pool));
-    let backends = pools.flat_map(|route| &route.backends);
+    let mut backends: BTreeSet<BackendId> = pools
+        .flat_map(|route| route.backends.iter().copied())
+        .collect();
+    if node.orders().is_some_and(|orders| orders.is_holder()) {
+        backends.extend(ordered_backends(
+            &view.records,
+            &node.settings.instance.centre,
+        ));
+    }
     let target = |backend: &BackendId| {
         Some(PollTarget {
             backend: *backend,
             address: view.address(*backend)?,
         })
     };
-    backends.filter_map(target).collect()
+    backends.iter().filter_map(target).collect()
+}
+
+/// Returns the engines of a data centre whose records say what they should have in memory.
+fn ordered_backends<'a>(
+    records: &'a RecordSet,
+    centre: &'a str,
+) -> impl Iterator<Item = BackendId> + 'a {
+    let ordered = records
+        .backends
+        .iter()
+        .filter(move |(_, record)| record.centre == centre && record.wanted.is_some());
+    ordered.map(|(backend, _)| *backend)
 }
 
 fn take_news(node: &EntryNode, backend: BackendId, news: &EngineNews) {
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -17,6 +17,8 @@
     ModelList, REQUEST_HEADER, VERDICT_HEADER, header_text, identify,
 };
 
+use rustls::ServerConfig;
+
 use crate::answer::{AnswerBuffer, AnswerEnd, AnswerReader, ReadItem};
 use crate::counters::{ServiceKey, bump};
 use crate::drive::{CompletionJob, RequestDrive};
@@ -36,6 +38,7 @@
 pub(crate) fn spawn_callers(
     shared: SharedContext,
     listener: TcpListener,
+    tls: Option<ServerConfig>,
 ) -> io::Result<ServerThread> {
     ServerThread::spawn("callers", listener, move |listener| {
         let workers = shared.node.settings.callers.workers;
@@ -48,11 +51,12 @@
                     .default_service(web::route().to(not_found))
             }
         });
-        Ok(server
-            .workers(workers)
-            .disable_signals()
-            .listen(listener)?
-            .run())
+        let server = server.workers(workers).disable_signals();
+        let server = match tls {
+            Some(tls) => server.listen_rustls(listener, tls)?,
+            None => server.listen(listener)?,
+        };
+        Ok(server.run())
     })
 }
 
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -84,6 +84,9 @@
 pub struct PeerSection {
     /// The UDP address, by IP number, as the other entry VMs reach it.
     pub listen: SocketAddr,
+    /// The address that other entry VMs dial, if it is not the one above.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
     /// Addresses of other entry VMs to begin with.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
