--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -253,7 +253,8 @@
         Ok(())
     }
 
-    fn entry_settings(
+    /// Returns the settings of an entry VM of this deployment, with its files issued.
+    pub fn entry_settings(
         &self,
         name: &str,
         centre: &str,
--- /dev/null
+++ b/crates/entry/tests/common/fleet.rs
@@ -0,0 +1,305 @@
+//! Entry VMs as processes, with the stand-ins of a deployment around them.
+
+use std::fs::File;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+
+use oleander_decide::PolicyKind;
+use oleander_demo::Deployment;
+use oleander_entry::EntrySettings;
+use oleander_load::{FaultAction, LoadRun, LoadTargets, RunReport, Scenario, SettleInput};
+use oleander_standin::{CutPoint, DirectionFault, FaultProxy, ProxyFaults};
+use parking_lot::Mutex;
+use serde_json::Value;
+
+use super::http::{PlainAnswer, get, send};
+use super::net::PeerNet;
+use super::wait::wait_for;
+
+/// One entry VM and its process.
+#[derive(Debug)]
+pub struct Vm {
+    pub number: usize,
+    pub name: String,
+    pub centre: usize,
+    pub settings: EntrySettings,
+    file: PathBuf,
+    child: Mutex<Option<Child>>,
+}
+
+impl Vm {
+    pub fn callers(&self) -> SocketAddr {
+        self.settings.callers.listen
+    }
+
+    pub fn operators(&self) -> SocketAddr {
+        self.settings.operators.listen
+    }
+
+    /// Starts the process.
+    pub fn start(&self) {
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.file.with_extension("log"))
+            .unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_oleanderplank"))
+            .args(["run", "--settings"])
+            .arg(&self.file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        *self.child.lock() = Some(child);
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.lock().as_ref().map(Child::id);
+        let Some(id) = id else { return };
+        let status = Command::new("kill")
+            .args([signal, &id.to_string()])
+            .status()
+            .unwrap();
+        assert!(status.success(), "kill {signal} {id}");
+    }
+
+    /// Ends the process without notice.
+    pub fn kill(&self) {
+        if let Some(mut child) = self.child.lock().take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits until the process ends by itself.
+    pub fn wait_for_end(&self) {
+        wait_for(&format!("{} ends", self.name), || {
+            let mut child = self.child.lock();
+            match child.as_mut().map(Child::try_wait) {
+                Some(Ok(None)) => false,
+                _ => {
+                    *child = None;
+                    true
+                }
+            }
+        });
+    }
+
+    pub fn is_ready(&self) -> bool {
+        get(self.callers(), "/readyz", &[]).is_some_and(|answer| answer.status == 200)
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.file.with_extension("log")).unwrap_or_default()
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A fleet of processes.
+#[derive(Debug)]
+pub struct Fleet {
+    pub vms: Vec<Vm>,
+    pub net: PeerNet,
+    /// The way of each data centre to the platform.
+    pub platform_ways: Vec<FaultProxy>,
+    pub deployment: Deployment,
+    pub scenario: Scenario,
+}
+
+impl Fleet {
+    /// Starts stand-ins and processes and waits until all serve.
+    pub fn start(scenario_text: &str) -> Arc<Self> {
+        let scenario = Scenario::parse(scenario_text).unwrap();
+        let mut without_entries = scenario.clone();
+        without_entries.deployment.entries = 0;
+        let deployment = Deployment::spawn(&without_entries, PolicyKind::Tiered).unwrap();
+        let centres = scenario.deployment.centres.len();
+        let way = |_| FaultProxy::bind(deployment.platform.address()).unwrap();
+        let platform_ways: Vec<FaultProxy> = (0..centres).map(way).collect();
+        let mut fleet = Self {
+            vms: Vec::new(),
+            net: PeerNet::new(),
+            platform_ways,
+            deployment,
+            scenario,
+        };
+        for number in 0..fleet.scenario.deployment.entries as usize {
+            let vm = fleet.make_vm(number);
+            vm.start();
+            fleet.vms.push(vm);
+        }
+        fleet.wait_until_settled();
+        Arc::new(fleet)
+    }
+
+    fn make_vm(&self, number: usize) -> Vm {
+        let centres = &self.scenario.deployment.centres;
+        let centre = number % centres.len();
+        let name = format!("{}-entry-{number}", centres[centre]);
+        let seeds: Vec<SocketAddr> = self
+            .vms
+            .iter()
+            .filter_map(|vm| vm.settings.peers.advertise)
+            .collect();
+        let mut settings = self
+            .deployment
+            .entry_settings(&name, &centres[centre], &seeds)
+            .unwrap();
+        settings.callers.listen = free_tcp();
+        settings.operators.listen = free_tcp();
+        settings.peers.listen = free_udp();
+        settings.peers.advertise = Some(self.net.attach(number, settings.peers.listen));
+        settings.platform.address = self.platform_ways[centre].address();
+        let file = self
+            .deployment
+            .secrets
+            .directory()
+            .join(format!("{name}.toml"));
+        std::fs::write(&file, toml::to_string(&settings).unwrap()).unwrap();
+        Vm {
+            number,
+            name,
+            centre,
+            settings,
+            file,
+            child: Mutex::new(None),
+        }
+    }
+
+    /// Waits until every running VM is ready and sees all others.
+    pub fn wait_until_settled(&self) {
+        let running = self
+            .vms
+            .iter()
+            .filter(|vm| vm.child.lock().is_some())
+            .count();
+        for vm in self.vms.iter().filter(|vm| vm.child.lock().is_some()) {
+            wait_for(&format!("{} is ready and sees {running}", vm.name), || {
+                vm.is_ready() && self.live_count(vm) == running
+            });
+        }
+    }
+
+    /// Returns how many entry VMs are live as one VM sees them.
+    pub fn live_count(&self, vm: &Vm) -> usize {
+        let screen = self.screen(vm);
+        let entries = screen["entries"].as_array().cloned().unwrap_or_default();
+        entries
+            .iter()
+            .filter(|entry| entry["stage"] == "live")
+            .count()
+    }
+
+    /// Returns what a VM's screens show.
+    pub fn screen(&self, vm: &Vm) -> Value {
+        let answer = self.operator(vm, "GET", "/screen", "");
+        answer
+            .and_then(|answer| serde_json::from_str(&answer.body).ok())
+            .unwrap_or(Value::Null)
+    }
+
+    /// Sends an operator's request.
+    pub fn operator(&self, vm: &Vm, method: &str, path: &str, body: &str) -> Option<PlainAnswer> {
+        let bearer = format!("Bearer {}", self.deployment.secrets.operator_key());
+        let headers = [
+            ("authorization", bearer.as_str()),
+            ("content-type", "application/json"),
+        ];
+        send(vm.operators(), method, path, &headers, body)
+    }
+
+    /// Changes a record at one VM and returns the answer.
+    pub fn change(
+        &self,
+        vm: &Vm,
+        kind: &str,
+        name: &str,
+        expected: Option<u64>,
+        document: Option<&Value>,
+    ) -> Option<PlainAnswer> {
+        let change = serde_json::json!({
+            "kind": kind, "name": name, "expected": expected,
+            "document": document.map(Value::to_string),
+        });
+        self.operator(vm, "POST", "/records/change", &change.to_string())
+    }
+
+    /// Returns the revision in force at a VM.
+    pub fn revision(&self, vm: &Vm) -> u64 {
+        self.screen(vm)["revision"].as_u64().unwrap_or(0)
+    }
+
+    /// Cuts the way of a data centre to the platform, or opens it again.
+    pub fn cut_platform(&self, centre: usize, cut: bool) {
+        let way = &self.platform_ways[centre];
+        if cut {
+            let blocked = DirectionFault {
+                blocked: true,
+                ..DirectionFault::default()
+            };
+            way.set(ProxyFaults {
+                cut: CutPoint::default(),
+                to_target: blocked,
+                to_caller: blocked,
+            });
+            way.cut_all();
+        } else {
+            way.allow();
+            way.cut_all();
+        }
+    }
+
+    /// Starts the scenario's traffic against all VMs.
+    pub fn load(self: &Arc<Self>, on_fault: impl Fn(&FaultAction) + Send + 'static) -> LoadRun {
+        let targets = LoadTargets {
+            entries: self.vms.iter().map(Vm::callers).collect(),
+            policy: "tiered".to_owned(),
+        };
+        LoadRun::spawn(&self.scenario, targets, Box::new(on_fault)).unwrap()
+    }
+
+    /// Waits for the traffic's end, compares it with the stand-ins and checks what always holds.
+    pub fn finish(&self, run: LoadRun) -> RunReport {
+        let mut report = run.finish();
+        let input = SettleInput::gather(&self.deployment.engines, &self.deployment.services);
+        let settled = report.settle(&input);
+        let ends = &report.totals.outcomes;
+        assert_eq!(settled.doubled_effects, 0, "doubled effects; {ends:?}");
+        assert_eq!(settled.false_not_run, 0, "\"not run\" that ran; {ends:?}");
+        assert_eq!(
+            settled.false_not_run_effects, 0,
+            "\"not run\" that took effect; {ends:?}"
+        );
+        assert_eq!(settled.lost_effects, 0, "lost effects; {ends:?}");
+        for wrong in [
+            oleander_load::CallOutcome::Truncated,
+            oleander_load::CallOutcome::Mixed,
+        ] {
+            assert_eq!(report.count(wrong), 0, "{wrong:?} answers; {ends:?}");
+        }
+        report
+    }
+}
+
+fn free_tcp() -> SocketAddr {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+fn free_udp() -> SocketAddr {
+    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
--- /dev/null
+++ b/crates/entry/tests/common/net.rs
@@ -0,0 +1,131 @@
+//! The network between entry VMs: one UDP proxy in front of each, with pairs that can be cut.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use parking_lot::RwLock;
+
+const READ_TIMEOUT: Duration = Duration::from_millis(100);
+const DATAGRAM: usize = 64 * 1024;
+
+/// Which VMs can reach each other.
+#[derive(Debug, Default)]
+struct Wiring {
+    /// The VM behind each real socket.
+    owners: BTreeMap<SocketAddr, usize>,
+    /// Groups that cannot reach each other; a VM in no group reaches everybody.
+    groups: BTreeMap<usize, usize>,
+}
+
+impl Wiring {
+    fn passes(&self, from: SocketAddr, to: usize) -> bool {
+        let Some(from) = self.owners.get(&from) else {
+            return true;
+        };
+        match (self.groups.get(from), self.groups.get(&to)) {
+            (Some(a), Some(b)) => a == b,
+            _ => true,
+        }
+    }
+}
+
+/// The proxies of a fleet.
+#[derive(Debug)]
+pub struct PeerNet {
+    wiring: Arc<RwLock<Wiring>>,
+    stop: Arc<AtomicBool>,
+}
+
+impl PeerNet {
+    pub fn new() -> Self {
+        Self {
+            wiring: Arc::default(),
+            stop: Arc::default(),
+        }
+    }
+
+    /// Puts a proxy in front of a VM's socket and returns the address to advertise.
+    pub fn attach(&self, vm: usize, real: SocketAddr) -> SocketAddr {
+        self.wiring.write().owners.insert(real, vm);
+        let front = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let address = front.local_addr().unwrap();
+        let front = Arc::new(front);
+        let (wiring, stop) = (Arc::clone(&self.wiring), Arc::clone(&self.stop));
+        std::thread::spawn(move || forward_in(vm, real, &front, &wiring, &stop));
+        address
+    }
+
+    /// Parts VMs into groups that cannot reach each other.
+    pub fn part(&self, groups: &[&[usize]]) {
+        let mut wiring = self.wiring.write();
+        wiring.groups.clear();
+        for (number, group) in groups.iter().enumerate() {
+            wiring.groups.extend(group.iter().map(|vm| (*vm, number)));
+        }
+    }
+
+    /// Lets everybody reach everybody.
+    pub fn heal(&self) {
+        self.wiring.write().groups.clear();
+    }
+}
+
+impl Drop for PeerNet {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Passes datagrams on to a VM, over one socket for each sender.
+fn forward_in(
+    vm: usize,
+    real: SocketAddr,
+    front: &Arc<UdpSocket>,
+    wiring: &Arc<RwLock<Wiring>>,
+    stop: &Arc<AtomicBool>,
+) {
+    front.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    let mut backs: BTreeMap<SocketAddr, Arc<UdpSocket>> = BTreeMap::new();
+    let mut buffer = vec![0; DATAGRAM];
+    while !stop.load(Ordering::Relaxed) {
+        let Ok((size, from)) = front.recv_from(&mut buffer) else {
+            continue;
+        };
+        if !wiring.read().passes(from, vm) {
+            continue;
+        }
+        let back = backs.entry(from).or_insert_with(|| {
+            let back = Arc::new(UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap());
+            back.connect(real).unwrap();
+            let (front, wiring, stop) = (Arc::clone(front), Arc::clone(wiring), Arc::clone(stop));
+            let answers = Arc::clone(&back);
+            std::thread::spawn(move || forward_out(vm, from, &answers, &front, &wiring, &stop));
+            back
+        });
+        let _ = back.send(&buffer[..size]);
+    }
+}
+
+/// Passes a VM's datagrams back to one sender.
+fn forward_out(
+    vm: usize,
+    sender: SocketAddr,
+    back: &UdpSocket,
+    front: &UdpSocket,
+    wiring: &RwLock<Wiring>,
+    stop: &AtomicBool,
+) {
+    back.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    let mut buffer = vec![0; DATAGRAM];
+    while !stop.load(Ordering::Relaxed) {
+        let Ok(size) = back.recv(&mut buffer) else {
+            continue;
+        };
+        if wiring.read().passes(sender, vm) {
+            let _ = front.send_to(&buffer[..size], sender);
+        }
+    }
+}
