A leaving entry VM finishes its connections; screens show the revision that is known

Cause: a rolling restart under load broke 5 streams and failed 1 of 826 calls: the process stopped its server when the last answer had been generated, not when it had been sent. The screens showed the revision of the last set that changed, not the one up to which every record is known, so a wait for a record to be in force everywhere did not end. Test ports were taken from those that the system gives to connections.

Answers of a leaving VM close their connections, the server stops gracefully, and the revision is the board's.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -90,6 +90,7 @@
     pub member_states: Mutex<FastMap<InstanceId, MemberState>>,
     /// Whether a planned stop on record made this VM leave.
     pub stopped_by_record: AtomicBool,
+    informed: AtomicU64,
     view: ArcSwap<FleetView>,
     inputs: Mutex<ViewInputs>,
     link: OnceLock<Arc<dyn PeerLink>>,
@@ -135,6 +136,7 @@
             changes: ChangeLog::default(),
             member_states: Mutex::new(FastMap::default()),
             stopped_by_record: AtomicBool::new(false),
+            informed: AtomicU64::new(0),
             view: ArcSwap::from_pointee(empty),
             inputs: Mutex::new(ViewInputs::default()),
             link: OnceLock::new(),
@@ -573,6 +575,16 @@
         }
     }
 
+    /// Notes the revision up to which every record is known here.
+    pub fn set_informed(&self, revision: Revision) {
+        self.informed.store(revision.0, Ordering::Release);
+    }
+
+    /// Returns the revision up to which every record is known here.
+    pub fn informed(&self) -> Revision {
+        Revision(self.informed.load(Ordering::Acquire))
+    }
+
     /// Returns the status of this VM for the screens.
     pub fn own_status(&self) -> InstanceStatus {
         let now = monotonic_now();
@@ -583,7 +595,7 @@
             name: self.settings.instance.name.clone(),
             centre: self.settings.instance.centre.clone(),
             stage: self.life.stage(),
-            revision: self.view().records.revision,
+            revision: self.informed(),
             pending: count.pending as u32,
             held: count.held as u32,
             held_by_backend: held_by_backend
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -217,8 +217,8 @@
         if let Some(orders) = self.node.orders() {
             runtime.block_on(orders.stop());
         }
+        self.callers.finish();
         self.peers.shutdown();
-        self.callers.stop();
         self.operators.stop();
         runtime.shutdown_background();
     }
--- a/crates/entry/src/records_feed.rs
+++ b/crates/entry/src/records_feed.rs
@@ -106,6 +106,7 @@
         if after.hash != before.hash {
             self.node.set_records(set);
         }
+        self.node.set_informed(after.revision);
         self.peers.set_revision(after.revision);
         self.spread(after);
         if self.node.life.begin_serving() {
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use futures_util::StreamExt;
-use ntex::http::HeaderMap;
 use ntex::http::ResponseBuilder as HttpResponseBuilder;
+use ntex::http::{ConnectionType, HeaderMap};
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, ServiceConfig};
 use oleander_base::monotonic_now;
@@ -25,7 +25,7 @@
 use crate::life::LifeStage;
 use crate::reconnect::{local_reader, remote_events};
 use crate::serve_service::{service, status, tokens};
-use crate::server::ServerThread;
+use crate::server::{FINISH_LIMIT, ServerThread};
 use crate::sse::{EventBody, EventPlace};
 use crate::worker::{SharedContext, WorkerContext};
 
@@ -51,7 +51,10 @@
                     .default_service(web::route().to(not_found))
             }
         });
-        let server = server.workers(workers).disable_signals();
+        let server = server
+            .workers(workers)
+            .shutdown_timeout(FINISH_LIMIT)
+            .disable_signals();
         let server = match tls {
             Some(tls) => server.listen_rustls(listener, tls)?,
             None => server.listen(listener)?,
@@ -80,11 +83,17 @@
 }
 
 async fn chat(request: HttpRequest, body: web::types::Payload, context: Context) -> HttpResponse {
-    answer(complete(CompletionKind::Chat, &request, body, &context).await)
+    answer(
+        &context,
+        complete(CompletionKind::Chat, &request, body, &context).await,
+    )
 }
 
 async fn text(request: HttpRequest, body: web::types::Payload, context: Context) -> HttpResponse {
-    answer(complete(CompletionKind::Text, &request, body, &context).await)
+    answer(
+        &context,
+        complete(CompletionKind::Text, &request, body, &context).await,
+    )
 }
 
 async fn models(request: HttpRequest, context: Context) -> HttpResponse {
@@ -127,8 +136,20 @@
 }
 
 /// Turns the outcome of a handler into an HTTP answer.
-pub(crate) fn answer(result: Result<HttpResponse, CallerError>) -> HttpResponse {
-    result.unwrap_or_else(|error| error.to_response())
+///
+/// A VM that leaves asks its callers to close their connections, so that none is kept alive when
+/// the process ends.
+pub(crate) fn answer(
+    context: &WorkerContext,
+    result: Result<HttpResponse, CallerError>,
+) -> HttpResponse {
+    let mut response = result.unwrap_or_else(|error| error.to_response());
+    if context.node.life.stage() == LifeStage::Leaving {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    response
 }
 
 /// Reads a body up to the limit of the settings.
@@ -321,7 +342,7 @@
     id: web::types::Path<String>,
     context: Context,
 ) -> HttpResponse {
-    answer(reconnect_answer(&request, &id, &context).await)
+    answer(&context, reconnect_answer(&request, &id, &context).await)
 }
 
 async fn reconnect_answer(
--- a/crates/entry/src/serve_service.rs
+++ b/crates/entry/src/serve_service.rs
@@ -32,7 +32,10 @@
     payload: web::types::Payload,
     context: Context,
 ) -> HttpResponse {
-    answer(call_service(&request, &path, payload, &context).await)
+    answer(
+        &context,
+        call_service(&request, &path, payload, &context).await,
+    )
 }
 
 /// The name of a service and the path below it.
@@ -175,7 +178,7 @@
     payload: web::types::Payload,
     context: Context,
 ) -> HttpResponse {
-    answer(issue_tokens(&request, payload, &context).await)
+    answer(&context, issue_tokens(&request, payload, &context).await)
 }
 
 async fn issue_tokens(
@@ -227,7 +230,7 @@
     id: web::types::Path<String>,
     context: Context,
 ) -> HttpResponse {
-    answer(request_status(&request, &id, &context).await)
+    answer(&context, request_status(&request, &id, &context).await)
 }
 
 async fn request_status(
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -5,13 +5,24 @@
 use std::thread::JoinHandle;
 
 use ntex::server::Server;
+use ntex::time::Seconds;
 use tokio::sync::oneshot;
 
+/// How long a graceful stop waits for open connections.
+pub(crate) const FINISH_LIMIT: Seconds = Seconds(30);
+
+/// How a server stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StopKind {
+    Graceful,
+    Abrupt,
+}
+
 /// A server that runs.
 #[derive(Debug)]
 pub(crate) struct ServerThread {
     address: SocketAddr,
-    stop: Option<oneshot::Sender<()>>,
+    stop: Option<oneshot::Sender<StopKind>>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -45,10 +56,19 @@
         self.address
     }
 
+    /// Takes no new connection, waits until the open ones have been answered, and stops.
+    pub(crate) fn finish(&mut self) {
+        self.end(StopKind::Graceful);
+    }
+
     /// Stops the server and waits for its thread; requests that still run are cut off.
     pub(crate) fn stop(&mut self) {
+        self.end(StopKind::Abrupt);
+    }
+
+    fn end(&mut self, kind: StopKind) {
         if let Some(stop) = self.stop.take() {
-            let _ = stop.send(());
+            let _ = stop.send(kind);
         }
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
@@ -66,7 +86,7 @@
     listener: TcpListener,
     build: F,
     started: std::sync::mpsc::Sender<io::Result<()>>,
-    stopped: oneshot::Receiver<()>,
+    stopped: oneshot::Receiver<StopKind>,
 ) where
     F: FnOnce(TcpListener) -> io::Result<Server> + 'static,
 {
@@ -80,7 +100,7 @@
             }
         };
         let _ = started.send(Ok(()));
-        let _ = stopped.await;
-        server.stop(false).await;
+        let kind = stopped.await.unwrap_or(StopKind::Abrupt);
+        server.stop(kind == StopKind::Graceful).await;
     });
 }
--- a/crates/entry/tests/common/fleet.rs
+++ b/crates/entry/tests/common/fleet.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use oleander_decide::PolicyKind;
 use oleander_demo::Deployment;
@@ -100,6 +101,9 @@
 
 impl Drop for Vm {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("--- log of {}\n{}", self.name, self.log());
+        }
         self.kill();
     }
 }
@@ -290,16 +294,32 @@
     }
 }
 
+/// The first port that the fleets of a test process use; the system gives out none of these.
+const FIRST_PORT: u16 = 10_000;
+/// Ports that one test process may use before it begins again.
+const PORTS: u16 = 20_000;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// Returns a port that nobody uses and that no outgoing connection is given.
+fn free_port(is_free: impl Fn(SocketAddr) -> bool) -> SocketAddr {
+    let spread = (std::process::id() as u16).wrapping_mul(97);
+    loop {
+        let offset = NEXT_PORT
+            .fetch_add(1, Ordering::Relaxed)
+            .wrapping_add(spread)
+            % PORTS;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + offset));
+        if is_free(address) {
+            return address;
+        }
+    }
+}
+
 fn free_tcp() -> SocketAddr {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    free_port(|address| TcpListener::bind(address).is_ok())
 }
 
 fn free_udp() -> SocketAddr {
-    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    free_port(|address| UdpSocket::bind(address).is_ok())
 }
