A creation with an unknown outcome is not sent again

Cause: a revision never returns, but a key can be absent twice, so a late first copy of a creation could bring a record back that was deleted after the second copy. The writer now says that the outcome is unknown. A finished write returns its value, so that the writer's own process can put it into force at once.

--- a/crates/platform/src/lease_holder.rs
+++ b/crates/platform/src/lease_holder.rs
@@ -90,6 +90,9 @@
 
 impl LeaseHolder {
     /// Starts the task on the present runtime; it rests until it is a candidate.
+    ///
+    /// The store's handle should be one whose calls count as
+    /// [`CallClass::Lease`](crate::CallClass), so that nothing else uses up their budget.
     pub fn spawn(store: Arc<dyn KeyValueStore>, settings: LeaseSettings) -> Self {
         let shared = Arc::new(HolderShared {
             settings,
--- a/crates/platform/src/record_writer.rs
+++ b/crates/platform/src/record_writer.rs
@@ -1,9 +1,11 @@
 //! Writing records by compare-and-swap.
 //!
 //! A write carries a random mark in its document. If its outcome is unknown, the key is read
-//! again: the mark tells whether the write took effect. If the key is as it was, the same write
-//! is sent again, which is safe: both copies expect the same revision, so at most one of them
-//! can take effect. If the key has moved on, the history of changes tells whether our write was
+//! again: the mark tells whether the write took effect. If the key is as it was, a write that
+//! expects a revision is sent again, which is safe: both copies expect the same revision, which
+//! never returns, so at most one of them can take effect. A write that expects an absent key is
+//! not sent again: a key can be absent twice, and a late copy would bring a record back that was
+//! deleted since. If the key has moved on, the history of changes tells whether our write was
 //! among them. Whoever loses a race gets a conflict with the newer revision and its document.
 
 use std::sync::Arc;
@@ -27,10 +29,13 @@
 const SETTLE_PAUSE: Duration = Duration::from_millis(200);
 
 /// A write that took effect.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WriteDone {
     /// The revision of the write.
     pub revision: Revision,
+    /// The value that was written, with its mark, or none for a deletion; whoever wrote it can
+    /// put it on a board at once.
+    pub value: Option<Bytes>,
     /// Whether the outcome was unknown at first.
     pub was_unknown: bool,
 }
@@ -97,6 +102,16 @@
     before: Revision,
 }
 
+impl WritePlan {
+    fn settled(&self, revision: Revision) -> WriteDone {
+        WriteDone {
+            revision,
+            value: self.value.clone(),
+            was_unknown: true,
+        }
+    }
+}
+
 impl RecordWriter {
     /// Returns a writer that knows these schemas.
     pub fn new(store: Arc<dyn KeyValueStore>, catalog: SchemaCatalog) -> Self {
@@ -199,6 +214,7 @@
         match self.send(&plan).await {
             Ok(revision) => Ok(WriteDone {
                 revision,
+                value: plan.value,
                 was_unknown: false,
             }),
             Err(StoreError::Conflict { .. }) => Err(self.conflict(&plan).await),
@@ -235,7 +251,7 @@
             pause *= 2;
             match self.look(plan).await {
                 Ok(Some(settled)) => return settled,
-                Ok(None) => reason = "the write was sent again".to_owned(),
+                Ok(None) => reason = "the record is as it was; the write may still come".to_owned(),
                 Err(error) => reason = error.to_string(),
             }
         }
@@ -252,11 +268,14 @@
             .as_ref()
             .is_some_and(|entry| Some(&entry.value) == plan.value.as_ref());
         if let Some(entry) = current.as_ref().filter(|_| is_own) {
-            return Ok(Some(Ok(settled(entry.revision))));
+            return Ok(Some(Ok(plan.settled(entry.revision))));
         }
         if plan.expected == expectation(current.as_ref()) {
+            if plan.expected == Expected::Absent {
+                return Ok(None);
+            }
             return match self.send(plan).await {
-                Ok(revision) => Ok(Some(Ok(settled(revision)))),
+                Ok(revision) => Ok(Some(Ok(plan.settled(revision)))),
                 // The first copy came through after all, or another write did.
                 Err(StoreError::Conflict { .. }) => Ok(None),
                 Err(error) => Err(error),
@@ -287,19 +306,12 @@
             None => events.next().filter(|event| event.value.is_none()),
         };
         Ok(match own {
-            Some(event) => Ok(settled(event.revision)),
+            Some(event) => Ok(plan.settled(event.revision)),
             None => Err(WriteError::Conflict { current }),
         })
     }
 }
 
-fn settled(revision: Revision) -> WriteDone {
-    WriteDone {
-        revision,
-        was_unknown: true,
-    }
-}
-
 fn expectation(current: Option<&StoreEntry>) -> Expected {
     current.map_or(Expected::Absent, |entry| Expected::At(entry.revision))
 }
