Foreign writes cost peers nothing, and mixed programs do not ask for ever

And a document that an old program cannot read made its digest differ from those of new programs at the same revision for good, so both would have fetched whole copies with each digest. The set is built again only for a change of records; a peer with the same records raises our revision by its digest; what is in force has a hash of its own that is compared between equal catalogs only.

--- a/crates/records/src/board.rs
+++ b/crates/records/src/board.rs
@@ -16,7 +16,7 @@
 
 use oleander_base::prelude::*;
 
-use crate::board_entry::{Applied, BoardEntry, RecordDelivery, RecordFault, read_good};
+use crate::board_entry::{Applied, BoardEntry, RecordDelivery, RecordFault, RecordSums, read_good};
 use crate::data::RecordSet;
 use crate::document::{RecordDocument, parse_with};
 use crate::key::RecordKey;
@@ -33,8 +33,9 @@
     pub(crate) entries: BTreeMap<RecordKey, BoardEntry>,
     pub(crate) informed: Revision,
     pub(crate) floor: Revision,
-    /// The sum of the hashes of the records that are not deleted.
-    pub(crate) hash: u64,
+    /// The newest revision of a change on the board.
+    newest: Revision,
+    pub(crate) sums: RecordSums,
     tombstones: usize,
     tombstone_limit: usize,
     built: Option<(Arc<RecordSet>, Vec<SetFault>)>,
@@ -54,7 +55,8 @@
             entries: BTreeMap::new(),
             informed: Revision::default(),
             floor: Revision::default(),
-            hash: 0,
+            newest: Revision::default(),
+            sums: RecordSums::default(),
             tombstones: 0,
             tombstone_limit: TOMBSTONE_LIMIT,
             built: None,
@@ -143,7 +145,7 @@
     pub fn advance(&mut self, revision: Revision) {
         if revision > self.informed {
             self.informed = revision;
-            self.built = None;
+            self.drop_outdated_set();
         }
         self.prune();
     }
@@ -172,6 +174,8 @@
     }
 
     /// Returns the set in force; it is built again only after a change.
+    ///
+    /// Its revision is the one that the board was informed of at that time.
     pub fn set(&mut self) -> Arc<RecordSet> {
         Arc::clone(&self.build().0)
     }
@@ -202,10 +206,9 @@
     }
 
     pub(crate) fn insert(&mut self, key: RecordKey, entry: BoardEntry) {
-        match entry.text {
-            Some(_) => self.hash = self.hash.wrapping_add(entry.hash(&key)),
-            None => self.tombstones += 1,
-        }
+        self.sums.add(&key, &entry);
+        self.tombstones += usize::from(entry.text.is_none());
+        self.newest = self.newest.max(entry.revision);
         self.entries.insert(key, entry);
         self.built = None;
     }
@@ -213,10 +216,8 @@
     /// Takes an entry off the board.
     fn take(&mut self, key: &RecordKey) -> Option<BoardEntry> {
         let entry = self.entries.remove(key)?;
-        match entry.text {
-            Some(_) => self.hash = self.hash.wrapping_sub(entry.hash(key)),
-            None => self.tombstones -= 1,
-        }
+        self.sums.remove(key, &entry);
+        self.tombstones -= usize::from(entry.text.is_none());
         Some(entry)
     }
 
@@ -315,6 +316,17 @@
         self.floor = self.floor.max(floor);
     }
 
+    /// Lets the set be built again if it lies before a change that the board is informed of.
+    ///
+    /// The store's revision moves with every write of anybody, and most of them are no records;
+    /// the set is not built again for those.
+    fn drop_outdated_set(&mut self) {
+        let built = self.built.as_ref().map(|(set, _)| set.revision);
+        if built.is_some_and(|revision| revision < self.newest) {
+            self.built = None;
+        }
+    }
+
     fn build(&mut self) -> &(Arc<RecordSet>, Vec<SetFault>) {
         if self.built.is_none() {
             let bodies = self.entries.iter().filter_map(|(key, entry)| {
--- a/crates/records/src/board_dump.rs
+++ b/crates/records/src/board_dump.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use crate::board::RecordBoard;
-use crate::board_entry::BoardEntry;
+use crate::board_entry::{BoardEntry, RecordSums};
 
 impl RecordBoard {
     /// Returns what is wrong with the board's own state; an empty list is right.
@@ -22,13 +22,12 @@
         if self.entries.len() - tombstones.count() != self.len() {
             problems.push("the count of tombstones is wrong".to_owned());
         }
-        let live = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.text.is_some());
-        let hash = live.fold(0_u64, |sum, (key, entry)| sum.wrapping_add(entry.hash(key)));
-        if hash != self.hash {
-            problems.push("the hash is not that of the records".to_owned());
+        let mut sums = RecordSums::default();
+        for (key, entry) in &self.entries {
+            sums.add(key, entry);
+        }
+        if sums != self.sums {
+            problems.push("the sums are not those of the records".to_owned());
         }
         problems
     }
--- a/crates/records/src/board_entry.rs
+++ b/crates/records/src/board_entry.rs
@@ -61,15 +61,42 @@
     pub(crate) cleared: Revision,
 }
 
+/// Sums of hashes over the records that are not deleted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct RecordSums {
+    /// Of keys and revisions, the same in every program.
+    pub(crate) records: u64,
+    /// Of the revisions in force, which depend on the schemas that a program knows.
+    pub(crate) in_force: u64,
+}
+
+impl RecordSums {
+    pub(crate) fn add(&mut self, key: &RecordKey, entry: &BoardEntry) {
+        let (record, in_force) = entry.hashes(key);
+        self.records = self.records.wrapping_add(record);
+        self.in_force = self.in_force.wrapping_add(in_force);
+    }
+
+    pub(crate) fn remove(&mut self, key: &RecordKey, entry: &BoardEntry) {
+        let (record, in_force) = entry.hashes(key);
+        self.records = self.records.wrapping_sub(record);
+        self.in_force = self.in_force.wrapping_sub(in_force);
+    }
+}
+
 impl BoardEntry {
-    /// Returns a hash of what is in force for a key.
-    pub(crate) fn hash(&self, key: &RecordKey) -> u64 {
+    /// Returns hashes of the record and of what is in force for it; none for a tombstone.
+    fn hashes(&self, key: &RecordKey) -> (u64, u64) {
+        if self.text.is_none() {
+            return (0, 0);
+        }
         let mut hasher = Xxh3::new();
         key.hash(&mut hasher);
         self.revision.hash(&mut hasher);
+        let record = hasher.finish();
         let good = self.good.as_ref().map(|good| good.revision);
         good.hash(&mut hasher);
-        hasher.finish()
+        (record, hasher.finish())
     }
 }
 
--- a/crates/records/src/digest.rs
+++ b/crates/records/src/digest.rs
@@ -22,8 +22,23 @@
 pub struct RecordDigest {
     /// The revision up to which the board knows every record.
     pub revision: Revision,
-    /// A hash of the keys and revisions of the records in force.
+    /// A hash of the keys and revisions of the records that are not deleted.
     pub hash: u64,
+    /// A hash of the revisions in force, which differ from the newest ones after a bad document.
+    pub in_force: u64,
+    /// Which schemas the program knows.
+    pub catalog: u32,
+}
+
+impl RecordDigest {
+    /// Returns whether both boards hold the same records.
+    ///
+    /// What is in force is compared only between programs that know the same schemas: an old
+    /// program cannot read some documents of a new one, however often it gets them.
+    fn has_same_records(&self, other: &Self) -> bool {
+        let is_same_in_force = self.in_force == other.in_force || self.catalog != other.catalog;
+        self.hash == other.hash && is_same_in_force
+    }
 }
 
 /// How a peer's board compares with ours.
@@ -92,7 +107,9 @@
     pub fn digest(&self) -> RecordDigest {
         RecordDigest {
             revision: self.informed,
-            hash: self.hash,
+            hash: self.sums.records,
+            in_force: self.sums.in_force,
+            catalog: self.catalog.signature(),
         }
     }
 
@@ -102,11 +119,24 @@
         match peer.revision.cmp(&own.revision) {
             Ordering::Greater => DigestOrder::PeerAhead,
             Ordering::Less => DigestOrder::PeerBehind,
-            Ordering::Equal if peer.hash == own.hash => DigestOrder::Same,
+            Ordering::Equal if own.has_same_records(&peer) => DigestOrder::Same,
             Ordering::Equal => DigestOrder::Diverged,
         }
     }
 
+    /// Compares a peer's digest with our own, and learns from it if the records are the same.
+    ///
+    /// The store's revision moves with every write of anybody. A peer that is informed of a higher
+    /// revision with the same records tells that none of them changed up to there.
+    pub fn meet(&mut self, peer: RecordDigest) -> DigestOrder {
+        let order = self.compare(peer);
+        if order == DigestOrder::PeerAhead && self.digest().has_same_records(&peer) {
+            self.advance(peer.revision);
+            return DigestOrder::Same;
+        }
+        order
+    }
+
     /// Returns the changes after `since`, of about `limit` bytes at most.
     ///
     /// A whole copy is not cut.
--- a/crates/records/src/schema.rs
+++ b/crates/records/src/schema.rs
@@ -15,6 +15,9 @@
 use crate::key::RecordKind;
 use crate::schema_table::SCHEMAS;
 
+/// The base of a catalog's signature; no kind gets as many versions.
+const SIGNATURE_BASE: u32 = 32;
+
 /// The form of one field's value.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -129,6 +132,14 @@
             .map_or(1, |entry| entry.1)
     }
 
+    /// Returns a number that is the same for programs that know the same versions.
+    pub fn signature(&self) -> u32 {
+        let versions = self.newest.iter().map(|entry| entry.1);
+        versions.fold(0, |sum, version| {
+            sum.wrapping_mul(SIGNATURE_BASE).wrapping_add(version)
+        })
+    }
+
     /// Returns the schema to read a document of this version with.
     pub fn schema(&self, kind: RecordKind, version: u32) -> &'static RecordSchema {
         let version = version.clamp(1, self.newest(kind));
