once: one task probes a store that is away, and no claim waits for it

Keys that were read before are answered without the store, so their repeats still find the owner during an outage.

--- a/crates/once/examples/claim_cost.rs
+++ b/crates/once/examples/claim_cost.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fake::{FakeStore, TestClock, instance};
+use fake::{FakeStore, StoreMood, TestClock, instance};
 use oleander_base::prelude::*;
 use oleander_once::{
     BodyHash, ClaimAnswer, ClaimBook, ClaimEntry, ClaimHandle, ClaimOutcome, ClaimReply,
@@ -230,25 +230,76 @@
 
 fn row(bench: &CostBench, rate: f64, total: usize, delays: &[Duration], took: Duration) -> String {
     let state = bench.store.0.lock();
-    let quantile = |share: f64| {
-        let at = ((delays.len() as f64 * share) as usize).min(delays.len().saturating_sub(1));
-        delays
-            .get(at)
-            .map_or(f64::NAN, |delay| delay.as_secs_f64() * 1_000.0)
-    };
     let conflicts: u64 = bench.handles.iter().map(|h| h.stats().conflicts).sum();
     format!(
         "| {} | {rate} | {total} | {:.3} | {:.1} | {:.1} | {:.2} | {:.0} | {:.0} | {conflicts} |",
         bench.way.name(),
         delays.len() as f64 / total as f64,
-        quantile(0.5),
-        quantile(0.99),
+        quantile_ms(delays, 0.5),
+        quantile_ms(delays, 0.99),
         state.writes as f64 / total as f64,
         state.writes as f64 / took.as_secs_f64(),
         state.written_bytes as f64 / total as f64,
     )
 }
 
+/// Claims through an outage: how fast claims are refused in it, and when they are granted again.
+async fn measure_outage(mood: StoreMood, length: Duration) -> String {
+    const CLAIM_GAP: Duration = Duration::from_millis(10);
+    let bench = Arc::new(CostBench::spawn(groups(4, 50, 4)));
+    let mut serial = 0;
+    let mut claim = || {
+        serial += 1;
+        let begun = Instant::now();
+        let claim = Arc::clone(&bench).claim(serial as usize % NODES, serial);
+        tokio::spawn(async move { (claim.await.is_some(), begun.elapsed()) })
+    };
+    for _ in 0..100 {
+        let _ = claim().await;
+    }
+    bench.store.set_mood(mood);
+    let begun = Instant::now();
+    let mut claims = Vec::new();
+    while begun.elapsed() < length {
+        claims.push(claim());
+        tokio::time::sleep(CLAIM_GAP).await;
+    }
+    bench.store.set_mood(StoreMood::Well);
+    let back = Instant::now();
+    let mut granted = 0;
+    // A hundred grants in a row are full service again.
+    while granted < 100 {
+        granted = match claim().await {
+            Ok((true, _)) => granted + 1,
+            _ => 0,
+        };
+        tokio::time::sleep(CLAIM_GAP).await;
+    }
+    let again = back.elapsed();
+    let mut refusals = Vec::new();
+    for claim in claims {
+        if let Ok((false, delay)) = claim.await {
+            refusals.push(delay);
+        }
+    }
+    refusals.sort_unstable();
+    format!(
+        "| {mood:?} | {} | {:.1} | {:.1} | {:.1} | {:.1} |",
+        refusals.len(),
+        quantile_ms(&refusals, 0.5),
+        quantile_ms(&refusals, 0.99),
+        quantile_ms(&refusals, 1.0),
+        again.as_secs_f64()
+    )
+}
+
+fn quantile_ms(sorted: &[Duration], share: f64) -> f64 {
+    let at = ((sorted.len() as f64 * share) as usize).min(sorted.len().saturating_sub(1));
+    sorted
+        .get(at)
+        .map_or(f64::NAN, |delay| delay.as_secs_f64() * 1_000.0)
+}
+
 fn groups(shards: u16, interval_ms: u64, segment_kb: usize) -> ClaimWay {
     ClaimWay::Groups {
         shards,
@@ -281,4 +332,9 @@
             println!("{}", run.await.unwrap_or_default());
         }
     }
+    println!("| outage | refused | p50 ms | p99 ms | max ms | 100 grants in a row after s |");
+    println!("|---|---|---|---|---|---|");
+    for mood in [StoreMood::Down, StoreMood::Silent, StoreMood::LosesWrites] {
+        println!("{}", measure_outage(mood, length / 2).await);
+    }
 }
--- a/crates/once/src/door.rs
+++ b/crates/once/src/door.rs
@@ -1,19 +1,19 @@
 //! The door to a shard's task: queues claims, and refuses them at once while the store is away.
 
-use std::fmt::Write as _;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
-use oleander_base::prelude::*;
 use oleander_platform::KeyValueStore;
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::gate::MonoClock;
+use crate::health::StoreHealth;
 use crate::route::{ClaimEntry, ClaimReply, NotWritten, ShardId};
 use crate::settings::ClaimSettings;
 use crate::shard::ShardTask;
 use crate::stats::ClaimCounters;
+use crate::step::WriterLimits;
+use crate::writer::ShardWriter;
 
 /// A claim that waits for a commit.
 pub(crate) struct QueuedClaim {
@@ -27,45 +27,45 @@
     pub(crate) clock: Arc<dyn MonoClock>,
     pub(crate) settings: ClaimSettings,
     pub(crate) counters: Arc<ClaimCounters>,
+    pub(crate) health: Arc<StoreHealth>,
 }
 
 /// The door to a shard's task.
 pub(crate) struct ShardDoor {
     queue: mpsc::Sender<QueuedClaim>,
-    state: Arc<ShardState>,
-    clock: Arc<dyn MonoClock>,
-    probe_interval: Span,
-}
-
-/// What a shard's task shows to its door.
-pub(crate) struct ShardState {
-    /// When a claim may try the store again, in microseconds; zero while the store answers.
-    pub(crate) probe_at: AtomicU64,
-    pub(crate) dump: Mutex<String>,
+    writer: Arc<Mutex<ShardWriter>>,
+    health: Arc<StoreHealth>,
 }
 
 impl ShardDoor {
     /// Starts the task of a shard; it ends when the door is dropped.
     pub(crate) fn spawn(shard: ShardId, parts: Arc<ShardParts>) -> Self {
-        let (queue, claims) = mpsc::channel(parts.settings.queue_claims.max(1));
-        let state = Arc::new(ShardState {
-            probe_at: AtomicU64::new(0),
-            dump: Mutex::new("not read yet".to_owned()),
+        let settings = &parts.settings;
+        let (queue, claims) = mpsc::channel(settings.queue_claims.max(1));
+        let writer = ShardWriter::new(WriterLimits {
+            segment_bytes: settings.segment_bytes,
+            segments: settings.segments,
+            retention: settings.retention,
         });
+        let writer = Arc::new(Mutex::new(writer));
         let door = Self {
             queue,
-            state: Arc::clone(&state),
-            clock: Arc::clone(&parts.clock),
-            probe_interval: parts.settings.probe_interval,
+            writer: Arc::clone(&writer),
+            health: Arc::clone(&parts.health),
         };
-        let task = ShardTask::new(shard, parts, state);
+        let task = ShardTask::new(shard, parts, writer);
         tokio::spawn(task.run(claims));
         door
     }
 
-    /// Queues a claim and waits for the log's reply.
+    /// Returns the log's reply to a claim: at once if its key was read already, for a claim once
+    /// seen stays true; at once while the store is away; else from the next commit.
     pub(crate) async fn commit(&self, entry: ClaimEntry) -> ClaimReply {
-        if !self.may_try() {
+        let known = self.writer.lock().answer(&entry);
+        if let Some(reply) = known {
+            return reply;
+        }
+        if self.health.is_away() {
             return ClaimReply::NotWritten(NotWritten::StoreAway);
         }
         let (reply, answer) = oneshot::channel();
@@ -76,32 +76,8 @@
         answer.await.unwrap_or(ClaimReply::Unknown)
     }
 
-    /// While the store is away, one claim in each probe interval tries it again.
-    fn may_try(&self) -> bool {
-        let probe_at = self.state.probe_at.load(Ordering::Acquire);
-        if probe_at == 0 {
-            return true;
-        }
-        let now = self.clock.now();
-        if now.0 < probe_at {
-            return false;
-        }
-        let next = (now + self.probe_interval).0;
-        let swap = self.state.probe_at.compare_exchange(
-            probe_at,
-            next,
-            Ordering::AcqRel,
-            Ordering::Acquire,
-        );
-        swap.is_ok()
-    }
-
     /// Returns the shard's state as text.
     pub(crate) fn dump(&self) -> String {
-        let mut text = self.state.dump.lock().clone();
-        if self.state.probe_at.load(Ordering::Acquire) != 0 {
-            let _ = write!(text, ", store away");
-        }
-        text
+        self.writer.lock().dump()
     }
 }
--- a/crates/once/src/handle.rs
+++ b/crates/once/src/handle.rs
@@ -6,6 +6,7 @@
 use oleander_base::prelude::*;
 use oleander_platform::KeyValueStore;
 use parking_lot::Mutex;
+use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use crate::answer::{KeptAnswer, KeptResult};
@@ -13,9 +14,11 @@
 use crate::door::{ShardDoor, ShardParts};
 use crate::gate::MonoClock;
 use crate::hash::{BodyHash, KeyHash};
+use crate::health::{ProbePlan, StoreHealth, probe_store};
 use crate::outcome::{BookStep, ClaimOutcome};
 use crate::route::{ClaimEntry, ClaimReply, ClaimRoute, CommitPlace, NotWritten, ShardId};
 use crate::settings::ClaimSettings;
+use crate::shard::LAYOUT_KEY;
 use crate::stats::{ClaimCounters, ClaimStats};
 
 /// A request's wish to claim a key.
@@ -55,11 +58,20 @@
     ) -> ClaimHandle {
         let records = ClaimRecords::new(me, settings.book_limits());
         let counters = Arc::new(ClaimCounters::default());
+        let health = Arc::new(StoreHealth::default());
+        let plan = ProbePlan {
+            key: LAYOUT_KEY,
+            interval: settings.probe_interval,
+            limit: settings.store_timeout,
+        };
+        let probe = probe_store(Arc::clone(&health), Arc::clone(&store), plan);
+        let probe = tokio::spawn(probe).abort_handle();
         let parts = Arc::new(ShardParts {
             store,
             clock: Arc::clone(&clock),
             settings,
             counters: Arc::clone(&counters),
+            health: Arc::clone(&health),
         });
         let shards = (0..settings.shards.max(1))
             .map(|shard| ShardDoor::spawn(ShardId(shard), Arc::clone(&parts)))
@@ -69,6 +81,8 @@
             route,
             settings,
             counters,
+            health,
+            probe,
             shards,
             records: Mutex::new(records),
         };
@@ -83,10 +97,18 @@
     route: Arc<dyn ClaimRoute>,
     settings: ClaimSettings,
     counters: Arc<ClaimCounters>,
+    health: Arc<StoreHealth>,
+    probe: AbortHandle,
     shards: Vec<ShardDoor>,
     records: Mutex<ClaimRecords>,
 }
 
+impl Drop for ClaimShared {
+    fn drop(&mut self) {
+        self.probe.abort();
+    }
+}
+
 /// The handle of a running claim book.
 #[derive(Clone)]
 pub struct ClaimHandle {
@@ -199,6 +221,9 @@
     /// Returns the state as text.
     pub fn dump(&self) -> String {
         let mut text = self.shared.records.lock().dump();
+        if self.shared.health.is_away() {
+            text.push_str("the key-value service is away\n");
+        }
         for (shard, door) in self.shared.shards.iter().enumerate() {
             let _ = writeln!(text, "claim log shard{shard}: {}", door.dump());
         }
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -22,6 +22,7 @@
 mod guard;
 mod handle;
 mod hash;
+mod health;
 mod ledger;
 mod once;
 #[cfg(feature = "open-guard")]
--- a/crates/once/src/settings.rs
+++ b/crates/once/src/settings.rs
@@ -27,8 +27,8 @@
     pub claim_wait: Duration,
     /// How long one call of the store may take.
     pub store_timeout: Duration,
-    /// How long claims are refused at once after the store failed, before the next one tries.
-    pub probe_interval: Span,
+    /// How long after a failure the store is first probed; the interval doubles up to eightfold.
+    pub probe_interval: Duration,
     /// The most claims that wait for one shard's commits.
     pub queue_claims: usize,
     /// The most keys that this instance remembers.
@@ -51,7 +51,7 @@
             send_limit: Span::from_secs(60),
             claim_wait: Duration::from_millis(2_000),
             store_timeout: Duration::from_millis(500),
-            probe_interval: Span::from_millis(500),
+            probe_interval: Duration::from_millis(250),
             queue_claims: 2_000,
             records: 100_000,
             kept_bytes: 8 << 20,
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -6,18 +6,18 @@
 //! demand is.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use oleander_base::prelude::*;
 use oleander_platform::{BoxFuture, Expected, ListPage, StoreError};
+use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::sync::mpsc;
 
-use crate::door::{QueuedClaim, ShardParts, ShardState};
+use crate::door::{QueuedClaim, ShardParts};
 use crate::route::{ClaimEntry, ClaimReply, NotWritten, ShardId};
-use crate::step::{ListedArchive, LogFault, StoreStep, WriterLimits};
+use crate::step::{ListedArchive, LogFault, StoreStep};
 use crate::writer::ShardWriter;
 
 /// The longest wait for the store's call budget before a claim is refused.
@@ -28,7 +28,7 @@
 /// After how many conflicts a group waits for its next slot.
 const CONFLICTS_PER_SLOT: u32 = 3;
 /// Names the number of shards that the log was laid out for.
-const LAYOUT_KEY: &str = "claims/layout";
+pub(crate) const LAYOUT_KEY: &str = "claims/layout";
 
 /// Why a group of claims could not be settled.
 #[derive(Debug, Error)]
@@ -46,8 +46,8 @@
 pub(crate) struct ShardTask {
     shard: ShardId,
     parts: Arc<ShardParts>,
-    state: Arc<ShardState>,
-    writer: ShardWriter,
+    /// Locked for single steps, never over a call of the store.
+    writer: Arc<Mutex<ShardWriter>>,
     next_slot: MonoTime,
     /// How many of the present group's writes met another writer's.
     conflicts: u32,
@@ -57,17 +57,14 @@
 }
 
 impl ShardTask {
-    pub(crate) fn new(shard: ShardId, parts: Arc<ShardParts>, state: Arc<ShardState>) -> Self {
-        let settings = &parts.settings;
-        let writer = ShardWriter::new(WriterLimits {
-            segment_bytes: settings.segment_bytes,
-            segments: settings.segments,
-            retention: settings.retention,
-        });
+    pub(crate) fn new(
+        shard: ShardId,
+        parts: Arc<ShardParts>,
+        writer: Arc<Mutex<ShardWriter>>,
+    ) -> Self {
         Self {
             shard,
             parts,
-            state,
             writer,
             next_slot: MonoTime(0),
             conflicts: 0,
@@ -91,7 +88,6 @@
                 }
             }
             self.commit_group(group, &mut claims).await;
-            *self.state.dump.lock() = self.writer.dump();
         }
     }
 
@@ -99,7 +95,7 @@
     fn answer_known(&self, group: &mut Vec<QueuedClaim>) {
         let mut rest = Vec::new();
         for queued in group.drain(..) {
-            match self.writer.answer(&queued.entry) {
+            match self.writer.lock().answer(&queued.entry) {
                 Some(reply) => drop(queued.reply.send(reply)),
                 None => rest.push(queued),
             }
@@ -114,8 +110,8 @@
     ) {
         self.unknown_writes = 0;
         self.conflicts = 0;
-        if self.writer.is_contended() {
-            self.writer.refresh();
+        if self.writer.lock().is_contended() {
+            self.writer.lock().refresh();
         }
         group.retain(|queued| !queued.reply.is_closed());
         if group.is_empty() {
@@ -124,7 +120,6 @@
         let batch: Vec<_> = group.iter().map(|queued| queued.entry).collect();
         match self.settle(&batch).await {
             Ok(()) => {
-                self.note_success();
                 self.answer_known(&mut group);
                 self.delete_garbage().await;
             }
@@ -152,36 +147,42 @@
             let _ = queued.reply.send(reply);
         }
         while let Ok(queued) = claims.try_recv() {
-            let reply = self.writer.answer(&queued.entry).unwrap_or(not_written);
+            let reply = self
+                .writer
+                .lock()
+                .answer(&queued.entry)
+                .unwrap_or(not_written);
             let _ = queued.reply.send(reply);
         }
     }
 
-    fn note_success(&self) {
-        if self.state.probe_at.swap(0, Ordering::AcqRel) != 0 {
-            log::info!("claims of {}: the store answers again", self.shard);
-        }
-    }
-
     fn note_failure(&self, failure: &GroupFailure) -> NotWritten {
-        if let GroupFailure::Full = failure {
-            return NotWritten::Overloaded;
-        }
         self.parts.counters.failures.add(1);
-        let probe_at = self.parts.clock.now() + self.parts.settings.probe_interval;
-        let was_away = self.state.probe_at.swap(probe_at.0, Ordering::AcqRel) != 0;
-        if !was_away {
-            log::warn!("claims of {} are refused: {failure}", self.shard);
+        match failure {
+            GroupFailure::Full | GroupFailure::Store(StoreError::OverBudget { .. }) => {
+                return NotWritten::Overloaded;
+            }
+            GroupFailure::Store(error) => self.note_away(error),
+            GroupFailure::Log(_) | GroupFailure::Layout { .. } => {
+                log::error!("claims of {} are refused: {failure}", self.shard);
+            }
         }
         NotWritten::StoreAway
     }
 
+    fn note_away(&self, error: &StoreError) {
+        if self.parts.health.mark_away() {
+            log::warn!("claims are refused: {error}");
+        }
+    }
+
     /// Executes the writer's steps until every claim of the batch has an answer.
     async fn settle(&mut self, batch: &[ClaimEntry]) -> Result<(), GroupFailure> {
         self.check_layout().await?;
         loop {
             let now = self.parts.clock.now();
-            match self.writer.next_step(batch, now) {
+            let step = self.writer.lock().next_step(batch, now);
+            match step {
                 StoreStep::Settled => return Ok(()),
                 StoreStep::Full => return Err(GroupFailure::Full),
                 StoreStep::ReadTail => self.read_tail().await?,
@@ -225,7 +226,7 @@
         let tail = found
             .as_ref()
             .map(|entry| (entry.revision, &entry.value[..]));
-        self.writer.on_tail(tail, now)?;
+        self.writer.lock().on_tail(tail, now)?;
         Ok(())
     }
 
@@ -236,7 +237,7 @@
             .call(self.parts.store.list(&prefix, after.as_deref()))
             .await?;
         let archives = listed_archives(&prefix, &page);
-        self.writer.on_archives(&archives, page.more)?;
+        self.writer.lock().on_archives(&archives, page.more)?;
         Ok(())
     }
 
@@ -247,7 +248,7 @@
         let key = self.archive_key(seq);
         let put = self.parts.store.put(&key, Expected::Absent, value, None);
         let result = self.call(put).await;
-        self.writer.on_archive_written(&result);
+        self.writer.lock().on_archive_written(&result);
         self.go_on_after(result.err()).await
     }
 
@@ -256,11 +257,13 @@
         counters.tail_writes.add(1);
         counters.written_bytes.add(value.len() as u64);
         let interval = self.parts.settings.commit_interval;
-        self.next_slot = self.parts.clock.now() + self.writer.shared_interval(interval);
+        self.next_slot = self.parts.clock.now() + self.writer.lock().shared_interval(interval);
         let key = self.tail_key();
         let put = self.parts.store.put(&key, expected, value, None);
         let result = self.call(put).await;
-        self.writer.on_tail_written(&result, self.parts.clock.now());
+        self.writer
+            .lock()
+            .on_tail_written(&result, self.parts.clock.now());
         match &result {
             Err(StoreError::Unknown { .. }) => self.unknown_writes += 1,
             Err(StoreError::Conflict { .. }) => self.conflicts += 1,
@@ -290,7 +293,7 @@
     }
 
     async fn delete_garbage(&mut self) {
-        let Some((seq, revision)) = self.writer.take_garbage() else {
+        let Some((seq, revision)) = self.writer.lock().take_garbage() else {
             return;
         };
         self.parts.counters.deletes.add(1);
@@ -306,7 +309,10 @@
         let result = tokio::time::timeout(limit, call).await;
         result.unwrap_or_else(|_| {
             let reason = format!("no answer within {limit:?}");
-            Err(StoreError::Unknown { reason })
+            let error = StoreError::Unknown { reason };
+            // Later claims need not wait until this group has failed.
+            self.note_away(&error);
+            Err(error)
         })
     }
 
--- a/crates/once/tests/claims.rs
+++ b/crates/once/tests/claims.rs
@@ -30,7 +30,7 @@
     ClaimSettings {
         commit_interval: Span::from_millis(5),
         store_timeout: Duration::from_millis(200),
-        probe_interval: Span::from_millis(50),
+        probe_interval: Duration::from_millis(20),
         segment_bytes: 128,
         ..ClaimSettings::default()
     }
@@ -133,8 +133,19 @@
 #[tokio::test]
 async fn store_outage_refuses_and_ends_by_itself() {
     let store = FakeStore::default();
-    let node = TestNode::lone(&store, 1);
+    let (node, other) = (TestNode::lone(&store, 1), TestNode::lone(&store, 2));
+    assert!(runs(&other.claim("before").await));
+    let repeat = node.claim("before").await;
+    assert!(matches!(
+        repeat,
+        ClaimAnswer::Log(ClaimOutcome::Repeat { .. })
+    ));
     store.set_mood(StoreMood::Down);
+    assert_eq!(
+        node.claim("before").await,
+        repeat,
+        "what was read is still known"
+    );
     for key in 0..20 {
         let answer = node.claim(&key.to_string()).await;
         assert!(matches!(
