A dropped future of an engine stream loses no event

The stream moved its body into the future that waits for the next event, so a select that dropped that future ended the answer as if it had come to its end. The body stays in the stream now; a test drops the future every 0.2 ms and gets the whole answer.

--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -1,12 +1,18 @@
 //! The answer of one call.
 
-use ntex::util::Bytes;
+use std::time::Duration;
+
+use ntex::util::{Bytes, BytesMut};
 use oleander_attempt::{AttemptBody, AttemptResponse};
 use serde::Deserialize;
+use tokio::time::timeout;
 
 use crate::error::{EngineError, EngineFailure, Result};
 use crate::event::{EngineEvent, EventParser, FinishReason, RawEvent, finish_reason};
 
+/// How long the end of a body may come after the end mark.
+const DRAIN_LIMIT: Duration = Duration::from_millis(100);
+
 /// The largest answer that is not streamed, in bytes.
 const ANSWER_LIMIT: usize = 16 << 20;
 
@@ -22,12 +28,15 @@
     completion_tokens: u32,
 }
 
-#[derive(Debug)]
+/// How far an answer has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StreamState {
     /// Events are coming.
-    Streaming { body: AttemptBody },
+    Streaming,
     /// The answer comes in one piece.
-    Whole { body: AttemptBody },
+    Whole,
+    /// The end mark has come; the rest of the body is read, for the connection to be used again.
+    Draining,
     /// Nothing more comes.
     Ended,
 }
@@ -36,7 +45,9 @@
 #[derive(Debug)]
 pub struct EngineStream {
     state: StreamState,
+    body: AttemptBody,
     parser: EventParser,
+    whole: BytesMut,
     complete: bool,
 }
 
@@ -45,28 +56,35 @@
         let streamed = response
             .header("content-type")
             .is_some_and(|kind| kind.starts_with("text/event-stream"));
-        let body = response.body;
         let state = if streamed {
-            StreamState::Streaming { body }
+            StreamState::Streaming
         } else {
-            StreamState::Whole { body }
+            StreamState::Whole
         };
         Self {
             state,
+            body: response.body,
             parser: EventParser::default(),
+            whole: BytesMut::new(),
             complete: false,
         }
     }
 
     /// Returns the next event, none after the whole answer, or an error.
     ///
-    /// After an error or the end nothing more comes.
+    /// After an error or the end nothing more comes. The future may be dropped and asked for again
+    /// without the loss of an event.
     pub async fn next(&mut self) -> Option<Result<EngineEvent>> {
-        match std::mem::replace(&mut self.state, StreamState::Ended) {
+        let outcome = match self.state {
+            StreamState::Streaming => self.next_streamed().await,
+            StreamState::Whole => Some(self.read_whole().await),
+            StreamState::Draining => self.drain().await,
             StreamState::Ended => None,
-            StreamState::Whole { body } => Some(self.read_whole(body).await),
-            StreamState::Streaming { body } => self.next_streamed(body).await,
+        };
+        if matches!(outcome, Some(Err(_))) {
+            self.state = StreamState::Ended;
         }
+        outcome
     }
 
     /// Returns whether the engine has marked the end of the answer.
@@ -74,22 +92,20 @@
         self.complete
     }
 
-    async fn next_streamed(&mut self, mut body: AttemptBody) -> Option<Result<EngineEvent>> {
+    async fn next_streamed(&mut self) -> Option<Result<EngineEvent>> {
         loop {
             match self.parser.next_event() {
                 Some(RawEvent::Data(payload)) => {
-                    self.state = StreamState::Streaming { body };
                     return Some(Ok(EngineEvent::streamed(payload)));
                 }
                 Some(RawEvent::End) => {
                     self.complete = true;
-                    // Reading on to the end of the body lets the connection be used again.
-                    let _ = body.next().await;
-                    return None;
+                    self.state = StreamState::Draining;
+                    return self.drain().await;
                 }
                 None => {}
             }
-            match body.next().await {
+            match self.body.next().await {
                 Some(Ok(piece)) => {
                     if self.parser.push(piece).is_err() {
                         return Some(Err(malformed("an event is too large")));
@@ -101,8 +117,22 @@
         }
     }
 
-    async fn read_whole(&mut self, body: AttemptBody) -> Result<EngineEvent> {
-        let payload = body.read(ANSWER_LIMIT).await?;
+    async fn drain(&mut self) -> Option<Result<EngineEvent>> {
+        let _ = timeout(DRAIN_LIMIT, self.body.next()).await;
+        self.state = StreamState::Ended;
+        None
+    }
+
+    async fn read_whole(&mut self) -> Result<EngineEvent> {
+        while let Some(piece) = self.body.next().await {
+            let piece = piece?;
+            if self.whole.len() + piece.len() > ANSWER_LIMIT {
+                return Err(malformed("the answer is too large"));
+            }
+            self.whole.extend_from_slice(&piece);
+        }
+        self.state = StreamState::Ended;
+        let payload = std::mem::take(&mut self.whole).freeze();
         let answer: WholeAnswer =
             serde_json::from_slice(&payload).map_err(|error| malformed(&error.to_string()))?;
         self.complete = true;
--- a/crates/engine/tests/client.rs
+++ b/crates/engine/tests/client.rs
@@ -6,8 +6,8 @@
 use ntex::util::Bytes;
 use oleander_base::prelude::*;
 use oleander_engine::{
-    AttemptTimeouts, ClientSettings, EngineCall, EngineClient, EngineError, EngineFailure,
-    EngineOrder, EnginePath, EngineStream, FinishReason, OrderAnswer, ResumePoint,
+    AttemptTimeouts, ClientSettings, EngineCall, EngineClient, EngineError, EngineEvent,
+    EngineFailure, EngineOrder, EnginePath, EngineStream, FinishReason, OrderAnswer, ResumePoint,
 };
 use oleander_standin::{
     AnswerCheck, AnswerPlan, EngineFault, EngineSettings, EngineStandIn, OrderMode, answer_hint,
@@ -73,6 +73,18 @@
     error: Option<EngineError>,
 }
 
+impl StreamEnd {
+    fn add(&mut self, event: EngineEvent) {
+        self.tokens += event.tokens;
+        self.finish = event.finish.or(self.finish);
+        let value: Value = serde_json::from_slice(&event.payload).unwrap();
+        let choice = &value["choices"][0];
+        let text = choice["delta"]["content"].as_str();
+        let text = text.or(choice["message"]["content"].as_str());
+        self.text.push_str(text.unwrap_or_default());
+    }
+}
+
 async fn drain(stream: &mut EngineStream) -> StreamEnd {
     let mut end = StreamEnd::default();
     while let Some(event) = stream.next().await {
@@ -83,13 +95,7 @@
                 break;
             }
         };
-        end.tokens += event.tokens;
-        end.finish = event.finish.or(end.finish);
-        let value: Value = serde_json::from_slice(&event.payload).unwrap();
-        let choice = &value["choices"][0];
-        let text = choice["delta"]["content"].as_str();
-        let text = text.or(choice["message"]["content"].as_str());
-        end.text.push_str(text.unwrap_or_default());
+        end.add(event);
     }
     end
 }
@@ -130,6 +136,30 @@
     assert_eq!(engine.totals().finished, 40);
 }
 
+#[ntex::test]
+async fn a_future_that_is_dropped_loses_no_event() {
+    let engine = EngineStandIn::bind(quick_settings()).unwrap();
+    let client = open_client().await;
+    for stream in [true, false] {
+        let prompt = format!("question {stream} {}", answer_hint(60));
+        let plan = AnswerPlan::of(MODEL, &prompt, None);
+        let sent = call(engine.address(), body(&prompt, stream));
+        let mut stream = client.start(sent).await.unwrap();
+        let mut end = StreamEnd::default();
+        let mut dropped = 0;
+        loop {
+            let wait = Duration::from_micros(200);
+            match tokio::time::timeout(wait, stream.next()).await {
+                Err(_) => dropped += 1,
+                Ok(None) => break,
+                Ok(Some(event)) => end.add(event.unwrap()),
+            }
+        }
+        assert!(dropped > 0);
+        assert_eq!(AnswerCheck::of(&plan, &end.text), AnswerCheck::Whole);
+    }
+}
+
 #[ntex::test]
 async fn an_answer_in_one_piece_is_whole() {
     let engine = EngineStandIn::bind(quick_settings()).unwrap();
