--- a/crates/engine/tests/client.rs
+++ b/crates/engine/tests/client.rs
@@ -74,7 +74,7 @@
 }
 
 impl StreamEnd {
-    fn add(&mut self, event: EngineEvent) {
+    fn add(&mut self, event: &EngineEvent) {
         self.tokens += event.tokens;
         self.finish = event.finish.or(self.finish);
         let value: Value = serde_json::from_slice(&event.payload).unwrap();
@@ -95,7 +95,7 @@
                 break;
             }
         };
-        end.add(event);
+        end.add(&event);
     }
     end
 }
@@ -152,7 +152,7 @@
             match tokio::time::timeout(wait, stream.next()).await {
                 Err(_) => dropped += 1,
                 Ok(None) => break,
-                Ok(Some(event)) => end.add(event.unwrap()),
+                Ok(Some(event)) => end.add(&event.unwrap()),
             }
         }
         assert!(dropped > 0);
