--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod changes;
+mod claim_route;
 mod control;
 mod counters;
 mod desk;
@@ -21,11 +22,13 @@
 mod metric_table;
 mod node;
 mod operator_desk;
+mod order_role;
 mod peering;
 mod process;
 mod reconnect;
 mod record_reader;
 mod records_feed;
+mod report_watch;
 mod retries;
 mod serve;
 mod serve_service;
@@ -36,7 +39,9 @@
 mod spill;
 mod sse;
 mod status;
+mod tls;
 mod view;
+mod vm_watch;
 mod worker;
 
 pub use answer::{
@@ -48,10 +53,11 @@
 pub use dispatch::{DispatchBoard, OfferEnd, PoolStatus, PoolView};
 pub use journal::{Journal, JournalEntry, JournalEvent};
 pub use life::{LifeCycle, LifeStage};
-pub use limit_board::{CustomerDemand, LimitBoard};
-pub use limits::{LimitDesk, LimitKind, LimitPart, LimitRefusal, LimitUse};
+pub use limit_board::{DemandLine, LimitBoard};
+pub use limits::{LimitDesk, LimitUse};
 pub use logging::start_logging;
 pub use node::{EntryNode, PeerLink};
+pub use order_role::OrderRole;
 pub use process::{EntryProcess, StartError};
 pub use records_feed::RecordFeed;
 pub use retries::RetryDesk;
@@ -59,7 +65,7 @@
     CallerSettings, DispatchSection, EntrySettings, InstanceSettings, LogLevel, LogSection,
     OperatorSettings, PeerSection, PlatformSection, SettingsError, SettingsFault,
 };
-pub use spill::{PoolChoice, SpillBoard};
+pub use spill::SpillBoard;
 pub use sse::{EventBody, EventPlace};
 pub use status::{BackendUse, InstanceStatus, SeenStatus, StatusBoard, StatusMessage};
 pub use view::{FleetMember, FleetView, PoolRoute};
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -10,26 +10,31 @@
 use oleander_base::prelude::*;
 use oleander_base::{monotonic_now, process_origin};
 use oleander_once::{
-    ClaimBook, ClaimSettings, GuardParts, GuardSettings, LoneRoute, MonoClock, OnceGuard,
+    ClaimBook, ClaimHandle, ClaimSettings, GuardParts, GuardSettings, MonoClock, OnceGuard,
     RequestGuard, ShortSecret, TokenIssuer, TokenKey,
 };
 use oleander_operator::{OperatorContext, OperatorDesk};
 use oleander_peer::{PeerEndpoint, PeerError, PeerSettings, TlsFiles};
-use oleander_platform::{ClientSettings, KeyValueStore, PlatformClient};
+use oleander_platform::{ClientSettings, KeyValueStore, PlatformClient, VmList};
 use thiserror::Error;
 use tokio::runtime::{Builder, Runtime};
 
+use crate::claim_route::FleetRoute;
 use crate::control::run_control;
 use crate::forward::ForwardDesk;
 use crate::life::LifeStage;
 use crate::node::EntryNode;
 use crate::operator_desk::EntryDesk;
+use crate::order_role::{OrderRole, run_orders};
 use crate::peering::{EndpointLink, PeerDesk, PeerParts};
 use crate::record_reader::run_record_reader;
 use crate::records_feed::RecordFeed;
+use crate::report_watch::spawn_report_watch;
 use crate::serve::spawn_callers;
 use crate::server::ServerThread;
 use crate::settings::EntrySettings;
+use crate::tls::caller_tls;
+use crate::vm_watch::run_vm_watch;
 use crate::worker::SharedContext;
 
 /// Threads for peers, the platform and periodic work.
@@ -115,22 +120,45 @@
         node.connect(Arc::new(EndpointLink(peers.clone())));
         let platform = PlatformClient::open(ClientSettings::new(node.settings.platform.address))
             .map_err(system("the platform's client"))?;
+        let list: Arc<dyn VmList> = Arc::new(platform.clone());
         let store: Arc<dyn KeyValueStore> = Arc::new(platform);
-        let guard = open_guard(&node, Arc::clone(&store), issuer, &runtime);
+        let entered = runtime.enter();
+        let claims = open_claims(&node, Arc::clone(&store), &peers);
+        let guard = open_guard(&node, claims.clone(), issuer);
+        let orders = OrderRole::open(&node, Arc::clone(&store)).map_err(system("orders"))?;
+        node.set_orders(Arc::clone(&orders));
+        drop(entered);
         let shared = SharedContext {
             node: Arc::clone(&node),
             guard: Arc::clone(&guard),
             peers: peers.clone(),
         };
-        let records = Arc::new(RecordFeed::new(Arc::clone(&node), peers.clone(), store));
-        runtime.spawn(run_record_reader(Arc::clone(&records), Arc::clone(&node)));
+        let records = Arc::new(RecordFeed::new(
+            Arc::clone(&node),
+            peers.clone(),
+            Arc::clone(&store),
+        ));
+        runtime.spawn(run_record_reader(
+            Arc::clone(&store),
+            Arc::clone(&records),
+            Arc::clone(&node),
+        ));
+        runtime.spawn(run_orders(Arc::clone(&node), Arc::clone(&orders)));
         let forwards = ForwardDesk::spawn(shared.clone()).map_err(system("forwarded calls"))?;
         desk.open(PeerParts {
             node: Arc::clone(&node),
             guard,
+            claims,
             records: Arc::clone(&records),
             forwards,
         });
+        runtime.spawn(run_vm_watch(
+            list,
+            Arc::clone(&records),
+            Arc::clone(&node),
+            peers.clone(),
+        ));
+        spawn_report_watch(Arc::clone(&node)).map_err(system("load reports"))?;
         runtime.spawn(run_control(
             Arc::clone(&node),
             Arc::clone(&records),
@@ -138,7 +166,8 @@
         ));
         let entry_desk = EntryDesk::new(Arc::clone(&node), Arc::clone(&records), peers.clone());
         let operators = spawn_operators(Arc::new(entry_desk), &operator_key, operators)?;
-        let callers = spawn_callers(shared, callers).map_err(system("the callers' server"))?;
+        let tls = caller_tls(&node.settings.callers).map_err(system("the callers' certificate"))?;
+        let callers = spawn_callers(shared, callers, tls).map_err(system("the callers' server"))?;
         node.changes.note(
             format!("entry VM {} started", node.me),
             "the process was started",
@@ -185,8 +214,11 @@
             Err(error) => log::error!("signals cannot be received: {error}"),
         }
         runtime.block_on(drain(&self.node));
+        if let Some(orders) = self.node.orders() {
+            runtime.block_on(orders.stop());
+        }
+        self.callers.finish();
         self.peers.shutdown();
-        self.callers.stop();
         self.operators.stop();
         runtime.shutdown_background();
     }
@@ -249,27 +281,14 @@
     let mut peers = PeerSettings::new(section.listen, centre, tls);
     peers.weight = (settings.instance.weight * WEIGHT_UNIT).clamp(1.0, f64::from(u16::MAX)) as u16;
     peers.seeds.clone_from(&section.seeds);
+    peers.advertise = section.advertise;
     peers.runtime = Some(runtime.handle().clone());
     peers.origin = process_origin();
     peers
 }
 
-fn open_guard(
-    node: &Arc<EntryNode>,
-    store: Arc<dyn KeyValueStore>,
-    issuer: TokenIssuer,
-    runtime: &Runtime,
-) -> Arc<dyn OnceGuard> {
-    let _entered = runtime.enter();
-    let clock: Arc<dyn MonoClock> = Arc::new(NodeClock);
-    let route = Arc::new(LoneRoute);
-    let claims = ClaimBook::spawn(
-        store,
-        node.me,
-        Arc::clone(&clock),
-        route,
-        ClaimSettings::default(),
-    );
+fn open_guard(node: &EntryNode, claims: ClaimHandle, issuer: TokenIssuer) -> Arc<dyn OnceGuard> {
+    let clock = Arc::new(NodeClock);
     let parts = GuardParts {
         me: node.me,
         centre: node.centre,
@@ -280,6 +299,21 @@
     RequestGuard::open(parts, GuardSettings::default())
 }
 
+fn open_claims(
+    node: &Arc<EntryNode>,
+    store: Arc<dyn KeyValueStore>,
+    peers: &PeerEndpoint,
+) -> ClaimHandle {
+    let route = Arc::new(FleetRoute::new(node, peers.clone()));
+    ClaimBook::spawn(
+        store,
+        node.me,
+        Arc::new(NodeClock),
+        route,
+        ClaimSettings::default(),
+    )
+}
+
 fn spawn_operators(
     desk: Arc<dyn OperatorDesk>,
     key: &str,
--- /dev/null
+++ b/crates/entry/src/report_watch.rs
@@ -0,0 +1,111 @@
+//! Reads load reports and cache events of the model engines whose pools are dispatched here.
+//!
+//! Each engine is asked by its pool's dispatcher only, so the number of questions does not grow
+//! with the number of entry VMs.
+
+use std::collections::BTreeSet;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use oleander_base::prelude::*;
+use oleander_decide::PoolKind;
+use oleander_engine::{
+    ClientSettings, EngineClient, EngineNews, PollTarget, PollerSettings, ReportPoller,
+};
+
+use oleander_records::RecordSet;
+
+use crate::node::EntryNode;
+
+/// How often the set of engines to ask is worked out again.
+const TARGET_PERIOD: Duration = Duration::from_millis(500);
+
+/// Starts the thread that asks engines.
+pub(crate) fn spawn_report_watch(node: Arc<EntryNode>) -> io::Result<()> {
+    std::thread::Builder::new()
+        .name("reports".to_owned())
+        .spawn(move || {
+            let system = ntex::rt::System::new("reports", ntex::rt::DefaultRuntime);
+            system.block_on(watch_reports(node));
+        })?;
+    Ok(())
+}
+
+async fn watch_reports(node: Arc<EntryNode>) {
+    let client = match EngineClient::open(ClientSettings::default()).await {
+        Ok(client) => client,
+        Err(error) => {
+            log::error!("load reports cannot be read: {error}");
+            return;
+        }
+    };
+    let interval = Duration::from_millis(node.settings.dispatch.report_interval_ms);
+    let settings = PollerSettings {
+        interval,
+        ..PollerSettings::default()
+    };
+    let receiver = Arc::downgrade(&node);
+    let poller = ReportPoller::open(client, settings, move |backend, news| {
+        if let Some(node) = receiver.upgrade() {
+            take_news(&node, backend, &news);
+        }
+    });
+    let watched = Arc::downgrade(&node);
+    drop(node);
+    while let Some(node) = watched.upgrade() {
+        poller.set_targets(&targets(&node));
+        drop(node);
+        tokio::time::sleep(TARGET_PERIOD).await;
+    }
+}
+
+/// Returns the engines of the pools that are dispatched here, and those that get orders from here.
+fn targets(node: &EntryNode) -> Vec<PollTarget> {
+    let view = node.view();
+    let is_mine = |pool: PoolId| node.board.has(pool);
+    let pools = view
+        .pools()
+        .filter(|route| route.kind == PoolKind::Engines && is_mine(route.pool));
+    let mut backends: BTreeSet<BackendId> = pools
+        .flat_map(|route| route.backends.iter().copied())
+        .collect();
+    if node.orders().is_some_and(|orders| orders.is_holder()) {
+        backends.extend(ordered_backends(
+            &view.records,
+            &node.settings.instance.centre,
+        ));
+    }
+    let target = |backend: &BackendId| {
+        Some(PollTarget {
+            backend: *backend,
+            address: view.address(*backend)?,
+        })
+    };
+    backends.iter().filter_map(target).collect()
+}
+
+/// Returns the engines of a data centre whose records say what they should have in memory.
+fn ordered_backends<'a>(
+    records: &'a RecordSet,
+    centre: &'a str,
+) -> impl Iterator<Item = BackendId> + 'a {
+    let ordered = records
+        .backends
+        .iter()
+        .filter(move |(_, record)| record.centre == centre && record.wanted.is_some());
+    ordered.map(|(backend, _)| *backend)
+}
+
+fn take_news(node: &EntryNode, backend: BackendId, news: &EngineNews) {
+    match news {
+        EngineNews::Report(report) => node.take_report(backend, report),
+        EngineNews::Cache(news) => {
+            for event in &news.events {
+                node.take_cache_event(backend, *event);
+            }
+        }
+        // Reports grow old by themselves, and requests tell more of a failure than a question.
+        EngineNews::Failed(_) => {}
+    }
+}
--- a/crates/entry/src/serve_service.rs
+++ b/crates/entry/src/serve_service.rs
@@ -32,7 +32,10 @@
     payload: web::types::Payload,
     context: Context,
 ) -> HttpResponse {
-    answer(call_service(&request, &path, payload, &context).await)
+    answer(
+        &context,
+        call_service(&request, &path, payload, &context).await,
+    )
 }
 
 /// The name of a service and the path below it.
@@ -83,13 +86,11 @@
     let view = context.node.view();
     let headers = request.headers();
     let identity = identify(headers, &view.records)?;
-    let choice = context
+    let pool = context
         .node
-        .choose_pool(ModelId::from_name(&path.name))
-        .ok_or_else(|| no_service(&path.name))?;
-    let route = view
-        .pool(choice.pool)
+        .home_pool(ModelId::from_name(&path.name))
         .ok_or_else(|| no_service(&path.name))?;
+    let route = view.pool(pool).ok_or_else(|| no_service(&path.name))?;
     let record = route
         .backends
         .iter()
@@ -106,8 +107,7 @@
     let class = identity.class_record;
     Ok(ServiceJob {
         request: context.node.next_request(),
-        pool: choice.pool,
-        spilled: choice.spilled,
+        pool,
         customer: identity.customer,
         class: identity.class,
         tier: identity.tier,
@@ -178,7 +178,7 @@
     payload: web::types::Payload,
     context: Context,
 ) -> HttpResponse {
-    answer(issue_tokens(&request, payload, &context).await)
+    answer(&context, issue_tokens(&request, payload, &context).await)
 }
 
 async fn issue_tokens(
@@ -230,7 +230,7 @@
     id: web::types::Path<String>,
     context: Context,
 ) -> HttpResponse {
-    answer(request_status(&request, &id, &context).await)
+    answer(&context, request_status(&request, &id, &context).await)
 }
 
 async fn request_status(
