Membership: repair rosters sooner, and doubt a data centre only for those that should answer

And 408 endpoints started at once had not found each other after 120 s (control_bytes 24 17), because every roster that a joining member learned was told on again as news.

--- a/crates/membership/src/lifecycle.rs
+++ b/crates/membership/src/lifecycle.rs
@@ -6,7 +6,7 @@
 use oleander_base::prelude::*;
 
 use crate::claim::{Claim, Health, Phase};
-use crate::machine::Membership;
+use crate::machine::{Membership, News};
 
 /// One VM of the platform's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -103,7 +103,7 @@
         if instance == self.me {
             self.put_mine(claim, now);
         } else {
-            self.learn(&claim, false, now);
+            self.learn(&claim, News::Fresh, now);
             self.send_claims(instance, crate::wire::Body::Gossip, vec![claim], now);
         }
         self.tell_all(&claim, now);
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -69,6 +69,24 @@
     Superseded,
 }
 
+/// How a claim is passed on, once it changed the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum News {
+    /// It comes from a roster, which others compare for themselves.
+    Old,
+    /// It rides on other datagrams.
+    Fresh,
+    /// A relay passes the news of a leaving member on at once, too.
+    Urgent,
+}
+
+/// A difference between our roster of a data centre and another member's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct RosterDifference {
+    pub(crate) with: InstanceId,
+    pub(crate) since: MonoTime,
+}
+
 /// The membership of one instance.
 #[derive(Debug)]
 pub struct Membership {
@@ -86,8 +104,8 @@
     pub(crate) contact: ContactPlan,
     /// Who answered at addresses that are not an instance's own.
     pub(crate) aliases: BTreeMap<SocketAddr, InstanceId>,
-    /// Since when our roster of a data centre has differed from that of another member.
-    pub(crate) differs_since: BTreeMap<(CentreId, InstanceId), MonoTime>,
+    /// Data centres of which our roster differs from another member's.
+    pub(crate) differences: BTreeMap<CentreId, RosterDifference>,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) next_inside: MonoTime,
     pub(crate) next_across: MonoTime,
@@ -133,7 +151,7 @@
             across_round: ProbeRound::new(),
             contact: ContactPlan::new(seeds, now),
             aliases: BTreeMap::new(),
-            differs_since: BTreeMap::new(),
+            differences: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(random_seed),
             next_inside: now,
             next_across: now,
@@ -175,17 +193,9 @@
             self.next_purge = now + PURGE_PERIOD;
             let before = now - self.settings.gone_memory;
             self.table.forget_gone(before, GONE_KEPT);
-            self.forget_differences();
         }
     }
 
-    /// Forgets how our rosters compare with those of members that are gone.
-    fn forget_differences(&mut self) {
-        let table = &self.table;
-        let present = |instance| table.get(instance).is_some_and(|r| r.claim.is_present());
-        self.differs_since.retain(|(_, from), _| present(*from));
-    }
-
     /// Notices a pause of this process before anything else is done.
     pub(crate) fn advance(&mut self, now: MonoTime) {
         let gap = now.since(self.last_time);
@@ -262,8 +272,8 @@
             .collect()
     }
 
-    /// Joins a claim; `urgent` passes the news of a leaving member on at once.
-    pub(crate) fn learn(&mut self, claim: &Claim, urgent: bool, now: MonoTime) {
+    /// Joins a claim into the table and tells others what it changed.
+    pub(crate) fn learn(&mut self, claim: &Claim, news: News, now: MonoTime) {
         if claim.instance == self.me {
             self.learn_of_me(claim, now);
             return;
@@ -278,7 +288,7 @@
                     self.rumors.push_revision(claim.instance, audience);
                 }
             }
-            Put::Changed => self.on_change(claim.instance, before, urgent, now),
+            Put::Changed => self.on_change(claim.instance, before, news, now),
             Put::Contested => self.contest(claim, now),
         }
     }
@@ -287,7 +297,7 @@
         &mut self,
         instance: InstanceId,
         before: Option<Claim>,
-        urgent: bool,
+        news: News,
         now: MonoTime,
     ) {
         let Some(after) = self.table.get(instance).map(|record| record.claim) else {
@@ -297,9 +307,11 @@
         if after.centre != self.centre {
             self.centres.add(after.centre, now);
         }
-        self.push_rumor(instance);
+        if news != News::Old {
+            self.push_rumor(instance);
+        }
         let withdrawn = |c: &Claim| c.phase == Phase::Leaving || c.health == Health::Final;
-        if urgent && withdrawn(&after) && before.is_some_and(|b| !withdrawn(&b)) {
+        if news == News::Urgent && withdrawn(&after) && before.is_some_and(|b| !withdrawn(&b)) {
             self.pass_on(&after, now);
         }
         if after.health == Health::Gone && self.reachable_others().next().is_none() {
@@ -372,6 +384,6 @@
     /// Claims that an instance has ended for good.
     pub(crate) fn end(&mut self, claim: &Claim, now: MonoTime) {
         let health = Health::Final;
-        self.learn(&Claim { health, ..*claim }, false, now);
+        self.learn(&Claim { health, ..*claim }, News::Fresh, now);
     }
 }
--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -5,7 +5,7 @@
 use rand::seq::{IndexedRandom, IteratorRandom};
 
 use crate::claim::{Claim, Health};
-use crate::machine::{Membership, MembershipAction};
+use crate::machine::{Membership, MembershipAction, News};
 use crate::probe::{Probe, ProbeKind};
 use crate::wire::Body;
 
@@ -65,7 +65,10 @@
         self.across_round.next(&all, &mut self.rng)
     }
 
-    /// Returns the member of a data centre to talk to: a relay, or anyone when in doubt.
+    /// Returns the member of a data centre to talk to: a relay, or anyone present when in doubt.
+    ///
+    /// Members that are gone are tried only once the data centre counts as cut off: their silence
+    /// proves nothing.
     ///
     /// Relays talk to those of their own rank, so that few connections stay in use and none of
     /// them falls idle.
@@ -77,6 +80,11 @@
             let rank = rank.iter().position(|i| *i == self.me).unwrap_or(0);
             return relays.get(rank % relays.len()).copied();
         }
+        let present: Vec<_> = self.table.present_in(centre).map(|c| c.instance).collect();
+        let tries_gone = record.failures > self.settings.cut_failures && record.failures % 2 == 0;
+        if !present.is_empty() && !tries_gone {
+            return present.choose(&mut self.rng).copied();
+        }
         self.table
             .records()
             .map(|record| record.claim)
@@ -153,7 +161,7 @@
                 health,
                 ..record.claim
             };
-            self.learn(&claim, false, now);
+            self.learn(&claim, News::Fresh, now);
         }
     }
 
@@ -172,7 +180,7 @@
     pub(crate) fn end_suspicions(&mut self, now: MonoTime) {
         for claim in self.table.lapsed_suspects(now) {
             let health = Health::Gone;
-            self.learn(&Claim { health, ..claim }, false, now);
+            self.learn(&Claim { health, ..claim }, News::Fresh, now);
         }
     }
 
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 
 use crate::claim::{Claim, Health};
-use crate::machine::Membership;
+use crate::machine::{Membership, News, RosterDifference};
 use crate::probe::ProbeKind;
 use crate::wire::{Body, CentreNote, Packet, RevisionNote, SenderNote};
 
@@ -23,9 +23,13 @@
         self.joined = true;
         self.learn_sender(from, &packet.sender, now);
         self.compare_rosters(packet.sender.centre, packet.hash, from, now);
-        let urgent = packet.body == Body::Gossip;
+        let news = match packet.body {
+            Body::Gossip => News::Urgent,
+            Body::Roster => News::Old,
+            _ => News::Fresh,
+        };
         for claim in &packet.claims {
-            self.learn(claim, urgent, now);
+            self.learn(claim, news, now);
         }
         for note in &packet.revisions {
             self.learn_revision(note, now);
@@ -48,7 +52,7 @@
             weight: note.weight,
             revision: note.revision,
         };
-        self.learn(&claim, true, now);
+        self.learn(&claim, News::Urgent, now);
         if note.centre != self.centre && self.centres.heard(note.centre, now) {
             self.version += 1;
         }
@@ -62,7 +66,7 @@
             .copied();
         if let Some(claim) = known {
             let revision = note.revision;
-            self.learn(&Claim { revision, ..claim }, false, now);
+            self.learn(&Claim { revision, ..claim }, News::Fresh, now);
         }
     }
 
@@ -73,17 +77,34 @@
         }
     }
 
-    /// Fetches a roster when ours has differed from another member's for some time.
+    /// Fetches a roster when ours has differed from others' for some time.
+    ///
+    /// Only the member whose roster differed first can say that there is no difference any more;
+    /// the agreement of a third one proves nothing.
     fn compare_rosters(&mut self, centre: CentreId, hash: u32, from: InstanceId, now: MonoTime) {
         if self.table.hash(centre) == hash {
-            self.differs_since.remove(&(centre, from));
+            if self
+                .differences
+                .get(&centre)
+                .is_some_and(|d| d.with == from)
+            {
+                self.differences.remove(&centre);
+            }
             return;
         }
-        let since = *self.differs_since.entry((centre, from)).or_insert(now);
+        let first = RosterDifference {
+            with: from,
+            since: now,
+        };
+        let since = self.differences.entry(centre).or_insert(first).since;
         let delay = self.settings.sync_delay;
         if now.since(since) >= delay {
             let spread = Span(self.rng.random_range(0..=delay.0));
-            self.differs_since.insert((centre, from), now + spread);
+            let next = RosterDifference {
+                with: from,
+                since: now + spread,
+            };
+            self.differences.insert(centre, next);
             let centre = Some(centre);
             self.send(from, Body::RosterAsk { centre }, now);
         }
@@ -176,7 +197,7 @@
         }
         for claim in contested {
             if claim.instance == found {
-                self.learn(claim, false, now);
+                self.learn(claim, News::Fresh, now);
             } else {
                 self.end(claim, now);
             }
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -7,7 +7,8 @@
 use crate::machine::{Membership, MembershipAction};
 use crate::rumor::Reach;
 use crate::wire::{
-    Body, CENTRE_LIMIT, CLAIM_LIMIT, CentreNote, Packet, REVISION_LIMIT, RevisionNote, SenderNote,
+    Body, CENTRE_LIMIT, CLAIM_LIMIT, CentreNote, Packet, REPAIR_CENTRE_LIMIT, REVISION_LIMIT,
+    RevisionNote, SenderNote,
 };
 
 /// How many data centres a relay passes urgent news on to at once.
@@ -95,9 +96,14 @@
             let hash = self.table.hash(to);
             notes.extend(self.centres.note(to, hash, now));
         }
+        let limit = if self.differences.is_empty() {
+            CENTRE_LIMIT
+        } else {
+            REPAIR_CENTRE_LIMIT
+        };
         let all: Vec<CentreId> = self.centres.iter().map(|(id, _)| id).collect();
         for _ in 0..all.len() {
-            if notes.len() >= CENTRE_LIMIT {
+            if notes.len() >= limit {
                 break;
             }
             self.note_cursor = (self.note_cursor + 1) % all.len();
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -12,7 +12,7 @@
 const VERSION: u8 = 1;
 
 /// The most claims in one datagram, so that it stays under the smallest packet size of QUIC.
-pub(crate) const CLAIM_LIMIT: usize = 16;
+pub(crate) const CLAIM_LIMIT: usize = 12;
 
 /// The most revision notes in one datagram.
 pub(crate) const REVISION_LIMIT: usize = 12;
@@ -20,6 +20,9 @@
 /// The most notes on data centres in one datagram.
 pub(crate) const CENTRE_LIMIT: usize = 3;
 
+/// The same while rosters differ, so that all differences are found soon.
+pub(crate) const REPAIR_CENTRE_LIMIT: usize = 10;
+
 /// What a datagram asks or answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Body {
