Settle unknown outcomes of operators' changes at the entry VM

An entry VM passed a write without a mark to the store and reported an unknown outcome as such. It now writes through RecordWriter, whose mark in the document tells whether the write took effect; the answer says if it had to be settled. The copy put into force at once carries the same mark as the stored one. An entry VM whose status was not seen shows its address and no age.

--- a/crates/entry/src/operator_desk.rs
+++ b/crates/entry/src/operator_desk.rs
@@ -8,9 +8,9 @@
 use oleander_base::prelude::*;
 use oleander_decide::{BackendSummary, PoolSummary};
 use oleander_operator::{
-    BackendLine, BackendStage, CentreLine, ChangeLine, ChangeRefusal, ClassLine, CustomerLine,
-    DeskFuture, EntryLine, FleetScreen, MetricName, MetricPoint, OperatorDesk, PoolLine,
-    RecordChange, RecordLine, StopLine, TrafficCount,
+    BackendLine, BackendStage, CentreLine, ChangeDone, ChangeLine, ChangeRefusal, ClassLine,
+    CustomerLine, DeskFuture, EntryLine, FleetScreen, MetricName, MetricPoint, OperatorDesk,
+    PoolLine, RecordChange, RecordLine, StopLine, TrafficCount,
 };
 use oleander_peer::{MemberView, PeerEndpoint};
 use oleander_records::StopTarget;
@@ -136,7 +136,7 @@
         self.records.check(&change)
     }
 
-    fn change(&self, change: RecordChange) -> DeskFuture<Result<u64, ChangeRefusal>> {
+    fn change(&self, change: RecordChange) -> DeskFuture<Result<ChangeDone, ChangeRefusal>> {
         let records = Arc::clone(&self.records);
         Box::pin(async move { records.change(change).await })
     }
@@ -294,7 +294,7 @@
                     running: held.get(id).copied().unwrap_or(0),
                     limit: summary.map_or(record.slots, |(_, backend)| backend.limit),
                     speed: summary.map_or(record.speed, |(_, backend)| backend.speed),
-                    age_ms: summary.map_or(0, |(seen, _)| self.age_ms(seen)),
+                    age_ms: summary.map(|(seen, _)| self.age_ms(seen)),
                 }
             })
             .collect();
@@ -316,7 +316,7 @@
                 let of = |get: fn(&InstanceStatus) -> u64| seen.map_or(0, |seen| get(&seen.status));
                 EntryLine {
                     name: seen.map_or_else(
-                        || member.instance.to_string(),
+                        || member.instance.address.to_string(),
                         |seen| seen.status.name.clone(),
                     ),
                     instance: member.instance.to_string(),
@@ -328,7 +328,7 @@
                     revision: of(|status| status.revision.0).max(member.revision.0),
                     pending: of(|status| u64::from(status.pending)),
                     held: of(|status| u64::from(status.held)),
-                    age_ms: seen.map_or(u64::MAX, |seen| self.age_ms(seen)),
+                    age_ms: seen.map(|seen| self.age_ms(seen)),
                 }
             })
             .collect();
@@ -337,9 +337,12 @@
     }
 
     fn centre_name(&self, centre: CentreId) -> String {
-        let mut records = self.view.records.backends.values();
-        let named = records.find(|record| CentreId::from_name(&record.centre) == centre);
-        named.map_or_else(|| centre.to_string(), |record| record.centre.clone())
+        let records = self.view.records.backends.values();
+        let statuses = self.seen.iter().map(|seen| &seen.status.centre);
+        let mut names = records.map(|record| &record.centre).chain(statuses);
+        names
+            .find(|name| CentreId::from_name(name) == centre)
+            .map_or_else(|| centre.to_string(), String::clone)
     }
 
     fn centres(&self, members: &MemberView) -> Vec<CentreLine> {
--- a/crates/entry/src/records_feed.rs
+++ b/crates/entry/src/records_feed.rs
@@ -15,12 +15,14 @@
 use bytes::Bytes;
 use oleander_base::monotonic_now;
 use oleander_base::prelude::*;
-use oleander_operator::{ChangeRefusal, FaultLine, RecordChange, RecordLine};
+use oleander_operator::{ChangeDone, ChangeRefusal, FaultLine, RecordChange, RecordLine};
 use oleander_peer::{PeerCall, PeerEndpoint, PeerMessage, PeerReply};
-use oleander_platform::{Expected, KeyValueStore, StoreError};
+use oleander_platform::{
+    Expected, KeyValueStore, RecordWriter, StoreError, WriteDone, WriteError, mark_text,
+};
 use oleander_records::{
-    DigestOrder, RecordBoard, RecordDelivery, RecordDelta, RecordDigest, RecordKey, RecordKind,
-    parse_document,
+    DigestOrder, RecordBoard, RecordDelivery, RecordDelta, RecordDigest, RecordDocument, RecordKey,
+    RecordKind, RecordSet, SchemaCatalog, parse_document,
 };
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -102,12 +104,7 @@
         result
     }
 
-    fn put_in_force(
-        &self,
-        before: RecordDigest,
-        after: RecordDigest,
-        set: Arc<oleander_records::RecordSet>,
-    ) {
+    fn put_in_force(&self, before: RecordDigest, after: RecordDigest, set: Arc<RecordSet>) {
         if after.hash != before.hash {
             self.node.set_records(set);
         }
@@ -323,28 +320,25 @@
             messages: errors.iter().map(ToString::to_string).collect(),
         })?;
         let document = match wish {
-            oleander_records::RecordChange::Put(document) => Some(document.to_json()),
+            oleander_records::RecordChange::Put(document) => Some(*document),
             oleander_records::RecordChange::Delete(_) => None,
         };
-        Ok(CheckedChange { key, document })
+        Ok(CheckedChange { key, document, set })
     }
 
     /// Makes a change by compare-and-swap and puts it into force here at once.
-    pub async fn change(&self, change: RecordChange) -> Result<u64, ChangeRefusal> {
+    ///
+    /// An unknown outcome is settled by reading the key again, within the writer's time limit.
+    pub async fn change(&self, change: RecordChange) -> Result<ChangeDone, ChangeRefusal> {
         let checked = self.checked(&change)?;
-        let expected = change
-            .expected
-            .map_or(Expected::Absent, |at| Expected::At(Revision(at)));
+        let done = self.write(&checked, change.expected.map(Revision)).await?;
         let key = checked.key.to_string();
-        let written = match &checked.document {
-            Some(text) => {
-                let value = Bytes::copy_from_slice(text.as_bytes());
-                self.store.put(&key, expected, value, None).await
-            }
-            None => self.store.delete(&key, expected).await,
-        };
-        let revision = written.map_err(store_refusal)?;
-        let text = checked.document.as_deref().map(str::as_bytes);
+        let written = checked.document.map(|document| match done.mark {
+            Some(mark) => document.with_write_id(&mark_text(mark)).to_json(),
+            None => document.to_json(),
+        });
+        let text = written.as_deref().map(str::as_bytes);
+        let revision = done.revision;
         self.update(|board| {
             board.apply(&RecordDelivery {
                 key: &key,
@@ -360,14 +354,51 @@
                 "an operator deleted it here"
             },
         );
-        Ok(revision.0)
+        Ok(ChangeDone {
+            revision: revision.0,
+            was_unknown: done.was_unknown,
+        })
+    }
+
+    async fn write(
+        &self,
+        checked: &CheckedChange,
+        expected: Option<Revision>,
+    ) -> Result<WriteDone, ChangeRefusal> {
+        let writer = RecordWriter::new(Arc::clone(&self.store), SchemaCatalog::current());
+        let set = &checked.set;
+        let written = match (&checked.document, expected) {
+            (Some(document), expected) => {
+                let kept = self.kept_fields(&checked.key);
+                let expected = expected.map_or(Expected::Absent, Expected::At);
+                let put = writer.put_over(set, document.clone(), expected, &kept);
+                put.await
+            }
+            (None, Some(revision)) => writer.delete(set, &checked.key, revision).await,
+            (None, None) => {
+                let message = "`expected`: a deletion needs the revision that was seen";
+                return Err(invalid(message));
+            }
+        };
+        written.map_err(write_refusal)
+    }
+
+    /// Returns the fields of a record in force that its own schema version does not have.
+    fn kept_fields(&self, key: &RecordKey) -> Vec<String> {
+        let state = self.state.lock();
+        let current = state.board.document(key);
+        current.map_or_else(Vec::new, |(_, document)| {
+            document.unknown_fields(&SchemaCatalog::current())
+        })
     }
 }
 
 /// A change that was found to be right.
 struct CheckedChange {
     key: RecordKey,
-    document: Option<String>,
+    document: Option<RecordDocument>,
+    /// The records in force that it was checked against.
+    set: Arc<RecordSet>,
 }
 
 fn invalid(error: impl fmt::Display) -> ChangeRefusal {
@@ -376,14 +407,22 @@
     }
 }
 
-fn store_refusal(error: StoreError) -> ChangeRefusal {
+fn write_refusal(error: WriteError) -> ChangeRefusal {
     match error {
-        StoreError::Conflict { current } => ChangeRefusal::Conflict {
+        WriteError::Refused(errors) => ChangeRefusal::Invalid {
+            messages: errors.iter().map(ToString::to_string).collect(),
+        },
+        WriteError::Document(error) => invalid(error),
+        WriteError::Missing(_) => ChangeRefusal::Conflict { current: None },
+        WriteError::Conflict { current } => ChangeRefusal::Conflict {
+            current: current.map(|entry| entry.revision.0),
+        },
+        WriteError::Store(StoreError::Conflict { current }) => ChangeRefusal::Conflict {
             current: current.map(|revision| revision.0),
         },
-        StoreError::Unknown { reason } => ChangeRefusal::Unknown { reason },
-        error => ChangeRefusal::Unavailable {
+        WriteError::Store(error) => ChangeRefusal::Unavailable {
             reason: error.to_string(),
         },
+        WriteError::Unsettled { reason } => ChangeRefusal::Unknown { reason },
     }
 }
--- a/crates/operator/src/desk.rs
+++ b/crates/operator/src/desk.rs
@@ -38,6 +38,15 @@
     pub document: Option<String>,
 }
 
+/// A change that took effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeDone {
+    /// The revision of the change.
+    pub revision: u64,
+    /// Whether the outcome was unknown at first and was settled by reading the record again.
+    pub was_unknown: bool,
+}
+
 /// Why a change was not accepted.
 #[derive(Debug, Clone, PartialEq, Eq, Error, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "error")]
@@ -49,7 +58,7 @@
         messages: Vec<String>,
     },
     /// Another operator was first.
-    #[error("conflict: the record is at revision {current:?}; read it again and repeat the change")]
+    #[error("conflict: {}; read it again and repeat the change", place_text(*.current))]
     Conflict {
         /// The revision now, or none if the record does not exist.
         current: Option<u64>,
@@ -61,13 +70,20 @@
         reason: String,
     },
     /// Nobody can tell whether the change took effect.
-    #[error("the outcome is unknown; read the record to see: {reason}")]
+    #[error("the outcome is unknown; read the record later to see: {reason}")]
     Unknown {
         /// What was seen.
         reason: String,
     },
 }
 
+fn place_text(current: Option<u64>) -> String {
+    match current {
+        Some(revision) => format!("the record is now at revision {revision}"),
+        None => "the record is not there now".to_owned(),
+    }
+}
+
 impl ChangeRefusal {
     /// Returns whether the change may have taken effect.
     pub fn verdict(&self) -> Verdict {
@@ -144,6 +160,6 @@
     /// Checks a change without making it.
     fn check(&self, change: RecordChange) -> Result<(), ChangeRefusal>;
 
-    /// Makes a change; returns its revision.
-    fn change(&self, change: RecordChange) -> DeskFuture<Result<u64, ChangeRefusal>>;
+    /// Makes a change; an unknown outcome is settled within a time limit, or said to be unknown.
+    fn change(&self, change: RecordChange) -> DeskFuture<Result<ChangeDone, ChangeRefusal>>;
 }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -11,8 +11,8 @@
 
 pub use access::OperatorAccess;
 pub use desk::{
-    ChangeRefusal, DeskFuture, MetricKind, MetricLabel, MetricName, MetricPoint, OperatorDesk,
-    RecordChange, RecordLine,
+    ChangeDone, ChangeRefusal, DeskFuture, MetricKind, MetricLabel, MetricName, MetricPoint,
+    OperatorDesk, RecordChange, RecordLine,
 };
 pub use metrics::MetricsPage;
 pub use routes::OperatorContext;
--- a/crates/operator/src/routes.rs
+++ b/crates/operator/src/routes.rs
@@ -236,11 +236,6 @@
     }
 }
 
-#[derive(Serialize)]
-struct AcceptedChange {
-    revision: u64,
-}
-
 async fn change(
     request: HttpRequest,
     change: web::types::Json<RecordChange>,
@@ -250,7 +245,7 @@
         return response;
     }
     match context.desk.change(change.into_inner()).await {
-        Ok(revision) => HttpResponse::Ok().json(&AcceptedChange { revision }),
+        Ok(done) => HttpResponse::Ok().json(&done),
         Err(refusal) => refusal_response(&refusal),
     }
 }
--- a/crates/operator/src/screen.rs
+++ b/crates/operator/src/screen.rs
@@ -169,14 +169,14 @@
     pub limit: u32,
     /// Its measured speed against the reference.
     pub speed: f64,
-    /// How old the figures are, in milliseconds.
-    pub age_ms: u64,
+    /// How old the figures are, in milliseconds; none if no dispatcher was seen to report on it.
+    pub age_ms: Option<u64>,
 }
 
 /// One entry VM.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EntryLine {
-    /// The name.
+    /// The name, or the address as long as its status was not seen.
     pub name: String,
     /// The instance.
     pub instance: String,
@@ -190,8 +190,8 @@
     pub pending: u64,
     /// Requests at backend servers.
     pub held: u64,
-    /// How old the figures are, in milliseconds.
-    pub age_ms: u64,
+    /// How old the figures are, in milliseconds; none if its status was not seen.
+    pub age_ms: Option<u64>,
 }
 
 /// One data centre.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -24,7 +24,7 @@
 pub use lease_holder::{LeaseCounters, LeaseHolder, LeaseSettings};
 pub use lease_state::HeldLease;
 pub use record_reader::{ReaderCounters, ReaderEvent, ReaderSettings, ReaderSink, RecordReader};
-pub use record_writer::{RecordWriter, WriteDone, WriteError};
+pub use record_writer::{RecordWriter, WriteDone, WriteError, mark_text};
 pub use store::{
     BoxFuture, Expected, KeyValueStore, LeaseGrant, LeaseId, ListPage, StoreEntry, StoreError,
     VmEntry, VmList, VmState, WatchBatch, WatchEvent,
--- a/crates/platform/src/record_writer.rs
+++ b/crates/platform/src/record_writer.rs
@@ -33,6 +33,13 @@
     pub revision: Revision,
     /// Whether the outcome was unknown at first.
     pub was_unknown: bool,
+    /// The mark in the written document, or none for a deletion.
+    pub mark: Option<u128>,
+}
+
+/// Returns the text of a mark as documents hold it.
+pub fn mark_text(mark: u128) -> String {
+    format!("{mark:032x}")
 }
 
 /// Why a write did not take effect, or is not known to have done so.
@@ -93,6 +100,7 @@
     expected: Expected,
     /// The new value with its mark, or none for a deletion.
     value: Option<Bytes>,
+    mark: Option<u128>,
     /// A revision before the write, from which the history is read.
     before: Revision,
 }
@@ -125,6 +133,7 @@
             key: key.to_string(),
             expected: Expected::At(expected),
             value: None,
+            mark: None,
             before: expected,
         };
         self.write(plan).await
@@ -149,7 +158,9 @@
         self.put_over(set, edited, expected, &kept).await
     }
 
-    async fn put_over(
+    /// Writes a document like [`Self::put`]; fields in `kept` may be there though its version
+    /// lacks them, because they were there before.
+    pub async fn put_over(
         &self,
         set: &RecordSet,
         document: RecordDocument,
@@ -159,11 +170,12 @@
         self.check_unknown(&document, kept)?;
         let change = RecordChange::Put(Box::new(document.clone()));
         check(set, &change).map_err(WriteError::Refused)?;
-        let mark = format!("{:032x}", rand::rng().random::<u128>());
+        let mark = rand::rng().random::<u128>();
         let plan = WritePlan {
             key: document.key.to_string(),
             expected,
-            value: Some(document.with_write_id(&mark).to_json().into()),
+            value: Some(document.with_write_id(&mark_text(mark)).to_json().into()),
+            mark: Some(mark),
             before: match expected {
                 Expected::At(revision) => revision,
                 Expected::Absent => set.revision,
@@ -200,6 +212,7 @@
             Ok(revision) => Ok(WriteDone {
                 revision,
                 was_unknown: false,
+                mark: plan.mark,
             }),
             Err(StoreError::Conflict { .. }) => Err(self.conflict(&plan).await),
             Err(StoreError::Unknown { reason }) => self.settle(&plan, reason).await,
@@ -252,11 +265,11 @@
             .as_ref()
             .is_some_and(|entry| Some(&entry.value) == plan.value.as_ref());
         if let Some(entry) = current.as_ref().filter(|_| is_own) {
-            return Ok(Some(Ok(settled(entry.revision))));
+            return Ok(Some(Ok(settled(plan, entry.revision))));
         }
         if plan.expected == expectation(current.as_ref()) {
             return match self.send(plan).await {
-                Ok(revision) => Ok(Some(Ok(settled(revision)))),
+                Ok(revision) => Ok(Some(Ok(settled(plan, revision)))),
                 // The first copy came through after all, or another write did.
                 Err(StoreError::Conflict { .. }) => Ok(None),
                 Err(error) => Err(error),
@@ -287,16 +300,17 @@
             None => events.next().filter(|event| event.value.is_none()),
         };
         Ok(match own {
-            Some(event) => Ok(settled(event.revision)),
+            Some(event) => Ok(settled(plan, event.revision)),
             None => Err(WriteError::Conflict { current }),
         })
     }
 }
 
-fn settled(revision: Revision) -> WriteDone {
+fn settled(plan: &WritePlan, revision: Revision) -> WriteDone {
     WriteDone {
         revision,
         was_unknown: true,
+        mark: plan.mark,
     }
 }
 
