Give operators records, status, dumps and stand-ins in oleanderctl

oleanderctl could only run the demo and experiments. It now writes, reads, edits, checks and watches records through any entry VM, and through the platform's service when none can be reached, with the same checks. A change whose outcome is unknown is sent again under the same expected revision and settled; exit codes tell conflict, bad input and unknown outcome apart (docs/OPERATING.md).

--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -5,8 +5,19 @@
 
 use oleander_demo::DeployError;
 use oleander_load::ScenarioError;
+use oleander_operator::ChangeRefusal;
 use thiserror::Error;
 
+/// The exit codes, as `--help` prints them; docs/OPERATING.md has the same table.
+pub(crate) const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  it cannot be done now: nothing can be reached, or a time limit passed; no change took effect
+  2  bad input: arguments, a document, a settings or key file
+  3  a promise was broken
+  4  conflict: another change came first; no change took effect
+  5  the outcome of a change is unknown; read the record later";
+
 /// The failure of a command.
 #[derive(Debug, Error)]
 pub(crate) enum CommandFailure {
@@ -22,15 +33,42 @@
     /// A promise was broken.
     #[error("{0}")]
     Broken(String),
+    /// Arguments, a document or a file are wrong.
+    #[error("{0}")]
+    Input(String),
+    /// Nothing answers.
+    #[error("{0}")]
+    Unreachable(String),
+    /// An answer cannot be read.
+    #[error("an answer that cannot be read: {0}")]
+    Answer(String),
+    /// There is no such record.
+    #[error("{0} is not there")]
+    Missing(String),
+    /// A time limit passed.
+    #[error("{0}")]
+    Late(String),
+    /// A change was not accepted.
+    #[error(transparent)]
+    Change(#[from] ChangeRefusal),
 }
 
 impl CommandFailure {
-    /// Returns the exit code: 2 for bad input, 3 for a broken promise, 1 for the rest.
+    /// Returns the exit code of [`EXIT_CODES`].
     pub(crate) fn exit_code(&self) -> ExitCode {
-        match self {
-            Self::Scenario(_) => ExitCode::from(2),
-            Self::Broken(_) => ExitCode::from(3),
-            Self::Deploy(_) | Self::System(_) => ExitCode::from(1),
-        }
+        ExitCode::from(match self {
+            Self::Scenario(_) | Self::Input(_) => 2,
+            Self::Change(ChangeRefusal::Invalid { .. }) => 2,
+            Self::Broken(_) => 3,
+            Self::Change(ChangeRefusal::Conflict { .. }) => 4,
+            Self::Change(ChangeRefusal::Unknown { .. }) => 5,
+            Self::Deploy(_)
+            | Self::System(_)
+            | Self::Unreachable(_)
+            | Self::Answer(_)
+            | Self::Missing(_)
+            | Self::Late(_)
+            | Self::Change(ChangeRefusal::Unavailable { .. }) => 1,
+        })
     }
 }
--- /dev/null
+++ b/crates/ctl/src/http_call.rs
@@ -0,0 +1,88 @@
+//! One HTTP call at a time, for a program that waits for it.
+//!
+//! The client of ntex belongs to one thread's runtime; each call drives a runtime of its own, so
+//! that the commands are plain functions.
+
+use std::net::SocketAddr;
+
+use ntex::client::Client;
+use ntex::client::error::ClientError;
+use ntex::http::Method;
+use ntex::time::Millis;
+use oleander_base::prelude::*;
+use thiserror::Error;
+
+/// The largest answer: a dump of a busy process, in bytes.
+const ANSWER_LIMIT: usize = 256 * 1024 * 1024;
+/// How long an answer may take; an entry VM settles an unknown outcome within this time.
+const ANSWER_TIMEOUT: Millis = Millis(40_000);
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct CallAnswer {
+    /// The status code.
+    pub(crate) status: u16,
+    /// The body as text.
+    pub(crate) body: String,
+}
+
+/// Why there is no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{address}: {reason}")]
+pub(crate) struct CallFailure {
+    /// Who was called.
+    pub(crate) address: SocketAddr,
+    /// What was seen.
+    pub(crate) reason: String,
+    /// Whether the call may have taken effect.
+    pub(crate) verdict: Verdict,
+}
+
+/// Calls a path with the operators' key and a JSON body, if there is one.
+pub(crate) fn call(
+    address: SocketAddr,
+    method: &Method,
+    path: &str,
+    key: &str,
+    body: Option<String>,
+) -> Result<CallAnswer, CallFailure> {
+    let url = format!("http://{address}{path}");
+    let authorization = format!("Bearer {key}");
+    let runner = ntex::rt::System::new("oleanderctl", ntex::rt::DefaultRuntime);
+    let method = method.clone();
+    let answer = runner.block_on(async move {
+        let client = Client::new().await;
+        let request = client
+            .request(method, url)
+            .header("authorization", authorization)
+            .timeout(ANSWER_TIMEOUT);
+        let response = match body {
+            Some(body) => {
+                let request = request.content_type("application/json");
+                request.send_body(body).await
+            }
+            None => request.send().await,
+        };
+        let response = response.map_err(|error| (verdict(&error), error.to_string()))?;
+        let status = response.status().as_u16();
+        let body = response.body().limit(ANSWER_LIMIT).await;
+        let body = body.map_err(|error| (Verdict::MayHaveRun, error.to_string()))?;
+        Ok(CallAnswer {
+            status,
+            body: String::from_utf8_lossy(&body).into_owned(),
+        })
+    });
+    answer.map_err(|(verdict, reason)| CallFailure {
+        address,
+        reason,
+        verdict,
+    })
+}
+
+/// A call that found no connection was never sent.
+fn verdict(error: &ClientError) -> Verdict {
+    match error {
+        ClientError::Connect(_) | ClientError::Url(_) => Verdict::NotRun,
+        _ => Verdict::MayHaveRun,
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/observe.rs
@@ -0,0 +1,258 @@
+//! Commands that only look: `status`, `dump`, `screens` and `schema`.
+
+use std::time::{Duration, Instant};
+
+use clap::ArgMatches;
+use oleander_operator::{FleetScreen, TrafficCount};
+use oleander_records::{RecordKind, schemas};
+
+use crate::failure::CommandFailure;
+use crate::output::{Output, TextTable};
+use crate::place::{PlaceOptions, first_reachable};
+
+/// How long an entry VM that nobody watched has to hear from the others.
+const SEE_LIMIT: Duration = Duration::from_secs(4);
+/// Time between two looks.
+const LOOK_PERIOD: Duration = Duration::from_millis(200);
+
+/// Prints the state of the fleet, once the other entry VMs have told theirs.
+pub(crate) fn status(matches: &ArgMatches) -> Result<(), CommandFailure> {
+    let places = PlaceOptions::read(matches).entry_places()?;
+    let (index, mut screen) = first_reachable(&places, |place| place.screen())?;
+    let begin = Instant::now();
+    while has_unseen(&screen) && begin.elapsed() < SEE_LIMIT {
+        std::thread::sleep(LOOK_PERIOD);
+        screen = places[index].screen()?;
+    }
+    match Output::read(matches) {
+        Output::Json => {
+            let text = serde_json::to_string(&screen);
+            println!(
+                "{}",
+                text.map_err(|error| CommandFailure::Answer(error.to_string()))?
+            );
+        }
+        Output::Table => print_status(&screen),
+    }
+    Ok(())
+}
+
+/// Returns whether the status of a live entry VM has not come yet.
+fn has_unseen(screen: &FleetScreen) -> bool {
+    let mut entries = screen.entries.iter();
+    entries.any(|line| line.stage == "live" && line.age_ms.is_none())
+}
+
+fn print_status(screen: &FleetScreen) {
+    println!(
+        "seen by {} at revision {}, policy {}\n",
+        screen.shown_by, screen.revision, screen.policy
+    );
+    println!("{}", centre_table(screen));
+    println!("{}", entry_table(screen));
+    println!("{}", backend_table(screen));
+    println!("{}", class_table(screen));
+    println!("{}", customer_table(screen));
+    for stop in &screen.stops {
+        println!(
+            "planned stop {}: {}, {} requests left: {}",
+            stop.name, stop.target, stop.streams_left, stop.reason
+        );
+    }
+    for fault in &screen.faults {
+        println!("not in force: {}: {}", fault.key, fault.message);
+    }
+}
+
+fn centre_table(screen: &FleetScreen) -> TextTable {
+    let mut table = TextTable::new(&["data centre", "entry VMs", "seen"]);
+    for line in &screen.centres {
+        let seen = if line.seen {
+            "yes".to_owned()
+        } else {
+            format!("NOT SEEN for {} s", line.unseen_ms / 1_000)
+        };
+        table.row([line.name.clone(), line.entries.to_string(), seen]);
+    }
+    table
+}
+
+fn entry_table(screen: &FleetScreen) -> TextTable {
+    let head = [
+        "entry VM", "centre", "stage", "revision", "waiting", "running", "age",
+    ];
+    let mut table = TextTable::new(&head);
+    for line in &screen.entries {
+        table.row([
+            line.name.clone(),
+            line.centre.clone(),
+            line.stage.clone(),
+            line.revision.to_string(),
+            line.pending.to_string(),
+            line.held.to_string(),
+            age_text(line.age_ms),
+        ]);
+    }
+    table
+}
+
+fn backend_table(screen: &FleetScreen) -> TextTable {
+    let head = [
+        "backend server",
+        "centre",
+        "stage",
+        "running",
+        "limit",
+        "speed",
+        "age",
+        "why",
+    ];
+    let mut table = TextTable::new(&head);
+    for line in &screen.backends {
+        table.row([
+            line.name.clone(),
+            line.centre.clone(),
+            format!("{:?}", line.stage).to_lowercase(),
+            line.running.to_string(),
+            line.limit.to_string(),
+            format!("{:.2}", line.speed),
+            age_text(line.age_ms),
+            line.reason.clone(),
+        ]);
+    }
+    table
+}
+
+fn class_table(screen: &FleetScreen) -> TextTable {
+    let head = [
+        "class", "tier", "on time", "queued", "running", "shed", "failed", "waste",
+    ];
+    let mut table = TextTable::new(&head);
+    for line in &screen.classes {
+        table.row([
+            line.name.clone(),
+            line.tier.to_string(),
+            share_text(line.count.attainment()),
+            line.queued.to_string(),
+            line.running.to_string(),
+            line.count.shed.to_string(),
+            line.count.failed.to_string(),
+            share_text(line.count.waste()),
+        ]);
+    }
+    table
+}
+
+fn customer_table(screen: &FleetScreen) -> TextTable {
+    let head = [
+        "customer",
+        "share",
+        "traffic",
+        "accepted",
+        "on time",
+        "over limit",
+    ];
+    let mut table = TextTable::new(&head);
+    let shares: f64 = screen.customers.iter().map(|line| line.share).sum();
+    let mut all = TrafficCount::default();
+    for line in &screen.customers {
+        all.add(&line.count);
+    }
+    let part = |value: f64, whole: f64| (whole > 0.0).then(|| value / whole);
+    for line in &screen.customers {
+        let traffic = part(line.count.accepted as f64, all.accepted as f64);
+        table.row([
+            line.name.clone(),
+            share_text(part(line.share, shares)),
+            share_text(traffic),
+            line.count.accepted.to_string(),
+            share_text(line.count.attainment()),
+            line.count.over_limit.to_string(),
+        ]);
+    }
+    table
+}
+
+fn share_text(share: Option<f64>) -> String {
+    share.map_or_else(|| "-".to_owned(), |share| format!("{:.1} %", share * 100.0))
+}
+
+fn age_text(age_ms: Option<u64>) -> String {
+    match age_ms {
+        Some(age) => format!("{:.1} s", age as f64 / 1_000.0),
+        None => "not seen".to_owned(),
+    }
+}
+
+/// Prints the whole state of one entry VM.
+pub(crate) fn dump(matches: &ArgMatches) -> Result<(), CommandFailure> {
+    let format = matches
+        .get_one::<String>("format")
+        .expect("it has a default");
+    let places = PlaceOptions::read(matches).entry_places()?;
+    let path = format!("/dump?format={format}");
+    let (_, text) = first_reachable(&places, |place| place.text(&path))?;
+    println!("{text}");
+    Ok(())
+}
+
+/// Prints the addresses of the screens and whether they answer.
+pub(crate) fn screens(matches: &ArgMatches) -> Result<(), CommandFailure> {
+    let options = PlaceOptions::read(matches);
+    if matches.get_flag("check") {
+        return crate::screen_check::run(&options);
+    }
+    let places = options.entry_places()?;
+    let mut table = TextTable::new(&["screen", "answers"]);
+    let mut lines = Vec::new();
+    let mut reached = 0;
+    for place in &places {
+        let url = format!("http://{}/", place.address());
+        let answer = match place.screen() {
+            Ok(screen) => {
+                reached += 1;
+                format!("yes, {}", screen.shown_by)
+            }
+            Err(failure) => format!("no: {failure}"),
+        };
+        lines.push(serde_json::json!({ "screen": url, "answers": answer }));
+        table.row([url, answer]);
+    }
+    match Output::read(matches) {
+        Output::Json => println!("{}", serde_json::Value::Array(lines)),
+        Output::Table => print!("{table}"),
+    }
+    if reached == 0 {
+        let message = "no screen answers".to_owned();
+        return Err(CommandFailure::Unreachable(message));
+    }
+    Ok(())
+}
+
+/// Prints the schemas that this program knows.
+pub(crate) fn schema(matches: &ArgMatches) -> Result<(), CommandFailure> {
+    let kind = matches.get_one::<String>("kind");
+    let kind = kind
+        .map(|kind| kind.parse::<RecordKind>())
+        .transpose()
+        .map_err(|error| CommandFailure::Input(error.to_string()))?;
+    let known: Vec<_> = schemas()
+        .iter()
+        .filter(|schema| kind.is_none_or(|kind| schema.kind == kind))
+        .collect();
+    match Output::read(matches) {
+        Output::Json => {
+            let text = serde_json::to_string(&known);
+            println!(
+                "{}",
+                text.map_err(|error| CommandFailure::Answer(error.to_string()))?
+            );
+        }
+        Output::Table => {
+            for schema in known {
+                println!("{schema}");
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/place.rs
@@ -0,0 +1,112 @@
+//! Where the commands read and write records: an entry VM, or the platform's service.
+
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use oleander_operator::{ChangeDone, ChangeRefusal, RecordChange, RecordLine};
+
+use crate::entry_place::EntryPlace;
+use crate::failure::CommandFailure;
+use crate::store_place::StorePlace;
+
+/// Where records are read and written.
+pub(crate) trait RecordPlace: Debug {
+    /// Says where this is.
+    fn name(&self) -> String;
+
+    /// Returns all records.
+    fn records(&self) -> Result<Vec<RecordLine>, CommandFailure>;
+
+    /// Checks a change without making it.
+    fn check(&self, change: &RecordChange) -> Result<(), ChangeRefusal>;
+
+    /// Makes a change; a refusal as unavailable says that it did not take effect.
+    fn change(&self, change: &RecordChange) -> Result<ChangeDone, ChangeRefusal>;
+}
+
+/// Addresses and key from the command line.
+#[derive(Debug, Clone)]
+pub(crate) struct PlaceOptions {
+    /// Operators' addresses of entry VMs, in the order to try.
+    pub(crate) entries: Vec<SocketAddr>,
+    /// The platform's service.
+    pub(crate) platform: Option<SocketAddr>,
+    key_file: Option<PathBuf>,
+}
+
+impl PlaceOptions {
+    /// Reads the options that all commands share.
+    pub(crate) fn read(matches: &ArgMatches) -> Self {
+        let entries = matches.get_many::<SocketAddr>("entry");
+        Self {
+            entries: entries.map_or_else(Vec::new, |entries| entries.copied().collect()),
+            platform: matches.get_one::<SocketAddr>("platform").copied(),
+            key_file: matches.get_one::<PathBuf>("operator-key-file").cloned(),
+        }
+    }
+
+    /// Reads the operators' key.
+    pub(crate) fn key(&self) -> Result<String, CommandFailure> {
+        let Some(file) = &self.key_file else {
+            let message = "give the operators' key with --operator-key-file FILE";
+            return Err(CommandFailure::Input(message.to_owned()));
+        };
+        let text = std::fs::read_to_string(file).map_err(|error| {
+            CommandFailure::Input(format!("key file {}: {error}", file.display()))
+        })?;
+        Ok(text.trim().to_owned())
+    }
+
+    /// Returns the entry VMs with the key.
+    pub(crate) fn entry_places(&self) -> Result<Vec<EntryPlace>, CommandFailure> {
+        if self.entries.is_empty() {
+            let message = "give the operators' address of an entry VM with --entry ADDRESS";
+            return Err(CommandFailure::Input(message.to_owned()));
+        }
+        let key = self.key()?;
+        let places = self.entries.iter();
+        Ok(places
+            .map(|address| EntryPlace::new(*address, &key))
+            .collect())
+    }
+
+    /// Returns every place for records, in the order to try: entry VMs, then the platform.
+    pub(crate) fn record_places(&self) -> Result<Vec<Box<dyn RecordPlace>>, CommandFailure> {
+        let mut places: Vec<Box<dyn RecordPlace>> = Vec::new();
+        if !self.entries.is_empty() {
+            for place in self.entry_places()? {
+                places.push(Box::new(place));
+            }
+        }
+        if let Some(address) = self.platform {
+            places.push(Box::new(StorePlace::open(address)?));
+        }
+        if places.is_empty() {
+            let message = "give --entry ADDRESS of an entry VM or --platform ADDRESS";
+            return Err(CommandFailure::Input(message.to_owned()));
+        }
+        Ok(places)
+    }
+}
+
+/// Returns the result of the first place that can be reached, and says which ones cannot.
+pub(crate) fn first_reachable<P, T>(
+    places: &[P],
+    look: impl Fn(&P) -> Result<T, CommandFailure>,
+) -> Result<(usize, T), CommandFailure> {
+    let mut failures = Vec::new();
+    for (index, place) in places.iter().enumerate() {
+        match look(place) {
+            Ok(found) => return Ok((index, found)),
+            Err(CommandFailure::Unreachable(reason)) => {
+                eprintln!("oleanderctl: not reachable: {reason}");
+                failures.push(reason);
+            }
+            Err(failure) => return Err(failure),
+        }
+    }
+    let message = format!("nothing can be reached: {}", failures.join("; "));
+    Err(CommandFailure::Unreachable(message))
+}
--- /dev/null
+++ b/crates/ctl/src/record.rs
@@ -0,0 +1,270 @@
+//! `oleanderctl record`: reading and changing records.
+
+use std::io::Read;
+use std::path::Path;
+
+use clap::ArgMatches;
+use oleander_operator::{RecordChange, RecordLine};
+use oleander_records::{RecordDocument, RecordKind, SchemaCatalog, parse_document};
+use serde_json::{Map, Value};
+
+use crate::change::make_change;
+use crate::failure::CommandFailure;
+use crate::output::{Output, TextTable};
+use crate::place::{PlaceOptions, RecordPlace, first_reachable};
+
+/// Runs one of the subcommands.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), CommandFailure> {
+    let (name, matches) = matches.subcommand().expect("clap requires a subcommand");
+    let options = PlaceOptions::read(matches);
+    let output = Output::read(matches);
+    match name {
+        "put" => put(matches, &options, output),
+        "get" => get(matches, &options, output),
+        "list" => list(matches, &options, output),
+        "delete" => delete(matches, &options, output),
+        "edit" => edit(matches, &options, output),
+        "check" => check(matches, &options),
+        "watch" => crate::watch::run(matches, &options, output),
+        _ => unreachable!("clap requires a known subcommand"),
+    }
+}
+
+type Places = Vec<Box<dyn RecordPlace>>;
+
+/// Reads the records at the first place that can be reached, and leaves out the ones before it.
+fn read_records(options: &PlaceOptions) -> Result<(Places, Vec<RecordLine>), CommandFailure> {
+    let mut places = options.record_places()?;
+    let (index, lines) = first_reachable(&places, |place| place.records())?;
+    places.drain(..index);
+    Ok((places, lines))
+}
+
+/// Returns an argument that clap requires.
+pub(crate) fn text_arg<'a>(matches: &'a ArgMatches, name: &str) -> &'a str {
+    matches
+        .get_one::<String>(name)
+        .expect("clap requires the argument")
+}
+
+/// Finds a record among the lines.
+pub(crate) fn find<'a>(lines: &'a [RecordLine], kind: &str, name: &str) -> Option<&'a RecordLine> {
+    lines
+        .iter()
+        .find(|line| line.kind == kind && line.name == name)
+}
+
+fn put(matches: &ArgMatches, options: &PlaceOptions, output: Output) -> Result<(), CommandFailure> {
+    let (document, text) = read_document(matches)?;
+    let key = &document.key;
+    let (places, lines) = read_records(options)?;
+    let known = find(&lines, key.kind.as_str(), &key.name).map(|line| line.revision);
+    let stated = matches.get_one::<u64>("expected").copied();
+    let change = RecordChange {
+        kind: key.kind.to_string(),
+        name: key.name.clone(),
+        expected: match stated {
+            Some(0) => None,
+            Some(revision) => Some(revision),
+            None => known,
+        },
+        document: Some(text),
+    };
+    make_change(&places, &change)?.print(output)
+}
+
+fn delete(
+    matches: &ArgMatches,
+    options: &PlaceOptions,
+    output: Output,
+) -> Result<(), CommandFailure> {
+    let (kind, name) = (text_arg(matches, "kind"), text_arg(matches, "name"));
+    let (places, lines) = read_records(options)?;
+    let line = find(&lines, kind, name).ok_or_else(|| missing(kind, name))?;
+    let stated = matches.get_one::<u64>("expected").copied();
+    let change = RecordChange {
+        kind: kind.to_owned(),
+        name: name.to_owned(),
+        expected: Some(stated.unwrap_or(line.revision)),
+        document: None,
+    };
+    make_change(&places, &change)?.print(output)
+}
+
+fn edit(
+    matches: &ArgMatches,
+    options: &PlaceOptions,
+    output: Output,
+) -> Result<(), CommandFailure> {
+    let (kind, name) = (text_arg(matches, "kind"), text_arg(matches, "name"));
+    let fields = matches
+        .get_many::<String>("field")
+        .expect("clap requires the argument");
+    let changes = read_fields(fields)?;
+    let (places, lines) = read_records(options)?;
+    let line = find(&lines, kind, name).ok_or_else(|| missing(kind, name))?;
+    let current = parse(kind, &line.document)?;
+    let edited = current
+        .edited(&SchemaCatalog::current(), &changes)
+        .map_err(|error| CommandFailure::Input(error.to_string()))?;
+    let change = RecordChange {
+        kind: kind.to_owned(),
+        name: name.to_owned(),
+        expected: Some(line.revision),
+        document: Some(edited.to_json()),
+    };
+    make_change(&places, &change)?.print(output)
+}
+
+fn check(matches: &ArgMatches, options: &PlaceOptions) -> Result<(), CommandFailure> {
+    let (document, text) = read_document(matches)?;
+    let unknown = document.unknown_fields(&SchemaCatalog::current());
+    if !unknown.is_empty() {
+        let message = format!(
+            "{}: {} schema {} has no field {}; `oleanderctl schema {}` lists the fields",
+            document.key,
+            document.key.kind,
+            document.version,
+            unknown.join(", "),
+            document.key.kind,
+        );
+        return Err(CommandFailure::Input(message));
+    }
+    if options.entries.is_empty() && options.platform.is_none() {
+        println!(
+            "{}: the document is valid; it was not compared with the records in force",
+            document.key
+        );
+        return Ok(());
+    }
+    let (places, lines) = read_records(options)?;
+    let line = find(&lines, document.key.kind.as_str(), &document.key.name);
+    let change = RecordChange {
+        kind: document.key.kind.to_string(),
+        name: document.key.name.clone(),
+        expected: line.map(|line| line.revision),
+        document: Some(text),
+    };
+    places[0].check(&change)?;
+    println!("{}: valid at {}", document.key, places[0].name());
+    Ok(())
+}
+
+fn get(matches: &ArgMatches, options: &PlaceOptions, output: Output) -> Result<(), CommandFailure> {
+    let (kind, name) = (text_arg(matches, "kind"), text_arg(matches, "name"));
+    let (_, lines) = read_records(options)?;
+    let line = find(&lines, kind, name).ok_or_else(|| missing(kind, name))?;
+    match output {
+        Output::Json => println!("{}", json_line(line)),
+        Output::Table => {
+            println!("# {kind}/{name} at revision {}", line.revision);
+            print!("{}", parse(kind, &line.document)?.to_toml());
+        }
+    }
+    Ok(())
+}
+
+fn list(
+    matches: &ArgMatches,
+    options: &PlaceOptions,
+    output: Output,
+) -> Result<(), CommandFailure> {
+    let kind = matches.get_one::<String>("kind");
+    let (_, mut lines) = read_records(options)?;
+    lines.retain(|line| kind.is_none_or(|kind| line.kind == *kind));
+    match output {
+        Output::Json => {
+            let lines: Vec<Value> = lines.iter().map(json_line).collect();
+            println!("{}", Value::Array(lines));
+        }
+        Output::Table => {
+            let mut table = TextTable::new(&["kind", "name", "revision"]);
+            for line in &lines {
+                table.row([
+                    line.kind.clone(),
+                    line.name.clone(),
+                    line.revision.to_string(),
+                ]);
+            }
+            print!("{table}");
+        }
+    }
+    Ok(())
+}
+
+fn json_line(line: &RecordLine) -> Value {
+    let document: Value = serde_json::from_str(&line.document).unwrap_or_default();
+    serde_json::json!({
+        "kind": line.kind, "name": line.name, "revision": line.revision, "document": document,
+    })
+}
+
+fn missing(kind: &str, name: &str) -> CommandFailure {
+    CommandFailure::Missing(format!("record {kind}/{name}"))
+}
+
+fn parse(kind: &str, text: &str) -> Result<RecordDocument, CommandFailure> {
+    let kind: RecordKind = kind
+        .parse()
+        .map_err(|error| CommandFailure::Input(format!("{error}")))?;
+    parse_document(kind, text.as_bytes()).map_err(|error| CommandFailure::Input(error.to_string()))
+}
+
+/// Reads `FIELD=VALUE` pairs; a value is JSON, or else a text; nothing removes the field.
+fn read_fields<'a>(
+    pairs: impl Iterator<Item = &'a String>,
+) -> Result<Map<String, Value>, CommandFailure> {
+    pairs
+        .map(|pair| {
+            let (name, value) = pair.split_once('=').ok_or_else(|| {
+                CommandFailure::Input(format!("`{pair}` is not of the form FIELD=VALUE"))
+            })?;
+            let value = match value {
+                "" => Value::Null,
+                value => serde_json::from_str(value).unwrap_or_else(|_| value.into()),
+            };
+            Ok((name.to_owned(), value))
+        })
+        .collect()
+}
+
+/// Reads the document and finds its kind: the option, or the field `kind` beside the others.
+fn read_document(matches: &ArgMatches) -> Result<(RecordDocument, String), CommandFailure> {
+    let file = text_arg(matches, "file");
+    let text = read_file(file)?;
+    let stated = matches.get_one::<String>("kind").cloned();
+    let found = match stated {
+        Some(kind) => Some(kind),
+        None => kind_of_file(file),
+    };
+    let Some(kind) = found else {
+        let message = "say the kind with --kind, or name the file KIND.NAME.toml";
+        return Err(CommandFailure::Input(message.to_owned()));
+    };
+    let document = parse(&kind, &text)
+        .map_err(|failure| CommandFailure::Input(format!("{file}: {failure}")))?;
+    Ok((document, text))
+}
+
+/// Takes the kind from the first word of a file's name or from its directory.
+fn kind_of_file(file: &str) -> Option<String> {
+    let path = Path::new(file);
+    let first_word = path.file_name()?.to_str()?.split('.').next()?;
+    let directory = path.parent().and_then(Path::file_name);
+    let directory = directory.and_then(|name| name.to_str());
+    [Some(first_word), directory]
+        .into_iter()
+        .flatten()
+        .find(|word| word.parse::<RecordKind>().is_ok())
+        .map(str::to_owned)
+}
+
+fn read_file(file: &str) -> Result<String, CommandFailure> {
+    let mut text = String::new();
+    let read = match file {
+        "-" => std::io::stdin().read_to_string(&mut text).map(drop),
+        file => std::fs::read_to_string(file).map(|content| text = content),
+    };
+    read.map_err(|error| CommandFailure::Input(format!("{file}: {error}")))?;
+    Ok(text)
+}
--- /dev/null
+++ b/crates/ctl/src/store_place.rs
@@ -0,0 +1,182 @@
+//! The platform's key-value service, for when no entry VM can be reached.
+//!
+//! Changes get the same checks as at an entry VM, against the records read from the service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use oleander_base::prelude::*;
+use oleander_operator::{ChangeDone, ChangeRefusal, RecordChange, RecordLine};
+use oleander_platform::{
+    ClientSettings, Expected, KeyValueStore, PlatformClient, ReaderEvent, RecordWriter, StoreEntry,
+    StoreError, WriteError,
+};
+use oleander_records::{
+    RECORD_PREFIX, RecordBoard, RecordDocument, RecordKey, RecordKind, SchemaCatalog,
+    parse_document,
+};
+use tokio::runtime::{Builder, Runtime};
+
+use crate::failure::CommandFailure;
+use crate::place::RecordPlace;
+
+/// The platform's service.
+pub(crate) struct StorePlace {
+    address: SocketAddr,
+    store: Arc<dyn KeyValueStore>,
+    runtime: Runtime,
+}
+
+impl std::fmt::Debug for StorePlace {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("StorePlace")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+/// A change as it is checked and written.
+enum StoreChange {
+    Put(Box<RecordDocument>),
+    Delete(RecordKey),
+}
+
+impl StorePlace {
+    /// Opens a client of the service.
+    pub(crate) fn open(address: SocketAddr) -> Result<Self, CommandFailure> {
+        let client = PlatformClient::open(ClientSettings::new(address))?;
+        Ok(Self {
+            address,
+            store: Arc::new(client),
+            runtime: Builder::new_current_thread().enable_all().build()?,
+        })
+    }
+
+    fn board(&self) -> Result<RecordBoard, StoreError> {
+        let (revision, entries) = self.runtime.block_on(list(self.store.as_ref()))?;
+        let mut board = RecordBoard::default();
+        ReaderEvent::Listing { revision, entries }.apply_to(&mut board);
+        Ok(board)
+    }
+
+    fn board_for_change(&self) -> Result<RecordBoard, ChangeRefusal> {
+        self.board().map_err(|error| ChangeRefusal::Unavailable {
+            reason: format!("{}: {error}", self.address),
+        })
+    }
+}
+
+impl RecordPlace for StorePlace {
+    fn name(&self) -> String {
+        format!("the platform's service {}", self.address)
+    }
+
+    fn records(&self) -> Result<Vec<RecordLine>, CommandFailure> {
+        let board = self.board().map_err(|error| {
+            CommandFailure::Unreachable(format!("the platform's service {}: {error}", self.address))
+        })?;
+        let line = |key: &RecordKey| {
+            let (revision, document) = board.document(key)?;
+            Some(RecordLine {
+                kind: key.kind.to_string(),
+                name: key.name.clone(),
+                revision: revision.0,
+                document: document.to_json(),
+            })
+        };
+        Ok(board.keys().filter_map(line).collect())
+    }
+
+    fn check(&self, change: &RecordChange) -> Result<(), ChangeRefusal> {
+        let wish = match read_change(change)? {
+            StoreChange::Put(document) => oleander_records::RecordChange::Put(document),
+            StoreChange::Delete(key) => oleander_records::RecordChange::Delete(key),
+        };
+        let set = self.board_for_change()?.set();
+        oleander_records::check(&set, &wish).map_err(|errors| refusal(WriteError::Refused(errors)))
+    }
+
+    fn change(&self, change: &RecordChange) -> Result<ChangeDone, ChangeRefusal> {
+        let wish = read_change(change)?;
+        let catalog = SchemaCatalog::current();
+        let mut board = self.board_for_change()?;
+        let set = board.set();
+        let writer = RecordWriter::new(Arc::clone(&self.store), catalog.clone());
+        let expected = change.expected.map(Revision);
+        let written = self.runtime.block_on(async {
+            match (wish, expected) {
+                (StoreChange::Put(document), expected) => {
+                    let current = board.document(&document.key);
+                    let kept = current
+                        .map_or_else(Vec::new, |(_, current)| current.unknown_fields(&catalog));
+                    let expected = expected.map_or(Expected::Absent, Expected::At);
+                    writer.put_over(&set, *document, expected, &kept).await
+                }
+                (StoreChange::Delete(key), Some(expected)) => {
+                    writer.delete(&set, &key, expected).await
+                }
+                (StoreChange::Delete(key), None) => Err(WriteError::Missing(key)),
+            }
+        });
+        let done = written.map_err(refusal)?;
+        Ok(ChangeDone {
+            revision: done.revision.0,
+            was_unknown: done.was_unknown,
+        })
+    }
+}
+
+fn read_change(change: &RecordChange) -> Result<StoreChange, ChangeRefusal> {
+    let kind: RecordKind = change.kind.parse().map_err(invalid)?;
+    let key = RecordKey::new(kind, &change.name).map_err(invalid)?;
+    let Some(text) = &change.document else {
+        return Ok(StoreChange::Delete(key));
+    };
+    let document = parse_document(kind, text.as_bytes()).map_err(invalid)?;
+    if document.key != key {
+        return Err(invalid(format!(
+            "the document is of {}, not of {key}",
+            document.key
+        )));
+    }
+    Ok(StoreChange::Put(Box::new(document)))
+}
+
+/// Reads every page; the revision of the first one is the listing's.
+async fn list(store: &dyn KeyValueStore) -> Result<(Revision, Vec<StoreEntry>), StoreError> {
+    let mut entries: Vec<StoreEntry> = Vec::new();
+    let mut first = None;
+    loop {
+        let after = entries.last().map(|entry| entry.key.clone());
+        let page = store.list(RECORD_PREFIX, after.as_deref()).await?;
+        let revision = *first.get_or_insert(page.revision);
+        let is_last = !page.more || page.entries.is_empty();
+        entries.extend(page.entries);
+        if is_last {
+            return Ok((revision, entries));
+        }
+    }
+}
+
+fn invalid(error: impl std::fmt::Display) -> ChangeRefusal {
+    ChangeRefusal::Invalid {
+        messages: vec![error.to_string()],
+    }
+}
+
+fn refusal(error: WriteError) -> ChangeRefusal {
+    match error {
+        WriteError::Refused(errors) => ChangeRefusal::Invalid {
+            messages: errors.iter().map(ToString::to_string).collect(),
+        },
+        WriteError::Document(error) => invalid(error),
+        WriteError::Missing(_) => ChangeRefusal::Conflict { current: None },
+        WriteError::Conflict { current } => ChangeRefusal::Conflict {
+            current: current.map(|entry| entry.revision.0),
+        },
+        WriteError::Store(error) => ChangeRefusal::Unavailable {
+            reason: error.to_string(),
+        },
+        WriteError::Unsettled { reason } => ChangeRefusal::Unknown { reason },
+    }
+}
