once: claims are kept for the retention and a send limit more

A repeat that arrives just within the retention may be claimed up to a send limit later; the claim that it must find was gone by then. Archives now count for both times. A group of claims that made no progress while its callers waited is given up, so that a store that always asks for patience cannot hold it for ever.

The test of cleaning asked for deletion right after the retention; it now asks that nothing goes then and that it goes a send limit later.

--- a/crates/once/src/door.rs
+++ b/crates/once/src/door.rs
@@ -45,7 +45,8 @@
         let writer = ShardWriter::new(WriterLimits {
             segment_bytes: settings.segment_bytes,
             segments: settings.segments,
-            retention: settings.retention,
+            // A repeat may arrive just within the retention and be claimed its send limit later.
+            retention: settings.retention + settings.send_limit,
         });
         let writer = Arc::new(Mutex::new(writer));
         let door = Self {
--- a/crates/once/src/settings.rs
+++ b/crates/once/src/settings.rs
@@ -19,7 +19,7 @@
     pub segment_bytes: usize,
     /// The most archived segments of a shard; above it claims are refused, never dropped early.
     pub segments: u64,
-    /// How long a claim is kept, at least.
+    /// For how long after a key's first use its later uses are known as repeats, at least.
     pub retention: Span,
     /// How long after its arrival a request may be sent; far below the retention.
     pub send_limit: Span,
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -41,6 +41,8 @@
     Layout { found: String },
     #[error("the log is full")]
     Full,
+    #[error("nobody waits for these claims any more")]
+    Late,
 }
 
 pub(crate) struct ShardTask {
@@ -159,7 +161,9 @@
     fn note_failure(&self, failure: &GroupFailure) -> NotWritten {
         self.parts.counters.failures.add(1);
         match failure {
-            GroupFailure::Full | GroupFailure::Store(StoreError::OverBudget { .. }) => {
+            GroupFailure::Full
+            | GroupFailure::Late
+            | GroupFailure::Store(StoreError::OverBudget { .. }) => {
                 return NotWritten::Overloaded;
             }
             GroupFailure::Store(error) => self.note_away(error),
@@ -178,9 +182,13 @@
 
     /// Executes the writer's steps until every claim of the batch has an answer.
     async fn settle(&mut self, batch: &[ClaimEntry]) -> Result<(), GroupFailure> {
+        let deadline = self.parts.clock.now() + self.parts.settings.claim_wait.into();
         self.check_layout().await?;
         loop {
             let now = self.parts.clock.now();
+            if now > deadline {
+                return Err(GroupFailure::Late);
+            }
             let step = self.writer.lock().next_step(batch, now);
             match step {
                 StoreStep::Settled => return Ok(()),
--- a/crates/once/tests/claims.rs
+++ b/crates/once/tests/claims.rs
@@ -256,7 +256,13 @@
         assert!(runs(&node.claim(&format!("old{key}")).await));
     }
     let before = store.keys("claims/");
+    // A repeat may come just within the retention and be claimed its send limit later.
     node.clock.push(Span::from_secs(1_801));
+    for key in 0..10 {
+        assert!(runs(&node.claim(&format!("mid{key}")).await));
+    }
+    assert!(store.keys("claims/") >= before, "nothing goes early");
+    node.clock.push(Span::from_secs(60));
     for key in 0..60 {
         assert!(runs(&node.claim(&format!("new{key}")).await));
     }
