--- a/crates/entry/src/records_feed.rs
+++ b/crates/entry/src/records_feed.rs
@@ -17,9 +17,7 @@
 use oleander_base::prelude::*;
 use oleander_operator::{ChangeDone, ChangeRefusal, FaultLine, RecordChange, RecordLine};
 use oleander_peer::{PeerCall, PeerEndpoint, PeerMessage, PeerReply};
-use oleander_platform::{
-    Expected, KeyValueStore, RecordWriter, StoreError, WriteDone, WriteError,
-};
+use oleander_platform::{Expected, KeyValueStore, RecordWriter, StoreError, WriteDone, WriteError};
 use oleander_records::{
     DigestOrder, RecordBoard, RecordDelivery, RecordDelta, RecordDigest, RecordDocument, RecordKey,
     RecordKind, RecordSet, SchemaCatalog, parse_document,
--- a/crates/platform/src/record_writer.rs
+++ b/crates/platform/src/record_writer.rs
@@ -164,7 +164,9 @@
         self.put_over(set, edited, expected, &kept).await
     }
 
-    async fn put_over(
+    /// Writes a document like [`Self::put`]; fields in `kept` may be there though its version
+    /// lacks them, because they were there before.
+    pub async fn put_over(
         &self,
         set: &RecordSet,
         document: RecordDocument,
