--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -109,6 +109,15 @@
 impl EntryProcess {
     /// Starts every part; requests are refused until records are in force.
     pub fn spawn(settings: EntrySettings) -> Result<Self, StartError> {
+        Self::spawn_with(settings, None)
+    }
+
+    /// Starts every part with another guard of non-idempotent requests in place of the usual one;
+    /// tests take the guard out in this way to show that their checks can fail.
+    pub fn spawn_with(
+        settings: EntrySettings,
+        other_guard: Option<Arc<dyn OnceGuard>>,
+    ) -> Result<Self, StartError> {
         let runtime = background_runtime()?;
         let callers = listen("callers", settings.callers.listen)?;
         let operators = listen("operators", settings.operators.listen)?;
@@ -124,7 +133,7 @@
         let store: Arc<dyn KeyValueStore> = Arc::new(platform);
         let entered = runtime.enter();
         let claims = open_claims(&node, Arc::clone(&store), &peers);
-        let guard = open_guard(&node, claims.clone(), issuer);
+        let guard = other_guard.unwrap_or_else(|| open_guard(&node, claims.clone(), issuer));
         let orders = OrderRole::open(&node, Arc::clone(&store)).map_err(system("orders"))?;
         node.set_orders(Arc::clone(&orders));
         drop(entered);
