Membership: a process that runs late gives others more time

Before: fixed times. After: a member that notices its own late ticks stretches probes and suspicions up to eight times, and comes back by one step with each probe answered in time.

Conclusion: the dump shows the strain, so that an operator sees which VM is too small.

--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -6,6 +6,8 @@
 //! - Inside a data centre every member probes one other at a time, in a shuffled round; helpers
 //!   probe for it before it suspects (the scheme of SWIM, Das et al. 2002). A suspect that does
 //!   not refute in time is gone.
+//!   A process that runs late itself gives the others more time (Lifeguard, Dadgar et al. 2018),
+//!   so that an overloaded machine does not take its peers for dead.
 //! - Between data centres only relays probe, one data centre at a time.
 //! - Changes ride on these datagrams; leaving is told at once besides.
 //! - Hashes of rosters ride too, and a difference that lasts leads to an exchange of rosters.
@@ -34,6 +36,9 @@
 /// The most members that are remembered beyond the time for which the gone are remembered.
 const GONE_KEPT: usize = 64;
 
+/// The most that a process which runs late stretches times: by this many times their length.
+const STRAIN_LIMIT: u32 = 7;
+
 /// The instance whose membership it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SelfDescription {
@@ -112,6 +117,8 @@
     pub(crate) note_cursor: usize,
     pub(crate) joined: bool,
     pub(crate) stale_since: Option<MonoTime>,
+    /// How often this process ran late lately; see [`Self::stretched`].
+    pub(crate) strain: u32,
     pub(crate) version: u64,
     next_purge: MonoTime,
     last_time: MonoTime,
@@ -159,6 +166,7 @@
             note_cursor: 0,
             joined: false,
             stale_since: None,
+            strain: 0,
             version: 1,
             next_purge: now + PURGE_PERIOD,
             last_time: now,
@@ -201,6 +209,9 @@
     pub(crate) fn advance(&mut self, now: MonoTime) {
         let gap = now.since(self.last_time);
         self.last_time = self.last_time.max(now);
+        if gap > Span(self.settings.probe_timeout.0 / 2) {
+            self.set_strain(self.strain + 1);
+        }
         if gap > self.settings.pause_bound {
             self.wake_up(gap, now);
         } else if gap > self.settings.probe_timeout {
@@ -208,6 +219,17 @@
         }
     }
 
+    /// Notes how late this process runs, which stretches the times that it gives to others.
+    pub(crate) fn set_strain(&mut self, strain: u32) {
+        self.strain = strain.min(STRAIN_LIMIT);
+        self.table.suspicion = self.stretched(self.settings.suspicion);
+    }
+
+    /// Returns a time that is given to others, longer while this process itself runs late.
+    pub(crate) fn stretched(&self, span: Span) -> Span {
+        Span(span.0 * u64::from(1 + self.strain))
+    }
+
     fn wake_up(&mut self, paused: Span, now: MonoTime) {
         self.probes.clear();
         self.table.renew_suspicions(now);
--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -17,7 +17,8 @@
         if self.next_inside > now {
             return;
         }
-        self.next_inside = now + self.spread(self.settings.probe_period);
+        let period = self.stretched(self.settings.probe_period);
+        self.next_inside = now + self.spread(period);
         let all = self.inside_others();
         let turn = self.inside_round.next(&all, &mut self.rng);
         if let Some(target) = turn
@@ -117,8 +118,8 @@
         let nonce = self.probes.start(Probe {
             target,
             kind,
-            help_at: now + settings.probe_timeout,
-            ends_at: now + limit,
+            help_at: now + self.stretched(settings.probe_timeout),
+            ends_at: now + self.stretched(limit),
         });
         self.send(target, Body::Ping { nonce }, now);
     }
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -138,6 +138,7 @@
             return;
         };
         self.clear_staleness();
+        self.set_strain(self.strain.saturating_sub(1));
         if let ProbeKind::OnBehalf { of, nonce } = probe.kind {
             self.send(of, Body::ProbeDone { nonce }, now);
         }
--- a/crates/membership/src/survey.rs
+++ b/crates/membership/src/survey.rs
@@ -138,7 +138,8 @@
         for instance in self.contested.keys() {
             let _ = writeln!(text, "contested {instance}");
         }
-        let _ = writeln!(text, "relay {} joined {}", self.is_relay(), self.joined);
+        let _ = write!(text, "relay {} joined {}", self.is_relay(), self.joined);
+        let _ = writeln!(text, " strain {}", self.strain);
         text
     }
 }
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -36,7 +36,8 @@
 pub(crate) struct MemberTable {
     records: BTreeMap<InstanceId, Record>,
     hashes: BTreeMap<CentreId, u32>,
-    suspicion: Span,
+    /// How long a new suspect has to refute.
+    pub(crate) suspicion: Span,
 }
 
 impl MemberTable {
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -159,6 +159,29 @@
     assert_eq!(mesh.nodes[1].woke_up, 1);
 }
 
+#[test]
+fn a_member_that_runs_late_gives_others_more_time() {
+    let suspected_after = |late: Span| {
+        let mut mesh = Mesh::new(23);
+        mesh.start_fleet(&["a"], 2);
+        settled(&mut mesh, "start");
+        mesh.nodes[1].running = false;
+        for _ in 0..20 {
+            mesh.now = mesh.now + late;
+            let now = mesh.now;
+            mesh.nodes[0].membership.tick(now);
+            mesh.after(0);
+        }
+        let start = mesh.now;
+        mesh.run_until(LONG, |m| m.state(0, 1) == MemberState::Gone);
+        mesh.now.since(start)
+    };
+    let prompt = suspected_after(Span::from_millis(50));
+    let late = suspected_after(Span::from_millis(150));
+    assert!(late > prompt, "{late} and {prompt}");
+    assert!(late < Span::from_secs(30), "{late}");
+}
+
 #[test]
 fn a_paused_member_that_hears_nobody_goes_on_alone_after_a_bound() {
     let mut mesh = Mesh::new(22);
