Fit the screens into 1920x1080 and show what is cut

With 24 backend servers and 8 entry VMs the lower sections of the page lay below the edge of a 1920x1080 screen. Lists are now cut to what fits, trouble first, with the number that is left out; the changes take the rest of the height. Rates cover the last 10 s in place of 1 s. A connection that was cut without an error is opened again, and the time without a new state counts from the start of the page.

--- a/crates/operator/src/page.js
+++ b/crates/operator/src/page.js
@@ -1,12 +1,20 @@
-// Shows the state that /screen/events sends. Rates come from the difference of two states.
+// Shows the state that /screen/events sends. Rates come from the difference of the newest state
+// and one that is about WINDOW_MS older. Lists are cut to what fits a wall screen: trouble first,
+// and a number for the rest.
 "use strict";
 
 const STALE_MS = 4000;
+const RESTART_MS = 10000;
 const RECONNECT_MS = 1000;
+const WINDOW_MS = 10000;
+const LIMITS = { classes: 8, customers: 10, entries: 9, tiles: 14, centres: 4, stops: 4, faults: 3, changes: 30 };
+const STAGE_ORDER = { ejected: 0, leaving: 1, joining: 2, serving: 3 };
 const byId = (id) => document.getElementById(id);
-let last = null;
-let previous = null;
+const begun = Date.now();
+let history = [];
 let received = 0;
+let problem = "";
+let source = null;
 
 function text(tag, value, className) {
   const element = document.createElement(tag);
@@ -26,10 +34,26 @@
   return line;
 }
 
+// Returns the first lines, and says next to the heading how many are left out.
+function cut(kind, lines) {
+  const more = byId(kind + "-more");
+  if (more) {
+    const left = lines.length - LIMITS[kind];
+    more.textContent = left > 0 ? `${lines.length}, ${left} not shown` : lines.length ? String(lines.length) : "none";
+  }
+  return lines.slice(0, LIMITS[kind]);
+}
+
 function percent(value) {
   return value === null ? "–" : (100 * value).toFixed(1) + " %";
 }
 
+function seconds(ms) {
+  if (ms === null) return "not seen";
+  const age = ms / 1000;
+  return age < 120 ? age.toFixed(0) + " s" : (age / 60).toFixed(0) + " min";
+}
+
 function attainment(count) {
   const ended = count.whole + count.shed + count.failed;
   return ended > 0 ? count.on_time / ended : null;
@@ -43,14 +67,16 @@
 }
 
 function recentCount(kind, line) {
-  if (!previous) return { count: line.count, seconds: null };
-  const before = previous[kind].find((other) => other.name === line.name);
-  const seconds = Math.max(0.001, (last.at_unix_ms - previous.at_unix_ms) / 1000);
-  return { count: difference(line.count, before && before.count), seconds };
+  const state = history[history.length - 1];
+  const before = history[0];
+  if (before === state) return { count: line.count, seconds: null };
+  const other = before[kind].find((candidate) => candidate.name === line.name);
+  const passed = Math.max(0.001, (state.at_unix_ms - before.at_unix_ms) / 1000);
+  return { count: difference(line.count, other && other.count), seconds: passed };
 }
 
-function rate(value, seconds) {
-  return seconds === null ? "–" : (value / seconds).toFixed(1);
+function rate(value, passed) {
+  return passed === null ? "–" : (value / passed).toFixed(1);
 }
 
 function grade(value, good, fair) {
@@ -59,93 +85,128 @@
 }
 
 function showClasses(state) {
-  fill("classes", state.classes.map((line) => {
-    const { count, seconds } = recentCount("classes", line);
+  fill("classes", cut("classes", state.classes).map((line) => {
+    const { count, seconds: passed } = recentCount("classes", line);
     const recent = attainment(count);
-    const shown = recent === null ? attainment(line.count) : recent;
     const made = count.useful_tokens + count.wasted_tokens;
     const waste = made > 0 ? count.wasted_tokens / made : null;
     return row([
       line.name, String(line.tier),
-      text("td", percent(shown), grade(shown, 0.95, 0.8)),
-      line.first_token_target_ms + " ms", String(line.queued), String(line.running),
-      rate(count.whole, seconds), rate(count.goodput, seconds),
-      text("td", String(line.count.shed), line.count.shed ? "warn" : "dim"),
-      text("td", String(line.count.failed), line.count.failed ? "bad" : "dim"),
+      text("td", percent(recent), grade(recent, 0.95, 0.8)),
+      line.first_token_target_ms + " ms",
+      text("td", String(line.queued), line.queued ? "warn" : ""), String(line.running),
+      rate(count.whole, passed), rate(count.goodput, passed),
+      text("td", String(line.count.shed), count.shed ? "bad" : line.count.shed ? "warn" : "dim"),
+      text("td", String(line.count.failed), count.failed ? "bad" : line.count.failed ? "warn" : "dim"),
       percent(waste),
     ]);
   }));
 }
 
+function trafficBar(used, due) {
+  const cell = text("td", "");
+  const frame = text("span", "", "bar");
+  const level = document.createElement("i");
+  level.style.width = Math.min(100, 100 * used) + "%";
+  const mark = document.createElement("u");
+  mark.style.left = Math.min(100, 100 * due) + "%";
+  frame.append(level, mark);
+  cell.append(frame, " " + percent(used));
+  return cell;
+}
+
 function showCustomers(state) {
-  const total = state.customers.reduce((sum, line) => sum + recentCount("customers", line).count.accepted, 0);
+  const lines = state.customers.map((line) => ({ line, ...recentCount("customers", line) }));
+  const total = lines.reduce((sum, each) => sum + each.count.accepted, 0);
   const shares = state.customers.reduce((sum, line) => sum + line.share, 0);
-  fill("customers", state.customers.map((line) => {
-    const { count, seconds } = recentCount("customers", line);
+  lines.sort((a, b) => b.line.share - a.line.share || b.count.accepted - a.count.accepted || a.line.name.localeCompare(b.line.name));
+  fill("customers", cut("customers", lines).map(({ line, count, seconds: passed }) => {
     const used = total > 0 ? count.accepted / total : 0;
-    const bar = text("td", "");
-    const frame = text("span", "", "bar");
-    const level = document.createElement("i");
-    level.style.width = Math.min(100, 100 * used) + "%";
-    frame.append(level);
-    bar.append(frame, " " + percent(used));
-    const shown = attainment(count) ?? attainment(line.count);
+    const due = shares > 0 ? line.share / shares : 0;
+    const shown = attainment(count);
     return row([
-      line.name, percent(shares > 0 ? line.share / shares : null), bar,
-      rate(count.accepted, seconds),
+      line.name, percent(due), trafficBar(used, due), rate(count.accepted, passed),
       text("td", percent(shown), grade(shown, 0.95, 0.8)),
-      text("td", String(line.count.over_limit), line.count.over_limit ? "warn" : "dim"),
+      text("td", String(line.count.over_limit), count.over_limit ? "bad" : line.count.over_limit ? "warn" : "dim"),
     ]);
   }));
 }
 
+function backendTile(line) {
+  const tile = text("div", "", "tile " + line.stage);
+  tile.title = line.reason;
+  const stage = line.stage === "serving" ? "" : line.stage + " ";
+  tile.append(text("b", line.name), `${stage}${line.running}/${line.limit} ×${line.speed.toFixed(1)}`);
+  const old = line.age_ms === null ? "not seen" : line.age_ms > STALE_MS ? seconds(line.age_ms) + " old" : "";
+  const note = [old, line.reason].filter(Boolean).join(": ");
+  if (note) tile.append(text("div", note, old ? "warn" : "dim"));
+  return tile;
+}
+
 function showBackends(state) {
+  const unseen = new Set(state.centres.filter((centre) => !centre.seen).map((centre) => centre.name));
   const groups = new Map();
   for (const line of state.backends) {
     if (!groups.has(line.centre)) groups.set(line.centre, []);
     groups.get(line.centre).push(line);
   }
-  byId("backends").replaceChildren(...[...groups].map(([centre, lines]) => {
-    const group = text("div", "", "centre");
+  const trouble = ([centre, lines]) => (unseen.has(centre) ? 1000000 : 0) + lines.filter((line) => line.stage !== "serving").length;
+  const ordered = [...groups].sort((a, b) => trouble(b) - trouble(a) || a[0].localeCompare(b[0]));
+  const shown = ordered.slice(0, LIMITS.centres);
+  const names = new Intl.Collator(undefined, { numeric: true });
+  const elements = shown.map(([centre, lines]) => {
+    lines.sort((a, b) => STAGE_ORDER[a.stage] - STAGE_ORDER[b.stage] || names.compare(a.name, b.name));
+    const running = lines.reduce((sum, line) => sum + line.running, 0);
+    const limit = lines.reduce((sum, line) => sum + line.limit, 0);
+    const serving = lines.filter((line) => line.stage === "serving").length;
+    const group = text("div", "", unseen.has(centre) ? "centre cut" : "centre");
     const tiles = text("div", "", "tiles");
-    for (const line of lines) {
-      const tile = text("div", "", "tile " + line.stage);
-      tile.title = line.reason;
-      tile.append(text("b", line.name), `${line.stage} ${line.running}/${line.limit} ×${line.speed.toFixed(1)}`);
-      if (line.reason) tile.append(text("div", line.reason, "dim"));
-      tiles.append(tile);
-    }
-    group.append(text("span", centre), tiles);
+    const fits = lines.length > LIMITS.tiles ? LIMITS.tiles - 1 : lines.length;
+    for (const line of lines.slice(0, fits)) tiles.append(backendTile(line));
+    if (fits < lines.length) tiles.append(text("div", `${lines.length - fits} more`, "tile more"));
+    const seen = unseen.has(centre) ? "NOT SEEN · " : "";
+    group.append(text("span", `${centre} · ${seen}${serving} of ${lines.length} serving · ${running}/${limit} running`), tiles);
     return group;
-  }));
+  });
+  if (ordered.length > shown.length) elements.push(text("div", `${ordered.length - shown.length} more data centres without more trouble`, "dim"));
+  byId("backends").replaceChildren(...elements);
 }
 
 function showEntries(state) {
-  fill("entries", state.entries.map((line) => row([
-    line.name, line.centre, text("td", line.stage, line.stage === "live" ? "ok" : "warn"),
-    text("td", String(line.revision), line.revision < state.revision ? "bad" : ""),
-    String(line.pending), String(line.held), (line.age_ms / 1000).toFixed(0) + " s",
-  ], line.age_ms > STALE_MS ? "old" : "")));
+  const isWell = (line) => line.stage === "live" && line.revision >= state.revision && line.age_ms !== null && line.age_ms <= STALE_MS;
+  const lines = [...state.entries];
+  if (lines.length > LIMITS.entries) lines.sort((a, b) => Number(isWell(a)) - Number(isWell(b)));
+  fill("entries", cut("entries", lines).map((line) => {
+    const behind = line.revision < state.revision;
+    const old = line.age_ms === null || line.age_ms > STALE_MS;
+    return row([
+      line.name, line.centre, text("td", line.stage, line.stage === "live" ? "ok" : "warn"),
+      text("td", behind ? `${line.revision} behind` : String(state.revision), behind ? "bad" : ""),
+      String(line.pending), String(line.held),
+      text("td", seconds(line.age_ms), old ? "warn" : ""),
+    ], old ? "old" : "");
+  }));
 }
 
 function showRest(state) {
   const unseen = state.centres.filter((centre) => !centre.seen);
   byId("centres").textContent = unseen.length
-    ? "NOT SEEN: " + unseen.map((c) => `${c.name} for ${(c.unseen_ms / 1000).toFixed(0)} s`).join(", ")
+    ? "NOT SEEN: " + unseen.map((c) => `${c.name} for ${seconds(c.unseen_ms)}`).join(", ")
     : `${state.centres.length} data centres seen`;
   byId("centres").className = unseen.length ? "bad" : "ok";
   byId("source").textContent = `${state.shown_by} · revision ${state.revision} · ${state.policy}`;
-  fill("stops", state.stops.map((line) => row([line.name, line.target, String(line.streams_left), line.reason])));
-  fill("faults", state.faults.map((line) => row([text("td", line.key, "bad"), line.message])));
-  fill("changes", state.changes.slice(0, 14).map((line) => row([
-    new Date(line.at_unix_ms).toLocaleTimeString(), line.seen_by, line.what, line.reason,
+  fill("stops", cut("stops", state.stops).map((line) => row([line.name, line.target, String(line.streams_left), line.reason])));
+  fill("faults", cut("faults", state.faults).map((line) => row([text("td", line.key, "bad"), line.message])));
+  const newest = state.changes[0];
+  byId("changes-age").textContent = newest ? `the last one ${seconds(Math.max(0, state.at_unix_ms - newest.at_unix_ms))} ago` : "none";
+  fill("changes", state.changes.slice(0, LIMITS.changes).map((line) => row([
+    new Date(line.at_unix_ms).toLocaleTimeString("en-GB"), line.seen_by, `${line.what}: ${line.reason}`,
   ])));
 }
 
 function show(state) {
-  previous = last;
-  last = state;
-  received = Date.now();
+  history.push(state);
+  while (history.length > 2 && state.at_unix_ms - history[1].at_unix_ms >= WINDOW_MS) history.shift();
   byId("login").hidden = true;
   byId("board").hidden = false;
   showClasses(state);
@@ -153,31 +214,49 @@
   showBackends(state);
   showEntries(state);
   showRest(state);
+  received = Date.now();
+  problem = "";
+}
+
+function onState(event) {
+  try {
+    show(JSON.parse(event.data));
+  } catch (error) {
+    problem = String(error);
+  }
 }
 
 function showAge() {
-  if (!received) return;
-  const age = Date.now() - received;
+  if (!byId("login").hidden) return;
+  const age = Date.now() - (received || begun);
   const stale = age > STALE_MS;
   document.body.classList.toggle("stale", stale);
-  byId("age").className = stale ? "bad" : "ok";
+  byId("age").className = stale ? "bad" : received ? "ok" : "";
   byId("age").textContent = stale
-    ? `NO NEW STATE FOR ${(age / 1000).toFixed(0)} s` : `state ${(age / 1000).toFixed(0)} s old`;
+    ? `NO NEW STATE FOR ${seconds(age)} ${problem}`
+    : received ? `state ${seconds(age)} old` : "waiting for the first state";
+  if (source && age > RESTART_MS && age % RESTART_MS < 500) restart();
+}
+
+// A connection that was cut without a word gives no error; it is opened again.
+function restart() {
+  if (source) source.close();
+  source = null;
+  setTimeout(follow, RECONNECT_MS);
 }
 
 async function follow() {
-  const probe = await fetch("/screen").catch(() => null);
+  const probe = await fetch("/screen", { signal: AbortSignal.timeout(STALE_MS) }).catch(() => null);
   if (probe && probe.status === 401) {
     byId("login").hidden = false;
+    byId("board").hidden = true;
+    byId("age").className = "";
     byId("age").textContent = "the operators' key is needed";
     return;
   }
-  const events = new EventSource("/screen/events");
-  events.onmessage = (event) => show(JSON.parse(event.data));
-  events.onerror = () => {
-    events.close();
-    setTimeout(follow, RECONNECT_MS);
-  };
+  source = new EventSource("/screen/events");
+  source.onmessage = onState;
+  source.onerror = restart;
 }
 
 setInterval(showAge, 500);
