Report mistakes of all settings sections at once, with the mend

A value that does not parse in one section hid the ranges and files of all others, its key was guessed from the message's text, and the message did not say what would be right. Each section is now checked by itself, the faulty key is the one without which the message goes away, and every message names the mend. The screens join a change that several entry VMs saw and show names for instances.

--- a/crates/entry/src/settings_check.rs
+++ b/crates/entry/src/settings_check.rs
@@ -1,10 +1,16 @@
 //! Reads settings section by section and checks their ranges, gathering every mistake.
 
+use std::path::Path;
+
 use oleander_base::prelude::*;
+use oleander_records::is_name;
 use serde::de::DeserializeOwned;
 use toml::{Table, Value};
 
-use crate::settings::{EntrySettings, SettingsFault};
+use crate::settings::{
+    CallerSettings, DispatchSection, EntrySettings, InstanceSettings, OperatorSettings,
+    PeerSection, PlatformSection, SettingsFault,
+};
 
 /// The sections in the order of the file format.
 const SECTIONS: [&str; 7] = [
@@ -37,6 +43,13 @@
     let platform = check.section("platform");
     let dispatch = check.section("dispatch");
     let log = check.section("log");
+    check.instance(instance.as_ref());
+    check.callers(callers.as_ref());
+    check.operators(operators.as_ref());
+    check.peers(peers.as_ref());
+    check.platform(platform.as_ref());
+    check.dispatch(dispatch.as_ref());
+    let faults = check.faults;
     let (
         Some(instance),
         Some(callers),
@@ -47,9 +60,12 @@
         Some(log),
     ) = (instance, callers, operators, peers, platform, dispatch, log)
     else {
-        return Err(check.faults);
+        return Err(faults);
     };
-    let settings = EntrySettings {
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    Ok(EntrySettings {
         instance,
         callers,
         operators,
@@ -57,14 +73,7 @@
         platform,
         dispatch,
         log,
-    };
-    check.ranges(&settings);
-    check.files(&settings);
-    if check.faults.is_empty() {
-        Ok(settings)
-    } else {
-        Err(check.faults)
-    }
+    })
 }
 
 struct SettingsCheck<'a> {
@@ -110,11 +119,12 @@
         };
         let mut message = first.to_owned();
         let mut reported = FastSet::default();
-        while let Some(key) = faulty_key(&table, &message) {
+        while let Some(key) = faulty_key::<T>(&table, &message) {
             if !reported.insert(key.clone()) {
                 break;
             }
-            self.fault(name, &key, message.clone());
+            let mend = mend_of(name, &key);
+            self.fault(name, &key, format!("{message}{mend}"));
             table.remove(&key);
             match Value::Table(table.clone()).try_into::<T>() {
                 Ok(_) => return,
@@ -129,109 +139,120 @@
         }
     }
 
-    fn ranges(&mut self, settings: &EntrySettings) {
-        let instance = &settings.instance;
+    fn instance(&mut self, settings: Option<&InstanceSettings>) {
+        let Some(settings) = settings else { return };
+        let name_message = "must be a name of 1 to 64 letters, digits, `.`, `_` or `-`";
+        let name = is_name(&settings.name);
+        self.require(name, "instance", "name", name_message);
+        let centre = is_name(&settings.centre);
+        self.require(centre, "instance", "centre", name_message);
         self.require(
-            !instance.name.is_empty(),
-            "instance",
-            "name",
-            "must not be empty",
-        );
-        self.require(
-            !instance.centre.is_empty(),
-            "instance",
-            "centre",
-            "must not be empty",
-        );
-        let weight = instance.weight;
-        self.require(
-            weight > 0.0 && weight <= 1_000.0,
+            settings.weight > 0.0 && settings.weight <= 1_000.0,
             "instance",
             "weight",
             "must be over 0 and at most 1000",
         );
-        let callers = &settings.callers;
+    }
+
+    fn callers(&mut self, settings: Option<&CallerSettings>) {
+        let Some(settings) = settings else { return };
         self.require(
-            (1..=256).contains(&callers.workers),
+            (1..=256).contains(&settings.workers),
             "callers",
             "workers",
             "must be 1 to 256",
         );
         self.require(
-            callers.body_limit >= 1_024,
+            settings.body_limit >= 1_024,
             "callers",
             "body_limit",
             "must be at least 1024 bytes",
         );
         self.require(
-            callers.request_limit >= 1,
+            settings.request_limit >= 1,
             "callers",
             "request_limit",
             "must be at least 1",
         );
         self.require(
-            callers.tls_certificate.is_some() == callers.tls_key.is_some(),
+            settings.tls_certificate.is_some() == settings.tls_key.is_some(),
             "callers",
             "tls_certificate",
             "tls_certificate and tls_key must stand together",
         );
-        let unspecified = settings.peers.listen.ip().is_unspecified();
+        self.file(
+            "callers",
+            "tls_certificate",
+            settings.tls_certificate.as_deref(),
+        );
+        self.file("callers", "tls_key", settings.tls_key.as_deref());
+    }
+
+    fn operators(&mut self, settings: Option<&OperatorSettings>) {
+        let Some(settings) = settings else { return };
+        self.secret("operators", "key_file", &settings.key_file);
+    }
+
+    fn peers(&mut self, settings: Option<&PeerSection>) {
+        let Some(settings) = settings else { return };
         self.require(
-            !unspecified,
+            !settings.listen.ip().is_unspecified(),
             "peers",
             "listen",
             "must be the IP number that other entry VMs reach, not a wildcard",
         );
-        let calls = settings.platform.calls_per_second;
+        self.file("peers", "certificate", Some(&settings.certificate));
+        self.file("peers", "key", Some(&settings.key));
+        self.file("peers", "authority", Some(&settings.authority));
+    }
+
+    fn platform(&mut self, settings: Option<&PlatformSection>) {
+        let Some(settings) = settings else { return };
+        let calls = settings.calls_per_second;
         self.require(
             calls > 0.0 && calls <= 2_000.0,
             "platform",
             "calls_per_second",
             "must be over 0 and at most 2000",
         );
-        let dispatch = &settings.dispatch;
+        self.secret("platform", "token_key_file", &settings.token_key_file);
+    }
+
+    fn dispatch(&mut self, settings: Option<&DispatchSection>) {
+        let Some(settings) = settings else { return };
         self.require(
-            dispatch.queue_limit >= 1,
+            settings.queue_limit >= 1,
             "dispatch",
             "queue_limit",
             "must be at least 1",
         );
         self.require(
-            dispatch.report_interval_ms >= 50,
+            settings.report_interval_ms >= 50,
             "dispatch",
             "report_interval_ms",
             "must be at least 50 ms",
         );
     }
 
-    fn files(&mut self, settings: &EntrySettings) {
-        let named = [
-            (
-                "callers",
-                "tls_certificate",
-                settings.callers.tls_certificate.as_ref(),
-            ),
-            ("callers", "tls_key", settings.callers.tls_key.as_ref()),
-            ("operators", "key_file", Some(&settings.operators.key_file)),
-            ("peers", "certificate", Some(&settings.peers.certificate)),
-            ("peers", "key", Some(&settings.peers.key)),
-            ("peers", "authority", Some(&settings.peers.authority)),
-            (
-                "platform",
-                "token_key_file",
-                Some(&settings.platform.token_key_file),
-            ),
-        ];
-        for (section, key, path) in named {
-            if let Some(path) = path
-                && let Err(error) = std::fs::File::open(path)
-            {
-                self.fault(
-                    section,
-                    key,
-                    format!("file {} cannot be read: {error}", path.display()),
-                );
+    fn file(&mut self, section: &str, key: &str, path: Option<&Path>) {
+        if let Some(path) = path
+            && let Err(error) = std::fs::File::open(path)
+        {
+            let place = path.display();
+            let message = format!("file {place} cannot be read: {error}; must be a file here");
+            self.fault(section, key, message);
+        }
+    }
+
+    /// Checks a file with a secret; the message never has what is in it.
+    fn secret(&mut self, section: &str, key: &str, path: &Path) {
+        match std::fs::read_to_string(path) {
+            Ok(text) if text.trim().is_empty() => {
+                let message = format!("file {} is empty; must hold a key", path.display());
+                self.fault(section, key, message);
             }
+            Ok(_) => {}
+            Err(_) => self.file(section, key, Some(path)),
         }
     }
 
@@ -252,20 +273,45 @@
     }
 }
 
-/// Finds which key of a section a message is about: one that it names, or one whose value alone
-/// is refused.
-fn faulty_key(table: &Table, message: &str) -> Option<String> {
-    let named = message.split('`').nth(1).map(str::to_owned);
+/// Finds which key of a section a message is about: one that it names, or the one without which
+/// the message goes away.
+fn faulty_key<T: DeserializeOwned>(table: &Table, message: &str) -> Option<String> {
     if message.starts_with("missing field") || message.starts_with("unknown field") {
-        return named;
+        return message.split('`').nth(1).map(str::to_owned);
     }
-    let in_value = |value: &Value| {
-        let text = value.to_string();
-        message.contains(text.trim_matches('"'))
+    let is_cause = |key: &String| {
+        let mut rest = table.clone();
+        rest.remove(key);
+        let read = Value::Table(rest).try_into::<T>();
+        read.map_or_else(|error| error.message() != message, |_| true)
+    };
+    let in_value = |key: &String| message.contains(table[key].to_string().trim_matches('"'));
+    let causes = table.keys().find(|key| is_cause(key));
+    let key = causes.or_else(|| table.keys().find(|key| in_value(key)));
+    key.cloned()
+}
+
+/// Returns what a key must be, to follow the message of a value that does not parse.
+fn mend_of(section: &str, key: &str) -> String {
+    let wanted = match (section, key) {
+        (_, "listen") | ("platform", "address") => {
+            "an IP number with a port, such as \"10.0.0.7:8080\""
+        }
+        ("peers", "seeds") => "a list of IP numbers with ports, such as [\"10.0.0.8:7000\"]",
+        ("instance", "name" | "centre") => "a name, such as \"ke-entry-1\" or \"ke\"",
+        ("instance", "weight") | ("platform", "calls_per_second") => "a number, such as 20.0",
+        ("callers", "workers" | "body_limit" | "request_limit")
+        | ("dispatch", "queue_limit" | "report_interval_ms") => "a whole number, such as 1000",
+        ("dispatch", "spill") | ("log", "json") => "true or false",
+        ("dispatch", "policy") => "\"tiered\"",
+        ("log", "level") => "\"error\", \"warn\", \"info\" or \"debug\"",
+        ("callers", "tls_certificate" | "tls_key")
+        | ("operators", "key_file")
+        | ("peers", "certificate" | "key" | "authority")
+        | ("platform", "token_key_file") => "the path of a file in quotes",
+        _ => return "; remove it or mend its spelling".to_owned(),
     };
-    let shown = table.iter().find(|(_, value)| in_value(value));
-    let key = shown.or_else(|| table.iter().next())?.0;
-    Some(key.clone())
+    format!("; must be {wanted}")
 }
 
 fn key_line(text: &str, section: &str, key: &str) -> Option<usize> {
--- a/crates/operator/src/page.js
+++ b/crates/operator/src/page.js
@@ -7,6 +7,7 @@
 const RESTART_MS = 10000;
 const RECONNECT_MS = 1000;
 const WINDOW_MS = 10000;
+const JOIN_MS = 30000;
 const LIMITS = { classes: 8, customers: 10, entries: 9, tiles: 14, centres: 4, stops: 4, faults: 3, changes: 30 };
 const STAGE_ORDER = { ejected: 0, leaving: 1, joining: 2, serving: 3 };
 const byId = (id) => document.getElementById(id);
@@ -199,11 +200,26 @@
   fill("faults", cut("faults", state.faults).map((line) => row([text("td", line.key, "bad"), line.message])));
   const newest = state.changes[0];
   byId("changes-age").textContent = newest ? `the last one ${seconds(Math.max(0, state.at_unix_ms - newest.at_unix_ms))} ago` : "none";
-  fill("changes", state.changes.slice(0, LIMITS.changes).map((line) => row([
-    new Date(line.at_unix_ms).toLocaleTimeString("en-GB"), line.seen_by, `${line.what}: ${line.reason}`,
+  fill("changes", joined(state).slice(0, LIMITS.changes).map((line) => row([
+    new Date(line.at_unix_ms).toLocaleTimeString("en-GB"),
+    line.seen_by.size > 1 ? `${line.seen_by.size} entry VMs` : [...line.seen_by][0],
+    line.shown,
   ])));
 }
 
+// Puts names in the place of instances, and what several entry VMs saw into one line.
+function joined(state) {
+  const lines = [];
+  for (const change of state.changes) {
+    let shown = `${change.what}: ${change.reason}`;
+    for (const entry of state.entries) shown = shown.replaceAll(entry.instance, entry.name);
+    const known = lines.find((line) => line.shown === shown && line.at_unix_ms - change.at_unix_ms < JOIN_MS);
+    if (known) known.seen_by.add(change.seen_by);
+    else lines.push({ at_unix_ms: change.at_unix_ms, seen_by: new Set([change.seen_by]), shown });
+  }
+  return lines;
+}
+
 function show(state) {
   history.push(state);
   while (history.length > 2 && state.at_unix_ms - history[1].at_unix_ms >= WINDOW_MS) history.shift();
