--- a/crates/entry/src/operator_desk.rs
+++ b/crates/entry/src/operator_desk.rs
@@ -419,8 +419,26 @@
             .collect();
         lines.sort_by_key(|line| std::cmp::Reverse(line.at_unix_ms));
         lines.truncate(SCREEN_CHANGES);
+        self.name_pools(&mut lines);
         lines
     }
+
+    /// Puts the names of pools in the place of their references.
+    fn name_pools(&self, lines: &mut [ChangeLine]) {
+        let pools: BTreeMap<PoolId, String> = self
+            .pool_summaries()
+            .map(|(_, pool)| (pool.pool, self.pool_name(pool.pool)))
+            .collect();
+        for (pool, name) in pools {
+            let reference = pool.to_string();
+            for line in lines
+                .iter_mut()
+                .filter(|line| line.what.contains(&reference))
+            {
+                line.what = line.what.replace(&reference, &name);
+            }
+        }
+    }
 }
 
 fn backend_stage(
--- a/crates/operator/src/page.js
+++ b/crates/operator/src/page.js
@@ -137,7 +137,8 @@
   const tile = text("div", "", "tile " + line.stage);
   tile.title = line.reason;
   const stage = line.stage === "serving" ? "" : line.stage + " ";
-  tile.append(text("b", line.name), `${stage}${line.running}/${line.limit} ×${line.speed.toFixed(1)}`);
+  const speed = line.stage === "serving" ? ` ×${line.speed.toFixed(1)}` : "";
+  tile.append(text("b", line.name), `${stage}${line.running}/${line.limit}${speed}`);
   const old = line.age_ms === null ? "not seen" : line.age_ms > STALE_MS ? seconds(line.age_ms) + " old" : "";
   const note = [old, line.reason].filter(Boolean).join(": ");
   if (note) tile.append(text("div", note, old ? "warn" : "dim"));
