--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -155,11 +155,12 @@
         if self.take(|faults| &mut faults.close_before) {
             return Ok(close_connection(&request));
         }
+        // A refusal that leaves the body unread resets the connection, which can overtake it.
+        let body = read_body(&mut request).await?;
         if self.faults.borrow().refuses {
             bump(&self.counters.refused);
             return Ok(refusal());
         }
-        let body = read_body(&mut request).await?;
         self.work().await;
         let path = request.path().to_owned();
         match (request.method(), path.as_str()) {
