--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -56,6 +56,8 @@
     is_layout_checked: bool,
     /// How many writes with the present group's claims had an unknown outcome.
     unknown_writes: u32,
+    /// How many archive writes of the present group had an unknown outcome.
+    unknown_archives: u32,
 }
 
 impl ShardTask {
@@ -72,6 +74,7 @@
             conflicts: 0,
             is_layout_checked: false,
             unknown_writes: 0,
+            unknown_archives: 0,
         }
     }
 
@@ -111,6 +114,7 @@
         claims: &mut mpsc::Receiver<QueuedClaim>,
     ) {
         self.unknown_writes = 0;
+        self.unknown_archives = 0;
         self.conflicts = 0;
         if self.writer.lock().is_contended() {
             self.writer.lock().refresh();
@@ -257,6 +261,9 @@
         let put = self.parts.store.put(&key, Expected::Absent, value, None);
         let result = self.call(put).await;
         self.writer.lock().on_archive_written(&result);
+        if let Err(StoreError::Unknown { .. }) = &result {
+            self.unknown_archives += 1;
+        }
         self.go_on_after(result.err()).await
     }
 
@@ -291,7 +298,11 @@
                 }
                 Ok(())
             }
-            Some(StoreError::Unknown { .. }) if self.unknown_writes < UNKNOWN_WRITES => Ok(()),
+            Some(StoreError::Unknown { .. })
+                if self.unknown_writes + self.unknown_archives < UNKNOWN_WRITES =>
+            {
+                Ok(())
+            }
             Some(StoreError::OverBudget { retry_after }) if retry_after <= BUDGET_WAIT_LIMIT => {
                 tokio::time::sleep(retry_after).await;
                 Ok(())
--- /dev/null
+++ b/crates/once/tests/storm.rs
@@ -0,0 +1,192 @@
+//! A seeded storm over four guards in one process: callers repeat anywhere, the store fails.
+//!
+//! `ONCE_STORM_SEEDS` sets the number of seeds.
+
+mod fake;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use fake::{FakeStore, StoreMood, TestClock, instance};
+use oleander_base::prelude::*;
+use oleander_once::{
+    Admission, BodyHash, ClaimBook, ClaimSettings, GuardParts, GuardSettings, LoneRoute, MonoClock,
+    OnceCall, OnceGuard, RequestGuard, RunPermit,
+};
+use parking_lot::Mutex;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const NODES: usize = 4;
+const OPERATIONS: u64 = 150;
+const CALLS_PER_OPERATION: usize = 4;
+
+/// The service's record of effects, by operation.
+#[derive(Default)]
+struct EffectLog(Mutex<FastMap<u64, u32>>);
+
+struct Storm {
+    guards: Vec<Arc<dyn OnceGuard>>,
+    clock: Arc<TestClock>,
+    serial: AtomicU64,
+    effects: EffectLog,
+}
+
+impl Storm {
+    async fn call(&self, mut node: usize, operation: u64, seed: u64) -> Verdict {
+        let key = operation.to_string();
+        let mut forwarded = false;
+        loop {
+            let call = OnceCall {
+                customer: CustomerId(1),
+                request: RequestId {
+                    home: instance(node as u16, 1),
+                    serial: self.serial.fetch_add(1, Ordering::SeqCst),
+                },
+                arrived: self.clock.now(),
+                body: BodyHash([0; 8]),
+                token: None,
+                key: Some(&key),
+                forwarded,
+            };
+            match self.guards[node].admit(call).await {
+                Admission::Run(permit) => return self.serve(permit, operation, seed).await,
+                Admission::Answer(_) => return Verdict::Ran,
+                Admission::Refuse(refusal) => return refusal.verdict,
+                Admission::Forward(home) => {
+                    node = usize::from(home.address.port());
+                    forwarded = true;
+                }
+            }
+        }
+    }
+
+    /// The service refuses, loses the answer after the effect, or answers.
+    async fn serve(&self, mut permit: RunPermit, operation: u64, seed: u64) -> Verdict {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let attempt = permit.begin_send(BackendId(1)).unwrap();
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..3))).await;
+        let verdict = *Verdict::ALL.choose(&mut rng).unwrap();
+        if verdict != Verdict::NotRun {
+            *self.effects.0.lock().entry(operation).or_default() += 1;
+        }
+        permit.settle(attempt, verdict);
+        permit.finish(None)
+    }
+}
+
+fn real_guard(store: &FakeStore, clock: &Arc<TestClock>, node: usize) -> Arc<dyn OnceGuard> {
+    let clock = Arc::clone(clock) as Arc<dyn MonoClock>;
+    let me = instance(node as u16, 1);
+    let settings = ClaimSettings {
+        commit_interval: Span::from_millis(2),
+        store_timeout: Duration::from_millis(20),
+        probe_interval: Duration::from_millis(5),
+        segment_bytes: 512,
+        ..ClaimSettings::default()
+    };
+    let claims = ClaimBook::spawn(
+        Arc::new(store.clone()),
+        me,
+        Arc::clone(&clock),
+        Arc::new(LoneRoute),
+        settings,
+    );
+    let parts = GuardParts {
+        me,
+        centre: CentreId(1),
+        clock,
+        issuer: None,
+        claims,
+    };
+    let settings = GuardSettings {
+        repeat_wait: Duration::from_millis(20),
+        ..GuardSettings::default()
+    };
+    RequestGuard::open(parts, settings)
+}
+
+/// Runs the storm; returns the operations with two effects, with a false "not-run", and that ran.
+async fn run_storm(
+    seed: u64,
+    store: FakeStore,
+    clock: Arc<TestClock>,
+    guards: Vec<Arc<dyn OnceGuard>>,
+) -> [usize; 3] {
+    let storm = Arc::new(Storm {
+        guards,
+        clock,
+        serial: AtomicU64::new(0),
+        effects: EffectLog::default(),
+    });
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let moods = [
+        StoreMood::Well,
+        StoreMood::Well,
+        StoreMood::Down,
+        StoreMood::Silent,
+        StoreMood::LosesAnswers,
+        StoreMood::LosesWrites,
+    ];
+    let mut operations = Vec::new();
+    for operation in 0..OPERATIONS {
+        if operation % 5 == 0 {
+            store.set_mood(*moods.choose(&mut rng).unwrap());
+        }
+        let calls: Vec<_> = (0..CALLS_PER_OPERATION)
+            .map(|_| {
+                let storm = Arc::clone(&storm);
+                let (node, seed) = (rng.random_range(0..NODES), rng.random());
+                tokio::spawn(async move { storm.call(node, operation, seed).await })
+            })
+            .collect();
+        operations.push(calls);
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..8))).await;
+    }
+    store.set_mood(StoreMood::Well);
+    let mut counts = [0; 3];
+    for (operation, calls) in (0..).zip(operations) {
+        let mut told = Vec::new();
+        for call in calls {
+            told.push(call.await.unwrap());
+        }
+        let effects = storm.effects.0.lock().get(&operation).copied().unwrap_or(0);
+        let verdict = Verdict::over(told);
+        counts[0] += usize::from(effects > 1);
+        counts[1] += usize::from(verdict == Verdict::NotRun && effects > 0);
+        counts[2] += usize::from(effects > 0);
+    }
+    counts
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn guarded_storm_has_no_doubled_effect_and_no_false_not_run() {
+    let seeds = std::env::var("ONCE_STORM_SEEDS").ok();
+    let seeds = seeds.and_then(|text| text.parse().ok()).unwrap_or(4);
+    let storms = (0..seeds).map(|seed| {
+        let (store, clock) = (FakeStore::default(), TestClock::start());
+        let guards = (0..NODES).map(|node| real_guard(&store, &clock, node));
+        let guards = guards.collect();
+        tokio::spawn(run_storm(seed, store, clock, guards))
+    });
+    let storms: Vec<_> = storms.collect();
+    for (seed, storm) in storms.into_iter().enumerate() {
+        let [doubled, denied, ran] = storm.await.unwrap();
+        println!("seed {seed}: {doubled} doubled, {denied} denied, {ran} of {OPERATIONS} ran");
+        assert_eq!((doubled, denied), (0, 0), "seed {seed}");
+        assert!(ran > 0, "seed {seed}: the storm must let something run");
+    }
+}
+
+#[cfg(feature = "open-guard")]
+#[tokio::test]
+async fn storm_without_the_guard_is_caught() {
+    let (store, clock) = (FakeStore::default(), TestClock::start());
+    let shared = Arc::clone(&clock) as Arc<dyn MonoClock>;
+    let guards = (0..NODES).map(|_| oleander_once::OpenGuard::open(Arc::clone(&shared)));
+    let guards = guards.collect();
+    let [doubled, _, _] = run_storm(1, store, clock, guards).await;
+    assert!(doubled > 0, "the checker must see doubled effects");
+}
