Lost releases are found by comparing slots; the policy's own rebuild span at a take-over

Cause: a release that got lost with a connection kept a slot taken for ever, and the entry VM parked tickets during a take-over although the policy can do that itself.

Each VM lists the slots that it uses every 5 s; a dispatcher frees what is not in the list.

--- a/crates/base/src/dispatch.rs
+++ b/crates/base/src/dispatch.rs
@@ -138,6 +138,17 @@
     pub first_token: Span,
 }
 
+/// All slots of one pool that an entry VM uses, by the serial numbers of its requests.
+///
+/// The dispatcher frees slots that are not in the list, whose release was lost.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolHolding {
+    /// The pool.
+    pub pool: PoolId,
+    /// The requests, which all have the sender as their home.
+    pub serials: Vec<u64>,
+}
+
 /// An entry VM's word that a ticket, or the slot it got, is not needed any more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WithdrawNotice {
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -18,8 +18,8 @@
 
 pub use clock::{monotonic_now, process_origin};
 pub use dispatch::{
-    EndKind, GrantNotice, HeldGrant, PrefixHash, ProgressNotice, ReleaseNotice, ShedNotice,
-    ShedReason, Ticket, WithdrawNotice,
+    EndKind, GrantNotice, HeldGrant, PoolHolding, PrefixHash, ProgressNotice, ReleaseNotice,
+    ShedNotice, ShedReason, Ticket, WithdrawNotice,
 };
 pub use entity::{
     AdapterId, BackendId, CentreId, ClassId, CustomerId, ModelId, PoolId, Revision, StopId, Tier,
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -28,6 +28,8 @@
 const SUMMARY_PERIOD: Duration = Duration::from_millis(500);
 /// The time between two statuses for watched screens.
 const STATUS_PERIOD: Duration = Duration::from_millis(1_000);
+/// The time between two lists of the slots in use.
+const HOLDING_PERIOD: Duration = Duration::from_secs(5);
 /// How long an answer that ended stays for a caller that reconnects.
 const ANSWER_LINGER: Span = Span::from_secs(10);
 
@@ -44,6 +46,7 @@
     let mut limits = ticker(LIMIT_PERIOD);
     let mut summaries = ticker(SUMMARY_PERIOD);
     let mut statuses = ticker(STATUS_PERIOD);
+    let mut holdings = ticker(HOLDING_PERIOD);
     loop {
         tokio::select! {
             changed = members.changed() => {
@@ -64,6 +67,7 @@
                 records.spread_again();
             }
             _ = summaries.tick() => send_summaries(&node, &peers),
+            _ = holdings.tick() => node.reconcile(),
             _ = statuses.tick() => send_statuses(&node, &peers),
         }
     }
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeMap;
 
 use oleander_base::prelude::*;
-use oleander_base::{GrantNotice, HeldGrant, ShedNotice, ShedReason};
+use oleander_base::{GrantNotice, HeldGrant, PoolHolding, ShedNotice, ShedReason};
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
@@ -111,6 +111,8 @@
 #[derive(Debug)]
 pub struct TicketDesk {
     shards: [Mutex<DeskShard>; SHARD_COUNT],
+    /// Pools whose slots were in use at the last report.
+    reported: Mutex<FastSet<PoolId>>,
 }
 
 /// Counts of a desk.
@@ -133,6 +135,7 @@
     pub fn new() -> Self {
         Self {
             shards: std::array::from_fn(|_| Mutex::new(DeskShard::default())),
+            reported: Mutex::new(FastSet::default()),
         }
     }
 
@@ -290,6 +293,28 @@
         grants
     }
 
+    /// Returns the slots in use of every pool, by the serial numbers of their requests.
+    ///
+    /// Pools that had slots in use before and have none now are listed empty once more.
+    pub fn holdings(&self) -> Vec<PoolHolding> {
+        let mut serials: FastMap<PoolId, Vec<u64>> = FastMap::default();
+        for pool in self.reported.lock().drain() {
+            serials.insert(pool, Vec::new());
+        }
+        for shard in &self.shards {
+            for (request, slot) in &shard.lock().held {
+                serials
+                    .entry(slot.ticket.pool)
+                    .or_default()
+                    .push(request.serial);
+            }
+        }
+        let in_use = serials.iter().filter(|(_, serials)| !serials.is_empty());
+        self.reported.lock().extend(in_use.map(|(pool, _)| *pool));
+        let holding = |(pool, serials)| PoolHolding { pool, serials };
+        serials.into_iter().map(holding).collect()
+    }
+
     /// Returns the pools that have a ticket or a slot here.
     pub fn pools(&self) -> FastSet<PoolId> {
         let mut pools = FastSet::default();
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -9,7 +9,9 @@
 use std::sync::Arc;
 
 use oleander_base::prelude::*;
-use oleander_base::{CacheEvent, HeldGrant, LoadReport, ProgressNotice, ReleaseNotice};
+use oleander_base::{
+    CacheEvent, HeldGrant, LoadReport, PoolHolding, ProgressNotice, ReleaseNotice,
+};
 use oleander_decide::{
     BackendSummary, BackendView, ClassView, CustomerView, Decision, PolicyKind, PoolConfig,
     PoolKind, PoolPolicy, PoolSummary,
@@ -63,7 +65,7 @@
         }
         let policy = oleander_decide::open(self.kind, self.pool_config(id, view.kind));
         let journal = Arc::clone(&self.journal);
-        let mut pool = DispatchPool::open(id, policy, journal, now + TAKEOVER_DELAY);
+        let mut pool = DispatchPool::open(id, policy, journal);
         let decisions = pool.set_view(view, now);
         debug_assert!(
             decisions.is_empty(),
@@ -126,6 +128,23 @@
         self.change(id, now, |policy, out| policy.adopt(held, from, now, out))
     }
 
+    /// Compares the slots that an entry VM uses with those that were granted to it.
+    pub fn reconcile(
+        &self,
+        holding: &PoolHolding,
+        from: InstanceId,
+        now: MonoTime,
+    ) -> Vec<Decision> {
+        let request = |serial: &u64| RequestId {
+            home: from,
+            serial: *serial,
+        };
+        let held: Vec<RequestId> = holding.serials.iter().map(request).collect();
+        self.change(holding.pool, now, |policy, out| {
+            policy.reconcile(from, &held, now, out);
+        })
+    }
+
     /// Takes in a load report.
     pub fn report(
         &self,
@@ -154,10 +173,9 @@
         self.each(now, |policy, out| policy.instance_gone(instance, now, out))
     }
 
-    /// Lets time pass in every pool, and opens pools whose take-over is complete.
+    /// Lets time pass in every pool.
     pub fn tick(&self, now: MonoTime) -> Vec<Decision> {
-        let tick = |id| self.with(id, |pool| pool.tick(now));
-        self.ids().into_iter().flat_map(tick).collect()
+        self.each(now, |policy, out| policy.tick(now, out))
     }
 
     /// Returns a summary of every pool that is dispatched here.
@@ -167,7 +185,6 @@
             let pool = pool.lock();
             Some(PoolStatus {
                 id,
-                parked: pool.parked(),
                 summary: pool.policy().summary(now),
             })
         };
@@ -199,6 +216,7 @@
             PoolKind::Services => PoolConfig::services(id),
         };
         config.queue_bound = self.queue_bound;
+        config.rebuild_span = TAKEOVER_DELAY;
         config
     }
 
@@ -253,8 +271,6 @@
 pub struct PoolStatus {
     /// The pool.
     pub id: PoolId,
-    /// Tickets that wait for the end of a take-over.
-    pub parked: usize,
     /// The policy's own summary.
     pub summary: PoolSummary,
 }
--- a/crates/entry/src/dispatch_pool.rs
+++ b/crates/entry/src/dispatch_pool.rs
@@ -1,10 +1,8 @@
 //! One pool's queue at its dispatcher.
 //!
-//! The pool wraps the policy: it holds tickets back until a take-over is complete, and writes
-//! every outcome into the journal in the order of decision. Each request that is queued here has
+//! The pool wraps the policy and writes every outcome into the journal in the order of decision. Each request that is queued here has
 //! its tier in `queued`, and leaves it with its outcome or its withdrawal.
 
-use std::cmp::Reverse;
 use std::sync::Arc;
 
 use oleander_base::prelude::*;
@@ -13,38 +11,22 @@
 use crate::dispatch::PoolView;
 use crate::journal::Journal;
 
-#[derive(Debug)]
-struct ParkedTicket {
-    ticket: Ticket,
-    from: InstanceId,
-}
-
 /// The queue of one pool.
 #[derive(Debug)]
 pub(crate) struct DispatchPool {
     id: PoolId,
     policy: Box<dyn PoolPolicy>,
     journal: Arc<Journal>,
-    opens: MonoTime,
-    /// Tickets that came before the pool opened.
-    parked: Vec<ParkedTicket>,
     queued: FastMap<RequestId, Tier>,
 }
 
 impl DispatchPool {
-    /// Makes an empty pool that grants nothing before `opens`.
-    pub(crate) fn open(
-        id: PoolId,
-        policy: Box<dyn PoolPolicy>,
-        journal: Arc<Journal>,
-        opens: MonoTime,
-    ) -> Self {
+    /// Makes an empty pool.
+    pub(crate) fn open(id: PoolId, policy: Box<dyn PoolPolicy>, journal: Arc<Journal>) -> Self {
         Self {
             id,
             policy,
             journal,
-            opens,
-            parked: Vec::new(),
             queued: FastMap::default(),
         }
     }
@@ -54,11 +36,6 @@
         self.policy.as_ref()
     }
 
-    /// Returns how many tickets wait for the end of a take-over.
-    pub(crate) fn parked(&self) -> usize {
-        self.parked.len()
-    }
-
     /// Changes the policy and records what it decided.
     pub(crate) fn change(
         &mut self,
@@ -95,21 +72,6 @@
         from: InstanceId,
         now: MonoTime,
     ) -> Vec<Decision> {
-        if now < self.opens {
-            self.park(ticket, from);
-            return Vec::new();
-        }
-        self.enqueue(ticket, from, now)
-    }
-
-    fn park(&mut self, ticket: Ticket, from: InstanceId) {
-        let known = |parked: &ParkedTicket| parked.ticket.request == ticket.request;
-        if !self.parked.iter().any(known) {
-            self.parked.push(ParkedTicket { ticket, from });
-        }
-    }
-
-    fn enqueue(&mut self, ticket: Ticket, from: InstanceId, now: MonoTime) -> Vec<Decision> {
         if self.queued.insert(ticket.request, ticket.tier).is_none() {
             self.journal.queued(self.id, &ticket, now);
         }
@@ -118,35 +80,14 @@
 
     /// Takes a ticket, or the slot that it got, back.
     pub(crate) fn withdraw(&mut self, request: RequestId, now: MonoTime) -> Vec<Decision> {
-        self.parked
-            .retain(|parked| parked.ticket.request != request);
         if let Some(tier) = self.queued.remove(&request) {
             self.journal.left(self.id, request, tier, now);
         }
         self.change(now, |policy, out| policy.withdraw(request, now, out))
     }
 
-    /// Lets time pass, and queues what was parked once a take-over is complete.
-    pub(crate) fn tick(&mut self, now: MonoTime) -> Vec<Decision> {
-        let mut decisions = self.change(now, |policy, out| policy.tick(now, out));
-        if now >= self.opens {
-            let mut parked = std::mem::take(&mut self.parked);
-            parked.sort_by_key(|parked| (parked.ticket.tier, Reverse(parked.ticket.waited)));
-            for ParkedTicket { ticket, from } in parked {
-                decisions.extend(self.enqueue(ticket, from, now));
-            }
-        }
-        decisions
-    }
-
     /// Returns the state as text.
     pub(crate) fn dump(&self, now: MonoTime) -> String {
-        let head = format!(
-            "pool {} opens {} parked {}\n",
-            self.id,
-            self.opens,
-            self.parked.len()
-        );
-        head + &self.policy.dump(now)
+        format!("pool {}\n{}", self.id, self.policy.dump(now))
     }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -324,6 +324,21 @@
         }
     }
 
+    /// Tells each dispatcher which slots this VM uses, so that it frees those whose release was
+    /// lost.
+    pub fn reconcile(&self) {
+        let now = monotonic_now();
+        for holding in self.desk.holdings() {
+            match self.dispatcher_of(holding.pool) {
+                Some(dispatcher) if dispatcher == self.me => {
+                    self.deliver(self.board.reconcile(&holding, self.me, now));
+                }
+                Some(dispatcher) => self.send(dispatcher, PeerMessage::Holding(vec![holding])),
+                None => {}
+            }
+        }
+    }
+
     /// Returns the instance that dispatches a pool.
     pub fn dispatcher_of(&self, pool: PoolId) -> Option<InstanceId> {
         self.view().pool(pool)?.dispatcher
@@ -358,6 +373,11 @@
                 let notices = notices.into_iter().map(DecisionNotice::Shed);
                 self.on_notices(from, notices.collect(), now);
             }
+            PeerMessage::Holding(holdings) => {
+                for holding in holdings {
+                    self.deliver(self.board.reconcile(&holding, from, now));
+                }
+            }
             PeerMessage::Misrouted(requests) => self.desk.mark_misrouted(&requests, now),
             _ => {}
         }
--- a/crates/entry/tests/common/fleet.rs
+++ b/crates/entry/tests/common/fleet.rs
@@ -39,6 +39,11 @@
         self.settings.operators.listen
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.lock().as_ref().map(Child::id).unwrap()
+    }
+
     /// Starts the process.
     pub fn start(&self) {
         let log = File::options()
--- a/crates/entry/tests/faults_storm.rs
+++ b/crates/entry/tests/faults_storm.rs
@@ -80,7 +80,10 @@
 
 /// Counts answers of the system that carry no verdict; a connection that broke is no answer.
 fn without_verdict(report: &RunReport) -> usize {
-    let operations = report.records.iter().filter(|call| call.operation.is_some());
+    let operations = report
+        .records
+        .iter()
+        .filter(|call| call.operation.is_some());
     let answered = operations.filter(|call| call.request.is_some());
     answered
         .filter(|call| call.outcome != CallOutcome::Broken && call.verdict.is_none())
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -153,6 +153,7 @@
         PeerMessage::CacheEvents(list) => put_value(kind, list, out),
         PeerMessage::Progress(list) => put_value(kind, list, out),
         PeerMessage::Misrouted(list) => put_value(kind, list, out),
+        PeerMessage::Holding(list) => put_value(kind, list, out),
         PeerMessage::PoolSummaries(body)
         | PeerMessage::Records(body)
         | PeerMessage::Limits(body)
@@ -179,6 +180,7 @@
         MessageKind::Status => PeerMessage::Status(frame.body.clone()),
         MessageKind::Progress => PeerMessage::Progress(take_value(frame)?),
         MessageKind::Misrouted => PeerMessage::Misrouted(take_value(frame)?),
+        MessageKind::Holding => PeerMessage::Holding(take_value(frame)?),
     };
     Ok(DecodedMessage::Known(message))
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -8,8 +8,8 @@
 use futures_util::future::BoxFuture;
 use oleander_base::prelude::*;
 use oleander_base::{
-    CacheEvent, GrantNotice, HeldGrant, LoadReport, ProgressNotice, ReleaseNotice, ShedNotice,
-    WithdrawNotice,
+    CacheEvent, GrantNotice, HeldGrant, LoadReport, PoolHolding, ProgressNotice, ReleaseNotice,
+    ShedNotice, WithdrawNotice,
 };
 use oleander_membership::MemberView;
 use serde::{Deserialize, Serialize};
@@ -66,6 +66,8 @@
     Progress(Vec<ProgressNotice>),
     /// Entry VM to entry VM: tickets whose pool the receiver of the offer does not dispatch.
     Misrouted(Vec<RequestId>),
+    /// Entry VM to dispatcher: all slots that it uses, now and then.
+    Holding(Vec<PoolHolding>),
 }
 
 /// The kind of a one-way message, for counters.
@@ -100,11 +102,13 @@
     Progress = 13,
     /// [`PeerMessage::Misrouted`].
     Misrouted = 14,
+    /// [`PeerMessage::Holding`].
+    Holding = 15,
 }
 
 impl MessageKind {
     /// Every kind, in the order of its number; the first has number 1.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Offer,
         Self::Withdraw,
         Self::Release,
@@ -119,6 +123,7 @@
         Self::Status,
         Self::Progress,
         Self::Misrouted,
+        Self::Holding,
     ];
 
     /// Returns the kind with a number, if this program knows it.
@@ -144,6 +149,7 @@
             Self::Status => "status",
             Self::Progress => "progress",
             Self::Misrouted => "misrouted",
+            Self::Holding => "holding",
         }
     }
 }
@@ -166,6 +172,7 @@
             Self::Status(_) => MessageKind::Status,
             Self::Progress(_) => MessageKind::Progress,
             Self::Misrouted(_) => MessageKind::Misrouted,
+            Self::Holding(_) => MessageKind::Holding,
         }
     }
 }
