The record feed learns a higher revision from a digest with the same records

Cause: a VM asked a peer for an empty delta after each watch of a reader, since the store's revision moves with every claim; and a change of what is in force without a new revision, as the good document of a bad one that a peer passes on, would not have been published, as it has a hash of its own now.

--- a/crates/entry/src/records_feed.rs
+++ b/crates/entry/src/records_feed.rs
@@ -98,7 +98,7 @@
     }
 
     fn put_in_force(&self, before: RecordDigest, after: RecordDigest, set: Arc<RecordSet>) {
-        if after.hash != before.hash {
+        if (after.hash, after.in_force) != (before.hash, before.in_force) {
             self.node.set_records(set);
         }
         self.node.set_informed(after.revision);
@@ -159,8 +159,10 @@
                 }
             }
         }
-        let order = state.board.compare(gossip.digest);
+        drop(state);
+        let order = self.meet(gossip.digest);
         let wanted = matches!(order, DigestOrder::PeerAhead | DigestOrder::Diverged);
+        let mut state = self.state.lock();
         if !wanted || state.fetching {
             return;
         }
@@ -173,6 +175,20 @@
         });
     }
 
+    /// Compares a peer's digest with the board, which may learn a higher revision from it.
+    fn meet(&self, digest: RecordDigest) -> DigestOrder {
+        let mut state = self.state.lock();
+        let before = state.board.informed();
+        let order = state.board.meet(digest);
+        let informed = state.board.informed();
+        drop(state);
+        if informed > before {
+            self.node.set_informed(informed);
+            self.peers.set_revision(informed);
+        }
+        order
+    }
+
     /// Asks a peer for what this board lacks, until there is no more.
     async fn fetch_from(&self, peer: InstanceId, order: DigestOrder) {
         let mut whole = order == DigestOrder::Diverged;
