Write dumps without the pool's lock and show the newest record's revision

A dump copied nothing and formatted 10,000 waiting requests under the pool's lock: the longest offer and withdrawal beside it waited 20.7 ms. The screens showed the revision at which the set of records was last built, which lagged behind a write; they show the newest record's revision.

--- a/crates/decide/src/inspect.rs
+++ b/crates/decide/src/inspect.rs
@@ -4,10 +4,71 @@
 
 use oleander_base::prelude::*;
 
+use crate::pool_queue::TicketKey;
+use crate::queue_time::QueueTime;
 use crate::summary::{ClassSummary, PoolSummary, TierSummary};
 use crate::tiered::TieredPool;
 use crate::verify::VerifyError;
 
+/// A waiting request in a dump; the order of the fields is the order of the lines.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct QueuedLine {
+    tier: Tier,
+    due: QueueTime,
+    key: TicketKey,
+    request: RequestId,
+    class: ClassId,
+    customer: CustomerId,
+    expires: QueueTime,
+    work: u32,
+}
+
+/// A grant in a dump; the order of the fields is the order of the lines.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct GrantedLine {
+    granted: MonoTime,
+    request: RequestId,
+    backend: BackendId,
+}
+
+/// The state at one moment, as a dump shows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct DumpCopy {
+    head: String,
+    queued: Vec<QueuedLine>,
+    granted: Vec<GrantedLine>,
+}
+
+impl DumpCopy {
+    /// Writes the text.
+    pub(crate) fn write(mut self) -> String {
+        let mut text = self.head;
+        self.queued.sort_unstable();
+        for line in &self.queued {
+            let _ = writeln!(
+                text,
+                "  queued {} {} {} {} due {} expires {} work {}",
+                line.request,
+                line.tier,
+                line.class,
+                line.customer,
+                line.due,
+                line.expires,
+                line.work
+            );
+        }
+        self.granted.sort_unstable();
+        for line in &self.granted {
+            let _ = writeln!(
+                text,
+                "  granted {} {} at {}",
+                line.request, line.backend, line.granted
+            );
+        }
+        text
+    }
+}
+
 impl TieredPool {
     /// Returns figures for screens and for spill-over.
     pub(crate) fn summarize(&self, now: MonoTime) -> PoolSummary {
@@ -29,36 +90,30 @@
         }
     }
 
-    /// Returns the state as text.
-    pub(crate) fn dump_text(&self, now: MonoTime) -> String {
-        let mut text = self.summarize(now).to_string();
-        self.backends.dump(now, &mut text);
-        let mut entries: Vec<_> = self.queue.iter().collect();
-        entries.sort_unstable_by_key(|entry| (entry.ticket.tier, entry.due, entry.key));
-        for entry in entries {
-            let ticket = &entry.ticket;
-            let _ = writeln!(
-                text,
-                "  queued {} {} {} {} due {} expires {} work {}",
-                ticket.request,
-                ticket.tier,
-                ticket.class,
-                ticket.customer,
-                entry.due,
-                entry.expires,
-                entry.work
-            );
-        }
-        let mut grants: Vec<_> = self.grants.iter().collect();
-        grants.sort_unstable_by_key(|entry| (entry.granted, entry.ticket.request));
-        for entry in grants {
-            let _ = writeln!(
-                text,
-                "  granted {} {} at {}",
-                entry.ticket.request, entry.backend, entry.granted
-            );
+    /// Returns a copy of what a dump shows.
+    pub(crate) fn dump_copy(&self, now: MonoTime) -> DumpCopy {
+        let mut head = self.summarize(now).to_string();
+        self.backends.dump(now, &mut head);
+        let queued = self.queue.iter().map(|entry| QueuedLine {
+            tier: entry.ticket.tier,
+            due: entry.due,
+            key: entry.key,
+            request: entry.ticket.request,
+            class: entry.ticket.class,
+            customer: entry.ticket.customer,
+            expires: entry.expires,
+            work: entry.work,
+        });
+        let granted = self.grants.iter().map(|entry| GrantedLine {
+            granted: entry.granted,
+            request: entry.ticket.request,
+            backend: entry.backend,
+        });
+        DumpCopy {
+            head,
+            queued: queued.collect(),
+            granted: granted.collect(),
         }
-        text
     }
 
     /// Checks the invariants of the state.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -48,7 +48,9 @@
 pub use fleet_share::{InstanceDemand, InstanceShare, split_rate, split_slots};
 pub use hedge::{HedgeConfig, HedgePolicy, HedgeQuery};
 pub use length::LengthEstimator;
-pub use policy::{Decision, DecisionNotice, ParsePolicyError, PolicyKind, PoolPolicy, open};
+pub use policy::{
+    Decision, DecisionNotice, LaterText, ParsePolicyError, PolicyKind, PoolPolicy, open,
+};
 pub use rate_limiter::{CustomerAllotment, CustomerDemand, LimitError, RateLimiter};
 pub use rendezvous::{DispatcherCandidate, choose_dispatcher};
 pub use retry_budget::{RetryBudget, RetryConfig};
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -115,10 +115,22 @@
     /// Returns the state as text.
     fn dump(&self, now: MonoTime) -> String;
 
+    /// Returns a copy of what [`Self::dump`] shows, whose text is written later.
+    ///
+    /// To write the text takes longer than to copy the state, so that a caller who holds a lock
+    /// around the policy takes the copy under it and calls the result without it.
+    fn dump_later(&self, now: MonoTime) -> LaterText {
+        let text = self.dump(now);
+        Box::new(move || text)
+    }
+
     /// Checks the invariants of the state.
     fn verify(&self) -> Result<(), VerifyError>;
 }
 
+/// A text that is written when it is called for.
+pub type LaterText = Box<dyn FnOnce() -> String + Send>;
+
 /// The policies that can be chosen in settings and experiments.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/decide/src/tiered.rs
+++ b/crates/decide/src/tiered.rs
@@ -23,7 +23,7 @@
 use crate::grant_table::{GrantEntry, GrantTable};
 use crate::length::LengthEstimator;
 use crate::meter::RateMeter;
-use crate::policy::{Decision, DecisionNotice, PoolPolicy};
+use crate::policy::{Decision, DecisionNotice, LaterText, PoolPolicy};
 use crate::pool_queue::PoolQueue;
 use crate::queue_time::QueueTime;
 use crate::share_ledger::ShareLedger;
@@ -352,7 +352,12 @@
     }
 
     fn dump(&self, now: MonoTime) -> String {
-        self.dump_text(now)
+        self.dump_copy(now).write()
+    }
+
+    fn dump_later(&self, now: MonoTime) -> LaterText {
+        let copy = self.dump_copy(now);
+        Box::new(move || copy.write())
     }
 
     fn verify(&self) -> Result<(), VerifyError> {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -190,7 +190,12 @@
     /// Returns the whole state as text.
     pub fn dump(&self, now: MonoTime) -> String {
         let pools = self.ids().into_iter().filter_map(|id| self.pool(id));
-        pools.map(|pool| pool.lock().dump(now)).collect()
+        pools
+            .map(|pool| {
+                let text = pool.lock().dump_later(now);
+                text()
+            })
+            .collect()
     }
 
     fn pool_config(&self, id: PoolId, kind: PoolKind) -> PoolConfig {
--- a/crates/entry/src/dispatch_pool.rs
+++ b/crates/entry/src/dispatch_pool.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use oleander_base::prelude::*;
-use oleander_decide::{Decision, DecisionNotice, PoolPolicy};
+use oleander_decide::{Decision, DecisionNotice, LaterText, PoolPolicy};
 
 use crate::dispatch::PoolView;
 use crate::journal::Journal;
@@ -140,13 +140,16 @@
     }
 
     /// Returns the state as text.
-    pub(crate) fn dump(&self, now: MonoTime) -> String {
+    ///
+    /// It is copied now and written when it is called, without the pool's lock.
+    pub(crate) fn dump_later(&self, now: MonoTime) -> LaterText {
         let head = format!(
             "pool {} opens {} parked {}\n",
             self.id,
             self.opens,
             self.parked.len()
         );
-        head + &self.policy.dump(now)
+        let rest = self.policy.dump_later(now);
+        Box::new(move || head + &rest())
     }
 }
--- a/crates/entry/src/operator_desk.rs
+++ b/crates/entry/src/operator_desk.rs
@@ -65,7 +65,7 @@
         FleetScreen {
             at_unix_ms: unix_ms(),
             shown_by: self.node.settings.instance.name.clone(),
-            revision: view.records.revision.0,
+            revision: self.records.newest().0,
             policy: self.node.settings.dispatch.policy.to_string(),
             customers: screen.customers(),
             classes: screen.classes(),
--- a/crates/entry/src/records_feed.rs
+++ b/crates/entry/src/records_feed.rs
@@ -247,6 +247,14 @@
         self.state.lock().board.informed()
     }
 
+    /// Returns the revision of the newest record in force.
+    pub(crate) fn newest(&self) -> Revision {
+        let state = self.state.lock();
+        let revisions = state.board.keys();
+        let newest = revisions.filter_map(|key| state.board.revision_of(key));
+        newest.max().unwrap_or_default()
+    }
+
     /// Returns the changes after a peer's revision.
     pub(crate) fn delta_after(&self, after: &[u8]) -> Bytes {
         let since = postcard::from_bytes::<Revision>(after).unwrap_or_default();
