--- a/crates/operator/src/page.js
+++ b/crates/operator/src/page.js
@@ -166,7 +166,7 @@
     const fits = lines.length > LIMITS.tiles ? LIMITS.tiles - 1 : lines.length;
     for (const line of lines.slice(0, fits)) tiles.append(backendTile(line));
     if (fits < lines.length) tiles.append(text("div", `${lines.length - fits} more`, "tile more"));
-    const seen = unseen.has(centre) ? "NOT SEEN · " : "";
+    const seen = unseen.has(centre) ? "NOT SEEN, last known: " : "";
     group.append(text("span", `${centre} · ${seen}${serving} of ${lines.length} serving · ${running}/${limit} running`), tiles);
     return group;
   });
