Test that the state shows planned stops and lost entry VMs

A stop record makes a backend server leave on the screens' state and its deletion brings it back; a crashed entry VM is no longer live there.

--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -261,3 +261,44 @@
     let checked = text(&child.wait_with_output().unwrap(), 0);
     assert!(checked.contains("records/class/fast"), "{checked}");
 }
+
+/// Waits until the state at one entry VM is as it should be.
+#[track_caller]
+fn wait_for(fleet: &Fleet, what: &str, holds: impl Fn(&Value) -> bool) {
+    let until = std::time::Instant::now() + READY_LIMIT;
+    loop {
+        let state = text(&fleet.run(&["status", "--output", "json"]), 0);
+        let state: Value = serde_json::from_str(&state).unwrap();
+        if holds(&state) {
+            return;
+        }
+        assert!(std::time::Instant::now() < until, "{what}: {state}");
+    }
+}
+
+fn stage<'a>(state: &'a Value, list: &str, name: &str) -> Option<&'a str> {
+    let lines = state[list].as_array()?;
+    let line = lines.iter().find(|line| line["name"] == name)?;
+    line["stage"].as_str()
+}
+
+#[test]
+fn state_shows_planned_stops_and_lost_entry_vms() {
+    let fleet = Fleet::spawn();
+    let serving = |state: &Value| stage(state, "backends", "editors-0") == Some("serving");
+    wait_for(&fleet, "the server serves", serving);
+    let stop = "schema = 1\nname = \"editor\"\nreason = \"new memory\"\n\
+                target = { kind = \"backend\", name = \"editors-0\" }\n";
+    let file = fleet.file("stop.editor.toml", stop);
+    text(&fleet.run(&["record", "put", &file]), 0);
+    wait_for(&fleet, "the server leaves", |state| {
+        stage(state, "backends", "editors-0") == Some("leaving")
+            && state["stops"][0]["reason"] == "new memory"
+    });
+    text(&fleet.run(&["record", "delete", "stop", "editor"]), 0);
+    wait_for(&fleet, "the server is back", serving);
+    fleet.deployment.entries[3].crash();
+    wait_for(&fleet, "the entry VM is lost", |state| {
+        stage(state, "entries", "ba-entry-3") != Some("live")
+    });
+}
