Records are published in order; the call budget of the settings is in force by class of call

Cause: two threads that changed the board could put their sets into force in the other order, so an older one could follow a newer one; found by reading, not by a test. The settings' calls_per_second had no effect, and claims could starve the renewal of a lease.

One thread at a time publishes and reads the board inside. Leases, records and claims call with their own class. The default budget is 100 reads and 100 writes a second, since a committer of claims writes up to 80. Conclusion: the order of publishing no longer depends on threads.

--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -290,7 +290,7 @@
             },
             platform: PlatformSection {
                 address: self.platform.address(),
-                calls_per_second: 50.0,
+                calls_per_second: 200.0,
                 token_key_file: files.token_key,
             },
             dispatch: DispatchSection {
--- a/crates/entry/src/dispatch_pool.rs
+++ b/crates/entry/src/dispatch_pool.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use oleander_base::prelude::*;
-use oleander_decide::{Decision, DecisionNotice, PoolPolicy};
+use oleander_decide::{Decision, DecisionNotice, LaterText, PoolPolicy};
 
 use crate::dispatch::PoolView;
 use crate::journal::Journal;
@@ -87,7 +87,11 @@
     }
 
     /// Returns the state as text.
-    pub(crate) fn dump(&self, now: MonoTime) -> String {
-        format!("pool {}\n{}", self.id, self.policy.dump(now))
+    ///
+    /// It is copied now and written when it is called, without the pool's lock.
+    pub(crate) fn dump_later(&self, now: MonoTime) -> LaterText {
+        let head = format!("pool {}\n", self.id);
+        let rest = self.policy.dump_later(now);
+        Box::new(move || head + &rest())
     }
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -15,7 +15,9 @@
 };
 use oleander_operator::{OperatorContext, OperatorDesk};
 use oleander_peer::{PeerEndpoint, PeerError, PeerSettings, TlsFiles};
-use oleander_platform::{ClientSettings, KeyValueStore, PlatformClient, VmList};
+use oleander_platform::{
+    BudgetLimits, CallClass, ClientSettings, KeyValueStore, PlatformClient, VmList,
+};
 use thiserror::Error;
 use tokio::runtime::{Builder, Runtime};
 
@@ -32,7 +34,7 @@
 use crate::report_watch::spawn_report_watch;
 use crate::serve::spawn_callers;
 use crate::server::ServerThread;
-use crate::settings::EntrySettings;
+use crate::settings::{EntrySettings, PlatformSection};
 use crate::tls::caller_tls;
 use crate::vm_watch::run_vm_watch;
 use crate::worker::SharedContext;
@@ -127,14 +129,16 @@
         let peers = PeerEndpoint::bind(peer_settings(&settings, &runtime), desk.clone())?;
         let node = EntryNode::new(settings, peers.instance());
         node.connect(Arc::new(EndpointLink(peers.clone())));
-        let platform = PlatformClient::open(ClientSettings::new(node.settings.platform.address))
+        let platform = PlatformClient::open(platform_settings(&node.settings.platform))
             .map_err(system("the platform's client"))?;
-        let list: Arc<dyn VmList> = Arc::new(platform.clone());
-        let store: Arc<dyn KeyValueStore> = Arc::new(platform);
+        let list: Arc<dyn VmList> = Arc::new(platform.with_class(CallClass::Record));
+        let store: Arc<dyn KeyValueStore> = Arc::new(platform.with_class(CallClass::Record));
+        let lease_store: Arc<dyn KeyValueStore> = Arc::new(platform.with_class(CallClass::Lease));
+        let claim_store: Arc<dyn KeyValueStore> = Arc::new(platform.with_class(CallClass::Claim));
         let entered = runtime.enter();
-        let claims = open_claims(&node, Arc::clone(&store), &peers);
+        let claims = open_claims(&node, claim_store, &peers);
         let guard = other_guard.unwrap_or_else(|| open_guard(&node, claims.clone(), issuer));
-        let orders = OrderRole::open(&node, Arc::clone(&store)).map_err(system("orders"))?;
+        let orders = OrderRole::open(&node, lease_store).map_err(system("orders"))?;
         node.set_orders(Arc::clone(&orders));
         drop(entered);
         let shared = SharedContext {
@@ -296,6 +300,15 @@
     peers
 }
 
+fn platform_settings(section: &PlatformSection) -> ClientSettings {
+    let mut settings = ClientSettings::new(section.address);
+    settings.limits = BudgetLimits {
+        reads_per_second: section.calls_per_second,
+        writes_per_second: section.calls_per_second,
+    };
+    settings
+}
+
 fn open_guard(node: &EntryNode, claims: ClaimHandle, issuer: TokenIssuer) -> Arc<dyn OnceGuard> {
     let clock = Arc::new(NodeClock);
     let parts = GuardParts {
--- a/crates/entry/src/records_feed.rs
+++ b/crates/entry/src/records_feed.rs
@@ -61,6 +61,7 @@
     peers: PeerEndpoint,
     store: Arc<dyn KeyValueStore>,
     state: Mutex<FeedState>,
+    publishing: Mutex<()>,
 }
 
 impl fmt::Debug for RecordFeed {
@@ -79,6 +80,7 @@
             peers,
             store,
             state: Mutex::new(FeedState::default()),
+            publishing: Mutex::new(()),
         }
     }
 
@@ -91,14 +93,22 @@
         if after == before {
             return result;
         }
-        let set = state.board.set();
         drop(state);
-        self.put_in_force(before, after, set);
+        self.put_in_force();
         result
     }
 
-    fn put_in_force(&self, before: RecordDigest, after: RecordDigest, set: Arc<RecordSet>) {
-        if (after.hash, after.in_force) != (before.hash, before.in_force) {
+    /// Puts the newest set of the board into force.
+    ///
+    /// One thread at a time does so and reads the board inside, so that an older set cannot
+    /// follow a newer one.
+    fn put_in_force(&self) {
+        let _publishing = self.publishing.lock();
+        let mut state = self.state.lock();
+        let after = state.board.digest();
+        let set = state.board.set();
+        drop(state);
+        if !Arc::ptr_eq(&set, &self.node.view().records) {
             self.node.set_records(set);
         }
         self.node.set_informed(after.revision);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -104,7 +104,7 @@
 pub struct PlatformSection {
     /// The address of the platform's service, by IP number.
     pub address: SocketAddr,
-    /// Calls a second that this process may make.
+    /// Reads a second that this process may make, and as many writes.
     #[serde(default = "default_calls")]
     pub calls_per_second: f64,
     /// A file with the key that signs bound tokens; the same for the whole fleet.
@@ -186,7 +186,7 @@
 }
 
 fn default_calls() -> f64 {
-    20.0
+    100.0
 }
 
 /// One mistake in a settings file.
