Entry VM: state, roles, ticket flow and screens in files of their own

node.rs holds the state (297 lines), roles.rs what a change of the fleet moves (124), ticket_flow.rs the way of tickets (331), screen_maker.rs what the screens show (361); no function changed. The test of a paused dispatcher now waits until the screens name one: in the whole run of the checks they did not yet, and it failed for that.

--- /dev/null
+++ b/crates/entry/src/roles.rs
@@ -0,0 +1,124 @@
+//! What a change of records or members moves: roles, tickets and slots.
+//!
+//! The view is replaced as a whole; then pools are taken over or dropped, and tickets and slots
+//! follow their pools to the new dispatchers.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use oleander_base::monotonic_now;
+use oleander_base::prelude::*;
+use oleander_records::RecordSet;
+
+use crate::node::{EntryNode, ViewInputs};
+use crate::view::{FleetMember, FleetView};
+
+impl EntryNode {
+    /// Puts new records into force.
+    pub fn set_records(&self, records: Arc<RecordSet>) {
+        self.rebuild(|_| {}, Some(records));
+    }
+
+    /// Takes in a new membership.
+    pub fn set_members(&self, members: Vec<FleetMember>) {
+        self.rebuild(|inputs| inputs.members = members, None);
+    }
+
+    /// Takes in which backend servers the platform's list or the servers themselves call leaving.
+    pub fn set_listed_leaving(&self, leaving: FastSet<BackendId>) {
+        self.rebuild(|inputs| inputs.listed_leaving = leaving, None);
+    }
+
+    /// Replaces the view and moves pools, tickets and slots to where they belong now.
+    fn rebuild(&self, change: impl FnOnce(&mut ViewInputs), records: Option<Arc<RecordSet>>) {
+        let mut inputs = self.inputs.lock();
+        change(&mut inputs);
+        let old = self.view.load_full();
+        let records = records.unwrap_or_else(|| Arc::clone(&old.records));
+        let new = Arc::new(FleetView::new(
+            records,
+            inputs.members.clone(),
+            &inputs.listed_leaving,
+        ));
+        self.view.store(Arc::clone(&new));
+        let now = monotonic_now();
+        self.take_roles(&new, now);
+        self.move_tickets(&old, &new, now);
+        self.forget_members(&old, &new, now);
+    }
+
+    /// Takes over and drops pools, and tells the kept ones what changed.
+    fn take_roles(&self, view: &FleetView, now: MonoTime) {
+        for id in self.board.ids() {
+            let mine = view
+                .pool(id)
+                .is_some_and(|route| route.dispatcher == Some(self.me));
+            if !mine && self.board.drop_pool(id) {
+                self.changes.note(
+                    format!("pool {id} is dispatched elsewhere now"),
+                    "the live entry VMs changed",
+                );
+            }
+        }
+        let mine = view
+            .pools()
+            .filter(|route| route.dispatcher == Some(self.me));
+        for id in mine.map(|route| route.pool) {
+            let Some(pool_view) = view.pool_view(id) else {
+                continue;
+            };
+            if self.board.take_over(id, &pool_view, now) {
+                self.changes.note(
+                    format!("pool {id} is dispatched here now"),
+                    "the live entry VMs changed",
+                );
+            } else {
+                self.deliver(self.board.set_view(id, &pool_view, now));
+            }
+        }
+    }
+
+    /// Offers tickets and reports held slots to dispatchers that are new.
+    fn move_tickets(&self, old: &FleetView, new: &FleetView, now: MonoTime) {
+        for id in self.desk.pools() {
+            let Some(dispatcher) = new.pool(id).and_then(|route| route.dispatcher) else {
+                continue;
+            };
+            let before = old.pool(id).and_then(|route| route.dispatcher);
+            if before != Some(dispatcher) {
+                self.send_held(dispatcher, self.desk.held_in(id, now), now);
+            }
+            let tickets = self.desk.repoint(id, dispatcher, now);
+            if !tickets.is_empty() {
+                let count = tickets.len() as u64;
+                self.counters
+                    .process
+                    .repointed
+                    .fetch_add(count, Ordering::Relaxed);
+                self.send_offer(dispatcher, tickets, now);
+            }
+        }
+    }
+
+    /// Forgets members that are gone in the pools that are dispatched here.
+    fn forget_members(&self, old: &FleetView, new: &FleetView, now: MonoTime) {
+        let is_kept = |instance: InstanceId| new.members.iter().any(|m| m.instance == instance);
+        for member in old
+            .members
+            .iter()
+            .filter(|member| !is_kept(member.instance))
+        {
+            self.deliver(self.board.instance_gone(member.instance, now));
+        }
+    }
+
+    /// Drops every pool that is dispatched here; they are rebuilt from what entry VMs hold.
+    ///
+    /// A process that was paused calls this, since others may have taken its pools over.
+    pub fn forget_pools(&self) {
+        for id in self.board.ids() {
+            self.board.drop_pool(id);
+        }
+        self.rebuild(|_| {}, None);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/ticket_flow.rs
@@ -0,0 +1,331 @@
+//! The way of tickets and slots through an entry VM.
+//!
+//! A request enters the desk with a ticket; the ticket goes to the pool's dispatcher, which may be
+//! this VM; the outcome comes back to the desk. The same code serves a local and a remote
+//! dispatcher, so that tier order does not depend on where a request entered.
+
+use std::collections::VecDeque;
+
+use oleander_base::prelude::*;
+use oleander_base::{
+    CacheEvent, GrantNotice, HeldGrant, LoadReport, ProgressNotice, ReleaseNotice, ShedNotice,
+    WithdrawNotice, monotonic_now,
+};
+use oleander_decide::{Decision, DecisionNotice};
+use oleander_peer::PeerMessage;
+use tokio::sync::oneshot;
+
+use crate::counters::bump;
+use crate::desk::{GrantEffect, TicketOutcome};
+use crate::dispatch::OfferEnd;
+use crate::node::EntryNode;
+
+impl EntryNode {
+    /// Enters a ticket; its outcome comes through the returned channel.
+    ///
+    /// Returns none if no entry VM can dispatch the pool.
+    pub fn ask(&self, ticket: Ticket) -> Option<oneshot::Receiver<TicketOutcome>> {
+        let dispatcher = self.view().pool(ticket.pool)?.dispatcher?;
+        let now = monotonic_now();
+        let outcome = self.desk.enter(ticket.clone(), dispatcher, now);
+        self.send_offer(dispatcher, vec![ticket], now);
+        Some(outcome)
+    }
+
+    /// Takes a ticket back whose request will not be sent.
+    pub fn withdraw(&self, request: RequestId, pool: PoolId) {
+        let Some(dispatcher) = self.desk.withdraw(request) else {
+            return;
+        };
+        self.send_withdraw(dispatcher, WithdrawNotice { request, pool });
+    }
+
+    /// Frees the slot of a request.
+    pub fn release(&self, notice: ReleaseNotice) {
+        if self.desk.release(notice.request).is_some() {
+            self.send_release(notice);
+        }
+    }
+
+    /// Tells the dispatcher that a request got its first token.
+    pub fn progress(&self, notice: ProgressNotice) {
+        let Some(dispatcher) = self.dispatcher_of(notice.pool) else {
+            return;
+        };
+        if dispatcher == self.me {
+            self.board.progress(&notice, monotonic_now());
+        } else {
+            self.send(dispatcher, PeerMessage::Progress(vec![notice]));
+        }
+    }
+
+    /// Lets time pass in the pools that are dispatched here.
+    pub fn tick(&self) {
+        self.deliver(self.board.tick(monotonic_now()));
+    }
+
+    /// Offers tickets again that have waited long without an outcome, since a message may have
+    /// been lost; the dispatcher knows those that it holds.
+    pub fn offer_again(&self) {
+        let now = monotonic_now();
+        for offer in self.desk.due_again(now) {
+            self.send_offer(offer.dispatcher, offer.tickets, now);
+        }
+    }
+
+    /// Tells each dispatcher which slots this VM uses, so that it frees those whose release was
+    /// lost.
+    pub fn reconcile(&self) {
+        let now = monotonic_now();
+        for holding in self.desk.holdings() {
+            match self.dispatcher_of(holding.pool) {
+                Some(dispatcher) if dispatcher == self.me => {
+                    self.deliver(self.board.reconcile(&holding, self.me, now));
+                }
+                Some(dispatcher) => self.send(dispatcher, PeerMessage::Holding(vec![holding])),
+                None => {}
+            }
+        }
+    }
+
+    /// Returns the instance that dispatches a pool.
+    pub fn dispatcher_of(&self, pool: PoolId) -> Option<InstanceId> {
+        self.view().pool(pool)?.dispatcher
+    }
+
+    /// Takes in a dispatch message of a peer; other kinds are not for the node.
+    pub fn on_dispatch(&self, from: InstanceId, message: PeerMessage) {
+        let now = monotonic_now();
+        match message {
+            PeerMessage::Offer(tickets) => self.on_offer(from, tickets, now),
+            PeerMessage::Withdraw(notices) => {
+                for notice in notices {
+                    self.deliver(self.board.withdraw(notice.pool, notice.request, now));
+                }
+            }
+            PeerMessage::Release(notices) => {
+                for notice in notices {
+                    self.deliver(self.board.release(&notice, now));
+                }
+            }
+            PeerMessage::Held(grants) => self.on_held(from, &grants, now),
+            PeerMessage::Progress(notices) => {
+                for notice in notices {
+                    self.board.progress(&notice, now);
+                }
+            }
+            PeerMessage::Grant(notices) => {
+                let notices = notices.into_iter().map(DecisionNotice::Grant);
+                self.on_notices(from, notices.collect(), now);
+            }
+            PeerMessage::Shed(notices) => {
+                let notices = notices.into_iter().map(DecisionNotice::Shed);
+                self.on_notices(from, notices.collect(), now);
+            }
+            PeerMessage::Holding(holdings) => {
+                for holding in holdings {
+                    self.deliver(self.board.reconcile(&holding, from, now));
+                }
+            }
+            PeerMessage::Misrouted(requests) => self.desk.mark_misrouted(&requests, now),
+            _ => {}
+        }
+    }
+
+    fn on_offer(&self, from: InstanceId, tickets: Vec<Ticket>, now: MonoTime) {
+        let mut misrouted = Vec::new();
+        for ticket in tickets {
+            let request = ticket.request;
+            match self.board.offer(ticket, from, now) {
+                OfferEnd::Queued(decisions) => self.deliver(decisions),
+                OfferEnd::NotHere => misrouted.push(request),
+            }
+        }
+        if misrouted.is_empty() {
+            return;
+        }
+        if from == self.me {
+            self.desk.mark_misrouted(&misrouted, now);
+        } else {
+            self.send(from, PeerMessage::Misrouted(misrouted));
+        }
+    }
+
+    fn on_held(&self, from: InstanceId, grants: &[HeldGrant], now: MonoTime) {
+        for held in grants {
+            self.deliver(self.board.adopt(held.ticket.pool, held, from, now));
+        }
+    }
+
+    fn on_notices(&self, from: InstanceId, notices: Vec<DecisionNotice>, now: MonoTime) {
+        for notice in notices {
+            let follow_ups = self.on_notice(from, &notice, now);
+            self.deliver(follow_ups);
+        }
+    }
+
+    /// Hands decisions to the requests of this VM and to the other entry VMs.
+    ///
+    /// A grant that nobody waits for frees its slot, which can decide further tickets; the loop
+    /// takes these in turn without recursion.
+    pub(crate) fn deliver(&self, decisions: Vec<Decision>) {
+        if decisions.is_empty() {
+            return;
+        }
+        let mut queue = VecDeque::from(decisions);
+        let mut outbox = DecisionOutbox::default();
+        while let Some(decision) = queue.pop_front() {
+            if decision.to == self.me {
+                queue.extend(self.on_notice(self.me, &decision.notice, monotonic_now()));
+            } else {
+                outbox.add(&decision);
+            }
+        }
+        outbox.send(|to, message| self.send(to, message));
+    }
+
+    /// Takes one outcome in; returns decisions that follow at pools dispatched here.
+    fn on_notice(&self, from: InstanceId, notice: &DecisionNotice, now: MonoTime) -> Vec<Decision> {
+        match notice {
+            DecisionNotice::Grant(grant) => self.on_grant(from, grant, now),
+            DecisionNotice::Shed(shed) => {
+                self.desk.shed(shed, from);
+                Vec::new()
+            }
+        }
+    }
+
+    fn on_grant(&self, from: InstanceId, grant: &GrantNotice, now: MonoTime) -> Vec<Decision> {
+        match self.desk.grant(grant, from, now) {
+            GrantEffect::Accepted | GrantEffect::Repeated => Vec::new(),
+            GrantEffect::Moved { asked, held } => {
+                let notice = WithdrawNotice {
+                    request: grant.request,
+                    pool: held.ticket.pool,
+                };
+                self.send_withdraw(asked, notice);
+                self.send_held(asked, vec![held], now);
+                Vec::new()
+            }
+            GrantEffect::Unwanted => {
+                bump(&self.counters.process.unwanted_grants);
+                self.return_grant(from, grant, now)
+            }
+        }
+    }
+
+    /// Gives an unwanted grant back to the dispatcher that made it.
+    fn return_grant(&self, from: InstanceId, grant: &GrantNotice, now: MonoTime) -> Vec<Decision> {
+        let pools = self.view().pools_with(grant.backend);
+        if from == self.me {
+            let withdraw = |pool| self.board.withdraw(pool, grant.request, now);
+            return pools.into_iter().flat_map(withdraw).collect();
+        }
+        let notice = |pool| WithdrawNotice {
+            request: grant.request,
+            pool,
+        };
+        self.send(
+            from,
+            PeerMessage::Withdraw(pools.into_iter().map(notice).collect()),
+        );
+        Vec::new()
+    }
+
+    pub(crate) fn send_offer(&self, to: InstanceId, tickets: Vec<Ticket>, now: MonoTime) {
+        if to == self.me {
+            self.on_offer(self.me, tickets, now);
+        } else {
+            self.send(to, PeerMessage::Offer(tickets));
+        }
+    }
+
+    pub(crate) fn send_held(&self, to: InstanceId, grants: Vec<HeldGrant>, now: MonoTime) {
+        if grants.is_empty() {
+            return;
+        }
+        if to == self.me {
+            self.on_held(self.me, &grants, now);
+        } else {
+            self.send(to, PeerMessage::Held(grants));
+        }
+    }
+
+    fn send_withdraw(&self, to: InstanceId, notice: WithdrawNotice) {
+        if to == self.me {
+            self.deliver(
+                self.board
+                    .withdraw(notice.pool, notice.request, monotonic_now()),
+            );
+        } else {
+            self.send(to, PeerMessage::Withdraw(vec![notice]));
+        }
+    }
+
+    fn send_release(&self, notice: ReleaseNotice) {
+        let Some(dispatcher) = self.dispatcher_of(notice.pool) else {
+            return;
+        };
+        if dispatcher == self.me {
+            self.deliver(self.board.release(&notice, monotonic_now()));
+        } else {
+            self.send(dispatcher, PeerMessage::Release(vec![notice]));
+        }
+    }
+
+    /// Takes in a load report of a backend server whose pools are dispatched here.
+    pub fn take_report(&self, backend: BackendId, report: &LoadReport) {
+        if let Some(orders) = self.orders() {
+            orders.note_report(backend, report.clone());
+        }
+        let now = monotonic_now();
+        for pool in self.view().pools_with(backend) {
+            self.deliver(self.board.report(pool, backend, report, now));
+        }
+    }
+
+    /// Takes in an event of an engine's prefix cache.
+    pub fn take_cache_event(&self, backend: BackendId, event: CacheEvent) {
+        let now = monotonic_now();
+        for pool in self.view().pools_with(backend) {
+            self.board.cache_event(pool, backend, event, now);
+        }
+    }
+
+    /// Sends a ticket to another data centre if that serves it better than its own.
+    pub fn spill_over(&self, ticket: &mut Ticket) {
+        if !self.settings.dispatch.spill {
+            return;
+        }
+        if let Some(pool) = self.spill.choose(&self.view(), ticket) {
+            ticket.pool = pool;
+            ticket.spilled = true;
+            bump(&self.counters.process.spilled);
+        }
+    }
+}
+
+/// Decisions for other entry VMs, gathered into one message of a kind for each.
+#[derive(Debug, Default)]
+struct DecisionOutbox {
+    grants: FastMap<InstanceId, Vec<GrantNotice>>,
+    sheds: FastMap<InstanceId, Vec<ShedNotice>>,
+}
+
+impl DecisionOutbox {
+    fn add(&mut self, decision: &Decision) {
+        match decision.notice {
+            DecisionNotice::Grant(grant) => self.grants.entry(decision.to).or_default().push(grant),
+            DecisionNotice::Shed(shed) => self.sheds.entry(decision.to).or_default().push(shed),
+        }
+    }
+
+    fn send(self, send: impl Fn(InstanceId, PeerMessage)) {
+        for (to, grants) in self.grants {
+            send(to, PeerMessage::Grant(grants));
+        }
+        for (to, sheds) in self.sheds {
+            send(to, PeerMessage::Shed(sheds));
+        }
+    }
+}
--- a/crates/entry/tests/faults_process.rs
+++ b/crates/entry/tests/faults_process.rs
@@ -34,11 +34,15 @@
 fn paused_dispatcher_loses_its_pools_and_wakes_without_harm() {
     let fleet = Fleet::start(SMALL);
     let run = fleet.load(|_| {});
-    let screen = fleet.screen(&fleet.vms[0]);
-    let dispatcher = screen["pools"][0]["dispatcher"]
-        .as_str()
-        .unwrap()
-        .to_owned();
+    let mut dispatcher = String::new();
+    wait_for("the screens name a pool's dispatcher", || {
+        let screen = fleet.screen(&fleet.vms[0]);
+        dispatcher = screen["pools"][0]["dispatcher"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned();
+        !dispatcher.is_empty()
+    });
     let paused = fleet.vms.iter().find(|vm| vm.name == dispatcher).unwrap();
     paused.signal("-STOP");
     let others = || fleet.vms.iter().filter(|vm| vm.name != dispatcher);
