One type for counted traffic; limits are split only for customers that have one

Cause: read through for what stands twice or is done in vain. The entry VM counted into a struct that was the same, field by field, as the one its screens show, with a function that copied one into the other; and once a second the demand of every customer at every entry VM was listed twice, also for customers without a limit.

The counters use the operators' TrafficCount (same fields in the same order, so the peers' status bytes do not change); demand is listed when a limit asks for it. 56 lines less.

Conclusion: behaviour as before. Seen and left: the refusal of a write is mapped in both the entry VM and oleanderctl, and the two differ for a conflict that the store itself reports, so to join them would change what oleanderctl says.

--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -6,50 +6,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use oleander_base::prelude::*;
+use oleander_operator::TrafficCount;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
-/// What is counted for one customer and class.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
-pub struct ServiceCount {
-    /// Requests that were accepted for dispatch.
-    pub accepted: u64,
-    /// Requests refused because the customer is over its own limit.
-    pub over_limit: u64,
-    /// Requests that a dispatcher gave up.
-    pub shed: u64,
-    /// Requests with a whole answer.
-    pub whole: u64,
-    /// Whole answers that met the class's targets.
-    pub on_time: u64,
-    /// Requests that failed.
-    pub failed: u64,
-    /// Requests whose caller left.
-    pub cancelled: u64,
-    /// Goodput: completed requests by their class's weight.
-    pub goodput: f64,
-    /// Tokens in whole answers.
-    pub useful_tokens: u64,
-    /// Tokens that were generated for an answer that nobody got whole.
-    pub wasted_tokens: u64,
-}
-
-impl ServiceCount {
-    /// Adds another count.
-    pub fn add(&mut self, other: &Self) {
-        self.accepted += other.accepted;
-        self.over_limit += other.over_limit;
-        self.shed += other.shed;
-        self.whole += other.whole;
-        self.on_time += other.on_time;
-        self.failed += other.failed;
-        self.cancelled += other.cancelled;
-        self.goodput += other.goodput;
-        self.useful_tokens += other.useful_tokens;
-        self.wasted_tokens += other.wasted_tokens;
-    }
-}
-
 /// A customer's use of one request class.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ServiceKey {
@@ -65,7 +25,7 @@
     /// Whose requests.
     pub key: ServiceKey,
     /// What was counted.
-    pub count: ServiceCount,
+    pub count: TrafficCount,
 }
 
 /// Counts of the process as a whole.
@@ -100,7 +60,7 @@
 pub struct EntryCounters {
     /// Counts of the process as a whole.
     pub process: ProcessCounters,
-    shards: [Mutex<FastMap<ServiceKey, ServiceCount>>; SHARD_COUNT],
+    shards: [Mutex<FastMap<ServiceKey, TrafficCount>>; SHARD_COUNT],
 }
 
 impl Default for EntryCounters {
@@ -114,7 +74,7 @@
 
 impl EntryCounters {
     /// Changes the count of a customer and class.
-    pub fn count(&self, key: ServiceKey, change: impl FnOnce(&mut ServiceCount)) {
+    pub fn count(&self, key: ServiceKey, change: impl FnOnce(&mut TrafficCount)) {
         let shard = &self.shards[key.customer.0 as usize % SHARD_COUNT];
         change(shard.lock().entry(key).or_default());
     }
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -20,7 +20,9 @@
 };
 
 use crate::answer::{AnswerBuffer, AnswerEnd};
-use crate::counters::{ServiceCount, ServiceKey, bump};
+use oleander_operator::TrafficCount;
+
+use crate::counters::{ServiceKey, bump};
 use crate::desk::TicketOutcome;
 use crate::worker::WorkerContext;
 
@@ -363,7 +365,7 @@
         self.context
             .node
             .counters
-            .count(key, |count: &mut ServiceCount| match end {
+            .count(key, |count: &mut TrafficCount| match end {
                 RequestEnd::Whole => {
                     count.whole += 1;
                     count.on_time += u64::from(on_time);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -51,7 +51,7 @@
     AnswerBuffer, AnswerEnd, AnswerEvent, AnswerReader, AnswerShelf, EventsDropped, ReadItem,
 };
 pub use changes::{ChangeEntry, ChangeLog};
-pub use counters::{EntryCounters, ProcessCounters, ServiceCount, ServiceKey, ServiceLine};
+pub use counters::{EntryCounters, ProcessCounters, ServiceKey, ServiceLine};
 pub use desk::{DeskCount, GrantEffect, HeldSlot, RepeatedOffer, TicketDesk, TicketOutcome};
 pub use dispatch::{DispatchBoard, OfferEnd, PoolStatus, PoolView};
 pub use journal::{Journal, JournalEntry, JournalEvent};
--- a/crates/entry/src/limit_board.rs
+++ b/crates/entry/src/limit_board.rs
@@ -103,15 +103,15 @@
                 };
                 live.iter().map(demand).collect()
             };
-            let rates = demands(|line| f64::from(line.rate));
-            let slots = demands(|line| f64::from(line.concurrency));
+            let rates = || demands(|line| f64::from(line.rate));
+            let slots = || demands(|line| f64::from(line.concurrency));
             let allotment = CustomerAllotment {
                 rate: record
                     .rate_limit
-                    .map(|limit| share_of(me, &split_rate(limit, &rates))),
+                    .map(|limit| share_of(me, &split_rate(limit, &rates()))),
                 concurrency: record
                     .concurrency_limit
-                    .map(|limit| share_of(me, &split_slots(limit, &slots)) as u32),
+                    .map(|limit| share_of(me, &split_slots(limit, &slots())) as u32),
             };
             desk.set_allotment(*customer, allotment, now);
         }
--- a/crates/entry/src/metric_table.rs
+++ b/crates/entry/src/metric_table.rs
@@ -9,10 +9,9 @@
 
 use oleander_base::monotonic_now;
 use oleander_base::prelude::*;
-use oleander_operator::{MetricKind, MetricLabel, MetricName, MetricPoint};
+use oleander_operator::{MetricKind, MetricLabel, MetricName, MetricPoint, TrafficCount};
 use oleander_peer::PeerEndpoint;
 
-use crate::counters::ServiceCount;
 use crate::node::EntryNode;
 use crate::operator_desk::read_counter;
 
@@ -154,7 +153,7 @@
     }
 }
 
-fn outcomes(count: &ServiceCount) -> Vec<(&'static str, f64)> {
+fn outcomes(count: &TrafficCount) -> Vec<(&'static str, f64)> {
     vec![
         ("accepted", count.accepted as f64),
         ("whole", count.whole as f64),
@@ -165,7 +164,7 @@
     ]
 }
 
-fn token_uses(count: &ServiceCount) -> Vec<(&'static str, f64)> {
+fn token_uses(count: &TrafficCount) -> Vec<(&'static str, f64)> {
     vec![
         ("useful", count.useful_tokens as f64),
         ("wasted", count.wasted_tokens as f64),
@@ -174,9 +173,9 @@
 
 fn by_class(
     node: &EntryNode,
-    figures: impl Fn(&ServiceCount) -> Vec<(&'static str, f64)>,
+    figures: impl Fn(&TrafficCount) -> Vec<(&'static str, f64)>,
 ) -> Vec<MetricPoint> {
-    let mut totals: BTreeMap<ClassId, ServiceCount> = BTreeMap::new();
+    let mut totals: BTreeMap<ClassId, TrafficCount> = BTreeMap::new();
     for line in node.counters.lines() {
         totals.entry(line.key.class).or_default().add(&line.count);
     }
@@ -202,7 +201,7 @@
 }
 
 fn by_customer(node: &EntryNode) -> Vec<MetricPoint> {
-    let mut totals: BTreeMap<CustomerId, ServiceCount> = BTreeMap::new();
+    let mut totals: BTreeMap<CustomerId, TrafficCount> = BTreeMap::new();
     for line in node.counters.lines() {
         totals
             .entry(line.key.customer)
--- a/crates/entry/src/screen_maker.rs
+++ b/crates/entry/src/screen_maker.rs
@@ -11,7 +11,6 @@
 use oleander_peer::MemberView;
 use oleander_records::StopTarget;
 
-use crate::counters::ServiceCount;
 use crate::status::{InstanceStatus, SeenStatus};
 use crate::view::FleetView;
 
@@ -36,7 +35,7 @@
             counts
                 .entry(line.key.customer)
                 .or_default()
-                .add(&traffic(&line.count));
+                .add(&line.count);
         }
         let records = self.view.records.customers.iter();
         records
@@ -51,10 +50,7 @@
     pub(crate) fn classes(&self) -> Vec<ClassLine> {
         let mut counts: BTreeMap<ClassId, TrafficCount> = BTreeMap::new();
         for line in self.seen.iter().flat_map(|seen| &seen.status.lines) {
-            counts
-                .entry(line.key.class)
-                .or_default()
-                .add(&traffic(&line.count));
+            counts.entry(line.key.class).or_default().add(&line.count);
         }
         let mut queues: BTreeMap<ClassId, (u32, u32)> = BTreeMap::new();
         for class in self.pool_summaries().flat_map(|(_, pool)| &pool.classes) {
@@ -336,18 +332,3 @@
         StopTarget::Centre(name) => format!("data centre {name}"),
     }
 }
-
-fn traffic(count: &ServiceCount) -> TrafficCount {
-    TrafficCount {
-        accepted: count.accepted,
-        over_limit: count.over_limit,
-        shed: count.shed,
-        whole: count.whole,
-        on_time: count.on_time,
-        failed: count.failed,
-        cancelled: count.cancelled,
-        goodput: count.goodput,
-        useful_tokens: count.useful_tokens,
-        wasted_tokens: count.wasted_tokens,
-    }
-}
--- a/crates/entry/src/service_job.rs
+++ b/crates/entry/src/service_job.rs
@@ -17,7 +17,9 @@
 };
 use oleander_service::{ServiceAnswer, ServiceCall, ServiceError};
 
-use crate::counters::{ServiceCount, ServiceKey, bump};
+use oleander_operator::TrafficCount;
+
+use crate::counters::{ServiceKey, bump};
 use crate::desk::TicketOutcome;
 use crate::http_answer::HttpAnswer;
 use crate::worker::WorkerContext;
@@ -337,7 +339,7 @@
         HttpAnswer::of_error(&error)
     }
 
-    fn count(&self, change: impl FnOnce(&mut ServiceCount)) {
+    fn count(&self, change: impl FnOnce(&mut TrafficCount)) {
         let key = ServiceKey {
             customer: self.job.customer,
             class: self.job.class,
