--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -120,7 +120,7 @@
             }
         }
         // The other side sends ahead without end, so its close cannot be seen before its bytes are read.
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 
     /// Writes everything.
--- a/crates/gateway/src/log_line.rs
+++ b/crates/gateway/src/log_line.rs
@@ -145,7 +145,7 @@
             LineWeight::Failure => (&self.count.failures, FAILURE_LINES_PER_SECOND),
         };
         used.set(used.get() + 1);
-        let is_sampled = xxh3_64(attempt_id.as_bytes()) % SAMPLED_ONE_IN == 0;
+        let is_sampled = xxh3_64(attempt_id.as_bytes()).is_multiple_of(SAMPLED_ONE_IN);
         let is_admitted = used.get() <= limit || is_sampled;
         if !is_admitted {
             self.count.left_out.set(self.count.left_out.get() + 1);
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -151,10 +151,10 @@
         self.retries.add(1, &labels);
     }
 
-    pub(crate) fn store_called<E>(&self, status: Result<u16, E>) {
+    pub(crate) fn store_called(&self, status: Option<u16>) {
         let outcome = match status {
-            Ok(status) => status.to_string(),
-            Err(_) => "no-answer".to_owned(),
+            Some(status) => status.to_string(),
+            None => "no-answer".to_owned(),
         };
         self.store_calls
             .add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -384,6 +384,12 @@
             return self.after_failed_run("the backend server's answer was not its own");
         }
         self.verdict = self.verdict.join(Verdict::Ran);
+        if self.is_head_sent && !is_good {
+            // The caller is in the middle of a stream, so no other answer can be delivered.
+            let outcome = format!("the backend server did not go on and answered {status}");
+            self.note_failure(target, Verdict::Ran, &outcome, sent_at);
+            return self.after_failed_run("the stream could not go on");
+        }
         if is_good && self.job.routed.route.repeat.is_stream() {
             return self.relay_stream(answer, guard, target, sent_at).await;
         }
--- a/crates/gateway/src/store_client.rs
+++ b/crates/gateway/src/store_client.rs
@@ -88,7 +88,7 @@
             Err(_) => Err(StoreError::TimedOut),
         };
         self.meters
-            .store_called(result.as_ref().map(|done| done.status));
+            .store_called(result.as_ref().ok().map(|done| done.status));
         let done = result?;
         self.conn = done.conn;
         if (200..300).contains(&done.status) {
