Choice: one home for a shared part, and a token to read again counts more than one that waits

Two homes read each part twice in the first burst, and own unread tokens x machines took one request of ours for six, so that requests left their homes and read again elsewhere, which slowed every stream, which made more of them leave.

Change: one home; the others' backlog is estimated from reported running requests and our own mean; reading counts 2.5 times; the wait counts steeply only towards the target of the first event.

--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -102,15 +102,16 @@
         });
     }
 
-    /// Returns how many requests run or wait there, those of the other gateways included.
-    pub fn running(&self, gateways: usize, now: MonoTime) -> f64 {
+    /// Returns how many requests run or wait there, where `others` is what the other gateways are
+    /// taken to have there while no report is fresh.
+    pub fn running(&self, others: f64, now: MonoTime) -> f64 {
         let own = f64::from(self.own_running);
         match self.report {
             Some(dated) if now.since(dated.at) < REPORT_SPAN => {
                 let reported = f64::from(dated.report.running + dated.report.waiting);
                 (reported + own - f64::from(dated.own_then)).max(own)
             }
-            _ => own * gateways as f64,
+            _ => own + others,
         }
     }
 
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -1,9 +1,10 @@
 //! The choice of a backend server for one request.
 //!
-//! Every candidate gets a cost in prompt tokens: those that it would have to read for this request
-//! and those that it has still to read for others, a share for each request that runs there, and
-//! the expected loss from a late stream. The smallest cost wins. Among plain services only the
-//! running requests count.
+//! Every candidate gets a cost in prompt tokens. Reading a shared part again takes capacity from every
+//! stream of that backend server, so tokens that this request would have to read count more than
+//! those that already wait there. The wait itself counts little while the first event is still
+//! expected well within its target, and steeply beyond. The smallest cost wins. Among plain services
+//! only the running requests count.
 
 use oleander_base::prelude::*;
 
@@ -12,7 +13,16 @@
 use crate::{HomeSet, PromptPart};
 
 /// Prompt tokens that one running request is worth in the cost.
-const RUNNING_TOKENS: f64 = 449.0;
+const RUNNING_TOKENS: f64 = 300.0;
+
+/// How much more a token counts that this request has to read than one that waits already.
+const READ_WEIGHT: f64 = 2.5;
+
+/// Prompt tokens that a backend server of usual speed reads in a millisecond.
+const READ_TOKENS_PER_MS: f64 = 50.0;
+
+/// Prompt tokens that a first event right at its target is worth in the cost.
+const TARGET_TOKENS: f64 = 40_000.0;
 
 /// Prompt tokens that a stream with a pause beyond its limit is worth in the cost.
 const LATE_TOKENS: f64 = 12_000.0;
@@ -37,6 +47,8 @@
     pub parts: &'a [PromptPart],
     /// The prompt's size in tokens.
     pub prompt_tokens: u32,
+    /// The time within which the first event is on time.
+    pub first_target: Span,
     /// The longest pause between events that is still on time.
     pub pause_limit: Option<Span>,
     /// Those that this request was sent to already.
@@ -71,6 +83,7 @@
     let homes = largest_shared(input.parts)
         .map(|part| fleet.homes(input.service, part.id))
         .unwrap_or_default();
+    let crowd = Crowd::survey(fleet, input);
     let mut best: Option<Choice> = None;
     let mut candidates = 0;
     for rank in [Usability::Good, Usability::Ejected, Usability::Lapsed] {
@@ -83,7 +96,7 @@
             }
             candidates += 1;
             let unread = unread_tokens(member, key, &homes, input);
-            let cost = cost(member, unread, input) + random() * JITTER_TOKENS;
+            let cost = cost(member, unread, &crowd, input) + random() * JITTER_TOKENS;
             if best.is_none_or(|held| cost < held.cost) {
                 best = Some(Choice {
                     key,
@@ -149,9 +162,34 @@
     f64::from(input.prompt_tokens.saturating_sub(read))
 }
 
-fn cost(member: &FleetMember, unread: f64, input: &ChoiceInput<'_>) -> f64 {
+/// What this gateway's own requests say of those of the others.
+#[derive(Debug, Clone, Copy, Default)]
+struct Crowd {
+    /// Requests that another gateway has at a backend server on average.
+    running: f64,
+    /// Prompt tokens still to be read for one running request on average.
+    unread: f64,
+}
+
+impl Crowd {
+    fn survey(fleet: &FleetTable, input: &ChoiceInput<'_>) -> Self {
+        let keys = fleet.of_service(input.service);
+        let (mut running, mut unread) = (0.0, 0.0);
+        for member in keys.iter().filter_map(|key| fleet.get(*key)) {
+            running += f64::from(member.state.own_running);
+            unread += member.state.own_unread;
+        }
+        Self {
+            running: running / keys.len().max(1) as f64,
+            unread: unread / f64::max(running, 1.0),
+        }
+    }
+}
+
+fn cost(member: &FleetMember, unread: f64, crowd: &Crowd, input: &ChoiceInput<'_>) -> f64 {
     let state = &member.state;
-    let running = state.running(input.gateways, input.now);
+    let others = crowd.running * input.gateways.saturating_sub(1) as f64;
+    let running = state.running(others, input.now);
     let is_remote = &*member.entry.centre != input.centre;
     let distance = if is_remote { REMOTE_TOKENS } else { 0.0 };
     if input.parts.is_empty() {
@@ -160,10 +198,16 @@
         return share * RUNNING_TOKENS + (share - 0.7).max(0.0) * FULL_SLOTS_COST + distance;
     }
     let speed = state.latency.speed(input.service_latency);
-    let backlog = state.own_unread * input.gateways as f64;
-    let work = unread + backlog + RUNNING_TOKENS * running;
+    let own_running = f64::from(state.own_running);
+    let backlog = state.own_unread + (running - own_running).max(0.0) * crowd.unread;
+    let first_ms = (unread + backlog) / READ_TOKENS_PER_MS / speed;
+    let lateness = first_ms / input.first_target.as_millis_f64().max(1.0);
     let late = input.pause_limit.map_or(0.0, |limit| {
         state.latency.late_chance(input.service_latency, limit)
     });
-    work / speed + late * LATE_TOKENS + distance
+    (unread * READ_WEIGHT + RUNNING_TOKENS * running) / speed
+        + backlog
+        + lateness * lateness * TARGET_TOKENS
+        + late * LATE_TOKENS
+        + distance
 }
--- a/crates/balance/src/home.rs
+++ b/crates/balance/src/home.rs
@@ -11,7 +11,7 @@
 use crate::fleet_table::BackendKey;
 
 /// How many backend servers hold a part that is asked for at the usual rate.
-const USUAL_HOMES: usize = 2;
+const USUAL_HOMES: usize = 1;
 
 /// The homes of one part, the first one best.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -123,7 +123,8 @@
             centre: &settings.centre,
             parts: &query.facts.parts,
             prompt_tokens: query.facts.prompt_tokens,
-            pause_limit: query.pause_limit,
+            first_target: query.route.latency_target,
+            pause_limit: query.route.pause_limit,
             tried: query.tried,
             gateways,
             service_latency: &latency,
@@ -200,7 +201,7 @@
 pub(crate) struct ChoiceQuery<'a> {
     pub(crate) service: &'a str,
     pub(crate) facts: &'a CallFacts,
-    pub(crate) pause_limit: Option<Span>,
+    pub(crate) route: &'a RouteSpec,
     pub(crate) tried: &'a [BackendKey],
 }
 
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -215,7 +215,7 @@
         let query = ChoiceQuery {
             service: &routed.service,
             facts: &self.job.facts,
-            pause_limit: routed.route.pause_limit,
+            route: &routed.route,
             tried: &self.tried,
         };
         let choice = self.core.choose(&query).ok_or("no backend server")?;
