--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -112,6 +112,8 @@
     closes: bool,
     last_event: Option<u64>,
     events: usize,
+    first_after: Option<Span>,
+    longest_gap: Span,
     last_problem: String,
 }
 
@@ -150,6 +152,8 @@
     reason: &'a str,
     sends: u32,
     events: usize,
+    first_ms: Option<f64>,
+    longest_gap_ms: f64,
     total_ms: f64,
 }
 
@@ -186,6 +190,8 @@
             closes: !job.head.keeps_alive,
             last_event: job.facts.resume_from,
             events: 0,
+            first_after: None,
+            longest_gap: Span::ZERO,
             last_problem: String::new(),
         };
         let result = run.run().await;
@@ -610,10 +616,12 @@
             });
             if self.events == 0 {
                 let took = now.since(self.job.started);
+                self.first_after = Some(took);
                 self.core.meters.first_bytes(&self.job.routed.service, took);
             }
         }
         course.note(batch.count, now);
+        self.longest_gap = self.longest_gap.max(course.longest);
         self.events += batch.count;
         self.last_event = batch.last_id.or(self.last_event);
     }
@@ -780,6 +788,8 @@
                 reason: &self.last_problem,
                 sends: self.sends,
                 events: self.events,
+                first_ms: self.first_after.map(Span::as_millis_f64),
+                longest_gap_ms: self.longest_gap.as_millis_f64(),
                 total_ms: total.as_millis_f64(),
             },
         );
