--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -40,6 +40,7 @@
     /// Prompt tokens that the backend server has to read first.
     pub unread: f64,
     is_unread: bool,
+    is_light: bool,
 }
 
 /// The load and health of one backend server.
@@ -49,6 +50,8 @@
     pub own_running: u32,
     /// Prompt tokens of this gateway's requests that are still to be read there.
     pub own_unread: f64,
+    /// Those of them with short prompts.
+    pub own_light: u32,
     /// What its streams showed.
     pub latency: LatencyModel,
     /// The prompt parts that it has read.
@@ -63,6 +66,7 @@
         Self {
             own_running: 0,
             own_unread: 0.0,
+            own_light: 0,
             latency: LatencyModel::default(),
             parts: PartMemory::default(),
             health: BackendHealth::open(EJECT_FLOOR, EJECT_LIMIT),
@@ -71,12 +75,14 @@
     }
 
     /// Notes a send that has `unread` prompt tokens to read.
-    pub fn sent(&mut self, unread: f64) -> SendTicket {
+    pub fn sent(&mut self, unread: f64, is_light: bool) -> SendTicket {
         self.own_running += 1;
+        self.own_light += u32::from(is_light);
         self.own_unread += unread;
         SendTicket {
             unread,
             is_unread: true,
+            is_light,
         }
     }
 
@@ -91,6 +97,7 @@
     pub fn ended(&mut self, mut ticket: SendTicket) {
         self.read(&mut ticket);
         self.own_running = self.own_running.saturating_sub(1);
+        self.own_light = self.own_light.saturating_sub(u32::from(ticket.is_light));
     }
 
     /// Learns the load that an answer reported.
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -24,6 +24,18 @@
 /// Prompt tokens that a first event right at its target is worth in the cost.
 const TARGET_TOKENS: f64 = 40_000.0;
 
+/// The longest prompt, in tokens, that hardly disturbs other streams.
+const LIGHT_TOKENS: u32 = 4_096;
+
+/// Prompt tokens that each stream with a short prompt is worth that a long prompt disturbs.
+const DISTURB_TOKENS: f64 = 800.0;
+
+/// The most that such streams are worth together.
+const DISTURB_LIMIT: f64 = 15_000.0;
+
+/// Prompt tokens that a short prompt saves where long ones are not read.
+const QUIET_TOKENS: f64 = 2_500.0;
+
 /// Prompt tokens that a stream with a pause beyond its limit is worth in the cost.
 const LATE_TOKENS: f64 = 12_000.0;
 
@@ -68,6 +80,8 @@
     pub key: BackendKey,
     /// Prompt tokens that it has to read for this request.
     pub unread: f64,
+    /// Whether the prompt is a short one.
+    pub is_light: bool,
     /// The cost that won.
     pub cost: f64,
     /// How many candidates there were.
@@ -96,11 +110,13 @@
             }
             candidates += 1;
             let unread = unread_tokens(member, key, &homes, input);
-            let cost = cost(member, unread, &crowd, input) + random() * JITTER_TOKENS;
+            let is_quiet = fleet.is_quiet(key);
+            let cost = cost(member, unread, is_quiet, &crowd, input) + random() * JITTER_TOKENS;
             if best.is_none_or(|held| cost < held.cost) {
                 best = Some(Choice {
                     key,
                     unread,
+                    is_light: input.prompt_tokens <= LIGHT_TOKENS,
                     cost,
                     candidates: 0,
                 });
@@ -186,7 +202,13 @@
     }
 }
 
-fn cost(member: &FleetMember, unread: f64, crowd: &Crowd, input: &ChoiceInput<'_>) -> f64 {
+fn cost(
+    member: &FleetMember,
+    unread: f64,
+    is_quiet: bool,
+    crowd: &Crowd,
+    input: &ChoiceInput<'_>,
+) -> f64 {
     let state = &member.state;
     let others = crowd.running * input.gateways.saturating_sub(1) as f64;
     let running = state.running(others, input.now);
@@ -205,9 +227,18 @@
     let late = input.pause_limit.map_or(0.0, |limit| {
         state.latency.late_chance(input.service_latency, limit)
     });
+    let company = if input.prompt_tokens > LIGHT_TOKENS {
+        let lights = f64::from(state.own_light) * input.gateways as f64;
+        (lights * DISTURB_TOKENS).min(DISTURB_LIMIT)
+    } else if is_quiet {
+        0.0
+    } else {
+        QUIET_TOKENS
+    };
     (unread * READ_WEIGHT + RUNNING_TOKENS * running) / speed
         + backlog
         + lateness * lateness * TARGET_TOKENS
         + late * LATE_TOKENS
+        + company
         + distance
 }
