--- /dev/null
+++ b/crates/entry/tests/gateway/mod.rs
@@ -0,0 +1,372 @@
+//! A real gateway process between scripted engines and a stand-in of the users' store.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use oleander_standin::users::{ScriptedEngine, UsersStore, WireMessage, read_message};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+
+/// How long a test waits for what must come.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+/// The host of every route.
+pub const HOST: &str = "desk.example";
+/// A key of the customer `press`.
+pub const KEY: &str = "key-of-press";
+
+/// A running gateway.
+pub struct TestGateway {
+    child: Child,
+    pub frontend: SocketAddr,
+    pub readiness: SocketAddr,
+    pub control: SocketAddr,
+    pub metrics: SocketAddr,
+    settings_path: PathBuf,
+    log: Arc<Mutex<Vec<String>>>,
+    _dir: tempfile::TempDir,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    listener
+        .local_addr()
+        .expect("a bound socket has an address")
+}
+
+/// Writes the settings as the platform does.
+pub fn settings(
+    name: &str,
+    store: SocketAddr,
+    addresses: [SocketAddr; 3],
+    seeds: &[SocketAddr],
+) -> Value {
+    let [frontend, readiness, control] = addresses;
+    json!({
+        "node_name": name, "role": "gateway", "machine_class": "edge", "serves": ["edge", "control"],
+        "ip_address": "127.0.0.1", "zone": "north-a", "region": "north",
+        "zones": {"north-a": "north"},
+        "listen": {"frontend": frontend, "readiness": readiness, "control_plane": control},
+        "port_range": [7340, 7355], "seed_nodes": seeds, "bootstrap": true,
+        "limits": {"cpu_quota": 0.25, "cpu_cores": 1, "memory_mb": 110, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
+        "data_path": null, "heartbeat_ms": 1200,
+        "bounds": {"drain_ms": 2000, "grace_s": 4, "config_apply_ms": 2000, "retry_ratio": 0.2,
+            "retry_window_s": 10, "retry_burst": 50, "a_new_bound": true},
+        "platform": {"address": store, "form": "kv", "min_ttl_ms": 1000}
+    })
+}
+
+impl TestGateway {
+    /// Starts a gateway and waits until it says that it is ready.
+    pub fn start(store: &UsersStore) -> Self {
+        let gateway = Self::spawn("edge-1", store, &[]);
+        gateway.wait_ready();
+        gateway
+    }
+
+    /// Starts a gateway.
+    pub fn spawn(name: &str, store: &UsersStore, seeds: &[SocketAddr]) -> Self {
+        let addresses = [free_address(), free_address(), free_address()];
+        let metrics = free_address();
+        let dir = tempfile::tempdir().expect("a test may write a folder");
+        let settings_path = dir.path().join("local.json");
+        let text = settings(name, store.address(), addresses, seeds).to_string();
+        std::fs::write(&settings_path, text).expect("a test may write a file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_oleanderplank"))
+            .args(["gateway", "--metrics-port", &metrics.port().to_string()])
+            .env("OLEANDERPLANK_BOOT", &settings_path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let stdout = child.stdout.take().expect("standard output is piped");
+        let lines = Arc::clone(&log);
+        std::thread::spawn(move || {
+            let reader = BufReader::new(stdout);
+            for line in std::io::BufRead::lines(reader).map_while(Result::ok) {
+                lines.lock().push(line);
+            }
+        });
+        Self {
+            child,
+            frontend: addresses[0],
+            readiness: addresses[1],
+            control: addresses[2],
+            metrics,
+            settings_path,
+            log,
+            _dir: dir,
+        }
+    }
+
+    /// Waits until the gateway says that it is ready.
+    pub fn wait_ready(&self) {
+        wait_for("the gateway is ready", || {
+            fetch(self.readiness, "/readyz") == Some(200)
+        });
+    }
+
+    /// Returns whether the gateway says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        fetch(self.readiness, "/readyz") == Some(200)
+    }
+
+    /// Opens a caller's connection.
+    pub fn caller(&self) -> Caller {
+        Caller::open(self.frontend)
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: i32) {
+        let pid = i32::try_from(self.child.id()).expect("process ids are small");
+        #[allow(unsafe_code)]
+        // SAFETY: the call takes two integers, and the process is one that this test started.
+        unsafe {
+            libc::kill(pid, signal);
+        }
+    }
+
+    /// Replaces the settings file.
+    pub fn write_settings(&self, text: &str) {
+        std::fs::write(&self.settings_path, text).expect("a test may write a file");
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait_end(&mut self) {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if matches!(self.child.try_wait(), Ok(Some(_))) {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        panic!("the gateway did not end");
+    }
+
+    /// Returns the log lines of an event.
+    pub fn log(&self, event: &str) -> Vec<Value> {
+        let lines = self.log.lock();
+        lines
+            .iter()
+            .filter_map(|line| serde_json::from_str::<Value>(line).ok())
+            .filter(|line| line["event"] == event)
+            .collect()
+    }
+
+    /// Waits for a log line of an event that `matches`.
+    pub fn wait_log(&self, event: &str, matches: impl Fn(&Value) -> bool) -> Value {
+        let mut found = None;
+        wait_for(event, || {
+            found = self.log(event).into_iter().find(|line| matches(line));
+            found.is_some()
+        });
+        found.expect("the wait ends with a line")
+    }
+
+    /// Reads a page of the metrics address.
+    pub fn page(&self, path: &str) -> String {
+        let mut caller = Caller::open(self.metrics);
+        caller.send(&format!("GET {path} HTTP/1.1\r\nHost: m\r\n\r\n"));
+        caller.read().expect("a page").text()
+    }
+}
+
+impl Drop for TestGateway {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Waits until something holds.
+pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while Instant::now() < until {
+        if holds() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    panic!("not in time: {what}");
+}
+
+fn fetch(address: SocketAddr, path: &str) -> Option<u16> {
+    let stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+    let mut caller = Caller {
+        reader: BufReader::new(stream),
+    };
+    caller.send(&format!("GET {path} HTTP/1.1\r\nHost: m\r\n\r\n"));
+    caller.read().map(|answer| answer.status())
+}
+
+/// A caller's connection.
+pub struct Caller {
+    reader: BufReader<TcpStream>,
+}
+
+impl Caller {
+    pub fn open(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).expect("the gateway listens");
+        stream
+            .set_read_timeout(Some(PATIENCE))
+            .expect("a socket takes a timeout");
+        Self {
+            reader: BufReader::new(stream),
+        }
+    }
+
+    pub fn send(&mut self, text: &str) {
+        // The other side may close first; the read then tells.
+        let _ = self.reader.get_mut().write_all(text.as_bytes());
+    }
+
+    pub fn read(&mut self) -> Option<WireMessage> {
+        read_message(&mut self.reader).ok().flatten()
+    }
+
+    /// Reads what is left until the connection ends.
+    pub fn read_rest(&mut self) -> Vec<u8> {
+        let mut rest = Vec::new();
+        // A reset ends the connection as a close does.
+        let _ = self.reader.read_to_end(&mut rest);
+        rest
+    }
+
+    /// Reads until the bytes seen so far contain a text.
+    pub fn read_until(&mut self, text: &str) -> String {
+        let mut seen = Vec::new();
+        let mut byte = [0];
+        while !String::from_utf8_lossy(&seen).contains(text) {
+            match self.reader.read(&mut byte) {
+                Ok(1) => seen.push(byte[0]),
+                _ => break,
+            }
+        }
+        String::from_utf8_lossy(&seen).into_owned()
+    }
+
+    /// Sends a call and reads its answer.
+    pub fn call(&mut self, call: &Call<'_>) -> WireMessage {
+        self.send(&call.text());
+        self.read().expect("an answer")
+    }
+}
+
+/// A call of a caller.
+#[derive(Debug, Clone)]
+pub struct Call<'a> {
+    pub method: &'a str,
+    pub path: &'a str,
+    pub id: &'a str,
+    pub time_ms: u64,
+    pub headers: &'a str,
+    pub body: &'a str,
+}
+
+impl<'a> Call<'a> {
+    /// A call that may run once.
+    pub fn publish(id: &'a str) -> Self {
+        Self {
+            method: "POST",
+            path: "/publish/x",
+            id,
+            time_ms: 1_500,
+            headers: "",
+            body: "a notice",
+        }
+    }
+
+    /// A call that may be repeated.
+    pub fn lookup(id: &'a str) -> Self {
+        Self {
+            method: "GET",
+            path: "/lookup/x",
+            body: "",
+            ..Self::publish(id)
+        }
+    }
+
+    /// A stream that may go on elsewhere.
+    pub fn stream(id: &'a str) -> Self {
+        Self {
+            path: "/digest/x",
+            time_ms: 8_000,
+            headers: "Model: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: 5c1e07a2:1000,91bd3f06:460\r\n",
+            ..Self::publish(id)
+        }
+    }
+
+    pub fn text(&self) -> String {
+        let Self {
+            method,
+            path,
+            id,
+            time_ms,
+            headers,
+            body,
+        } = self;
+        let length = match *method {
+            "GET" => String::new(),
+            _ => format!("Content-Length: {}\r\n", body.len()),
+        };
+        format!(
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {time_ms}\r\nAuthorization: Bearer {KEY}\r\n{headers}{length}\r\n{body}"
+        )
+    }
+}
+
+/// Writes the manifest that every test starts with.
+pub fn manifest(version: u64) -> Value {
+    let route = |name: &str,
+                 kind: &str,
+                 service: &str,
+                 target: u64,
+                 attempts: u32,
+                 resume: bool| {
+        json!({
+            "name": name, "hostname": HOST, "path_prefix": format!("/{name}/"), "route_type": kind,
+            "timeout_ms": 6000, "latency_target_ms": target, "priority": 1, "backend": service,
+            "max_attempts": attempts, "anonymous": false, "session_affinity": kind == "streaming",
+            "stream_resume": resume, "inter_token_ms": 200
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("publish", "non_idempotent", "desk", 100, 1, false),
+            route("lookup", "idempotent", "desk", 100, 2, false),
+            route("digest", "streaming", "engines", 1200, 2, true),
+            route("draft", "streaming", "engines", 1200, 1, false),
+        ],
+        "backends": [
+            {"name": "desk", "health_path": "/healthz", "max_connections": 96},
+            {"name": "engines", "health_path": "/healthz", "max_connections": 600}
+        ],
+        "limits": {"max_header_bytes": 4096, "max_body_bytes": 100_000, "header_timeout_ms": 600, "idle_timeout_ms": 5000},
+        "tenants": [{"name": "press", "api_keys": [KEY], "priority": 3}]
+    })
+}
+
+/// Announces an engine in the registry.
+pub fn announce(store: &UsersStore, id: &str, service: &str, engine: &ScriptedEngine, phase: &str) {
+    let entry = json!({
+        "backend": service, "address": engine.address(), "zone": "north-a", "version": "v1",
+        "max_concurrency": 8, "phase": phase, "warmup_left_ms": 0, "seq": 1, "born": 1
+    });
+    store.put(&format!("servers/{id}"), entry.to_string());
+}
+
+/// A store with the manifest in force.
+pub fn store_with_manifest() -> UsersStore {
+    let store = UsersStore::spawn();
+    store.put("op/config", manifest(1).to_string());
+    store
+}
--- /dev/null
+++ b/crates/entry/tests/gateway_fleet.rs
@@ -0,0 +1,247 @@
+//! What a gateway believes: registry, manifest, other gateways, and the store's failures.
+
+mod gateway;
+
+use std::time::{Duration, Instant};
+
+use gateway::{Call, TestGateway, announce, manifest, store_with_manifest, wait_for};
+use oleander_standin::users::{EngineReply, ScriptedEngine, StoreMode, UsersStore};
+
+fn desk(store: &UsersStore, id: &str) -> ScriptedEngine {
+    let engine = ScriptedEngine::spawn(|request| EngineReply::Bytes(request.answer("done")));
+    announce(store, id, "desk", &engine, "available");
+    engine
+}
+
+fn status(gateway: &TestGateway, id: &str) -> u16 {
+    gateway.caller().call(&Call::publish(id)).status()
+}
+
+#[test]
+fn a_gateway_is_ready_only_once_it_can_serve() {
+    let store = UsersStore::spawn();
+    let gateway = TestGateway::spawn("edge-1", &store, &[]);
+    wait_for("it listens", || {
+        std::net::TcpStream::connect(gateway.frontend).is_ok()
+    });
+    assert!(!gateway.is_ready());
+    let answer = gateway.caller().call(&Call::publish("a1"));
+    assert_eq!(answer.status(), 503, "not 404 before a manifest is known");
+    store.put("op/config", manifest(1).to_string());
+    let _engine = desk(&store, "i-1");
+    gateway.wait_ready();
+    assert_eq!(status(&gateway, "a2"), 200);
+}
+
+#[test]
+fn an_engine_that_drains_or_is_gone_gets_nothing_more() {
+    let store = store_with_manifest();
+    let first = desk(&store, "i-1");
+    let second = desk(&store, "i-2");
+    let gateway = TestGateway::start(&store);
+    announce(&store, "i-1", "desk", &first, "draining");
+    gateway.wait_log("belief", |line| line["change"] == "backend-draining");
+    let before = first.seen().len();
+    for id in ["a1", "a2", "a3"] {
+        assert_eq!(status(&gateway, id), 200);
+    }
+    assert_eq!(first.seen().len(), before);
+    store.delete("servers/i-2");
+    gateway.wait_log("belief", |line| line["change"] == "backend-gone");
+    assert_eq!(status(&gateway, "a4"), 503);
+    assert_eq!(second.seen().len(), 3);
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_names_nobody_and_the_others_hold() {
+    let store = store_with_manifest();
+    let _engine = desk(&store, "i-1");
+    store.put("servers/i-2", "\u{0}not json");
+    store.put("servers/i-3", r#"{"backend":"desk","address":"127.0.0.1:1","zone":"north-a","max_concurrency":8,"phase":"dreaming"}"#);
+    store.put("servers/i-4", r#"{"backend":"desk","address":7,"zone":"north-a","max_concurrency":8,"phase":"available"}"#);
+    let gateway = TestGateway::start(&store);
+    assert_eq!(status(&gateway, "a1"), 200);
+    assert_eq!(
+        gateway
+            .log("belief")
+            .iter()
+            .filter(|line| line["change"] == "backend-ignored")
+            .count(),
+        3
+    );
+}
+
+#[test]
+fn a_manifest_is_in_force_soon_and_never_an_older_one() {
+    let store = store_with_manifest();
+    let _engine = desk(&store, "i-1");
+    let gateway = TestGateway::start(&store);
+    let mut newer = manifest(9);
+    newer["routes"].as_array_mut().unwrap().remove(0);
+    store.put("op/config", newer.to_string());
+    let written = Instant::now();
+    wait_for("the route is gone", || status(&gateway, "a1") == 404);
+    assert!(written.elapsed() < Duration::from_millis(2_000));
+    store.put("op/config", manifest(3).to_string());
+    store.put("op/config", "{}");
+    gateway.wait_log("belief", |line| {
+        line["reason"]
+            .as_str()
+            .is_some_and(|why| why.contains("older"))
+    });
+    std::thread::sleep(Duration::from_millis(700));
+    assert_eq!(status(&gateway, "a2"), 404);
+}
+
+#[test]
+fn history_that_is_gone_is_read_again() {
+    let store = store_with_manifest();
+    let first = desk(&store, "i-1");
+    let gateway = TestGateway::start(&store);
+    store.set_mode(StoreMode::Closing);
+    std::thread::sleep(Duration::from_millis(300));
+    store.delete("servers/i-1");
+    let _second = desk(&store, "i-2");
+    store.compact();
+    store.set_mode(StoreMode::Serving);
+    gateway.wait_log("belief", |line| {
+        line["change"] == "backend-joined" && line["backend"] == "i-2"
+    });
+    gateway.wait_log("store-history-gone", |_| true);
+    let before = first.seen().len();
+    assert_eq!(status(&gateway, "a1"), 200);
+    assert_eq!(
+        first.seen().len(),
+        before,
+        "an engine that may be gone is the last choice"
+    );
+}
+
+#[test]
+fn a_gateway_serves_on_while_the_store_is_away() {
+    let store = store_with_manifest();
+    let _engine = desk(&store, "i-1");
+    let gateway = TestGateway::start(&store);
+    for mode in [StoreMode::Busy, StoreMode::Silent, StoreMode::Closing] {
+        store.set_mode(mode);
+        std::thread::sleep(Duration::from_millis(2_000));
+        let started = Instant::now();
+        assert_eq!(status(&gateway, "a1"), 200, "{mode:?}");
+        assert!(started.elapsed() < Duration::from_millis(300), "{mode:?}");
+        assert!(gateway.is_ready(), "{mode:?}");
+    }
+    store.set_mode(StoreMode::Serving);
+    gateway.wait_log("store-regained", |_| true);
+}
+
+#[test]
+fn a_gateway_that_the_store_turns_away_learns_from_another_one() {
+    let store = store_with_manifest();
+    let _engine = desk(&store, "i-1");
+    let first = TestGateway::spawn("edge-1", &store, &[]);
+    first.wait_ready();
+    // The second one talks to a store that never answers, and knows the first as a seed.
+    let deaf = UsersStore::spawn();
+    deaf.set_mode(StoreMode::Busy);
+    let second = TestGateway::spawn("edge-2", &deaf, &[first.control]);
+    second.wait_ready();
+    assert_eq!(status(&second, "a1"), 200);
+    let mut newer = manifest(2);
+    newer["routes"].as_array_mut().unwrap().remove(0);
+    store.put("op/config", newer.to_string());
+    let written = Instant::now();
+    wait_for("the route is gone", || status(&second, "a2") == 404);
+    assert!(
+        written.elapsed() < Duration::from_millis(2_500),
+        "{:?}",
+        written.elapsed()
+    );
+}
+
+#[test]
+fn gateways_announce_themselves_under_a_lease_and_take_it_back() {
+    let store = store_with_manifest();
+    let _engine = desk(&store, "i-1");
+    let mut gateway = TestGateway::start(&store);
+    wait_for("it is announced", || {
+        store.keys("gateways/") == ["gateways/edge-1"]
+    });
+    gateway.signal(libc::SIGTERM);
+    gateway.wait_end();
+    wait_for("the announcement is gone", || {
+        store.keys("gateways/").is_empty()
+    });
+}
+
+#[test]
+fn a_stopping_gateway_serves_what_comes_and_then_ends() {
+    let store = store_with_manifest();
+    let _desk = desk(&store, "i-1");
+    let mut gateway = TestGateway::start(&store);
+    let mut kept = gateway.caller();
+    assert_eq!(kept.call(&Call::publish("a1")).header("connection"), None);
+    gateway.signal(libc::SIGTERM);
+    wait_for("it is not ready any more", || !gateway.is_ready());
+    let answer = kept.call(&Call::publish("a2"));
+    assert_eq!(
+        (answer.status(), answer.header("connection")),
+        (200, Some("close"))
+    );
+    assert_eq!(
+        status(&gateway, "a3"),
+        200,
+        "new connections are served while the balancer still sends them"
+    );
+    gateway.wait_end();
+}
+
+#[test]
+fn settings_are_read_again_and_bad_ones_leave_the_last_in_force() {
+    let store = store_with_manifest();
+    let _engine = desk(&store, "i-1");
+    let gateway = TestGateway::start(&store);
+    gateway.write_settings("{");
+    gateway.signal(libc::SIGHUP);
+    gateway.wait_log("reload", |line| {
+        line["outcome"]
+            .as_str()
+            .is_some_and(|text| text.contains("stay in force"))
+    });
+    assert_eq!(status(&gateway, "a1"), 200);
+}
+
+#[test]
+fn a_settings_file_with_a_wrong_field_is_named_and_ends_with_its_own_code() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("local.json");
+    std::fs::write(&path, r#"{"node_name": 7}"#).unwrap();
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_oleanderplank"))
+        .arg("gateway")
+        .env("OLEANDERPLANK_BOOT", &path)
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        text.contains("local.json") && text.contains("line 1"),
+        "{text}"
+    );
+}
+
+#[test]
+fn metrics_and_the_dump_tell_what_happened() {
+    let store = store_with_manifest();
+    let _engine = desk(&store, "i-1");
+    let gateway = TestGateway::start(&store);
+    assert_eq!(status(&gateway, "a1"), 200);
+    let metrics = gateway.page("/metrics");
+    for name in [
+        "gateway_requests",
+        "gateway_attempts",
+        "gateway_total_time_seconds_bucket",
+        "gateway_store_calls",
+    ] {
+        assert!(metrics.contains(name), "{name}\n{metrics}");
+    }
+    assert!(gateway.page("/dump").contains("i-1"));
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -26,6 +26,7 @@
 mod proxy;
 mod proxy_udp;
 mod service;
+pub mod users;
 
 pub use answer::{AnswerCheck, AnswerPlan, AnswerTag, AnswerWriter, answer_hint, token_text};
 pub use batch::{BatchSequence, BatchSpeed, EngineBatch, SequenceId, StepToken};
--- /dev/null
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -0,0 +1,178 @@
+//! An engine whose answers a test writes byte by byte.
+
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+
+use parking_lot::Mutex;
+
+use super::wire_reader::{WireMessage, read_message};
+
+/// A request as the engine saw it.
+#[derive(Debug, Clone)]
+pub struct SeenRequest {
+    /// The request.
+    pub message: WireMessage,
+    /// Which request of its connection it was, from 0.
+    pub nth_on_connection: usize,
+    /// Which request of the engine it was, from 0.
+    pub nth: usize,
+}
+
+impl SeenRequest {
+    /// Returns a whole answer with the engine's proof.
+    pub fn answer(&self, body: &str) -> Vec<u8> {
+        let id = self.message.header("attempt-id").unwrap_or("");
+        format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: proof-{id}\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+        .into_bytes()
+    }
+
+    /// Returns the head of a stream in chunks.
+    pub fn stream_head(&self) -> Vec<u8> {
+        let id = self.message.header("attempt-id").unwrap_or("");
+        format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: proof-{id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        .into_bytes()
+    }
+
+    /// Returns one event as a chunk.
+    pub fn event(id: u64) -> Vec<u8> {
+        let event = format!("id: {id}\ndata: piece {id}\n\n");
+        format!("{:x}\r\n{event}\r\n", event.len()).into_bytes()
+    }
+}
+
+/// What the engine does with a request.
+#[derive(Debug, Clone)]
+pub enum EngineReply {
+    /// Writes the bytes and keeps the connection.
+    Bytes(Vec<u8>),
+    /// Writes the bytes and closes the connection.
+    BytesThenClose(Vec<u8>),
+    /// Writes the bytes and resets the connection.
+    BytesThenReset(Vec<u8>),
+    /// Writes the bytes and then nothing more, with the connection open.
+    BytesThenSilence(Vec<u8>),
+}
+
+type Script = dyn Fn(&SeenRequest) -> EngineReply + Send + Sync;
+
+/// A running engine.
+pub struct ScriptedEngine {
+    address: SocketAddr,
+    seen: Arc<Mutex<Vec<SeenRequest>>>,
+    closed_early: Arc<Mutex<usize>>,
+}
+
+impl std::fmt::Debug for ScriptedEngine {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ScriptedEngine")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl ScriptedEngine {
+    /// Binds an engine on loopback; it serves until the process ends.
+    pub fn spawn(script: impl Fn(&SeenRequest) -> EngineReply + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+        let address = listener
+            .local_addr()
+            .expect("a bound socket has an address");
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let closed_early = Arc::new(Mutex::new(0));
+        let script: Arc<Script> = Arc::new(script);
+        let shared = (Arc::clone(&seen), Arc::clone(&closed_early));
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (seen, closed) = (Arc::clone(&shared.0), Arc::clone(&shared.1));
+                let script = Arc::clone(&script);
+                thread::spawn(move || serve(&stream, &*script, &seen, &closed));
+            }
+        });
+        Self {
+            address,
+            seen,
+            closed_early,
+        }
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what it saw, in order.
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        self.seen.lock().clone()
+    }
+
+    /// Returns how many connections the other side closed while the engine was silent.
+    pub fn closed_early(&self) -> usize {
+        *self.closed_early.lock()
+    }
+}
+
+fn serve(
+    stream: &TcpStream,
+    script: &Script,
+    seen: &Mutex<Vec<SeenRequest>>,
+    closed_early: &Mutex<usize>,
+) {
+    let mut reader = BufReader::new(stream);
+    let mut nth_on_connection = 0;
+    while let Ok(Some(message)) = read_message(&mut reader) {
+        let request = {
+            let mut seen = seen.lock();
+            let request = SeenRequest {
+                message,
+                nth_on_connection,
+                nth: seen.len(),
+            };
+            seen.push(request.clone());
+            request
+        };
+        nth_on_connection += 1;
+        match script(&request) {
+            EngineReply::Bytes(bytes) => {
+                if write(stream, &bytes).is_err() {
+                    return;
+                }
+            }
+            EngineReply::BytesThenClose(bytes) => {
+                // The other side may have gone first; the connection ends either way.
+                let _ = write(stream, &bytes);
+                let _ = stream.shutdown(Shutdown::Both);
+                return;
+            }
+            EngineReply::BytesThenReset(bytes) => {
+                let _ = write(stream, &bytes);
+                reset(stream);
+                return;
+            }
+            EngineReply::BytesThenSilence(bytes) => {
+                let _ = write(stream, &bytes);
+                let _ = read_message(&mut reader);
+                *closed_early.lock() += 1;
+                return;
+            }
+        }
+    }
+}
+
+fn write(mut stream: &TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+    stream.write_all(bytes)?;
+    stream.flush()
+}
+
+fn reset(stream: &TcpStream) {
+    // Bytes that were written get a moment to arrive, since a reset may overtake them.
+    thread::sleep(std::time::Duration::from_millis(30));
+    let socket = socket2::SockRef::from(stream);
+    let _ = socket.set_linger(Some(std::time::Duration::ZERO));
+}
--- /dev/null
+++ b/crates/standin/src/users/users_store.rs
@@ -0,0 +1,407 @@
+//! The users' store: keys with revisions, leases, history, and watches.
+
+use std::collections::BTreeMap;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use parking_lot::{Condvar, Mutex};
+use serde_json::{Value, json};
+
+use super::wire_reader::{WireMessage, read_message};
+
+/// How the store answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreMode {
+    /// As it should.
+    Serving,
+    /// With 503.
+    Busy,
+    /// Not at all; calls are held.
+    Silent,
+    /// By closing each connection.
+    Closing,
+}
+
+#[derive(Debug, Clone)]
+struct Item {
+    data: Vec<u8>,
+    revision: u64,
+    created: u64,
+    lease: u64,
+}
+
+#[derive(Debug)]
+struct Event {
+    key: String,
+    revision: u64,
+    item: Option<Item>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl: Duration,
+    ends: Instant,
+}
+
+#[derive(Debug)]
+struct State {
+    mode: StoreMode,
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    events: Vec<Event>,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
+    leases: BTreeMap<u64, Lease>,
+    next_lease: u64,
+    calls: usize,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// A running store.
+#[derive(Debug, Clone)]
+pub struct UsersStore {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+struct Reply {
+    status: u16,
+    body: Value,
+}
+
+impl Reply {
+    fn ok(body: Value) -> Self {
+        Self { status: 200, body }
+    }
+
+    fn empty(status: u16) -> Self {
+        Self {
+            status,
+            body: json!({}),
+        }
+    }
+}
+
+impl UsersStore {
+    /// Binds a store on loopback; it serves until the process ends.
+    pub fn spawn() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+        let address = listener
+            .local_addr()
+            .expect("a bound socket has an address");
+        let shared = Arc::new(Shared {
+            state: Mutex::new(State {
+                mode: StoreMode::Serving,
+                revision: 1,
+                items: BTreeMap::new(),
+                events: Vec::new(),
+                forgotten: 0,
+                leases: BTreeMap::new(),
+                next_lease: 1,
+                calls: 0,
+            }),
+            changed: Condvar::new(),
+        });
+        let serving = Arc::clone(&shared);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = Arc::clone(&serving);
+                thread::spawn(move || serve(&stream, &shared));
+            }
+        });
+        Self { address, shared }
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how it answers.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.shared.state.lock().mode = mode;
+        self.shared.changed.notify_all();
+    }
+
+    /// Writes a key as the operator or an engine does.
+    pub fn put(&self, key: &str, data: impl Into<Vec<u8>>) -> u64 {
+        let mut state = self.shared.state.lock();
+        let revision = state.put(key, data.into(), 0);
+        self.shared.changed.notify_all();
+        revision
+    }
+
+    /// Deletes a key.
+    pub fn delete(&self, key: &str) {
+        self.shared.state.lock().delete(key);
+        self.shared.changed.notify_all();
+    }
+
+    /// Forgets the history, so that watches have to read again.
+    pub fn compact(&self) {
+        let mut state = self.shared.state.lock();
+        state.forgotten = state.revision;
+        state.events.clear();
+        self.shared.changed.notify_all();
+    }
+
+    /// Returns the keys with a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.shared.state.lock();
+        let keys = state.items.keys();
+        keys.filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns how many calls came.
+    pub fn calls(&self) -> usize {
+        self.shared.state.lock().calls
+    }
+}
+
+impl State {
+    fn put(&mut self, key: &str, data: Vec<u8>, lease: u64) -> u64 {
+        self.revision += 1;
+        let created = self.items.get(key).map_or(self.revision, |old| old.created);
+        let item = Item {
+            data,
+            revision: self.revision,
+            created,
+            lease,
+        };
+        self.items.insert(key.to_owned(), item.clone());
+        self.events.push(Event {
+            key: key.to_owned(),
+            revision: self.revision,
+            item: Some(item),
+        });
+        self.revision
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.items.remove(key).is_none() {
+            return;
+        }
+        self.revision += 1;
+        self.events.push(Event {
+            key: key.to_owned(),
+            revision: self.revision,
+            item: None,
+        });
+    }
+
+    fn end_leases(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.ends <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            self.end_lease(id);
+        }
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == id)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.delete(&key);
+        }
+    }
+}
+
+fn serve(mut stream: &TcpStream, shared: &Shared) {
+    let mut reader = BufReader::new(stream);
+    while let Ok(Some(request)) = read_message(&mut reader) {
+        let mode = {
+            let mut state = shared.state.lock();
+            state.calls += 1;
+            state.end_leases();
+            state.mode
+        };
+        let reply = match mode {
+            StoreMode::Serving => answer(&request, shared),
+            StoreMode::Busy => Reply::empty(503),
+            StoreMode::Closing => return,
+            StoreMode::Silent => {
+                let mut state = shared.state.lock();
+                while state.mode == StoreMode::Silent {
+                    shared.changed.wait(&mut state);
+                }
+                return;
+            }
+        };
+        let body = reply.body.to_string();
+        let text = format!(
+            "HTTP/1.1 {} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+            reply.status,
+            body.len()
+        );
+        if stream.write_all(text.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+fn answer(request: &WireMessage, shared: &Shared) -> Reply {
+    let mut words = request.start.split(' ');
+    let (method, target) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    let last = path.rsplit('/').next().unwrap_or("");
+    match (method, path) {
+        ("GET", "/kv-range") => range(query, shared),
+        ("GET", "/kv-watch") => watch(query, shared),
+        ("POST", "/kv-txn") => change(&request.body, shared),
+        ("POST", "/kv-lease") => grant(&request.body, shared),
+        ("POST", path) if path.starts_with("/kv-keep/") => renew(last, shared),
+        ("DELETE", path) if path.starts_with("/kv-lease-end/") => {
+            let mut state = shared.state.lock();
+            state.end_lease(last.parse().unwrap_or(0));
+            shared.changed.notify_all();
+            Reply::empty(200)
+        }
+        _ => Reply::empty(404),
+    }
+}
+
+fn query_value(query: &str, name: &str) -> String {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(known, _)| *known == name)
+        .map_or_else(String::new, |(_, value)| value.replace("%2F", "/"))
+}
+
+fn item_json(key: &str, item: &Item) -> Value {
+    json!({
+        "key": key,
+        "data": STANDARD.encode(&item.data),
+        "revision": item.revision,
+        "created": item.created,
+        "lease_id": item.lease,
+    })
+}
+
+/// The most items of one page; small, so that tests meet several pages.
+const PAGE_ITEMS: usize = 5;
+
+fn range(query: &str, shared: &Shared) -> Reply {
+    let (prefix, after) = (
+        query_value(query, "path_prefix"),
+        query_value(query, "after"),
+    );
+    let state = shared.state.lock();
+    let mut found = state
+        .items
+        .iter()
+        .filter(|(key, _)| key.starts_with(&prefix) && **key > after);
+    let entries: Vec<Value> = found
+        .by_ref()
+        .take(PAGE_ITEMS)
+        .map(|(key, item)| item_json(key, item))
+        .collect();
+    let has_more = found.next().is_some();
+    Reply::ok(json!({"entries": entries, "has_more": has_more, "at": state.revision}))
+}
+
+fn watch(query: &str, shared: &Shared) -> Reply {
+    let prefix = query_value(query, "path_prefix");
+    let after: u64 = query_value(query, "after").parse().unwrap_or(0);
+    let wait: u64 = query_value(query, "wait_ms").parse().unwrap_or(0);
+    let until = Instant::now() + Duration::from_millis(wait);
+    let mut state = shared.state.lock();
+    loop {
+        state.end_leases();
+        if after < state.forgotten {
+            return Reply::empty(410);
+        }
+        let events: Vec<Value> = state
+            .events
+            .iter()
+            .filter(|event| event.revision > after && event.key.starts_with(&prefix))
+            .map(event_json)
+            .collect();
+        if !events.is_empty() || Instant::now() >= until || state.mode != StoreMode::Serving {
+            return Reply::ok(json!({"events": events, "at": state.revision}));
+        }
+        shared.changed.wait_until(&mut state, until);
+    }
+}
+
+fn event_json(event: &Event) -> Value {
+    match &event.item {
+        Some(item) => item_json(&event.key, item),
+        None => json!({"key": event.key, "revision": event.revision, "deleted": true}),
+    }
+}
+
+fn grant(body: &[u8], shared: &Shared) -> Reply {
+    let asked: Value = serde_json::from_slice(body).unwrap_or_default();
+    let ttl_ms = asked["ttl_ms"].as_u64().unwrap_or(1_000);
+    let mut state = shared.state.lock();
+    let id = state.next_lease;
+    state.next_lease += 1;
+    let ttl = Duration::from_millis(ttl_ms);
+    let ends = Instant::now() + ttl;
+    state.leases.insert(id, Lease { ttl, ends });
+    Reply::ok(json!({"lease_id": id, "ttl_ms": ttl_ms}))
+}
+
+fn renew(id: &str, shared: &Shared) -> Reply {
+    let mut state = shared.state.lock();
+    let id: u64 = id.parse().unwrap_or(0);
+    match state.leases.get_mut(&id) {
+        Some(lease) => {
+            lease.ends = Instant::now() + lease.ttl;
+            Reply::ok(json!({"ttl_ms": lease.ttl.as_millis() as u64}))
+        }
+        None => Reply::empty(404),
+    }
+}
+
+fn change(body: &[u8], shared: &Shared) -> Reply {
+    let asked: Value = serde_json::from_slice(body).unwrap_or_default();
+    let mut state = shared.state.lock();
+    let rows = asked["precondition"]
+        .as_array()
+        .cloned()
+        .unwrap_or_default();
+    let holds = rows.iter().all(|row| {
+        let key = row["key"].as_str().unwrap_or("");
+        let known = state.items.get(key).map_or(0, |item| item.revision);
+        row["revision"].as_u64() == Some(known)
+    });
+    if !holds {
+        return Reply::empty(412);
+    }
+    for write in asked["write"].as_array().cloned().unwrap_or_default() {
+        let data = STANDARD.decode(write["data"].as_str().unwrap_or(""));
+        let lease = write["lease_id"].as_u64().unwrap_or(0);
+        if lease != 0 && !state.leases.contains_key(&lease) {
+            return Reply::empty(404);
+        }
+        let key = write["key"].as_str().unwrap_or("").to_owned();
+        state.put(&key, data.unwrap_or_default(), lease);
+    }
+    let revision = state.revision;
+    shared.changed.notify_all();
+    Reply::ok(json!({"revision": revision}))
+}
