--- /dev/null
+++ b/crates/balance/tests/choice.rs
@@ -0,0 +1,285 @@
+//! The choice of a backend server under named load patterns.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use oleander_balance::{
+    BackendEntry, BackendKey, BackendPhase, Choice, ChoiceInput, FleetTable, LatencyModel,
+    LoadReport, PartId, PromptPart, StreamSample, choose_backend,
+};
+use oleander_base::prelude::*;
+use proptest::prelude::*;
+
+const MODEL: &str = "model";
+const DESK: &str = "desk";
+
+fn entry(id: &str, service: &str, slots: u32) -> BackendEntry {
+    BackendEntry {
+        id: Arc::from(id),
+        started_ms: 1,
+        service: Arc::from(service),
+        address: SocketAddr::from(([10, 0, 0, 1], 8_080)),
+        centre: Arc::from("north"),
+        slots,
+        phase: BackendPhase::Serving,
+    }
+}
+
+fn fleet(service: &str, count: usize) -> FleetTable {
+    let mut fleet = FleetTable::default();
+    for index in 0..count {
+        fleet.upsert(entry(&format!("i-{index}"), service, 6));
+    }
+    fleet
+}
+
+fn document(id: u64) -> [PromptPart; 2] {
+    [
+        PromptPart {
+            id: PartId(id),
+            tokens: 13_300,
+        },
+        PromptPart {
+            id: PartId(id ^ 0xffff),
+            tokens: 3_720,
+        },
+    ]
+}
+
+fn input<'a>(
+    service: &'a str,
+    parts: &'a [PromptPart],
+    latency: &'a LatencyModel,
+) -> ChoiceInput<'a> {
+    ChoiceInput {
+        service,
+        centre: "north",
+        parts,
+        prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
+        first_target: Span::from_millis(2_000),
+        pause_limit: Some(Span::from_millis(600)),
+        tried: &[],
+        gateways: 6,
+        service_latency: latency,
+        now: MonoTime(1_000_000),
+    }
+}
+
+fn choose(fleet: &mut FleetTable, input: &ChoiceInput<'_>) -> Choice {
+    choose_backend(fleet, input, || 0.5).expect("somebody is open")
+}
+
+#[test]
+fn gateways_that_never_spoke_send_a_document_to_the_same_engine() {
+    let latency = LatencyModel::default();
+    let mut one = fleet(MODEL, 18);
+    let mut other = FleetTable::default();
+    for index in (0..18).rev() {
+        other.upsert(entry(&format!("i-{index}"), MODEL, 6));
+    }
+    for id in 0..50 {
+        let parts = document(id * 7_919);
+        let input = input(MODEL, &parts, &latency);
+        let first = choose(&mut one, &input).key;
+        let second = choose(&mut other, &input).key;
+        let name = |fleet: &FleetTable, key| Arc::clone(&fleet.get(key).unwrap().entry.id);
+        assert_eq!(name(&one, first), name(&other, second));
+    }
+}
+
+#[test]
+fn documents_spread_over_all_engines() {
+    let latency = LatencyModel::default();
+    let mut fleet = fleet(MODEL, 18);
+    let mut used = std::collections::BTreeSet::new();
+    for id in 0..300 {
+        let parts = document(id * 7_919);
+        used.insert(choose(&mut fleet, &input(MODEL, &parts, &latency)).key);
+    }
+    assert_eq!(used.len(), 18);
+}
+
+/// The pattern: a burst of long prompts, twice the usual, that share documents. A home with a
+/// moderate backlog keeps its documents, because reading them elsewhere slows every stream there.
+#[test]
+fn in_a_burst_of_long_prompts_a_document_stays_at_its_busy_home() {
+    let latency = LatencyModel::default();
+    let mut fleet = fleet(MODEL, 18);
+    let parts = document(42);
+    let home = choose(&mut fleet, &input(MODEL, &parts, &latency)).key;
+    for _ in 0..4 {
+        fleet.get_mut(home).unwrap().state.sent(4_000.0, false);
+    }
+    assert_eq!(
+        choose(&mut fleet, &input(MODEL, &parts, &latency)).key,
+        home
+    );
+}
+
+/// The pattern: one document gets much of the traffic. Its home is left before the first event
+/// would be late.
+#[test]
+fn one_hot_document_leaves_its_home_before_the_target() {
+    let latency = LatencyModel::default();
+    let mut fleet = fleet(MODEL, 18);
+    let parts = document(42);
+    let home = choose(&mut fleet, &input(MODEL, &parts, &latency)).key;
+    for _ in 0..25 {
+        fleet.get_mut(home).unwrap().state.sent(5_000.0, false);
+    }
+    assert_ne!(
+        choose(&mut fleet, &input(MODEL, &parts, &latency)).key,
+        home
+    );
+}
+
+/// The pattern: engines bought over years, some at half the speed. Streams with short pauses keep
+/// away from those that showed long ones.
+#[test]
+fn streams_with_short_pauses_avoid_slow_engines() {
+    let mut fleet = fleet(MODEL, 6);
+    let mut latency = LatencyModel::default();
+    let slow: Vec<BackendKey> = fleet.of_service(MODEL)[..3].to_vec();
+    let keys = fleet.of_service(MODEL).to_vec();
+    for key in &keys {
+        let gap = if slow.contains(key) { 260 } else { 80 };
+        let sample = StreamSample {
+            mean_gap: Span::from_millis(gap / 3),
+            longest_gap: Span::from_millis(gap),
+        };
+        for _ in 0..8 {
+            latency.observe(&sample);
+            fleet.get_mut(*key).unwrap().state.latency.observe(&sample);
+        }
+    }
+    for id in 0..40 {
+        let parts = [
+            PromptPart {
+                id: PartId(id),
+                tokens: 150,
+            },
+            PromptPart {
+                id: PartId(id + 99),
+                tokens: 1_000,
+            },
+        ];
+        let input = ChoiceInput {
+            pause_limit: Some(Span::from_millis(150)),
+            ..input(MODEL, &parts, &latency)
+        };
+        let choice = choose(&mut fleet, &input);
+        assert!(!slow.contains(&choice.key));
+    }
+}
+
+/// The pattern: a desk service with few slots and a short target. No engine is filled while
+/// another has room.
+#[test]
+fn a_desk_service_fills_evenly() {
+    let latency = LatencyModel::default();
+    let mut fleet = fleet(DESK, 4);
+    let mut counts = std::collections::BTreeMap::new();
+    for _ in 0..16 {
+        let choice = choose(&mut fleet, &input(DESK, &[], &latency));
+        fleet.get_mut(choice.key).unwrap().state.sent(0.0, true);
+        *counts.entry(choice.key).or_insert(0) += 1;
+    }
+    assert_eq!(counts.values().copied().collect::<Vec<_>>(), [4, 4, 4, 4]);
+}
+
+#[test]
+fn what_answers_reported_counts_and_is_forgotten_when_old() {
+    let latency = LatencyModel::default();
+    let mut fleet = fleet(DESK, 2);
+    let keys = fleet.of_service(DESK).to_vec();
+    let now = MonoTime(1_000_000);
+    let report = LoadReport {
+        running: 6,
+        waiting: 4,
+    };
+    fleet.get_mut(keys[0]).unwrap().state.reported(report, now);
+    fleet.get_mut(keys[1]).unwrap().state.sent(0.0, true);
+    let fresh = choose(&mut fleet, &input(DESK, &[], &latency));
+    assert_eq!(fresh.key, keys[1]);
+    let later = ChoiceInput {
+        now: now + Span::from_secs(5),
+        ..input(DESK, &[], &latency)
+    };
+    assert_eq!(choose(&mut fleet, &later).key, keys[0]);
+}
+
+#[test]
+fn an_ejected_engine_is_the_last_but_one_choice_and_a_lapsed_one_the_last() {
+    let latency = LatencyModel::default();
+    let mut fleet = fleet(DESK, 3);
+    let keys = fleet.of_service(DESK).to_vec();
+    let now = MonoTime(1_000_000);
+    for _ in 0..3 {
+        fleet.get_mut(keys[0]).unwrap().state.failed(now);
+    }
+    fleet.lapse("i-1", now);
+    let mut tried = Vec::new();
+    for expected in [keys[2], keys[0], keys[1]] {
+        let input = ChoiceInput {
+            tried: &tried.clone(),
+            ..input(DESK, &[], &latency)
+        };
+        let choice = choose(&mut fleet, &input);
+        assert_eq!(choice.key, expected);
+        tried.push(choice.key);
+    }
+    let input = ChoiceInput {
+        tried: &tried,
+        ..input(DESK, &[], &latency)
+    };
+    assert!(choose_backend(&mut fleet, &input, || 0.5).is_none());
+}
+
+#[test]
+fn a_restart_under_the_same_id_is_a_new_engine() {
+    let mut fleet = fleet(MODEL, 1);
+    let old = fleet.of_service(MODEL)[0];
+    fleet.get_mut(old).unwrap().state.sent(100.0, false);
+    let mut again = entry("i-0", MODEL, 6);
+    again.started_ms = 2;
+    fleet.upsert(again);
+    let new = fleet.of_service(MODEL)[0];
+    assert_ne!(old, new);
+    assert_eq!(fleet.get(new).unwrap().state.own_running, 0);
+}
+
+#[test]
+fn entries_that_lapsed_come_back_or_are_gone_after_a_time() {
+    let mut fleet = fleet(MODEL, 2);
+    let now = MonoTime(1_000_000);
+    fleet.lapse("i-0", now);
+    fleet.lapse("i-1", now);
+    fleet.upsert(entry("i-0", MODEL, 6));
+    let gone = fleet.expire_lapsed(Span::from_secs(2), now + Span::from_secs(2));
+    assert_eq!(gone.len(), 1);
+    assert_eq!(fleet.ids(), [Arc::from("i-0")]);
+}
+
+proptest! {
+    /// Whatever was sent, read and ended in whatever order, nothing is left of it.
+    #[test]
+    fn ended_sends_leave_nothing(steps in proptest::collection::vec((0.0..20_000.0f64, any::<bool>(), any::<bool>()), 1..60)) {
+        let mut fleet = fleet(MODEL, 1);
+        let key = fleet.of_service(MODEL)[0];
+        let state = &mut fleet.get_mut(key).unwrap().state;
+        let mut tickets = Vec::new();
+        for (unread, is_light, is_read) in steps {
+            let mut ticket = state.sent(unread, is_light);
+            if is_read {
+                state.read(&mut ticket);
+            }
+            tickets.push(ticket);
+        }
+        for ticket in tickets {
+            state.ended(ticket);
+        }
+        prop_assert_eq!(state.own_running, 0);
+        prop_assert_eq!(state.own_light, 0);
+        prop_assert!(state.own_unread < 1e-6);
+    }
+}
