--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -10,13 +10,13 @@
 
 use crate::fleet_table::{BackendKey, BackendPhase, FleetMember, FleetTable};
 use crate::latency::LatencyModel;
-use crate::{HomeSet, PromptPart};
+use crate::{HomeSet, PartId, PromptPart};
 
 /// Prompt tokens that one running request is worth in the cost.
 const RUNNING_TOKENS: f64 = 300.0;
 
 /// How much more a token counts that this request has to read than one that waits already.
-const READ_WEIGHT: f64 = 2.5;
+const READ_WEIGHT: f64 = 3.0;
 
 /// Prompt tokens that a backend server of usual speed reads in a millisecond.
 const READ_TOKENS_PER_MS: f64 = 50.0;
@@ -33,9 +33,6 @@
 /// The most that such streams are worth together.
 const DISTURB_LIMIT: f64 = 15_000.0;
 
-/// Prompt tokens that a short prompt saves where long ones are not read.
-const QUIET_TOKENS: f64 = 2_500.0;
-
 /// Prompt tokens that a stream with a pause beyond its limit is worth in the cost.
 const LATE_TOKENS: f64 = 12_000.0;
 
@@ -80,6 +77,10 @@
     pub key: BackendKey,
     /// Prompt tokens that it has to read for this request.
     pub unread: f64,
+    /// The part that decides where the prompt is at home, if it shares one.
+    pub part: Option<PartId>,
+    /// Whether it is the part's home.
+    pub is_home: bool,
     /// Whether the prompt is a short one.
     pub is_light: bool,
     /// The cost that won.
@@ -94,8 +95,9 @@
     input: &ChoiceInput<'_>,
     mut random: impl FnMut() -> f64,
 ) -> Option<Choice> {
-    let homes = largest_shared(input.parts)
-        .map(|part| fleet.homes(input.service, part.id))
+    let part = largest_shared(input.parts).map(|part| part.id);
+    let homes = part
+        .map(|part| fleet.homes(input.service, part))
         .unwrap_or_default();
     let crowd = Crowd::survey(fleet, input);
     let mut best: Option<Choice> = None;
@@ -110,12 +112,13 @@
             }
             candidates += 1;
             let unread = unread_tokens(member, key, &homes, input);
-            let is_quiet = fleet.is_quiet(key);
-            let cost = cost(member, unread, is_quiet, &crowd, input) + random() * JITTER_TOKENS;
+            let cost = cost(member, unread, &crowd, input) + random() * JITTER_TOKENS;
             if best.is_none_or(|held| cost < held.cost) {
                 best = Some(Choice {
                     key,
                     unread,
+                    part,
+                    is_home: homes.contains(key),
                     is_light: input.prompt_tokens <= LIGHT_TOKENS,
                     cost,
                     candidates: 0,
@@ -202,13 +205,7 @@
     }
 }
 
-fn cost(
-    member: &FleetMember,
-    unread: f64,
-    is_quiet: bool,
-    crowd: &Crowd,
-    input: &ChoiceInput<'_>,
-) -> f64 {
+fn cost(member: &FleetMember, unread: f64, crowd: &Crowd, input: &ChoiceInput<'_>) -> f64 {
     let state = &member.state;
     let others = crowd.running * input.gateways.saturating_sub(1) as f64;
     let running = state.running(others, input.now);
@@ -230,10 +227,8 @@
     let company = if input.prompt_tokens > LIGHT_TOKENS {
         let lights = f64::from(state.own_light) * input.gateways as f64;
         (lights * DISTURB_TOKENS).min(DISTURB_LIMIT)
-    } else if is_quiet {
-        0.0
     } else {
-        QUIET_TOKENS
+        0.0
     };
     (unread * READ_WEIGHT + RUNNING_TOKENS * running) / speed
         + backlog
--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -4,9 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use oleander_base::FastMap;
 use oleander_base::prelude::*;
-use oleander_base::{FastMap, FastSet};
-use oleander_decide::scramble;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::PartId;
@@ -64,11 +63,6 @@
     pub lapsed_at: Option<MonoTime>,
 }
 
-/// The share of a service's backend servers that are no home of any part.
-///
-/// Long prompts are read at the homes, so streams with short prompts find few disturbances at the rest.
-const QUIET_SHARE: f64 = 0.33;
-
 /// All backend servers.
 #[derive(Debug, Default)]
 pub struct FleetTable {
@@ -76,25 +70,10 @@
     by_id: FastMap<Arc<str>, BackendKey>,
     by_service: FastMap<Arc<str>, Vec<BackendKey>>,
     homes: HomeCache,
-    quiet: QuietCache,
     generation: u64,
     next_key: u32,
 }
 
-/// The quiet backend servers for one state of the registry.
-#[derive(Debug, Default)]
-struct QuietCache {
-    generation: u64,
-    ranked: FastSet<Arc<str>>,
-    keys: FastSet<BackendKey>,
-}
-
-impl QuietCache {
-    fn contains(&self, key: BackendKey) -> bool {
-        self.keys.contains(&key)
-    }
-}
-
 impl FleetMember {
     fn is_serving(&self) -> bool {
         self.entry.phase == BackendPhase::Serving
@@ -214,44 +193,13 @@
 
     /// Returns the homes of a part among a service's backend servers that take new requests.
     pub fn homes(&mut self, service: &str, part: PartId) -> HomeSet {
-        self.rank_quiet(service);
         let members = &self.members;
-        let quiet = &self.quiet;
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let homes = keys.iter().filter_map(|key| {
+        let serving = keys.iter().filter_map(|key| {
             let member = &members[key];
-            let is_home = member.is_serving() && !quiet.contains(*key);
-            is_home.then_some((*key, member.id_hash))
+            member.is_serving().then_some((*key, member.id_hash))
         });
-        self.homes.homes(self.generation, part, homes)
-    }
-
-    /// Returns whether a backend server is no home of any part.
-    pub fn is_quiet(&self, key: BackendKey) -> bool {
-        self.quiet.contains(key)
-    }
-
-    /// Names the quiet ones of a service anew after the registry has changed.
-    fn rank_quiet(&mut self, service: &str) {
-        if self.quiet.generation != self.generation {
-            self.quiet.generation = self.generation;
-            self.quiet.ranked.clear();
-            self.quiet.keys.clear();
-        }
-        if self.quiet.ranked.contains(service) {
-            return;
-        }
-        let mut ranked: Vec<(u64, BackendKey)> = self
-            .of_service(service)
-            .iter()
-            .filter(|key| self.members[key].is_serving())
-            .map(|key| (scramble(self.members[key].id_hash), *key))
-            .collect();
-        ranked.sort_unstable();
-        let count = (ranked.len() as f64 * QUIET_SHARE) as usize;
-        let keys = ranked[..count].iter().map(|(_, key)| *key);
-        self.quiet.keys.extend(keys);
-        self.quiet.ranked.insert(Arc::from(service));
+        self.homes.homes(self.generation, part, serving)
     }
 
     fn insert(&mut self, entry: BackendEntry) -> BackendKey {
