--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -79,8 +79,8 @@
     pub unread: f64,
     /// The part that decides where the prompt is at home, if it shares one.
     pub part: Option<PartId>,
-    /// Whether it is the part's home.
-    pub is_home: bool,
+    /// The rank of the chosen one among the part's homes.
+    pub home_rank: Option<usize>,
     /// Whether the prompt is a short one.
     pub is_light: bool,
     /// The cost that won.
@@ -118,7 +118,7 @@
                     key,
                     unread,
                     part,
-                    is_home: homes.contains(key),
+                    home_rank: homes.rank_of(key),
                     is_light: input.prompt_tokens <= LIGHT_TOKENS,
                     cost,
                     candidates: 0,
@@ -168,17 +168,23 @@
     homes: &HomeSet,
     input: &ChoiceInput<'_>,
 ) -> f64 {
-    let is_home = homes.contains(key);
-    let mut read = 0;
+    let guess = homes.held_chance(key);
+    let mut held = 0.0;
     for (index, part) in input.parts.iter().enumerate() {
         let is_shared = index + 1 < input.parts.len();
-        let is_held = member.state.parts.holds(part.id, input.now) || (is_home && is_shared);
-        if !is_held {
+        let chance = if member.state.parts.holds(part.id, input.now) {
+            1.0
+        } else if is_shared {
+            guess
+        } else {
+            0.0
+        };
+        if chance == 0.0 {
             break;
         }
-        read += part.tokens;
+        held += chance * f64::from(part.tokens);
     }
-    f64::from(input.prompt_tokens.saturating_sub(read))
+    (f64::from(input.prompt_tokens) - held).max(0.0)
 }
 
 /// What this gateway's own requests say of those of the others.
