Choice: only shared tokens that are read again count more; a request's own go by the engine's speed

Cause: own and shared tokens had one weight, so a long own part left a slow home, and its shared part was read again elsewhere, which is work done twice and priced as such. Change: the two are told apart.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -1,8 +1,8 @@
 //! The choice of a backend server for one request.
 //!
 //! Every candidate gets a cost in prompt tokens. Reading a shared part again takes capacity from every
-//! stream of that backend server, so tokens that this request would have to read count more than
-//! those that already wait there. The wait itself counts little while the first event is still
+//! stream of that backend server and is work that was done elsewhere, so its tokens count more than
+//! the request's own and those that already wait there. The wait itself counts little while the first event is still
 //! expected well within its target, and steeply beyond. The smallest cost wins. Among plain services
 //! only the running requests count.
 
@@ -15,8 +15,8 @@
 /// Prompt tokens that one running request is worth in the cost.
 const RUNNING_TOKENS: f64 = 300.0;
 
-/// How much more a token counts that this request has to read than one that waits already.
-const READ_WEIGHT: f64 = 3.0;
+/// How much more a token of a shared part counts that has to be read again than one of the request's own.
+const SHARED_WEIGHT: f64 = 3.0;
 
 /// Prompt tokens that a backend server of usual speed reads in a millisecond.
 const READ_TOKENS_PER_MS: f64 = 50.0;
@@ -70,13 +70,29 @@
     pub now: MonoTime,
 }
 
+/// Prompt tokens that a backend server has to read for a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct UnreadTokens {
+    /// Those of parts that other requests share.
+    pub shared: f64,
+    /// Those that only this request has.
+    pub own: f64,
+}
+
+impl UnreadTokens {
+    /// Returns all of them.
+    pub fn total(&self) -> f64 {
+        self.shared + self.own
+    }
+}
+
 /// The chosen backend server.
 #[derive(Debug, Clone, Copy)]
 pub struct Choice {
     /// The backend server.
     pub key: BackendKey,
     /// Prompt tokens that it has to read for this request.
-    pub unread: f64,
+    pub unread: UnreadTokens,
     /// The part that decides where the prompt is at home, if it shares one.
     pub part: Option<PartId>,
     /// The rank of the chosen one among the part's homes.
@@ -167,24 +183,30 @@
     key: BackendKey,
     homes: &HomeSet,
     input: &ChoiceInput<'_>,
-) -> f64 {
+) -> UnreadTokens {
+    let all: u32 = input.parts.iter().map(|part| part.tokens).sum();
+    // A prompt may be longer than the parts that it names.
+    let mut own = f64::from(input.prompt_tokens.saturating_sub(all));
+    let mut shared = 0.0;
     let guess = homes.held_chance(key);
-    let mut held = 0.0;
+    let mut reach = 1.0;
     for (index, part) in input.parts.iter().enumerate() {
         let is_shared = index + 1 < input.parts.len();
-        let chance = if member.state.parts.holds(part.id, input.now) {
-            1.0
-        } else if is_shared {
-            guess
-        } else {
-            0.0
+        let is_held = member.state.parts.holds(part.id, input.now);
+        // A part helps only if all parts before it are held as well.
+        reach = match (is_held, is_shared) {
+            (true, _) => reach,
+            (false, true) => guess.min(reach),
+            (false, false) => 0.0,
         };
-        if chance == 0.0 {
-            break;
+        let unread = f64::from(part.tokens) * (1.0 - reach);
+        if is_shared {
+            shared += unread;
+        } else {
+            own += unread;
         }
-        held += chance * f64::from(part.tokens);
     }
-    (f64::from(input.prompt_tokens) - held).max(0.0)
+    UnreadTokens { shared, own }
 }
 
 /// What this gateway's own requests say of those of the others.
@@ -211,7 +233,7 @@
     }
 }
 
-fn cost(member: &FleetMember, unread: f64, crowd: &Crowd, input: &ChoiceInput<'_>) -> f64 {
+fn cost(member: &FleetMember, unread: UnreadTokens, crowd: &Crowd, input: &ChoiceInput<'_>) -> f64 {
     let state = &member.state;
     let others = crowd.running * input.gateways.saturating_sub(1) as f64;
     let running = state.running(others, input.now);
@@ -225,7 +247,7 @@
     let speed = state.latency.speed(input.service_latency);
     let own_running = f64::from(state.own_running);
     let backlog = state.own_unread + (running - own_running).max(0.0) * crowd.unread;
-    let first_ms = (unread + backlog) / READ_TOKENS_PER_MS / speed;
+    let first_ms = (unread.total() + backlog) / READ_TOKENS_PER_MS / speed;
     let lateness = first_ms / input.first_target.as_millis_f64().max(1.0);
     let late = input.pause_limit.map_or(0.0, |limit| {
         state.latency.late_chance(input.service_latency, limit)
@@ -236,7 +258,8 @@
     } else {
         0.0
     };
-    (unread * READ_WEIGHT + RUNNING_TOKENS * running) / speed
+    unread.shared * SHARED_WEIGHT
+        + (unread.own + RUNNING_TOKENS * running) / speed
         + backlog
         + lateness * lateness * TARGET_TOKENS
         + late * LATE_TOKENS
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -12,7 +12,7 @@
 mod retry_window;
 
 pub use backend_state::{BackendState, LoadReport, SendTicket};
-pub use choice::{Choice, ChoiceInput, choose_backend};
+pub use choice::{Choice, ChoiceInput, UnreadTokens, choose_backend};
 pub use fleet_table::{
     BackendEntry, BackendKey, BackendPhase, EntryChange, FleetMember, FleetTable,
 };
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -755,7 +755,7 @@
                 backend: &target.id,
                 service: &self.job.routed.service,
                 urgency: self.job.routed.urgency,
-                unread: choice.unread.round(),
+                unread: choice.unread.total().round(),
                 part: choice.part.map(|part| format!("{:x}", part.0)),
                 home_rank: choice.home_rank,
                 cost: choice.cost.round(),
