--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -16,7 +16,7 @@
 const RUNNING_TOKENS: f64 = 300.0;
 
 /// How much more a token of a shared part counts that has to be read again than one of the request's own.
-const SHARED_WEIGHT: f64 = 3.0;
+const SHARED_WEIGHT: f64 = 5.0;
 
 /// Prompt tokens that a backend server of usual speed reads in a millisecond.
 const READ_TOKENS_PER_MS: f64 = 50.0;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,8 +30,8 @@
 pub mod prelude;
 
 pub use manifest::{
-    CallerLimits, CustomerSpec, Manifest, RepeatKind, RouteRefusal, RouteSpec, ServiceSpec,
-    ServiceWeight,
+    CallerLimits, CustomerSpec, KeyedCustomer, Manifest, RepeatKind, RouteRefusal, RouteSpec,
+    ServiceSpec, ServiceWeight,
 };
 pub use port::PlatformPort;
 pub use process::{GatewayProcess, StartError};
--- a/crates/gateway/src/manifest.rs
+++ b/crates/gateway/src/manifest.rs
@@ -91,6 +91,15 @@
     pub urgency: Option<u8>,
 }
 
+/// A customer with its keys.
+#[derive(Debug, Clone)]
+pub struct KeyedCustomer {
+    /// The customer.
+    pub customer: CustomerSpec,
+    /// Its keys.
+    pub keys: Vec<Arc<str>>,
+}
+
 /// What a caller may send.
 #[derive(Debug, Clone, Copy)]
 pub struct CallerLimits {
@@ -127,6 +136,57 @@
     routes: FastMap<Arc<str>, Vec<Arc<RouteSpec>>>,
     services: FastMap<Arc<str>, ServiceSpec>,
     keys: FastMap<Arc<str>, Arc<CustomerSpec>>,
+    urgencies: UrgencyScale,
+}
+
+/// How many urgencies backend servers tell apart.
+const URGENCY_LEVELS: usize = 10;
+
+/// The order of all urgencies of a manifest, as the few numbers that backend servers know.
+///
+/// A customer's own urgency goes before the route's; among requests of equal urgency the route's
+/// decides, so that a less urgent kind never displaces a more urgent one of the same standing.
+#[derive(Debug, Clone, Default)]
+struct UrgencyScale {
+    levels: Vec<UrgencyPair>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct UrgencyPair {
+    standing: u8,
+    route: u8,
+}
+
+impl UrgencyPair {
+    fn new(customer: Option<u8>, route: u8) -> Self {
+        Self {
+            standing: customer.unwrap_or(route),
+            route,
+        }
+    }
+}
+
+impl UrgencyScale {
+    fn build(customers: &[Option<u8>], routes: &[u8]) -> Self {
+        let mut levels: Vec<UrgencyPair> = customers
+            .iter()
+            .chain([&None])
+            .flat_map(|customer| {
+                routes
+                    .iter()
+                    .map(|route| UrgencyPair::new(*customer, *route))
+            })
+            .collect();
+        levels.sort_unstable();
+        levels.dedup();
+        Self { levels }
+    }
+
+    fn level(&self, pair: UrgencyPair) -> u8 {
+        let rank = self.levels.partition_point(|level| *level < pair);
+        let rank = rank * URGENCY_LEVELS / self.levels.len().max(URGENCY_LEVELS);
+        u8::try_from(rank).unwrap_or(u8::MAX)
+    }
 }
 
 /// Why a request has no route.
@@ -145,8 +205,10 @@
         limits: CallerLimits,
         routes: Vec<RouteSpec>,
         services: Vec<ServiceSpec>,
-        customers: Option<Vec<(CustomerSpec, Vec<Arc<str>>)>>,
+        customers: Option<Vec<KeyedCustomer>>,
     ) -> Self {
+        let route_urgencies: Vec<u8> = routes.iter().map(|route| route.urgency).collect();
+        let mut customer_urgencies = Vec::new();
         let mut by_host: FastMap<Arc<str>, Vec<Arc<RouteSpec>>> = FastMap::default();
         for route in routes {
             let host = Arc::clone(&route.host);
@@ -157,9 +219,10 @@
         }
         let needs_keys = customers.is_some();
         let mut keys = FastMap::default();
-        for (customer, own_keys) in customers.unwrap_or_default() {
-            let customer = Arc::new(customer);
-            for key in own_keys {
+        for keyed in customers.unwrap_or_default() {
+            customer_urgencies.push(keyed.customer.urgency);
+            let customer = Arc::new(keyed.customer);
+            for key in keyed.keys {
                 keys.insert(key, Arc::clone(&customer));
             }
         }
@@ -173,6 +236,7 @@
                 .map(|service| (Arc::clone(&service.name), service))
                 .collect(),
             keys,
+            urgencies: UrgencyScale::build(&customer_urgencies, &route_urgencies),
         }
     }
 
@@ -193,9 +257,10 @@
         let service = pick_service(&route.split, random).ok_or(RouteRefusal::NoRoute)?;
         Ok(RoutedCall {
             service,
-            urgency: customer
-                .and_then(|customer| customer.urgency)
-                .unwrap_or(route.urgency),
+            urgency: self.urgencies.level(UrgencyPair::new(
+                customer.and_then(|customer| customer.urgency),
+                route.urgency,
+            )),
             customer: customer.map(|customer| Arc::clone(&customer.name)),
             route,
         })
