--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -31,6 +31,7 @@
         .subcommand(demo_command())
         .subcommand(experiment_command())
         .subcommand(standin_command())
+        .subcommand(explain_command())
         .subcommand(
             Command::new("completions")
                 .about("Prints the completions of a shell")
@@ -42,6 +43,24 @@
         )
 }
 
+fn explain_command() -> Command {
+    Command::new("explain")
+        .about("Tells the life of a request and the cause of its end, from gateways' logs")
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .required(true)
+                .help("The id of the caller's attempt"),
+        )
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .num_args(0..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs of one or several gateways; without any, standard input"),
+        )
+}
+
 fn shared_args() -> [Arg; 4] {
     [
         Arg::new("entry")
--- /dev/null
+++ b/crates/ctl/src/explain.rs
@@ -0,0 +1,31 @@
+//! `oleanderctl explain ID [FILE...]`: the life of one request, from the logs of gateways.
+
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use oleander_operator::LogBook;
+
+use crate::failure::CommandFailure;
+
+/// Runs the command.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), CommandFailure> {
+    let id = matches
+        .get_one::<String>("id")
+        .expect("clap requires the argument");
+    let files: Vec<&PathBuf> = matches
+        .get_many::<PathBuf>("file")
+        .map(Iterator::collect)
+        .unwrap_or_default();
+    let mut book = LogBook::default();
+    if files.is_empty() {
+        book.read(std::io::stdin().lock())?;
+    }
+    for file in files {
+        let unreadable =
+            |error| CommandFailure::Input(format!("cannot read {}: {error}", file.display()));
+        let opened = std::fs::File::open(file).map_err(unreadable)?;
+        book.read(opened).map_err(unreadable)?;
+    }
+    print!("{}", book.explain(id)?);
+    Ok(())
+}
--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -5,7 +5,7 @@
 
 use oleander_demo::DeployError;
 use oleander_load::ScenarioError;
-use oleander_operator::ChangeRefusal;
+use oleander_operator::{ChangeRefusal, UnknownRequest};
 use thiserror::Error;
 
 /// The exit codes, as `--help` prints them; docs/OPERATING.md has the same table.
@@ -48,6 +48,9 @@
     /// A time limit passed.
     #[error("{0}")]
     Late(String),
+    /// The logs have no line of a request.
+    #[error(transparent)]
+    UnknownRequest(#[from] UnknownRequest),
     /// A change was not accepted.
     #[error(transparent)]
     Change(#[from] ChangeRefusal),
@@ -67,6 +70,7 @@
             | Self::Unreachable(_)
             | Self::Answer(_)
             | Self::Missing(_)
+            | Self::UnknownRequest(_)
             | Self::Late(_)
             | Self::Change(ChangeRefusal::Unavailable { .. }) => 1,
         })
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod entry_place;
 mod experiment;
+mod explain;
 mod failure;
 mod http_call;
 mod observe;
@@ -33,6 +34,7 @@
         Some(("status", matches)) => observe::status(matches),
         Some(("dump", matches)) => observe::dump(matches),
         Some(("screens", matches)) => observe::screens(matches),
+        Some(("explain", matches)) => explain::run(matches),
         Some(("standin", matches)) => standin::run(matches),
         Some(("completions", matches)) => print_completions(matches),
         _ => unreachable!("clap requires a known subcommand"),
--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -72,6 +72,24 @@
 
     /// Starts a gateway.
     pub fn spawn(name: &str, store: &UsersStore, seeds: &[SocketAddr]) -> Self {
+        Self::spawn_with(name, store, seeds, true)
+    }
+
+    /// Starts a gateway whose log nobody reads.
+    pub fn spawn_unread(name: &str, store: &UsersStore) -> Self {
+        Self::spawn_with(name, store, &[], false)
+    }
+
+    /// Returns the memory of the process.
+    pub fn resident_kilobytes(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process is alive");
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1));
+        number.and_then(|text| text.parse().ok()).expect("a number")
+    }
+
+    fn spawn_with(name: &str, store: &UsersStore, seeds: &[SocketAddr], is_read: bool) -> Self {
         let addresses = [free_address(), free_address(), free_address()];
         let metrics = free_address();
         let dir = tempfile::tempdir().expect("a test may write a folder");
@@ -85,14 +103,16 @@
             .spawn()
             .expect("the program starts");
         let log = Arc::new(Mutex::new(Vec::new()));
-        let stdout = child.stdout.take().expect("standard output is piped");
-        let lines = Arc::clone(&log);
-        std::thread::spawn(move || {
-            let reader = BufReader::new(stdout);
-            for line in std::io::BufRead::lines(reader).map_while(Result::ok) {
-                lines.lock().push(line);
-            }
-        });
+        if is_read {
+            let stdout = child.stdout.take().expect("standard output is piped");
+            let lines = Arc::clone(&log);
+            std::thread::spawn(move || {
+                let reader = BufReader::new(stdout);
+                for line in std::io::BufRead::lines(reader).map_while(Result::ok) {
+                    lines.lock().push(line);
+                }
+            });
+        }
         Self {
             child,
             frontend: addresses[0],
@@ -159,6 +179,22 @@
             .collect()
     }
 
+    /// Explains a request from the logs of gateways.
+    pub fn explain(gateways: &[&Self], id: &str) -> String {
+        let mut book = oleander_operator::LogBook::default();
+        for gateway in gateways {
+            let text = gateway.log.lock().join("\n");
+            book.read(text.as_bytes()).expect("a text can be read");
+        }
+        book.explain(id).expect("the request has lines")
+    }
+
+    /// Kills the process without a warning.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process is this test's own");
+        self.wait_end();
+    }
+
     /// Waits for a log line of an event that `matches`.
     pub fn wait_log(&self, event: &str, matches: impl Fn(&Value) -> bool) -> Value {
         let mut found = None;
--- /dev/null
+++ b/crates/entry/tests/gateway_explain.rs
@@ -0,0 +1,128 @@
+//! From the id of a failed request to its cause, by the logs alone (docs/OPERATIONS.md).
+
+mod gateway;
+
+use gateway::{Call, TestGateway, announce, store_with_manifest, wait_for};
+use oleander_operator::LogBook;
+use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest, StoreMode};
+
+#[test]
+fn a_request_that_full_engines_refused_is_explained() {
+    let store = store_with_manifest();
+    let full = |_: &SeenRequest| {
+        let head =
+            "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        EngineReply::Bytes(head.as_bytes().to_vec())
+    };
+    let engine = ScriptedEngine::spawn(full);
+    announce(&store, "i-1", "desk", &engine, "available");
+    let gateway = TestGateway::start(&store);
+    assert_eq!(
+        gateway.caller().call(&Call::publish("full-1")).status(),
+        503
+    );
+    gateway.wait_log("end", |line| line["id"] == "full-1");
+    let text = TestGateway::explain(&[&gateway], "full-1");
+    assert!(text.contains("cause: it was refused"), "{text}");
+    assert!(
+        text.contains("i-1: the backend server refused with 503"),
+        "{text}"
+    );
+    assert!(text.contains("it did not run"), "{text}");
+}
+
+#[test]
+fn a_request_that_a_lost_engine_cut_off_is_explained() {
+    let store = store_with_manifest();
+    let engine = ScriptedEngine::spawn(|request| {
+        let mut bytes = request.stream_head();
+        bytes.extend(SeenRequest::event(1));
+        bytes.extend(SeenRequest::event(2));
+        EngineReply::BytesThenReset(bytes)
+    });
+    announce(&store, "i-1", "engines", &engine, "available");
+    let gateway = TestGateway::start(&store);
+    store.set_mode(StoreMode::Busy);
+    gateway.wait_log("store-lost", |_| true);
+    let call = Call {
+        path: "/draft/x",
+        ..Call::stream("cut-1")
+    };
+    assert!(!gateway.caller().call(&call).is_whole);
+    gateway.wait_log("end", |line| line["id"] == "cut-1");
+    let text = TestGateway::explain(&[&gateway], "cut-1");
+    assert!(
+        text.contains("cause: its answer was cut after 2 events"),
+        "{text}"
+    );
+    assert!(text.contains("i-1"), "{text}");
+    assert!(text.contains("the store had not answered"), "{text}");
+}
+
+#[test]
+fn a_request_whose_gateway_died_is_explained() {
+    let store = store_with_manifest();
+    let engine = ScriptedEngine::spawn(|_| EngineReply::BytesThenSilence(Vec::new()));
+    announce(&store, "i-1", "desk", &engine, "available");
+    let mut gateway = TestGateway::start(&store);
+    let mut caller = gateway.caller();
+    caller.send(&Call::publish("gone-1").text());
+    wait_for("the engine has it", || !engine.seen().is_empty());
+    gateway.wait_log("send", |line| line["id"] == "gone-1");
+    gateway.kill();
+    assert!(caller.read().is_none());
+    let text = TestGateway::explain(&[&gateway], "gone-1");
+    assert!(
+        text.contains("the log of edge-1 ends before the request does"),
+        "{text}"
+    );
+    assert!(text.contains("it may have run"), "{text}");
+}
+
+#[test]
+fn damaged_lines_are_skipped_and_counted_and_prefixes_are_ignored() {
+    let log = concat!(
+        "   0.2 edge-1 {\"time_ms\":10,\"node\":\"edge-1\",\"event\":\"send\",\"id\":\"a\",\"backend\":\"i-1\",\"manifest\":4,\"registry\":30}\n",
+        "{\"time_ms\":11,\"node\":\"edge-1\",\"event\":\"att\n",
+        "no object at all\n\n",
+        "{\"time_ms\":12,\"node\":\"edge-1\",\"event\":\"lines-left-out\",\"lines\":7}\n",
+        "{\"time_ms\":900,\"node\":\"edge-1\",\"event\":\"start\"}\n",
+    );
+    let mut book = LogBook::default();
+    book.read(log.as_bytes()).unwrap();
+    let text = book.explain("a").unwrap();
+    assert!(
+        text.contains("manifest 4, registry at revision 30"),
+        "{text}"
+    );
+    assert!(text.contains("started again 890 ms later"), "{text}");
+    assert!(
+        text.contains("2 lines could not be read, 7 were left out"),
+        "{text}"
+    );
+    let missing = book.explain("b").unwrap_err().to_string();
+    assert!(
+        missing.contains("no line of request b") && missing.contains('7'),
+        "{missing}"
+    );
+}
+
+/// The pattern: a flood of failing requests, and a reader of the log that has stopped.
+#[test]
+fn a_reader_that_has_stopped_slows_no_request() {
+    let store = store_with_manifest();
+    let engine = ScriptedEngine::spawn(|request| EngineReply::Bytes(request.answer("done")));
+    announce(&store, "i-1", "desk", &engine, "available");
+    let gateway = TestGateway::spawn_unread("edge-1", &store);
+    gateway.wait_ready();
+    let mut caller = gateway.caller();
+    let started = std::time::Instant::now();
+    for index in 0..6_000 {
+        let id = format!("{index:016x}");
+        assert_eq!(caller.call(&Call::publish(&id)).status(), 200);
+    }
+    let each = started.elapsed() / 6_000;
+    assert!(each < std::time::Duration::from_millis(10), "{each:?}");
+    let kilobytes = gateway.resident_kilobytes();
+    assert!(kilobytes < 60_000, "{kilobytes} KB");
+}
--- /dev/null
+++ b/crates/operator/src/explain.rs
@@ -0,0 +1,308 @@
+//! The life of one request, from the logs of gateways.
+//!
+//! The lines of all logs are read as JSON objects; what stands in front of an object on a line,
+//! such as a time or a name that a collector added, is skipped. Lines that cannot be read are
+//! counted and left out. docs/OPERATIONS.md shows it at work.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::io::{self, BufRead, BufReader, Read};
+
+use serde::Deserialize;
+use thiserror::Error;
+
+/// How far before and after a request changes of belief matter, in milliseconds.
+const BELIEF_REACH_MS: u64 = 3_000;
+
+/// How long after a request's last line a start of its process explains its end, in milliseconds.
+const RESTART_REACH_MS: u64 = 30_000;
+
+/// One line of a gateway's log; docs/OPERATIONS.md lists the fields.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+struct LogLine {
+    time_ms: u64,
+    node: String,
+    event: String,
+    id: Option<String>,
+    backend: Option<String>,
+    verdict: Option<String>,
+    outcome: Option<String>,
+    reason: Option<String>,
+    change: Option<String>,
+    end: Option<String>,
+    status: Option<u16>,
+    events: Option<u64>,
+    total_ms: Option<f64>,
+    first_ms: Option<f64>,
+    longest_gap_ms: Option<f64>,
+    left_ms: Option<f64>,
+    unread: Option<f64>,
+    candidates: Option<u64>,
+    send: Option<u32>,
+    manifest: Option<u64>,
+    registry: Option<u64>,
+    store_age_ms: Option<f64>,
+    version: Option<serde_json::Value>,
+    lines: Option<u64>,
+}
+
+/// The lines of the logs that were read.
+#[derive(Debug, Default)]
+pub struct LogBook {
+    lines: Vec<LogLine>,
+    damaged: u64,
+    left_out: u64,
+}
+
+/// No line of a request was found.
+#[derive(Debug, Error)]
+#[error(
+    "no line of request {id}: {left_out} lines were left out by the gateways, {damaged} could not be read"
+)]
+pub struct UnknownRequest {
+    id: String,
+    left_out: u64,
+    damaged: u64,
+}
+
+impl LogBook {
+    /// Reads a log.
+    pub fn read(&mut self, source: impl Read) -> io::Result<()> {
+        let mut reader = BufReader::new(source);
+        let mut bytes = Vec::new();
+        while reader.read_until(b'\n', &mut bytes)? > 0 {
+            self.take(&bytes);
+            bytes.clear();
+        }
+        self.lines.sort_by_key(|line| line.time_ms);
+        Ok(())
+    }
+
+    fn take(&mut self, bytes: &[u8]) {
+        let Some(start) = bytes.iter().position(|byte| *byte == b'{') else {
+            self.damaged += u64::from(!bytes.trim_ascii().is_empty());
+            return;
+        };
+        match serde_json::from_slice::<LogLine>(bytes[start..].trim_ascii()) {
+            Ok(line) => {
+                if line.event == "lines-left-out" {
+                    self.left_out += line.lines.unwrap_or(0);
+                }
+                self.lines.push(line);
+            }
+            Err(_) => self.damaged += 1,
+        }
+    }
+
+    /// Tells the life of a request in order of time, what each process believed when it came, and
+    /// the cause of its end.
+    pub fn explain(&self, id: &str) -> Result<String, UnknownRequest> {
+        let own: Vec<&LogLine> = self
+            .lines
+            .iter()
+            .filter(|line| line.id.as_deref() == Some(id))
+            .collect();
+        let (Some(first), Some(last)) = (own.first(), own.last()) else {
+            return Err(UnknownRequest {
+                id: id.to_owned(),
+                left_out: self.left_out,
+                damaged: self.damaged,
+            });
+        };
+        let mut out = String::new();
+        self.tell_life(&mut out, &own, first, last);
+        self.tell_beliefs(&mut out, &own, first);
+        let _ = writeln!(out, "cause: {}", self.cause(&own, last));
+        if self.damaged + self.left_out > 0 {
+            let _ = writeln!(
+                out,
+                "note: {} lines could not be read, {} were left out by the gateways",
+                self.damaged, self.left_out
+            );
+        }
+        Ok(out)
+    }
+
+    /// Tells the request's own lines, and the changes around them that touch its backend servers.
+    fn tell_life(&self, out: &mut String, own: &[&LogLine], first: &LogLine, last: &LogLine) {
+        let nodes: Vec<&str> = own.iter().map(|line| line.node.as_str()).collect();
+        let backends: Vec<&str> = own
+            .iter()
+            .filter_map(|line| line.backend.as_deref())
+            .collect();
+        let from = first.time_ms.saturating_sub(BELIEF_REACH_MS);
+        let to = last.time_ms + BELIEF_REACH_MS;
+        for line in &self.lines {
+            let is_own = line.id == first.id;
+            let is_near = line.id.is_none()
+                && (from..=to).contains(&line.time_ms)
+                && nodes.contains(&line.node.as_str())
+                && touches(line, &backends);
+            if is_own || is_near {
+                let offset = line.time_ms as i64 - first.time_ms as i64;
+                let _ = writeln!(out, "{offset:>+7} ms  {}  {}", line.node, describe(line));
+            }
+        }
+    }
+
+    /// Tells what each process believed when the request came.
+    fn tell_beliefs(&self, out: &mut String, own: &[&LogLine], first: &LogLine) {
+        let mut stores: BTreeMap<&str, &LogLine> = BTreeMap::new();
+        for line in &self.lines {
+            let is_store = line.event == "store-lost" || line.event == "store-regained";
+            if is_store && line.time_ms <= first.time_ms {
+                stores.insert(&line.node, line);
+            }
+        }
+        let mut told: Vec<&str> = Vec::new();
+        for line in own {
+            if told.contains(&line.node.as_str()) {
+                continue;
+            }
+            told.push(&line.node);
+            let store = match stores.get(line.node.as_str()) {
+                Some(lost) if lost.event == "store-lost" => format!(
+                    "the store had not answered for {} ms ({})",
+                    first.time_ms - lost.time_ms,
+                    lost.reason.as_deref().unwrap_or("no reason")
+                ),
+                _ => "the store answered".to_owned(),
+            };
+            let manifest = line
+                .manifest
+                .map_or_else(|| "unknown".to_owned(), |version| version.to_string());
+            let registry = line.registry.map_or_else(String::new, |revision| {
+                format!(", registry at revision {revision}")
+            });
+            let _ = writeln!(
+                out,
+                "belief: {}: manifest {manifest}{registry}; {store}",
+                line.node
+            );
+        }
+    }
+
+    fn cause(&self, own: &[&LogLine], last: &LogLine) -> String {
+        if let Some(refused) = own.iter().find(|line| line.event == "refused") {
+            return format!(
+                "the gateway refused it with {}, because {}; it did not run",
+                refused.status.unwrap_or(0),
+                reason(refused)
+            );
+        }
+        let failures: Vec<String> = own
+            .iter()
+            .filter(|line| line.event == "attempt-failed" || line.event == "attempt-rejected")
+            .map(|line| {
+                format!(
+                    "{}: {}",
+                    line.backend.as_deref().unwrap_or("?"),
+                    line.outcome.as_deref().unwrap_or("?")
+                )
+            })
+            .collect();
+        let after = if failures.is_empty() {
+            String::new()
+        } else {
+            format!(", after {}", failures.join("; "))
+        };
+        let Some(end) = own.iter().rev().find(|line| line.event == "end") else {
+            return self.cause_without_end(last, &after);
+        };
+        let verdict = end.verdict.as_deref().unwrap_or("unknown");
+        let total = end.total_ms.unwrap_or(0.0);
+        match end.end.as_deref() {
+            Some("answered") => format!("it was answered as a whole after {total:.0} ms{after}"),
+            Some("caller-left") => {
+                format!("the caller left after {total:.0} ms{after}; verdict {verdict}")
+            }
+            Some("cut") => format!(
+                "its answer was cut after {} events and {total:.0} ms, because {}{after}",
+                end.events.unwrap_or(0),
+                reason(end)
+            ),
+            Some("refused") => format!(
+                "it was refused after {total:.0} ms, because {}{after}; it did not run",
+                reason(end)
+            ),
+            _ => format!(
+                "it failed after {total:.0} ms, because {}{after}; verdict {verdict}",
+                reason(end)
+            ),
+        }
+    }
+
+    fn cause_without_end(&self, last: &LogLine, after: &str) -> String {
+        let restart = self.lines.iter().find(|line| {
+            line.event == "start"
+                && line.node == last.node
+                && line.time_ms >= last.time_ms
+                && line.time_ms - last.time_ms <= RESTART_REACH_MS
+        });
+        match restart {
+            Some(start) => format!(
+                "{} ended while it held the request, without a word, and started again {} ms later{after}; it may have run",
+                last.node,
+                start.time_ms - last.time_ms
+            ),
+            None => format!(
+                "the log of {} ends before the request does: the process was killed, or the log was taken earlier{after}; it may have run",
+                last.node
+            ),
+        }
+    }
+}
+
+fn reason(line: &LogLine) -> &str {
+    line.reason.as_deref().unwrap_or("of no stated reason")
+}
+
+/// Returns whether a change concerns a request that was sent to these backend servers.
+fn touches(line: &LogLine, backends: &[&str]) -> bool {
+    match line.event.as_str() {
+        "belief" | "backend-ejected" => match &line.backend {
+            Some(backend) => backends.contains(&backend.as_str()),
+            None => line.change.as_deref() == Some("manifest"),
+        },
+        "store-lost" | "store-regained" | "stopping" | "stopped" | "start" | "suspended" => true,
+        _ => false,
+    }
+}
+
+fn describe(line: &LogLine) -> String {
+    let mut text = line.event.clone();
+    let mut add = |name: &str, value: Option<String>| {
+        if let Some(value) = value {
+            let _ = write!(text, " {name}={value}");
+        }
+    };
+    add("backend", line.backend.clone());
+    add("change", line.change.clone());
+    add("version", line.version.as_ref().map(ToString::to_string));
+    add("send", line.send.map(|send| send.to_string()));
+    add("unread", line.unread.map(|tokens| format!("{tokens:.0}")));
+    add("candidates", line.candidates.map(|count| count.to_string()));
+    add("left_ms", line.left_ms.map(|span| format!("{span:.0}")));
+    add(
+        "store_age_ms",
+        line.store_age_ms.map(|span| format!("{span:.0}")),
+    );
+    add("status", line.status.map(|status| status.to_string()));
+    add("end", line.end.clone());
+    add("verdict", line.verdict.clone());
+    add("events", line.events.map(|events| events.to_string()));
+    add("first_ms", line.first_ms.map(|span| format!("{span:.0}")));
+    add(
+        "longest_gap_ms",
+        line.longest_gap_ms.map(|span| format!("{span:.0}")),
+    );
+    add("total_ms", line.total_ms.map(|span| format!("{span:.0}")));
+    add(
+        "outcome",
+        line.outcome.as_ref().map(|text| format!("{text:?}")),
+    );
+    let reason = line.reason.as_ref().filter(|reason| !reason.is_empty());
+    add("reason", reason.map(|text| format!("{text:?}")));
+    text
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod access;
 mod desk;
+mod explain;
 mod metrics;
 mod routes;
 mod screen;
@@ -14,6 +15,7 @@
     ChangeDone, ChangeRefusal, DeskFuture, MetricKind, MetricLabel, MetricName, MetricPoint,
     OperatorDesk, RecordChange, RecordLine,
 };
+pub use explain::{LogBook, UnknownRequest};
 pub use metrics::MetricsPage;
 pub use routes::OperatorContext;
 pub use screen::{
