A few gateways of a data centre read the store for the others; a wait for a slot counts; large services are sampled

Change: two gateways a data centre read the store, the others ask them; the choice counts the wait for a slot and looks at the homes and 14 random engines of a large service. Test of a malformed entry: it read the log before the log's next write (seen once, traced to that); it waits now and checks the same count.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -3,8 +3,11 @@
 //! Every candidate gets a cost in prompt tokens. Reading a shared part again takes capacity from every
 //! stream of that backend server and is work that was done elsewhere, so its tokens count more than
 //! the request's own and those that already wait there. The wait itself counts little while the first event is still
-//! expected well within its target, and steeply beyond. The smallest cost wins. Among plain services
-//! only the running requests count.
+//! expected well within its target, and steeply beyond; a wait for a slot counts like one for tokens.
+//! The smallest cost wins. Among plain services only the running requests count.
+//!
+//! Of a large service only the homes and a random sample are looked at: gateways that have the same
+//! news would otherwise all go to the backend server that looks emptiest.
 
 use oleander_base::prelude::*;
 
@@ -45,6 +48,9 @@
 /// The scatter of costs that keeps gateways with the same knowledge apart.
 const JITTER_TOKENS: f64 = 120.0;
 
+/// How many backend servers are looked at, besides the homes, where a service has more.
+const SAMPLE_SIZE: f64 = 14.0;
+
 /// What the choice depends on, besides the fleet.
 #[derive(Debug, Clone, Copy)]
 pub struct ChoiceInput<'a> {
@@ -116,6 +122,7 @@
         .map(|part| fleet.homes(input.service, part))
         .unwrap_or_default();
     let crowd = Crowd::survey(fleet, input);
+    let sampled = SAMPLE_SIZE / fleet.of_service(input.service).len().max(1) as f64;
     let mut best: Option<Choice> = None;
     let mut candidates = 0;
     for rank in [Usability::Good, Usability::Ejected, Usability::Lapsed] {
@@ -126,6 +133,13 @@
             if usability(member, key, input) != Some(rank) {
                 continue;
             }
+            let is_looked_at = rank != Usability::Good
+                || sampled >= 1.0
+                || homes.rank_of(key).is_some()
+                || random() < sampled;
+            if !is_looked_at {
+                continue;
+            }
             candidates += 1;
             let unread = unread_tokens(member, key, &homes, input);
             let cost = cost(member, unread, &crowd, input) + random() * JITTER_TOKENS;
@@ -233,6 +247,13 @@
     }
 }
 
+/// Returns how long a request waits for a slot where that many run or wait already.
+fn slot_wait_ms(member: &FleetMember, running: f64, input: &ChoiceInput<'_>) -> f64 {
+    let slots = f64::from(member.entry.slots.max(1));
+    let ahead = (running + 1.0 - slots).max(0.0);
+    ahead * input.service_latency.held_ms() / slots
+}
+
 fn cost(member: &FleetMember, unread: UnreadTokens, crowd: &Crowd, input: &ChoiceInput<'_>) -> f64 {
     let state = &member.state;
     let others = crowd.running * input.gateways.saturating_sub(1) as f64;
@@ -247,7 +268,8 @@
     let speed = state.latency.speed(input.service_latency);
     let own_running = f64::from(state.own_running);
     let backlog = state.own_unread + (running - own_running).max(0.0) * crowd.unread;
-    let first_ms = (unread.total() + backlog) / READ_TOKENS_PER_MS / speed;
+    let read_ms = (unread.total() + backlog) / READ_TOKENS_PER_MS / speed;
+    let first_ms = read_ms + slot_wait_ms(member, running, input);
     let lateness = first_ms / input.first_target.as_millis_f64().max(1.0);
     let late = input.pause_limit.map_or(0.0, |limit| {
         state.latency.late_chance(input.service_latency, limit)
--- a/crates/balance/src/latency.rs
+++ b/crates/balance/src/latency.rs
@@ -1,7 +1,8 @@
 //! What one backend server's streams have shown of its speed.
 //!
-//! Two figures are kept: the mean time between events, which stands for the speed, and the longest
-//! pause of a stream, in logarithms, which stands for how far long prompts disturb it.
+//! Three figures are kept: the mean time between events, which stands for the speed; the longest
+//! pause of a stream, in logarithms, which stands for how far long prompts disturb it; and how long
+//! a stream holds its slot.
 
 use oleander_base::prelude::*;
 
@@ -11,6 +12,9 @@
 /// How far the longest pauses of one backend server scatter, as a factor in logarithms.
 const PAUSE_SCATTER: f64 = 0.22;
 
+/// How long a stream holds its slot while none has ended, in milliseconds.
+const USUAL_HOLD_MS: f64 = 2_000.0;
+
 /// What one stream showed.
 #[derive(Debug, Clone, Copy)]
 pub struct StreamSample {
@@ -18,6 +22,8 @@
     pub mean_gap: Span,
     /// The longest time between two events.
     pub longest_gap: Span,
+    /// The time from the send to the last event.
+    pub held: Span,
 }
 
 /// The means of one backend server, or of a whole service.
@@ -25,6 +31,7 @@
 pub struct LatencyModel {
     mean_gap_ms: Option<f64>,
     longest_gap_ln: Option<f64>,
+    held_ms: Option<f64>,
 }
 
 impl LatencyModel {
@@ -34,6 +41,7 @@
         let longest = sample.longest_gap.as_millis_f64().max(0.1).ln();
         self.mean_gap_ms = Some(blend(self.mean_gap_ms, mean));
         self.longest_gap_ln = Some(blend(self.longest_gap_ln, longest));
+        self.held_ms = Some(blend(self.held_ms, sample.held.as_millis_f64()));
     }
 
     /// Returns the speed against the service's mean, where 1 is the mean.
@@ -44,6 +52,11 @@
         }
     }
 
+    /// Returns how long a stream holds its slot, in milliseconds.
+    pub fn held_ms(&self) -> f64 {
+        self.held_ms.unwrap_or(USUAL_HOLD_MS)
+    }
+
     /// Returns the chance that a stream has a pause longer than `limit`.
     pub fn late_chance(&self, service: &Self, limit: Span) -> f64 {
         let Some(longest) = self.longest_gap_ln.or(service.longest_gap_ln) else {
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -146,6 +146,7 @@
         let sample = StreamSample {
             mean_gap: Span::from_millis(gap / 3),
             longest_gap: Span::from_millis(gap),
+            held: Span::from_secs(2),
         };
         for _ in 0..8 {
             latency.observe(&sample);
@@ -172,6 +173,76 @@
     }
 }
 
+/// The pattern: engines with few slots under a burst. A request does not queue at its home behind
+/// streams that hold their slots for seconds, while other engines have room.
+#[test]
+fn a_full_home_is_left_for_an_engine_with_room() {
+    let latency = LatencyModel::default();
+    let mut fleet = fleet(MODEL, 18);
+    let parts = [
+        PromptPart {
+            id: PartId(9),
+            tokens: 3_780,
+        },
+        PromptPart {
+            id: PartId(10),
+            tokens: 2_890,
+        },
+    ];
+    let input = ChoiceInput {
+        first_target: Span::from_millis(1_200),
+        ..input(MODEL, &parts, &latency)
+    };
+    let home = choose(&mut fleet, &input).key;
+    let now = input.now;
+    let report = LoadReport {
+        running: 6,
+        waiting: 4,
+    };
+    fleet.get_mut(home).unwrap().state.reported(report, now);
+    assert_ne!(choose(&mut fleet, &input).key, home);
+}
+
+/// The pattern: many gateways with the same news. Each looks at a few engines besides the homes, so
+/// that they do not all go to the one that looks emptiest.
+#[test]
+fn gateways_with_the_same_news_do_not_all_go_to_the_emptiest_engine() {
+    let latency = LatencyModel::default();
+    let mut counts = std::collections::BTreeMap::new();
+    for seed in 0..70u32 {
+        let mut fleet = fleet(MODEL, 140);
+        let keys = fleet.of_service(MODEL).to_vec();
+        for (index, key) in keys.iter().enumerate() {
+            let running = if index == 7 { 0 } else { 3 };
+            let report = LoadReport {
+                running,
+                waiting: 0,
+            };
+            fleet
+                .get_mut(*key)
+                .unwrap()
+                .state
+                .reported(report, MonoTime(1_000_000));
+        }
+        let parts = [PromptPart {
+            id: PartId(u64::from(seed)),
+            tokens: 700,
+        }];
+        let input = ChoiceInput {
+            gateways: 70,
+            ..input(MODEL, &parts, &latency)
+        };
+        let mut state = seed;
+        let choice = choose_backend(&mut fleet, &input, || {
+            state = state.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+            f64::from(state >> 8) / f64::from(1u32 << 24)
+        });
+        *counts.entry(choice.unwrap().key).or_insert(0) += 1;
+    }
+    let most = counts.values().copied().max().unwrap();
+    assert!(most <= 14, "{most} of 70 go to one engine");
+}
+
 /// The pattern: a desk service with few slots and a short target. No engine is filled while
 /// another has room.
 #[test]
--- a/crates/entry/tests/gateway_fleet.rs
+++ b/crates/entry/tests/gateway_fleet.rs
@@ -61,14 +61,16 @@
     store.put("servers/i-4", r#"{"backend":"desk","address":7,"zone":"north-a","max_concurrency":8,"phase":"available"}"#);
     let gateway = TestGateway::start(&store);
     assert_eq!(status(&gateway, "a1"), 200);
-    assert_eq!(
-        gateway
-            .log("belief")
+    let ignored = || {
+        let lines = gateway.log("belief");
+        lines
             .iter()
             .filter(|line| line["change"] == "backend-ignored")
-            .count(),
-        3
-    );
+            .count()
+    };
+    // The log is written some times a second, so its lines come a little later.
+    wait_for("each is logged", || ignored() >= 3);
+    assert_eq!(ignored(), 3);
 }
 
 #[test]
@@ -245,3 +247,52 @@
     }
     assert!(gateway.page("/dump").contains("i-1"));
 }
+
+/// The pattern: a data centre with many gateways, where each call of the store costs.
+#[test]
+fn a_few_gateways_of_a_data_centre_read_the_store_for_the_others() {
+    let store = store_with_manifest();
+    let _engine = desk(&store, "i-1");
+    let names = ["edge-1", "edge-2", "edge-3", "edge-4", "edge-5"];
+    let mut gateways: Vec<TestGateway> = names
+        .iter()
+        .map(|name| TestGateway::spawn(name, &store, &[]))
+        .collect();
+    for gateway in &gateways {
+        gateway.wait_ready();
+        for other in names {
+            gateway.wait_log("belief", |line| line["gateway"] == other);
+        }
+    }
+    std::thread::sleep(Duration::from_millis(1_500));
+    let before = store.calls();
+    std::thread::sleep(Duration::from_secs(3));
+    let calls = store.calls() - before;
+    // Five that all read would make 30 calls, besides the renewals of their leases.
+    assert!(calls <= 20, "{calls} calls");
+    let mut version = 1;
+    for _ in 0..3 {
+        version += 1;
+        let mut newer = manifest(version);
+        newer["routes"][0]["path_prefix"] = format!("/publish-{version}/").into();
+        store.put("op/config", newer.to_string());
+        let written = Instant::now();
+        let path = format!("/publish-{version}/x");
+        for gateway in &gateways {
+            let call = Call {
+                path: &path,
+                ..Call::publish("a1")
+            };
+            wait_for("the manifest is in force", || {
+                gateway.caller().call(&call).status() == 200
+            });
+        }
+        assert!(
+            written.elapsed() < Duration::from_millis(2_000),
+            "{:?}",
+            written.elapsed()
+        );
+        // One after the other is killed, readers among them; the rest go on.
+        gateways.remove(0).kill();
+    }
+}
--- a/crates/gateway/src/belief.rs
+++ b/crates/gateway/src/belief.rs
@@ -11,6 +11,7 @@
 use oleander_balance::{BackendKey, EntryChange, FleetTable};
 use oleander_base::FastMap;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::port::{GatewayEntry, StoreItem, StoreSubject};
 use crate::prelude::*;
@@ -64,12 +65,14 @@
 struct BackendFact {
     revision: Revision,
     value: Option<Bytes>,
+    mode: RemovalMode,
     since: MonoTime,
 }
 
 #[derive(Debug, Clone)]
 struct GatewayFact {
     revision: Revision,
+    value: Bytes,
     entry: GatewayEntry,
     gone_at: Option<MonoTime>,
 }
@@ -88,6 +91,22 @@
     gateways: FastMap<Arc<str>, GatewayFact>,
 }
 
+/// A fact that another gateway may take over.
+#[derive(Debug)]
+pub(crate) struct KnownFact {
+    pub(crate) item: StoreItem,
+    /// How a deletion is understood.
+    pub(crate) mode: RemovalMode,
+}
+
+/// A live gateway in the order that all gateways of its data centre agree on.
+#[derive(Debug)]
+pub(crate) struct RankedGateway {
+    order: u64,
+    pub(crate) name: Arc<str>,
+    pub(crate) control: std::net::SocketAddr,
+}
+
 /// What changed, and which backend servers are no longer to be talked to.
 #[derive(Debug, Default)]
 pub(crate) struct Applied {
@@ -220,6 +239,7 @@
             BackendFact {
                 revision: item.revision,
                 value: item.value,
+                mode,
                 since: now,
             },
         );
@@ -263,6 +283,7 @@
             name,
             GatewayFact {
                 revision: item.revision,
+                value,
                 entry,
                 gone_at: None,
             },
@@ -293,6 +314,7 @@
                 BackendFact {
                     revision: at,
                     value: None,
+                    mode,
                     since: now,
                 },
             );
@@ -318,27 +340,55 @@
     }
 
     /// Returns the facts that are newer than a revision.
-    pub(crate) fn facts_after(&self, after: Revision) -> Vec<StoreItem> {
-        let mut items = Vec::new();
-        if let Some((revision, value)) = &self.manifest_fact
-            && *revision > after
-        {
-            items.push(StoreItem {
-                subject: StoreSubject::Manifest,
-                revision: *revision,
-                value: Some(value.clone()),
+    pub(crate) fn facts_after(&self, after: Revision) -> Vec<KnownFact> {
+        let manifest = self
+            .manifest_fact
+            .iter()
+            .map(|(revision, value)| KnownFact {
+                item: StoreItem {
+                    subject: StoreSubject::Manifest,
+                    revision: *revision,
+                    value: Some(value.clone()),
+                },
+                mode: RemovalMode::Gone,
             });
-        }
-        for (id, fact) in &self.backends {
-            if fact.revision > after {
-                items.push(StoreItem {
-                    subject: StoreSubject::Backend(Arc::clone(id)),
-                    revision: fact.revision,
-                    value: fact.value.clone(),
-                });
-            }
-        }
-        items
+        let backends = self.backends.iter().map(|(id, fact)| KnownFact {
+            item: StoreItem {
+                subject: StoreSubject::Backend(Arc::clone(id)),
+                revision: fact.revision,
+                value: fact.value.clone(),
+            },
+            mode: fact.mode,
+        });
+        let gateways = self.gateways.iter().map(|(name, fact)| KnownFact {
+            item: StoreItem {
+                subject: StoreSubject::Gateway(Arc::clone(name)),
+                revision: fact.revision,
+                value: fact.gone_at.is_none().then(|| fact.value.clone()),
+            },
+            mode: RemovalMode::Gone,
+        });
+        manifest
+            .chain(backends)
+            .chain(gateways)
+            .filter(|fact| fact.item.revision > after)
+            .collect()
+    }
+
+    /// Returns the live gateways of a data centre, with those that read the store for it first.
+    pub(crate) fn ranked_gateways(&self, centre: &str) -> Vec<RankedGateway> {
+        let mut ranked: Vec<RankedGateway> = self
+            .gateways
+            .iter()
+            .filter(|(_, fact)| fact.gone_at.is_none() && &*fact.entry.centre == centre)
+            .map(|(name, fact)| RankedGateway {
+                order: xxh3_64(name.as_bytes()),
+                name: Arc::clone(name),
+                control: fact.entry.control,
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|gateway| gateway.order);
+        ranked
     }
 
     /// Drops tombstones and addresses that are old.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -2,8 +2,10 @@
 //!
 //! One watch covers manifest, registry and gateways. The registry changes many times a second, so
 //! the watch is asked again at a pace: changes come in batches, each call costs the platform, and
-//! the pace is a fraction of what a change may take. While the store does not answer, other
-//! gateways are asked for what they have read.
+//! the pace is a fraction of what a change may take. In a data centre with many gateways only a
+//! few read the store; the others ask these, and read the store themselves as soon as one of them
+//! does not answer or has not heard the store lately. While the store does not answer, any other
+//! gateway is asked for what it has read.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,13 +14,16 @@
 use serde::Serialize;
 use tokio::time::sleep;
 
-use crate::belief::{Applied, RemovalMode};
+use crate::belief::{Applied, KnownFact, RemovalMode};
 use crate::core::GatewayCore;
-use crate::peer_relay::ask_gateway;
+use crate::peer_relay::{FactsClient, ask_gateway};
 use crate::port::{StoreItem, StoreSubject};
 use crate::prelude::*;
 use crate::store_client::{StoreClient, StoreError};
 
+/// How many gateways of a data centre read the store.
+const READERS: usize = 2;
+
 /// The share of the shortest bound after which the watch is asked again.
 const PACE_SHARE: u64 = 4;
 
@@ -60,6 +65,7 @@
 struct Feed {
     core: Rc<GatewayCore>,
     client: StoreClient,
+    readers: FactsClient,
     needs_list: bool,
     lost_since: Option<MonoTime>,
     last_answer: MonoTime,
@@ -72,6 +78,7 @@
     let meters = Rc::clone(&core.meters);
     let mut feed = Feed {
         client: StoreClient::open(store, meters),
+        readers: FactsClient::default(),
         core,
         needs_list: true,
         lost_since: None,
@@ -100,6 +107,9 @@
     }
 
     async fn step(&mut self) -> Result<(), StoreError> {
+        if self.ask_reader().await {
+            return Ok(());
+        }
         self.client.retarget(self.core.settings().store);
         if self.needs_list {
             self.list().await?;
@@ -114,11 +124,40 @@
             .port
             .decode_changes(&body)
             .map_err(|error| StoreError::Answer(error.to_string()))?;
-        self.answered();
+        self.heard_store();
         self.apply(changes.items, changes.at);
         Ok(())
     }
 
+    /// Asks a gateway that reads the store, if this one does not; returns whether it told the news.
+    async fn ask_reader(&mut self) -> bool {
+        let settings = self.core.settings();
+        let ranked = self.core.belief.borrow().ranked_gateways(&settings.centre);
+        let own = ranked
+            .iter()
+            .position(|gateway| gateway.name == settings.name);
+        let Some(own) = own.filter(|rank| *rank >= READERS) else {
+            return false;
+        };
+        let reader = ranked[own % READERS].control;
+        match self.readers.ask(&self.core, reader).await {
+            Ok(_) => {
+                self.answered();
+                true
+            }
+            Err(error) => {
+                self.core.log.change(
+                    "reader-lost",
+                    LostFields {
+                        reason: error.to_string(),
+                        revision: self.core.belief.borrow().at.0,
+                    },
+                );
+                false
+            }
+        }
+    }
+
     async fn list(&mut self) -> Result<(), StoreError> {
         let mut after: Option<String> = None;
         let mut first_at = None;
@@ -146,7 +185,7 @@
             }
         }
         let at = first_at.unwrap_or_default();
-        self.answered();
+        self.heard_store();
         self.apply(items, at);
         let mode = self.removal_mode();
         let mut applied = Applied::default();
@@ -162,14 +201,19 @@
         Ok(())
     }
 
-    /// Notes an answer of the store.
+    /// Notes an answer of the store itself.
+    fn heard_store(&mut self) {
+        self.answered();
+        self.core.belief.borrow_mut().contact = Some(monotonic_now());
+    }
+
+    /// Notes news of the store.
     fn answered(&mut self) {
         let now = monotonic_now();
         if now.since(self.last_answer) > AWAY_AFTER {
             self.returned_at = Some(now);
         }
         self.last_answer = now;
-        self.core.belief.borrow_mut().contact = Some(now);
         if let Some(lost) = self.lost_since.take() {
             let fields = RegainedFields {
                 away_ms: now.since(lost).as_millis_f64(),
@@ -188,7 +232,14 @@
     }
 
     fn apply(&self, items: Vec<StoreItem>, at: Revision) {
-        apply_items(&self.core, items, at, self.removal_mode(), "store");
+        let mode = self.removal_mode();
+        let fact = |item| KnownFact { item, mode };
+        apply_facts(
+            &self.core,
+            items.into_iter().map(fact).collect(),
+            at,
+            "store",
+        );
     }
 
     async fn recover(&mut self, error: &StoreError) {
@@ -223,19 +274,25 @@
 }
 
 /// Takes over facts, from the store or from another gateway.
-pub(crate) fn apply_items(
+pub(crate) fn apply_facts(
     core: &GatewayCore,
-    items: Vec<StoreItem>,
+    facts: Vec<KnownFact>,
     at: Revision,
-    mode: RemovalMode,
     source: &'static str,
 ) {
     let now = monotonic_now();
     let mut applied = Applied::default();
     let mut belief = core.belief.borrow_mut();
     let mut fleet = core.fleet.borrow_mut();
-    for item in items {
-        belief.apply(item, mode, &mut fleet, &*core.port, now, &mut applied);
+    for fact in facts {
+        belief.apply(
+            fact.item,
+            fact.mode,
+            &mut fleet,
+            &*core.port,
+            now,
+            &mut applied,
+        );
     }
     belief.at = belief.at.max(at);
     drop(fleet);
--- a/crates/gateway/src/peer_relay.rs
+++ b/crates/gateway/src/peer_relay.rs
@@ -1,7 +1,8 @@
-//! What gateways tell each other: the newest facts of the store, only when asked.
+//! What gateways tell each other of the store: its newest facts, only when asked.
 //!
-//! A gateway that the store does not answer asks another one for what is newer than its own
-//! revision. In calm times nothing is sent. The answer is JSON, with each value as the store had it
+//! In a data centre with many gateways a few read the store and the others ask them, because each
+//! call costs the platform. A gateway that the store does not answer asks any other one. What is
+//! told is newer than the asker's revision. The answer is JSON, with each value as the store had it
 //! (docs/PLATFORM.md, "Between gateways").
 
 use std::net::SocketAddr;
@@ -15,9 +16,9 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
-use crate::belief::RemovalMode;
+use crate::belief::{KnownFact, RemovalMode};
 use crate::core::GatewayCore;
-use crate::feed::apply_items;
+use crate::feed::apply_facts;
 use crate::http::{AnswerHead, ConnError, ConnLimits, HttpConn, SilenceLimits};
 use crate::port::{StoreItem, StoreSubject};
 use crate::prelude::*;
@@ -52,6 +53,17 @@
     /// The value as the store had it; absent for a tombstone.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     value: Option<String>,
+    /// Whether a tombstone may stand for an entry that only lapsed while the store was away.
+    #[serde(default, skip_serializing_if = "is_false")]
+    may_have_lapsed: bool,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde asks for a reference"
+)]
+fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -59,11 +71,12 @@
 enum FactSubject {
     Manifest,
     Backend(Arc<str>),
+    Gateway(Arc<str>),
 }
 
 /// Why another gateway told nothing.
 #[derive(Debug, Error)]
-enum RelayError {
+pub(crate) enum RelayError {
     #[error("no answer in time")]
     TimedOut,
     #[error("{0}")]
@@ -98,11 +111,13 @@
 }
 
 /// Returns the row of a fact; a value that is not text names nobody and is left out.
-fn fact_row(item: StoreItem) -> Option<FactRow> {
+fn fact_row(fact: KnownFact) -> Option<FactRow> {
+    let item = fact.item;
     let subject = match item.subject {
         StoreSubject::Manifest => FactSubject::Manifest,
         StoreSubject::Backend(id) => FactSubject::Backend(id),
-        StoreSubject::Gateway(_) | StoreSubject::Other => return None,
+        StoreSubject::Gateway(name) => FactSubject::Gateway(name),
+        StoreSubject::Other => return None,
     };
     let value = match item.value {
         None => None,
@@ -112,18 +127,27 @@
         subject,
         revision: item.revision.0,
         value,
+        may_have_lapsed: fact.mode == RemovalMode::MayHaveLapsed,
     })
 }
 
-fn store_item(row: FactRow) -> StoreItem {
+fn known_fact(row: FactRow) -> KnownFact {
     let subject = match row.subject {
         FactSubject::Manifest => StoreSubject::Manifest,
         FactSubject::Backend(id) => StoreSubject::Backend(id),
+        FactSubject::Gateway(name) => StoreSubject::Gateway(name),
     };
-    StoreItem {
-        subject,
-        revision: Revision(row.revision),
-        value: row.value.map(Bytes::from),
+    KnownFact {
+        item: StoreItem {
+            subject,
+            revision: Revision(row.revision),
+            value: row.value.map(Bytes::from),
+        },
+        mode: if row.may_have_lapsed {
+            RemovalMode::MayHaveLapsed
+        } else {
+            RemovalMode::Gone
+        },
     }
 }
 
@@ -132,10 +156,9 @@
     let Some(address) = pick_gateway(core) else {
         return;
     };
-    let after = core.belief.borrow().at;
-    let asked = timeout(Duration::from(ASK_LIMIT), fetch(address, after)).await;
-    let outcome = match asked.unwrap_or(Err(RelayError::TimedOut)) {
-        Ok(message) => take_facts(core, message),
+    let mut client = FactsClient::default();
+    let outcome = match client.ask(core, address).await {
+        Ok(count) => format!("{count} facts"),
         Err(error) => error.to_string(),
     };
     core.log.change(
@@ -148,6 +171,47 @@
     );
 }
 
+/// Asks other gateways for their facts, on a kept connection where the same one is asked again.
+#[derive(Debug, Default)]
+pub(crate) struct FactsClient {
+    kept: Option<KeptConn>,
+}
+
+#[derive(Debug)]
+struct KeptConn {
+    address: SocketAddr,
+    conn: HttpConn,
+}
+
+impl FactsClient {
+    /// Asks a gateway for what is newer, takes it over, and returns how many facts it was.
+    pub(crate) async fn ask(
+        &mut self,
+        core: &GatewayCore,
+        address: SocketAddr,
+    ) -> Result<usize, RelayError> {
+        let after = core.belief.borrow().at;
+        let kept = self
+            .kept
+            .take()
+            .filter(|kept| kept.address == address && kept.conn.is_clean());
+        let asked = timeout(Duration::from(ASK_LIMIT), fetch(kept, address, after)).await;
+        let answer = asked.unwrap_or(Err(RelayError::TimedOut))?;
+        self.kept = Some(answer.kept);
+        let message = answer.message;
+        if Span::from_millis(message.contact_age_ms) > CONTACT_LIMIT {
+            return Err(RelayError::Stale(message.contact_age_ms));
+        }
+        Ok(take_facts(core, message))
+    }
+}
+
+#[derive(Debug)]
+struct FactsAnswer {
+    message: FactsMessage,
+    kept: KeptConn,
+}
+
 fn pick_gateway(core: &GatewayCore) -> Option<SocketAddr> {
     let settings = core.settings();
     let mut addresses = core.belief.borrow().gateway_addresses(&settings.name);
@@ -163,23 +227,30 @@
     addresses.get(index).copied()
 }
 
-fn take_facts(core: &GatewayCore, message: FactsMessage) -> String {
-    let at = Revision(message.at);
-    if at <= core.belief.borrow().at {
-        return "nothing newer".to_owned();
-    }
+fn take_facts(core: &GatewayCore, message: FactsMessage) -> usize {
+    let now = monotonic_now();
+    let heard = MonoTime(now.0.saturating_sub(message.contact_age_ms * 1_000));
+    let contact = core.belief.borrow().contact;
+    core.belief.borrow_mut().contact = contact.max(Some(heard));
     let count = message.facts.len();
-    let items = message.facts.into_iter().map(store_item).collect();
-    apply_items(core, items, at, RemovalMode::Gone, "gateway");
-    format!("{count} facts")
+    let facts = message.facts.into_iter().map(known_fact).collect();
+    apply_facts(core, facts, Revision(message.at), "gateway");
+    count
 }
 
-async fn fetch(address: SocketAddr, after: Revision) -> Result<FactsMessage, RelayError> {
-    let mut conn = HttpConn::connect(address, &SilenceLimits::default())
-        .await
-        .map_err(ConnError::from)?;
+async fn fetch(
+    kept: Option<KeptConn>,
+    address: SocketAddr,
+    after: Revision,
+) -> Result<FactsAnswer, RelayError> {
+    let mut conn = match kept {
+        Some(kept) => kept.conn,
+        None => HttpConn::connect(address, &SilenceLimits::default())
+            .await
+            .map_err(ConnError::from)?,
+    };
     let request = format!(
-        "GET {FACTS_PATH}?after={} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n",
+        "GET {FACTS_PATH}?after={} HTTP/1.1\r\nHost: {address}\r\n\r\n",
         after.0
     );
     conn.write_all(request.as_bytes())
@@ -194,10 +265,9 @@
     let body = read_body(&mut conn, &head)
         .await
         .map_err(|error| answer_error(&error))?;
-    let message: FactsMessage =
-        serde_json::from_slice(&body).map_err(|error| answer_error(&error))?;
-    if Span::from_millis(message.contact_age_ms) > CONTACT_LIMIT {
-        return Err(RelayError::Stale(message.contact_age_ms));
-    }
-    Ok(message)
+    let message = serde_json::from_slice(&body).map_err(|error| answer_error(&error))?;
+    Ok(FactsAnswer {
+        message,
+        kept: KeptConn { address, conn },
+    })
 }
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -561,7 +561,7 @@
                     }
                 }
                 Ok(_) => {
-                    self.learn(&course, target);
+                    self.learn(&course, target, sent_at);
                     self.note_success(target);
                     let rest = splitter.rest();
                     let head = answer.head.clone();
@@ -628,8 +628,8 @@
         self.last_event = batch.last_id.or(self.last_event);
     }
 
-    fn learn(&self, course: &StreamCourse, target: &SendTarget) {
-        let Some(sample) = course.sample() else {
+    fn learn(&self, course: &StreamCourse, target: &SendTarget, sent_at: MonoTime) {
+        let Some(sample) = course.sample(sent_at) else {
             return;
         };
         let service = &self.job.routed.service;
@@ -835,12 +835,13 @@
         self.events += count;
     }
 
-    fn sample(&self) -> Option<StreamSample> {
+    fn sample(&self, sent_at: MonoTime) -> Option<StreamSample> {
         let first = self.first?;
         let gaps = self.events.checked_sub(1).filter(|gaps| *gaps > 2)? as u64;
         Some(StreamSample {
             mean_gap: Span(self.last.since(first).0 / gaps),
             longest_gap: self.longest,
+            held: self.last.since(sent_at),
         })
     }
 }
