Gateways pass on fresh reports of load, as bounded datagrams

Cause: with 70 gateways each meets a backend server's report once in some 20 s, so requests queued at full engines while others had room. Change: every third of a second a gateway sends the 60 freshest reports that it knows to two others at random (under 3 KB/s each way); a report that is older than the last sends is corrected by them.

--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -3,6 +3,8 @@
 //! The gateway's own requests are known exactly. The rest is what answers reported, corrected by
 //! what was sent and finished since, and forgotten when it is old.
 
+use std::collections::VecDeque;
+
 use oleander_base::prelude::*;
 use oleander_decide::{BackendHealth, FailureEffect};
 
@@ -10,7 +12,10 @@
 use crate::part_memory::PartMemory;
 
 /// How long a report counts.
-const REPORT_SPAN: Span = Span::from_millis(1_500);
+const REPORT_SPAN: Span = Span::from_millis(2_500);
+
+/// The most sends whose times are remembered, to correct a report that is a little old.
+const SENDS_KEPT: usize = 64;
 
 /// The first pause of an ejected backend server.
 const EJECT_FLOOR: Span = Span::from_millis(400);
@@ -58,6 +63,7 @@
     pub parts: PartMemory,
     health: BackendHealth,
     report: Option<DatedReport>,
+    last_sends: VecDeque<MonoTime>,
 }
 
 impl BackendState {
@@ -71,11 +77,16 @@
             parts: PartMemory::default(),
             health: BackendHealth::open(EJECT_FLOOR, EJECT_LIMIT),
             report: None,
+            last_sends: VecDeque::new(),
         }
     }
 
     /// Notes a send that has `unread` prompt tokens to read.
-    pub fn sent(&mut self, unread: f64, is_light: bool) -> SendTicket {
+    pub fn sent(&mut self, unread: f64, is_light: bool, now: MonoTime) -> SendTicket {
+        if self.last_sends.len() == SENDS_KEPT {
+            self.last_sends.pop_front();
+        }
+        self.last_sends.push_back(now);
         self.own_running += 1;
         self.own_light += u32::from(is_light);
         self.own_unread += unread;
@@ -100,15 +111,27 @@
         self.own_light = self.own_light.saturating_sub(u32::from(ticket.is_light));
     }
 
-    /// Learns the load that an answer reported.
-    pub fn reported(&mut self, report: LoadReport, now: MonoTime) {
+    /// Learns the load that an answer reported, here or to another gateway.
+    pub fn reported(&mut self, report: LoadReport, at: MonoTime) {
+        if self.report.is_some_and(|known| known.at >= at) {
+            return;
+        }
+        let sends = self.last_sends.iter().rev();
+        let sent_since = sends.take_while(|sent| **sent > at).count();
+        let sent_since = u32::try_from(sent_since).unwrap_or(u32::MAX);
         self.report = Some(DatedReport {
             report,
-            own_then: self.own_running,
-            at: now,
+            own_then: self.own_running.saturating_sub(sent_since),
+            at,
         });
     }
 
+    /// Returns the newest report with its time, if it is not older than `span`.
+    pub fn fresh_report(&self, span: Span, now: MonoTime) -> Option<(LoadReport, MonoTime)> {
+        let dated = self.report.filter(|dated| now.since(dated.at) < span)?;
+        Some((dated.report, dated.at))
+    }
+
     /// Returns how many requests run or wait there, where `others` is what the other gateways are
     /// taken to have there while no report is fresh.
     pub fn running(&self, others: f64, now: MonoTime) -> f64 {
--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -69,6 +69,7 @@
     members: FastMap<BackendKey, FleetMember>,
     by_id: FastMap<Arc<str>, BackendKey>,
     by_service: FastMap<Arc<str>, Vec<BackendKey>>,
+    by_hash: FastMap<u64, BackendKey>,
     homes: HomeCache,
     generation: u64,
     next_key: u32,
@@ -166,6 +167,12 @@
         self.by_id.get(id).copied()
     }
 
+    /// Returns the backend server whose id has this hash.
+    pub fn by_hash_mut(&mut self, id_hash: u64) -> Option<&mut FleetMember> {
+        let key = self.by_hash.get(&id_hash)?;
+        self.members.get_mut(key)
+    }
+
     /// Returns one backend server.
     pub fn get(&self, key: BackendKey) -> Option<&FleetMember> {
         self.members.get(&key)
@@ -212,6 +219,7 @@
             .or_default()
             .push(key);
         let id_hash = xxh3_64(entry.id.as_bytes());
+        self.by_hash.insert(id_hash, key);
         self.members.insert(
             key,
             FleetMember {
@@ -230,6 +238,7 @@
         };
         self.generation += 1;
         self.by_id.remove(&member.entry.id);
+        self.by_hash.remove(&member.id_hash);
         if let Some(keys) = self.by_service.get_mut(&member.entry.service) {
             keys.retain(|held| *held != key);
         }
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -108,7 +108,11 @@
     let parts = document(42);
     let home = choose(&mut fleet, &input(MODEL, &parts, &latency)).key;
     for _ in 0..4 {
-        fleet.get_mut(home).unwrap().state.sent(4_000.0, false);
+        fleet
+            .get_mut(home)
+            .unwrap()
+            .state
+            .sent(4_000.0, false, MonoTime(1_000_000));
     }
     assert_eq!(
         choose(&mut fleet, &input(MODEL, &parts, &latency)).key,
@@ -125,7 +129,11 @@
     let parts = document(42);
     let home = choose(&mut fleet, &input(MODEL, &parts, &latency)).key;
     for _ in 0..25 {
-        fleet.get_mut(home).unwrap().state.sent(5_000.0, false);
+        fleet
+            .get_mut(home)
+            .unwrap()
+            .state
+            .sent(5_000.0, false, MonoTime(1_000_000));
     }
     assert_ne!(
         choose(&mut fleet, &input(MODEL, &parts, &latency)).key,
@@ -252,7 +260,11 @@
     let mut counts = std::collections::BTreeMap::new();
     for _ in 0..16 {
         let choice = choose(&mut fleet, &input(DESK, &[], &latency));
-        fleet.get_mut(choice.key).unwrap().state.sent(0.0, true);
+        fleet
+            .get_mut(choice.key)
+            .unwrap()
+            .state
+            .sent(0.0, true, MonoTime(1_000_000));
         *counts.entry(choice.key).or_insert(0) += 1;
     }
     assert_eq!(counts.values().copied().collect::<Vec<_>>(), [4, 4, 4, 4]);
@@ -269,7 +281,11 @@
         waiting: 4,
     };
     fleet.get_mut(keys[0]).unwrap().state.reported(report, now);
-    fleet.get_mut(keys[1]).unwrap().state.sent(0.0, true);
+    fleet
+        .get_mut(keys[1])
+        .unwrap()
+        .state
+        .sent(0.0, true, MonoTime(1_000_000));
     let fresh = choose(&mut fleet, &input(DESK, &[], &latency));
     assert_eq!(fresh.key, keys[1]);
     let later = ChoiceInput {
@@ -310,7 +326,11 @@
 fn a_restart_under_the_same_id_is_a_new_engine() {
     let mut fleet = fleet(MODEL, 1);
     let old = fleet.of_service(MODEL)[0];
-    fleet.get_mut(old).unwrap().state.sent(100.0, false);
+    fleet
+        .get_mut(old)
+        .unwrap()
+        .state
+        .sent(100.0, false, MonoTime(1_000_000));
     let mut again = entry("i-0", MODEL, 6);
     again.started_ms = 2;
     fleet.upsert(again);
@@ -340,7 +360,7 @@
         let state = &mut fleet.get_mut(key).unwrap().state;
         let mut tickets = Vec::new();
         for (unread, is_light, is_read) in steps {
-            let mut ticket = state.sent(unread, is_light);
+            let mut ticket = state.sent(unread, is_light, MonoTime(1_000_000));
             if is_read {
                 state.read(&mut ticket);
             }
--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -48,12 +48,13 @@
     seeds: &[SocketAddr],
 ) -> Value {
     let [frontend, readiness, control] = addresses;
+    let gossip_port = free_address().port();
     json!({
         "node_name": name, "role": "gateway", "machine_class": "edge", "serves": ["edge", "control"],
         "ip_address": "127.0.0.1", "zone": "north-a", "region": "north",
         "zones": {"north-a": "north"},
         "listen": {"frontend": frontend, "readiness": readiness, "control_plane": control},
-        "port_range": [7340, 7355], "seed_nodes": seeds, "bootstrap": true,
+        "port_range": [gossip_port, gossip_port], "seed_nodes": seeds, "bootstrap": true,
         "limits": {"cpu_quota": 0.25, "cpu_cores": 1, "memory_mb": 110, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
         "data_path": null, "heartbeat_ms": 1200,
         "bounds": {"drain_ms": 2000, "grace_s": 4, "config_apply_ms": 2000, "retry_ratio": 0.2,
--- a/crates/gateway/src/belief.rs
+++ b/crates/gateway/src/belief.rs
@@ -391,6 +391,15 @@
         ranked
     }
 
+    /// Returns where the live gateways take news of load.
+    pub(crate) fn gossip_addresses(&self, own: &str) -> Vec<std::net::SocketAddr> {
+        self.gateways
+            .iter()
+            .filter(|(name, fact)| &***name != own && fact.gone_at.is_none())
+            .filter_map(|(_, fact)| fact.entry.gossip)
+            .collect()
+    }
+
     /// Drops tombstones and addresses that are old.
     pub(crate) fn prune(&mut self, now: MonoTime) {
         self.backends
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -216,7 +216,7 @@
 impl SendGuard {
     pub(crate) fn open(core: &Rc<GatewayCore>, choice: &Choice) -> Self {
         let ticket = core.with_backend(choice.key, |state| {
-            state.sent(choice.unread.total(), choice.is_light)
+            state.sent(choice.unread.total(), choice.is_light, monotonic_now())
         });
         Self {
             core: Rc::clone(core),
--- /dev/null
+++ b/crates/gateway/src/gossip.rs
@@ -0,0 +1,149 @@
+//! News of load between gateways, as datagrams.
+//!
+//! An answer tells one gateway the load of one backend server. With many gateways each meets a
+//! backend server so rarely that it would know nothing of the others' requests, so every gateway
+//! passes the freshest reports that it knows, first-hand or not, to a few others at random. News
+//! spreads to all in a few rounds; each message is bounded, so what a gateway sends does not grow
+//! with the fleet (docs/CAPACITY.md). A lost message costs nothing: the next one has fresher news.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use oleander_balance::LoadReport;
+use oleander_base::monotonic_now;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::core::GatewayCore;
+use crate::prelude::*;
+
+/// The time between two rounds.
+const ROUND_PAUSE: Span = Span::from_millis(333);
+
+/// How many gateways get the news of one round.
+const FANOUT: usize = 2;
+
+/// The most reports of one message.
+const REPORT_LIMIT: usize = 60;
+
+/// How old a report may be to be passed on.
+const NEWS_SPAN: Span = Span::from_millis(1_200);
+
+/// The longest message, in bytes.
+const MESSAGE_BYTES: usize = 1_400;
+
+/// The version of the messages; others are ignored.
+const MESSAGE_VERSION: u8 = 1;
+
+#[derive(Debug, Serialize, Deserialize)]
+struct LoadMessage {
+    version: u8,
+    reports: Vec<LoadNews>,
+}
+
+/// The load of one backend server.
+#[derive(Debug, Serialize, Deserialize)]
+struct LoadNews {
+    /// The hash of its id.
+    id_hash: u64,
+    age_ms: u16,
+    running: u16,
+    waiting: u16,
+}
+
+/// Sends and takes news for as long as the process lives.
+pub(crate) async fn run_gossip(core: Rc<GatewayCore>, socket: UdpSocket) {
+    let mut buffer = vec![0; MESSAGE_BYTES];
+    loop {
+        let pause = Duration::from(ROUND_PAUSE).mul_f64(0.75 + 0.5 * core.random());
+        let round = sleep(pause);
+        tokio::pin!(round);
+        loop {
+            tokio::select! {
+                biased;
+                () = &mut round => break,
+                received = socket.recv_from(&mut buffer) => match received {
+                    Ok((length, _)) => take_news(&core, &buffer[..length]),
+                    // An unreachable gateway shows as an error of the next read; it leaves the list by itself.
+                    Err(_) => sleep(Duration::from_millis(5)).await,
+                },
+            }
+        }
+        send_news(&core, &socket).await;
+    }
+}
+
+async fn send_news(core: &GatewayCore, socket: &UdpSocket) {
+    let reports = fresh_reports(core);
+    if reports.is_empty() {
+        return;
+    }
+    let targets = pick_targets(core);
+    let message = LoadMessage {
+        version: MESSAGE_VERSION,
+        reports,
+    };
+    let bytes = postcard::to_allocvec(&message).expect("news are plain data");
+    for target in targets {
+        // A datagram that cannot be sent is lost, as any may be.
+        let _ = socket.send_to(&bytes, target).await;
+    }
+}
+
+/// Returns the freshest reports, the newest first.
+fn fresh_reports(core: &GatewayCore) -> Vec<LoadNews> {
+    let now = monotonic_now();
+    let fleet = core.fleet.borrow();
+    let mut news: Vec<LoadNews> = fleet
+        .members()
+        .filter_map(|(_, member)| {
+            let (report, at) = member.state.fresh_report(NEWS_SPAN, now)?;
+            Some(LoadNews {
+                id_hash: member.id_hash,
+                age_ms: u16::try_from(now.since(at).0 / 1_000).unwrap_or(u16::MAX),
+                running: u16::try_from(report.running).unwrap_or(u16::MAX),
+                waiting: u16::try_from(report.waiting).unwrap_or(u16::MAX),
+            })
+        })
+        .collect();
+    news.sort_unstable_by_key(|report| report.age_ms);
+    news.truncate(REPORT_LIMIT);
+    news
+}
+
+fn pick_targets(core: &GatewayCore) -> Vec<SocketAddr> {
+    let own = core.settings();
+    let mut addresses = core.belief.borrow().gossip_addresses(&own.name);
+    let mut targets = Vec::with_capacity(FANOUT);
+    while targets.len() < FANOUT && !addresses.is_empty() {
+        let index = (core.random() * addresses.len() as f64) as usize;
+        targets.push(addresses.swap_remove(index.min(addresses.len() - 1)));
+    }
+    targets
+}
+
+/// Takes over the reports that are newer than what is known.
+fn take_news(core: &GatewayCore, bytes: &[u8]) {
+    // A message that cannot be read is one of another version, or not a gateway's.
+    let Ok(message) = postcard::from_bytes::<LoadMessage>(bytes) else {
+        return;
+    };
+    if message.version != MESSAGE_VERSION {
+        return;
+    }
+    let now = monotonic_now();
+    let mut fleet = core.fleet.borrow_mut();
+    for news in message.reports {
+        let age = Span::from_millis(u64::from(news.age_ms));
+        let at = MonoTime(now.0.saturating_sub(age.0));
+        if let Some(member) = fleet.by_hash_mut(news.id_hash) {
+            let report = LoadReport {
+                running: u32::from(news.running),
+                waiting: u32::from(news.waiting),
+            };
+            member.state.reported(report, at);
+        }
+    }
+}
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -75,6 +75,7 @@
         .map_err(|error| StoreError::Answer(error.to_string()))?;
     let entry = GatewayEntry {
         control: settings.control,
+        gossip: Some(settings.gossip),
         centre: std::sync::Arc::clone(&settings.centre),
     };
     let request = core.port.announce_request(&settings.name, &entry, lease);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod event_split;
 mod exchange;
 mod feed;
+mod gossip;
 pub mod http;
 mod lease;
 mod life;
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -162,8 +162,10 @@
 /// How another gateway is reached.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GatewayEntry {
-    /// Its address for other gateways.
+    /// Its address for other gateways' questions.
     pub control: SocketAddr,
+    /// Its address for other gateways' news of load; older versions have none.
+    pub gossip: Option<SocketAddr>,
     /// Its data centre.
     pub centre: Arc<str>,
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -9,7 +9,7 @@
 use oleander_base::monotonic_now;
 use serde::Serialize;
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::runtime::Runtime;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
@@ -18,6 +18,7 @@
 use crate::caller_conn::serve_caller;
 use crate::core::GatewayCore;
 use crate::feed::{RETURN_TIME, run_feed};
+use crate::gossip::run_gossip;
 use crate::lease::run_lease;
 use crate::meters::Meters;
 use crate::prelude::*;
@@ -68,6 +69,7 @@
     frontend: TcpListener,
     readiness: TcpListener,
     control: TcpListener,
+    gossip: UdpSocket,
     metrics: Option<TcpListener>,
 }
 
@@ -138,6 +140,7 @@
             frontend: listen(settings.frontend)?,
             readiness: listen(settings.readiness)?,
             control: listen(settings.control)?,
+            gossip: bind_datagrams(settings.gossip)?,
             metrics: settings.metrics.map(listen).transpose()?,
         })
     }
@@ -165,6 +168,15 @@
     open().map_err(|error| StartError::Listen { address, error })
 }
 
+fn bind_datagrams(address: SocketAddr) -> Result<UdpSocket, StartError> {
+    let open = || {
+        let socket = std::net::UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        UdpSocket::from_std(socket)
+    };
+    open().map_err(|error| StartError::Listen { address, error })
+}
+
 async fn run(core: Rc<GatewayCore>, listeners: Listeners, mut signals: Signals) {
     let settings = core.settings();
     core.log.change(
@@ -187,6 +199,7 @@
     }
     spawn_local(run_feed(Rc::clone(&core)));
     spawn_local(run_lease(Rc::clone(&core)));
+    spawn_local(run_gossip(Rc::clone(&core), listeners.gossip));
     spawn_local(accept_callers(Rc::clone(&core), listeners.frontend));
     spawn_local(watch_settings(Rc::clone(&core)));
     let mut upkeep = interval(Duration::from(UPKEEP_PAUSE));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -19,6 +19,8 @@
     pub readiness: SocketAddr,
     /// Where other gateways connect.
     pub control: SocketAddr,
+    /// Where other gateways send news of load, as datagrams.
+    pub gossip: SocketAddr,
     /// Where metrics are read.
     pub metrics: Option<SocketAddr>,
     /// Other gateways that may be up at the start.
