A first event that is late anyway costs little more

Cause: in a general overload the square of the wait sent requests from full homes to engines as full, where their parts were read again.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -36,6 +36,12 @@
 /// The most that such streams are worth together.
 const DISTURB_LIMIT: f64 = 15_000.0;
 
+/// The share of the target from which a first event is taken to be late.
+const LATE_SHARE: f64 = 1.2;
+
+/// How much less each further share of the target costs then.
+const BEYOND_SLOPE: f64 = 0.25;
+
 /// Prompt tokens that a stream with a pause beyond its limit is worth in the cost.
 const LATE_TOKENS: f64 = 12_000.0;
 
@@ -247,6 +253,16 @@
     }
 }
 
+/// Returns what the wait for the first event costs, by its share of the target.
+///
+/// Once it is late, a longer wait loses little more, so that in a general overload requests do not
+/// leave their homes for backend servers that are as full.
+fn late_first_tokens(lateness: f64) -> f64 {
+    let until_late = lateness.min(LATE_SHARE);
+    let beyond = lateness - until_late;
+    (until_late * until_late + beyond * BEYOND_SLOPE) * TARGET_TOKENS
+}
+
 /// Returns how long a request waits for a slot where that many run or wait already.
 fn slot_wait_ms(member: &FleetMember, running: f64, input: &ChoiceInput<'_>) -> f64 {
     let slots = f64::from(member.entry.slots.max(1));
@@ -283,7 +299,7 @@
     unread.shared * SHARED_WEIGHT
         + (unread.own + RUNNING_TOKENS * running) / speed
         + backlog
-        + lateness * lateness * TARGET_TOKENS
+        + late_first_tokens(lateness)
         + late * LATE_TOKENS
         + company
         + distance
