--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -25,7 +25,7 @@
 const READ_TOKENS_PER_MS: f64 = 50.0;
 
 /// Prompt tokens that a first event right at its target is worth in the cost.
-const TARGET_TOKENS: f64 = 40_000.0;
+const TARGET_TOKENS: f64 = 22_000.0;
 
 /// The longest prompt, in tokens, that hardly disturbs other streams.
 const LIGHT_TOKENS: u32 = 4_096;
