A backend server that cannot be reached is ejected at once, and a data centre after two

Change: a connection that cannot be made ejects at once, two backend servers of one data centre within 1.5 s eject the others there, the limit for a connection is 300 ms. Test: a_data_centre_that_is_cut_off_is_left_after_two_failures.

--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -163,6 +163,11 @@
         self.health.succeeded(slots, now);
     }
 
+    /// Stops sends for a while; afterwards one request at a time finds out.
+    pub fn eject(&mut self, now: MonoTime) {
+        self.health.eject(now);
+    }
+
     /// Learns of a failure; returns whether the backend server was ejected for it.
     pub fn failed(&mut self, now: MonoTime) -> bool {
         if self.health.failed(now) == FailureEffect::Eject {
--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -63,6 +63,10 @@
     pub lapsed_at: Option<MonoTime>,
 }
 
+/// How close together two backend servers of a data centre must become unreachable for the others
+/// there to be suspected as well.
+const CUT_SPAN: Span = Span::from_millis(1_500);
+
 /// All backend servers.
 #[derive(Debug, Default)]
 pub struct FleetTable {
@@ -71,6 +75,7 @@
     by_service: FastMap<Arc<str>, Vec<BackendKey>>,
     by_hash: FastMap<u64, BackendKey>,
     homes: HomeCache,
+    unreachable: FastMap<Arc<str>, UnreachableMark>,
     generation: u64,
     next_key: u32,
 }
@@ -81,6 +86,13 @@
     }
 }
 
+/// The last backend server of a data centre that could not be reached.
+#[derive(Debug, Clone, Copy)]
+struct UnreachableMark {
+    key: BackendKey,
+    at: MonoTime,
+}
+
 /// What a change of the registry did.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EntryChange {
@@ -198,6 +210,32 @@
         self.members.iter().map(|(key, member)| (*key, member))
     }
 
+    /// Learns that no connection to a backend server can be made; returns how many are ejected.
+    ///
+    /// Two in one data centre within a short time look like a cut, so all others there are ejected
+    /// too, before each of them costs callers the time of its own failures.
+    pub fn unreachable(&mut self, key: BackendKey, now: MonoTime) -> usize {
+        let Some(member) = self.members.get_mut(&key) else {
+            return 0;
+        };
+        member.state.eject(now);
+        let centre = Arc::clone(&member.entry.centre);
+        let mark = UnreachableMark { key, at: now };
+        let last = self.unreachable.insert(Arc::clone(&centre), mark);
+        if !last.is_some_and(|last| last.key != key && now.since(last.at) < CUT_SPAN) {
+            return 1;
+        }
+        let mut ejected = 1;
+        for (other, member) in &mut self.members {
+            let is_suspect = *other != key && member.entry.centre == centre;
+            if is_suspect && member.state.is_open(now) {
+                member.state.eject(now);
+                ejected += 1;
+            }
+        }
+        ejected
+    }
+
     /// Returns the homes of a part among a service's backend servers that take new requests.
     pub fn homes(&mut self, service: &str, part: PartId) -> HomeSet {
         let members = &self.members;
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -322,6 +322,41 @@
     assert!(choose_backend(&mut fleet, &input, || 0.5).is_none());
 }
 
+/// The pattern: a data centre is cut off in the middle of a burst. The second backend server there
+/// that cannot be reached tells of the rest.
+#[test]
+fn a_data_centre_that_is_cut_off_is_left_after_two_failures() {
+    let latency = LatencyModel::default();
+    let mut fleet = FleetTable::default();
+    for index in 0..6 {
+        let mut entry = entry(&format!("i-{index}"), DESK, 6);
+        entry.centre = Arc::from(if index < 3 { "south" } else { "north" });
+        fleet.upsert(entry);
+    }
+    let keys = fleet.of_service(DESK).to_vec();
+    let now = MonoTime(1_000_000);
+    assert_eq!(fleet.unreachable(keys[0], now), 1);
+    assert_eq!(
+        fleet.unreachable(keys[0], now),
+        1,
+        "one that fails twice says nothing of others"
+    );
+    assert_eq!(fleet.unreachable(keys[1], now + Span::from_millis(300)), 2);
+    for _ in 0..12 {
+        let later = ChoiceInput {
+            now: now + Span::from_millis(400),
+            ..input(DESK, &[], &latency)
+        };
+        let choice = choose(&mut fleet, &later);
+        assert!(keys[3..].contains(&choice.key));
+        fleet
+            .get_mut(choice.key)
+            .unwrap()
+            .state
+            .sent(0.0, true, now);
+    }
+}
+
 #[test]
 fn a_restart_under_the_same_id_is_a_new_engine() {
     let mut fleet = fleet(MODEL, 1);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,7 +19,7 @@
 use crate::prelude::*;
 
 /// How long a new connection to a backend server may take.
-const CONNECT_LIMIT: Span = Span::from_millis(500);
+const CONNECT_LIMIT: Span = Span::from_millis(300);
 
 /// The longest head of an answer, in bytes.
 const HEAD_BYTES: usize = 32 * 1024;
@@ -33,6 +33,9 @@
     /// Nothing of it left this process.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// Nothing of it left this process, because no connection could be made.
+    #[error("not reached: {0}")]
+    NotReached(String),
     /// It left, and no answer came.
     #[error("no answer: {0}")]
     Unanswered(String),
@@ -41,7 +44,7 @@
 impl SendError {
     pub(crate) fn verdict(&self) -> Verdict {
         match self {
-            Self::NotSent(_) => Verdict::NotRun,
+            Self::NotSent(_) | Self::NotReached(_) => Verdict::NotRun,
             Self::Unanswered(_) => Verdict::MayHaveRun,
         }
     }
@@ -153,8 +156,8 @@
     let connect = HttpConn::connect(plan.address, &limits);
     match timeout(Duration::from(CONNECT_LIMIT), connect).await {
         Ok(Ok(conn)) => Ok(conn),
-        Ok(Err(error)) => Err(SendError::NotSent(error.to_string())),
-        Err(_) => Err(SendError::NotSent("no connection in time".to_owned())),
+        Ok(Err(error)) => Err(SendError::NotReached(error.to_string())),
+        Err(_) => Err(SendError::NotReached("no connection in time".to_owned())),
     }
 }
 
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -324,6 +324,9 @@
         self.verdict = self.verdict.join(verdict);
         self.last_problem = error.to_string();
         self.note_failure(target, verdict, &error.to_string(), sent_at);
+        if matches!(error, SendError::NotReached(_)) {
+            self.note_unreachable(target);
+        }
         if verdict == Verdict::NotRun {
             return Step::TryAgain;
         }
@@ -336,6 +339,18 @@
         }
     }
 
+    fn note_unreachable(&self, target: &SendTarget) {
+        let now = monotonic_now();
+        let ejected = self.core.fleet.borrow_mut().unreachable(target.key, now);
+        if ejected > 1 {
+            let fields = UnreachableFields {
+                backend: &target.id,
+                ejected,
+            };
+            self.core.log.change("data-centre-suspected", fields);
+        }
+    }
+
     fn note_failure(&self, target: &SendTarget, verdict: Verdict, outcome: &str, at: MonoTime) {
         let now = monotonic_now();
         let service = &self.job.routed.service;
@@ -806,6 +821,12 @@
     reason: &'a str,
 }
 
+#[derive(Debug, Serialize)]
+struct UnreachableFields<'a> {
+    backend: &'a str,
+    ejected: usize,
+}
+
 /// Where an attempt goes.
 #[derive(Debug)]
 struct SendTarget {
