--- a/crates/balance/src/home.rs
+++ b/crates/balance/src/home.rs
@@ -12,7 +12,7 @@
 use crate::fleet_table::BackendKey;
 
 /// The chance that a backend server of each rank holds a part, as far as this gateway can tell.
-const HELD_CHANCE: [f64; 4] = [1.0, 0.7, 0.5, 0.3];
+const HELD_CHANCE: [f64; 3] = [1.0, 0.5, 0.25];
 
 /// The homes of one part, the first one best.
 #[derive(Debug, Clone, Copy, Default)]
