--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -213,13 +213,17 @@
     /// Learns that no connection to a backend server can be made; returns how many are ejected.
     ///
     /// Two in one data centre within a short time look like a cut, so all others there are ejected
-    /// too, before each of them costs callers the time of its own failures.
-    pub fn unreachable(&mut self, key: BackendKey, now: MonoTime) -> usize {
+    /// too, before each of them costs callers the time of its own failures. A gateway is never cut off
+    /// from its own data centre.
+    pub fn unreachable(&mut self, key: BackendKey, own_centre: &str, now: MonoTime) -> usize {
         let Some(member) = self.members.get_mut(&key) else {
             return 0;
         };
         member.state.eject(now);
         let centre = Arc::clone(&member.entry.centre);
+        if &*centre == own_centre {
+            return 1;
+        }
         let mark = UnreachableMark { key, at: now };
         let last = self.unreachable.insert(Arc::clone(&centre), mark);
         if !last.is_some_and(|last| last.key != key && now.since(last.at) < CUT_SPAN) {
--- a/crates/gateway/src/belief.rs
+++ b/crates/gateway/src/belief.rs
@@ -46,6 +46,7 @@
     BackendJoined {
         backend: Arc<str>,
         service: Arc<str>,
+        centre: Arc<str>,
     },
     /// A backend server gets no more new requests.
     BackendDraining { backend: Arc<str> },
@@ -207,6 +208,7 @@
             Some(value) => match port.decode_backend(&id, value) {
                 Ok(entry) => {
                     let service = Arc::clone(&entry.service);
+                    let centre = Arc::clone(&entry.centre);
                     let old = fleet.key_of(&id);
                     match fleet.upsert(entry) {
                         EntryChange::Joined(_) => {
@@ -214,6 +216,7 @@
                             applied.changes.push(BeliefChange::BackendJoined {
                                 backend: Arc::clone(&id),
                                 service,
+                                centre,
                             });
                         }
                         EntryChange::Draining(key) => {
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -341,7 +341,10 @@
 
     fn note_unreachable(&self, target: &SendTarget) {
         let now = monotonic_now();
-        let ejected = self.core.fleet.borrow_mut().unreachable(target.key, now);
+        let settings = self.core.settings();
+        let mut fleet = self.core.fleet.borrow_mut();
+        let ejected = fleet.unreachable(target.key, &settings.centre, now);
+        drop(fleet);
         if ejected > 1 {
             let fields = UnreachableFields {
                 backend: &target.id,
