The way of a request in files of its own; one copy of passing headers on

Cause: request_run.rs had grown to 914 lines with five jobs; two heads had the same accessors, and the adapter wrote passed headers twice. Change: request/ has the way, attempts, whole answers, streams, notes and waits; HeaderBlock passes headers on.

--- a/crates/gateway/src/caller_conn.rs
+++ b/crates/gateway/src/caller_conn.rs
@@ -18,7 +18,7 @@
 use crate::manifest::{CallerLimits, RouteRefusal};
 use crate::port::OwnAnswer;
 use crate::prelude::*;
-use crate::request_run::{RequestJob, RequestRun, return_time, write_own};
+use crate::request::{RequestJob, RequestRun, return_time, write_own};
 
 /// How long a caller's connection may leave our bytes without an acknowledgement.
 const CALLER_SILENCE: SilenceLimits = SilenceLimits {
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -24,7 +24,7 @@
 ];
 
 /// Returns whether a header concerns one connection only, by the names that HTTP defines.
-pub fn is_connection_header(name: &str) -> bool {
+fn is_connection_header(name: &str) -> bool {
     CONNECTION_HEADERS
         .iter()
         .any(|known| name.eq_ignore_ascii_case(known))
@@ -65,14 +65,16 @@
     pub value: &'a [u8],
 }
 
+/// The headers of one head, as they came.
 #[derive(Debug, Clone)]
-struct HeaderBlock {
+pub struct HeaderBlock {
     bytes: Bytes,
     ranges: Vec<HeaderRange>,
 }
 
 impl HeaderBlock {
-    fn views(&self) -> impl Iterator<Item = HeaderView<'_>> {
+    /// Returns the headers, in order.
+    pub fn views(&self) -> impl Iterator<Item = HeaderView<'_>> {
         self.ranges.iter().map(|range| HeaderView {
             name: std::str::from_utf8(&self.bytes[range.name.clone()]).unwrap_or(""),
             value: &self.bytes[range.value.clone()],
@@ -85,7 +87,8 @@
             .map(|header| header.value)
     }
 
-    fn text(&self, name: &str) -> Option<&str> {
+    /// Returns the first value of a header, as text.
+    pub fn text(&self, name: &str) -> Option<&str> {
         let value = self.values(name).next()?;
         std::str::from_utf8(value).ok().map(str::trim)
     }
@@ -97,6 +100,22 @@
             .any(|item| item.trim().eq_ignore_ascii_case(word))
     }
 
+    /// Writes the headers that go on, which are all but those of one connection and `dropped`.
+    pub fn push_passed(&self, dropped: &[&str], out: &mut Vec<u8>) {
+        for header in self.views() {
+            let is_dropped = dropped
+                .iter()
+                .any(|name| header.name.eq_ignore_ascii_case(name));
+            if is_dropped || self.is_for_connection(header.name) {
+                continue;
+            }
+            out.extend_from_slice(header.name.as_bytes());
+            out.extend_from_slice(b": ");
+            out.extend_from_slice(header.value);
+            out.extend_from_slice(b"\r\n");
+        }
+    }
+
     /// Returns whether a header goes no further than the connection that it came on.
     fn is_for_connection(&self, name: &str) -> bool {
         is_connection_header(name) || self.lists("connection", name)
@@ -106,7 +125,8 @@
 /// The head of a request.
 #[derive(Debug, Clone)]
 pub struct RequestHead {
-    block: HeaderBlock,
+    /// The headers.
+    pub headers: HeaderBlock,
     method: Range<usize>,
     target: Range<usize>,
     /// How its body is framed.
@@ -120,7 +140,8 @@
 /// The head of an answer.
 #[derive(Debug, Clone)]
 pub struct AnswerHead {
-    block: HeaderBlock,
+    /// The headers.
+    pub headers: HeaderBlock,
     /// The status.
     pub status: u16,
     reason: Range<usize>,
@@ -224,7 +245,7 @@
         let keeps_alive = minor == 1 && !block.lists("connection", "close");
         let expects_continue = block.lists("expect", "100-continue");
         Ok(Self {
-            block,
+            headers: block,
             method,
             target: target_range,
             framing,
@@ -235,12 +256,12 @@
 
     /// Returns the method.
     pub fn method(&self) -> &str {
-        std::str::from_utf8(&self.block.bytes[self.method.clone()]).unwrap_or("")
+        std::str::from_utf8(&self.headers.bytes[self.method.clone()]).unwrap_or("")
     }
 
     /// Returns path and query, as sent.
     pub fn target(&self) -> &str {
-        std::str::from_utf8(&self.block.bytes[self.target.clone()]).unwrap_or("")
+        std::str::from_utf8(&self.headers.bytes[self.target.clone()]).unwrap_or("")
     }
 
     /// Returns the path without the query.
@@ -251,24 +272,9 @@
 
     /// Returns the host without a port.
     pub fn host(&self) -> &str {
-        let host = self.text("host").unwrap_or("");
+        let host = self.headers.text("host").unwrap_or("");
         host.split_once(':').map_or(host, |(name, _)| name)
     }
-
-    /// Returns the headers, in order.
-    pub fn headers(&self) -> impl Iterator<Item = HeaderView<'_>> {
-        self.block.views()
-    }
-
-    /// Returns the first value of a header, as text.
-    pub fn text(&self, name: &str) -> Option<&str> {
-        self.block.text(name)
-    }
-
-    /// Returns whether a header goes no further than the connection that it came on.
-    pub fn is_for_connection(&self, name: &str) -> bool {
-        self.block.is_for_connection(name)
-    }
 }
 
 impl AnswerHead {
@@ -299,7 +305,7 @@
         let keeps_alive =
             minor == 1 && framing != BodyFraming::UntilClose && !block.lists("connection", "close");
         Ok(Self {
-            block,
+            headers: block,
             status,
             reason,
             framing,
@@ -309,27 +315,12 @@
 
     /// Returns the reason phrase.
     pub fn reason(&self) -> &str {
-        std::str::from_utf8(&self.block.bytes[self.reason.clone()]).unwrap_or("")
-    }
-
-    /// Returns the headers, in order.
-    pub fn headers(&self) -> impl Iterator<Item = HeaderView<'_>> {
-        self.block.views()
-    }
-
-    /// Returns the first value of a header, as text.
-    pub fn text(&self, name: &str) -> Option<&str> {
-        self.block.text(name)
-    }
-
-    /// Returns whether a header goes no further than the connection that it came on.
-    pub fn is_for_connection(&self, name: &str) -> bool {
-        self.block.is_for_connection(name)
+        std::str::from_utf8(&self.headers.bytes[self.reason.clone()]).unwrap_or("")
     }
 
     /// Returns how long the other side keeps the connection open without a request, in seconds.
     pub fn idle_seconds(&self) -> Option<u64> {
-        let value = self.text("keep-alive")?;
+        let value = self.headers.text("keep-alive")?;
         let timeout = value
             .split(',')
             .find_map(|item| item.trim().strip_prefix("timeout="))?;
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -12,4 +12,4 @@
 
 pub use body::{BodyError, BodyFraming, BodyPiece, BodyReader, push_chunk, push_last_chunk};
 pub use conn::{ConnError, ConnLimits, HttpConn, SilenceLimits};
-pub use head::{AnswerHead, HeadError, HeaderView, RequestHead, is_connection_header};
+pub use head::{AnswerHead, HeadError, HeaderBlock, HeaderView, RequestHead};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,7 +22,7 @@
 mod peer_relay;
 pub mod port;
 mod process;
-mod request_run;
+mod request;
 mod settings;
 mod side_server;
 mod store_client;
--- /dev/null
+++ b/crates/gateway/src/request/attempt.rs
@@ -0,0 +1,211 @@
+//! One attempt of a request, and what its outcome allows next.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use oleander_balance::{BackendKey, Choice};
+use oleander_base::monotonic_now;
+
+use super::wait::{Waited, read_whole, wait};
+use super::{RequestRun, RunResult};
+use crate::core::SendGuard;
+use crate::exchange::{Exchange, SendError, SendPlan};
+use crate::port::SendOrder;
+use crate::prelude::*;
+
+/// The shortest silence after which an idempotent request is tried elsewhere.
+const IDEMPOTENT_PATIENCE: Span = Span::from_millis(250);
+
+/// Latency targets after which an idempotent request is tried elsewhere.
+const PATIENCE_TARGETS: u64 = 3;
+
+/// What comes after an attempt.
+pub(super) enum Step {
+    Done(RunResult),
+    TryAgain,
+    GiveUp(&'static str),
+}
+
+/// Where an attempt goes.
+#[derive(Debug)]
+pub(super) struct SendTarget {
+    pub(super) key: BackendKey,
+    pub(super) id: Arc<str>,
+    pub(super) address: SocketAddr,
+    pub(super) slots: u32,
+}
+
+impl RequestRun<'_> {
+    pub(super) async fn attempt(&mut self, choice: &Choice) -> Step {
+        let Some(target) = self.target(choice) else {
+            self.tried.push(choice.key);
+            return Step::TryAgain;
+        };
+        let mut guard = SendGuard::open(self.core, choice);
+        let bytes = self.encode(&target);
+        self.log_send(choice, &target);
+        let plan = SendPlan {
+            key: choice.key,
+            address: target.address,
+            method: self.job.head.method(),
+            attempt_id: self.attempt_id,
+            bytes: &bytes,
+        };
+        let sent_at = monotonic_now();
+        self.tried.push(choice.key);
+        let patience = self.patience();
+        let send = Exchange::send(self.core, &plan);
+        let answer = match wait(self.caller, patience.min(self.left()), send).await {
+            Waited::CallerLeft => return Step::Done(self.caller_left()),
+            Waited::Came(Ok(exchange)) => exchange,
+            Waited::Came(Err(error)) => return self.unanswered(&target, &error, sent_at),
+            Waited::TimedOut => {
+                let error = SendError::Unanswered("no answer in time".to_owned());
+                return self.unanswered(&target, &error, sent_at);
+            }
+        };
+        self.sends += 1;
+        guard.reported(answer.facts.load);
+        self.judge(answer, &mut guard, &target, sent_at).await
+    }
+
+    /// Returns how long the next attempt may be silent.
+    pub(super) fn patience(&self) -> Span {
+        let route = &self.job.routed.route;
+        if self.runs + 1 >= route.max_attempts {
+            return self.left();
+        }
+        let targets = |count: u64| Span(route.latency_target.0.saturating_mul(count));
+        match route.repeat {
+            RepeatKind::Idempotent => targets(PATIENCE_TARGETS).max(IDEMPOTENT_PATIENCE),
+            RepeatKind::ResumableStream => self.stream_silence(),
+            RepeatKind::Once | RepeatKind::OnceStream => self.left(),
+        }
+    }
+
+    pub(super) fn target(&self, choice: &Choice) -> Option<SendTarget> {
+        let fleet = self.core.fleet.borrow();
+        let member = fleet.get(choice.key)?;
+        Some(SendTarget {
+            key: choice.key,
+            id: Arc::clone(&member.entry.id),
+            address: member.entry.address,
+            slots: member.entry.slots,
+        })
+    }
+
+    pub(super) fn encode(&self, target: &SendTarget) -> Vec<u8> {
+        let job = self.job;
+        let order = SendOrder {
+            backend_id: &target.id,
+            time_left: self.left(),
+            customer: job.routed.customer.as_deref(),
+            urgency: job.routed.route.has_prompts.then_some(job.routed.urgency),
+            resume_from: self.last_event,
+            body_len: (!job.body.is_empty() || job.head.method() == "POST")
+                .then_some(job.body.len()),
+        };
+        let mut bytes = Vec::with_capacity(1_024 + job.body.len());
+        self.core.port.encode_send(&job.head, &order, &mut bytes);
+        bytes.extend_from_slice(&job.body);
+        bytes
+    }
+
+    /// Decides what follows a send that brought no answer.
+    pub(super) fn unanswered(
+        &mut self,
+        target: &SendTarget,
+        error: &SendError,
+        sent_at: MonoTime,
+    ) -> Step {
+        let verdict = error.verdict();
+        self.verdict = self.verdict.join(verdict);
+        self.last_problem = error.to_string();
+        self.note_failure(target, verdict, &error.to_string(), sent_at);
+        if matches!(error, SendError::NotReached(_)) {
+            self.note_unreachable(target);
+        }
+        if verdict == Verdict::NotRun {
+            return Step::TryAgain;
+        }
+        self.sends += 1;
+        self.runs += 1;
+        if self.may_run_again() {
+            Step::TryAgain
+        } else {
+            Step::GiveUp("no answer from the backend server")
+        }
+    }
+
+    /// Decides what an answer means.
+    pub(super) async fn judge(
+        &mut self,
+        answer: Exchange,
+        guard: &mut SendGuard,
+        target: &SendTarget,
+        sent_at: MonoTime,
+    ) -> Step {
+        let status = answer.head.status;
+        if answer.facts.is_not_run {
+            return self.rejected(answer, target, status, sent_at).await;
+        }
+        self.runs += 1;
+        let is_good = (200..300).contains(&status);
+        if is_good && !answer.facts.is_proved {
+            self.verdict = self.verdict.join(Verdict::MayHaveRun);
+            self.note_failure(
+                target,
+                Verdict::MayHaveRun,
+                "an answer without proof",
+                sent_at,
+            );
+            return self.after_failed_run("the backend server's answer was not its own");
+        }
+        self.verdict = self.verdict.join(Verdict::Ran);
+        if self.is_head_sent && !is_good {
+            // The caller is in the middle of a stream, so no other answer can be delivered.
+            let outcome = format!("the backend server did not go on and answered {status}");
+            self.note_failure(target, Verdict::Ran, &outcome, sent_at);
+            return self.after_failed_run("the stream could not go on");
+        }
+        if is_good && self.job.routed.route.repeat.is_stream() {
+            return self.relay_stream(answer, guard, target, sent_at).await;
+        }
+        self.relay_whole(answer, guard, target, sent_at).await
+    }
+
+    pub(super) fn after_failed_run(&self, reason: &'static str) -> Step {
+        if self.may_run_again() {
+            Step::TryAgain
+        } else {
+            Step::GiveUp(reason)
+        }
+    }
+
+    /// Follows a backend server's word that the request did not run.
+    pub(super) async fn rejected(
+        &mut self,
+        mut answer: Exchange,
+        target: &SendTarget,
+        status: u16,
+        sent_at: MonoTime,
+    ) -> Step {
+        self.last_problem = format!("the backend server refused with {status}");
+        if status == 421 {
+            // Another process has the address, so the registry's entry is out of date.
+            self.note_failure(
+                target,
+                Verdict::NotRun,
+                "another process at its address",
+                sent_at,
+            );
+        } else {
+            self.note_rejected(target, sent_at);
+        }
+        let body = read_whole(&mut answer);
+        if let Waited::Came(Ok(_)) = wait(self.caller, self.left(), body).await {
+            answer.finish(self.core);
+        }
+        Step::TryAgain
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request/mod.rs
@@ -0,0 +1,231 @@
+//! One request from its head to the end of its answer.
+//!
+//! A run makes one attempt after the other until an answer is delivered or nothing may be tried any
+//! more. The verdicts of its attempts are joined; only a request that has not run is refused with
+//! the promise that it will not, and only one that may be repeated is sent again after an attempt
+//! that may have run. A stream that breaks goes on at another backend server after its last whole
+//! event, where its route allows that.
+
+mod attempt;
+mod notes;
+mod stream;
+mod wait;
+mod whole;
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use oleander_balance::{BackendKey, Choice};
+use oleander_base::monotonic_now;
+
+use self::attempt::Step;
+use self::whole::WholeAnswer;
+use crate::core::{ChoiceQuery, GatewayCore};
+use crate::http::{HttpConn, RequestHead};
+use crate::meters::RequestEnd;
+use crate::port::{OwnAnswer, RoutedCall};
+use crate::prelude::*;
+
+/// A request with less time left is not sent any more.
+const SEND_FLOOR: Span = Span::from_millis(10);
+
+/// How long before the caller's own limit the last answer is given.
+const ANSWER_MARGIN: Span = Span::from_millis(15);
+
+/// The shortest time to come back after a refusal.
+const RETURN_FLOOR: Span = Span::from_millis(250);
+
+/// The scatter of times to come back, so that callers do not return together.
+const RETURN_SCATTER: Span = Span::from_millis(500);
+
+/// A request that has a route and a whole body.
+#[derive(Debug)]
+pub(crate) struct RequestJob {
+    pub(crate) head: RequestHead,
+    pub(crate) facts: CallFacts,
+    pub(crate) routed: RoutedCall,
+    pub(crate) body: Bytes,
+    pub(crate) started: MonoTime,
+    pub(crate) manifest_version: u64,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RunResult {
+    pub(crate) end: RequestEnd,
+    /// Whether the caller's connection can be used again.
+    pub(crate) keeps: bool,
+}
+
+/// The run of one request.
+pub(crate) struct RequestRun<'a> {
+    core: &'a Rc<GatewayCore>,
+    caller: &'a mut HttpConn,
+    job: &'a RequestJob,
+    attempt_id: &'a str,
+    deadline: MonoTime,
+    tried: Vec<BackendKey>,
+    sends: u32,
+    runs: u32,
+    verdict: Verdict,
+    kept_failure: Option<WholeAnswer>,
+    is_head_sent: bool,
+    closes: bool,
+    last_event: Option<u64>,
+    events: usize,
+    first_after: Option<Span>,
+    longest_gap: Span,
+    last_problem: String,
+}
+
+impl<'a> RequestRun<'a> {
+    /// Serves a request to its end.
+    pub(crate) async fn serve(
+        core: &'a Rc<GatewayCore>,
+        caller: &'a mut HttpConn,
+        job: &'a RequestJob,
+    ) -> RunResult {
+        let route = &job.routed.route;
+        let allowed = job
+            .facts
+            .time_left
+            .map_or(route.timeout, |left| left.saturating_sub(ANSWER_MARGIN))
+            .min(route.timeout);
+        let service = &job.routed.service;
+        let limits = core.settings().retry;
+        core.with_service(service, |state| {
+            state.retries.requested(&limits, monotonic_now());
+        });
+        let mut run = Self {
+            core,
+            caller,
+            job,
+            attempt_id: job.facts.attempt_id.as_deref().unwrap_or(""),
+            deadline: job.started + allowed,
+            tried: Vec::new(),
+            sends: 0,
+            runs: 0,
+            verdict: Verdict::NotRun,
+            kept_failure: None,
+            is_head_sent: false,
+            closes: !job.head.keeps_alive,
+            last_event: job.facts.resume_from,
+            events: 0,
+            first_after: None,
+            longest_gap: Span::ZERO,
+            last_problem: String::new(),
+        };
+        let result = run.run().await;
+        run.log_end(result);
+        result
+    }
+
+    async fn run(&mut self) -> RunResult {
+        loop {
+            let step = match self.choose() {
+                Ok(choice) => self.attempt(&choice).await,
+                Err(reason) => Step::GiveUp(reason),
+            };
+            match step {
+                Step::Done(result) => return result,
+                Step::TryAgain => {}
+                Step::GiveUp(reason) => return self.give_up(reason).await,
+            }
+        }
+    }
+
+    fn choose(&mut self) -> Result<Choice, &'static str> {
+        if self.left() < SEND_FLOOR {
+            return Err("no time left");
+        }
+        let routed = &self.job.routed;
+        let query = ChoiceQuery {
+            service: &routed.service,
+            facts: &self.job.facts,
+            route: &routed.route,
+            tried: &self.tried,
+        };
+        let choice = self.core.choose(&query).ok_or("no backend server")?;
+        if self.sends > 0 && !self.core.take_retry(&routed.service) {
+            return Err("no retry budget");
+        }
+        Ok(choice)
+    }
+
+    fn left(&self) -> Span {
+        self.deadline.since(monotonic_now())
+    }
+
+    /// Returns whether a request that may have run may be sent once more.
+    fn may_run_again(&self) -> bool {
+        let route = &self.job.routed.route;
+        route.repeat.is_repeatable() && self.runs < route.max_attempts
+    }
+
+    /// Ends a request for which nothing more can be tried.
+    async fn give_up(&mut self, reason: &'static str) -> RunResult {
+        if self.last_problem.is_empty() {
+            self.last_problem = reason.to_owned();
+        }
+        if self.is_head_sent {
+            return RunResult {
+                end: RequestEnd::Cut,
+                keeps: false,
+            };
+        }
+        if let Some(whole) = self.kept_failure.take() {
+            return self.deliver(whole).await;
+        }
+        let is_refusal = self.verdict == Verdict::NotRun;
+        if is_refusal {
+            self.core.meters.refused(reason);
+        }
+        let status = match (is_refusal, self.left() < SEND_FLOOR) {
+            (true, _) => 503,
+            (false, true) => 504,
+            (false, false) => 502,
+        };
+        let answer = OwnAnswer {
+            status,
+            reason,
+            retry_after: is_refusal.then(|| return_time(self.core)),
+            verdict: self.verdict,
+            closes: self.closes,
+        };
+        let is_written = write_own(self.core, self.caller, &self.job.facts, &answer).await;
+        RunResult {
+            end: if is_refusal {
+                RequestEnd::Refused
+            } else {
+                RequestEnd::Failed
+            },
+            keeps: is_written && !self.closes,
+        }
+    }
+
+    fn caller_left(&mut self) -> RunResult {
+        self.last_problem = "the caller left".to_owned();
+        RunResult {
+            end: RequestEnd::CallerLeft,
+            keeps: false,
+        }
+    }
+}
+
+/// Returns when a refused caller may come back.
+pub(crate) fn return_time(core: &GatewayCore) -> Span {
+    let scatter = RETURN_SCATTER.0 as f64 * core.random();
+    RETURN_FLOOR + Span(scatter as u64)
+}
+
+/// Writes an answer of the gateway itself; returns whether the caller took it.
+pub(crate) async fn write_own(
+    core: &GatewayCore,
+    caller: &mut HttpConn,
+    facts: &CallFacts,
+    answer: &OwnAnswer<'_>,
+) -> bool {
+    let mut out = Vec::with_capacity(512);
+    core.port.encode_own(facts, answer, &mut out);
+    caller.write_all(&out).await.is_ok()
+}
--- /dev/null
+++ b/crates/gateway/src/request/notes.rs
@@ -0,0 +1,219 @@
+//! What a request tells the log and the metrics, and what the choice learns from it.
+
+use oleander_balance::Choice;
+use oleander_base::monotonic_now;
+use serde::Serialize;
+
+use super::attempt::SendTarget;
+use super::stream::StreamCourse;
+use super::{RequestRun, RunResult};
+use crate::log_line::LineWeight;
+use crate::meters::RequestEnd;
+use crate::prelude::*;
+
+#[derive(Debug, Serialize)]
+struct SendFields<'a> {
+    id: &'a str,
+    backend: &'a str,
+    service: &'a str,
+    urgency: u8,
+    unread: f64,
+    part: Option<String>,
+    home_rank: Option<usize>,
+    cost: f64,
+    candidates: usize,
+    send: u32,
+    left_ms: f64,
+    resume_from: Option<u64>,
+    manifest: u64,
+    registry: u64,
+    store_age_ms: Option<f64>,
+}
+
+#[derive(Debug, Serialize)]
+struct AttemptFields<'a> {
+    id: &'a str,
+    backend: &'a str,
+    verdict: Verdict,
+    outcome: &'a str,
+    took_ms: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct EndFields<'a> {
+    id: &'a str,
+    route: &'a str,
+    end: &'static str,
+    verdict: Verdict,
+    reason: &'a str,
+    sends: u32,
+    events: usize,
+    first_ms: Option<f64>,
+    longest_gap_ms: f64,
+    total_ms: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct EjectedFields<'a> {
+    backend: &'a str,
+    reason: &'a str,
+}
+
+#[derive(Debug, Serialize)]
+struct UnreachableFields<'a> {
+    backend: &'a str,
+    ejected: usize,
+}
+
+impl RequestRun<'_> {
+    pub(super) fn note_unreachable(&self, target: &SendTarget) {
+        let now = monotonic_now();
+        let settings = self.core.settings();
+        let mut fleet = self.core.fleet.borrow_mut();
+        let ejected = fleet.unreachable(target.key, &settings.centre, now);
+        drop(fleet);
+        if ejected > 1 {
+            let fields = UnreachableFields {
+                backend: &target.id,
+                ejected,
+            };
+            self.core.log.change("data-centre-suspected", fields);
+        }
+    }
+
+    pub(super) fn note_rejected(&self, target: &SendTarget, sent_at: MonoTime) {
+        let service = &self.job.routed.service;
+        self.core
+            .meters
+            .attempted(service, Verdict::NotRun.as_str());
+        self.log_attempt(
+            "attempt-rejected",
+            target,
+            Verdict::NotRun,
+            &self.last_problem,
+            sent_at,
+        );
+    }
+
+    fn log_attempt(
+        &self,
+        event: &'static str,
+        target: &SendTarget,
+        verdict: Verdict,
+        outcome: &str,
+        sent_at: MonoTime,
+    ) {
+        let fields = AttemptFields {
+            id: self.attempt_id,
+            backend: &target.id,
+            verdict,
+            outcome,
+            took_ms: monotonic_now().since(sent_at).as_millis_f64(),
+        };
+        self.core
+            .log
+            .request(event, LineWeight::Failure, self.attempt_id, fields);
+    }
+
+    pub(super) fn note_failure(
+        &self,
+        target: &SendTarget,
+        verdict: Verdict,
+        outcome: &str,
+        at: MonoTime,
+    ) {
+        let now = monotonic_now();
+        let service = &self.job.routed.service;
+        self.core.meters.attempted(service, verdict.as_str());
+        let ejected = self
+            .core
+            .with_backend(target.key, |state| state.failed(now))
+            .unwrap_or(false);
+        self.log_attempt("attempt-failed", target, verdict, outcome, at);
+        if ejected {
+            self.core.log.change(
+                "backend-ejected",
+                EjectedFields {
+                    backend: &target.id,
+                    reason: outcome,
+                },
+            );
+        }
+    }
+
+    pub(super) fn note_success(&self, target: &SendTarget) {
+        let now = monotonic_now();
+        let service = &self.job.routed.service;
+        self.core.meters.attempted(service, Verdict::Ran.as_str());
+        self.core
+            .with_backend(target.key, |state| state.succeeded(target.slots, now));
+    }
+
+    pub(super) fn learn(&self, course: &StreamCourse, target: &SendTarget, sent_at: MonoTime) {
+        let Some(sample) = course.sample(sent_at) else {
+            return;
+        };
+        let service = &self.job.routed.service;
+        self.core.meters.longest_gap(service, sample.longest_gap);
+        self.core
+            .with_backend(target.key, |state| state.latency.observe(&sample));
+        self.core
+            .with_service(service, |state| state.latency.observe(&sample));
+    }
+
+    pub(super) fn log_send(&self, choice: &Choice, target: &SendTarget) {
+        let belief = self.core.belief.borrow();
+        let now = monotonic_now();
+        self.core.log.request(
+            "send",
+            LineWeight::Usual,
+            self.attempt_id,
+            SendFields {
+                id: self.attempt_id,
+                backend: &target.id,
+                service: &self.job.routed.service,
+                urgency: self.job.routed.urgency,
+                unread: choice.unread.total().round(),
+                part: choice.part.map(|part| format!("{:x}", part.0)),
+                home_rank: choice.home_rank,
+                cost: choice.cost.round(),
+                candidates: choice.candidates,
+                send: self.sends + 1,
+                left_ms: self.left().as_millis_f64(),
+                resume_from: self.last_event,
+                manifest: self.job.manifest_version,
+                registry: belief.at.0,
+                store_age_ms: belief
+                    .contact
+                    .map(|contact| now.since(contact).as_millis_f64()),
+            },
+        );
+    }
+
+    pub(super) fn log_end(&self, result: RunResult) {
+        let total = monotonic_now().since(self.job.started);
+        let service = &self.job.routed.service;
+        self.core.meters.request_ended(service, result.end, total);
+        let weight = match result.end {
+            RequestEnd::Answered | RequestEnd::CallerLeft => LineWeight::Usual,
+            _ => LineWeight::Failure,
+        };
+        self.core.log.request(
+            "end",
+            weight,
+            self.attempt_id,
+            EndFields {
+                id: self.attempt_id,
+                route: &self.job.routed.route.name,
+                end: result.end.as_str(),
+                verdict: self.verdict,
+                reason: &self.last_problem,
+                sends: self.sends,
+                events: self.events,
+                first_ms: self.first_after.map(Span::as_millis_f64),
+                longest_gap_ms: self.longest_gap.as_millis_f64(),
+                total_ms: total.as_millis_f64(),
+            },
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request/stream.rs
@@ -0,0 +1,219 @@
+//! Streams, delivered event after event.
+
+use std::time::Duration;
+
+use oleander_balance::StreamSample;
+use oleander_base::monotonic_now;
+use tokio::time::timeout;
+
+use super::attempt::{SendTarget, Step};
+use super::wait::{Waited, wait};
+use super::{RequestRun, RunResult, SEND_FLOOR};
+use crate::core::SendGuard;
+use crate::event_split::{EventBatch, EventSplitter};
+use crate::exchange::Exchange;
+use crate::http::{AnswerHead, BodyPiece, ConnError, push_chunk, push_last_chunk};
+use crate::meters::RequestEnd;
+use crate::port::AnswerFraming;
+use crate::prelude::*;
+
+/// Latency targets of silence after which a resumable stream goes on elsewhere.
+const STREAM_PATIENCE_TARGETS: u64 = 2;
+
+/// The shortest silence after which a resumable stream goes on elsewhere.
+const STREAM_PATIENCE: Span = Span::from_millis(2_400);
+
+/// The times of one stream's events.
+#[derive(Debug, Default)]
+pub(super) struct StreamCourse {
+    pub(super) first: Option<MonoTime>,
+    pub(super) last: MonoTime,
+    pub(super) longest: Span,
+    pub(super) events: usize,
+}
+
+impl StreamCourse {
+    pub(super) fn note(&mut self, count: usize, now: MonoTime) {
+        if self.first.is_some() {
+            self.longest = self.longest.max(now.since(self.last));
+        } else {
+            self.first = Some(now);
+        }
+        self.last = now;
+        self.events += count;
+    }
+
+    pub(super) fn sample(&self, sent_at: MonoTime) -> Option<StreamSample> {
+        let first = self.first?;
+        let gaps = self.events.checked_sub(1).filter(|gaps| *gaps > 2)? as u64;
+        Some(StreamSample {
+            mean_gap: Span(self.last.since(first).0 / gaps),
+            longest_gap: self.longest,
+            held: self.last.since(sent_at),
+        })
+    }
+}
+
+impl RequestRun<'_> {
+    /// Delivers a stream, event after event.
+    pub(super) async fn relay_stream(
+        &mut self,
+        mut answer: Exchange,
+        guard: &mut SendGuard,
+        target: &SendTarget,
+        sent_at: MonoTime,
+    ) -> Step {
+        let mut splitter = EventSplitter::default();
+        let mut course = StreamCourse::default();
+        loop {
+            let limit = self.stream_patience().min(self.left());
+            let piece = match wait(self.caller, limit, answer.next()).await {
+                Waited::Came(piece) => piece,
+                Waited::CallerLeft => return Step::Done(self.caller_left()),
+                Waited::TimedOut if self.left() < SEND_FLOOR => {
+                    self.last_problem = "the stream was not whole in time".to_owned();
+                    return Step::GiveUp("the stream was not whole in time");
+                }
+                Waited::TimedOut => Err(ConnError::Broken(std::io::Error::other("silent stream"))),
+            };
+            match piece {
+                Ok(BodyPiece::Data(data)) => {
+                    let Some(batch) = splitter.push(&data) else {
+                        continue;
+                    };
+                    if self.is_out_of_order(&batch) {
+                        let reason = "events out of order";
+                        self.note_failure(target, Verdict::Ran, reason, sent_at);
+                        return self.stream_broke(reason);
+                    }
+                    self.note_events(&batch, &mut course, guard, target);
+                    if let Err(result) = self.write_events(&answer.head, &batch.bytes).await {
+                        return Step::Done(result);
+                    }
+                }
+                Ok(_) => {
+                    self.learn(&course, target, sent_at);
+                    self.note_success(target);
+                    let rest = splitter.rest();
+                    let head = answer.head.clone();
+                    answer.finish(self.core);
+                    return Step::Done(self.end_stream(&head, &rest).await);
+                }
+                Err(error) => {
+                    splitter.drop_cut();
+                    drop(answer);
+                    self.note_failure(target, Verdict::Ran, &error.to_string(), sent_at);
+                    return self.stream_broke("the backend server's stream broke");
+                }
+            }
+        }
+    }
+
+    /// Returns how long a stream may be silent before it goes on elsewhere.
+    pub(super) fn stream_patience(&self) -> Span {
+        let route = &self.job.routed.route;
+        if route.repeat != RepeatKind::ResumableStream || !self.may_run_again() {
+            return self.left();
+        }
+        self.stream_silence()
+    }
+
+    /// Returns the silence after which a resumable stream is taken to be lost.
+    pub(super) fn stream_silence(&self) -> Span {
+        let target = self.job.routed.route.latency_target;
+        Span(target.0.saturating_mul(STREAM_PATIENCE_TARGETS)).max(STREAM_PATIENCE)
+    }
+
+    pub(super) fn is_out_of_order(&self, batch: &EventBatch) -> bool {
+        match (self.last_event, batch.first_id) {
+            (Some(last), Some(first)) => first != last + 1,
+            _ => false,
+        }
+    }
+
+    pub(super) fn note_events(
+        &mut self,
+        batch: &EventBatch,
+        course: &mut StreamCourse,
+        guard: &mut SendGuard,
+        target: &SendTarget,
+    ) {
+        let now = monotonic_now();
+        if course.first.is_none() {
+            guard.read();
+            let parts = &self.job.facts.parts;
+            self.core.with_backend(target.key, |state| {
+                for part in parts {
+                    state.parts.touch(part.id, now);
+                }
+            });
+            if self.events == 0 {
+                let took = now.since(self.job.started);
+                self.first_after = Some(took);
+                self.core.meters.first_bytes(&self.job.routed.service, took);
+            }
+        }
+        course.note(batch.count, now);
+        self.longest_gap = self.longest_gap.max(course.longest);
+        self.events += batch.count;
+        self.last_event = batch.last_id.or(self.last_event);
+    }
+
+    pub(super) async fn write_events(
+        &mut self,
+        head: &AnswerHead,
+        bytes: &[u8],
+    ) -> Result<(), RunResult> {
+        let mut out = Vec::with_capacity(512 + bytes.len());
+        self.push_stream_head(head, &mut out);
+        push_chunk(&mut out, bytes);
+        self.write_out(&out).await
+    }
+
+    pub(super) fn push_stream_head(&mut self, head: &AnswerHead, out: &mut Vec<u8>) {
+        if self.is_head_sent {
+            return;
+        }
+        self.is_head_sent = true;
+        self.closes |= self.core.life.is_stopping();
+        let framing = AnswerFraming {
+            length: None,
+            closes: self.closes,
+        };
+        self.core.port.encode_answer(head, framing, out);
+    }
+
+    pub(super) async fn write_out(&mut self, out: &[u8]) -> Result<(), RunResult> {
+        let write = self.caller.write_all(out);
+        match timeout(Duration::from(self.deadline.since(monotonic_now())), write).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(self.caller_left()),
+            Err(_) => {
+                self.last_problem = "the caller did not take the stream in time".to_owned();
+                Err(RunResult {
+                    end: RequestEnd::Cut,
+                    keeps: false,
+                })
+            }
+        }
+    }
+
+    pub(super) async fn end_stream(&mut self, head: &AnswerHead, rest: &[u8]) -> RunResult {
+        let mut out = Vec::with_capacity(256 + rest.len());
+        self.push_stream_head(head, &mut out);
+        push_chunk(&mut out, rest);
+        push_last_chunk(&mut out);
+        match self.write_out(&out).await {
+            Ok(()) => RunResult {
+                end: RequestEnd::Answered,
+                keeps: !self.closes,
+            },
+            Err(result) => result,
+        }
+    }
+
+    pub(super) fn stream_broke(&mut self, reason: &'static str) -> Step {
+        self.last_problem = reason.to_owned();
+        self.after_failed_run(reason)
+    }
+}
