--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -37,8 +37,4 @@
     pub grace_time: Span,
     /// The bounds of the retry budget.
     pub retry: RetryLimits,
-    /// The memory of this process, in bytes.
-    pub memory_bytes: u64,
-    /// The descriptors of this process.
-    pub descriptors: u32,
 }
