A sample of a large service is never empty; small services are looked at whole

Cause: read through: with 18 backend servers a fifth was left out at random, and a prompt without a home could find an empty sample and be refused. Change: sampling starts above 24, and one that was passed over is taken before none. Test: an_empty_sample_still_finds_somebody, which failed before.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -54,7 +54,10 @@
 /// The scatter of costs that keeps gateways with the same knowledge apart.
 const JITTER_TOKENS: f64 = 120.0;
 
-/// How many backend servers are looked at, besides the homes, where a service has more.
+/// A service with more backend servers than this is sampled.
+const SAMPLED_ABOVE: usize = 24;
+
+/// How many backend servers of a sampled service are looked at, besides the homes.
 const SAMPLE_SIZE: f64 = 14.0;
 
 /// What the choice depends on, besides the fleet.
@@ -128,8 +131,9 @@
         .map(|part| fleet.homes(input.service, part))
         .unwrap_or_default();
     let crowd = Crowd::survey(fleet, input);
-    let sampled = SAMPLE_SIZE / fleet.of_service(input.service).len().max(1) as f64;
+    let sampled = sampled_share(fleet.of_service(input.service).len());
     let mut best: Option<Choice> = None;
+    let mut passed_over = None;
     let mut candidates = 0;
     for rank in [Usability::Good, Usability::Ejected, Usability::Lapsed] {
         for &key in fleet.of_service(input.service) {
@@ -139,11 +143,10 @@
             if usability(member, key, input) != Some(rank) {
                 continue;
             }
-            let is_looked_at = rank != Usability::Good
-                || sampled >= 1.0
-                || homes.rank_of(key).is_some()
-                || random() < sampled;
+            let is_looked_at =
+                rank != Usability::Good || homes.rank_of(key).is_some() || random() < sampled;
             if !is_looked_at {
+                passed_over = Some(key);
                 continue;
             }
             candidates += 1;
@@ -161,16 +164,40 @@
                 });
             }
         }
-        if best.is_some() {
+        if best.is_some() || passed_over.is_some() {
             break;
         }
     }
+    // A sample may be empty; one that was passed over is better than one that is ejected.
+    if let (None, Some(key)) = (best, passed_over) {
+        let member = fleet.get(key)?;
+        let unread = unread_tokens(member, key, &homes, input);
+        candidates = 1;
+        best = Some(Choice {
+            key,
+            unread,
+            part,
+            home_rank: None,
+            is_light: input.prompt_tokens <= LIGHT_TOKENS,
+            cost: cost(member, unread, &crowd, input),
+            candidates,
+        });
+    }
     best.map(|choice| Choice {
         candidates,
         ..choice
     })
 }
 
+/// Returns the share of a service's backend servers that is looked at.
+fn sampled_share(backends: usize) -> f64 {
+    if backends > SAMPLED_ABOVE {
+        SAMPLE_SIZE / backends as f64
+    } else {
+        1.0
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Usability {
     Good,
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -251,6 +251,18 @@
     assert!(most <= 14, "{most} of 70 go to one engine");
 }
 
+#[test]
+fn an_empty_sample_still_finds_somebody() {
+    let latency = LatencyModel::default();
+    let mut fleet = fleet(MODEL, 140);
+    let parts = [PromptPart {
+        id: PartId(1),
+        tokens: 700,
+    }];
+    let choice = choose_backend(&mut fleet, &input(MODEL, &parts, &latency), || 0.999);
+    assert!(choice.is_some());
+}
+
 /// The pattern: a desk service with few slots and a short target. No engine is filled while
 /// another has room.
 #[test]
