A request that was given up is taken back by a reset; test ports lie outside the system's own

Its bytes were held up by a cut; the gateway gave the request up with 502 at 26.7 s and closed, and the system delivered it at 32.3 s. Change: connections to backend servers end by a reset, which drops what is held up. Test: a_request_that_was_given_up_is_taken_back_by_a_reset, which failed before (0 resets). Second finding: one gateway test failed once; 30 runs of the file show the cause, 'cannot listen: address already in use' in 5 of them: a port that was looked up was given to an outgoing connection before the gateway bound it. Test ports are now outside the range of outgoing connections.

--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -3,10 +3,11 @@
 #![allow(dead_code, unreachable_pub)]
 
 use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use oleander_standin::users::{ScriptedEngine, UsersStore, WireMessage, read_message};
@@ -33,11 +34,22 @@
     _dir: tempfile::TempDir,
 }
 
+/// Ports below those that the system gives to outgoing connections, which would take one that was
+/// looked up here before the gateway binds it.
+const FIRST_PORT: u16 = 12_000;
+const PORT_COUNT: u16 = 16_000;
+
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-    listener
-        .local_addr()
-        .expect("a bound socket has an address")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() % 157) as u16 * 100;
+    loop {
+        let offset = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset));
+        let is_free = TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok();
+        if is_free {
+            return address;
+        }
+    }
 }
 
 /// Writes the settings as the platform does.
--- a/crates/entry/tests/gateway_calls.rs
+++ b/crates/entry/tests/gateway_calls.rs
@@ -460,3 +460,20 @@
     assert_eq!(seen.text(), "a notice");
     assert_eq!(seen.header("expect"), None);
 }
+
+/// The pattern: a link is cut while a request is on its way. A close would let the system deliver
+/// the request when the link is back, long after the caller was told that it failed.
+#[test]
+fn a_request_that_was_given_up_is_taken_back_by_a_reset() {
+    let store = store_with_manifest();
+    let mute: Script = |_| EngineReply::BytesThenSilence(Vec::new());
+    let engine = desk(&store, "i-1", mute);
+    let gateway = TestGateway::start(&store);
+    let call = Call {
+        time_ms: 300,
+        ..Call::publish("a1")
+    };
+    assert_eq!(gateway.caller().call(&call).status(), 504);
+    wait_for("the connection ends", || engine.closed_early() == 1);
+    assert_eq!(engine.resets(), 1);
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -155,7 +155,11 @@
     let limits = SilenceLimits::default();
     let connect = HttpConn::connect(plan.address, &limits);
     match timeout(Duration::from(CONNECT_LIMIT), connect).await {
-        Ok(Ok(conn)) => Ok(conn),
+        Ok(Ok(conn)) => {
+            conn.reset_at_end()
+                .map_err(|error| SendError::NotSent(error.to_string()))?;
+            Ok(conn)
+        }
         Ok(Err(error)) => Err(SendError::NotReached(error.to_string())),
         Err(_) => Err(SendError::NotReached("no connection in time".to_owned())),
     }
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -86,6 +86,14 @@
         })
     }
 
+    /// Makes the end of this connection a reset, whenever it comes.
+    ///
+    /// A close lets the system deliver later what a cut link held up, and then a request would run
+    /// long after it was given up. A reset drops it.
+    pub fn reset_at_end(&self) -> io::Result<()> {
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+    }
+
     /// Reads more bytes.
     pub async fn fill(&mut self) -> Result<(), ConnError> {
         self.buffer.reserve(READ_BYTES);
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -67,6 +67,7 @@
     address: SocketAddr,
     seen: Arc<Mutex<Vec<SeenRequest>>>,
     closed_early: Arc<Mutex<usize>>,
+    resets: Arc<Mutex<usize>>,
 }
 
 impl std::fmt::Debug for ScriptedEngine {
@@ -86,19 +87,25 @@
             .expect("a bound socket has an address");
         let seen = Arc::new(Mutex::new(Vec::new()));
         let closed_early = Arc::new(Mutex::new(0));
+        let resets = Arc::new(Mutex::new(0));
         let script: Arc<Script> = Arc::new(script);
-        let shared = (Arc::clone(&seen), Arc::clone(&closed_early));
+        let shared = EngineRecord {
+            seen: Arc::clone(&seen),
+            closed_early: Arc::clone(&closed_early),
+            resets: Arc::clone(&resets),
+        };
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (seen, closed) = (Arc::clone(&shared.0), Arc::clone(&shared.1));
+                let record = shared.clone();
                 let script = Arc::clone(&script);
-                thread::spawn(move || serve(&stream, &*script, &seen, &closed));
+                thread::spawn(move || serve(&stream, &*script, &record));
             }
         });
         Self {
             address,
             seen,
             closed_early,
+            resets,
         }
     }
 
@@ -112,23 +119,31 @@
         self.seen.lock().clone()
     }
 
+    /// Returns how many connections the other side reset while the engine was silent.
+    pub fn resets(&self) -> usize {
+        *self.resets.lock()
+    }
+
     /// Returns how many connections the other side closed while the engine was silent.
     pub fn closed_early(&self) -> usize {
         *self.closed_early.lock()
     }
 }
 
-fn serve(
-    stream: &TcpStream,
-    script: &Script,
-    seen: &Mutex<Vec<SeenRequest>>,
-    closed_early: &Mutex<usize>,
-) {
+/// What all connections of an engine record.
+#[derive(Clone)]
+struct EngineRecord {
+    seen: Arc<Mutex<Vec<SeenRequest>>>,
+    closed_early: Arc<Mutex<usize>>,
+    resets: Arc<Mutex<usize>>,
+}
+
+fn serve(stream: &TcpStream, script: &Script, record: &EngineRecord) {
     let mut reader = BufReader::new(stream);
     let mut nth_on_connection = 0;
     while let Ok(Some(message)) = read_message(&mut reader) {
         let request = {
-            let mut seen = seen.lock();
+            let mut seen = record.seen.lock();
             let request = SeenRequest {
                 message,
                 nth_on_connection,
@@ -157,8 +172,10 @@
             }
             EngineReply::BytesThenSilence(bytes) => {
                 let _ = write(stream, &bytes);
-                let _ = read_message(&mut reader);
-                *closed_early.lock() += 1;
+                if read_message(&mut reader).is_err() {
+                    *record.resets.lock() += 1;
+                }
+                *record.closed_early.lock() += 1;
                 return;
             }
         }
