--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -145,14 +145,6 @@
         }
     }
 
-    /// Returns how many requests were reported to wait, if that was lately.
-    pub fn waiting(&self, now: MonoTime) -> u32 {
-        match self.report {
-            Some(dated) if now.since(dated.at) < REPORT_SPAN => dated.report.waiting,
-            _ => 0,
-        }
-    }
-
     /// Returns whether another request may go there now.
     pub fn is_open(&self, now: MonoTime) -> bool {
         self.own_running < self.health.cap(now)
