Choice: heavy prompts stay at their homes, and a part has homes by its share of the traffic

Engines of which a gateway has no fresh report look empty beside busy homes. Sessions whose instruction is longer than their own part had 4 instructions as home, 12 engines for a tenth of the traffic. Change: a prompt with a shared part of 1,024 tokens or more goes to its homes and the three ranks behind them while one is open; a part has as many homes as its share of the traffic takes up, and the part with the fewest homes decides.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -13,7 +13,7 @@
 
 use crate::fleet_table::{BackendKey, BackendPhase, FleetMember, FleetTable};
 use crate::latency::LatencyModel;
-use crate::{HomeSet, PartId, PromptPart};
+use crate::{HomeSet, PartId, PartTraffic, PromptPart};
 
 /// Prompt tokens that one running request is worth in the cost.
 const RUNNING_TOKENS: f64 = 300.0;
@@ -27,6 +27,9 @@
 /// Prompt tokens that a first event right at its target is worth in the cost.
 const TARGET_TOKENS: f64 = 22_000.0;
 
+/// The smallest part, in tokens, that is not read again elsewhere while one of its homes can be used.
+const HEAVY_TOKENS: u32 = 1_024;
+
 /// The longest prompt, in tokens, that hardly disturbs other streams.
 const LIGHT_TOKENS: u32 = 4_096;
 
@@ -81,6 +84,8 @@
     pub gateways: usize,
     /// What the streams of the service showed on the whole.
     pub service_latency: &'a LatencyModel,
+    /// How much of the service's traffic shares each part.
+    pub traffic: &'a PartTraffic,
     /// The time.
     pub now: MonoTime,
 }
@@ -126,26 +131,30 @@
     input: &ChoiceInput<'_>,
     mut random: impl FnMut() -> f64,
 ) -> Option<Choice> {
-    let part = largest_shared(input.parts).map(|part| part.id);
-    let homes = part
-        .map(|part| fleet.homes(input.service, part))
+    let home_part = home_part(fleet.of_service(input.service).len(), input);
+    let homes = home_part
+        .map(|part| fleet.homes(input.service, part.part.id, part.width))
         .unwrap_or_default();
     let crowd = Crowd::survey(fleet, input);
-    let sampled = sampled_share(fleet.of_service(input.service).len());
+    let scope = Scope {
+        sampled: sampled_share(fleet.of_service(input.service).len()),
+        stays_home: home_part.is_some_and(|part| part.part.tokens >= HEAVY_TOKENS),
+    };
     let mut best: Option<Choice> = None;
     let mut passed_over = None;
     let mut candidates = 0;
-    for rank in [Usability::Good, Usability::Ejected, Usability::Lapsed] {
+    for rank in RANKS {
         for &key in fleet.of_service(input.service) {
             let Some(member) = fleet.get(key) else {
                 continue;
             };
-            if usability(member, key, input) != Some(rank) {
+            if !rank.takes(member, key, &homes, &scope, input) {
                 continue;
             }
-            let is_looked_at =
-                rank != Usability::Good || homes.rank_of(key).is_some() || random() < sampled;
-            if !is_looked_at {
+            let is_sampled = rank != CandidateRank::Open
+                || homes.rank_of(key).is_some()
+                || random() < scope.sampled;
+            if !is_sampled {
                 passed_over = Some(key);
                 continue;
             }
@@ -156,7 +165,7 @@
                 best = Some(Choice {
                     key,
                     unread,
-                    part,
+                    part: home_part.map(|part| part.part.id),
                     home_rank: homes.rank_of(key),
                     is_light: input.prompt_tokens <= LIGHT_TOKENS,
                     cost,
@@ -176,7 +185,7 @@
         best = Some(Choice {
             key,
             unread,
-            part,
+            part: home_part.map(|part| part.part.id),
             home_rank: None,
             is_light: input.prompt_tokens <= LIGHT_TOKENS,
             cost: cost(member, unread, &crowd, input),
@@ -198,31 +207,74 @@
     }
 }
 
+/// Which candidates are looked at.
+#[derive(Debug)]
+struct Scope {
+    /// The share of those that are no home.
+    sampled: f64,
+    /// Whether others than homes are used only if no home can be.
+    stays_home: bool,
+}
+
+/// The candidates in the order in which they are used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Usability {
-    Good,
+enum CandidateRank {
+    /// Homes of a prompt that is costly to read elsewhere.
+    OpenHome,
+    /// All that take requests.
+    Open,
+    /// Those that failed lately.
     Ejected,
+    /// Those whose entry lapsed.
     Lapsed,
 }
 
-fn usability(member: &FleetMember, key: BackendKey, input: &ChoiceInput<'_>) -> Option<Usability> {
-    if member.entry.phase != BackendPhase::Serving || input.tried.contains(&key) {
-        return None;
-    }
-    if member.lapsed_at.is_some() {
-        return Some(Usability::Lapsed);
-    }
-    if member.state.is_open(input.now) {
-        Some(Usability::Good)
-    } else {
-        Some(Usability::Ejected)
+const RANKS: [CandidateRank; 4] = [
+    CandidateRank::OpenHome,
+    CandidateRank::Open,
+    CandidateRank::Ejected,
+    CandidateRank::Lapsed,
+];
+
+impl CandidateRank {
+    fn takes(
+        self,
+        member: &FleetMember,
+        key: BackendKey,
+        homes: &HomeSet,
+        scope: &Scope,
+        input: &ChoiceInput<'_>,
+    ) -> bool {
+        if member.entry.phase != BackendPhase::Serving || input.tried.contains(&key) {
+            return false;
+        }
+        let is_lapsed = member.lapsed_at.is_some();
+        let is_open = !is_lapsed && member.state.is_open(input.now);
+        match self {
+            Self::OpenHome => is_open && scope.stays_home && homes.rank_of(key).is_some(),
+            Self::Open => is_open,
+            Self::Ejected => !is_lapsed && !is_open,
+            Self::Lapsed => is_lapsed,
+        }
     }
 }
 
-/// Returns the largest part that other requests may share: any but the last one.
-fn largest_shared(parts: &[PromptPart]) -> Option<PromptPart> {
-    let shared = parts.split_last().map(|(_, shared)| shared)?;
-    shared.iter().copied().max_by_key(|part| part.tokens)
+/// The part that decides where a prompt is at home.
+#[derive(Debug, Clone, Copy)]
+struct HomePart {
+    part: PromptPart,
+    width: usize,
+}
+
+/// Returns the largest part that other requests may share, any but the last one, among those with the
+/// fewest homes: a part that is at home in many places does not tell where the others are.
+fn home_part(backends: usize, input: &ChoiceInput<'_>) -> Option<HomePart> {
+    let shared = input.parts.split_last().map(|(_, shared)| shared)?;
+    let wide = shared.iter().map(|part| HomePart {
+        part: *part,
+        width: input.traffic.width(part.id, backends),
+    });
+    wide.min_by_key(|home| (home.width, std::cmp::Reverse(home.part.tokens)))
 }
 
 fn unread_tokens(
--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -241,14 +241,16 @@
     }
 
     /// Returns the homes of a part among a service's backend servers that take new requests.
-    pub fn homes(&mut self, service: &str, part: PartId) -> HomeSet {
+    ///
+    /// A part that much of the traffic shares has `width` homes of the same standing.
+    pub fn homes(&mut self, service: &str, part: PartId, width: usize) -> HomeSet {
         let members = &self.members;
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let serving = keys.iter().filter_map(|key| {
             let member = &members[key];
             member.is_serving().then_some((*key, member.id_hash))
         });
-        self.homes.homes(self.generation, part, serving)
+        self.homes.homes(self.generation, part, width, serving)
     }
 
     fn insert(&mut self, entry: BackendEntry) -> BackendKey {
--- a/crates/balance/src/home.rs
+++ b/crates/balance/src/home.rs
@@ -5,62 +5,77 @@
 //! goes moves only its own parts. A request goes to the first rank as a rule; those that have to
 //! leave it, because it is slow or busy, meet again at the next rank.
 
+use std::sync::Arc;
+
 use oleander_base::FastMap;
 use oleander_decide::scramble;
 
 use crate::PartId;
 use crate::fleet_table::BackendKey;
 
-/// The chance that a backend server of each rank holds a part, as far as this gateway can tell.
-const HELD_CHANCE: [f64; 3] = [1.0, 0.5, 0.25];
+/// The most backend servers that are ranked for one part.
+const RANK_LIMIT: usize = 24;
+
+/// The chance that a backend server of each rank behind the homes holds a part, as far as this
+/// gateway can tell.
+const SPILL_CHANCE: [f64; 3] = [0.5, 0.25, 0.12];
 
-/// The homes of one part, the first one best.
-#[derive(Debug, Clone, Copy, Default)]
+/// The homes of one part, the first one best, and the ranks behind them.
+#[derive(Debug, Clone)]
 pub struct HomeSet {
-    keys: [Option<BackendKey>; HELD_CHANCE.len()],
+    ranked: Arc<[BackendKey]>,
+    width: usize,
 }
 
-impl HomeSet {
-    /// Ranks the candidates, each with the hash of its id, for a part.
-    pub fn rank(part: PartId, candidates: impl Iterator<Item = (BackendKey, u64)>) -> Self {
-        let mut best: [Option<(u64, BackendKey)>; HELD_CHANCE.len()] = [None; HELD_CHANCE.len()];
-        for (key, id_hash) in candidates {
-            let mut entry = (scramble(part.0 ^ id_hash), key);
-            for slot in &mut best {
-                match slot {
-                    Some(held) if held.0 >= entry.0 => {}
-                    Some(held) => std::mem::swap(held, &mut entry),
-                    None => {
-                        *slot = Some(entry);
-                        break;
-                    }
-                }
-            }
-        }
+impl Default for HomeSet {
+    fn default() -> Self {
         Self {
-            keys: best.map(|entry| entry.map(|(_, key)| key)),
+            ranked: Arc::new([]),
+            width: 1,
         }
     }
+}
+
+impl HomeSet {
+    /// Returns the backend servers that may get requests for the part, the best first.
+    pub fn keys(&self) -> &[BackendKey] {
+        let reach = self.width + SPILL_CHANCE.len();
+        &self.ranked[..reach.min(self.ranked.len())]
+    }
 
-    /// Returns the rank of a backend server, if it is a home.
+    /// Returns the rank of a backend server, if it is a home or one of the next ranks.
     pub fn rank_of(&self, key: BackendKey) -> Option<usize> {
-        self.keys.iter().position(|held| *held == Some(key))
+        self.keys().iter().position(|held| *held == key)
     }
 
     /// Returns the chance that a backend server holds the part without this gateway's doing.
     pub fn held_chance(&self, key: BackendKey) -> f64 {
-        self.rank_of(key).map_or(0.0, |rank| HELD_CHANCE[rank])
+        match self.rank_of(key) {
+            Some(rank) if rank < self.width => 1.0,
+            Some(rank) => SPILL_CHANCE[rank - self.width],
+            None => 0.0,
+        }
     }
 }
 
-/// Homes that were ranked for one state of the registry.
+/// Ranks the candidates, each with the hash of its id, for a part.
+fn rank(part: PartId, candidates: impl Iterator<Item = (BackendKey, u64)>) -> Arc<[BackendKey]> {
+    let mut scored: Vec<(u64, BackendKey)> = candidates
+        .map(|(key, id_hash)| (scramble(part.0 ^ id_hash), key))
+        .collect();
+    scored.sort_unstable_by(|a, b| b.cmp(a));
+    scored.truncate(RANK_LIMIT);
+    scored.into_iter().map(|(_, key)| key).collect()
+}
+
+/// Ranks that were worked out for one state of the registry.
 #[derive(Debug, Default)]
 pub(crate) struct HomeCache {
     generation: u64,
-    ranked: FastMap<PartId, HomeSet>,
+    ranked: FastMap<PartId, Arc<[BackendKey]>>,
 }
 
-/// The most parts whose homes are kept ranked.
+/// The most parts whose ranks are kept.
 const RANKED_LIMIT: usize = 4_096;
 
 impl HomeCache {
@@ -69,15 +84,20 @@
         &mut self,
         generation: u64,
         part: PartId,
+        width: usize,
         candidates: impl Iterator<Item = (BackendKey, u64)>,
     ) -> HomeSet {
         if self.generation != generation || self.ranked.len() >= RANKED_LIMIT {
             self.ranked.clear();
             self.generation = generation;
         }
-        *self
+        let ranked = self
             .ranked
             .entry(part)
-            .or_insert_with(|| HomeSet::rank(part, candidates))
+            .or_insert_with(|| rank(part, candidates));
+        HomeSet {
+            ranked: Arc::clone(ranked),
+            width,
+        }
     }
 }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -9,6 +9,7 @@
 mod home;
 mod latency;
 mod part_memory;
+mod part_traffic;
 mod retry_window;
 
 pub use backend_state::{BackendState, LoadReport, SendTicket};
@@ -19,6 +20,7 @@
 pub use home::HomeSet;
 pub use latency::{LatencyModel, StreamSample};
 pub use part_memory::PartMemory;
+pub use part_traffic::PartTraffic;
 pub use retry_window::{RetryLimits, RetryWindow};
 
 /// The reference of a shared prompt part.
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -1,15 +1,17 @@
 //! The choice of a backend server under named load patterns.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 
 use oleander_balance::{
     BackendEntry, BackendKey, BackendPhase, Choice, ChoiceInput, FleetTable, LatencyModel,
-    LoadReport, PartId, PromptPart, StreamSample, choose_backend,
+    LoadReport, PartId, PartTraffic, PromptPart, StreamSample, choose_backend,
 };
 use oleander_base::prelude::*;
 use proptest::prelude::*;
 
+static NO_TRAFFIC: LazyLock<PartTraffic> = LazyLock::new(PartTraffic::default);
+
 const MODEL: &str = "model";
 const DESK: &str = "desk";
 
@@ -61,6 +63,7 @@
         tried: &[],
         gateways: 6,
         service_latency: latency,
+        traffic: &NO_TRAFFIC,
         now: MonoTime(1_000_000),
     }
 }
--- /dev/null
+++ b/crates/balance/tests/homes.rs
@@ -0,0 +1,157 @@
+//! Where shared prompt parts are at home under named load patterns.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use oleander_balance::{
+    BackendEntry, BackendKey, BackendPhase, Choice, ChoiceInput, FleetTable, LatencyModel,
+    LoadReport, PartId, PartTraffic, PromptPart, choose_backend,
+};
+use oleander_base::prelude::*;
+
+const MODEL: &str = "model";
+const NOW: MonoTime = MonoTime(20_000_000);
+
+fn fleet(count: usize) -> FleetTable {
+    let mut fleet = FleetTable::default();
+    for index in 0..count {
+        fleet.upsert(BackendEntry {
+            id: Arc::from(format!("i-{index}")),
+            started_ms: 1,
+            service: Arc::from(MODEL),
+            address: SocketAddr::from(([10, 0, 0, 1], 8_080)),
+            centre: Arc::from("north"),
+            slots: 16,
+            phase: BackendPhase::Serving,
+        });
+    }
+    fleet
+}
+
+fn part(id: u64, tokens: u32) -> PromptPart {
+    PromptPart {
+        id: PartId(id),
+        tokens,
+    }
+}
+
+/// One gateway's view of a service.
+struct Gateway {
+    fleet: FleetTable,
+    traffic: PartTraffic,
+    latency: LatencyModel,
+    random: u32,
+}
+
+impl Gateway {
+    fn open(engines: usize, seed: u32) -> Self {
+        Self {
+            fleet: fleet(engines),
+            traffic: PartTraffic::default(),
+            latency: LatencyModel::default(),
+            random: seed,
+        }
+    }
+
+    fn choose(&mut self, parts: &[PromptPart]) -> Choice {
+        let input = ChoiceInput {
+            service: MODEL,
+            centre: "north",
+            parts,
+            prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
+            first_target: Span::from_millis(2_000),
+            pause_limit: Some(Span::from_millis(800)),
+            tried: &[],
+            gateways: 70,
+            service_latency: &self.latency,
+            traffic: &self.traffic,
+            now: NOW,
+        };
+        let random = &mut self.random;
+        let choice = choose_backend(&mut self.fleet, &input, || {
+            *random = random.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+            f64::from(*random >> 8) / f64::from(1u32 << 24)
+        });
+        choice.expect("somebody is open")
+    }
+}
+
+/// The pattern: long prompts in a burst of some seconds at many engines, all of them full, and many
+/// gateways that have fresh reports only of the engines that they use. Requests for one document move on to the next
+/// ranks that all gateways agree on. Were they scattered over engines that look empty, each engine
+/// would read each document again, and the reading would keep the engines full.
+#[test]
+fn in_a_general_overload_a_document_stays_with_the_engines_that_hold_it() {
+    let parts = [part(42, 6_000), part(7, 3_720)];
+    let used: BTreeSet<BackendKey> = (0..200)
+        .map(|seed| {
+            let mut gateway = Gateway::open(140, seed);
+            let homes = gateway.fleet.homes(MODEL, PartId(42), 1);
+            for (index, key) in gateway.fleet.of_service(MODEL).to_vec().iter().enumerate() {
+                let state = &mut gateway.fleet.get_mut(*key).expect("listed").state;
+                if index % 20 == 0 {
+                    state.sent(9_000.0, false, NOW);
+                }
+                // Of the other engines there is no fresh report, so that they look empty.
+                if homes.rank_of(*key).is_some() {
+                    let (running, waiting) = (16, 8 + seed % 8);
+                    state.reported(LoadReport { running, waiting }, NOW);
+                }
+            }
+            gateway.choose(&parts).key
+        })
+        .collect();
+    assert!(used.len() <= 4, "{} engines read it", used.len());
+}
+
+/// The pattern: one document gets a tenth of the traffic of many engines. It gets homes in
+/// proportion, so that its requests do not all wait at one engine.
+#[test]
+fn a_document_with_much_of_the_traffic_has_many_homes() {
+    let parts = [part(42, 13_300), part(7, 3_720)];
+    let mut used = BTreeSet::new();
+    for seed in 0..60 {
+        let mut gateway = Gateway::open(140, seed);
+        for index in 0..60 {
+            let id = if index % 10 == 0 { 42 } else { 1_000 + index };
+            gateway.traffic.note(&[part(id, 13_300), part(7, 100)], NOW);
+        }
+        used.insert(gateway.choose(&parts).key);
+    }
+    assert!((10..=17).contains(&used.len()), "{} homes", used.len());
+}
+
+/// The pattern: sessions behind a few instructions that many requests share. The session decides
+/// where a request belongs, also where the instruction is the longer part.
+#[test]
+fn a_session_is_at_home_by_its_own_part_not_by_what_many_share() {
+    let mut gateway = Gateway::open(140, 3);
+    for index in 0..60 {
+        let instruction = part(1 + index % 4, 5_000);
+        let parts = [instruction, part(100 + index, 3_780), part(7, 2_890)];
+        gateway.traffic.note(&parts, NOW);
+    }
+    let mut used = BTreeSet::new();
+    for session in 0..100 {
+        let parts = [part(1, 5_000), part(500 + session, 3_780), part(7, 2_890)];
+        let choice = gateway.choose(&parts);
+        assert_eq!(choice.part, Some(PartId(500 + session)));
+        used.insert(choice.key);
+    }
+    assert!(used.len() > 50, "{} engines", used.len());
+}
+
+#[test]
+fn shares_are_forgotten_after_two_windows() {
+    let mut traffic = PartTraffic::default();
+    for _ in 0..50 {
+        traffic.note(&[part(42, 13_300), part(7, 100)], NOW);
+    }
+    assert_eq!(traffic.width(PartId(42), 140), 140);
+    for round in 1..=2 {
+        let later = NOW + Span::from_secs(7 * round);
+        traffic.note(&[part(43, 13_300), part(7, 100)], later);
+    }
+    assert_eq!(traffic.width(PartId(42), 140), 1);
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -8,7 +8,7 @@
 
 use oleander_balance::{
     BackendKey, BackendState, Choice, ChoiceInput, FleetTable, LatencyModel, LoadReport,
-    RetryWindow, SendTicket, choose_backend,
+    PartTraffic, RetryWindow, SendTicket, choose_backend,
 };
 use oleander_base::{FastMap, monotonic_now};
 use rand::rngs::SmallRng;
@@ -31,6 +31,7 @@
 pub(crate) struct ServiceState {
     pub(crate) latency: LatencyModel,
     pub(crate) retries: RetryWindow,
+    pub(crate) traffic: PartTraffic,
 }
 
 /// The shared state.
@@ -112,11 +113,7 @@
     pub(crate) fn choose(&self, query: &ChoiceQuery<'_>) -> Option<Choice> {
         let gateways = self.gateway_count();
         let services = self.services.borrow();
-        let latency = services
-            .get(query.service)
-            .map(|service| service.latency)
-            .unwrap_or_default();
-        drop(services);
+        let service = services.get(query.service)?;
         let settings = self.settings();
         let input = ChoiceInput {
             service: query.service,
@@ -127,7 +124,8 @@
             pause_limit: query.route.pause_limit,
             tried: query.tried,
             gateways,
-            service_latency: &latency,
+            service_latency: &service.latency,
+            traffic: &service.traffic,
             now: monotonic_now(),
         };
         choose_backend(&mut self.fleet.borrow_mut(), &input, || self.random())
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -95,6 +95,7 @@
         let limits = core.settings().retry;
         core.with_service(service, |state| {
             state.retries.requested(&limits, monotonic_now());
+            state.traffic.note(&job.facts.parts, monotonic_now());
         });
         let mut run = Self {
             core,
