Choice: an eighth of the engines reads only short prompts; shared parts weigh more in a full service

Change: a fixed eighth of a service's engines, the same at every gateway, is no home of long prompts while short and long ones come; short ones leave it when it is full. Shared tokens count up to 4 times more as the slots of the service fill.

--- a/crates/balance/examples/choice_cost.rs
+++ b/crates/balance/examples/choice_cost.rs
@@ -9,7 +9,7 @@
 
 use oleander_balance::{
     BackendEntry, BackendPhase, ChoiceInput, FleetTable, LatencyModel, LoadReport, PartId,
-    PartTraffic, PromptPart, choose_backend,
+    PromptPart, ServiceTraffic, choose_backend,
 };
 use oleander_base::prelude::*;
 use rand::{Rng, SeedableRng};
@@ -32,7 +32,7 @@
     let now = MonoTime(1_000_000);
     let mut fleet = fleet(backends, running, now);
     let latency = LatencyModel::default();
-    let traffic = PartTraffic::default();
+    let traffic = ServiceTraffic::default();
     let mut random = ChaCha8Rng::seed_from_u64(11);
     let rounds = ROUNDS.min(200_000_000 / (backends * 1_000).max(1)).max(100);
     let started = Instant::now();
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -13,7 +13,8 @@
 
 use crate::fleet_table::{BackendKey, BackendPhase, FleetMember, FleetTable};
 use crate::latency::LatencyModel;
-use crate::{HomeSet, PartId, PartTraffic, PromptPart};
+use crate::reserve::is_light;
+use crate::{HomeSet, PartId, PromptPart, ServiceTraffic};
 
 /// Prompt tokens that one running request is worth in the cost.
 const RUNNING_TOKENS: f64 = 300.0;
@@ -21,6 +22,12 @@
 /// How much more a token of a shared part counts that has to be read again than one of the request's own.
 const SHARED_WEIGHT: f64 = 5.0;
 
+/// The share of a service's slots up to which reading a shared part again is no more than a cost.
+const RELAXED_SHARE: f64 = 0.4;
+
+/// How much more shared tokens count where every slot is taken.
+const PRESSED_FACTOR: f64 = 3.0;
+
 /// Prompt tokens that a backend server of usual speed reads in a millisecond.
 const READ_TOKENS_PER_MS: f64 = 50.0;
 
@@ -30,15 +37,18 @@
 /// The smallest part, in tokens, that is not read again elsewhere while one of its homes can be used.
 const HEAVY_TOKENS: u32 = 1_024;
 
-/// The longest prompt, in tokens, that hardly disturbs other streams.
-const LIGHT_TOKENS: u32 = 4_096;
-
 /// Prompt tokens that each stream with a short prompt is worth that a long prompt disturbs.
 const DISTURB_TOKENS: f64 = 800.0;
 
 /// The most that such streams are worth together.
 const DISTURB_LIMIT: f64 = 15_000.0;
 
+/// Prompt tokens that it is worth to keep a short prompt among short ones.
+const OUTSIDE_TOKENS: f64 = 6_000.0;
+
+/// Prompt tokens that it is worth to keep a long prompt away from short ones.
+const INTRUDER_TOKENS: f64 = 30_000.0;
+
 /// The share of the target from which a first event is taken to be late.
 const LATE_SHARE: f64 = 1.2;
 
@@ -84,8 +94,8 @@
     pub gateways: usize,
     /// What the streams of the service showed on the whole.
     pub service_latency: &'a LatencyModel,
-    /// How much of the service's traffic shares each part.
-    pub traffic: &'a PartTraffic,
+    /// What the service's traffic consists of.
+    pub traffic: &'a ServiceTraffic,
     /// The time.
     pub now: MonoTime,
 }
@@ -131,13 +141,19 @@
     input: &ChoiceInput<'_>,
     mut random: impl FnMut() -> f64,
 ) -> Option<Choice> {
-    let home_part = home_part(fleet.of_service(input.service).len(), input);
+    let backends = fleet.of_service(input.service).len();
+    let reserved = input.traffic.reserved(backends);
+    fleet.reserve(input.service, reserved);
+    let home_part = home_part(backends, input);
     let homes = home_part
         .map(|part| fleet.homes(input.service, part.part.id, part.width))
         .unwrap_or_default();
     let crowd = Crowd::survey(fleet, input);
+    let is_light = is_light(input.prompt_tokens) && !input.parts.is_empty();
     let scope = Scope {
-        sampled: sampled_share(fleet.of_service(input.service).len()),
+        is_light,
+        has_reserved: reserved > 0,
+        sampled: sampled_share(backends),
         stays_home: home_part.is_some_and(|part| part.part.tokens >= HEAVY_TOKENS),
     };
     let mut best: Option<Choice> = None;
@@ -151,8 +167,10 @@
             if !rank.takes(member, key, &homes, &scope, input) {
                 continue;
             }
+            let is_reserved = fleet.is_reserved(input.service, key);
             let is_sampled = rank != CandidateRank::Open
                 || homes.rank_of(key).is_some()
+                || (is_light && is_reserved)
                 || random() < scope.sampled;
             if !is_sampled {
                 passed_over = Some(key);
@@ -160,14 +178,15 @@
             }
             candidates += 1;
             let unread = unread_tokens(member, key, &homes, input);
-            let cost = cost(member, unread, &crowd, input) + random() * JITTER_TOKENS;
+            let misplaced = scope.misplaced(is_reserved);
+            let cost = cost(member, unread, &crowd, input) + misplaced + random() * JITTER_TOKENS;
             if best.is_none_or(|held| cost < held.cost) {
                 best = Some(Choice {
                     key,
                     unread,
                     part: home_part.map(|part| part.part.id),
                     home_rank: homes.rank_of(key),
-                    is_light: input.prompt_tokens <= LIGHT_TOKENS,
+                    is_light,
                     cost,
                     candidates: 0,
                 });
@@ -187,7 +206,7 @@
             unread,
             part: home_part.map(|part| part.part.id),
             home_rank: None,
-            is_light: input.prompt_tokens <= LIGHT_TOKENS,
+            is_light,
             cost: cost(member, unread, &crowd, input),
             candidates,
         });
@@ -210,12 +229,27 @@
 /// Which candidates are looked at.
 #[derive(Debug)]
 struct Scope {
+    /// Whether the prompt is a short one.
+    is_light: bool,
+    /// Whether some backend servers read only short prompts.
+    has_reserved: bool,
     /// The share of those that are no home.
     sampled: f64,
     /// Whether others than homes are used only if no home can be.
     stays_home: bool,
 }
 
+impl Scope {
+    /// Returns what it costs to take a short prompt among long ones, or a long one among short ones.
+    fn misplaced(&self, is_reserved: bool) -> f64 {
+        match (self.is_light, is_reserved) {
+            (true, false) if self.has_reserved => OUTSIDE_TOKENS,
+            (false, true) => INTRUDER_TOKENS,
+            _ => 0.0,
+        }
+    }
+}
+
 /// The candidates in the order in which they are used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CandidateRank {
@@ -315,6 +349,8 @@
     running: f64,
     /// Prompt tokens still to be read for one running request on average.
     unread: f64,
+    /// How much of the service's slots is taken.
+    fullness: f64,
 }
 
 impl Crowd {
@@ -325,13 +361,30 @@
             running += f64::from(member.state.own_running);
             unread += member.state.own_unread;
         }
+        let mean = running / keys.len().max(1) as f64;
+        let others = mean * input.gateways.saturating_sub(1) as f64;
+        let members = keys.iter().filter_map(|key| fleet.get(*key));
+        let (taken, slots) = members.fold((0.0, 1.0), |sum, member| {
+            let taken = member.state.running(others, input.now);
+            (sum.0 + taken, sum.1 + f64::from(member.entry.slots))
+        });
         Self {
-            running: running / keys.len().max(1) as f64,
+            running: mean,
             unread: unread / f64::max(running, 1.0),
+            fullness: taken / slots,
         }
     }
 }
 
+impl Crowd {
+    /// Returns how much more a token of a shared part counts: the fuller the service, the less it can
+    /// spare for reading again what another backend server holds.
+    fn shared_weight(&self) -> f64 {
+        let pressed = (self.fullness - RELAXED_SHARE) / (1.0 - RELAXED_SHARE);
+        SHARED_WEIGHT * (1.0 + PRESSED_FACTOR * pressed.clamp(0.0, 1.0))
+    }
+}
+
 /// Returns what the wait for the first event costs, by its share of the target.
 ///
 /// Once it is late, a longer wait loses little more, so that in a general overload requests do not
@@ -369,13 +422,13 @@
     let late = input.pause_limit.map_or(0.0, |limit| {
         state.latency.late_chance(input.service_latency, limit)
     });
-    let company = if input.prompt_tokens > LIGHT_TOKENS {
+    let company = if !is_light(input.prompt_tokens) {
         let lights = f64::from(state.own_light) * input.gateways as f64;
         (lights * DISTURB_TOKENS).min(DISTURB_LIMIT)
     } else {
         0.0
     };
-    unread.shared * SHARED_WEIGHT
+    unread.shared * crowd.shared_weight()
         + (unread.own + RUNNING_TOKENS * running) / speed
         + backlog
         + late_first_tokens(lateness)
--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -11,6 +11,7 @@
 use crate::PartId;
 use crate::backend_state::BackendState;
 use crate::home::{HomeCache, HomeSet};
+use crate::reserve::ReservedSet;
 
 /// The reference of one incarnation of a backend server; it is never given to another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -72,14 +73,30 @@
 pub struct FleetTable {
     members: FastMap<BackendKey, FleetMember>,
     by_id: FastMap<Arc<str>, BackendKey>,
-    by_service: FastMap<Arc<str>, Vec<BackendKey>>,
+    by_service: FastMap<Arc<str>, ServiceIndex>,
     by_hash: FastMap<u64, BackendKey>,
-    homes: HomeCache,
     unreachable: FastMap<Arc<str>, UnreachableMark>,
-    generation: u64,
     next_key: u32,
 }
 
+/// The backend servers of one service, and what follows from their ids.
+#[derive(Debug, Default)]
+struct ServiceIndex {
+    keys: Vec<BackendKey>,
+    homes: HomeCache,
+    reserved: ReservedSet,
+    reserved_count: usize,
+}
+
+impl ServiceIndex {
+    /// Forgets what followed from an earlier state of the registry.
+    fn changed(&mut self) {
+        self.homes = HomeCache::default();
+        self.reserved = ReservedSet::default();
+        self.reserved_count = 0;
+    }
+}
+
 impl FleetMember {
     fn is_serving(&self) -> bool {
         self.entry.phase == BackendPhase::Serving
@@ -124,14 +141,14 @@
         let was_lapsed = member.lapsed_at.take().is_some();
         if member.entry == entry {
             if was_lapsed {
-                self.generation += 1;
+                self.service_changed(key);
                 return EntryChange::Updated;
             }
             return EntryChange::Same;
         }
         let drains = entry.phase == BackendPhase::Draining && old.phase != entry.phase;
         member.entry = entry;
-        self.generation += 1;
+        self.service_changed(key);
         if drains {
             EntryChange::Draining(key)
         } else {
@@ -144,7 +161,6 @@
         let key = *self.by_id.get(id)?;
         let member = self.members.get_mut(&key)?;
         member.lapsed_at.get_or_insert(now);
-        self.generation += 1;
         Some(key)
     }
 
@@ -197,7 +213,9 @@
 
     /// Returns the references of a service's backend servers.
     pub fn of_service(&self, service: &str) -> &[BackendKey] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+        self.by_service
+            .get(service)
+            .map_or(&[], |index| &index.keys)
     }
 
     /// Returns every id in the table.
@@ -244,24 +262,50 @@
     ///
     /// A part that much of the traffic shares has `width` homes of the same standing.
     pub fn homes(&mut self, service: &str, part: PartId, width: usize) -> HomeSet {
-        let members = &self.members;
-        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let serving = keys.iter().filter_map(|key| {
-            let member = &members[key];
-            member.is_serving().then_some((*key, member.id_hash))
-        });
-        self.homes.homes(self.generation, part, width, serving)
+        let Some(index) = self.by_service.get_mut(service) else {
+            return HomeSet::default();
+        };
+        let reserved = &index.reserved;
+        let serving = serving(&self.members, &index.keys);
+        let free = serving.filter(|(key, _)| !reserved.holds(*key));
+        index.homes.homes(part, width, free)
+    }
+
+    /// Reserves that many of a service's backend servers for short prompts.
+    pub fn reserve(&mut self, service: &str, count: usize) {
+        let Some(index) = self.by_service.get_mut(service) else {
+            return;
+        };
+        if index.reserved_count != count {
+            index.changed();
+            index.reserved = ReservedSet::pick(serving(&self.members, &index.keys), count);
+            index.reserved_count = count;
+        }
+    }
+
+    /// Returns whether a backend server is reserved for short prompts.
+    pub fn is_reserved(&self, service: &str, key: BackendKey) -> bool {
+        let index = self.by_service.get(service);
+        index.is_some_and(|index| index.reserved.holds(key))
+    }
+
+    fn service_changed(&mut self, key: BackendKey) {
+        let service = self.members.get(&key).map(|member| &member.entry.service);
+        if let Some(index) = service.and_then(|service| self.by_service.get_mut(service)) {
+            index.changed();
+        }
     }
 
     fn insert(&mut self, entry: BackendEntry) -> BackendKey {
         let key = BackendKey(self.next_key);
         self.next_key += 1;
-        self.generation += 1;
         self.by_id.insert(Arc::clone(&entry.id), key);
-        self.by_service
+        let index = self
+            .by_service
             .entry(Arc::clone(&entry.service))
-            .or_default()
-            .push(key);
+            .or_default();
+        index.keys.push(key);
+        index.changed();
         let id_hash = xxh3_64(entry.id.as_bytes());
         self.by_hash.insert(id_hash, key);
         self.members.insert(
@@ -280,11 +324,22 @@
         let Some(member) = self.members.remove(&key) else {
             return;
         };
-        self.generation += 1;
         self.by_id.remove(&member.entry.id);
         self.by_hash.remove(&member.id_hash);
-        if let Some(keys) = self.by_service.get_mut(&member.entry.service) {
-            keys.retain(|held| *held != key);
+        if let Some(index) = self.by_service.get_mut(&member.entry.service) {
+            index.keys.retain(|held| *held != key);
+            index.changed();
         }
     }
 }
+
+/// Returns those that take new requests, each with the hash of its id.
+fn serving(
+    members: &FastMap<BackendKey, FleetMember>,
+    keys: &[BackendKey],
+) -> impl Iterator<Item = (BackendKey, u64)> {
+    keys.iter().filter_map(|key| {
+        let member = members.get(key)?;
+        member.is_serving().then_some((*key, member.id_hash))
+    })
+}
--- a/crates/balance/src/home.rs
+++ b/crates/balance/src/home.rs
@@ -71,7 +71,6 @@
 /// Ranks that were worked out for one state of the registry.
 #[derive(Debug, Default)]
 pub(crate) struct HomeCache {
-    generation: u64,
     ranked: FastMap<PartId, Arc<[BackendKey]>>,
 }
 
@@ -79,17 +78,15 @@
 const RANKED_LIMIT: usize = 4_096;
 
 impl HomeCache {
-    /// Returns the homes of a part, ranked again only after the registry has changed.
+    /// Returns the homes of a part, ranked once.
     pub(crate) fn homes(
         &mut self,
-        generation: u64,
         part: PartId,
         width: usize,
         candidates: impl Iterator<Item = (BackendKey, u64)>,
     ) -> HomeSet {
-        if self.generation != generation || self.ranked.len() >= RANKED_LIMIT {
+        if self.ranked.len() >= RANKED_LIMIT {
             self.ranked.clear();
-            self.generation = generation;
         }
         let ranked = self
             .ranked
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -9,8 +9,9 @@
 mod home;
 mod latency;
 mod part_memory;
-mod part_traffic;
+mod reserve;
 mod retry_window;
+mod service_traffic;
 
 pub use backend_state::{BackendState, LoadReport, SendTicket};
 pub use choice::{Choice, ChoiceInput, UnreadTokens, choose_backend};
@@ -20,8 +21,8 @@
 pub use home::HomeSet;
 pub use latency::{LatencyModel, StreamSample};
 pub use part_memory::PartMemory;
-pub use part_traffic::PartTraffic;
 pub use retry_window::{RetryLimits, RetryWindow};
+pub use service_traffic::ServiceTraffic;
 
 /// The reference of a shared prompt part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -8,7 +8,7 @@
 
 use oleander_balance::{
     BackendKey, BackendState, Choice, ChoiceInput, FleetTable, LatencyModel, LoadReport,
-    PartTraffic, RetryWindow, SendTicket, choose_backend,
+    RetryWindow, SendTicket, ServiceTraffic, choose_backend,
 };
 use oleander_base::{FastMap, monotonic_now};
 use rand::rngs::SmallRng;
@@ -31,7 +31,7 @@
 pub(crate) struct ServiceState {
     pub(crate) latency: LatencyModel,
     pub(crate) retries: RetryWindow,
-    pub(crate) traffic: PartTraffic,
+    pub(crate) traffic: ServiceTraffic,
 }
 
 /// The shared state.
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -95,7 +95,10 @@
         let limits = core.settings().retry;
         core.with_service(service, |state| {
             state.retries.requested(&limits, monotonic_now());
-            state.traffic.note(&job.facts.parts, monotonic_now());
+            let facts = &job.facts;
+            state
+                .traffic
+                .note(&facts.parts, facts.prompt_tokens, monotonic_now());
         });
         let mut run = Self {
             core,
