A request waits on in the queue of an engine that answers others

Change: the silence after which a resumable stream goes elsewhere is extended twice, by half and by a quarter, while the engine's last report, not older than 1.5 s, has requests waiting.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request, and what its outcome allows next.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 
 use oleander_balance::{BackendKey, Choice};
@@ -19,6 +20,12 @@
 /// Latency targets after which an idempotent request is tried elsewhere.
 const PATIENCE_TARGETS: u64 = 3;
 
+/// How often the wait for a backend server with a queue is extended, each time by half as much.
+const QUEUE_EXTENSIONS: u32 = 2;
+
+/// How old a sign of life of a backend server may be.
+const LIFE_SPAN: Span = Span::from_millis(1_500);
+
 /// What comes after an attempt.
 pub(super) enum Step {
     Done(RunResult),
@@ -53,9 +60,7 @@
         };
         let sent_at = monotonic_now();
         self.tried.push(choice.key);
-        let patience = self.patience();
-        let send = Exchange::send(self.core, &plan);
-        let answer = match wait(self.caller, patience.min(self.left()), send).await {
+        let answer = match self.wait_answer(&plan).await {
             Waited::CallerLeft => return Step::Done(self.caller_left()),
             Waited::Came(Ok(exchange)) => exchange,
             Waited::Came(Err(error)) => return self.unanswered(&target, &error, sent_at),
@@ -69,6 +74,31 @@
         self.judge(answer, &mut guard, &target, sent_at).await
     }
 
+    /// Waits for the head of an answer, longer than usual where the backend server answers others
+    /// and has requests waiting: this one is in its queue then, and would join the end of another.
+    async fn wait_answer(&mut self, plan: &SendPlan<'_>) -> Waited<Result<Exchange, SendError>> {
+        let mut send = pin!(Exchange::send(self.core, plan));
+        let mut patience = self.patience();
+        for _ in 0..=QUEUE_EXTENSIONS {
+            match wait(self.caller, patience.min(self.left()), send.as_mut()).await {
+                Waited::TimedOut if self.is_queued(plan.key) => {}
+                waited => return waited,
+            }
+            patience = Span(patience.0 / 2);
+        }
+        Waited::TimedOut
+    }
+
+    /// Returns whether a backend server lately reported requests that wait there.
+    fn is_queued(&self, key: BackendKey) -> bool {
+        let report = self
+            .core
+            .with_backend(key, |state| state.fresh_report(LIFE_SPAN, monotonic_now()));
+        report
+            .flatten()
+            .is_some_and(|(report, _)| report.waiting > 0)
+    }
+
     /// Returns how long the next attempt may be silent.
     pub(super) fn patience(&self) -> Span {
         let route = &self.job.routed.route;
