Admission: the least urgent kind is told to come back when the queues are too long

Cause: expected first waits (now in the send line) were right for the least urgent kind only (expected 4 s: 86 in 100 over 2 s) and far too long for the others, which pass by the queue (expected 6 s or more: median 0.5 s), so they left their homes for nothing. Change: a queue counts for a request by the share of the traffic that goes before it; a new request of the least urgent kind that would wait over 1.25 targets behind a queue is refused at once with the time after which its turn is expected; one that has come back is taken while it can be answered. Costs stand in a file of their own. Conclusion: kept, as callers learn it early instead of late.

--- a/crates/balance/examples/choice_cost.rs
+++ b/crates/balance/examples/choice_cost.rs
@@ -52,6 +52,7 @@
             centre: "north",
             parts: &parts,
             prompt_tokens: 17_020,
+            urgency: 0,
             first_target: Span::from_millis(2_000),
             pause_limit: Some(Span::from_millis(600)),
             tried: &[],
--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -132,6 +132,12 @@
         Some((dated.report, dated.at))
     }
 
+    /// Returns whether the last report, if it is fresh, has requests that wait.
+    pub fn has_queue(&self, now: MonoTime) -> bool {
+        self.fresh_report(REPORT_SPAN, now)
+            .is_some_and(|(report, _)| report.waiting > 0)
+    }
+
     /// Returns how many requests run or wait there, where `others` is what the other gateways are
     /// taken to have there while no report is fresh.
     pub fn running(&self, others: f64, now: MonoTime) -> f64 {
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -1,47 +1,21 @@
 //! The choice of a backend server for one request.
 //!
-//! Every candidate gets a cost in prompt tokens. Reading a shared part again takes capacity from every
-//! stream of that backend server and is work that was done elsewhere, so its tokens count more than
-//! the request's own and those that already wait there. The wait itself counts little while the first event is still
-//! expected well within its target, and steeply beyond; a wait for a slot counts like one for tokens.
-//! The smallest cost wins. Among plain services only the running requests count.
+//! Every candidate gets a cost in prompt tokens (`cost.rs`), and the smallest cost wins. A prompt with a
+//! large shared part goes to one of the part's homes while one takes requests.
 //!
 //! Of a large service only the homes and a random sample are looked at: gateways that have the same
 //! news would otherwise all go to the backend server that looks emptiest.
 
 use oleander_base::prelude::*;
 
+use crate::cost::{Crowd, UnreadTokens, estimate, unread_tokens};
 use crate::fleet_table::{BackendKey, BackendPhase, FleetMember, FleetTable};
 use crate::latency::LatencyModel;
 use crate::reserve::is_light;
 use crate::{HomeSet, PartId, PromptPart, ServiceTraffic};
 
-/// Prompt tokens that one running request is worth in the cost.
-const RUNNING_TOKENS: f64 = 300.0;
-
-/// How much more a token of a shared part counts that has to be read again than one of the request's own.
-const SHARED_WEIGHT: f64 = 5.0;
-
-/// The share of a service's slots up to which reading a shared part again is no more than a cost.
-const RELAXED_SHARE: f64 = 0.4;
-
-/// How much more shared tokens count where every slot is taken.
-const PRESSED_FACTOR: f64 = 3.0;
-
-/// Prompt tokens that a backend server of usual speed reads in a millisecond.
-const READ_TOKENS_PER_MS: f64 = 50.0;
-
-/// Prompt tokens that a first event right at its target is worth in the cost.
-const TARGET_TOKENS: f64 = 22_000.0;
-
-/// The smallest part, in tokens, that is not read again elsewhere while one of its homes can be used.
-const HEAVY_TOKENS: u32 = 1_024;
-
-/// Prompt tokens that each stream with a short prompt is worth that a long prompt disturbs.
-const DISTURB_TOKENS: f64 = 800.0;
-
-/// The most that such streams are worth together.
-const DISTURB_LIMIT: f64 = 15_000.0;
+/// The scatter of costs that keeps gateways with the same knowledge apart.
+const JITTER_TOKENS: f64 = 120.0;
 
 /// Prompt tokens that it is worth to keep a short prompt among short ones.
 const OUTSIDE_TOKENS: f64 = 6_000.0;
@@ -49,23 +23,8 @@
 /// Prompt tokens that it is worth to keep a long prompt away from short ones.
 const INTRUDER_TOKENS: f64 = 30_000.0;
 
-/// The share of the target from which a first event is taken to be late.
-const LATE_SHARE: f64 = 1.2;
-
-/// How much less each further share of the target costs then.
-const BEYOND_SLOPE: f64 = 0.25;
-
-/// Prompt tokens that a stream with a pause beyond its limit is worth in the cost.
-const LATE_TOKENS: f64 = 12_000.0;
-
-/// Prompt tokens that another data centre is worth in the cost.
-const REMOTE_TOKENS: f64 = 60.0;
-
-/// The cost of a request at a plain service that runs as many requests as it has slots.
-const FULL_SLOTS_COST: f64 = 10_000.0;
-
-/// The scatter of costs that keeps gateways with the same knowledge apart.
-const JITTER_TOKENS: f64 = 120.0;
+/// The smallest part, in tokens, that is not read again elsewhere while one of its homes can be used.
+const HEAVY_TOKENS: u32 = 1_024;
 
 /// A service with more backend servers than this is sampled.
 const SAMPLED_ABOVE: usize = 24;
@@ -84,6 +43,8 @@
     pub parts: &'a [PromptPart],
     /// The prompt's size in tokens.
     pub prompt_tokens: u32,
+    /// The request's urgency, 0 first.
+    pub urgency: u8,
     /// The time within which the first event is on time.
     pub first_target: Span,
     /// The longest pause between events that is still on time.
@@ -100,22 +61,6 @@
     pub now: MonoTime,
 }
 
-/// Prompt tokens that a backend server has to read for a request.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct UnreadTokens {
-    /// Those of parts that other requests share.
-    pub shared: f64,
-    /// Those that only this request has.
-    pub own: f64,
-}
-
-impl UnreadTokens {
-    /// Returns all of them.
-    pub fn total(&self) -> f64 {
-        self.shared + self.own
-    }
-}
-
 /// The chosen backend server.
 #[derive(Debug, Clone, Copy)]
 pub struct Choice {
@@ -131,6 +76,10 @@
     pub is_light: bool,
     /// The cost that won.
     pub cost: f64,
+    /// How long its first event is expected to take.
+    pub first_wait: Span,
+    /// Whether its last report has requests that wait.
+    pub has_queue: bool,
     /// How many candidates there were.
     pub candidates: usize,
 }
@@ -179,7 +128,8 @@
             candidates += 1;
             let unread = unread_tokens(member, key, &homes, input);
             let misplaced = scope.misplaced(is_reserved);
-            let cost = cost(member, unread, &crowd, input) + misplaced + random() * JITTER_TOKENS;
+            let estimate = estimate(member, is_reserved, unread, &crowd, input);
+            let cost = estimate.cost + misplaced + random() * JITTER_TOKENS;
             if best.is_none_or(|held| cost < held.cost) {
                 best = Some(Choice {
                     key,
@@ -188,6 +138,8 @@
                     home_rank: homes.rank_of(key),
                     is_light,
                     cost,
+                    first_wait: Span((estimate.first_ms * 1e3) as u64),
+                    has_queue: member.state.has_queue(input.now),
                     candidates: 0,
                 });
             }
@@ -200,6 +152,8 @@
     if let (None, Some(key)) = (best, passed_over) {
         let member = fleet.get(key)?;
         let unread = unread_tokens(member, key, &homes, input);
+        let is_reserved = fleet.is_reserved(input.service, key);
+        let estimate = estimate(member, is_reserved, unread, &crowd, input);
         candidates = 1;
         best = Some(Choice {
             key,
@@ -207,7 +161,9 @@
             part: home_part.map(|part| part.part.id),
             home_rank: None,
             is_light,
-            cost: cost(member, unread, &crowd, input),
+            cost: estimate.cost,
+            first_wait: Span((estimate.first_ms * 1e3) as u64),
+            has_queue: member.state.has_queue(input.now),
             candidates,
         });
     }
@@ -310,129 +266,3 @@
     });
     wide.min_by_key(|home| (home.width, std::cmp::Reverse(home.part.tokens)))
 }
-
-fn unread_tokens(
-    member: &FleetMember,
-    key: BackendKey,
-    homes: &HomeSet,
-    input: &ChoiceInput<'_>,
-) -> UnreadTokens {
-    let all: u32 = input.parts.iter().map(|part| part.tokens).sum();
-    // A prompt may be longer than the parts that it names.
-    let mut own = f64::from(input.prompt_tokens.saturating_sub(all));
-    let mut shared = 0.0;
-    let guess = homes.held_chance(key);
-    let mut reach = 1.0;
-    for (index, part) in input.parts.iter().enumerate() {
-        let is_shared = index + 1 < input.parts.len();
-        let is_held = member.state.parts.holds(part.id, input.now);
-        // A part helps only if all parts before it are held as well.
-        reach = match (is_held, is_shared) {
-            (true, _) => reach,
-            (false, true) => guess.min(reach),
-            (false, false) => 0.0,
-        };
-        let unread = f64::from(part.tokens) * (1.0 - reach);
-        if is_shared {
-            shared += unread;
-        } else {
-            own += unread;
-        }
-    }
-    UnreadTokens { shared, own }
-}
-
-/// What this gateway's own requests say of those of the others.
-#[derive(Debug, Clone, Copy, Default)]
-struct Crowd {
-    /// Requests that another gateway has at a backend server on average.
-    running: f64,
-    /// Prompt tokens still to be read for one running request on average.
-    unread: f64,
-    /// How much of the service's slots is taken.
-    fullness: f64,
-}
-
-impl Crowd {
-    fn survey(fleet: &FleetTable, input: &ChoiceInput<'_>) -> Self {
-        let keys = fleet.of_service(input.service);
-        let (mut running, mut unread) = (0.0, 0.0);
-        for member in keys.iter().filter_map(|key| fleet.get(*key)) {
-            running += f64::from(member.state.own_running);
-            unread += member.state.own_unread;
-        }
-        let mean = running / keys.len().max(1) as f64;
-        let others = mean * input.gateways.saturating_sub(1) as f64;
-        let members = keys.iter().filter_map(|key| fleet.get(*key));
-        let (taken, slots) = members.fold((0.0, 1.0), |sum, member| {
-            let taken = member.state.running(others, input.now);
-            (sum.0 + taken, sum.1 + f64::from(member.entry.slots))
-        });
-        Self {
-            running: mean,
-            unread: unread / f64::max(running, 1.0),
-            fullness: taken / slots,
-        }
-    }
-}
-
-impl Crowd {
-    /// Returns how much more a token of a shared part counts: the fuller the service, the less it can
-    /// spare for reading again what another backend server holds.
-    fn shared_weight(&self) -> f64 {
-        let pressed = (self.fullness - RELAXED_SHARE) / (1.0 - RELAXED_SHARE);
-        SHARED_WEIGHT * (1.0 + PRESSED_FACTOR * pressed.clamp(0.0, 1.0))
-    }
-}
-
-/// Returns what the wait for the first event costs, by its share of the target.
-///
-/// Once it is late, a longer wait loses little more, so that in a general overload requests do not
-/// leave their homes for backend servers that are as full.
-fn late_first_tokens(lateness: f64) -> f64 {
-    let until_late = lateness.min(LATE_SHARE);
-    let beyond = lateness - until_late;
-    (until_late * until_late + beyond * BEYOND_SLOPE) * TARGET_TOKENS
-}
-
-/// Returns how long a request waits for a slot where that many run or wait already.
-fn slot_wait_ms(member: &FleetMember, running: f64, input: &ChoiceInput<'_>) -> f64 {
-    let slots = f64::from(member.entry.slots.max(1));
-    let ahead = (running + 1.0 - slots).max(0.0);
-    ahead * input.service_latency.held_ms() / slots
-}
-
-fn cost(member: &FleetMember, unread: UnreadTokens, crowd: &Crowd, input: &ChoiceInput<'_>) -> f64 {
-    let state = &member.state;
-    let others = crowd.running * input.gateways.saturating_sub(1) as f64;
-    let running = state.running(others, input.now);
-    let is_remote = &*member.entry.centre != input.centre;
-    let distance = if is_remote { REMOTE_TOKENS } else { 0.0 };
-    if input.parts.is_empty() {
-        let slots = f64::from(member.entry.slots.max(1));
-        let share = running / slots;
-        return share * RUNNING_TOKENS + (share - 0.7).max(0.0) * FULL_SLOTS_COST + distance;
-    }
-    let speed = state.latency.speed(input.service_latency);
-    let own_running = f64::from(state.own_running);
-    let backlog = state.own_unread + (running - own_running).max(0.0) * crowd.unread;
-    let read_ms = (unread.total() + backlog) / READ_TOKENS_PER_MS / speed;
-    let first_ms = read_ms + slot_wait_ms(member, running, input);
-    let lateness = first_ms / input.first_target.as_millis_f64().max(1.0);
-    let late = input.pause_limit.map_or(0.0, |limit| {
-        state.latency.late_chance(input.service_latency, limit)
-    });
-    let company = if !is_light(input.prompt_tokens) {
-        let lights = f64::from(state.own_light) * input.gateways as f64;
-        (lights * DISTURB_TOKENS).min(DISTURB_LIMIT)
-    } else {
-        0.0
-    };
-    unread.shared * crowd.shared_weight()
-        + (unread.own + RUNNING_TOKENS * running) / speed
-        + backlog
-        + late_first_tokens(lateness)
-        + late * LATE_TOKENS
-        + company
-        + distance
-}
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -3,8 +3,10 @@
 //! Everything here is a pure function over plain data: the driver passes in the time and a random
 //! number, so that each decision is tested without a socket (docs/PLATFORM.md, "Choosing").
 
+mod admission;
 mod backend_state;
 mod choice;
+mod cost;
 mod fleet_table;
 mod home;
 mod latency;
@@ -13,8 +15,10 @@
 mod retry_window;
 mod service_traffic;
 
+pub use admission::{Admission, AdmissionQuery, admit};
 pub use backend_state::{BackendState, LoadReport, SendTicket};
-pub use choice::{Choice, ChoiceInput, UnreadTokens, choose_backend};
+pub use choice::{Choice, ChoiceInput, choose_backend};
+pub use cost::UnreadTokens;
 pub use fleet_table::{
     BackendEntry, BackendKey, BackendPhase, EntryChange, FleetMember, FleetTable,
 };
@@ -22,7 +26,7 @@
 pub use latency::{LatencyModel, StreamSample};
 pub use part_memory::PartMemory;
 pub use retry_window::{RetryLimits, RetryWindow};
-pub use service_traffic::ServiceTraffic;
+pub use service_traffic::{RequestTraits, ServiceTraffic};
 
 /// The reference of a shared prompt part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/balance/src/service_traffic.rs
+++ b/crates/balance/src/service_traffic.rs
@@ -26,15 +26,37 @@
 struct TrafficWindow {
     requests: u32,
     light: u32,
+    by_urgency: [u32; URGENCIES],
     counts: FastMap<PartId, u32>,
 }
 
+/// How many urgencies are told apart; larger numbers count as the largest.
+const URGENCIES: usize = 10;
+
+/// The least share of requests by which an urgency counts as the least one of a service.
+const LEAST_SHARE: f64 = 0.05;
+
 /// The fewest requests that tell whether short and long prompts are mixed.
 const MIX_COUNT: u32 = 30;
 
 /// The least share of short prompts, and of long ones, that makes a mix.
 const MIX_SHARE: f64 = 0.03;
 
+/// What counts of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestTraits<'a> {
+    /// The prompt's parts, in order.
+    pub parts: &'a [PromptPart],
+    /// The prompt's size in tokens.
+    pub prompt_tokens: u32,
+    /// The urgency, 0 first.
+    pub urgency: u8,
+}
+
+fn level(urgency: u8) -> usize {
+    usize::from(urgency).min(URGENCIES - 1)
+}
+
 /// The traffic of one service, as this gateway sees it.
 #[derive(Debug, Default)]
 pub struct ServiceTraffic {
@@ -45,14 +67,18 @@
 
 impl ServiceTraffic {
     /// Counts a request.
-    pub fn note(&mut self, parts: &[PromptPart], prompt_tokens: u32, now: MonoTime) {
+    pub fn note(&mut self, request: &RequestTraits<'_>, now: MonoTime) {
         if now.since(self.since) >= WINDOW {
             self.last = std::mem::take(&mut self.current);
             self.since = now;
         }
         self.current.requests += 1;
-        self.current.light += u32::from(is_light(prompt_tokens));
-        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        self.current.light += u32::from(is_light(request.prompt_tokens));
+        self.current.by_urgency[level(request.urgency)] += 1;
+        let shared = request
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
         for part in shared {
             if self.current.counts.len() < COUNT_LIMIT {
                 *self.current.counts.entry(part.id).or_insert(0) += 1;
@@ -84,4 +110,30 @@
         }
         (RESERVED_SHARE * backends as f64) as usize
     }
+
+    /// Returns whether a request's urgency is the least one that much of the traffic has.
+    pub fn is_least_urgent(&self, urgency: u8) -> bool {
+        let later = self.share(|other| other > level(urgency));
+        later < LEAST_SHARE
+    }
+
+    /// Returns the share of a queue that goes before a request of this urgency.
+    ///
+    /// The more urgent ones wait less long, so there are fewer of them in a queue than come.
+    pub fn ahead_share(&self, urgency: u8) -> f64 {
+        if self.is_least_urgent(urgency) {
+            return 1.0;
+        }
+        self.share(|other| other <= level(urgency)).powi(2)
+    }
+
+    fn share(&self, counts: impl Fn(usize) -> bool) -> f64 {
+        let sum = |window: &TrafficWindow| {
+            let levels = window.by_urgency.iter().enumerate();
+            let counted = levels.filter(|(urgency, _)| counts(*urgency));
+            counted.map(|(_, count)| *count).sum::<u32>()
+        };
+        let requests = (self.current.requests + self.last.requests).max(1);
+        f64::from(sum(&self.current) + sum(&self.last)) / f64::from(requests)
+    }
 }
--- /dev/null
+++ b/crates/balance/tests/admission.rs
@@ -0,0 +1,85 @@
+//! Who is taken and who is told to come back, under named load patterns.
+
+use oleander_balance::{Admission, AdmissionQuery, RequestTraits, ServiceTraffic, admit};
+use oleander_base::prelude::*;
+use proptest::prelude::*;
+
+const NOW: MonoTime = MonoTime(20_000_000);
+
+fn query(first_wait_ms: u64) -> AdmissionQuery {
+    AdmissionQuery {
+        first_wait: Span::from_millis(first_wait_ms),
+        first_target: Span::from_millis(2_000),
+        time_left: Span::from_millis(12_000),
+        route_time: Span::from_millis(12_000),
+        is_least_urgent: true,
+        has_queue: true,
+    }
+}
+
+/// The pattern: twice as many long prompts as the engines can read, for some seconds. Those that
+/// would be late anyway are told so at once, and when their turn is expected.
+#[test]
+fn in_an_overload_a_new_request_is_told_at_once_when_to_come_back() {
+    assert_eq!(admit(&query(2_000)), Admission::Take);
+    let later = Admission::ComeBack(Span::from_millis(2_000));
+    assert_eq!(admit(&query(4_000)), later);
+}
+
+#[test]
+fn who_came_back_goes_before_new_requests() {
+    let returned = AdmissionQuery {
+        time_left: Span::from_millis(9_000),
+        ..query(4_000)
+    };
+    assert_eq!(admit(&returned), Admission::Take);
+}
+
+#[test]
+fn nobody_is_refused_where_nothing_waits() {
+    let quiet = AdmissionQuery {
+        has_queue: false,
+        ..query(9_000)
+    };
+    assert_eq!(admit(&quiet), Admission::Take);
+}
+
+/// The pattern: a mix of three kinds, where backend servers start the more urgent ones first.
+#[test]
+fn only_the_least_urgent_kind_is_refused_and_waits_for_the_whole_queue() {
+    let mut traffic = ServiceTraffic::default();
+    for index in 0..100 {
+        let urgency = match index % 10 {
+            0..=2 => 3,
+            3..=4 => 4,
+            _ => 5,
+        };
+        let request = RequestTraits {
+            parts: &[],
+            prompt_tokens: 17_000,
+            urgency,
+        };
+        traffic.note(&request, NOW);
+    }
+    let least = [3, 4, 5].map(|urgency| traffic.is_least_urgent(urgency));
+    assert_eq!(least, [false, false, true]);
+    let ahead = [3, 4, 5].map(|urgency| traffic.ahead_share(urgency));
+    assert!(ahead[0] < ahead[1] && ahead[1] < 0.3 && ahead[2] == 1.0);
+    let urgent = AdmissionQuery {
+        is_least_urgent: false,
+        ..query(9_000)
+    };
+    assert_eq!(admit(&urgent), Admission::Take);
+}
+
+proptest! {
+    #[test]
+    fn a_longer_wait_never_turns_a_refusal_into_a_send(wait in 0u64..20_000, more in 0u64..5_000, left in 100u64..12_000) {
+        let at = |first_wait_ms| {
+            admit(&AdmissionQuery { time_left: Span::from_millis(left), ..query(first_wait_ms) })
+        };
+        if at(wait) != Admission::Take {
+            prop_assert_ne!(at(wait + more), Admission::Take);
+        }
+    }
+}
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -5,7 +5,7 @@
 
 use oleander_balance::{
     BackendEntry, BackendKey, BackendPhase, Choice, ChoiceInput, FleetTable, LatencyModel,
-    LoadReport, PartId, PromptPart, ServiceTraffic, StreamSample, choose_backend,
+    LoadReport, PartId, PromptPart, RequestTraits, ServiceTraffic, StreamSample, choose_backend,
 };
 use oleander_base::prelude::*;
 use proptest::prelude::*;
@@ -58,6 +58,7 @@
         centre: "north",
         parts,
         prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
+        urgency: 0,
         first_target: Span::from_millis(2_000),
         pause_limit: Some(Span::from_millis(600)),
         tried: &[],
@@ -96,7 +97,12 @@
     let mut fleet = fleet(MODEL, 18);
     let mut traffic = ServiceTraffic::default();
     for id in 0..40 {
-        traffic.note(&document(id * 7_919), 17_020, MonoTime(1_000_000));
+        let request = RequestTraits {
+            parts: &document(id * 7_919),
+            prompt_tokens: 17_020,
+            urgency: 0,
+        };
+        traffic.note(&request, MonoTime(1_000_000));
     }
     let mut used = std::collections::BTreeSet::new();
     for id in 0..300 {
--- a/crates/balance/tests/homes.rs
+++ b/crates/balance/tests/homes.rs
@@ -6,7 +6,7 @@
 
 use oleander_balance::{
     BackendEntry, BackendKey, BackendPhase, Choice, ChoiceInput, FleetTable, LatencyModel,
-    LoadReport, PartId, PromptPart, ServiceTraffic, choose_backend,
+    LoadReport, PartId, PromptPart, RequestTraits, ServiceTraffic, choose_backend,
 };
 use oleander_base::prelude::*;
 
@@ -36,6 +36,15 @@
     }
 }
 
+fn note(traffic: &mut ServiceTraffic, parts: &[PromptPart], prompt_tokens: u32, now: MonoTime) {
+    let request = RequestTraits {
+        parts,
+        prompt_tokens,
+        urgency: 0,
+    };
+    traffic.note(&request, now);
+}
+
 /// One gateway's view of a service.
 struct Gateway {
     fleet: FleetTable,
@@ -60,6 +69,7 @@
             centre: "north",
             parts,
             prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
+            urgency: 0,
             first_target: Span::from_millis(2_000),
             pause_limit: Some(Span::from_millis(800)),
             tried: &[],
@@ -115,9 +125,12 @@
         let mut gateway = Gateway::open(140, seed);
         for index in 0..60 {
             let id = if index % 10 == 0 { 42 } else { 1_000 + index };
-            gateway
-                .traffic
-                .note(&[part(id, 13_300), part(7, 100)], 13_400, NOW);
+            note(
+                &mut gateway.traffic,
+                &[part(id, 13_300), part(7, 100)],
+                13_400,
+                NOW,
+            );
         }
         used.insert(gateway.choose(&parts).key);
     }
@@ -132,7 +145,7 @@
     for index in 0..60 {
         let instruction = part(1 + index % 4, 5_000);
         let parts = [instruction, part(100 + index, 3_780), part(7, 2_890)];
-        gateway.traffic.note(&parts, 11_670, NOW);
+        note(&mut gateway.traffic, &parts, 11_670, NOW);
     }
     let mut used = BTreeSet::new();
     for session in 0..100 {
@@ -148,12 +161,17 @@
 fn shares_are_forgotten_after_two_windows() {
     let mut traffic = ServiceTraffic::default();
     for _ in 0..50 {
-        traffic.note(&[part(42, 13_300), part(7, 100)], 13_400, NOW);
+        note(&mut traffic, &[part(42, 13_300), part(7, 100)], 13_400, NOW);
     }
     assert_eq!(traffic.width(PartId(42), 140), 140);
     for round in 1..=2 {
         let later = NOW + Span::from_secs(7 * round);
-        traffic.note(&[part(43, 13_300), part(7, 100)], 13_400, later);
+        note(
+            &mut traffic,
+            &[part(43, 13_300), part(7, 100)],
+            13_400,
+            later,
+        );
     }
     assert_eq!(traffic.width(PartId(42), 140), 1);
 }
@@ -173,7 +191,7 @@
             (question, &mut with_questions),
         ] {
             let tokens = parts.iter().map(|part| part.tokens).sum();
-            gateway.traffic.note(&parts, tokens, NOW);
+            note(&mut gateway.traffic, &parts, tokens, NOW);
             used.insert(gateway.choose(&parts).key);
         }
     }
@@ -205,7 +223,7 @@
         let mut traffic = ServiceTraffic::default();
         assert_eq!(traffic.reserved(140), 17);
         for _ in 0..100 {
-            traffic.note(&[part(1, tokens)], tokens, NOW);
+            note(&mut traffic, &[part(1, tokens)], tokens, NOW);
         }
         assert_eq!(traffic.reserved(140), 0);
     }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -120,6 +120,7 @@
             centre: &settings.centre,
             parts: &query.facts.parts,
             prompt_tokens: query.facts.prompt_tokens,
+            urgency: query.urgency,
             first_target: query.route.latency_target,
             pause_limit: query.route.pause_limit,
             tried: query.tried,
@@ -200,6 +201,7 @@
     pub(crate) service: &'a str,
     pub(crate) facts: &'a CallFacts,
     pub(crate) route: &'a RouteSpec,
+    pub(crate) urgency: u8,
     pub(crate) tried: &'a [BackendKey],
 }
 
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use oleander_balance::{BackendKey, Choice};
+use oleander_balance::{Admission, AdmissionQuery, BackendKey, Choice, RequestTraits, admit};
 use oleander_base::monotonic_now;
 
 use self::attempt::Step;
@@ -76,6 +76,8 @@
     first_after: Option<Span>,
     longest_gap: Span,
     last_problem: String,
+    /// When a refused caller's turn is expected.
+    return_after: Option<Span>,
 }
 
 impl<'a> RequestRun<'a> {
@@ -95,10 +97,12 @@
         let limits = core.settings().retry;
         core.with_service(service, |state| {
             state.retries.requested(&limits, monotonic_now());
-            let facts = &job.facts;
-            state
-                .traffic
-                .note(&facts.parts, facts.prompt_tokens, monotonic_now());
+            let request = RequestTraits {
+                parts: &job.facts.parts,
+                prompt_tokens: job.facts.prompt_tokens,
+                urgency: job.routed.urgency,
+            };
+            state.traffic.note(&request, monotonic_now());
         });
         let mut run = Self {
             core,
@@ -118,6 +122,7 @@
             first_after: None,
             longest_gap: Span::ZERO,
             last_problem: String::new(),
+            return_after: None,
         };
         let result = run.run().await;
         run.log_end(result);
@@ -147,15 +152,42 @@
             service: &routed.service,
             facts: &self.job.facts,
             route: &routed.route,
+            urgency: routed.urgency,
             tried: &self.tried,
         };
         let choice = self.core.choose(&query).ok_or("no backend server")?;
+        if self.tried.is_empty() {
+            self.admit(&choice)?;
+        }
         if self.sends > 0 && !self.core.take_retry(&routed.service) {
             return Err("no retry budget");
         }
         Ok(choice)
     }
 
+    /// Refuses a request that would wait far beyond its target.
+    fn admit(&mut self, choice: &Choice) -> Result<(), &'static str> {
+        let routed = &self.job.routed;
+        let is_least_urgent = self.core.with_service(&routed.service, |state| {
+            state.traffic.is_least_urgent(routed.urgency)
+        });
+        let query = AdmissionQuery {
+            first_wait: choice.first_wait,
+            first_target: routed.route.latency_target,
+            time_left: self.job.facts.time_left.unwrap_or(routed.route.timeout),
+            route_time: routed.route.timeout,
+            is_least_urgent,
+            has_queue: choice.has_queue,
+        };
+        match admit(&query) {
+            Admission::Take => Ok(()),
+            Admission::ComeBack(after) => {
+                self.return_after = Some(after);
+                Err("the queues are too long")
+            }
+        }
+    }
+
     fn left(&self) -> Span {
         self.deadline.since(monotonic_now())
     }
@@ -192,7 +224,10 @@
         let answer = OwnAnswer {
             status,
             reason,
-            retry_after: is_refusal.then(|| return_time(self.core)),
+            retry_after: is_refusal.then(|| {
+                let turn = self.return_after.unwrap_or_default();
+                turn.max(return_time(self.core))
+            }),
             verdict: self.verdict,
             closes: self.closes,
         };
