One gateway a data centre reads the store; a store that does not answer is called less and less often

Change: the others ask the reader, then its substitute, and then the store; a reader that failed rests 2 s, one without news 0.7 s; the pause after failed calls doubles up to 0.6 s at readers and 1.2 s at others (twice that at random), with any other gateway asked meanwhile. The lease lives 12 s and is renewed every 4 s; it is given back as soon as the stop signal comes (the test of that failed with the longer pause, which had hidden that nothing woke the loop).

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -47,6 +47,8 @@
     pub(crate) meters: Rc<Meters>,
     pub(crate) log: LogWriter,
     pub(crate) suspend: SuspendWatch,
+    /// Wakes what waits long when the gateway begins to stop.
+    pub(crate) stop_began: Notify,
     /// Tells idle connections of callers to close.
     pub(crate) idle_close: Notify,
     pub(crate) in_flight: Cell<usize>,
@@ -71,6 +73,7 @@
             life: LifePhase::default(),
             meters: Rc::new(meters),
             suspend: SuspendWatch::open(),
+            stop_began: Notify::new(),
             idle_close: Notify::new(),
             in_flight: Cell::new(0),
             caller_connections: Cell::new(0),
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -2,10 +2,10 @@
 //!
 //! One watch covers manifest, registry and gateways. The registry changes many times a second, so
 //! the watch is asked again at a pace: changes come in batches, each call costs the platform, and
-//! the pace is a fraction of what a change may take. In a data centre with many gateways only a
-//! few read the store; the others ask these, and read the store themselves as soon as one of them
-//! does not answer or has not heard the store lately. While the store does not answer, any other
-//! gateway is asked for what it has read.
+//! the pace is a fraction of what a change may take. In each data centre one gateway reads the store
+//! and the others ask it, or its substitute where it does not answer or has not heard the store
+//! lately; where neither has news they read the store themselves. A store that does not answer is
+//! asked less and less often, and meanwhile any other gateway is asked for what it has read.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,14 +16,20 @@
 
 use crate::belief::{Applied, KnownFact, RemovalMode};
 use crate::core::GatewayCore;
-use crate::peer_relay::{FactsClient, ask_gateway};
+use crate::peer_relay::{FactsClient, RelayError, ask_gateway};
 use crate::port::{StoreItem, StoreSubject};
 use crate::prelude::*;
 use crate::store_client::{StoreClient, StoreError};
 
-/// How many gateways of a data centre read the store.
+/// How many gateways of a data centre the others ask: the reader of the store and its substitute.
 const READERS: usize = 2;
 
+/// How long a reader that did not answer is not asked again.
+const READER_REST: Span = Span::from_millis(2_000);
+
+/// How long a reader that has no news is not asked again.
+const STALE_REST: Span = Span::from_millis(700);
+
 /// The share of the shortest bound after which the watch is asked again.
 const PACE_SHARE: u64 = 4;
 
@@ -36,9 +42,15 @@
 /// How long a page of a listing may take.
 const LIST_LIMIT: Span = Span::from_millis(1_500);
 
-/// The pause after a failed call; up to twice as long at random.
+/// The pause after a first failed call of the store; up to twice as long at random.
 const RETRY_PAUSE: Span = Span::from_millis(150);
 
+/// How often the pause doubles at a gateway that reads the store for others.
+const READER_DOUBLINGS: u32 = 2;
+
+/// How often the pause doubles at other gateways.
+const ASKER_DOUBLINGS: u32 = 3;
+
 /// How long the store may be silent before other gateways are asked.
 const RELAY_AFTER: Span = Span::from_millis(600);
 
@@ -65,11 +77,18 @@
 struct Feed {
     core: Rc<GatewayCore>,
     client: StoreClient,
-    readers: FactsClient,
+    readers: [FactsClient; READERS],
     needs_list: bool,
     lost_since: Option<MonoTime>,
     last_answer: MonoTime,
     returned_at: Option<MonoTime>,
+    /// Calls of the store that failed one after the other.
+    failures: u32,
+    /// When the store may be called again.
+    rests_until: MonoTime,
+    /// Until when each reader is not asked.
+    readers_rest: [MonoTime; READERS],
+    is_reader: bool,
 }
 
 /// Keeps the belief up to date for as long as the process lives.
@@ -78,12 +97,16 @@
     let meters = Rc::clone(&core.meters);
     let mut feed = Feed {
         client: StoreClient::open(store, meters),
-        readers: FactsClient::default(),
+        readers: Default::default(),
         core,
         needs_list: true,
         lost_since: None,
         last_answer: monotonic_now(),
         returned_at: None,
+        failures: 0,
+        rests_until: MonoTime::default(),
+        readers_rest: [MonoTime::default(); READERS],
+        is_reader: true,
     };
     loop {
         let asked = monotonic_now();
@@ -107,7 +130,11 @@
     }
 
     async fn step(&mut self) -> Result<(), StoreError> {
-        if self.ask_reader().await {
+        if self.ask_readers().await {
+            return Ok(());
+        }
+        if monotonic_now() < self.rests_until {
+            ask_gateway(&self.core).await;
             return Ok(());
         }
         self.client.retarget(self.core.settings().store);
@@ -129,33 +156,44 @@
         Ok(())
     }
 
-    /// Asks a gateway that reads the store, if this one does not; returns whether it told the news.
-    async fn ask_reader(&mut self) -> bool {
+    /// Asks the gateways that read the store before this one would; returns whether one told the news.
+    async fn ask_readers(&mut self) -> bool {
         let settings = self.core.settings();
         let ranked = self.core.belief.borrow().ranked_gateways(&settings.centre);
         let own = ranked
             .iter()
-            .position(|gateway| gateway.name == settings.name);
-        let Some(own) = own.filter(|rank| *rank >= READERS) else {
-            return false;
-        };
-        let reader = ranked[own % READERS].control;
-        match self.readers.ask(&self.core, reader).await {
-            Ok(_) => {
-                self.answered();
-                true
+            .position(|gateway| gateway.name == settings.name)
+            .unwrap_or(0);
+        self.is_reader = own < READERS;
+        for rank in 0..own.min(READERS) {
+            if monotonic_now() < self.readers_rest[rank] {
+                continue;
             }
-            Err(error) => {
-                self.core.log.change(
-                    "reader-lost",
-                    LostFields {
-                        reason: error.to_string(),
-                        revision: self.core.belief.borrow().at.0,
-                    },
-                );
-                false
+            match self.readers[rank]
+                .ask(&self.core, ranked[rank].control)
+                .await
+            {
+                Ok(_) => {
+                    self.answered();
+                    return true;
+                }
+                Err(error) => self.reader_lost(rank, &error),
             }
         }
+        false
+    }
+
+    fn reader_lost(&mut self, rank: usize, error: &RelayError) {
+        let rest = match error {
+            RelayError::Stale(_) => STALE_REST,
+            _ => READER_REST,
+        };
+        self.readers_rest[rank] = monotonic_now() + rest;
+        let fields = LostFields {
+            reason: error.to_string(),
+            revision: self.core.belief.borrow().at.0,
+        };
+        self.core.log.change("reader-lost", fields);
     }
 
     async fn list(&mut self) -> Result<(), StoreError> {
@@ -214,6 +252,7 @@
             self.returned_at = Some(now);
         }
         self.last_answer = now;
+        self.failures = 0;
         if let Some(lost) = self.lost_since.take() {
             let fields = RegainedFields {
                 away_ms: now.since(lost).as_millis_f64(),
@@ -268,8 +307,22 @@
         if now.since(self.last_answer) > RELAY_AFTER {
             ask_gateway(&self.core).await;
         }
-        let pause = RETRY_PAUSE.0 as f64 * (1.0 + self.core.random());
-        sleep(Duration::from_micros(pause as u64)).await;
+        let pause = self.retry_pause();
+        self.rests_until = monotonic_now() + pause;
+        sleep(Duration::from(pause.min(self.pace()))).await;
+    }
+
+    /// Returns how long the store is left alone after another failed call.
+    fn retry_pause(&mut self) -> Span {
+        let most = if self.is_reader {
+            READER_DOUBLINGS
+        } else {
+            ASKER_DOUBLINGS
+        };
+        let doublings = self.failures.min(most);
+        self.failures += 1;
+        let pause = (RETRY_PAUSE.0 << doublings) as f64 * (1.0 + self.core.random());
+        Span(pause as u64)
     }
 }
 
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -12,10 +12,10 @@
 use crate::store_client::{StoreClient, StoreError};
 
 /// How long an announcement outlives its gateway.
-const LEASE_TTL: Span = Span::from_secs(8);
+const LEASE_TTL: Span = Span::from_secs(12);
 
 /// The time between two renewals.
-const RENEW_PAUSE: Span = Span::from_millis(2_500);
+const RENEW_PAUSE: Span = Span::from_millis(4_000);
 
 /// The pause after a failed call; up to twice as long at random.
 const RETRY_PAUSE: Span = Span::from_millis(600);
@@ -34,6 +34,15 @@
     let mut client = StoreClient::open(core.settings().store, Rc::clone(&core.meters));
     let mut lease = None;
     loop {
+        if core.life.is_stopping() {
+            if let Some(held) = lease {
+                // The lease ends by itself if this call fails.
+                let _ = client
+                    .call(&core.port.release_request(held), CALL_LIMIT)
+                    .await;
+            }
+            return;
+        }
         client.retarget(core.settings().store);
         let step = match lease {
             None => announce(&core, &mut client).await.map(|new| {
@@ -50,16 +59,10 @@
                 RETRY_PAUSE.0 as f64 * (1.0 + core.random())
             }
         };
-        if core.life.is_stopping() {
-            if let Some(held) = lease {
-                // The lease ends by itself if this call fails.
-                let _ = client
-                    .call(&core.port.release_request(held), CALL_LIMIT)
-                    .await;
-            }
-            return;
+        tokio::select! {
+            () = sleep(Duration::from_micros(pause as u64)) => {}
+            () = core.stop_began.notified() => {}
         }
-        sleep(Duration::from_micros(pause as u64)).await;
     }
 }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -245,6 +245,7 @@
 
 fn stop(core: &GatewayCore) {
     core.life.stop(monotonic_now());
+    core.stop_began.notify_waiters();
     core.log.change(
         "stopping",
         StopFields {
