Gateways tell each other which backend servers were found down

Change: load news carry up to 10 backend servers that a connection or a 421 showed to be down, passed on while younger than 1.2 s; news that anybody got an answer since goes before. A 421 ejects at once.

--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -23,6 +23,9 @@
 /// The longest pause of an ejected backend server.
 const EJECT_LIMIT: Span = Span::from_millis(3_000);
 
+/// How long news that a backend server is down counts without news that it is up.
+const DOWN_SPAN: Span = Span::from_millis(1_200);
+
 /// The load that a backend server reports with an answer.
 #[derive(Debug, Clone, Copy)]
 pub struct LoadReport {
@@ -63,6 +66,8 @@
     pub parts: PartMemory,
     health: BackendHealth,
     report: Option<DatedReport>,
+    /// When it was last found to be down, here or by another gateway.
+    down_at: Option<MonoTime>,
     last_sends: VecDeque<MonoTime>,
 }
 
@@ -77,6 +82,7 @@
             parts: PartMemory::default(),
             health: BackendHealth::open(EJECT_FLOOR, EJECT_LIMIT),
             report: None,
+            down_at: None,
             last_sends: VecDeque::new(),
         }
     }
@@ -153,7 +159,21 @@
 
     /// Returns whether another request may go there now.
     pub fn is_open(&self, now: MonoTime) -> bool {
-        self.own_running < self.health.cap(now)
+        self.own_running < self.health.cap(now) && self.down_since(now).is_none()
+    }
+
+    /// Learns that it was found to be down, here or by another gateway.
+    pub fn found_down(&mut self, at: MonoTime) {
+        self.down_at = self.down_at.max(Some(at));
+    }
+
+    /// Returns when it was found to be down, unless that is long ago or it has answered anybody since.
+    ///
+    /// A gateway that is cut off finds others down that are up; their answers to other gateways say so.
+    pub fn down_since(&self, now: MonoTime) -> Option<MonoTime> {
+        let has_answered = |at| self.report.is_some_and(|known| known.at > at);
+        self.down_at
+            .filter(|at| now.since(*at) < DOWN_SPAN && !has_answered(*at))
     }
 
     /// Learns of an answer that the backend server meant to give.
--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -238,6 +238,7 @@
             return 0;
         };
         member.state.eject(now);
+        member.state.found_down(now);
         let centre = Arc::clone(&member.entry.centre);
         if &*centre == own_centre {
             return 1;
@@ -258,6 +259,14 @@
         ejected
     }
 
+    /// Learns that another process has a backend server's address, so that it can only be down.
+    pub fn replaced(&mut self, key: BackendKey, now: MonoTime) {
+        if let Some(member) = self.members.get_mut(&key) {
+            member.state.eject(now);
+            member.state.found_down(now);
+        }
+    }
+
     /// Returns the homes of a part among a service's backend servers that take new requests.
     ///
     /// A part that much of the traffic shares has `width` homes of the same standing.
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -441,3 +441,38 @@
         prop_assert!(state.own_unread < 1e-6);
     }
 }
+
+/// The pattern: a third of the engines crash under load, at many gateways. A gateway that is told of a
+/// crash by another one sends nothing there, until the engine answers anybody or the news is old.
+#[test]
+fn news_of_a_crash_holds_until_the_engine_answers_anybody() {
+    let latency = LatencyModel::default();
+    let mut fleet = fleet(DESK, 2);
+    let input = input(DESK, &[], &latency);
+    let crashed = choose(&mut fleet, &input).key;
+    let told_at = input.now;
+    fleet.get_mut(crashed).unwrap().state.found_down(told_at);
+    assert_ne!(choose(&mut fleet, &input).key, crashed);
+    let state = &mut fleet.get_mut(crashed).unwrap().state;
+    assert_eq!(state.down_since(told_at), Some(told_at));
+    let report = LoadReport {
+        running: 0,
+        waiting: 0,
+    };
+    state.reported(report, told_at + Span::from_millis(1));
+    assert_eq!(state.down_since(told_at + Span::from_millis(2)), None);
+    state.found_down(told_at + Span::from_millis(3));
+    assert!(state.down_since(told_at + Span::from_millis(4)).is_some());
+    assert_eq!(state.down_since(told_at + Span::from_secs(2)), None);
+}
+
+/// An engine whose address another process has taken is left at once.
+#[test]
+fn an_engine_that_was_replaced_gets_nothing_more() {
+    let latency = LatencyModel::default();
+    let mut fleet = fleet(DESK, 2);
+    let input = input(DESK, &[], &latency);
+    let replaced = choose(&mut fleet, &input).key;
+    fleet.replaced(replaced, input.now);
+    assert_ne!(choose(&mut fleet, &input).key, replaced);
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,10 +1,11 @@
-//! News of load between gateways, as datagrams.
+//! News of load and of failures between gateways, as datagrams.
 //!
 //! An answer tells one gateway the load of one backend server. With many gateways each meets a
 //! backend server so rarely that it would know nothing of the others' requests, so every gateway
 //! passes the freshest reports that it knows, first-hand or not, to a few others at random. News
 //! spreads to all in a few rounds; each message is bounded, so what a gateway sends does not grow
-//! with the fleet (docs/CAPACITY.md). A lost message costs nothing: the next one has fresher news.
+//! with the fleet (docs/CAPACITY.md). Backend servers that were found to be down go with them, so that
+//! not every gateway has to spend a request on finding out. A lost message costs nothing: the next one has fresher news.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,7 +27,10 @@
 const FANOUT: usize = 2;
 
 /// The most reports of one message.
-const REPORT_LIMIT: usize = 60;
+const REPORT_LIMIT: usize = 50;
+
+/// The most backend servers of one message that were found to be down.
+const DOWN_LIMIT: usize = 10;
 
 /// How old a report may be to be passed on.
 const NEWS_SPAN: Span = Span::from_millis(1_200);
@@ -35,12 +39,21 @@
 const MESSAGE_BYTES: usize = 1_400;
 
 /// The version of the messages; others are ignored.
-const MESSAGE_VERSION: u8 = 1;
+const MESSAGE_VERSION: u8 = 2;
 
 #[derive(Debug, Serialize, Deserialize)]
 struct LoadMessage {
     version: u8,
     reports: Vec<LoadNews>,
+    downs: Vec<DownNews>,
+}
+
+/// A backend server that was found to be down.
+#[derive(Debug, Serialize, Deserialize)]
+struct DownNews {
+    /// The hash of its id.
+    id_hash: u64,
+    age_ms: u16,
 }
 
 /// The load of one backend server.
@@ -77,13 +90,15 @@
 
 async fn send_news(core: &GatewayCore, socket: &UdpSocket) {
     let reports = fresh_reports(core);
-    if reports.is_empty() {
+    let downs = fresh_downs(core);
+    if reports.is_empty() && downs.is_empty() {
         return;
     }
     let targets = pick_targets(core);
     let message = LoadMessage {
         version: MESSAGE_VERSION,
         reports,
+        downs,
     };
     let bytes = postcard::to_allocvec(&message).expect("news are plain data");
     for target in targets {
@@ -102,7 +117,7 @@
             let (report, at) = member.state.fresh_report(NEWS_SPAN, now)?;
             Some(LoadNews {
                 id_hash: member.id_hash,
-                age_ms: u16::try_from(now.since(at).0 / 1_000).unwrap_or(u16::MAX),
+                age_ms: age_ms(at, now),
                 running: u16::try_from(report.running).unwrap_or(u16::MAX),
                 waiting: u16::try_from(report.waiting).unwrap_or(u16::MAX),
             })
@@ -113,6 +128,35 @@
     news
 }
 
+/// Returns the backend servers that were found to be down last, here or elsewhere.
+fn fresh_downs(core: &GatewayCore) -> Vec<DownNews> {
+    let now = monotonic_now();
+    let fleet = core.fleet.borrow();
+    let mut downs: Vec<DownNews> = fleet
+        .members()
+        .filter_map(|(_, member)| {
+            let at = member.state.down_since(now)?;
+            Some(DownNews {
+                id_hash: member.id_hash,
+                age_ms: age_ms(at, now),
+            })
+        })
+        .collect();
+    downs.sort_unstable_by_key(|down| down.age_ms);
+    downs.truncate(DOWN_LIMIT);
+    downs
+}
+
+fn age_ms(at: MonoTime, now: MonoTime) -> u16 {
+    u16::try_from(now.since(at).0 / 1_000).unwrap_or(u16::MAX)
+}
+
+/// Returns the time that lies `age_ms` back.
+fn before(age_ms: u16, now: MonoTime) -> MonoTime {
+    let age = Span::from_millis(u64::from(age_ms));
+    MonoTime(now.0.saturating_sub(age.0))
+}
+
 fn pick_targets(core: &GatewayCore) -> Vec<SocketAddr> {
     let own = core.settings();
     let mut addresses = core.belief.borrow().gossip_addresses(&own.name);
@@ -136,8 +180,7 @@
     let now = monotonic_now();
     let mut fleet = core.fleet.borrow_mut();
     for news in message.reports {
-        let age = Span::from_millis(u64::from(news.age_ms));
-        let at = MonoTime(now.0.saturating_sub(age.0));
+        let at = before(news.age_ms, now);
         if let Some(member) = fleet.by_hash_mut(news.id_hash) {
             let report = LoadReport {
                 running: u32::from(news.running),
@@ -146,4 +189,9 @@
             member.state.reported(report, at);
         }
     }
+    for news in message.downs {
+        if let Some(member) = fleet.by_hash_mut(news.id_hash) {
+            member.state.found_down(before(news.age_ms, now));
+        }
+    }
 }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -229,6 +229,8 @@
                 "another process at its address",
                 sent_at,
             );
+            let mut fleet = self.core.fleet.borrow_mut();
+            fleet.replaced(target.key, monotonic_now());
         } else {
             self.note_rejected(target, sent_at);
         }
