Hopeless tickets are kept for a moment after a grant of a lower tier

Change: no queued ticket is given up as hopeless within 150 ms after a tier below it was granted; the next tick looks again.

--- a/crates/decide/src/shed.rs
+++ b/crates/decide/src/shed.rs
@@ -10,6 +10,8 @@
 //! - A tier that asks, with those above it, for more than the pool can do gives its late tickets
 //!   up, after all tickets of lower tiers, which could get no more than their minimum share.
 //!   Otherwise the late ones, which go before lower tiers, would take slots for nothing.
+//! - No queued ticket is given up as hopeless shortly after a lower tier was granted a slot, so that
+//!   the minimum share of a lower class never costs a higher tier a ticket.
 //! - A ticket whose patience has ended is given up, whatever its tier.
 //! - A pool without any backend server gives all tickets up after a grace time, the lowest first.
 
@@ -36,6 +38,9 @@
 /// The least share of the pool that a tier is expected to get.
 const TIER_SHARE_FLOOR: f64 = 0.02;
 
+/// How long after a grant of a lower tier hopeless tickets are kept.
+const GRANT_MEMORY: Span = Span::from_millis(150);
+
 /// The most tickets that one call gives up as hopeless.
 const HOPELESS_BOUND: usize = 64;
 
@@ -192,6 +197,9 @@
                 return;
             }
             while let Some(lower) = self.queue.lowest().filter(|lower| tier.is_above(*lower)) {
+                if self.is_lower_granted(lower, now) {
+                    return;
+                }
                 let Some(key) = self.queue.tier(lower).and_then(TierQueue::newest) else {
                     return;
                 };
@@ -212,6 +220,9 @@
     }
 
     fn shed_hopeless_of(&mut self, tier: Tier, now: MonoTime, out: &mut Vec<Decision>) {
+        if self.is_lower_granted(tier, now) {
+            return;
+        }
         self.queue.age_out(tier, self.late_before(now));
         let Some(queue) = self.queue.tier(tier) else {
             return;
@@ -232,6 +243,13 @@
         }
     }
 
+    /// Returns whether a tier below this one was granted a slot just now.
+    fn is_lower_granted(&self, tier: Tier, now: MonoTime) -> bool {
+        let lower = &self.last_grant[Self::tier_index(tier) + 1..];
+        let is_recent = |at: &MonoTime| now.since(*at) < GRANT_MEMORY;
+        lower.iter().flatten().any(is_recent)
+    }
+
     fn give_up_hopeless(&mut self, key: TicketKey, now: MonoTime, out: &mut Vec<Decision>) {
         let entry = self.queue.get(key);
         if entry.is_some_and(|entry| !self.is_kept(entry, now)) {
--- a/crates/decide/src/tiered.rs
+++ b/crates/decide/src/tiered.rs
@@ -50,6 +50,7 @@
     targets: [Span; Tier::COUNT],
     pub(crate) reserve: SlotReserve,
     pub(crate) last_shed: [Option<MonoTime>; Tier::COUNT],
+    pub(crate) last_grant: [Option<MonoTime>; Tier::COUNT],
     pub(crate) saturated: Option<MonoTime>,
     pub(crate) without_backend: Option<MonoTime>,
     pub(crate) opened: Option<MonoTime>,
@@ -71,6 +72,7 @@
             targets: [Span(u64::MAX); Tier::COUNT],
             reserve: SlotReserve::default(),
             last_shed: [None; Tier::COUNT],
+            last_grant: [None; Tier::COUNT],
             saturated: None,
             without_backend: None,
             opened: None,
@@ -111,6 +113,7 @@
             self.backends.prefixes_mut().store(backend, prefix, now);
         }
         out.push(grant_decision(ticket.request, backend, owner));
+        self.last_grant[Self::tier_index(ticket.tier)] = Some(now);
         self.grants.insert(GrantEntry {
             ticket,
             owner,
--- a/crates/decide/tests/promises.rs
+++ b/crates/decide/tests/promises.rs
@@ -22,6 +22,9 @@
 
 const QUEUE_BOUND: usize = 24;
 
+/// How long after a grant of a lower tier no waiting ticket is given up as hopeless.
+const GRANT_WINDOW: Span = Span::from_millis(100);
+
 #[derive(Debug, Clone)]
 struct Waiting {
     ticket: Ticket,
@@ -40,6 +43,7 @@
     granted: BTreeMap<RequestId, (BackendId, Ticket, InstanceId)>,
     orphans: Vec<(MonoTime, RequestId)>,
     overtakes: u64,
+    last_grant: BTreeMap<Tier, MonoTime>,
     next: u64,
     out: Vec<Decision>,
 }
@@ -60,6 +64,7 @@
             granted: BTreeMap::new(),
             orphans: Vec::new(),
             overtakes: 0,
+            last_grant: BTreeMap::new(),
             next: 0,
             out: Vec::new(),
         };
@@ -253,6 +258,7 @@
                     });
                     self.overtakes += u64::from(above.count() > 0);
                     self.check_room(grant.backend);
+                    self.last_grant.insert(tier, self.now);
                     let held = (grant.backend, waiting.ticket, waiting.owner);
                     self.granted.insert(grant.request, held);
                 }
@@ -294,6 +300,9 @@
         if self.kind != PolicyKind::Tiered {
             return;
         }
+        if reason == ShedReason::Hopeless {
+            self.check_last_grants(waiting);
+        }
         let lower = self
             .waiting
             .values()
@@ -304,6 +313,19 @@
         );
     }
 
+    /// A ticket that waited is not given up shortly after a lower tier was granted.
+    fn check_last_grants(&self, waiting: &Waiting) {
+        let tier = waiting.ticket.tier;
+        let lower = self.last_grant.iter().filter(|(t, _)| tier.is_above(**t));
+        for (granted, at) in lower {
+            let is_after = *at > waiting.offered && self.now.since(*at) <= GRANT_WINDOW;
+            assert!(
+                !is_after,
+                "{tier} was shed just after {granted} was granted"
+            );
+        }
+    }
+
     fn check_overtakes(&self) {
         if self.kind != PolicyKind::Tiered {
             return;
