Of shared parts of about one size the later one decides where a prompt is at home

Change: among parts of at least a quarter of the largest one, the one with the fewest homes decides, and of these the later one.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -26,6 +26,9 @@
 /// The smallest part, in tokens, that is not read again elsewhere while one of its homes can be used.
 const HEAVY_TOKENS: u32 = 1_024;
 
+/// The share of the largest part, as a divisor, from which a later part may decide instead.
+const TELLING_SHARE: u32 = 4;
+
 /// A service with more backend servers than this is sampled.
 const SAMPLED_ABOVE: usize = 24;
 
@@ -256,13 +259,21 @@
     width: usize,
 }
 
-/// Returns the largest part that other requests may share, any but the last one, among those with the
-/// fewest homes: a part that is at home in many places does not tell where the others are.
+/// Returns the part that decides where a prompt is at home, among those that other requests may share:
+/// any but the last one.
+///
+/// A part that is at home in many places does not tell where the others are, and of parts of about
+/// the same size the later one tells more, as fewer requests share it.
 fn home_part(backends: usize, input: &ChoiceInput<'_>) -> Option<HomePart> {
     let shared = input.parts.split_last().map(|(_, shared)| shared)?;
-    let wide = shared.iter().map(|part| HomePart {
+    let largest = shared.iter().map(|part| part.tokens).max()?;
+    let telling = shared
+        .iter()
+        .rev()
+        .filter(|part| part.tokens >= largest / TELLING_SHARE);
+    let homes = telling.map(|part| HomePart {
         part: *part,
         width: input.traffic.width(part.id, backends),
     });
-    wide.min_by_key(|home| (home.width, std::cmp::Reverse(home.part.tokens)))
+    homes.min_by_key(|home| home.width)
 }
--- a/crates/balance/tests/homes.rs
+++ b/crates/balance/tests/homes.rs
@@ -247,3 +247,25 @@
     assert!(leaves(4));
     assert!(!leaves(16));
 }
+
+/// The pattern: the first seconds of sessions behind a few long instructions, before any share of the
+/// traffic is known. Sessions spread from the start.
+#[test]
+fn before_shares_are_known_a_session_goes_by_its_own_part() {
+    let mut gateway = Gateway::open(140, 3);
+    let mut used = BTreeSet::new();
+    for session in 0..100 {
+        let parts = [part(1, 5_000), part(500 + session, 2_000), part(7, 2_890)];
+        used.insert(gateway.choose(&parts).key);
+    }
+    assert!(used.len() > 50, "{} engines", used.len());
+}
+
+#[test]
+fn a_small_part_behind_a_document_does_not_scatter_the_document() {
+    let mut gateway = Gateway::open(140, 3);
+    for session in 0..20 {
+        let parts = [part(1, 13_300), part(500 + session, 150), part(7, 2_890)];
+        assert_eq!(gateway.choose(&parts).part, Some(PartId(1)));
+    }
+}
