A new connection counts in the choice of a backend server

Change: a backend server without an idle connection costs 300 prompt tokens more. The candidates' weighing stands in one place (Weigher, Candidate) instead of twice.

--- a/crates/balance/examples/choice_cost.rs
+++ b/crates/balance/examples/choice_cost.rs
@@ -8,14 +8,24 @@
 use std::time::Instant;
 
 use oleander_balance::{
-    BackendEntry, BackendPhase, ChoiceInput, FleetTable, LatencyModel, LoadReport, PartId,
-    PromptPart, ServiceTraffic, choose_backend,
+    BackendEntry, BackendKey, BackendPhase, ChoiceInput, FleetTable, KeptConnections, LatencyModel,
+    LoadReport, PartId, PromptPart, ServiceTraffic, choose_backend,
 };
 use oleander_base::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 /// Choices that are timed together.
+/// A gateway that keeps no connection.
+#[derive(Debug)]
+struct NoneKept;
+
+impl KeptConnections for NoneKept {
+    fn has_idle(&self, _: BackendKey) -> bool {
+        false
+    }
+}
+
 const ROUNDS: u32 = 20_000;
 
 fn main() {
@@ -55,6 +65,7 @@
             urgency: 0,
             first_target: Span::from_millis(2_000),
             pause_limit: Some(Span::from_millis(600)),
+            kept: &NoneKept,
             tried: &[],
             gateways: 6,
             service_latency: &latency,
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -6,10 +6,12 @@
 //! Of a large service only the homes and a random sample are looked at: gateways that have the same
 //! news would otherwise all go to the backend server that looks emptiest.
 
+use std::fmt;
+
 use oleander_base::prelude::*;
 
-use crate::cost::{Crowd, UnreadTokens, estimate, unread_tokens};
-use crate::fleet_table::{BackendKey, BackendPhase, FleetMember, FleetTable};
+use crate::cost::{Candidate, Crowd, UnreadTokens, estimate, unread_tokens};
+use crate::fleet_table::{BackendKey, BackendPhase, FleetTable};
 use crate::latency::LatencyModel;
 use crate::reserve::is_light;
 use crate::{HomeSet, PartId, PromptPart, ServiceTraffic};
@@ -35,6 +37,12 @@
 /// How many backend servers of a sampled service are looked at, besides the homes.
 const SAMPLE_SIZE: f64 = 14.0;
 
+/// The connections that a gateway keeps.
+pub trait KeptConnections: fmt::Debug {
+    /// Returns whether one to this backend server is open and idle.
+    fn has_idle(&self, key: BackendKey) -> bool;
+}
+
 /// What the choice depends on, besides the fleet.
 #[derive(Debug, Clone, Copy)]
 pub struct ChoiceInput<'a> {
@@ -52,6 +60,8 @@
     pub first_target: Span,
     /// The longest pause between events that is still on time.
     pub pause_limit: Option<Span>,
+    /// The connections that are kept.
+    pub kept: &'a dyn KeptConnections,
     /// Those that this request was sent to already.
     pub tried: &'a [BackendKey],
     /// How many gateways share the fleet.
@@ -100,51 +110,39 @@
     let homes = home_part
         .map(|part| fleet.homes(input.service, part.part.id, part.width))
         .unwrap_or_default();
-    let crowd = Crowd::survey(fleet, input);
-    let is_light = is_light(input.prompt_tokens) && !input.parts.is_empty();
     let scope = Scope {
-        is_light,
+        is_light: is_light(input.prompt_tokens) && !input.parts.is_empty(),
         has_reserved: reserved > 0,
         sampled: sampled_share(backends),
         stays_home: home_part.is_some_and(|part| part.part.tokens >= HEAVY_TOKENS),
     };
+    let weigher = Weigher {
+        input,
+        crowd: Crowd::survey(fleet, input),
+        homes,
+        part: home_part.map(|part| part.part.id),
+        scope,
+    };
     let mut best: Option<Choice> = None;
     let mut passed_over = None;
     let mut candidates = 0;
     for rank in RANKS {
         for &key in fleet.of_service(input.service) {
-            let Some(member) = fleet.get(key) else {
+            let Some(candidate) = Candidate::find(fleet, key, input) else {
                 continue;
             };
-            if !rank.takes(member, key, &homes, &scope, input) {
+            if !weigher.takes(rank, &candidate) {
                 continue;
             }
-            let is_reserved = fleet.is_reserved(input.service, key);
-            let is_sampled = rank != CandidateRank::Open
-                || homes.rank_of(key).is_some()
-                || (is_light && is_reserved)
-                || random() < scope.sampled;
-            if !is_sampled {
+            if rank == CandidateRank::Open && !weigher.samples(&candidate, &mut random) {
                 passed_over = Some(key);
                 continue;
             }
             candidates += 1;
-            let unread = unread_tokens(member, key, &homes, input);
-            let misplaced = scope.misplaced(is_reserved);
-            let estimate = estimate(member, is_reserved, unread, &crowd, input);
-            let cost = estimate.cost + misplaced + random() * JITTER_TOKENS;
-            if best.is_none_or(|held| cost < held.cost) {
-                best = Some(Choice {
-                    key,
-                    unread,
-                    part: home_part.map(|part| part.part.id),
-                    home_rank: homes.rank_of(key),
-                    is_light,
-                    cost,
-                    first_wait: Span((estimate.first_ms * 1e3) as u64),
-                    has_queue: member.state.has_queue(input.now),
-                    candidates: 0,
-                });
+            let mut choice = weigher.weigh(&candidate);
+            choice.cost += random() * JITTER_TOKENS;
+            if best.is_none_or(|held| choice.cost < held.cost) {
+                best = Some(choice);
             }
         }
         if best.is_some() || passed_over.is_some() {
@@ -153,22 +151,8 @@
     }
     // A sample may be empty; one that was passed over is better than one that is ejected.
     if let (None, Some(key)) = (best, passed_over) {
-        let member = fleet.get(key)?;
-        let unread = unread_tokens(member, key, &homes, input);
-        let is_reserved = fleet.is_reserved(input.service, key);
-        let estimate = estimate(member, is_reserved, unread, &crowd, input);
         candidates = 1;
-        best = Some(Choice {
-            key,
-            unread,
-            part: home_part.map(|part| part.part.id),
-            home_rank: None,
-            is_light,
-            cost: estimate.cost,
-            first_wait: Span((estimate.first_ms * 1e3) as u64),
-            has_queue: member.state.has_queue(input.now),
-            candidates,
-        });
+        best = Candidate::find(fleet, key, input).map(|candidate| weigher.weigh(&candidate));
     }
     best.map(|choice| Choice {
         candidates,
@@ -229,25 +213,58 @@
     CandidateRank::Lapsed,
 ];
 
-impl CandidateRank {
-    fn takes(
-        self,
-        member: &FleetMember,
-        key: BackendKey,
-        homes: &HomeSet,
-        scope: &Scope,
-        input: &ChoiceInput<'_>,
-    ) -> bool {
-        if member.entry.phase != BackendPhase::Serving || input.tried.contains(&key) {
+/// Weighs the candidates of one request.
+#[derive(Debug)]
+struct Weigher<'a> {
+    input: &'a ChoiceInput<'a>,
+    crowd: Crowd,
+    homes: HomeSet,
+    /// The part that decides where the prompt is at home.
+    part: Option<PartId>,
+    scope: Scope,
+}
+
+impl Weigher<'_> {
+    /// Returns whether a candidate may be used at a rank.
+    fn takes(&self, rank: CandidateRank, candidate: &Candidate<'_>) -> bool {
+        let member = candidate.member;
+        let is_serving = member.entry.phase == BackendPhase::Serving;
+        if !is_serving || self.input.tried.contains(&candidate.key) {
             return false;
         }
         let is_lapsed = member.lapsed_at.is_some();
-        let is_open = !is_lapsed && member.state.is_open(input.now);
-        match self {
-            Self::OpenHome => is_open && scope.stays_home && homes.rank_of(key).is_some(),
-            Self::Open => is_open,
-            Self::Ejected => !is_lapsed && !is_open,
-            Self::Lapsed => is_lapsed,
+        let is_open = !is_lapsed && member.state.is_open(self.input.now);
+        match rank {
+            CandidateRank::OpenHome => {
+                is_open && self.scope.stays_home && self.homes.rank_of(candidate.key).is_some()
+            }
+            CandidateRank::Open => is_open,
+            CandidateRank::Ejected => !is_lapsed && !is_open,
+            CandidateRank::Lapsed => is_lapsed,
+        }
+    }
+
+    /// Returns whether an open candidate is looked at: the homes always, of others a sample.
+    fn samples(&self, candidate: &Candidate<'_>, random: &mut impl FnMut() -> f64) -> bool {
+        self.homes.rank_of(candidate.key).is_some()
+            || (self.scope.is_light && candidate.is_reserved)
+            || random() < self.scope.sampled
+    }
+
+    /// Returns the choice of a candidate.
+    fn weigh(&self, candidate: &Candidate<'_>) -> Choice {
+        let unread = unread_tokens(candidate, &self.homes, self.input);
+        let estimate = estimate(candidate, unread, &self.crowd, self.input);
+        Choice {
+            key: candidate.key,
+            unread,
+            part: self.part,
+            home_rank: self.homes.rank_of(candidate.key),
+            is_light: self.scope.is_light,
+            cost: estimate.cost + self.scope.misplaced(candidate.is_reserved),
+            first_wait: Span((estimate.first_ms * 1e3) as u64),
+            has_queue: candidate.member.state.has_queue(self.input.now),
+            candidates: 0,
         }
     }
 }
--- a/crates/balance/src/cost.rs
+++ b/crates/balance/src/cost.rs
@@ -47,6 +47,9 @@
 /// Prompt tokens that another data centre is worth in the cost.
 const REMOTE_TOKENS: f64 = 60.0;
 
+/// Prompt tokens that a new connection is worth in the cost.
+const CONNECT_TOKENS: f64 = 300.0;
+
 /// The cost of a request at a plain service that runs as many requests as it has slots.
 const FULL_SLOTS_COST: f64 = 10_000.0;
 
@@ -66,9 +69,33 @@
     }
 }
 
+/// A backend server that may be chosen.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Candidate<'a> {
+    pub(crate) key: BackendKey,
+    pub(crate) member: &'a FleetMember,
+    /// Whether it reads only short prompts.
+    pub(crate) is_reserved: bool,
+}
+
+impl<'a> Candidate<'a> {
+    /// Finds a backend server in the table.
+    pub(crate) fn find(
+        fleet: &'a FleetTable,
+        key: BackendKey,
+        input: &ChoiceInput<'_>,
+    ) -> Option<Self> {
+        Some(Self {
+            key,
+            member: fleet.get(key)?,
+            is_reserved: fleet.is_reserved(input.service, key),
+        })
+    }
+}
+
+/// Returns the prompt tokens that a candidate is expected to read.
 pub(crate) fn unread_tokens(
-    member: &FleetMember,
-    key: BackendKey,
+    candidate: &Candidate<'_>,
     homes: &HomeSet,
     input: &ChoiceInput<'_>,
 ) -> UnreadTokens {
@@ -76,11 +103,11 @@
     // A prompt may be longer than the parts that it names.
     let mut own = f64::from(input.prompt_tokens.saturating_sub(all));
     let mut shared = 0.0;
-    let guess = homes.held_chance(key);
+    let guess = homes.held_chance(candidate.key);
     let mut reach = 1.0;
     for (index, part) in input.parts.iter().enumerate() {
         let is_shared = index + 1 < input.parts.len();
-        let is_held = member.state.parts.holds(part.id, input.now);
+        let is_held = candidate.member.state.parts.holds(part.id, input.now);
         // A part helps only if all parts before it are held as well.
         reach = match (is_held, is_shared) {
             (true, _) => reach,
@@ -169,12 +196,12 @@
 
 /// Estimates a request at one candidate.
 pub(crate) fn estimate(
-    member: &FleetMember,
-    is_reserved: bool,
+    candidate: &Candidate<'_>,
     unread: UnreadTokens,
     crowd: &Crowd,
     input: &ChoiceInput<'_>,
 ) -> Estimate {
+    let member = candidate.member;
     let others = crowd.running * input.gateways.saturating_sub(1) as f64;
     let running = member.state.running(others, input.now);
     let is_remote = &*member.entry.centre != input.centre;
@@ -183,11 +210,17 @@
         plain_estimate(member, running)
     } else {
         // Where only short prompts run, none of them passes by many others.
-        let ahead = if is_reserved { 1.0 } else { crowd.ahead };
+        let ahead = if candidate.is_reserved {
+            1.0
+        } else {
+            crowd.ahead
+        };
         let slot_wait = ahead * slot_wait_ms(member, running, input);
         prompt_estimate(member, running, slot_wait, unread, crowd, input)
     };
-    estimate.cost += distance;
+    let has_idle = input.kept.has_idle(candidate.key);
+    let connect = if has_idle { 0.0 } else { CONNECT_TOKENS };
+    estimate.cost += distance + connect;
     estimate
 }
 
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use admission::{Admission, AdmissionQuery, admit};
 pub use backend_state::{BackendState, LoadReport, SendTicket};
-pub use choice::{Choice, ChoiceInput, choose_backend};
+pub use choice::{Choice, ChoiceInput, KeptConnections, choose_backend};
 pub use cost::UnreadTokens;
 pub use fleet_table::{
     BackendEntry, BackendKey, BackendPhase, EntryChange, FleetMember, FleetTable,
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -4,14 +4,25 @@
 use std::sync::{Arc, LazyLock};
 
 use oleander_balance::{
-    BackendEntry, BackendKey, BackendPhase, Choice, ChoiceInput, FleetTable, LatencyModel,
-    LoadReport, PartId, PromptPart, RequestTraits, ServiceTraffic, StreamSample, choose_backend,
+    BackendEntry, BackendKey, BackendPhase, Choice, ChoiceInput, FleetTable, KeptConnections,
+    LatencyModel, LoadReport, PartId, PromptPart, RequestTraits, ServiceTraffic, StreamSample,
+    choose_backend,
 };
 use oleander_base::prelude::*;
 use proptest::prelude::*;
 
 static NO_TRAFFIC: LazyLock<ServiceTraffic> = LazyLock::new(ServiceTraffic::default);
 
+/// A gateway that keeps no connection.
+#[derive(Debug)]
+struct NoneKept;
+
+impl KeptConnections for NoneKept {
+    fn has_idle(&self, _: BackendKey) -> bool {
+        false
+    }
+}
+
 const MODEL: &str = "model";
 const DESK: &str = "desk";
 
@@ -61,6 +72,7 @@
         urgency: 0,
         first_target: Span::from_millis(2_000),
         pause_limit: Some(Span::from_millis(600)),
+        kept: &NoneKept,
         tried: &[],
         gateways: 6,
         service_latency: latency,
--- a/crates/balance/tests/homes.rs
+++ b/crates/balance/tests/homes.rs
@@ -5,11 +5,21 @@
 use std::sync::Arc;
 
 use oleander_balance::{
-    BackendEntry, BackendKey, BackendPhase, Choice, ChoiceInput, FleetTable, LatencyModel,
-    LoadReport, PartId, PromptPart, RequestTraits, ServiceTraffic, choose_backend,
+    BackendEntry, BackendKey, BackendPhase, Choice, ChoiceInput, FleetTable, KeptConnections,
+    LatencyModel, LoadReport, PartId, PromptPart, RequestTraits, ServiceTraffic, choose_backend,
 };
 use oleander_base::prelude::*;
 
+/// A gateway that keeps no connection.
+#[derive(Debug)]
+struct NoneKept;
+
+impl KeptConnections for NoneKept {
+    fn has_idle(&self, _: BackendKey) -> bool {
+        false
+    }
+}
+
 const MODEL: &str = "model";
 const NOW: MonoTime = MonoTime(20_000_000);
 
@@ -72,6 +82,7 @@
             urgency: 0,
             first_target: Span::from_millis(2_000),
             pause_limit: Some(Span::from_millis(800)),
+            kept: &NoneKept,
             tried: &[],
             gateways: 70,
             service_latency: &self.latency,
--- a/crates/gateway/src/backend_pool.rs
+++ b/crates/gateway/src/backend_pool.rs
@@ -1,6 +1,6 @@
 //! Kept connections to backend servers.
 
-use oleander_balance::BackendKey;
+use oleander_balance::{BackendKey, KeptConnections};
 use oleander_base::FastMap;
 use oleander_base::prelude::*;
 
@@ -80,3 +80,9 @@
         self.kept.values().map(Vec::len).sum()
     }
 }
+
+impl KeptConnections for BackendPool {
+    fn has_idle(&self, key: BackendKey) -> bool {
+        self.kept.get(&key).is_some_and(|kept| !kept.is_empty())
+    }
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -126,6 +126,7 @@
             urgency: query.urgency,
             first_target: query.route.latency_target,
             pause_limit: query.route.pause_limit,
+            kept: &*self.pool.borrow(),
             tried: query.tried,
             gateways,
             service_latency: &service.latency,
