Log lines for what news of crashes and the admission decide

A backend server that another gateway's news closes has a line (backend-told-down) with the news' age, and a request that is not admitted one with the expected wait, the target and the time to come back (not-admitted); explain shows both. The share of slots from which a plain service costs more has a name. No behaviour changes.

--- a/crates/balance/src/cost.rs
+++ b/crates/balance/src/cost.rs
@@ -50,7 +50,10 @@
 /// Prompt tokens that a new connection is worth in the cost.
 const CONNECT_TOKENS: f64 = 300.0;
 
-/// The cost of a request at a plain service that runs as many requests as it has slots.
+/// The share of a plain service's slots from which another request costs more.
+const BUSY_SHARE: f64 = 0.7;
+
+/// The cost, above that share, of a request at a plain service that runs as many requests as it has slots.
 const FULL_SLOTS_COST: f64 = 10_000.0;
 
 /// Prompt tokens that a backend server has to read for a request.
@@ -227,7 +230,7 @@
 fn plain_estimate(member: &FleetMember, running: f64) -> Estimate {
     let share = running / f64::from(member.entry.slots.max(1));
     Estimate {
-        cost: share * RUNNING_TOKENS + (share - 0.7).max(0.0) * FULL_SLOTS_COST,
+        cost: share * RUNNING_TOKENS + (share - BUSY_SHARE).max(0.0) * FULL_SLOTS_COST,
         first_ms: 0.0,
     }
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -165,14 +165,11 @@
             .position(|gateway| gateway.name == settings.name)
             .unwrap_or(0);
         self.is_reader = own < READERS;
-        for rank in 0..own.min(READERS) {
+        for (rank, reader) in ranked.iter().enumerate().take(own.min(READERS)) {
             if monotonic_now() < self.readers_rest[rank] {
                 continue;
             }
-            match self.readers[rank]
-                .ask(&self.core, ranked[rank].control)
-                .await
-            {
+            match self.readers[rank].ask(&self.core, reader.control).await {
                 Ok(_) => {
                     self.answered();
                     return true;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -66,6 +66,12 @@
     waiting: u16,
 }
 
+#[derive(Debug, Serialize)]
+struct ToldDownFields<'a> {
+    backend: &'a str,
+    age_ms: u16,
+}
+
 /// Sends and takes news for as long as the process lives.
 pub(crate) async fn run_gossip(core: Rc<GatewayCore>, socket: UdpSocket) {
     let mut buffer = vec![0; MESSAGE_BYTES];
@@ -190,8 +196,17 @@
         }
     }
     for news in message.downs {
-        if let Some(member) = fleet.by_hash_mut(news.id_hash) {
-            member.state.found_down(before(news.age_ms, now));
+        let Some(member) = fleet.by_hash_mut(news.id_hash) else {
+            continue;
+        };
+        let was_down = member.state.down_since(now).is_some();
+        member.state.found_down(before(news.age_ms, now));
+        if !was_down && member.state.down_since(now).is_some() {
+            let fields = ToldDownFields {
+                backend: &member.entry.id,
+                age_ms: news.age_ms,
+            };
+            core.log.change("backend-told-down", fields);
         }
     }
 }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -182,6 +182,7 @@
         match admit(&query) {
             Admission::Take => Ok(()),
             Admission::ComeBack(after) => {
+                self.log_not_admitted(choice, &query, after);
                 self.return_after = Some(after);
                 Err("the queues are too long")
             }
--- a/crates/gateway/src/request/notes.rs
+++ b/crates/gateway/src/request/notes.rs
@@ -1,6 +1,8 @@
 //! What a request tells the log and the metrics, and what the choice learns from it.
 
-use oleander_balance::Choice;
+use std::sync::Arc;
+
+use oleander_balance::{AdmissionQuery, Choice};
 use oleander_base::monotonic_now;
 use serde::Serialize;
 
@@ -31,6 +33,16 @@
     store_age_ms: Option<f64>,
 }
 
+#[derive(Debug, Serialize)]
+struct NotAdmittedFields<'a> {
+    id: &'a str,
+    backend: Option<Arc<str>>,
+    first_wait_ms: f64,
+    target_ms: f64,
+    time_left_ms: f64,
+    return_after_ms: f64,
+}
+
 #[derive(Debug, Serialize)]
 struct AttemptFields<'a> {
     id: &'a str,
@@ -192,6 +204,24 @@
         );
     }
 
+    /// Logs why a request is told to come back before it was sent anywhere.
+    pub(super) fn log_not_admitted(&self, choice: &Choice, query: &AdmissionQuery, after: Span) {
+        let target = self.target(choice);
+        self.core.log.request(
+            "not-admitted",
+            LineWeight::Failure,
+            self.attempt_id,
+            NotAdmittedFields {
+                id: self.attempt_id,
+                backend: target.map(|target| target.id),
+                first_wait_ms: query.first_wait.as_millis_f64().round(),
+                target_ms: query.first_target.as_millis_f64(),
+                time_left_ms: query.time_left.as_millis_f64(),
+                return_after_ms: after.as_millis_f64().round(),
+            },
+        );
+    }
+
     pub(super) fn log_end(&self, result: RunResult) {
         let total = monotonic_now().since(self.job.started);
         let service = &self.job.routed.service;
--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -37,6 +37,8 @@
     first_ms: Option<f64>,
     longest_gap_ms: Option<f64>,
     left_ms: Option<f64>,
+    first_wait_ms: Option<f64>,
+    return_after_ms: Option<f64>,
     unread: Option<f64>,
     candidates: Option<u64>,
     send: Option<u32>,
@@ -261,7 +263,7 @@
 /// Returns whether a change concerns a request that was sent to these backend servers.
 fn touches(line: &LogLine, backends: &[&str]) -> bool {
     match line.event.as_str() {
-        "belief" | "backend-ejected" => match &line.backend {
+        "belief" | "backend-ejected" | "backend-told-down" => match &line.backend {
             Some(backend) => backends.contains(&backend.as_str()),
             None => line.change.as_deref() == Some("manifest"),
         },
@@ -284,6 +286,14 @@
     add("unread", line.unread.map(|tokens| format!("{tokens:.0}")));
     add("candidates", line.candidates.map(|count| count.to_string()));
     add("left_ms", line.left_ms.map(|span| format!("{span:.0}")));
+    add(
+        "first_wait_ms",
+        line.first_wait_ms.map(|span| format!("{span:.0}")),
+    );
+    add(
+        "return_after_ms",
+        line.return_after_ms.map(|span| format!("{span:.0}")),
+    );
     add(
         "store_age_ms",
         line.store_age_ms.map(|span| format!("{span:.0}")),
