A choice looks at its homes alone, surveys the service in one pass and ranks without a full sort

Change: homes are taken from their ranks, the survey is one pass with the same sums, and only the first ranks are sorted. No decision changes but for the order of random draws.

--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -138,6 +138,11 @@
         Some((dated.report, dated.at))
     }
 
+    /// Returns whether a report is fresh enough to count.
+    pub fn has_report(&self, now: MonoTime) -> bool {
+        self.fresh_report(REPORT_SPAN, now).is_some()
+    }
+
     /// Returns whether the last report, if it is fresh, has requests that wait.
     pub fn has_queue(&self, now: MonoTime) -> bool {
         self.fresh_report(REPORT_SPAN, now)
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -127,7 +127,11 @@
     let mut passed_over = None;
     let mut candidates = 0;
     for rank in RANKS {
-        for &key in fleet.of_service(input.service) {
+        let keys = match rank {
+            CandidateRank::OpenHome => weigher.homes.keys(),
+            _ => fleet.of_service(input.service),
+        };
+        for &key in keys {
             let Some(candidate) = Candidate::find(fleet, key, input) else {
                 continue;
             };
@@ -235,9 +239,7 @@
         let is_lapsed = member.lapsed_at.is_some();
         let is_open = !is_lapsed && member.state.is_open(self.input.now);
         match rank {
-            CandidateRank::OpenHome => {
-                is_open && self.scope.stays_home && self.homes.rank_of(candidate.key).is_some()
-            }
+            CandidateRank::OpenHome => is_open && self.scope.stays_home,
             CandidateRank::Open => is_open,
             CandidateRank::Ejected => !is_lapsed && !is_open,
             CandidateRank::Lapsed => is_lapsed,
--- a/crates/balance/src/cost.rs
+++ b/crates/balance/src/cost.rs
@@ -143,22 +143,22 @@
 impl Crowd {
     pub(crate) fn survey(fleet: &FleetTable, input: &ChoiceInput<'_>) -> Self {
         let keys = fleet.of_service(input.service);
-        let (mut running, mut unread) = (0.0, 0.0);
+        let (mut own, mut unread) = (0.0, 0.0);
+        let (mut taken, mut unreported, mut slots) = (0.0, 0.0, 1.0);
         for member in keys.iter().filter_map(|key| fleet.get(*key)) {
-            running += f64::from(member.state.own_running);
-            unread += member.state.own_unread;
+            let state = &member.state;
+            own += f64::from(state.own_running);
+            unread += state.own_unread;
+            slots += f64::from(member.entry.slots);
+            taken += state.running(0.0, input.now);
+            unreported += f64::from(u8::from(!state.has_report(input.now)));
         }
-        let mean = running / keys.len().max(1) as f64;
+        let mean = own / keys.len().max(1) as f64;
         let others = mean * input.gateways.saturating_sub(1) as f64;
-        let members = keys.iter().filter_map(|key| fleet.get(*key));
-        let (taken, slots) = members.fold((0.0, 1.0), |sum, member| {
-            let taken = member.state.running(others, input.now);
-            (sum.0 + taken, sum.1 + f64::from(member.entry.slots))
-        });
         Self {
             running: mean,
-            unread: unread / f64::max(running, 1.0),
-            fullness: taken / slots,
+            unread: unread / f64::max(own, 1.0),
+            fullness: (taken + others * unreported) / slots,
             ahead: input.traffic.ahead_share(input.urgency),
         }
     }
--- a/crates/balance/src/home.rs
+++ b/crates/balance/src/home.rs
@@ -63,8 +63,11 @@
     let mut scored: Vec<(u64, BackendKey)> = candidates
         .map(|(key, id_hash)| (scramble(part.0 ^ id_hash), key))
         .collect();
+    if scored.len() > RANK_LIMIT {
+        scored.select_nth_unstable_by(RANK_LIMIT, |a, b| b.cmp(a));
+        scored.truncate(RANK_LIMIT);
+    }
     scored.sort_unstable_by(|a, b| b.cmp(a));
-    scored.truncate(RANK_LIMIT);
     scored.into_iter().map(|(_, key)| key).collect()
 }
 
