Reserved backend servers are looked up once a choice; one check of a queue; one test module

Read through once more: each candidate of a choice looked its service up again to know whether it is reserved; entries that came back after lapsing cleared the ranks of homes, which do not depend on that; the check for a reported queue stood twice with different spans; the doc comment of ROUNDS had slipped onto another item; NoneKept and the entry of a backend server stood three times in tests and the example. No decision and no assertion changes.

--- a/crates/balance/examples/choice_cost.rs
+++ b/crates/balance/examples/choice_cost.rs
@@ -3,29 +3,22 @@
 //! `cargo run --release -p oleander-balance --example choice_cost` prints nanoseconds a choice
 //! (docs/CAPACITY.md).
 
+#[path = "../tests/common/mod.rs"]
+mod common;
+
 use std::hint::black_box;
-use std::sync::Arc;
 use std::time::Instant;
 
+use common::{NoneKept, entry};
 use oleander_balance::{
-    BackendEntry, BackendKey, BackendPhase, ChoiceInput, FleetTable, KeptConnections, LatencyModel,
-    LoadReport, PartId, PromptPart, ServiceTraffic, choose_backend,
+    ChoiceInput, FleetTable, LatencyModel, LoadReport, PartId, PromptPart, ServiceTraffic,
+    choose_backend,
 };
 use oleander_base::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 /// Choices that are timed together.
-/// A gateway that keeps no connection.
-#[derive(Debug)]
-struct NoneKept;
-
-impl KeptConnections for NoneKept {
-    fn has_idle(&self, _: BackendKey) -> bool {
-        false
-    }
-}
-
 const ROUNDS: u32 = 20_000;
 
 fn main() {
@@ -80,15 +73,7 @@
 fn fleet(backends: u32, running: u32, now: MonoTime) -> FleetTable {
     let mut fleet = FleetTable::default();
     for index in 0..backends {
-        fleet.upsert(BackendEntry {
-            id: Arc::from(format!("i-{index}")),
-            started_ms: 1,
-            service: Arc::from("model"),
-            address: ([10, 0, 0, 1], 80).into(),
-            centre: Arc::from("north"),
-            slots: 128,
-            phase: BackendPhase::Serving,
-        });
+        fleet.upsert(entry(&format!("i-{index}"), "model", 128));
     }
     for key in fleet.of_service("model").to_vec() {
         let state = &mut fleet.get_mut(key).expect("the key is there").state;
--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -12,7 +12,7 @@
 use crate::part_memory::PartMemory;
 
 /// How long a report counts.
-const REPORT_SPAN: Span = Span::from_millis(2_500);
+pub(crate) const REPORT_SPAN: Span = Span::from_millis(2_500);
 
 /// The most sends whose times are remembered, to correct a report that is a little old.
 const SENDS_KEPT: usize = 64;
@@ -143,9 +143,9 @@
         self.fresh_report(REPORT_SPAN, now).is_some()
     }
 
-    /// Returns whether the last report, if it is fresh, has requests that wait.
-    pub fn has_queue(&self, now: MonoTime) -> bool {
-        self.fresh_report(REPORT_SPAN, now)
+    /// Returns whether the last report, if it is not older than `span`, has requests that wait.
+    pub fn has_queue(&self, span: Span, now: MonoTime) -> bool {
+        self.fresh_report(span, now)
             .is_some_and(|(report, _)| report.waiting > 0)
     }
 
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -10,6 +10,7 @@
 
 use oleander_base::prelude::*;
 
+use crate::backend_state::REPORT_SPAN;
 use crate::cost::{Candidate, Crowd, UnreadTokens, estimate, unread_tokens};
 use crate::fleet_table::{BackendKey, BackendPhase, FleetTable};
 use crate::latency::LatencyModel;
@@ -104,15 +105,15 @@
     mut random: impl FnMut() -> f64,
 ) -> Option<Choice> {
     let backends = fleet.of_service(input.service).len();
-    let reserved = input.traffic.reserved(backends);
-    fleet.reserve(input.service, reserved);
+    let reserved_count = input.traffic.reserved(backends);
+    let reserved = fleet.reserve(input.service, reserved_count);
     let home_part = home_part(backends, input);
     let homes = home_part
         .map(|part| fleet.homes(input.service, part.part.id, part.width))
         .unwrap_or_default();
     let scope = Scope {
         is_light: is_light(input.prompt_tokens) && !input.parts.is_empty(),
-        has_reserved: reserved > 0,
+        has_reserved: reserved_count > 0,
         sampled: sampled_share(backends),
         stays_home: home_part.is_some_and(|part| part.part.tokens >= HEAVY_TOKENS),
     };
@@ -132,7 +133,7 @@
             _ => fleet.of_service(input.service),
         };
         for &key in keys {
-            let Some(candidate) = Candidate::find(fleet, key, input) else {
+            let Some(candidate) = Candidate::find(fleet, &reserved, key) else {
                 continue;
             };
             if !weigher.takes(rank, &candidate) {
@@ -156,7 +157,7 @@
     // A sample may be empty; one that was passed over is better than one that is ejected.
     if let (None, Some(key)) = (best, passed_over) {
         candidates = 1;
-        best = Candidate::find(fleet, key, input).map(|candidate| weigher.weigh(&candidate));
+        best = Candidate::find(fleet, &reserved, key).map(|candidate| weigher.weigh(&candidate));
     }
     best.map(|choice| Choice {
         candidates,
@@ -265,7 +266,10 @@
             is_light: self.scope.is_light,
             cost: estimate.cost + self.scope.misplaced(candidate.is_reserved),
             first_wait: Span((estimate.first_ms * 1e3) as u64),
-            has_queue: candidate.member.state.has_queue(self.input.now),
+            has_queue: candidate
+                .member
+                .state
+                .has_queue(REPORT_SPAN, self.input.now),
             candidates: 0,
         }
     }
--- a/crates/balance/src/cost.rs
+++ b/crates/balance/src/cost.rs
@@ -9,7 +9,7 @@
 use crate::HomeSet;
 use crate::choice::ChoiceInput;
 use crate::fleet_table::{BackendKey, FleetMember, FleetTable};
-use crate::reserve::is_light;
+use crate::reserve::{ReservedSet, is_light};
 
 /// Prompt tokens that one running request is worth in the cost.
 const RUNNING_TOKENS: f64 = 300.0;
@@ -85,13 +85,13 @@
     /// Finds a backend server in the table.
     pub(crate) fn find(
         fleet: &'a FleetTable,
+        reserved: &ReservedSet,
         key: BackendKey,
-        input: &ChoiceInput<'_>,
     ) -> Option<Self> {
         Some(Self {
             key,
             member: fleet.get(key)?,
-            is_reserved: fleet.is_reserved(input.service, key),
+            is_reserved: reserved.holds(key),
         })
     }
 }
--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -140,11 +140,11 @@
         }
         let was_lapsed = member.lapsed_at.take().is_some();
         if member.entry == entry {
-            if was_lapsed {
-                self.service_changed(key);
-                return EntryChange::Updated;
-            }
-            return EntryChange::Same;
+            return if was_lapsed {
+                EntryChange::Updated
+            } else {
+                EntryChange::Same
+            };
         }
         let drains = entry.phase == BackendPhase::Draining && old.phase != entry.phase;
         member.entry = entry;
@@ -280,16 +280,17 @@
         index.homes.homes(part, width, free)
     }
 
-    /// Reserves that many of a service's backend servers for short prompts.
-    pub fn reserve(&mut self, service: &str, count: usize) {
+    /// Reserves that many of a service's backend servers for short prompts; returns them.
+    pub(crate) fn reserve(&mut self, service: &str, count: usize) -> ReservedSet {
         let Some(index) = self.by_service.get_mut(service) else {
-            return;
+            return ReservedSet::default();
         };
         if index.reserved_count != count {
             index.changed();
             index.reserved = ReservedSet::pick(serving(&self.members, &index.keys), count);
             index.reserved_count = count;
         }
+        index.reserved.clone()
     }
 
     /// Returns whether a backend server is reserved for short prompts.
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -1,43 +1,22 @@
 //! The choice of a backend server under named load patterns.
 
-use std::net::SocketAddr;
+mod common;
+
 use std::sync::{Arc, LazyLock};
 
+use common::{NoneKept, entry};
 use oleander_balance::{
-    BackendEntry, BackendKey, BackendPhase, Choice, ChoiceInput, FleetTable, KeptConnections,
-    LatencyModel, LoadReport, PartId, PromptPart, RequestTraits, ServiceTraffic, StreamSample,
-    choose_backend,
+    BackendKey, Choice, ChoiceInput, FleetTable, LatencyModel, LoadReport, PartId, PromptPart,
+    RequestTraits, ServiceTraffic, StreamSample, choose_backend,
 };
 use oleander_base::prelude::*;
 use proptest::prelude::*;
 
 static NO_TRAFFIC: LazyLock<ServiceTraffic> = LazyLock::new(ServiceTraffic::default);
 
-/// A gateway that keeps no connection.
-#[derive(Debug)]
-struct NoneKept;
-
-impl KeptConnections for NoneKept {
-    fn has_idle(&self, _: BackendKey) -> bool {
-        false
-    }
-}
-
 const MODEL: &str = "model";
 const DESK: &str = "desk";
 
-fn entry(id: &str, service: &str, slots: u32) -> BackendEntry {
-    BackendEntry {
-        id: Arc::from(id),
-        started_ms: 1,
-        service: Arc::from(service),
-        address: SocketAddr::from(([10, 0, 0, 1], 8_080)),
-        centre: Arc::from("north"),
-        slots,
-        phase: BackendPhase::Serving,
-    }
-}
-
 fn fleet(service: &str, count: usize) -> FleetTable {
     let mut fleet = FleetTable::default();
     for index in 0..count {
--- /dev/null
+++ b/crates/balance/tests/common/mod.rs
@@ -0,0 +1,31 @@
+//! What tests and examples of the choice share.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use oleander_balance::{BackendEntry, BackendKey, BackendPhase, KeptConnections};
+
+/// A gateway that keeps no connection.
+#[derive(Debug)]
+pub struct NoneKept;
+
+impl KeptConnections for NoneKept {
+    fn has_idle(&self, _: BackendKey) -> bool {
+        false
+    }
+}
+
+/// Returns the entry of a backend server that takes requests.
+pub fn entry(id: &str, service: &str, slots: u32) -> BackendEntry {
+    BackendEntry {
+        id: Arc::from(id),
+        started_ms: 1,
+        service: Arc::from(service),
+        address: SocketAddr::from(([10, 0, 0, 1], 8_080)),
+        centre: Arc::from("north"),
+        slots,
+        phase: BackendPhase::Serving,
+    }
+}
--- a/crates/balance/tests/homes.rs
+++ b/crates/balance/tests/homes.rs
@@ -1,40 +1,23 @@
 //! Where shared prompt parts are at home under named load patterns.
 
+mod common;
+
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
-use std::sync::Arc;
 
+use common::{NoneKept, entry};
 use oleander_balance::{
-    BackendEntry, BackendKey, BackendPhase, Choice, ChoiceInput, FleetTable, KeptConnections,
-    LatencyModel, LoadReport, PartId, PromptPart, RequestTraits, ServiceTraffic, choose_backend,
+    BackendKey, Choice, ChoiceInput, FleetTable, LatencyModel, LoadReport, PartId, PromptPart,
+    RequestTraits, ServiceTraffic, choose_backend,
 };
 use oleander_base::prelude::*;
 
-/// A gateway that keeps no connection.
-#[derive(Debug)]
-struct NoneKept;
-
-impl KeptConnections for NoneKept {
-    fn has_idle(&self, _: BackendKey) -> bool {
-        false
-    }
-}
-
 const MODEL: &str = "model";
 const NOW: MonoTime = MonoTime(20_000_000);
 
 fn fleet(count: usize) -> FleetTable {
     let mut fleet = FleetTable::default();
     for index in 0..count {
-        fleet.upsert(BackendEntry {
-            id: Arc::from(format!("i-{index}")),
-            started_ms: 1,
-            service: Arc::from(MODEL),
-            address: SocketAddr::from(([10, 0, 0, 1], 8_080)),
-            centre: Arc::from("north"),
-            slots: 16,
-            phase: BackendPhase::Serving,
-        });
+        fleet.upsert(entry(&format!("i-{index}"), MODEL, 16));
     }
     fleet
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -5,7 +5,8 @@
 //! passes the freshest reports that it knows, first-hand or not, to a few others at random. News
 //! spreads to all in a few rounds; each message is bounded, so what a gateway sends does not grow
 //! with the fleet (docs/CAPACITY.md). Backend servers that were found to be down go with them, so that
-//! not every gateway has to spend a request on finding out. A lost message costs nothing: the next one has fresher news.
+//! not every gateway has to spend a request on finding out. A lost message costs nothing: the next
+//! one has fresher news.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -91,12 +91,9 @@
 
     /// Returns whether a backend server lately reported requests that wait there.
     fn is_queued(&self, key: BackendKey) -> bool {
-        let report = self
-            .core
-            .with_backend(key, |state| state.fresh_report(LIFE_SPAN, monotonic_now()));
-        report
-            .flatten()
-            .is_some_and(|(report, _)| report.waiting > 0)
+        self.core
+            .with_backend(key, |state| state.has_queue(LIFE_SPAN, monotonic_now()))
+            .unwrap_or(false)
     }
 
     /// Returns how long the next attempt may be silent.
