Gateway: log and count how a backend server's stream ended

A line stream-broken is written for each stream of an attempt that broke or whose body ended inside an event; gateway.streams counts all by framing. oleanderctl explain prints the new fields.

--- a/crates/gateway/src/event_split.rs
+++ b/crates/gateway/src/event_split.rs
@@ -39,6 +39,11 @@
         })
     }
 
+    /// Returns the number of bytes received after the last complete event.
+    pub(crate) fn pending_len(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns the remaining bytes after an orderly end of the stream.
     pub(crate) fn take_rest(&mut self) -> Bytes {
         self.pending.split().freeze()
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -19,6 +19,17 @@
     UntilClose,
 }
 
+impl BodyFraming {
+    /// Returns the name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until-close",
+        }
+    }
+}
+
 /// Why a body cannot be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum BodyError {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -67,6 +67,7 @@
     retries: Counter<u64>,
     store_calls: Counter<u64>,
     connections: Counter<u64>,
+    streams: Counter<u64>,
     first_time: Histogram<f64>,
     total_time: Histogram<f64>,
     gap_time: Histogram<f64>,
@@ -105,6 +106,11 @@
                 "Calls of the store by outcome",
             ),
             connections: counter(&meter, "gateway.connections", "New connections by side"),
+            streams: counter(
+                &meter,
+                "gateway.streams",
+                "Streams of backend servers by framing and end",
+            ),
             first_time: histogram(
                 &meter,
                 "gateway.first.time",
@@ -130,6 +136,13 @@
         self.total_time.record(total.as_secs_f64(), &labels);
     }
 
+    /// Records the end of one attempt's stream, which is whole if it ended between two events.
+    pub(crate) fn record_stream_end(&self, framing: &'static str, is_whole: bool) {
+        let end = if is_whole { "whole" } else { "broken" };
+        let labels = [KeyValue::new("framing", framing), KeyValue::new("end", end)];
+        self.streams.add(1, &labels);
+    }
+
     pub(crate) fn record_refusal(&self, reason: &'static str) {
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use super::attempt::SendTarget;
-use super::stream::StreamTiming;
+use super::stream::{StreamEnd, StreamTiming};
 use super::{RequestRun, RunResult};
 use crate::log_line::LineKind;
 use crate::metrics::RequestEnd;
@@ -52,6 +52,17 @@
     took_ms: f64,
 }
 
+#[derive(Debug, Serialize)]
+struct StreamFields<'a> {
+    id: &'a str,
+    backend: &'a str,
+    framing: &'static str,
+    broken_by: Option<&'a str>,
+    events: usize,
+    last_event: Option<u64>,
+    partial_bytes: usize,
+}
+
 #[derive(Debug, Serialize)]
 struct EndFields<'a> {
     id: &'a str,
@@ -164,6 +175,28 @@
             .with_backend(target.key, |state| state.succeeded(target.slots, now));
     }
 
+    /// Counts how one attempt's stream ended, and logs it unless it ended between two events.
+    pub(super) fn record_stream_end(&self, target: &SendTarget, end: &StreamEnd<'_>) {
+        let is_whole = end.broken_by.is_none() && end.partial_bytes == 0;
+        let framing = end.framing.as_str();
+        self.core.metrics.record_stream_end(framing, is_whole);
+        if is_whole {
+            return;
+        }
+        let fields = StreamFields {
+            id: self.attempt_id,
+            backend: &target.id,
+            framing,
+            broken_by: end.broken_by,
+            events: end.events,
+            last_event: self.last_event,
+            partial_bytes: end.partial_bytes,
+        };
+        self.core
+            .log
+            .request("stream-broken", LineKind::Failure, self.attempt_id, fields);
+    }
+
     pub(super) fn record_latency(
         &self,
         timing: &StreamTiming,
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -12,7 +12,7 @@
 use crate::core::SendGuard;
 use crate::event_split::{EventBatch, EventSplitter};
 use crate::exchange::Exchange;
-use crate::http::{AnswerHead, BodyPiece, ConnError, push_chunk, push_last_chunk};
+use crate::http::{AnswerHead, BodyFraming, BodyPiece, ConnError, push_chunk, push_last_chunk};
 use crate::metrics::RequestEnd;
 use crate::port::AnswerFraming;
 use crate::prelude::*;
@@ -23,6 +23,18 @@
 /// The shortest silence after which a resumable stream is resumed elsewhere.
 const MIN_STREAM_SILENCE: Span = Span::from_millis(2_400);
 
+/// How one attempt's stream ended.
+#[derive(Debug)]
+pub(super) struct StreamEnd<'a> {
+    pub(super) framing: BodyFraming,
+    /// The error, unless the body ended as its framing says.
+    pub(super) broken_by: Option<&'a str>,
+    /// The number of complete events in this attempt.
+    pub(super) events: usize,
+    /// The number of bytes after the last complete event.
+    pub(super) partial_bytes: usize,
+}
+
 /// The times and the number of the events received in one attempt of a stream.
 #[derive(Debug, Default)]
 pub(super) struct StreamTiming {
@@ -94,6 +106,13 @@
                     }
                 }
                 Ok(_) => {
+                    let end = StreamEnd {
+                        framing: answer.head.framing,
+                        broken_by: None,
+                        events: timing.events,
+                        partial_bytes: splitter.pending_len(),
+                    };
+                    self.record_stream_end(target, &end);
                     self.record_latency(&timing, target, sent_at);
                     self.record_success(target);
                     let rest = splitter.take_rest();
@@ -102,9 +121,17 @@
                     return Step::Done(self.end_stream(&head, &rest).await);
                 }
                 Err(error) => {
+                    let reason = error.to_string();
+                    let end = StreamEnd {
+                        framing: answer.head.framing,
+                        broken_by: Some(&reason),
+                        events: timing.events,
+                        partial_bytes: splitter.pending_len(),
+                    };
+                    self.record_stream_end(target, &end);
                     splitter.discard_partial();
                     drop(answer);
-                    self.record_failure(target, Verdict::Ran, &error.to_string(), sent_at);
+                    self.record_failure(target, Verdict::Ran, &reason, sent_at);
                     return self.handle_broken_stream("the backend server's stream broke");
                 }
             }
--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -47,6 +47,9 @@
     registry: Option<u64>,
     store_age_ms: Option<f64>,
     version: Option<serde_json::Value>,
+    framing: Option<String>,
+    broken_by: Option<String>,
+    partial_bytes: Option<u64>,
     lines: Option<u64>,
 }
 
@@ -313,6 +316,15 @@
         "outcome",
         line.outcome.as_ref().map(|text| format!("{text:?}")),
     );
+    add("framing", line.framing.clone());
+    add(
+        "broken_by",
+        line.broken_by.as_ref().map(|text| format!("{text:?}")),
+    );
+    add(
+        "partial_bytes",
+        line.partial_bytes.map(|count| count.to_string()),
+    );
     let reason = line.reason.as_ref().filter(|reason| !reason.is_empty());
     add("reason", reason.map(|text| format!("{text:?}")));
     text
