Gateway: a stream that ends inside an event is broken off, whatever its framing says

Cause: an answer with neither a length nor chunks ends with its connection. The relay took the orderly end of the connection as the end of the stream, wrote the bytes of the incomplete event and then its own last chunk. The class: completeness was inferred from the transport's end alone, where the transport cannot tell a break from an end.

Why this works: what ends a stream is decided by its events. A body that ends while an event has begun is a broken stream for every framing; it is resumed elsewhere, answered 502, or cut without the last chunk, like any other broken stream, and the partial event is not delivered. An unframed stream without any event is broken too, since nothing in it shows that it is complete. Comments and blank lines are no part of an event. An unframed stream that is cut exactly between two events still looks complete; nothing in its bytes says otherwise.

--- a/crates/gateway/src/event_split.rs
+++ b/crates/gateway/src/event_split.rs
@@ -30,7 +30,7 @@
         let mut ids = event_ids(&bytes);
         let first_id = ids.next();
         let last_id = ids.last().or(first_id);
-        let count = memchr::memmem::find_iter(&bytes, b"\n\n").count();
+        let count = event_count(&bytes);
         Some(EventBatch {
             bytes,
             first_id,
@@ -44,14 +44,15 @@
         self.pending.len()
     }
 
-    /// Returns the remaining bytes after an orderly end of the stream.
-    pub(crate) fn take_rest(&mut self) -> Bytes {
-        self.pending.split().freeze()
+    /// Returns whether the bytes after the last complete event belong to another event. Blank lines
+    /// and comments do not.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        lines(&self.pending).any(is_field)
     }
 
-    /// Discards the incomplete event of a broken stream.
-    pub(crate) fn discard_partial(&mut self) {
-        self.pending.clear();
+    /// Returns the remaining bytes of a stream that ended between two events.
+    pub(crate) fn take_rest(&mut self) -> Bytes {
+        self.pending.split().freeze()
     }
 }
 
@@ -61,8 +62,34 @@
     plain.max(carriage)
 }
 
+fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    bytes
+        .split(|byte| *byte == b'\n')
+        .map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+}
+
+/// Returns whether a line belongs to an event, which blank lines and comments do not.
+fn is_field(line: &[u8]) -> bool {
+    !line.is_empty() && !line.starts_with(b":")
+}
+
+/// Returns the number of complete events, not counting blocks of comments.
+fn event_count(bytes: &[u8]) -> usize {
+    let mut count = 0;
+    let mut has_field = false;
+    for line in lines(bytes) {
+        if line.is_empty() {
+            count += usize::from(has_field);
+            has_field = false;
+        } else {
+            has_field |= is_field(line);
+        }
+    }
+    count
+}
+
 fn event_ids(bytes: &[u8]) -> impl Iterator<Item = u64> {
-    bytes.split(|byte| *byte == b'\n').filter_map(|line| {
+    lines(bytes).filter_map(|line| {
         let value = line.strip_prefix(b"id:")?;
         std::str::from_utf8(value).ok()?.trim().parse().ok()
     })
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -136,7 +136,7 @@
         self.total_time.record(total.as_secs_f64(), &labels);
     }
 
-    /// Records the end of one attempt's stream, which is whole if it ended between two events.
+    /// Records the end of one attempt's stream.
     pub(crate) fn record_stream_end(&self, framing: &'static str, is_whole: bool) {
         let end = if is_whole { "whole" } else { "broken" };
         let labels = [KeyValue::new("framing", framing), KeyValue::new("end", end)];
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -57,7 +57,7 @@
     id: &'a str,
     backend: &'a str,
     framing: &'static str,
-    broken_by: Option<&'a str>,
+    broken_by: &'a str,
     events: usize,
     last_event: Option<u64>,
     partial_bytes: usize,
@@ -175,19 +175,20 @@
             .with_backend(target.key, |state| state.succeeded(target.slots, now));
     }
 
-    /// Counts how one attempt's stream ended, and logs it unless it ended between two events.
+    /// Counts how one attempt's stream ended, and logs it unless it is complete.
     pub(super) fn record_stream_end(&self, target: &SendTarget, end: &StreamEnd<'_>) {
-        let is_whole = end.broken_by.is_none() && end.partial_bytes == 0;
         let framing = end.framing.as_str();
-        self.core.metrics.record_stream_end(framing, is_whole);
-        if is_whole {
+        self.core
+            .metrics
+            .record_stream_end(framing, end.broken_by.is_none());
+        let Some(broken_by) = end.broken_by else {
             return;
-        }
+        };
         let fields = StreamFields {
             id: self.attempt_id,
             backend: &target.id,
             framing,
-            broken_by: end.broken_by,
+            broken_by,
             events: end.events,
             last_event: self.last_event,
             partial_bytes: end.partial_bytes,
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -27,7 +27,7 @@
 #[derive(Debug)]
 pub(super) struct StreamEnd<'a> {
     pub(super) framing: BodyFraming,
-    /// The error, unless the body ended as its framing says.
+    /// Why the stream is not complete, unless it is.
     pub(super) broken_by: Option<&'a str>,
     /// The number of complete events in this attempt.
     pub(super) events: usize,
@@ -35,6 +35,38 @@
     pub(super) partial_bytes: usize,
 }
 
+/// What was received of one attempt's stream.
+#[derive(Debug, Default)]
+struct StreamState {
+    splitter: EventSplitter,
+    timing: StreamTiming,
+}
+
+impl StreamState {
+    /// Returns why a stream whose body ended as its framing says is not complete, unless it is.
+    ///
+    /// A broken stream without length or chunks ends with an orderly close like a complete one, so
+    /// the framing alone does not decide.
+    fn truncation(&self, framing: BodyFraming) -> Option<&'static str> {
+        if self.splitter.is_inside_event() {
+            return Some("the stream ended inside an event");
+        }
+        if framing == BodyFraming::UntilClose && self.timing.events == 0 {
+            return Some("the stream ended before its first event");
+        }
+        None
+    }
+
+    fn end<'a>(&self, framing: BodyFraming, broken_by: Option<&'a str>) -> StreamEnd<'a> {
+        StreamEnd {
+            framing,
+            broken_by,
+            events: self.timing.events,
+            partial_bytes: self.splitter.pending_len(),
+        }
+    }
+}
+
 /// The times and the number of the events received in one attempt of a stream.
 #[derive(Debug, Default)]
 pub(super) struct StreamTiming {
@@ -75,8 +107,7 @@
         target: &SendTarget,
         sent_at: MonoTime,
     ) -> Step {
-        let mut splitter = EventSplitter::default();
-        let mut timing = StreamTiming::default();
+        let mut state = StreamState::default();
         loop {
             let limit = self.stream_timeout().min(self.time_left());
             let piece = match wait(self.caller, limit, answer.next()).await {
@@ -92,7 +123,7 @@
             };
             match piece {
                 Ok(BodyPiece::Data(data)) => {
-                    let Some(batch) = splitter.push(&data) else {
+                    let Some(batch) = state.splitter.push(&data) else {
                         continue;
                     };
                     if self.is_out_of_order(&batch) {
@@ -100,44 +131,57 @@
                         self.record_failure(target, Verdict::Ran, reason, sent_at);
                         return self.handle_broken_stream(reason);
                     }
-                    self.record_events(&batch, &mut timing, guard, target);
+                    self.record_events(&batch, &mut state.timing, guard, target);
                     if let Err(result) = self.write_events(&answer.head, &batch.bytes).await {
                         return Step::Done(result);
                     }
                 }
                 Ok(_) => {
-                    let end = StreamEnd {
-                        framing: answer.head.framing,
-                        broken_by: None,
-                        events: timing.events,
-                        partial_bytes: splitter.pending_len(),
+                    return match state.truncation(answer.head.framing) {
+                        Some(reason) => self.break_off(answer, &state, target, reason, sent_at),
+                        None => self.complete(answer, state, target, sent_at).await,
                     };
-                    self.record_stream_end(target, &end);
-                    self.record_latency(&timing, target, sent_at);
-                    self.record_success(target);
-                    let rest = splitter.take_rest();
-                    let head = answer.head.clone();
-                    answer.finish(self.core);
-                    return Step::Done(self.end_stream(&head, &rest).await);
                 }
                 Err(error) => {
                     let reason = error.to_string();
-                    let end = StreamEnd {
-                        framing: answer.head.framing,
-                        broken_by: Some(&reason),
-                        events: timing.events,
-                        partial_bytes: splitter.pending_len(),
-                    };
-                    self.record_stream_end(target, &end);
-                    splitter.discard_partial();
-                    drop(answer);
-                    self.record_failure(target, Verdict::Ran, &reason, sent_at);
-                    return self.handle_broken_stream("the backend server's stream broke");
+                    return self.break_off(answer, &state, target, &reason, sent_at);
                 }
             }
         }
     }
 
+    /// Ends a stream that was received completely.
+    async fn complete(
+        &mut self,
+        answer: Exchange,
+        mut state: StreamState,
+        target: &SendTarget,
+        sent_at: MonoTime,
+    ) -> Step {
+        self.record_stream_end(target, &state.end(answer.head.framing, None));
+        self.record_latency(&state.timing, target, sent_at);
+        self.record_success(target);
+        let rest = state.splitter.take_rest();
+        let head = answer.head.clone();
+        answer.finish(self.core);
+        Step::Done(self.end_stream(&head, &rest).await)
+    }
+
+    /// Ends one attempt's broken stream without its incomplete event. The connection is closed.
+    fn break_off(
+        &mut self,
+        answer: Exchange,
+        state: &StreamState,
+        target: &SendTarget,
+        reason: &str,
+        sent_at: MonoTime,
+    ) -> Step {
+        self.record_stream_end(target, &state.end(answer.head.framing, Some(reason)));
+        drop(answer);
+        self.record_failure(target, Verdict::Ran, reason, sent_at);
+        self.handle_broken_stream("the backend server's stream broke")
+    }
+
     /// Returns how long a stream may be silent before its attempt is given up.
     pub(super) fn stream_timeout(&self) -> Span {
         let route = &self.job.routed.route;
