Entry: an answer with neither a length nor chunks is a failure, not an empty success

A call to a plain service whose answer ends with its connection came back as a complete 200 with an empty body.

The HTTP client library takes an HTTP/1.1 answer without length and chunks for one without a body (HTTP/1.0 ones it reads to the end).

Evidence: an_unframed_answer_is_a_failure_and_not_an_empty_answer failed with Ok(b"") for a close, a close after Connection: close, and a reset.

Why this works: the attempt knows from the head that the body cannot be read, and reading it is an error with the verdict 'may have run', so that no empty answer is delivered and none is kept for repeats. A refusal that says 'not run' needs no body and keeps its verdict; answers that have no body by their status or method are not affected.

--- a/crates/attempt/src/body.rs
+++ b/crates/attempt/src/body.rs
@@ -16,6 +16,7 @@
 /// Streams the body of an answer; dropping it before its end closes the connection.
 pub struct AttemptBody {
     payload: Payload,
+    is_unframed: bool,
     idle: Duration,
     last: Instant,
     timer: Pin<Box<Sleep>>,
@@ -25,12 +26,21 @@
     pub(crate) fn new(payload: Payload, idle: Duration) -> Self {
         Self {
             payload,
+            is_unframed: false,
             idle,
             last: Instant::now(),
             timer: Box::pin(sleep(idle)),
         }
     }
 
+    /// Creates the body of an answer with neither a length nor chunks; reading it is an error.
+    pub(crate) fn unframed(idle: Duration) -> Self {
+        Self {
+            is_unframed: true,
+            ..Self::new(Payload::None, idle)
+        }
+    }
+
     /// Returns the next chunk, or none after the end of the body.
     pub async fn next(&mut self) -> Option<Result<Bytes>> {
         poll_fn(|cx| self.poll_next(cx)).await
@@ -52,6 +62,10 @@
     }
 
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes>>> {
+        if self.is_unframed {
+            let failure = AttemptFailure::Unframed;
+            return Poll::Ready(Some(Err(AttemptError::may_have_run(failure))));
+        }
         if let Poll::Ready(chunk) = Pin::new(&mut self.payload).poll_next(cx) {
             self.last = Instant::now();
             return Poll::Ready(chunk.map(|chunk| chunk.map_err(|error| body_error(&error))));
--- a/crates/attempt/src/client.rs
+++ b/crates/attempt/src/client.rs
@@ -11,7 +11,8 @@
 use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
 use ntex::connect::{ConnectError as TcpError, Connector as TcpConnector};
 use ntex::http::body::Body;
-use ntex::http::{HeaderMap, StatusCode};
+use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use ntex::http::{HeaderMap, Method, StatusCode, Version};
 use ntex::service::apply_fn_factory;
 use ntex::time::Seconds;
 use tokio::time::timeout;
@@ -65,6 +66,7 @@
         let timeouts = request.timeouts;
         let flag = SendFlag::default();
         let call = self.prepare(&request);
+        let is_head = request.method == Method::HEAD;
         let response = if request.body.is_empty() {
             finish_bodyless(call.send(), timeouts).await?
         } else {
@@ -72,10 +74,15 @@
             let sending = call.send_body(Body::from_message(body));
             finish_tracked(sending, &flag, timeouts).await?
         };
+        let body = if !is_head && is_unframed(&response) {
+            AttemptBody::unframed(timeouts.idle)
+        } else {
+            AttemptBody::new(response.take_payload(), timeouts.idle)
+        };
         Ok(AttemptResponse {
             status: response.status(),
             headers: response.headers().clone(),
-            body: AttemptBody::new(response.take_payload(), timeouts.idle),
+            body,
         })
     }
 
@@ -129,6 +136,19 @@
     Ok(client)
 }
 
+/// Returns whether the end of the answer's body can only be seen from the end of its connection.
+///
+/// The library takes such an HTTP/1.1 answer for one without a body, so its body is lost.
+fn is_unframed(response: &ClientResponse) -> bool {
+    let status = response.status();
+    let has_body = !status.is_informational()
+        && status != StatusCode::NO_CONTENT
+        && status != StatusCode::NOT_MODIFIED;
+    let headers = response.headers();
+    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    has_body && !is_framed && response.version() == Version::HTTP_11
+}
+
 async fn finish_tracked(
     sending: impl Future<Output = std::result::Result<ClientResponse, ClientError>>,
     flag: &SendFlag,
--- a/crates/attempt/src/error.rs
+++ b/crates/attempt/src/error.rs
@@ -21,6 +21,9 @@
     /// The connection failed, or the answer was not valid HTTP.
     #[error("the connection broke: {0}")]
     Broken(String),
+    /// The answer has neither a length nor chunks, so that its body cannot be read.
+    #[error("the answer has neither a length nor chunks")]
+    Unframed,
     /// The head of the answer did not arrive within the first-byte timeout.
     #[error("no answer in time")]
     FirstByteTimeout,
--- a/crates/service/tests/unframed.rs
+++ b/crates/service/tests/unframed.rs
@@ -52,12 +52,29 @@
     }
 }
 
+#[ntex::test]
+async fn an_unframed_refusal_is_still_not_run() {
+    let head = "HTTP/1.1 503 Service Unavailable\r\nx-not-run: true\r\n\r\n";
+    let reply = EngineReply::BytesThenClose(head.as_bytes().to_vec());
+    assert_eq!(forward(reply).await, Err(Verdict::NotRun));
+}
+
 #[ntex::test]
 async fn an_answer_that_has_no_body_by_its_status_needs_no_length() {
     let reply = EngineReply::Bytes(b"HTTP/1.1 204 No Content\r\n\r\n".to_vec());
     assert_eq!(forward(reply).await, Ok(Bytes::new()));
 }
 
+// Guards against an HTTP/1.0 answer that a reset cuts and that is delivered as complete.
+#[ntex::test]
+async fn an_http_1_0_answer_is_whole_only_if_its_connection_ends_in_order() {
+    let bytes = b"HTTP/1.0 200 OK\r\n\r\nthe whole".to_vec();
+    let whole = forward(EngineReply::BytesThenClose(bytes.clone())).await;
+    assert_eq!(whole, Ok(Bytes::from_static(b"the whole")));
+    let reset = forward(EngineReply::BytesThenReset(bytes)).await;
+    assert_eq!(reset, Err(Verdict::MayHaveRun));
+}
+
 // Guards against a framed answer that its connection cuts and that is delivered as complete.
 #[ntex::test]
 async fn a_framed_answer_that_is_cut_is_not_whole() {
