--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -47,6 +47,8 @@
     pub centre: Arc<str>,
     /// The number of requests that it runs concurrently.
     pub slots: u32,
+    /// The version of its software; versions have no order.
+    pub software: Arc<str>,
     /// Whether it takes new requests.
     pub phase: BackendPhase,
 }
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -26,6 +26,7 @@
         address: SocketAddr::from(([10, 0, 0, 1], 8_080)),
         centre: Arc::from("north"),
         slots,
+        software: Arc::from("v1"),
         phase: BackendPhase::Serving,
     }
 }
--- a/crates/gateway/src/platform_view.rs
+++ b/crates/gateway/src/platform_view.rs
@@ -49,6 +49,7 @@
         backend: Arc<str>,
         service: Arc<str>,
         centre: Arc<str>,
+        software: Arc<str>,
     },
     /// A backend server began to drain and gets no more new requests.
     BackendDraining { backend: Arc<str> },
@@ -211,6 +212,7 @@
                 Ok(entry) => {
                     let service = Arc::clone(&entry.service);
                     let centre = Arc::clone(&entry.centre);
+                    let software = Arc::clone(&entry.software);
                     let old = fleet.key_of(&id);
                     match fleet.upsert(entry) {
                         EntryChange::Joined(_) => {
@@ -219,6 +221,7 @@
                                 backend: Arc::clone(&id),
                                 service,
                                 centre,
+                                software,
                             });
                         }
                         EntryChange::Draining(key) => {
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -57,6 +57,9 @@
     pub answer_hint: Option<u32>,
     /// The id of the last event that the caller has received.
     pub resume_from: Option<u64>,
+    /// The id of the caller's attempt that brought the first event of the stream that this request
+    /// takes up.
+    pub resumed_attempt: Option<Arc<str>>,
 }
 
 /// The facts in an answer's head beyond HTTP framing.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -40,6 +40,7 @@
     pub(super) key: BackendKey,
     pub(super) id: Arc<str>,
     pub(super) address: SocketAddr,
+    pub(super) software: Arc<str>,
     pub(super) slots: u32,
 }
 
@@ -128,6 +129,7 @@
             key: choice.key,
             id: Arc::clone(&member.entry.id),
             address: member.entry.address,
+            software: Arc::clone(&member.entry.software),
             slots: member.entry.slots,
         })
     }
--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -47,6 +47,8 @@
     registry: Option<u64>,
     store_age_ms: Option<f64>,
     version: Option<serde_json::Value>,
+    software: Option<String>,
+    resumed_attempt: Option<String>,
     framing: Option<String>,
     broken_by: Option<String>,
     partial_bytes: Option<u64>,
@@ -316,6 +318,8 @@
         "outcome",
         line.outcome.as_ref().map(|text| format!("{text:?}")),
     );
+    add("software", line.software.clone());
+    add("resumed_attempt", line.resumed_attempt.clone());
     add("framing", line.framing.clone());
     add(
         "broken_by",
