Failing tests: streams go on at another software version

On this code five tests of gateway_versions fail: a stream that the gateway resumes within an answer is sent to v1 and v1.1; so is one that its caller takes up at another gateway after the first has died, and one that is taken up twice; a stream of unknown origin runs while two versions serve, and one whose version has left runs at the other (200 in place of 503).

--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -408,8 +408,20 @@
 
 /// Registers an engine in the store.
 pub fn announce(store: &UsersStore, id: &str, service: &str, engine: &ScriptedEngine, phase: &str) {
+    announce_version(store, id, service, engine, phase, "v1");
+}
+
+/// Registers an engine of a software version in the store.
+pub fn announce_version(
+    store: &UsersStore,
+    id: &str,
+    service: &str,
+    engine: &ScriptedEngine,
+    phase: &str,
+    version: &str,
+) {
     let entry = json!({
-        "backend": service, "address": engine.address(), "zone": "north-a", "version": "v1",
+        "backend": service, "address": engine.address(), "zone": "north-a", "version": version,
         "max_concurrency": 8, "phase": phase, "warmup_left_ms": 0, "seq": 1, "born": 1
     });
     store.put(&format!("servers/{id}"), entry.to_string());
--- /dev/null
+++ b/crates/entry/tests/gateway_versions.rs
@@ -0,0 +1,281 @@
+//! Streams of services whose engines run several software versions.
+
+mod gateway;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Mutex;
+use std::time::Duration;
+
+use gateway::{Call, TestGateway, announce_version, store_with_manifest, wait_for};
+use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest, UsersStore, WireMessage};
+
+/// The id of the last event of a whole stream.
+const LAST_EVENT: u64 = 4;
+
+/// The answer of an engine that did not run a request.
+const FULL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+/// Engines of one service, each with its version.
+struct Engines(Vec<(&'static str, ScriptedEngine)>);
+
+impl Engines {
+    /// Starts two engines of each version. An engine that began a stream is full when its caller
+    /// takes the stream up, so that it has to go on at another engine.
+    fn start(
+        store: &UsersStore,
+        versions: &[&'static str],
+        script: fn(&SeenRequest) -> EngineReply,
+    ) -> Self {
+        let mut engines = Vec::new();
+        for version in versions {
+            for number in 1..=2 {
+                let begun = Mutex::new(BTreeSet::new());
+                let engine = ScriptedEngine::spawn(move |request| {
+                    if resume_point(request) == 0 {
+                        begun.lock().unwrap().insert(header(request, "attempt-id"));
+                    } else if begun.lock().unwrap().contains(&header(request, "resumes")) {
+                        return EngineReply::Bytes(FULL.to_vec());
+                    }
+                    script(request)
+                });
+                let id = format!("i-{version}-{number}");
+                announce_version(store, &id, "engines", &engine, "available", version);
+                engines.push((*version, engine));
+            }
+        }
+        Self(engines)
+    }
+
+    /// Returns the versions that each attempt of a caller was sent to.
+    fn versions(&self) -> BTreeMap<String, BTreeSet<&'static str>> {
+        let mut versions: BTreeMap<String, BTreeSet<&'static str>> = BTreeMap::new();
+        for (version, engine) in &self.0 {
+            for seen in engine.seen() {
+                let id = seen.message.header("attempt-id").unwrap_or("").to_owned();
+                versions.entry(id).or_default().insert(version);
+            }
+        }
+        versions
+    }
+
+    /// Returns the versions that any of these attempts was sent to.
+    fn versions_of(&self, attempts: &[&str]) -> BTreeSet<&'static str> {
+        let versions = self.versions();
+        let sent = attempts.iter().filter_map(|id| versions.get(*id));
+        sent.flatten().copied().collect()
+    }
+}
+
+fn header(request: &SeenRequest, name: &str) -> String {
+    request.message.header(name).unwrap_or("").to_owned()
+}
+
+/// Returns the headers of a stream whose prompt no other stream shares.
+fn prompt_headers(first: &str) -> String {
+    let part: u64 = first
+        .bytes()
+        .fold(7, |sum, byte| sum * 131 + u64::from(byte));
+    format!("Model: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: {part:x}:1400,{part:x}0:60\r\n")
+}
+
+fn resume_point(request: &SeenRequest) -> u64 {
+    let id = request.message.header("last-event-id");
+    id.map_or(0, |id| id.parse().expect("an event id is a number"))
+}
+
+/// Returns the events from `from` up to and including `to`, without the end of the stream.
+fn part_of_stream(request: &SeenRequest, from: u64, to: u64) -> Vec<u8> {
+    let mut bytes = request.stream_head();
+    for id in from..=to {
+        bytes.extend(SeenRequest::event(id));
+    }
+    bytes
+}
+
+fn rest_of_stream(request: &SeenRequest) -> EngineReply {
+    let mut bytes = part_of_stream(request, resume_point(request) + 1, LAST_EVENT);
+    bytes.extend(b"0\r\n\r\n");
+    EngineReply::Bytes(bytes)
+}
+
+/// Breaks each new stream after its second event, and completes those that go on.
+fn break_new(request: &SeenRequest) -> EngineReply {
+    match resume_point(request) {
+        0 => EngineReply::BytesThenReset(part_of_stream(request, 1, 2)),
+        _ => rest_of_stream(request),
+    }
+}
+
+/// Falls silent after the second event of each new stream, and completes those that go on.
+fn hold_new(request: &SeenRequest) -> EngineReply {
+    match resume_point(request) {
+        0 => EngineReply::BytesThenSilence(part_of_stream(request, 1, 2)),
+        _ => rest_of_stream(request),
+    }
+}
+
+/// Falls silent after one event, whether the stream is new or goes on.
+fn hold_all(request: &SeenRequest) -> EngineReply {
+    let next = resume_point(request) + 1;
+    EngineReply::BytesThenSilence(part_of_stream(request, next, next))
+}
+
+/// Begins a stream, reads up to the event with this id and disconnects.
+fn begin(gateway: &TestGateway, id: &str, event: u64) {
+    let headers = prompt_headers(id);
+    let call = Call {
+        headers: &headers,
+        ..Call::stream(id)
+    };
+    read_up_to(gateway, &call, event);
+}
+
+fn read_up_to(gateway: &TestGateway, call: &Call<'_>, event: u64) {
+    let mut caller = gateway.caller();
+    caller.send(&call.text());
+    let text = format!("piece {event}\n\n");
+    assert!(caller.read_until(&text).contains(&text), "{}", call.id);
+}
+
+/// Takes a stream up that `first` began, after the event with this id.
+fn take_up(gateway: &TestGateway, id: &str, first: &str, event: u64) -> WireMessage {
+    let headers = resume_headers(first, event);
+    gateway.caller().call(&Call {
+        headers: &headers,
+        ..Call::stream(id)
+    })
+}
+
+fn resume_headers(first: &str, event: u64) -> String {
+    let headers = prompt_headers(first);
+    format!("{headers}Last-Event-Id: {event}\r\nResumes: {first}\r\n")
+}
+
+/// Starts two gateways that know each other.
+fn two_gateways(store: &UsersStore) -> [TestGateway; 2] {
+    let first = TestGateway::start(store);
+    let second = TestGateway::spawn("edge-2", store, &[]);
+    second.wait_ready();
+    for (gateway, other) in [(&first, "edge-2"), (&second, "edge-1")] {
+        gateway.wait_log("belief", |line| {
+            line["change"] == "gateway-joined" && line["gateway"] == other
+        });
+    }
+    [first, second]
+}
+
+// Guards against a broken stream that the gateway itself continues at another software version.
+#[test]
+fn a_broken_stream_goes_on_only_at_the_version_that_began_it() {
+    let store = store_with_manifest();
+    let engines = Engines::start(&store, &["v1", "v1.1"], break_new);
+    let gateway = TestGateway::start(&store);
+    for number in 0..12 {
+        let id = format!("a{number}");
+        let headers = prompt_headers(&id);
+        let answer = gateway.caller().call(&Call {
+            headers: &headers,
+            ..Call::stream(&id)
+        });
+        assert!(answer.is_whole, "{id}");
+    }
+    for (id, versions) in engines.versions() {
+        assert_eq!(versions.len(), 1, "{id} was sent to {versions:?}");
+    }
+}
+
+// Guards against a stream that its caller takes up at another gateway, which continues it at another
+// software version, after the gateway that began it has died.
+#[test]
+fn a_stream_that_is_taken_up_at_another_gateway_stays_at_its_version() {
+    let store = store_with_manifest();
+    let engines = Engines::start(&store, &["v1", "v1.1"], hold_new);
+    let [mut first, second] = two_gateways(&store);
+    for number in 0..8 {
+        begin(&first, &format!("a{number}"), 2);
+    }
+    // The origins are on their way to the other gateway for a moment.
+    std::thread::sleep(Duration::from_millis(200));
+    first.kill();
+    for number in 0..8 {
+        let [begun, taken_up] = [format!("a{number}"), format!("b{number}")];
+        let answer = take_up(&second, &taken_up, &begun, 2);
+        assert_eq!(
+            (answer.status(), answer.is_whole),
+            (200, true),
+            "{taken_up}"
+        );
+        let versions = engines.versions_of(&[&begun, &taken_up]);
+        assert_eq!(versions.len(), 1, "{begun} went on at {versions:?}");
+    }
+}
+
+// Guards against a stream whose second continuation forgets the version of its first event.
+#[test]
+fn a_stream_that_is_taken_up_twice_stays_at_its_version() {
+    let store = store_with_manifest();
+    let engines = Engines::start(&store, &["v1", "v1.1"], hold_all);
+    let gateway = TestGateway::start(&store);
+    for number in 0..6 {
+        let ids = ["a", "b", "c"].map(|letter| format!("{letter}{number}"));
+        let [begun, second, third] = &ids;
+        begin(&gateway, begun, 1);
+        for (id, event) in [(second, 1), (third, 2)] {
+            let headers = resume_headers(begun, event);
+            let call = Call {
+                headers: &headers,
+                ..Call::stream(id)
+            };
+            read_up_to(&gateway, &call, event + 1);
+        }
+        let versions = engines.versions_of(&[begun, second, third]);
+        assert_eq!(versions.len(), 1, "{begun} went on at {versions:?}");
+    }
+}
+
+// Guards against a stream of unknown origin that goes on at any of several software versions.
+#[test]
+fn a_stream_of_unknown_origin_is_refused_while_several_versions_serve() {
+    let store = store_with_manifest();
+    let engines = Engines::start(&store, &["v1", "v1.1"], break_new);
+    let gateway = TestGateway::start(&store);
+    let answer = take_up(&gateway, "b1", "a1", 2);
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+    assert!(engines.versions().is_empty());
+}
+
+// Guards against refusing streams that a restarted fleet does not remember without need.
+#[test]
+fn a_stream_of_unknown_origin_goes_on_in_a_service_with_one_version() {
+    let store = store_with_manifest();
+    let _engines = Engines::start(&store, &["v1"], break_new);
+    let gateway = TestGateway::start(&store);
+    let answer = take_up(&gateway, "b1", "a1", 2);
+    assert_eq!((answer.status(), answer.is_whole), (200, true));
+}
+
+// Guards against a stream that goes on at another software version once its own has left.
+#[test]
+fn a_stream_whose_version_has_left_is_refused() {
+    let store = store_with_manifest();
+    let engines = Engines::start(&store, &["v1"], hold_new);
+    let gateway = TestGateway::start(&store);
+    begin(&gateway, "a1", 2);
+    let newer = Engines::start(&store, &["v1.1"], hold_new);
+    for number in 1..=2 {
+        store.delete(&format!("servers/i-v1-{number}"));
+    }
+    wait_for("the old engines are gone", || {
+        let gone = gateway.log("belief");
+        gone.iter()
+            .filter(|line| line["change"] == "backend-gone")
+            .count()
+            == 2
+    });
+    let answer = take_up(&gateway, "b1", "a1", 2);
+    assert_eq!(answer.status(), 503);
+    assert!(newer.versions().is_empty());
+    assert_eq!(engines.versions().len(), 1);
+}
