Gateway: a stream goes on only at the software version that began it

Cause: the choice of a backend server knew no version. A gateway resumed a broken stream at any engine, and a stream that its caller took up, mostly at another gateway after the first was killed, likewise; there nobody could know the version, because only the gateway that passed on the first event had seen it. The class: state that must outlive a process (what a stream is bound to) was not kept at all, and a resume assumed that backend servers are interchangeable.

Why this works: the version of the first event binds the stream. The origin is told to three other gateways and asked for there, so that it outlives its gateway; a stream of unknown origin goes on only where no gateway knows of a second version within the time that a stream can last, and is refused as not run otherwise. An engine that starts again with other software is another incarnation. Gateways' datagrams have a new format; those of other formats are ignored, so that old and new gateways exchange no load reports during a roll.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -17,7 +17,7 @@
 use crate::fleet_table::{BackendKey, BackendPhase, FleetTable};
 use crate::latency::LatencyModel;
 use crate::reserve::is_short;
-use crate::{HomeSet, PartId, PromptPart, ServiceTraffic};
+use crate::{HomeSet, PartId, PromptPart, ServiceTraffic, VersionId};
 
 /// The range of the random cost, in prompt tokens, that keeps gateways with the same load reports
 /// from making the same choice.
@@ -72,6 +72,8 @@
     pub connections: &'a dyn IdleConnections,
     /// The backend servers that this request was already sent to.
     pub tried: &'a [BackendKey],
+    /// The only software version that may be chosen, for a stream that goes on.
+    pub version: Option<VersionId>,
     /// The number of gateways that share the fleet, this one included.
     pub gateways: usize,
     /// The latency of all streams of the service.
@@ -245,6 +247,13 @@
         if !is_serving || self.input.tried.contains(&candidate.key) {
             return false;
         }
+        if self
+            .input
+            .version
+            .is_some_and(|version| version != member.version)
+        {
+            return false;
+        }
         let is_lapsed = member.lapsed_at.is_some();
         let is_open = !is_lapsed && member.state.is_open(self.input.now);
         match rank {
--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -12,6 +12,7 @@
 use crate::backend_state::BackendState;
 use crate::home::{HomeSet, RankCache};
 use crate::reserve::ReservedSet;
+use crate::stream_origin::VersionId;
 
 /// The reference of one incarnation of a backend server; it is never reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -62,6 +63,8 @@
     pub state: BackendState,
     /// The hash of its id, for the ranking of homes.
     pub id_hash: u64,
+    /// The version of its software.
+    pub version: VersionId,
     /// When its entry lapsed while the key-value store was unavailable, if it did; the backend
     /// server is then used only if no other is left.
     pub lapsed_at: Option<MonoTime>,
@@ -136,7 +139,8 @@
         let old = &member.entry;
         let is_same_process = old.started_ms == entry.started_ms
             && old.address == entry.address
-            && old.service == entry.service;
+            && old.service == entry.service
+            && old.software == entry.software;
         if !is_same_process {
             self.remove_key(key);
             return EntryChange::Joined(self.insert(entry));
@@ -326,6 +330,7 @@
         self.members.insert(
             key,
             FleetMember {
+                version: VersionId::of(&entry.software),
                 entry,
                 state: BackendState::open(),
                 id_hash,
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -1,5 +1,5 @@
 //! The decisions of a gateway: which backend server gets a request, whether it is admitted, and
-//! whether it may be retried.
+//! whether it may be retried, and which software version a stream may go on at.
 //!
 //! The package does no I/O and reads no clock: the driver passes in the time and random numbers, so
 //! that each decision can be tested without a socket (docs/PLATFORM.md, "Choosing").
@@ -15,6 +15,7 @@
 mod reserve;
 mod retry_window;
 mod service_traffic;
+mod stream_origin;
 
 pub use admission::{Admission, AdmissionQuery, admit};
 pub use backend_state::{BackendState, InFlightSend, LoadReport};
@@ -28,6 +29,9 @@
 pub use latency::{LatencyModel, StreamSample};
 pub use retry_window::{RetryLimits, RetryWindow};
 pub use service_traffic::{RequestTraits, ServiceTraffic};
+pub use stream_origin::{
+    ORIGIN_RETENTION, OriginTable, StreamId, VersionHistory, VersionId, VersionSpan, sole_version,
+};
 
 /// The reference of a shared prompt part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- /dev/null
+++ b/crates/balance/src/stream_origin.rs
@@ -0,0 +1,183 @@
+//! Where streams began: which software version of a service wrote their first event.
+//!
+//! What two software versions of a backend server write does not fit together, and backend servers
+//! do not check what they continue. A stream may therefore only go on at the version that began it,
+//! also when its caller takes it up at another gateway. Each gateway keeps the origins of the
+//! streams that it began or was told of in an [`OriginTable`]. A stream of unknown origin may only
+//! go on where a [`VersionHistory`] shows that its service has had a single version for as long as
+//! a stream can last.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::Arc;
+
+use oleander_base::FastMap;
+use oleander_base::prelude::*;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How long the origin of a stream is kept, which is longer than any caller takes up a stream.
+pub const ORIGIN_RETENTION: Span = Span::from_secs(60);
+
+/// The greatest number of origins that a gateway keeps; the oldest are dropped first.
+const MAX_ORIGINS: usize = 100_000;
+
+/// A stream, by the hash of the id of the caller's attempt that brought its first event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct StreamId(pub u64);
+
+impl StreamId {
+    /// Returns the id of the stream that this attempt began.
+    pub fn of(attempt_id: &str) -> Self {
+        Self(xxh3_64(attempt_id.as_bytes()))
+    }
+}
+
+/// A software version of backend servers, by the hash of its name. Versions have no order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct VersionId(pub u64);
+
+impl VersionId {
+    /// Returns the id of the version with this name.
+    pub fn of(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
+
+impl fmt::Display for VersionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct KnownOrigin {
+    version: VersionId,
+    recorded_at: MonoTime,
+}
+
+/// The origins of recent streams.
+#[derive(Debug, Default)]
+pub struct OriginTable {
+    origins: FastMap<StreamId, KnownOrigin>,
+    /// The recorded streams, oldest first.
+    order: VecDeque<(MonoTime, StreamId)>,
+}
+
+impl OriginTable {
+    /// Records the version that began a stream. The first record of a stream stands, because a
+    /// stream begins once.
+    pub fn record(&mut self, stream: StreamId, version: VersionId, now: MonoTime) {
+        self.prune(now);
+        let is_new = !self.origins.contains_key(&stream);
+        if is_new {
+            let origin = KnownOrigin {
+                version,
+                recorded_at: now,
+            };
+            self.origins.insert(stream, origin);
+            self.order.push_back((now, stream));
+        }
+        while self.order.len() > MAX_ORIGINS {
+            self.drop_oldest();
+        }
+    }
+
+    /// Returns the version that began a stream, if it is known.
+    pub fn get(&self, stream: StreamId, now: MonoTime) -> Option<VersionId> {
+        let origin = self.origins.get(&stream)?;
+        let is_fresh = now.since(origin.recorded_at) < ORIGIN_RETENTION;
+        is_fresh.then_some(origin.version)
+    }
+
+    /// Returns the number of recorded streams.
+    pub fn len(&self) -> usize {
+        self.origins.len()
+    }
+
+    /// Returns whether no stream is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.origins.is_empty()
+    }
+
+    fn prune(&mut self, now: MonoTime) {
+        while let Some((recorded_at, _)) = self.order.front() {
+            if now.since(*recorded_at) < ORIGIN_RETENTION {
+                return;
+            }
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some((_, stream)) = self.order.pop_front() {
+            self.origins.remove(&stream);
+        }
+    }
+}
+
+/// What is known of a service's software versions over the time that a stream can last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum VersionSpan {
+    /// Nothing is known of the service, or not up to now.
+    Unknown,
+    /// There was only this version.
+    Single(VersionId),
+    /// There were several.
+    Mixed,
+}
+
+/// The software versions of each service that were lately in the registry.
+#[derive(Debug, Default)]
+pub struct VersionHistory {
+    /// When each version of a service was last seen.
+    services: FastMap<Arc<str>, FastMap<VersionId, MonoTime>>,
+}
+
+impl VersionHistory {
+    /// Records that a backend server of this version belongs to a service.
+    pub fn observe(&mut self, service: &Arc<str>, version: VersionId, now: MonoTime) {
+        let versions = self.services.entry(Arc::clone(service)).or_default();
+        versions.insert(version, now);
+    }
+
+    /// Forgets versions that no stream in progress can have begun at.
+    pub fn prune(&mut self, now: MonoTime) {
+        for versions in self.services.values_mut() {
+            versions.retain(|_, seen| now.since(*seen) < ORIGIN_RETENTION);
+        }
+        self.services.retain(|_, versions| !versions.is_empty());
+    }
+
+    /// Returns what is known of a service's versions over the time that a stream can last.
+    pub fn span(&self, service: &str, now: MonoTime) -> VersionSpan {
+        let Some(versions) = self.services.get(service) else {
+            return VersionSpan::Unknown;
+        };
+        let mut recent = versions
+            .iter()
+            .filter(|(_, seen)| now.since(**seen) < ORIGIN_RETENTION)
+            .map(|(version, _)| *version);
+        match (recent.next(), recent.next()) {
+            (None, _) => VersionSpan::Unknown,
+            (Some(only), None) => VersionSpan::Single(only),
+            (Some(_), Some(_)) => VersionSpan::Mixed,
+        }
+    }
+}
+
+/// Returns the only version in the views of several gateways, if they agree on one.
+pub fn sole_version(spans: &[VersionSpan]) -> Option<VersionId> {
+    let mut sole = None;
+    for span in spans {
+        match *span {
+            VersionSpan::Unknown => {}
+            VersionSpan::Mixed => return None,
+            VersionSpan::Single(version) if sole.is_none_or(|known| known == version) => {
+                sole = Some(version);
+            }
+            VersionSpan::Single(_) => return None,
+        }
+    }
+    sole
+}
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -54,6 +54,7 @@
         pause_limit: Some(Span::from_millis(600)),
         connections: &NoIdleConnections,
         tried: &[],
+        version: None,
         gateways: 6,
         service_latency: latency,
         traffic: &NO_TRAFFIC,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -3,12 +3,13 @@
 //! A gateway runs on one thread, so its state is held in cells. No borrow is held across an await.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use oleander_balance::{
     BackendKey, BackendState, Choice, ChoiceInput, FleetTable, InFlightSend, LatencyModel,
-    LoadReport, RetryWindow, ServiceTraffic, choose_backend,
+    LoadReport, RetryWindow, ServiceTraffic, StreamId, VersionId, choose_backend,
 };
 use oleander_base::{FastMap, monotonic_now};
 use rand::rngs::SmallRng;
@@ -18,6 +19,7 @@
 use crate::conn_pool::ConnPool;
 use crate::log_line::LogWriter;
 use crate::metrics::{GatewayMetrics, GaugeReading};
+use crate::origin_exchange::{KeeperCounts, OriginExchange};
 use crate::platform_view::{PlatformView, ViewUpdate};
 use crate::prelude::*;
 use crate::shutdown::ShutdownState;
@@ -43,6 +45,7 @@
     pub(crate) fleet: RefCell<FleetTable>,
     pub(crate) pool: RefCell<ConnPool>,
     pub(crate) services: RefCell<FastMap<Arc<str>, ServiceState>>,
+    pub(crate) origins: OriginExchange,
     pub(crate) shutdown: ShutdownState,
     pub(crate) metrics: Rc<GatewayMetrics>,
     pub(crate) log: LogWriter,
@@ -70,6 +73,7 @@
             fleet: RefCell::default(),
             pool: RefCell::default(),
             services: RefCell::default(),
+            origins: OriginExchange::default(),
             shutdown: ShutdownState::default(),
             metrics: Rc::new(metrics),
             suspend: SuspendDetector::open(),
@@ -94,6 +98,18 @@
         self.random.borrow_mut().random()
     }
 
+    /// Returns a random number.
+    pub(crate) fn random_number(&self) -> u64 {
+        self.random.borrow_mut().random()
+    }
+
+    /// Returns the addresses of the gateways that keep the origin of a stream.
+    pub(crate) fn origin_keepers(&self, stream: StreamId, counts: KeeperCounts) -> Vec<SocketAddr> {
+        let settings = self.settings();
+        let view = self.view.borrow();
+        view.origin_keepers(stream, counts, &settings.name, &settings.centre)
+    }
+
     /// Returns whether the gateway can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
         !self.shutdown.is_stopping()
@@ -128,6 +144,7 @@
             pause_limit: query.route.pause_limit,
             connections: &*self.pool.borrow(),
             tried: query.tried,
+            version: query.version,
             gateways,
             service_latency: &service.latency,
             traffic: &service.traffic,
@@ -208,6 +225,7 @@
     pub(crate) route: &'a RouteSpec,
     pub(crate) urgency: u8,
     pub(crate) tried: &'a [BackendKey],
+    pub(crate) version: Option<VersionId>,
 }
 
 /// Counts one send at its backend server until it is dropped.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,4 +1,5 @@
-//! Exchanges load reports and failures between gateways, as UDP datagrams.
+//! Exchanges load reports and failures between gateways, as UDP datagrams, and hands on the
+//! datagrams about the origins of streams.
 //!
 //! An answer tells one gateway the load of one backend server. With many gateways, each one reaches
 //! a given backend server so rarely that it would know nothing of the others' requests. Every
@@ -15,11 +16,14 @@
 
 use oleander_balance::LoadReport;
 use oleander_base::monotonic_now;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use crate::core::GatewayCore;
+use crate::peer_message::{
+    DownRecord, LoadMessage, LoadRecord, MAX_DATAGRAM_BYTES, PeerMessage, decode, encode,
+};
 use crate::prelude::*;
 
 /// The mean time between two rounds.
@@ -37,37 +41,6 @@
 /// The greatest age of a load report that is forwarded.
 const MAX_REPORT_AGE: Span = Span::from_millis(1_200);
 
-/// The longest message, in bytes.
-const MAX_MESSAGE_BYTES: usize = 1_400;
-
-/// The version of the message format. Messages of other versions are ignored.
-const MESSAGE_VERSION: u8 = 2;
-
-#[derive(Debug, Serialize, Deserialize)]
-struct GossipMessage {
-    version: u8,
-    reports: Vec<LoadRecord>,
-    downs: Vec<DownRecord>,
-}
-
-/// A backend server that was found to be down.
-#[derive(Debug, Serialize, Deserialize)]
-struct DownRecord {
-    /// The hash of the backend server's id.
-    id_hash: u64,
-    age_ms: u16,
-}
-
-/// The load of one backend server.
-#[derive(Debug, Serialize, Deserialize)]
-struct LoadRecord {
-    /// The hash of the backend server's id.
-    id_hash: u64,
-    age_ms: u16,
-    running: u16,
-    waiting: u16,
-}
-
 #[derive(Debug, Serialize)]
 struct BackendDownFields<'a> {
     backend: &'a str,
@@ -75,8 +48,8 @@
 }
 
 /// Sends and receives gossip for as long as the process runs.
-pub(crate) async fn run_gossip(core: Rc<GatewayCore>, socket: UdpSocket) {
-    let mut buffer = vec![0; MAX_MESSAGE_BYTES];
+pub(crate) async fn run_gossip(core: Rc<GatewayCore>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let pause = Duration::from(ROUND_INTERVAL).mul_f64(0.75 + 0.5 * core.random());
         let round = sleep(pause);
@@ -86,7 +59,7 @@
                 biased;
                 () = &mut round => break,
                 received = socket.recv_from(&mut buffer) => match received {
-                    Ok((length, _)) => receive_message(&core, &buffer[..length]),
+                    Ok((length, from)) => receive(&core, &socket, &buffer[..length], from),
                     // An unreachable gateway shows up as an error of the next read. It leaves the
                     // list of gateways when its lease expires.
                     Err(_) => sleep(Duration::from_millis(5)).await,
@@ -104,12 +77,7 @@
         return;
     }
     let targets = pick_targets(core);
-    let message = GossipMessage {
-        version: MESSAGE_VERSION,
-        reports,
-        downs,
-    };
-    let bytes = postcard::to_allocvec(&message).expect("gossip messages always serialize");
+    let bytes = encode(PeerMessage::Load(LoadMessage { reports, downs }));
     for target in targets {
         // A datagram that cannot be sent counts as lost, which any datagram may be.
         let _ = socket.send_to(&bytes, target).await;
@@ -178,15 +146,25 @@
     targets
 }
 
-/// Applies the reports of a message that are newer than the known ones.
-fn receive_message(core: &GatewayCore, bytes: &[u8]) {
-    // A message that cannot be decoded is of another version or does not come from a gateway.
-    let Ok(message) = postcard::from_bytes::<GossipMessage>(bytes) else {
+/// Handles one datagram of another gateway.
+fn receive(core: &GatewayCore, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
+    let Some(message) = decode(bytes) else {
         return;
     };
-    if message.version != MESSAGE_VERSION {
-        return;
+    match message {
+        PeerMessage::Load(load) => apply_load(core, load),
+        PeerMessage::Origins(records) => core.origins.on_records(&records),
+        PeerMessage::OriginQuery(query) => {
+            let reply = core.origins.reply(core, &query);
+            // A reply that cannot be sent counts as lost; the query is repeated.
+            let _ = socket.try_send_to(&encode(PeerMessage::OriginReply(reply)), from);
+        }
+        PeerMessage::OriginReply(reply) => core.origins.on_reply(&reply, from),
     }
+}
+
+/// Applies the reports of a message that are newer than the known ones.
+fn apply_load(core: &GatewayCore, message: LoadMessage) {
     let now = monotonic_now();
     let mut fleet = core.fleet.borrow_mut();
     for record in message.reports {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -68,6 +68,7 @@
     store_calls: Counter<u64>,
     connections: Counter<u64>,
     streams: Counter<u64>,
+    resumes: Counter<u64>,
     first_time: Histogram<f64>,
     total_time: Histogram<f64>,
     gap_time: Histogram<f64>,
@@ -106,6 +107,11 @@
                 "Calls of the store by outcome",
             ),
             connections: counter(&meter, "gateway.connections", "New connections by side"),
+            resumes: counter(
+                &meter,
+                "gateway.resumes",
+                "Streams that callers take up, by how their version was found",
+            ),
             streams: counter(
                 &meter,
                 "gateway.streams",
@@ -143,6 +149,10 @@
         self.streams.add(1, &labels);
     }
 
+    pub(crate) fn record_resume(&self, source: &'static str) {
+        self.resumes.add(1, &[KeyValue::new("source", source)]);
+    }
+
     pub(crate) fn record_refusal(&self, reason: &'static str) {
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
--- /dev/null
+++ b/crates/gateway/src/origin_exchange.rs
@@ -0,0 +1,320 @@
+//! Shares between gateways which software version began each resumable stream.
+//!
+//! A gateway that passes on the first event of a stream records the version that wrote it, and tells
+//! a few other gateways, the stream's keepers. Keepers are chosen by rendezvous hashing over the
+//! stream, one in the gateway's own data centre and two anywhere, so that a gateway that gets the
+//! caller's next attempt knows whom to ask without a directory, and the origin outlives the gateway
+//! that began the stream. Records and queries are datagrams; a query is repeated until all keepers
+//! have replied (docs/PLATFORM.md, "Software versions").
+
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use oleander_balance::{
+    OriginTable, StreamId, VersionHistory, VersionId, VersionSpan, sole_version,
+};
+use oleander_base::{FastMap, FastSet, monotonic_now};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+use crate::core::GatewayCore;
+use crate::peer_message::{OriginQuery, OriginRecord, OriginReply, PeerMessage, encode};
+use crate::prelude::*;
+
+/// How long records are collected before they are sent.
+const RECORD_DELAY: Span = Span::from_millis(20);
+
+/// The greatest number of records in one datagram.
+const MAX_RECORDS: usize = 60;
+
+/// How many times a query is sent to a keeper that does not reply.
+const QUERY_SENDS: u32 = 3;
+
+/// The time between two sends of a query.
+const QUERY_INTERVAL: Span = Span::from_millis(50);
+
+/// The greatest age of the contact with the store at which this gateway's view of a service's
+/// versions counts as complete; it is above the longest time between two polls of the store.
+const MAX_CONTACT_AGE: Span = Span::from_millis(2_500);
+
+/// The keepers that are told of a stream.
+pub(crate) const TOLD_KEEPERS: KeeperCounts = KeeperCounts { near: 1, any: 2 };
+
+/// The keepers that are asked. A gateway leaves itself out of the ranking, so that ranks differ by
+/// one between gateways.
+const ASKED_KEEPERS: KeeperCounts = KeeperCounts { near: 2, any: 3 };
+
+/// How many gateways keep a stream's origin.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct KeeperCounts {
+    /// In the own data centre.
+    pub(crate) near: usize,
+    /// In any data centre.
+    pub(crate) any: usize,
+}
+
+/// How the version that a stream goes on at was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OriginSource {
+    /// This gateway has the origin.
+    Own,
+    /// A keeper has it.
+    Keeper,
+    /// The service has had a single version.
+    SingleVersion,
+    /// Nobody knows, and the service has or may have had several versions.
+    Unknown,
+}
+
+impl OriginSource {
+    /// Returns the name for logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Keeper => "keeper",
+            Self::SingleVersion => "single-version",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// The version that a stream goes on at, if it is known.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ResolvedOrigin {
+    pub(crate) version: Option<VersionId>,
+    pub(crate) source: OriginSource,
+    /// How many keepers were asked.
+    pub(crate) asked: usize,
+    /// How many of them replied.
+    pub(crate) replied: usize,
+}
+
+/// What the keepers replied to one query.
+#[derive(Debug, Default)]
+struct OpenQuery {
+    replied: RefCell<FastSet<SocketAddr>>,
+    origin: Cell<Option<VersionId>>,
+    versions: RefCell<Vec<VersionSpan>>,
+    changed: Notify,
+}
+
+/// The origins that this gateway knows, and its exchange of them with other gateways.
+#[derive(Debug, Default)]
+pub(crate) struct OriginExchange {
+    table: RefCell<OriginTable>,
+    history: RefCell<VersionHistory>,
+    unsent: RefCell<Vec<OriginRecord>>,
+    has_unsent: Notify,
+    queries: RefCell<FastMap<u64, Rc<OpenQuery>>>,
+    socket: OnceCell<Rc<UdpSocket>>,
+}
+
+impl OriginExchange {
+    /// Sets the socket to other gateways. Without one, nothing is sent.
+    pub(crate) fn connect(&self, socket: Rc<UdpSocket>) {
+        // The socket is set once, when the process starts.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Records which version began a stream, and tells the stream's keepers.
+    pub(crate) fn record(&self, stream: StreamId, version: VersionId) {
+        let now = monotonic_now();
+        self.table.borrow_mut().record(stream, version, now);
+        let record = OriginRecord { stream, version };
+        self.unsent.borrow_mut().push(record);
+        self.has_unsent.notify_one();
+    }
+
+    /// Takes over what another gateway recorded.
+    pub(crate) fn on_records(&self, records: &[OriginRecord]) {
+        let now = monotonic_now();
+        let mut table = self.table.borrow_mut();
+        for record in records {
+            table.record(record.stream, record.version, now);
+        }
+    }
+
+    /// Answers a query of another gateway.
+    pub(crate) fn reply(&self, core: &GatewayCore, query: &OriginQuery) -> OriginReply {
+        OriginReply {
+            nonce: query.nonce,
+            origin: self.table.borrow().get(query.stream, monotonic_now()),
+            versions: self.versions(core, &query.service),
+        }
+    }
+
+    /// Takes over the reply of a keeper. A reply to a query that has ended is dropped.
+    pub(crate) fn on_reply(&self, reply: &OriginReply, from: SocketAddr) {
+        let queries = self.queries.borrow();
+        let Some(query) = queries.get(&reply.nonce) else {
+            return;
+        };
+        if !query.replied.borrow_mut().insert(from) {
+            return;
+        }
+        if reply.origin.is_some() {
+            query.origin.set(reply.origin);
+        }
+        query.versions.borrow_mut().push(reply.versions);
+        query.changed.notify_one();
+    }
+
+    /// Observes the versions in the registry.
+    pub(crate) fn observe(&self, core: &GatewayCore) {
+        let now = monotonic_now();
+        let mut history = self.history.borrow_mut();
+        for (_, member) in core.fleet.borrow().members() {
+            history.observe(&member.entry.service, member.version, now);
+        }
+        history.prune(now);
+    }
+
+    /// Returns what this gateway knows of a service's versions. Without recent contact with the store
+    /// there may be another version that it does not know of.
+    fn versions(&self, core: &GatewayCore, service: &str) -> VersionSpan {
+        let now = monotonic_now();
+        let contact = core.view.borrow().store_contact;
+        let is_current = contact.is_some_and(|contact| now.since(contact) < MAX_CONTACT_AGE);
+        match self.history.borrow().span(service, now) {
+            VersionSpan::Single(_) if !is_current => VersionSpan::Unknown,
+            span => span,
+        }
+    }
+
+    /// Finds the version that began a stream.
+    pub(crate) async fn resolve(
+        &self,
+        core: &GatewayCore,
+        stream: Option<StreamId>,
+        service: &str,
+    ) -> ResolvedOrigin {
+        let own = stream.and_then(|stream| self.table.borrow().get(stream, monotonic_now()));
+        if own.is_some() {
+            return ResolvedOrigin {
+                version: own,
+                source: OriginSource::Own,
+                asked: 0,
+                replied: 0,
+            };
+        }
+        let mut spans = vec![self.versions(core, service)];
+        let mut asked = 0;
+        let mut replied = 0;
+        if let Some(stream) = stream {
+            let keepers = core.origin_keepers(stream, ASKED_KEEPERS);
+            let query = self.ask(core, stream, service, &keepers).await;
+            asked = keepers.len();
+            replied = query.replied.borrow().len();
+            if let Some(version) = query.origin.get() {
+                return ResolvedOrigin {
+                    version: Some(version),
+                    source: OriginSource::Keeper,
+                    asked,
+                    replied,
+                };
+            }
+            spans.append(&mut query.versions.borrow_mut());
+        }
+        let version = sole_version(&spans);
+        let source = if version.is_some() {
+            OriginSource::SingleVersion
+        } else {
+            OriginSource::Unknown
+        };
+        ResolvedOrigin {
+            version,
+            source,
+            asked,
+            replied,
+        }
+    }
+
+    /// Asks keepers until one has the origin, all have replied or the time is over.
+    async fn ask(
+        &self,
+        core: &GatewayCore,
+        stream: StreamId,
+        service: &str,
+        keepers: &[SocketAddr],
+    ) -> Rc<OpenQuery> {
+        let query = Rc::new(OpenQuery::default());
+        let nonce = core.random_number();
+        self.queries.borrow_mut().insert(nonce, Rc::clone(&query));
+        let _removal = QueryRemoval {
+            exchange: self,
+            nonce,
+        };
+        for _ in 0..QUERY_SENDS {
+            let message = PeerMessage::OriginQuery(OriginQuery {
+                nonce,
+                stream,
+                service: service.to_owned(),
+            });
+            let bytes = encode(message);
+            for keeper in keepers {
+                if !query.replied.borrow().contains(keeper) {
+                    self.send(&bytes, *keeper);
+                }
+            }
+            let is_decided =
+                || query.origin.get().is_some() || query.replied.borrow().len() >= keepers.len();
+            let wait = async {
+                while !is_decided() {
+                    query.changed.notified().await;
+                }
+            };
+            if timeout(Duration::from(QUERY_INTERVAL), wait).await.is_ok() {
+                break;
+            }
+        }
+        query
+    }
+
+    fn send(&self, bytes: &[u8], target: SocketAddr) {
+        if let Some(socket) = self.socket.get() {
+            // A datagram that cannot be sent counts as lost, which any datagram may be.
+            let _ = socket.try_send_to(bytes, target);
+        }
+    }
+
+    /// Sends the records that are waiting, one datagram for each keeper.
+    fn flush(&self, core: &GatewayCore) {
+        let unsent = std::mem::take(&mut *self.unsent.borrow_mut());
+        let mut by_keeper: BTreeMap<SocketAddr, Vec<OriginRecord>> = BTreeMap::new();
+        for record in unsent {
+            for keeper in core.origin_keepers(record.stream, TOLD_KEEPERS) {
+                by_keeper.entry(keeper).or_default().push(record);
+            }
+        }
+        for (keeper, records) in by_keeper {
+            for chunk in records.chunks(MAX_RECORDS) {
+                self.send(&encode(PeerMessage::Origins(chunk.to_vec())), keeper);
+            }
+        }
+    }
+}
+
+/// Removes a query when its asker stops waiting, however that happens.
+struct QueryRemoval<'a> {
+    exchange: &'a OriginExchange,
+    nonce: u64,
+}
+
+impl Drop for QueryRemoval<'_> {
+    fn drop(&mut self) {
+        self.exchange.queries.borrow_mut().remove(&self.nonce);
+    }
+}
+
+/// Sends recorded origins for as long as the process runs.
+pub(crate) async fn run_origin_exchange(core: Rc<GatewayCore>) {
+    loop {
+        core.origins.has_unsent.notified().await;
+        sleep(Duration::from(RECORD_DELAY)).await;
+        core.origins.flush(&core);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer_message.rs
@@ -0,0 +1,93 @@
+//! The datagrams that gateways send to each other.
+
+use oleander_balance::{StreamId, VersionId, VersionSpan};
+use serde::{Deserialize, Serialize};
+
+/// The longest datagram, in bytes.
+pub(crate) const MAX_DATAGRAM_BYTES: usize = 1_400;
+
+/// The version of the format. Datagrams of other versions are ignored.
+const FORMAT_VERSION: u8 = 3;
+
+/// One message between gateways.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum PeerMessage {
+    /// What the sender knows of the load and the failures of backend servers.
+    Load(LoadMessage),
+    /// Where streams began.
+    Origins(Vec<OriginRecord>),
+    /// Asks where a stream began.
+    OriginQuery(OriginQuery),
+    /// Answers an [`OriginQuery`].
+    OriginReply(OriginReply),
+}
+
+/// The newest load reports and failures.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct LoadMessage {
+    pub(crate) reports: Vec<LoadRecord>,
+    pub(crate) downs: Vec<DownRecord>,
+}
+
+/// The load of one backend server.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct LoadRecord {
+    /// The hash of the backend server's id.
+    pub(crate) id_hash: u64,
+    pub(crate) age_ms: u16,
+    pub(crate) running: u16,
+    pub(crate) waiting: u16,
+}
+
+/// A backend server that was found to be down.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct DownRecord {
+    /// The hash of the backend server's id.
+    pub(crate) id_hash: u64,
+    pub(crate) age_ms: u16,
+}
+
+/// The version that began a stream.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct OriginRecord {
+    pub(crate) stream: StreamId,
+    pub(crate) version: VersionId,
+}
+
+/// Asks where a stream of a service began.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct OriginQuery {
+    /// Names the query in its replies.
+    pub(crate) nonce: u64,
+    pub(crate) stream: StreamId,
+    pub(crate) service: String,
+}
+
+/// What one gateway knows of a stream and of the versions of its service.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct OriginReply {
+    pub(crate) nonce: u64,
+    pub(crate) origin: Option<VersionId>,
+    pub(crate) versions: VersionSpan,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct PeerDatagram {
+    format: u8,
+    message: PeerMessage,
+}
+
+/// Encodes a message as a datagram.
+pub(crate) fn encode(message: PeerMessage) -> Vec<u8> {
+    let datagram = PeerDatagram {
+        format: FORMAT_VERSION,
+        message,
+    };
+    postcard::to_allocvec(&datagram).expect("messages always serialize")
+}
+
+/// Decodes a datagram. `None` means that it is of another format or does not come from a gateway.
+pub(crate) fn decode(bytes: &[u8]) -> Option<PeerMessage> {
+    let datagram: PeerDatagram = postcard::from_bytes(bytes).ok()?;
+    (datagram.format == FORMAT_VERSION).then_some(datagram.message)
+}
--- a/crates/gateway/src/platform_view.rs
+++ b/crates/gateway/src/platform_view.rs
@@ -9,11 +9,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use oleander_balance::{BackendKey, EntryChange, FleetTable};
+use oleander_balance::{BackendKey, EntryChange, FleetTable, StreamId};
 use oleander_base::FastMap;
 use serde::Serialize;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::origin_exchange::KeeperCounts;
 use crate::port::{GatewayEntry, StoreItem, StoreSubject};
 use crate::prelude::*;
 
@@ -409,6 +410,39 @@
             .collect()
     }
 
+    /// Returns the gossip addresses of the live gateways that keep the origin of a stream: the first
+    /// ones by rendezvous hashing, in one data centre and in all.
+    pub(crate) fn origin_keepers(
+        &self,
+        stream: StreamId,
+        counts: KeeperCounts,
+        own: &str,
+        centre: &str,
+    ) -> Vec<std::net::SocketAddr> {
+        let mut ranked: Vec<(u64, &GatewayFact, std::net::SocketAddr)> = self
+            .gateways
+            .iter()
+            .filter(|(name, fact)| &***name != own && fact.gone_at.is_none())
+            .filter_map(|(name, fact)| {
+                let order = xxh3_64_with_seed(name.as_bytes(), stream.0);
+                Some((order, fact, fact.entry.gossip?))
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(order, ..)| *order);
+        let mut keepers = Vec::with_capacity(counts.near + counts.any);
+        let mut near_left = counts.near;
+        for (rank, (_, fact, address)) in ranked.into_iter().enumerate() {
+            let is_near = &*fact.entry.centre == centre && near_left > 0;
+            if is_near {
+                near_left -= 1;
+            }
+            if is_near || rank < counts.any {
+                keepers.push(address);
+            }
+        }
+        keepers
+    }
+
     /// Drops expired tombstones and the addresses of gateways that were removed long ago.
     pub(crate) fn prune(&mut self, now: MonoTime) {
         self.backends
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -21,6 +21,7 @@
 use crate::internal_server::{ServerRole, log_accept, run_internal_server};
 use crate::lease::run_lease;
 use crate::metrics::GatewayMetrics;
+use crate::origin_exchange::run_origin_exchange;
 use crate::prelude::*;
 use crate::store_watch::{RECOVERY_WINDOW, run_store_watch};
 
@@ -200,7 +201,10 @@
     }
     spawn_local(run_store_watch(Rc::clone(&core)));
     spawn_local(run_lease(Rc::clone(&core)));
-    spawn_local(run_gossip(Rc::clone(&core), listeners.gossip));
+    let gossip = Rc::new(listeners.gossip);
+    core.origins.connect(Rc::clone(&gossip));
+    spawn_local(run_gossip(Rc::clone(&core), gossip));
+    spawn_local(run_origin_exchange(Rc::clone(&core)));
     spawn_local(accept_callers(Rc::clone(&core), listeners.frontend));
     spawn_local(watch_settings(Rc::clone(&core)));
     let mut maintenance = interval(Duration::from(MAINTENANCE_INTERVAL));
@@ -262,6 +266,7 @@
     core.pool.borrow_mut().prune(now);
     core.view.borrow_mut().prune(now);
     expire_lapsed(core, now);
+    core.origins.observe(core);
     core.log.flush();
     if !core.shutdown.is_stopping() {
         return false;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -4,7 +4,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 
-use oleander_balance::{BackendKey, Choice};
+use oleander_balance::{BackendKey, Choice, VersionId};
 use oleander_base::monotonic_now;
 
 use super::wait::{WaitOutcome, read_to_end, wait};
@@ -41,6 +41,7 @@
     pub(super) id: Arc<str>,
     pub(super) address: SocketAddr,
     pub(super) software: Arc<str>,
+    pub(super) version: VersionId,
     pub(super) slots: u32,
 }
 
@@ -130,6 +131,7 @@
             id: Arc::clone(&member.entry.id),
             address: member.entry.address,
             software: Arc::clone(&member.entry.software),
+            version: member.version,
             slots: member.entry.slots,
         })
     }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -4,10 +4,12 @@
 //! allowed. The verdicts of the attempts are joined. A request is refused with the promise that it
 //! has not run only if no attempt may have run it, and after an attempt that may have run it, it is
 //! sent again only if it may be repeated. A stream that breaks is resumed at another backend server
-//! after its last complete event if its route allows that.
+//! after its last complete event if its route allows that, and only at the software version that
+//! began it.
 
 mod attempt;
 mod buffered;
+mod origin;
 mod recording;
 mod stream;
 mod wait;
@@ -15,7 +17,9 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use oleander_balance::{Admission, AdmissionQuery, BackendKey, Choice, RequestTraits, admit};
+use oleander_balance::{
+    Admission, AdmissionQuery, BackendKey, Choice, RequestTraits, VersionId, admit,
+};
 use oleander_base::monotonic_now;
 
 use self::attempt::Step;
@@ -66,6 +70,8 @@
     attempt_id: &'a str,
     deadline: MonoTime,
     tried: Vec<BackendKey>,
+    /// The software version that the stream goes on at, once it has begun.
+    origin: Option<VersionId>,
     sends: u32,
     runs: u32,
     verdict: Verdict,
@@ -112,6 +118,7 @@
             attempt_id: job.facts.attempt_id.as_deref().unwrap_or(""),
             deadline: job.started + allowed,
             tried: Vec::new(),
+            origin: None,
             sends: 0,
             runs: 0,
             verdict: Verdict::NotRun,
@@ -131,6 +138,11 @@
     }
 
     async fn run(&mut self) -> RunResult {
+        match self.find_origin().await {
+            Step::Done(result) => return result,
+            Step::GiveUp(reason) => return self.give_up(reason).await,
+            Step::TryAgain => {}
+        }
         loop {
             let step = match self.choose() {
                 Ok(choice) => self.attempt(&choice).await,
@@ -155,8 +167,13 @@
             route: &routed.route,
             urgency: routed.urgency,
             tried: &self.tried,
+            version: self.origin,
+        };
+        let missing = match self.origin {
+            Some(_) => "no backend server of the version that began the stream",
+            None => "no backend server",
         };
-        let choice = self.core.choose(&query).ok_or("no backend server")?;
+        let choice = self.core.choose(&query).ok_or(missing)?;
         if self.tried.is_empty() {
             self.admit(&choice)?;
         }
--- /dev/null
+++ b/crates/gateway/src/request/origin.rs
@@ -0,0 +1,60 @@
+//! Binds a stream to the software version that began it.
+
+use oleander_balance::StreamId;
+use oleander_base::monotonic_now;
+
+use super::RequestRun;
+use super::attempt::{SendTarget, Step};
+use super::wait::{WaitOutcome, wait};
+use crate::prelude::*;
+
+impl RequestRun<'_> {
+    /// Finds the version of a stream that the caller takes up. The stream is not sent anywhere while
+    /// its version is unknown.
+    pub(super) async fn find_origin(&mut self) -> Step {
+        if !self.takes_up_stream() {
+            return Step::TryAgain;
+        }
+        let (core, job) = (self.core, self.job);
+        let started = monotonic_now();
+        let resolve = core
+            .origins
+            .resolve(core, self.resumed_stream(), &job.routed.service);
+        let origin = match wait(self.caller, self.time_left(), resolve).await {
+            WaitOutcome::Completed(origin) => origin,
+            WaitOutcome::CallerLeft => return Step::Done(self.caller_left()),
+            WaitOutcome::TimedOut => return Step::GiveUp("no time left"),
+        };
+        self.record_resume(&origin, started);
+        self.origin = origin.version;
+        match self.origin {
+            Some(_) => Step::TryAgain,
+            None => Step::GiveUp("the version that began the stream is not known"),
+        }
+    }
+
+    /// Binds the stream to the version of its first event, and records that for the caller's next
+    /// attempt.
+    pub(super) fn record_origin(&mut self, target: &SendTarget) {
+        if self.is_head_sent {
+            return;
+        }
+        let version = *self.origin.get_or_insert(target.version);
+        if self.job.routed.route.repeat == RepeatKind::ResumableStream {
+            let own = StreamId::of(self.attempt_id);
+            let stream = self.resumed_stream().unwrap_or(own);
+            self.core.origins.record(stream, version);
+        }
+    }
+
+    fn takes_up_stream(&self) -> bool {
+        let facts = &self.job.facts;
+        let goes_on = facts.resume_from.is_some() || facts.resumed_attempt.is_some();
+        goes_on && self.job.routed.route.repeat.is_stream()
+    }
+
+    fn resumed_stream(&self) -> Option<StreamId> {
+        let attempt = self.job.facts.resumed_attempt.as_deref();
+        attempt.map(StreamId::of)
+    }
+}
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -11,6 +11,7 @@
 use super::{RequestRun, RunResult};
 use crate::log_line::LineKind;
 use crate::metrics::RequestEnd;
+use crate::origin_exchange::{OriginSource, ResolvedOrigin};
 use crate::prelude::*;
 
 #[derive(Debug, Serialize)]
@@ -35,6 +36,18 @@
     store_age_ms: Option<f64>,
 }
 
+#[derive(Debug, Serialize)]
+struct ResumeFields<'a> {
+    id: &'a str,
+    resumed_attempt: Option<&'a str>,
+    service: &'a str,
+    version: Option<String>,
+    source: &'static str,
+    asked: usize,
+    replied: usize,
+    took_ms: f64,
+}
+
 #[derive(Debug, Serialize)]
 struct NotAdmittedFields<'a> {
     id: &'a str,
@@ -251,6 +264,29 @@
         );
     }
 
+    /// Records how the version of a stream that the caller takes up was found.
+    pub(super) fn record_resume(&self, origin: &ResolvedOrigin, started: MonoTime) {
+        let source = origin.source.as_str();
+        self.core.metrics.record_resume(source);
+        let kind = match origin.source {
+            OriginSource::Unknown => LineKind::Failure,
+            _ => LineKind::Normal,
+        };
+        let fields = ResumeFields {
+            id: self.attempt_id,
+            resumed_attempt: self.job.facts.resumed_attempt.as_deref(),
+            service: &self.job.routed.service,
+            version: origin.version.map(|version| version.to_string()),
+            source,
+            asked: origin.asked,
+            replied: origin.replied,
+            took_ms: monotonic_now().since(started).as_millis_f64(),
+        };
+        self.core
+            .log
+            .request("stream-taken-up", kind, self.attempt_id, fields);
+    }
+
     /// Logs why a request was refused before it was sent to any backend server.
     pub(super) fn log_not_admitted(&self, choice: &Choice, query: &AdmissionQuery, after: Span) {
         let target = self.target(choice);
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -131,6 +131,7 @@
                         self.record_failure(target, Verdict::Ran, reason, sent_at);
                         return self.handle_broken_stream(reason);
                     }
+                    self.record_origin(target);
                     self.record_events(&batch, &mut state.timing, guard, target);
                     if let Err(result) = self.write_events(&answer.head, &batch.bytes).await {
                         return Step::Done(result);
