--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -411,6 +411,20 @@
     announce_version(store, id, service, engine, phase, "v1");
 }
 
+/// Registers an engine in the store that has written its entry `writes` times.
+pub fn announce_entry(
+    store: &UsersStore,
+    id: &str,
+    service: &str,
+    engine: &ScriptedEngine,
+    phase: &str,
+    writes: u64,
+) {
+    let mut entry = registry_entry(service, engine, phase, "v1");
+    entry["seq"] = json!(writes);
+    store.put(&format!("servers/{id}"), entry.to_string());
+}
+
 /// Registers an engine of a software version in the store.
 pub fn announce_version(
     store: &UsersStore,
@@ -420,11 +434,15 @@
     phase: &str,
     version: &str,
 ) {
-    let entry = json!({
+    let entry = registry_entry(service, engine, phase, version);
+    store.put(&format!("servers/{id}"), entry.to_string());
+}
+
+fn registry_entry(service: &str, engine: &ScriptedEngine, phase: &str, version: &str) -> Value {
+    json!({
         "backend": service, "address": engine.address(), "zone": "north-a", "version": version,
         "max_concurrency": 8, "phase": phase, "warmup_left_ms": 0, "seq": 1, "born": 1
-    });
-    store.put(&format!("servers/{id}"), entry.to_string());
+    })
 }
 
 /// Starts a store with the manifest in force.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -21,7 +21,7 @@
 use crate::log_line::LogWriter;
 use crate::metrics::{GatewayMetrics, GaugeReading};
 use crate::origin_exchange::{KeeperCounts, OriginExchange};
-use crate::platform_view::{PlatformView, ViewUpdate};
+use crate::platform_view::{ApplyContext, PlatformView, ViewUpdate};
 use crate::prelude::*;
 use crate::shutdown::ShutdownState;
 use crate::suspend::SuspendDetector;
@@ -47,6 +47,7 @@
     pub(crate) pool: RefCell<ConnPool>,
     pub(crate) services: RefCell<FastMap<Arc<str>, ServiceState>>,
     pub(crate) origins: OriginExchange,
+    store_era: Cell<StoreEra>,
     pub(crate) shutdown: ShutdownState,
     pub(crate) metrics: Rc<GatewayMetrics>,
     pub(crate) log: LogWriter,
@@ -75,6 +76,7 @@
             pool: RefCell::default(),
             services: RefCell::default(),
             origins: OriginExchange::default(),
+            store_era: Cell::default(),
             shutdown: ShutdownState::default(),
             metrics: Rc::new(metrics),
             suspend: SuspendDetector::open(),
@@ -111,6 +113,37 @@
         view.origin_keepers(stream, counts, &settings.name, &settings.centre)
     }
 
+    /// Returns the newest era of the store that is known.
+    pub(crate) fn store_era(&self) -> StoreEra {
+        self.store_era.get()
+    }
+
+    /// Takes over a newer era of the store. What was read in an older one is read again.
+    pub(crate) fn raise_era(&self, era: StoreEra, source: &'static str) {
+        let known = self.store_era.get();
+        if era <= known {
+            return;
+        }
+        self.store_era.set(era);
+        let view = self.view.borrow();
+        let fields = EraFields {
+            source,
+            era,
+            known: view.version,
+            manifest: view.manifest.as_ref().map(|manifest| manifest.version),
+        };
+        self.log.change("store-era", fields);
+    }
+
+    /// Logs an answer of the store whose era cannot be read.
+    pub(crate) fn log_bad_era(&self, error: &DecodeError) {
+        let fields = BadEraFields {
+            known: self.store_era.get(),
+            reason: error.to_string(),
+        };
+        self.log.change("store-era-unreadable", fields);
+    }
+
     /// Returns whether the gateway can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
         !self.shutdown.is_stopping()
@@ -121,7 +154,7 @@
     /// Returns how many gateways share the fleet, including this one.
     pub(crate) fn gateway_count(&self) -> usize {
         let view = self.view.borrow();
-        let floor = if view.revision > Revision(0) {
+        let floor = if view.version > StoreVersion::default() {
             1
         } else {
             ASSUMED_GATEWAYS
@@ -222,8 +255,26 @@
         is_allowed
     }
 
-    /// Logs the changes of an update and closes the idle connections that it invalidates.
-    pub(crate) fn on_view_update(&self, update: ViewUpdate, source: &'static str) {
+    /// Changes the view, logs what changed and closes the idle connections that this invalidates.
+    pub(crate) fn update_view(
+        &self,
+        source: &'static str,
+        change: impl FnOnce(&mut PlatformView, &mut ApplyContext<'_>),
+    ) {
+        let mut fleet = self.fleet.borrow_mut();
+        let mut context = ApplyContext {
+            fleet: &mut fleet,
+            port: &*self.port,
+            now: monotonic_now(),
+            update: ViewUpdate::default(),
+        };
+        change(&mut self.view.borrow_mut(), &mut context);
+        let update = context.update;
+        drop(fleet);
+        self.on_view_update(update, source);
+    }
+
+    fn on_view_update(&self, update: ViewUpdate, source: &'static str) {
         for change in &update.changes {
             self.log
                 .change("belief", ViewChangeFields { source, change });
@@ -248,6 +299,13 @@
     }
 }
 
+#[derive(Debug, serde::Serialize)]
+struct ViewChangeFields<'a> {
+    source: &'static str,
+    #[serde(flatten)]
+    change: &'a crate::platform_view::ViewChange,
+}
+
 #[derive(Debug, serde::Serialize)]
 struct WishFields<'a> {
     id: &'a str,
@@ -256,10 +314,19 @@
 }
 
 #[derive(Debug, serde::Serialize)]
-struct ViewChangeFields<'a> {
+struct EraFields {
     source: &'static str,
-    #[serde(flatten)]
-    change: &'a crate::platform_view::ViewChange,
+    era: StoreEra,
+    /// The version up to which this gateway's view was complete.
+    known: StoreVersion,
+    /// The manifest in force, which stays in force.
+    manifest: Option<u64>,
+}
+
+#[derive(Debug, serde::Serialize)]
+struct BadEraFields {
+    known: StoreEra,
+    reason: String,
 }
 
 /// The properties of a request that the choice of a backend server depends on.
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -81,7 +81,8 @@
         })
     }
 
-    fn values<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a [u8]> + use<'a, 'n> {
+    /// Returns the values of a header, as received.
+    pub fn values<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a [u8]> + use<'a, 'n> {
         self.views()
             .filter(move |header| header.name.eq_ignore_ascii_case(name))
             .map(|header| header.value)
--- a/crates/gateway/src/internal_server.rs
+++ b/crates/gateway/src/internal_server.rs
@@ -13,7 +13,7 @@
 
 use crate::core::GatewayCore;
 use crate::http::{HeadLimits, HttpConn, RequestHead, TcpTimeouts};
-use crate::peer_facts::{FACTS_PATH, encode_facts};
+use crate::peer_facts::{FACTS_PATH, FactsQuery, encode_facts};
 use crate::prelude::*;
 
 /// The longest head of a request, in bytes.
@@ -115,7 +115,7 @@
         (ServerRole::Control, FACTS_PATH) => InternalAnswer {
             status: "200 OK",
             kind: "application/json",
-            body: encode_facts(core, requested_revision(head)),
+            body: encode_facts(core, FactsQuery::parse(head.target())),
         },
         _ => text("404 Not Found", "no such page\n".to_owned()),
     }
@@ -129,12 +129,6 @@
     }
 }
 
-/// Returns the revision after which facts are requested, or 0 for all facts.
-fn requested_revision(head: &RequestHead) -> Revision {
-    let query = head.target().split_once("?after=");
-    Revision(query.and_then(|(_, text)| text.parse().ok()).unwrap_or(0))
-}
-
 /// Returns the state of the gateway as readable text.
 fn dump(core: &GatewayCore) -> String {
     let mut out = String::new();
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -29,21 +29,36 @@
     ttl_ms: f64,
 }
 
+/// A lease, with the era of the store that granted it.
+#[derive(Debug, Clone, Copy)]
+struct HeldLease {
+    id: u64,
+    era: StoreEra,
+}
+
+impl HeldLease {
+    /// Returns whether the store may still know the lease. In a later era its id may name another
+    /// holder's lease.
+    fn is_current(self, core: &GatewayCore) -> bool {
+        self.era == core.store_era()
+    }
+}
+
 /// Keeps the announcement for as long as the process runs.
 pub(crate) async fn run_lease(core: Rc<GatewayCore>) {
-    let mut client = StoreClient::open(core.settings().store, Rc::clone(&core.metrics));
-    let mut lease = None;
+    let mut client = StoreClient::open(Rc::clone(&core));
+    let mut lease: Option<HeldLease> = None;
     loop {
+        lease = lease.filter(|held| held.is_current(&core));
         if core.shutdown.is_stopping() {
             if let Some(held) = lease {
                 // If this call fails, the lease expires by itself.
                 let _ = client
-                    .call(&core.port.release_request(held), CALL_TIMEOUT)
+                    .call(&core.port.release_request(held.id), CALL_TIMEOUT)
                     .await;
             }
             return;
         }
-        client.set_address(core.settings().store);
         let result = match lease {
             None => announce(&core, &mut client).await.map(|new| {
                 lease = Some(new);
@@ -66,15 +81,15 @@
     }
 }
 
-async fn announce(core: &GatewayCore, client: &mut StoreClient) -> Result<u64, StoreError> {
+async fn announce(core: &GatewayCore, client: &mut StoreClient) -> Result<HeldLease, StoreError> {
     let settings = core.settings();
     let ttl = LEASE_TTL.max(settings.store_min_ttl);
-    let body = client
+    let granted = client
         .call(&core.port.lease_request(ttl), CALL_TIMEOUT)
         .await?;
     let lease = core
         .port
-        .decode_lease(&body)
+        .decode_lease(&granted.body)
         .map_err(|error| StoreError::Answer(error.to_string()))?;
     let entry = GatewayEntry {
         control: settings.control,
@@ -82,7 +97,10 @@
         centre: std::sync::Arc::clone(&settings.centre),
     };
     let request = core.port.announce_request(&settings.name, &entry, lease);
-    client.call(&request, CALL_TIMEOUT).await?;
+    let announced = client.call(&request, CALL_TIMEOUT).await?;
+    if announced.era != granted.era {
+        return Err(StoreError::EraChanged);
+    }
     core.log.change(
         "announced",
         LeaseFields {
@@ -90,12 +108,23 @@
             ttl_ms: ttl.as_millis_f64(),
         },
     );
-    Ok(lease)
+    Ok(HeldLease {
+        id: lease,
+        era: granted.era,
+    })
 }
 
-async fn renew(core: &GatewayCore, client: &mut StoreClient, lease: u64) -> Result<(), StoreError> {
-    client
-        .call(&core.port.renew_request(lease), CALL_TIMEOUT)
+async fn renew(
+    core: &GatewayCore,
+    client: &mut StoreClient,
+    lease: HeldLease,
+) -> Result<(), StoreError> {
+    let reply = client
+        .call(&core.port.renew_request(lease.id), CALL_TIMEOUT)
         .await?;
-    Ok(())
+    if reply.era == lease.era {
+        Ok(())
+    } else {
+        Err(StoreError::EraChanged)
+    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod settings;
 mod shutdown;
 mod store_client;
+mod store_version;
 mod store_watch;
 mod suspend;
 
@@ -40,3 +41,4 @@
 pub use port::PlatformPort;
 pub use process::{GatewayProcess, StartError};
 pub use settings::GatewaySettings;
+pub use store_version::{StoreEra, StoreVersion};
--- a/crates/gateway/src/peer_facts.rs
+++ b/crates/gateway/src/peer_facts.rs
@@ -39,6 +39,9 @@
 /// The facts of one gateway, as its answer carries them.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct FactsMessage {
+    /// The era of the store in which the facts are complete; older gateways name none.
+    #[serde(default)]
+    era: StoreEra,
     /// The revision up to which the facts are complete.
     at: u64,
     /// The time since the gateway's last contact with the store, in milliseconds.
@@ -49,6 +52,8 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct FactRow {
     subject: FactSubject,
+    #[serde(default)]
+    era: StoreEra,
     revision: u64,
     /// The value as the store holds it; absent for a tombstone.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -95,16 +100,62 @@
     revision: u64,
 }
 
-/// Encodes the facts that are newer than a revision.
-pub(crate) fn encode_facts(core: &GatewayCore, after: Revision) -> Vec<u8> {
+/// What another gateway already knows.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct FactsQuery {
+    after: StoreVersion,
+    /// The version of its manifest.
+    manifest: u64,
+}
+
+impl FactsQuery {
+    /// Returns what this gateway knows.
+    fn of(core: &GatewayCore) -> Self {
+        let view = core.view.borrow();
+        Self {
+            after: view.version,
+            manifest: view.manifest_version(),
+        }
+    }
+
+    /// Reads a query from a request target. A part that is missing or malformed asks for all facts.
+    pub(crate) fn parse(target: &str) -> Self {
+        let query = target.split_once('?').map_or("", |(_, query)| query);
+        let number = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            let found = pairs.find(|(known, _)| *known == name);
+            found.and_then(|(_, text)| text.parse().ok()).unwrap_or(0)
+        };
+        Self {
+            after: StoreVersion {
+                era: StoreEra(number("era")),
+                revision: Revision(number("after")),
+            },
+            manifest: number("manifest"),
+        }
+    }
+
+    fn target(self) -> String {
+        let Self { after, manifest } = self;
+        format!(
+            "{FACTS_PATH}?after={}&era={}&manifest={manifest}",
+            after.revision, after.era
+        )
+    }
+}
+
+/// Encodes the facts that another gateway does not know.
+pub(crate) fn encode_facts(core: &GatewayCore, query: FactsQuery) -> Vec<u8> {
     let view = core.view.borrow();
     let now = monotonic_now();
     let age = view
         .store_contact
         .map_or(u64::MAX, |contact| now.since(contact).0 / 1_000);
-    let facts = view.facts_after(after).into_iter().filter_map(fact_row);
+    let facts = view.facts_after(query.after, query.manifest);
+    let facts = facts.into_iter().filter_map(fact_row);
     let message = FactsMessage {
-        at: view.revision.0,
+        era: view.version.era,
+        at: view.version.revision.0,
         contact_age_ms: age,
         facts: facts.collect(),
     };
@@ -127,6 +178,7 @@
     };
     Some(FactRow {
         subject,
+        era: fact.era,
         revision: item.revision.0,
         value,
         may_have_lapsed: fact.mode == RemovalMode::MayHaveLapsed,
@@ -145,6 +197,7 @@
             revision: Revision(row.revision),
             value: row.value.map(Bytes::from),
         },
+        era: row.era,
         mode: if row.may_have_lapsed {
             RemovalMode::MayHaveLapsed
         } else {
@@ -168,7 +221,7 @@
         PeerQueryFields {
             gateway: address,
             outcome,
-            revision: core.view.borrow().revision.0,
+            revision: core.view.borrow().version.revision.0,
         },
     );
 }
@@ -193,12 +246,12 @@
         core: &GatewayCore,
         address: SocketAddr,
     ) -> Result<usize, FactsError> {
-        let after = core.view.borrow().revision;
+        let query = FactsQuery::of(core);
         let kept = self
             .kept
             .take()
             .filter(|kept| kept.address == address && kept.conn.is_idle());
-        let fetched = timeout(Duration::from(QUERY_TIMEOUT), fetch(kept, address, after)).await;
+        let fetched = timeout(Duration::from(QUERY_TIMEOUT), fetch(kept, address, query)).await;
         let answer = fetched.unwrap_or(Err(FactsError::TimedOut))?;
         self.kept = Some(answer.kept);
         let message = answer.message;
@@ -237,14 +290,19 @@
     core.view.borrow_mut().store_contact = known.max(Some(store_contact));
     let count = message.facts.len();
     let facts = message.facts.into_iter().map(known_fact).collect();
-    apply_facts(core, facts, Revision(message.at), "gateway");
+    core.raise_era(message.era, "gateway");
+    let at = StoreVersion {
+        era: message.era,
+        revision: Revision(message.at),
+    };
+    apply_facts(core, facts, at, "gateway");
     count
 }
 
 async fn fetch(
     kept: Option<IdleConn>,
     address: SocketAddr,
-    after: Revision,
+    query: FactsQuery,
 ) -> Result<FactsAnswer, FactsError> {
     let mut conn = match kept {
         Some(kept) => kept.conn,
@@ -252,10 +310,8 @@
             .await
             .map_err(ConnError::from)?,
     };
-    let request = format!(
-        "GET {FACTS_PATH}?after={} HTTP/1.1\r\nHost: {address}\r\n\r\n",
-        after.0
-    );
+    let target = query.target();
+    let request = format!("GET {target} HTTP/1.1\r\nHost: {address}\r\n\r\n");
     conn.write_all(request.as_bytes())
         .await
         .map_err(ConnError::from)?;
--- a/crates/gateway/src/platform_view.rs
+++ b/crates/gateway/src/platform_view.rs
@@ -1,21 +1,25 @@
 //! This gateway's view of the platform: the manifest, the registry and the other gateways.
 //!
-//! Every fact carries a revision of the key-value store and is replaced only by a newer one,
-//! whether that came from the store or from another gateway. Deleted backend servers leave a
-//! tombstone, so that an older message does not bring them back. A manifest is never replaced by
-//! one with a smaller version.
+//! Every fact carries a version of the key-value store, its era and its revision, and is replaced
+//! only by a newer one, whether that came from the store or from another gateway. Deleted backend
+//! servers leave a tombstone, so that an older message does not bring them back. A manifest is never
+//! replaced by one with a smaller version.
+//!
+//! A store that comes back from a copy begins a new era with older values. A backend server that was
+//! seen to drain or to leave is not believed to serve again by such a copy, but by an entry that
+//! itself has written since.
 
 use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use oleander_balance::{BackendKey, EntryChange, FleetTable, StreamId};
-use oleander_base::FastMap;
+use oleander_balance::{BackendEntry, BackendKey, BackendPhase, EntryChange, FleetTable, StreamId};
+use oleander_base::{FastMap, FastSet};
 use serde::Serialize;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::origin_exchange::KeeperCounts;
-use crate::port::{GatewayEntry, StoreItem, StoreSubject};
+use crate::port::{GatewayEntry, RegistryEntry, StoreItem, StoreSubject};
 use crate::prelude::*;
 
 /// How long a gateway that was removed from the store still counts as one of the gateways.
@@ -24,6 +28,10 @@
 /// How long the address of a gateway that was removed from the store is kept.
 const GONE_GATEWAY_RETENTION: Span = Span::from_secs(60);
 
+/// How long a gateway that a complete listing lacked may take to announce itself again. It is longer
+/// than the lease of its announcement.
+const UNLISTED_GATEWAY_RETENTION: Span = Span::from_secs(15);
+
 /// How long tombstones are kept.
 const TOMBSTONE_RETENTION: Span = Span::from_secs(60);
 
@@ -58,6 +66,8 @@
     BackendGone { backend: Arc<str> },
     /// An entry lapsed: it expired, perhaps only because the store was unreachable.
     BackendLapsed { backend: Arc<str> },
+    /// An entry in a new era of the store is an older copy of what is known.
+    BackendCopyIgnored { backend: Arc<str> },
     /// A registry entry could not be decoded.
     BackendIgnored { backend: Arc<str>, reason: String },
     /// A gateway joined.
@@ -68,18 +78,67 @@
 
 #[derive(Debug, Clone)]
 struct BackendFact {
-    revision: Revision,
+    version: StoreVersion,
     value: Option<Bytes>,
+    /// The newest entry that could be decoded, also of a backend server that is gone.
+    last_entry: Option<RegistryEntry>,
     mode: RemovalMode,
     since: MonoTime,
 }
 
 #[derive(Debug, Clone)]
 struct GatewayFact {
-    revision: Revision,
+    version: StoreVersion,
     value: Bytes,
     entry: GatewayEntry,
     gone_at: Option<MonoTime>,
+    /// When a complete listing of the store lacked the entry, which its gateway may write again.
+    unlisted_at: Option<MonoTime>,
+}
+
+/// The keys in a complete listing of the store.
+#[derive(Debug, Default)]
+pub(crate) struct ListedKeys {
+    backends: FastSet<Arc<str>>,
+    gateways: FastSet<Arc<str>>,
+}
+
+impl ListedKeys {
+    pub(crate) fn insert(&mut self, subject: &StoreSubject) {
+        match subject {
+            StoreSubject::Backend(id) => self.backends.insert(Arc::clone(id)),
+            StoreSubject::Gateway(name) => self.gateways.insert(Arc::clone(name)),
+            StoreSubject::Manifest | StoreSubject::Other => false,
+        };
+    }
+}
+
+/// What stands in place of an entry that is an older copy.
+#[derive(Debug)]
+struct OlderCopy {
+    /// The newest entry that is known.
+    last: RegistryEntry,
+    /// Whether its backend server has left since it wrote that.
+    is_gone: bool,
+}
+
+impl BackendFact {
+    /// Returns what stands in place of an entry of a new era, if its backend server has not written it
+    /// since it was seen to drain or to leave.
+    fn older_copy(&self, version: StoreVersion, entry: &RegistryEntry) -> Option<OlderCopy> {
+        let last = self.last_entry.as_ref()?;
+        let is_copy = self.version.era < version.era
+            && last.backend.is_same_process(&entry.backend)
+            && entry.writes <= last.writes;
+        let is_gone = self.value.is_none() && self.mode == RemovalMode::Gone;
+        let is_draining = self.value.is_some()
+            && last.backend.phase == BackendPhase::Draining
+            && entry.backend.phase != BackendPhase::Draining;
+        (is_copy && (is_gone || is_draining)).then(|| OlderCopy {
+            last: last.clone(),
+            is_gone,
+        })
+    }
 }
 
 /// Holds the newest known facts about the manifest, the registry and the gateways.
@@ -87,11 +146,13 @@
 pub(crate) struct PlatformView {
     /// The manifest in force.
     pub(crate) manifest: Option<Rc<Manifest>>,
-    /// The revision up to which the view is complete.
-    pub(crate) revision: Revision,
+    /// The version of the store up to which the view is complete.
+    pub(crate) version: StoreVersion,
+    /// When the era of that version became known.
+    era_since: MonoTime,
     /// The last contact with the store, directly or through a gateway that had read it.
     pub(crate) store_contact: Option<MonoTime>,
-    manifest_fact: Option<(Revision, Bytes)>,
+    manifest_fact: Option<(StoreVersion, Bytes)>,
     backends: FastMap<Arc<str>, BackendFact>,
     gateways: FastMap<Arc<str>, GatewayFact>,
 }
@@ -100,10 +161,21 @@
 #[derive(Debug)]
 pub(crate) struct KnownFact {
     pub(crate) item: StoreItem,
+    /// The era of the item's revision.
+    pub(crate) era: StoreEra,
     /// How the removal is interpreted, if the fact is a deletion.
     pub(crate) mode: RemovalMode,
 }
 
+impl KnownFact {
+    fn version(&self) -> StoreVersion {
+        StoreVersion {
+            era: self.era,
+            revision: self.item.revision,
+        }
+    }
+}
+
 /// A live gateway in the order that all gateways of its data centre agree on.
 #[derive(Debug)]
 pub(crate) struct RankedGateway {
@@ -119,159 +191,162 @@
     pub(crate) disconnected: Vec<BackendKey>,
 }
 
+/// What facts are applied to, besides the view.
+#[derive(Debug)]
+pub(crate) struct ApplyContext<'a> {
+    pub(crate) fleet: &'a mut FleetTable,
+    pub(crate) port: &'a dyn PlatformPort,
+    pub(crate) now: MonoTime,
+    pub(crate) update: ViewUpdate,
+}
+
 impl PlatformView {
     /// Applies one fact if it is newer than the known one.
-    pub(crate) fn apply(
-        &mut self,
-        item: StoreItem,
-        mode: RemovalMode,
-        fleet: &mut FleetTable,
-        port: &dyn PlatformPort,
-        now: MonoTime,
-        update: &mut ViewUpdate,
-    ) {
-        match item.subject {
-            StoreSubject::Manifest => self.apply_manifest(item.revision, item.value, port, update),
+    pub(crate) fn apply(&mut self, fact: KnownFact, context: &mut ApplyContext<'_>) {
+        let version = fact.version();
+        match fact.item.subject {
+            StoreSubject::Manifest => self.apply_manifest(version, fact.item.value, context),
             StoreSubject::Backend(ref id) => {
                 let id = Arc::clone(id);
-                self.apply_backend(id, item, mode, fleet, port, now, update);
+                self.apply_backend(id, fact, context);
             }
             StoreSubject::Gateway(ref name) => {
                 let name = Arc::clone(name);
-                self.apply_gateway(name, item, port, now, update);
+                self.apply_gateway(name, version, fact.item.value, context);
             }
             StoreSubject::Other => {}
         }
     }
 
+    /// Returns the version of the manifest in force, or 0.
+    pub(crate) fn manifest_version(&self) -> u64 {
+        self.manifest.as_ref().map_or(0, |known| known.version)
+    }
+
     fn apply_manifest(
         &mut self,
-        revision: Revision,
+        version: StoreVersion,
         value: Option<Bytes>,
-        port: &dyn PlatformPort,
-        update: &mut ViewUpdate,
+        context: &mut ApplyContext<'_>,
     ) {
-        if self
-            .manifest_fact
-            .as_ref()
-            .is_some_and(|(known, _)| *known >= revision)
-        {
+        let changes = &mut context.update.changes;
+        let known = self.manifest_fact.as_ref().map(|(version, _)| *version);
+        let is_older = known.is_some_and(|known| {
+            // Over an era, the versions of the manifests alone tell which is newer.
+            known.era == version.era && known.revision >= version.revision
+        });
+        if is_older {
             return;
         }
         let Some(value) = value else {
-            update.changes.push(ViewChange::ManifestIgnored {
+            changes.push(ViewChange::ManifestIgnored {
                 reason: "the manifest was deleted; the last one stays in force".to_owned(),
             });
             return;
         };
-        match port.decode_manifest(&value) {
+        match context.port.decode_manifest(&value) {
             Ok(manifest) => {
-                let in_force = self.manifest.as_ref().map_or(0, |known| known.version);
+                let in_force = self.manifest_version();
                 if manifest.version < in_force {
-                    update.changes.push(ViewChange::ManifestIgnored {
+                    changes.push(ViewChange::ManifestIgnored {
                         reason: format!("version {} is older than {in_force}", manifest.version),
                     });
                     return;
                 }
-                update.changes.push(ViewChange::Manifest {
+                changes.push(ViewChange::Manifest {
                     version: manifest.version,
                     routes: manifest.route_count(),
                 });
                 self.manifest = Some(Rc::new(manifest));
-                self.manifest_fact = Some((revision, value));
+                self.manifest_fact = Some((version, value));
             }
-            Err(error) => update.changes.push(ViewChange::ManifestIgnored {
+            Err(error) => changes.push(ViewChange::ManifestIgnored {
                 reason: error.to_string(),
             }),
         }
     }
 
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "each is a part of the state that changes"
-    )]
-    fn apply_backend(
+    fn apply_backend(&mut self, id: Arc<str>, fact: KnownFact, context: &mut ApplyContext<'_>) {
+        let version = fact.version();
+        let known = self.backends.get(&id);
+        if known.is_some_and(|known| known.version >= version) {
+            return;
+        }
+        let last_entry = known.and_then(|known| known.last_entry.clone());
+        let mode = fact.mode;
+        let Some(value) = fact.item.value else {
+            context.remove_backend(&id, mode);
+            self.record_backend(id, version, None, last_entry, mode, context.now);
+            return;
+        };
+        let written = match context.port.decode_backend(&id, &value) {
+            Ok(written) => written,
+            Err(error) => {
+                let reason = error.to_string();
+                let backend = Arc::clone(&id);
+                let change = ViewChange::BackendIgnored { backend, reason };
+                context.update.changes.push(change);
+                context.remove_backend(&id, RemovalMode::Gone);
+                self.record_backend(id, version, Some(value), last_entry, mode, context.now);
+                return;
+            }
+        };
+        match known.and_then(|known| known.older_copy(version, &written)) {
+            Some(OlderCopy { last, is_gone }) => {
+                let backend = Arc::clone(&id);
+                let change = ViewChange::BackendCopyIgnored { backend };
+                context.update.changes.push(change);
+                let (value, mode) = if is_gone {
+                    (None, RemovalMode::Gone)
+                } else {
+                    (Some(value), mode)
+                };
+                self.record_backend(id, version, value, Some(last), mode, context.now);
+            }
+            None => {
+                context.upsert_backend(written.backend.clone());
+                self.record_backend(id, version, Some(value), Some(written), mode, context.now);
+            }
+        }
+    }
+
+    fn record_backend(
         &mut self,
         id: Arc<str>,
-        item: StoreItem,
+        version: StoreVersion,
+        value: Option<Bytes>,
+        last_entry: Option<RegistryEntry>,
         mode: RemovalMode,
-        fleet: &mut FleetTable,
-        port: &dyn PlatformPort,
         now: MonoTime,
-        update: &mut ViewUpdate,
     ) {
-        if self
-            .backends
-            .get(&id)
-            .is_some_and(|fact| fact.revision >= item.revision)
-        {
-            return;
-        }
-        match &item.value {
-            None => remove_backend(&id, mode, fleet, now, update),
-            Some(value) => match port.decode_backend(&id, value) {
-                Ok(entry) => {
-                    let service = Arc::clone(&entry.service);
-                    let centre = Arc::clone(&entry.centre);
-                    let software = Arc::clone(&entry.software);
-                    let old = fleet.key_of(&id);
-                    match fleet.upsert(entry) {
-                        EntryChange::Joined(_) => {
-                            update.disconnected.extend(old);
-                            update.changes.push(ViewChange::BackendJoined {
-                                backend: Arc::clone(&id),
-                                service,
-                                centre,
-                                software,
-                            });
-                        }
-                        EntryChange::Draining(key) => {
-                            update.disconnected.push(key);
-                            update.changes.push(ViewChange::BackendDraining {
-                                backend: Arc::clone(&id),
-                            });
-                        }
-                        EntryChange::Updated | EntryChange::Same => {}
-                    }
-                }
-                Err(error) => {
-                    update.changes.push(ViewChange::BackendIgnored {
-                        backend: Arc::clone(&id),
-                        reason: error.to_string(),
-                    });
-                    remove_backend(&id, RemovalMode::Gone, fleet, now, update);
-                }
-            },
-        }
-        self.backends.insert(
-            id,
-            BackendFact {
-                revision: item.revision,
-                value: item.value,
-                mode,
-                since: now,
-            },
-        );
+        let fact = BackendFact {
+            version,
+            value,
+            last_entry,
+            mode,
+            since: now,
+        };
+        self.backends.insert(id, fact);
     }
 
     fn apply_gateway(
         &mut self,
         name: Arc<str>,
-        item: StoreItem,
-        port: &dyn PlatformPort,
-        now: MonoTime,
-        update: &mut ViewUpdate,
+        version: StoreVersion,
+        value: Option<Bytes>,
+        context: &mut ApplyContext<'_>,
     ) {
+        let ApplyContext {
+            port, now, update, ..
+        } = context;
+        let now = *now;
         let known = self.gateways.get_mut(&name);
-        if known
-            .as_ref()
-            .is_some_and(|fact| fact.revision >= item.revision)
-        {
+        if known.as_ref().is_some_and(|fact| fact.version >= version) {
             return;
         }
-        let Some(value) = item.value else {
+        let Some(value) = value else {
             if let Some(fact) = known {
-                fact.revision = item.revision;
+                fact.version = version;
                 fact.gone_at = Some(now);
                 update
                     .changes
@@ -292,42 +367,71 @@
         self.gateways.insert(
             name,
             GatewayFact {
-                revision: item.revision,
+                version,
                 value,
                 entry,
                 gone_at: None,
+                unlisted_at: None,
             },
         );
     }
 
-    /// Removes the backend servers that are missing from a complete listing.
+    /// Records that the view is complete up to a version of the store.
+    pub(crate) fn advance(&mut self, at: StoreVersion, now: MonoTime) {
+        if at.era > self.version.era {
+            self.era_since = now;
+        }
+        self.version = self.version.max(at);
+    }
+
+    /// Removes the backend servers that nobody has named in the present era for `after`.
+    pub(crate) fn drop_unconfirmed(&mut self, after: Span, context: &mut ApplyContext<'_>) {
+        let now = context.now;
+        if now.since(self.era_since) < after {
+            return;
+        }
+        let era = self.version.era;
+        for (id, fact) in &mut self.backends {
+            if fact.version.era >= era || fact.value.is_none() {
+                continue;
+            }
+            context.remove_backend(id, RemovalMode::MayHaveLapsed);
+            fact.version = StoreVersion {
+                era,
+                revision: Revision(0),
+            };
+            fact.value = None;
+            fact.mode = RemovalMode::MayHaveLapsed;
+            fact.since = now;
+        }
+    }
+
+    /// Removes the backend servers that are missing from a complete listing, and notes the gateways
+    /// that are.
     pub(crate) fn remove_unlisted(
         &mut self,
-        listed: &oleander_base::FastSet<Arc<str>>,
-        at: Revision,
+        listed: &ListedKeys,
+        at: StoreVersion,
         mode: RemovalMode,
-        fleet: &mut FleetTable,
-        now: MonoTime,
-        update: &mut ViewUpdate,
+        context: &mut ApplyContext<'_>,
     ) {
-        for id in fleet.ids() {
-            if listed.contains(&id) {
+        let now = context.now;
+        for id in context.fleet.ids() {
+            if listed.backends.contains(&id) {
                 continue;
             }
             let fact = self.backends.get(&id);
-            if fact.is_some_and(|fact| fact.revision > at) {
+            if fact.is_some_and(|fact| fact.version > at) {
                 continue;
             }
-            remove_backend(&id, mode, fleet, now, update);
-            self.backends.insert(
-                id,
-                BackendFact {
-                    revision: at,
-                    value: None,
-                    mode,
-                    since: now,
-                },
-            );
+            let last_entry = fact.and_then(|fact| fact.last_entry.clone());
+            context.remove_backend(&id, mode);
+            self.record_backend(id, at, None, last_entry, mode, now);
+        }
+        for (name, fact) in &mut self.gateways {
+            if !listed.gateways.contains(name) && fact.version < at {
+                fact.unlisted_at.get_or_insert(now);
+            }
         }
     }
 
@@ -349,40 +453,45 @@
             .collect()
     }
 
-    /// Returns the facts that are newer than a revision.
-    pub(crate) fn facts_after(&self, after: Revision) -> Vec<KnownFact> {
+    /// Returns the facts that are newer than a version of the store, and the manifest if it is newer
+    /// than the given one.
+    pub(crate) fn facts_after(&self, after: StoreVersion, manifest_version: u64) -> Vec<KnownFact> {
+        let is_newer = self.manifest_version() > manifest_version;
         let manifest = self
             .manifest_fact
             .iter()
-            .map(|(revision, value)| KnownFact {
+            .filter(|(version, _)| is_newer || *version > after)
+            .map(|(version, value)| KnownFact {
                 item: StoreItem {
                     subject: StoreSubject::Manifest,
-                    revision: *revision,
+                    revision: version.revision,
                     value: Some(value.clone()),
                 },
+                era: version.era,
                 mode: RemovalMode::Gone,
             });
         let backends = self.backends.iter().map(|(id, fact)| KnownFact {
             item: StoreItem {
                 subject: StoreSubject::Backend(Arc::clone(id)),
-                revision: fact.revision,
+                revision: fact.version.revision,
                 value: fact.value.clone(),
             },
+            era: fact.version.era,
             mode: fact.mode,
         });
         let gateways = self.gateways.iter().map(|(name, fact)| KnownFact {
             item: StoreItem {
                 subject: StoreSubject::Gateway(Arc::clone(name)),
-                revision: fact.revision,
+                revision: fact.version.revision,
                 value: fact.gone_at.is_none().then(|| fact.value.clone()),
             },
+            era: fact.version.era,
             mode: RemovalMode::Gone,
         });
-        manifest
-            .chain(backends)
+        let newer = backends
             .chain(gateways)
-            .filter(|fact| fact.item.revision > after)
-            .collect()
+            .filter(|fact| fact.version() > after);
+        manifest.chain(newer).collect()
     }
 
     /// Returns the live gateways of a data centre. The first ones read the store for the others.
@@ -445,6 +554,14 @@
 
     /// Drops expired tombstones and the addresses of gateways that were removed long ago.
     pub(crate) fn prune(&mut self, now: MonoTime) {
+        for fact in self.gateways.values_mut() {
+            let is_gone = fact
+                .unlisted_at
+                .is_some_and(|unlisted| now.since(unlisted) >= UNLISTED_GATEWAY_RETENTION);
+            if is_gone && fact.gone_at.is_none() {
+                fact.gone_at = Some(now);
+            }
+        }
         self.backends
             .retain(|_, fact| fact.value.is_some() || now.since(fact.since) < TOMBSTONE_RETENTION);
         self.gateways.retain(|_, fact| {
@@ -454,24 +571,45 @@
     }
 }
 
-fn remove_backend(
-    id: &Arc<str>,
-    mode: RemovalMode,
-    fleet: &mut FleetTable,
-    now: MonoTime,
-    update: &mut ViewUpdate,
-) {
-    let backend = Arc::clone(id);
-    match mode {
-        RemovalMode::Gone => {
-            if let Some(key) = fleet.remove(id) {
-                update.disconnected.push(key);
-                update.changes.push(ViewChange::BackendGone { backend });
+impl ApplyContext<'_> {
+    fn upsert_backend(&mut self, entry: BackendEntry) {
+        let joined = ViewChange::BackendJoined {
+            backend: Arc::clone(&entry.id),
+            service: Arc::clone(&entry.service),
+            centre: Arc::clone(&entry.centre),
+            software: Arc::clone(&entry.software),
+        };
+        let backend = Arc::clone(&entry.id);
+        let old = self.fleet.key_of(&backend);
+        match self.fleet.upsert(entry) {
+            EntryChange::Joined(_) => {
+                self.update.disconnected.extend(old);
+                self.update.changes.push(joined);
+            }
+            EntryChange::Draining(key) => {
+                self.update.disconnected.push(key);
+                let change = ViewChange::BackendDraining { backend };
+                self.update.changes.push(change);
             }
+            EntryChange::Updated | EntryChange::Same => {}
         }
-        RemovalMode::MayHaveLapsed => {
-            if fleet.mark_lapsed(id, now).is_some() {
-                update.changes.push(ViewChange::BackendLapsed { backend });
+    }
+
+    fn remove_backend(&mut self, id: &Arc<str>, mode: RemovalMode) {
+        let backend = Arc::clone(id);
+        match mode {
+            RemovalMode::Gone => {
+                if let Some(key) = self.fleet.remove(id) {
+                    self.update.disconnected.push(key);
+                    let change = ViewChange::BackendGone { backend };
+                    self.update.changes.push(change);
+                }
+            }
+            RemovalMode::MayHaveLapsed => {
+                if self.fleet.mark_lapsed(id, self.now).is_some() {
+                    let change = ViewChange::BackendLapsed { backend };
+                    self.update.changes.push(change);
+                }
             }
         }
     }
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -17,6 +17,7 @@
 use crate::http::{AnswerHead, RequestHead};
 use crate::manifest::{Manifest, RouteSpec};
 use crate::settings::GatewaySettings;
+use crate::store_version::StoreEra;
 
 /// An error about external text that could not be decoded.
 #[derive(Debug, Error)]
@@ -127,7 +128,7 @@
 pub struct StoreItem {
     /// What the key names.
     pub subject: StoreSubject,
-    /// The revision of the change.
+    /// The revision of the change, in the era of the answer that brought it.
     pub revision: Revision,
     /// The value; `None` if the key was deleted.
     pub value: Option<Bytes>,
@@ -146,6 +147,15 @@
     Other,
 }
 
+/// A backend server's registry entry.
+#[derive(Debug, Clone)]
+pub struct RegistryEntry {
+    /// What the entry says.
+    pub backend: BackendEntry,
+    /// The number of times that the backend server has written it, which tells an older copy.
+    pub writes: u64,
+}
+
 /// One page of a listing.
 #[derive(Debug, Clone)]
 pub struct StorePage {
@@ -203,10 +213,12 @@
     /// Decodes a manifest.
     fn decode_manifest(&self, value: &[u8]) -> Result<Manifest, DecodeError>;
     /// Decodes a registry entry.
-    fn decode_backend(&self, id: &str, value: &[u8]) -> Result<BackendEntry, DecodeError>;
+    fn decode_backend(&self, id: &str, value: &[u8]) -> Result<RegistryEntry, DecodeError>;
     /// Decodes the entry of another gateway.
     fn decode_gateway(&self, value: &[u8]) -> Result<GatewayEntry, DecodeError>;
 
+    /// Decodes the era in the head of a store's answer; `None` if the store names none.
+    fn decode_era(&self, head: &AnswerHead) -> Result<Option<StoreEra>, DecodeError>;
     /// Returns the call that reads the page of all keys after `after`.
     fn list_request(&self, after: Option<&str>) -> StoreRequest;
     /// Decodes a page.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -265,6 +265,9 @@
     let now = monotonic_now();
     core.pool.borrow_mut().prune(now);
     core.view.borrow_mut().prune(now);
+    core.update_view("era", |view, context| {
+        view.drop_unconfirmed(RECOVERY_WINDOW, context);
+    });
     expire_lapsed(core, now);
     core.origins.observe(core);
     core.log.flush();
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -256,7 +256,7 @@
                 resume_from: self.last_event,
                 resumed_attempt: self.job.facts.resumed_attempt.as_deref(),
                 manifest: self.job.manifest_version,
-                registry: view.revision.0,
+                registry: view.version.revision.0,
                 store_age_ms: view
                     .store_contact
                     .map(|contact| now.since(contact).as_millis_f64()),
--- a/crates/gateway/src/store_client.rs
+++ b/crates/gateway/src/store_client.rs
@@ -5,16 +5,16 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use oleander_base::prelude::*;
 use thiserror::Error;
 use tokio::time::timeout;
 
+use crate::core::GatewayCore;
 use crate::http::{
     AnswerHead, BodyError, BodyPiece, BodyReader, ConnError, HeadError, HeadLimits, HttpConn,
     TcpTimeouts,
 };
-use crate::metrics::GatewayMetrics;
 use crate::port::StoreRequest;
+use crate::prelude::*;
 
 /// The longest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -34,6 +34,17 @@
     /// The store answered with an error status.
     #[error("the store answered {0}")]
     Status(u16),
+    /// The answer is of an era before the newest known one.
+    #[error("the answer is of era {era}, after one of era {known}")]
+    OldEra {
+        /// The era of the answer.
+        era: StoreEra,
+        /// The newest known era.
+        known: StoreEra,
+    },
+    /// The store came back from a copy between two answers that belong together.
+    #[error("the store came back from a copy during the call")]
+    EraChanged,
 }
 
 impl From<HeadError> for StoreError {
@@ -48,26 +59,34 @@
     }
 }
 
+/// The body of a successful answer, with the store's era.
+#[derive(Debug)]
+pub(crate) struct StoreReply {
+    pub(crate) era: StoreEra,
+    pub(crate) body: Bytes,
+}
+
 /// A client of the key-value store.
 #[derive(Debug)]
 pub(crate) struct StoreClient {
+    core: Rc<GatewayCore>,
     address: SocketAddr,
     conn: Option<HttpConn>,
-    metrics: Rc<GatewayMetrics>,
 }
 
 impl StoreClient {
     /// Creates a client, which connects on its first call.
-    pub(crate) fn open(address: SocketAddr, metrics: Rc<GatewayMetrics>) -> Self {
+    pub(crate) fn open(core: Rc<GatewayCore>) -> Self {
         Self {
-            address,
+            address: core.settings().store,
+            core,
             conn: None,
-            metrics,
         }
     }
 
-    /// Changes the address for the following calls.
-    pub(crate) fn set_address(&mut self, address: SocketAddr) {
+    /// Takes over the address in the settings, which may have changed.
+    fn update_address(&mut self) {
+        let address = self.core.settings().store;
         if self.address != address {
             self.address = address;
             self.conn = None;
@@ -79,7 +98,8 @@
         &mut self,
         request: &StoreRequest,
         limit: Span,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<StoreReply, StoreError> {
+        self.update_address();
         // After a lost answer a connection cannot be used any more, so it is stored again only
         // after a complete answer.
         let conn = self.conn.take();
@@ -88,21 +108,40 @@
             Ok(result) => result,
             Err(_) => Err(StoreError::TimedOut),
         };
-        self.metrics
-            .record_store_call(result.as_ref().ok().map(|done| done.status));
+        let status = result.as_ref().ok().map(|done| done.head.status);
+        self.core.metrics.record_store_call(status);
         let done = result?;
         self.conn = done.conn;
-        if (200..300).contains(&done.status) {
-            Ok(done.body)
+        let era = self.read_era(&done.head)?;
+        if (200..300).contains(&done.head.status) {
+            let body = done.body;
+            Ok(StoreReply { era, body })
         } else {
-            Err(StoreError::Status(done.status))
+            Err(StoreError::Status(done.head.status))
+        }
+    }
+
+    /// Returns the era of an answer. One without a readable era counts as of the newest known one.
+    fn read_era(&self, head: &AnswerHead) -> Result<StoreEra, StoreError> {
+        let known = self.core.store_era();
+        match self.core.port.decode_era(head) {
+            Ok(Some(era)) if era < known => Err(StoreError::OldEra { era, known }),
+            Ok(Some(era)) => {
+                self.core.raise_era(era, "store");
+                Ok(era)
+            }
+            Ok(None) => Ok(known),
+            Err(error) => {
+                self.core.log_bad_era(&error);
+                Ok(known)
+            }
         }
     }
 }
 
 #[derive(Debug)]
-pub(crate) struct StoreAnswer {
-    pub(crate) status: u16,
+struct StoreAnswer {
+    head: AnswerHead,
     body: Bytes,
     conn: Option<HttpConn>,
 }
@@ -128,7 +167,7 @@
     let body = read_body(&mut conn, &head).await?;
     let keeps = head.keeps_alive && conn.buffer.is_empty();
     Ok(StoreAnswer {
-        status: head.status,
+        head,
         body,
         conn: keeps.then_some(conn),
     })
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -13,14 +13,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oleander_base::{FastSet, monotonic_now};
+use oleander_base::monotonic_now;
 use serde::Serialize;
 use tokio::time::sleep;
 
 use crate::core::GatewayCore;
 use crate::peer_facts::{FactsClient, FactsError, query_random_gateway};
-use crate::platform_view::{KnownFact, RemovalMode, ViewUpdate};
-use crate::port::{StoreItem, StoreSubject};
+use crate::platform_view::{KnownFact, ListedKeys, RemovalMode};
+use crate::port::StoreItem;
 use crate::prelude::*;
 use crate::store_client::{StoreClient, StoreError};
 
@@ -97,10 +97,8 @@
 
 /// Keeps the platform view up to date for as long as the process runs.
 pub(crate) async fn run_store_watch(core: Rc<GatewayCore>) {
-    let store = core.settings().store;
-    let metrics = Rc::clone(&core.metrics);
     let mut watch = StoreWatch {
-        client: StoreClient::open(store, metrics),
+        client: StoreClient::open(Rc::clone(&core)),
         readers: Default::default(),
         core,
         needs_list: true,
@@ -141,22 +139,23 @@
             query_random_gateway(&self.core).await;
             return Ok(());
         }
-        self.client.set_address(self.core.settings().store);
-        if self.needs_list {
-            self.list().await?;
-            self.needs_list = false;
-            return Ok(());
+        let after = self.core.view.borrow().version;
+        if self.needs_list || after.era < self.core.store_era() {
+            return self.list().await;
+        }
+        let request = self.core.port.watch_request(after.revision, WATCH_WAIT);
+        let reply = self.client.call(&request, WATCH_WAIT + WATCH_GRACE).await?;
+        if reply.era != after.era {
+            // The revision that was asked for means another state in this era.
+            return self.list().await;
         }
-        let after = self.core.view.borrow().revision;
-        let request = self.core.port.watch_request(after, WATCH_WAIT);
-        let body = self.client.call(&request, WATCH_WAIT + WATCH_GRACE).await?;
         let changes = self
             .core
             .port
-            .decode_changes(&body)
+            .decode_changes(&reply.body)
             .map_err(|error| StoreError::Answer(error.to_string()))?;
         self.on_store_response();
-        self.apply(changes.items, changes.revision);
+        self.apply(reply.era, changes.items, changes.revision);
         Ok(())
     }
 
@@ -193,31 +192,36 @@
         self.readers_retry_at[rank] = monotonic_now() + backoff;
         let fields = ContactLostFields {
             reason: error.to_string(),
-            revision: self.core.view.borrow().revision.0,
+            revision: self.core.view.borrow().version.revision.0,
         };
         self.core.log.change("reader-lost", fields);
     }
 
     async fn list(&mut self) -> Result<(), StoreError> {
+        self.needs_list = true;
         let mut after: Option<String> = None;
-        let mut first_revision = None;
-        let mut listed = FastSet::default();
+        let mut first: Option<StoreVersion> = None;
+        let mut listed = ListedKeys::default();
         let mut items = Vec::new();
         loop {
             let request = self.core.port.list_request(after.as_deref());
-            let body = self.client.call(&request, LIST_TIMEOUT).await?;
+            let reply = self.client.call(&request, LIST_TIMEOUT).await?;
             let page = self
                 .core
                 .port
-                .decode_page(&body)
+                .decode_page(&reply.body)
                 .map_err(|error| StoreError::Answer(error.to_string()))?;
             // The pages are read one after another, so the watch resumes at the first page's
             // revision to include changes made meanwhile.
-            first_revision.get_or_insert(page.revision);
+            let at = *first.get_or_insert(StoreVersion {
+                era: reply.era,
+                revision: page.revision,
+            });
+            if at.era != reply.era {
+                return Err(StoreError::EraChanged);
+            }
             for item in page.items {
-                if let StoreSubject::Backend(id) = &item.subject {
-                    listed.insert(std::sync::Arc::clone(id));
-                }
+                listed.insert(&item.subject);
                 items.push(item);
             }
             match page.next_after {
@@ -225,23 +229,26 @@
                 None => break,
             }
         }
-        let at = first_revision.unwrap_or_default();
+        let at = first.unwrap_or_default();
         self.on_store_response();
-        self.apply(items, at);
-        let mode = self.removal_mode();
-        let mut update = ViewUpdate::default();
-        self.core.view.borrow_mut().remove_unlisted(
-            &listed,
-            at,
-            mode,
-            &mut self.core.fleet.borrow_mut(),
-            monotonic_now(),
-            &mut update,
-        );
-        self.core.on_view_update(update, "store");
+        let known = self.core.view.borrow().version;
+        if known.era < at.era && known != StoreVersion::default() {
+            // What the copy lacks is written again by those who live.
+            self.recovered_at = Some(monotonic_now());
+        }
+        self.apply(at.era, items, at.revision);
+        self.remove_unlisted(&listed, at);
+        self.needs_list = false;
         Ok(())
     }
 
+    fn remove_unlisted(&self, listed: &ListedKeys, at: StoreVersion) {
+        let mode = self.removal_mode();
+        self.core.update_view("store", |view, context| {
+            view.remove_unlisted(listed, at, mode, context);
+        });
+    }
+
     /// Records an answer of the store itself.
     fn on_store_response(&mut self) {
         self.on_contact();
@@ -259,7 +266,7 @@
         if let Some(unreachable_since) = self.unreachable_since.take() {
             let fields = StoreRegainedFields {
                 away_ms: now.since(unreachable_since).as_millis_f64(),
-                revision: self.core.view.borrow().revision.0,
+                revision: self.core.view.borrow().version.revision.0,
             };
             self.core.log.change("store-regained", fields);
         }
@@ -273,28 +280,25 @@
         }
     }
 
-    fn apply(&self, items: Vec<StoreItem>, at: Revision) {
+    fn apply(&self, era: StoreEra, items: Vec<StoreItem>, revision: Revision) {
         let mode = self.removal_mode();
-        let fact = |item| KnownFact { item, mode };
-        apply_facts(
-            &self.core,
-            items.into_iter().map(fact).collect(),
-            at,
-            "store",
-        );
+        let fact = |item| KnownFact { item, era, mode };
+        let facts = items.into_iter().map(fact).collect();
+        apply_facts(&self.core, facts, StoreVersion { era, revision }, "store");
     }
 
     async fn handle_error(&mut self, error: &StoreError) {
         let now = monotonic_now();
-        if matches!(error, StoreError::Status(410)) {
+        if matches!(error, StoreError::Status(410) | StoreError::EraChanged) {
             self.needs_list = true;
             self.core.log.change(
                 "store-history-gone",
                 ContactLostFields {
                     reason: error.to_string(),
-                    revision: self.core.view.borrow().revision.0,
+                    revision: self.core.view.borrow().version.revision.0,
                 },
             );
+            // The listing that follows is paced like any poll.
             return;
         }
         if self.unreachable_since.is_none() {
@@ -303,7 +307,7 @@
                 "store-lost",
                 ContactLostFields {
                     reason: error.to_string(),
-                    revision: self.core.view.borrow().revision.0,
+                    revision: self.core.view.borrow().version.revision.0,
                 },
             );
         }
@@ -333,25 +337,13 @@
 pub(crate) fn apply_facts(
     core: &GatewayCore,
     facts: Vec<KnownFact>,
-    at: Revision,
+    at: StoreVersion,
     source: &'static str,
 ) {
-    let now = monotonic_now();
-    let mut update = ViewUpdate::default();
-    let mut view = core.view.borrow_mut();
-    let mut fleet = core.fleet.borrow_mut();
-    for fact in facts {
-        view.apply(
-            fact.item,
-            fact.mode,
-            &mut fleet,
-            &*core.port,
-            now,
-            &mut update,
-        );
-    }
-    view.revision = view.revision.max(at);
-    drop(fleet);
-    drop(view);
-    core.on_view_update(update, source);
+    core.update_view(source, |view, context| {
+        for fact in facts {
+            view.apply(fact, context);
+        }
+        view.advance(at, context.now);
+    });
 }
--- a/crates/standin/src/users/mod.rs
+++ b/crates/standin/src/users/mod.rs
@@ -8,5 +8,5 @@
 mod wire_reader;
 
 pub use scripted_engine::{EngineReply, ScriptedEngine, SeenRequest};
-pub use users_store::{StoreMode, UsersStore};
+pub use users_store::{StoreCopy, StoreMode, UsersStore};
 pub use wire_reader::{WireMessage, read_message};
--- a/crates/standin/src/users/users_store.rs
+++ b/crates/standin/src/users/users_store.rs
@@ -25,6 +25,17 @@
     Silent,
     /// Every connection is closed without an answer.
     Closing,
+    /// Calls are served, but no watch reaches back far enough.
+    HistoryGone,
+}
+
+/// A copy of what a store holds, from which it can come back later.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    leases: BTreeMap<u64, Lease>,
+    next_lease: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -42,7 +53,7 @@
     item: Option<Item>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Lease {
     ttl: Duration,
     expires_at: Instant,
@@ -51,6 +62,8 @@
 #[derive(Debug)]
 struct State {
     mode: StoreMode,
+    /// The number of times that the store has come back from a copy, plus one.
+    era: u64,
     revision: u64,
     items: BTreeMap<String, Item>,
     events: Vec<Event>,
@@ -102,6 +115,7 @@
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
                 mode: StoreMode::Serving,
+                era: 1,
                 revision: 1,
                 items: BTreeMap::new(),
                 events: Vec::new(),
@@ -155,6 +169,31 @@
         self.shared.changed.notify_all();
     }
 
+    /// Takes a copy of what the store holds.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.shared.state.lock();
+        StoreCopy {
+            revision: state.revision,
+            items: state.items.clone(),
+            leases: state.leases.clone(),
+            next_lease: state.next_lease,
+        }
+    }
+
+    /// Comes back from a copy in a new era: what was written since is lost, and revisions and lease
+    /// ids are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.shared.state.lock();
+        state.era += 1;
+        state.revision = copy.revision;
+        state.items = copy.items;
+        state.leases = copy.leases;
+        state.next_lease = copy.next_lease;
+        state.events.clear();
+        state.compacted_revision = copy.revision;
+        self.shared.changed.notify_all();
+    }
+
     /// Returns the keys that start with `prefix`.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.shared.state.lock();
@@ -238,7 +277,7 @@
             state.mode
         };
         let reply = match mode {
-            StoreMode::Serving => answer(&request, shared),
+            StoreMode::Serving | StoreMode::HistoryGone => answer(&request, shared),
             StoreMode::Busy => Reply::empty(503),
             StoreMode::Closing => return,
             StoreMode::Silent => {
@@ -251,8 +290,9 @@
         };
         let body = reply.body.to_string();
         let text = format!(
-            "HTTP/1.1 {} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+            "HTTP/1.1 {} X\r\nStore-Era: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
             reply.status,
+            shared.state.lock().era,
             body.len()
         );
         if stream.write_all(text.as_bytes()).is_err() {
@@ -330,7 +370,8 @@
     let mut state = shared.state.lock();
     loop {
         state.expire_leases();
-        if after < state.compacted_revision {
+        let is_unknown = after < state.compacted_revision || after > state.revision;
+        if is_unknown || state.mode == StoreMode::HistoryGone {
             return Reply::empty(410);
         }
         let events: Vec<Value> = state
