--- /dev/null
+++ b/crates/gateway/src/platform_view/gateways.rs
@@ -0,0 +1,212 @@
+//! The facts about other gateways.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use oleander_balance::StreamId;
+use oleander_base::FastSet;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::{ApplyContext, KnownFact, PlatformView, RemovalMode, ViewChange};
+use crate::origin_exchange::KeeperCounts;
+use crate::port::{GatewayEntry, StoreItem, StoreSubject};
+use crate::prelude::*;
+
+/// How long a gateway that was removed from the store still counts as one of the gateways.
+const GONE_GATEWAY_COUNTED: Span = Span::from_secs(15);
+
+/// How long the address of a gateway that was removed from the store is kept.
+const GONE_GATEWAY_RETENTION: Span = Span::from_secs(60);
+
+/// How long a gateway that a complete listing lacked may take to announce itself again. It is longer
+/// than the lease of its announcement.
+const UNLISTED_GATEWAY_RETENTION: Span = Span::from_secs(15);
+
+/// What is known of one gateway.
+#[derive(Debug, Clone)]
+pub(super) struct GatewayFact {
+    version: StoreVersion,
+    value: Bytes,
+    entry: GatewayEntry,
+    gone_at: Option<MonoTime>,
+    /// When a complete listing of the store lacked the entry, which its gateway may write again.
+    unlisted_at: Option<MonoTime>,
+}
+
+/// A live gateway in the order that all gateways of its data centre agree on.
+#[derive(Debug)]
+pub(crate) struct RankedGateway {
+    order: u64,
+    pub(crate) name: Arc<str>,
+    pub(crate) control: SocketAddr,
+}
+
+impl PlatformView {
+    pub(super) fn apply_gateway(
+        &mut self,
+        name: Arc<str>,
+        version: StoreVersion,
+        value: Option<Bytes>,
+        context: &mut ApplyContext<'_>,
+    ) {
+        let ApplyContext {
+            port, now, update, ..
+        } = context;
+        let now = *now;
+        let known = self.gateways.get_mut(&name);
+        if known.as_ref().is_some_and(|fact| fact.version >= version) {
+            return;
+        }
+        let Some(value) = value else {
+            if let Some(fact) = known {
+                fact.version = version;
+                fact.gone_at = Some(now);
+                update
+                    .changes
+                    .push(ViewChange::GatewayGone { gateway: name });
+            }
+            return;
+        };
+        // An entry that cannot be decoded was written by another version of the gateway. It is
+        // neither counted nor queried.
+        let Ok(entry) = port.decode_gateway(&value) else {
+            return;
+        };
+        if known.is_none_or(|fact| fact.gone_at.is_some()) {
+            update.changes.push(ViewChange::GatewayJoined {
+                gateway: Arc::clone(&name),
+            });
+        }
+        self.gateways.insert(
+            name,
+            GatewayFact {
+                version,
+                value,
+                entry,
+                gone_at: None,
+                unlisted_at: None,
+            },
+        );
+    }
+
+    /// Notes the gateways that are missing from a complete listing.
+    pub(super) fn mark_unlisted_gateways(
+        &mut self,
+        listed: &FastSet<Arc<str>>,
+        at: StoreVersion,
+        now: MonoTime,
+    ) {
+        for (name, fact) in &mut self.gateways {
+            if !listed.contains(name) && fact.version < at {
+                fact.unlisted_at.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Returns how many gateways share the fleet, at least `floor`.
+    pub(crate) fn gateway_count(&self, floor: usize, now: MonoTime) -> usize {
+        let counts = |fact: &&GatewayFact| {
+            fact.gone_at
+                .is_none_or(|gone| now.since(gone) < GONE_GATEWAY_COUNTED)
+        };
+        self.gateways.values().filter(counts).count().max(floor)
+    }
+
+    /// Returns the addresses at which other gateways can be queried.
+    pub(crate) fn gateway_addresses(&self, own: &str) -> Vec<SocketAddr> {
+        self.gateways
+            .iter()
+            .filter(|(name, _)| &***name != own)
+            .map(|(_, fact)| fact.entry.control)
+            .collect()
+    }
+
+    /// Returns the live gateways of a data centre. The first ones read the store for the others.
+    pub(crate) fn ranked_gateways(&self, centre: &str) -> Vec<RankedGateway> {
+        let mut ranked: Vec<RankedGateway> = self
+            .gateways
+            .iter()
+            .filter(|(_, fact)| fact.gone_at.is_none() && &*fact.entry.centre == centre)
+            .map(|(name, fact)| RankedGateway {
+                order: xxh3_64(name.as_bytes()),
+                name: Arc::clone(name),
+                control: fact.entry.control,
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|gateway| gateway.order);
+        ranked
+    }
+
+    /// Returns the addresses at which live gateways receive gossip.
+    pub(crate) fn gossip_addresses(&self, own: &str) -> Vec<SocketAddr> {
+        self.gateways
+            .iter()
+            .filter(|(name, fact)| &***name != own && fact.gone_at.is_none())
+            .filter_map(|(_, fact)| fact.entry.gossip)
+            .collect()
+    }
+
+    /// Returns the gossip addresses of the live gateways that keep the origin of a stream: the first
+    /// ones by rendezvous hashing, in one data centre and in all.
+    pub(crate) fn origin_keepers(
+        &self,
+        stream: StreamId,
+        counts: KeeperCounts,
+        own: &str,
+        centre: &str,
+    ) -> Vec<SocketAddr> {
+        let mut ranked: Vec<(u64, &GatewayFact, SocketAddr)> = self
+            .gateways
+            .iter()
+            .filter(|(name, fact)| &***name != own && fact.gone_at.is_none())
+            .filter_map(|(name, fact)| {
+                let order = xxh3_64_with_seed(name.as_bytes(), stream.0);
+                Some((order, fact, fact.entry.gossip?))
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(order, ..)| *order);
+        let mut keepers = Vec::with_capacity(counts.near + counts.any);
+        let mut near_left = counts.near;
+        for (rank, (_, fact, address)) in ranked.into_iter().enumerate() {
+            let is_near = &*fact.entry.centre == centre && near_left > 0;
+            if is_near {
+                near_left -= 1;
+            }
+            if is_near || rank < counts.any {
+                keepers.push(address);
+            }
+        }
+        keepers
+    }
+
+    /// Returns the facts about gateways, tombstones included.
+    pub(super) fn gateway_facts(&self) -> impl Iterator<Item = KnownFact> {
+        self.gateways.iter().map(|(name, fact)| KnownFact {
+            item: StoreItem {
+                subject: StoreSubject::Gateway(Arc::clone(name)),
+                revision: fact.version.revision,
+                value: fact.gone_at.is_none().then(|| fact.value.clone()),
+            },
+            era: fact.version.era,
+            mode: RemovalMode::Gone,
+        })
+    }
+
+    /// Gives up gateways that have not announced themselves again, and drops the addresses of those
+    /// that were removed long ago.
+    pub(super) fn prune_gateways(&mut self, now: MonoTime) {
+        for fact in self.gateways.values_mut() {
+            let is_gone = fact
+                .unlisted_at
+                .is_some_and(|unlisted| now.since(unlisted) >= UNLISTED_GATEWAY_RETENTION);
+            if is_gone && fact.gone_at.is_none() {
+                fact.gone_at = Some(now);
+            }
+        }
+        self.gateways.retain(|_, fact| {
+            fact.gone_at
+                .is_none_or(|gone| now.since(gone) < GONE_GATEWAY_RETENTION)
+        });
+    }
+}
