--- a/crates/ctl/src/store_endpoint.rs
+++ b/crates/ctl/src/store_endpoint.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use oleander_base::prelude::*;
+use oleander_entry::{invalid_change, write_refusal};
 use oleander_operator::{ChangeDone, ChangeRefusal, RecordChange, RecordLine};
 use oleander_platform::{
     ClientSettings, Expected, KeyValueStore, PlatformClient, ReaderEvent, RecordWriter, StoreEntry,
@@ -95,7 +96,7 @@
         };
         let set = self.replica_for_change()?.set();
         oleander_records::check(&set, &store_change)
-            .map_err(|errors| refusal(WriteError::Refused(errors)))
+            .map_err(|errors| write_refusal(WriteError::Refused(errors)))
     }
 
     fn change(&self, change: &RecordChange) -> Result<ChangeDone, ChangeRefusal> {
@@ -122,7 +123,7 @@
                 (StoreChange::Delete(key), None) => Err(WriteError::Missing(key)),
             }
         });
-        let done = written.map_err(refusal)?;
+        let done = written.map_err(write_refusal)?;
         Ok(ChangeDone {
             revision: done.revision.0,
             was_unknown: done.was_unknown,
@@ -131,14 +132,14 @@
 }
 
 fn read_change(change: &RecordChange) -> Result<StoreChange, ChangeRefusal> {
-    let kind: RecordKind = change.kind.parse().map_err(invalid)?;
-    let key = RecordKey::new(kind, &change.name).map_err(invalid)?;
+    let kind: RecordKind = change.kind.parse().map_err(invalid_change)?;
+    let key = RecordKey::new(kind, &change.name).map_err(invalid_change)?;
     let Some(text) = &change.document else {
         return Ok(StoreChange::Delete(key));
     };
-    let document = parse_document(kind, text.as_bytes()).map_err(invalid)?;
+    let document = parse_document(kind, text.as_bytes()).map_err(invalid_change)?;
     if document.key != key {
-        return Err(invalid(format!(
+        return Err(invalid_change(format!(
             "the document is of {}, not of {key}",
             document.key
         )));
@@ -163,26 +164,3 @@
         }
     }
 }
-
-fn invalid(error: impl std::fmt::Display) -> ChangeRefusal {
-    ChangeRefusal::Invalid {
-        messages: vec![error.to_string()],
-    }
-}
-
-fn refusal(error: WriteError) -> ChangeRefusal {
-    match error {
-        WriteError::Refused(errors) => ChangeRefusal::Invalid {
-            messages: errors.iter().map(ToString::to_string).collect(),
-        },
-        WriteError::Document(error) => invalid(error),
-        WriteError::Missing(_) => ChangeRefusal::Conflict { current: None },
-        WriteError::Conflict { current } => ChangeRefusal::Conflict {
-            current: current.map(|entry| entry.revision.0),
-        },
-        WriteError::Store(error) => ChangeRefusal::Unavailable {
-            reason: error.to_string(),
-        },
-        WriteError::Unresolved { reason } => ChangeRefusal::Unknown { reason },
-    }
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -61,7 +61,7 @@
 pub use node::{EntryNode, PeerLink};
 pub use order_role::OrderRole;
 pub use process::{EntryProcess, StartError};
-pub use record_sync::RecordSync;
+pub use record_sync::{RecordSync, invalid_change, write_refusal};
 pub use remote_pools::RemotePools;
 pub use retries::RetryControl;
 pub use settings::{
--- a/crates/entry/src/record_sync.rs
+++ b/crates/entry/src/record_sync.rs
@@ -328,12 +328,12 @@
     }
 
     fn validate(&self, change: &RecordChange) -> Result<CheckedChange, ChangeRefusal> {
-        let kind: RecordKind = change.kind.parse().map_err(invalid)?;
-        let key = RecordKey::new(kind, &change.name).map_err(invalid)?;
+        let kind: RecordKind = change.kind.parse().map_err(invalid_change)?;
+        let key = RecordKey::new(kind, &change.name).map_err(invalid_change)?;
         let requested = match &change.document {
             None => oleander_records::RecordChange::Delete(key.clone()),
             Some(text) => {
-                let document = parse_document(kind, text.as_bytes()).map_err(invalid)?;
+                let document = parse_document(kind, text.as_bytes()).map_err(invalid_change)?;
                 if document.key != key {
                     let message = format!("the document is of {}, not of {key}", document.key);
                     return Err(ChangeRefusal::Invalid {
@@ -401,7 +401,7 @@
             (None, Some(revision)) => writer.delete(set, &checked.key, revision).await,
             (None, None) => {
                 let message = "`expected`: a deletion needs the revision that was seen";
-                return Err(invalid(message));
+                return Err(invalid_change(message));
             }
         };
         written.map_err(write_refusal)
@@ -425,18 +425,20 @@
     set: Arc<RecordSet>,
 }
 
-fn invalid(error: impl fmt::Display) -> ChangeRefusal {
+/// Returns the refusal of a change that is not valid.
+pub fn invalid_change(error: impl fmt::Display) -> ChangeRefusal {
     ChangeRefusal::Invalid {
         messages: vec![error.to_string()],
     }
 }
 
-fn write_refusal(error: WriteError) -> ChangeRefusal {
+/// Returns the refusal of a change that could not be written.
+pub fn write_refusal(error: WriteError) -> ChangeRefusal {
     match error {
         WriteError::Refused(errors) => ChangeRefusal::Invalid {
             messages: errors.iter().map(ToString::to_string).collect(),
         },
-        WriteError::Document(error) => invalid(error),
+        WriteError::Document(error) => invalid_change(error),
         WriteError::Missing(_) => ChangeRefusal::Conflict { current: None },
         WriteError::Conflict { current } => ChangeRefusal::Conflict {
             current: current.map(|entry| entry.revision.0),
