--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -338,6 +338,12 @@
         .body(body.freeze()))
 }
 
+/// Parses the request id in a path.
+pub(crate) fn parse_request_id(text: &str) -> Result<RequestId, CallerError> {
+    text.parse()
+        .map_err(|error| CallerError::not_run(ErrorCode::BadRequest, format!("{error}")))
+}
+
 async fn reconnect(
     request: HttpRequest,
     id: web::types::Path<String>,
@@ -353,9 +359,7 @@
 ) -> Result<HttpResponse, CallerError> {
     let view = context.node.view();
     let identity = identify(request.headers(), &view.records)?;
-    let id: RequestId = id
-        .parse()
-        .map_err(|error| CallerError::not_run(ErrorCode::BadRequest, format!("{error}")))?;
+    let id = parse_request_id(id)?;
     let position = resume_position(request.headers())?;
     if id.origin == context.node.me {
         let reader = local_reader(&context.node, identity.customer, id, position)?;
--- a/crates/entry/src/serve_service.rs
+++ b/crates/entry/src/serve_service.rs
@@ -18,7 +18,7 @@
 use crate::counters::TrafficKey;
 use crate::forward::forward_call;
 use crate::http_answer::HttpAnswer;
-use crate::serve::{Context, answer, check_admission, read_body};
+use crate::serve::{Context, answer, check_admission, parse_request_id, read_body};
 use crate::service_job::{ServiceJob, ServiceStep, run_service};
 use crate::worker::WorkerContext;
 
@@ -239,9 +239,7 @@
     context: &Context,
 ) -> Result<HttpResponse, CallerError> {
     identify(request.headers(), &context.node.view().records)?;
-    let id: RequestId = id
-        .parse()
-        .map_err(|error| CallerError::not_run(ErrorCode::BadRequest, format!("{error}")))?;
+    let id = parse_request_id(id)?;
     let known = if id.origin == context.node.me {
         local_status(context, id)
     } else {
