--- a/crates/entry/tests/gateway_wishes.rs
+++ b/crates/entry/tests/gateway_wishes.rs
@@ -131,6 +131,11 @@
     assert_eq!(quiet.seen().len(), 1);
     wait_for("the engine serves again", || publish(&gateway, "a3") == 200);
     let line = gateway.wait_log("backend-quiet", |line| line["backend"] == "i-quiet");
+    let explained = TestGateway::explain(&[&gateway], "a2");
+    assert!(
+        explained.contains("backend-quiet backend=i-quiet"),
+        "{explained}"
+    );
     assert_eq!(line["for_ms"], QUIET.as_secs_f64() * 1e3);
 }
 
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -218,10 +218,12 @@
         if facts.is_leaving && self.with_backend(plan.key, BackendState::mark_leaving) == Some(true)
         {
             self.pool.borrow_mut().discard(plan.key);
+            self.metrics.record_wish("leaving");
             self.log_wish("backend-leaving", plan, None);
         }
         if let Some(span) = facts.quiet_for {
             self.with_backend(plan.key, |state| state.keep_quiet(span, monotonic_now()));
+            self.metrics.record_wish("quiet");
             self.log_wish("backend-quiet", plan, Some(span));
         }
     }
@@ -229,7 +231,7 @@
     fn log_wish(&self, event: &'static str, plan: &SendPlan<'_>, span: Option<Span>) {
         let fleet = self.fleet.borrow();
         let fields = WishFields {
-            id: plan.attempt_id,
+            request: plan.attempt_id,
             backend: fleet.get(plan.key).map(|member| &*member.entry.id),
             for_ms: span.map(Span::as_millis_f64),
         };
@@ -290,6 +292,7 @@
         let now = monotonic_now();
         GaugeReading {
             manifest_version: view.manifest.as_ref().map_or(0, |known| known.version),
+            store_era: self.store_era(),
             store_contact_age: view.store_contact.map(|contact| now.since(contact)),
             backends: self.fleet.borrow().members().count(),
             kept_connections: self.pool.borrow().len(),
@@ -308,7 +311,7 @@
 
 #[derive(Debug, serde::Serialize)]
 struct WishFields<'a> {
-    id: &'a str,
+    request: &'a str,
     backend: Option<&'a str>,
     for_ms: Option<f64>,
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,12 +5,13 @@
 
 use std::fmt;
 
-use oleander_base::prelude::*;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use crate::prelude::*;
+
 /// The name of the instrumentation scope.
 const METER_NAME: &str = "oleanderplank.gateway";
 
@@ -50,6 +51,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct GaugeReading {
     pub(crate) manifest_version: u64,
+    pub(crate) store_era: StoreEra,
     pub(crate) store_contact_age: Option<Span>,
     pub(crate) backends: usize,
     pub(crate) kept_connections: usize,
@@ -69,6 +71,7 @@
     connections: Counter<u64>,
     streams: Counter<u64>,
     resumes: Counter<u64>,
+    wishes: Counter<u64>,
     first_time: Histogram<f64>,
     total_time: Histogram<f64>,
     gap_time: Histogram<f64>,
@@ -112,6 +115,11 @@
                 "gateway.resumes",
                 "Streams that callers take up, by how their version was found",
             ),
+            wishes: counter(
+                &meter,
+                "gateway.wishes",
+                "Backend servers that leave or want no requests for a while",
+            ),
             streams: counter(
                 &meter,
                 "gateway.streams",
@@ -153,6 +161,10 @@
         self.resumes.add(1, &[KeyValue::new("source", source)]);
     }
 
+    pub(crate) fn record_wish(&self, kind: &'static str) {
+        self.wishes.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     pub(crate) fn record_refusal(&self, reason: &'static str) {
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
@@ -207,6 +219,7 @@
         gauge("kept-connections", reading.kept_connections as f64);
         gauge("in-flight", reading.in_flight as f64);
         gauge("caller-connections", reading.caller_connections as f64);
+        gauge("store-era", reading.store_era.0 as f64);
         if let Some(age) = reading.store_contact_age {
             gauge("store-contact-age-seconds", age.as_secs_f64());
         }
--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -47,6 +47,8 @@
     registry: Option<u64>,
     store_age_ms: Option<f64>,
     version: Option<serde_json::Value>,
+    era: Option<u64>,
+    for_ms: Option<f64>,
     software: Option<String>,
     resumed_attempt: Option<String>,
     framing: Option<String>,
@@ -273,7 +275,13 @@
             Some(backend) => backends.contains(&backend.as_str()),
             None => line.change.as_deref() == Some("manifest"),
         },
-        "store-lost" | "store-regained" | "stopping" | "stopped" | "start" | "suspended" => true,
+        // A request that was sent nowhere may have found all backend servers closed by their wish.
+        "backend-leaving" | "backend-quiet" => {
+            let backend = line.backend.as_deref().unwrap_or("");
+            backends.is_empty() || backends.contains(&backend)
+        }
+        "store-lost" | "store-regained" | "store-era" | "stopping" | "stopped" | "start"
+        | "suspended" => true,
         _ => false,
     }
 }
@@ -318,6 +326,8 @@
         "outcome",
         line.outcome.as_ref().map(|text| format!("{text:?}")),
     );
+    add("era", line.era.map(|era| era.to_string()));
+    add("for_ms", line.for_ms.map(|span| format!("{span:.0}")));
     add("software", line.software.clone());
     add("resumed_attempt", line.resumed_attempt.clone());
     add("framing", line.framing.clone());
