--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -93,6 +93,30 @@
     pub(crate) replied: usize,
 }
 
+impl ResolvedOrigin {
+    fn known(version: VersionId, source: OriginSource) -> Self {
+        Self {
+            version: Some(version),
+            source,
+            asked: 0,
+            replied: 0,
+        }
+    }
+
+    /// Returns the origin of a stream that nobody knows, from the versions that gateways have seen.
+    fn inferred(spans: &[VersionSpan]) -> Self {
+        match sole_version(spans) {
+            Some(version) => Self::known(version, OriginSource::SingleVersion),
+            None => Self {
+                version: None,
+                source: OriginSource::Unknown,
+                asked: 0,
+                replied: 0,
+            },
+        }
+    }
+}
+
 /// What the keepers replied to one query.
 #[derive(Debug, Default)]
 struct OpenQuery {
@@ -192,44 +216,26 @@
         stream: Option<StreamId>,
         service: &str,
     ) -> ResolvedOrigin {
-        let own = stream.and_then(|stream| self.table.borrow().get(stream, monotonic_now()));
-        if own.is_some() {
-            return ResolvedOrigin {
-                version: own,
-                source: OriginSource::Own,
-                asked: 0,
-                replied: 0,
-            };
+        let now = monotonic_now();
+        let own = stream.and_then(|stream| self.table.borrow().get(stream, now));
+        if let Some(version) = own {
+            return ResolvedOrigin::known(version, OriginSource::Own);
         }
         let mut spans = vec![self.versions(core, service)];
-        let mut asked = 0;
-        let mut replied = 0;
-        if let Some(stream) = stream {
-            let keepers = core.origin_keepers(stream, ASKED_KEEPERS);
-            let query = self.ask(core, stream, service, &keepers).await;
-            asked = keepers.len();
-            replied = query.replied.borrow().len();
-            if let Some(version) = query.origin.get() {
-                return ResolvedOrigin {
-                    version: Some(version),
-                    source: OriginSource::Keeper,
-                    asked,
-                    replied,
-                };
-            }
-            spans.append(&mut query.versions.borrow_mut());
-        }
-        let version = sole_version(&spans);
-        let source = if version.is_some() {
-            OriginSource::SingleVersion
-        } else {
-            OriginSource::Unknown
+        let Some(stream) = stream else {
+            return ResolvedOrigin::inferred(&spans);
+        };
+        let keepers = core.origin_keepers(stream, ASKED_KEEPERS);
+        let query = self.ask(core, stream, service, &keepers).await;
+        spans.append(&mut query.versions.borrow_mut());
+        let found = match query.origin.get() {
+            Some(version) => ResolvedOrigin::known(version, OriginSource::Keeper),
+            None => ResolvedOrigin::inferred(&spans),
         };
         ResolvedOrigin {
-            version,
-            source,
-            asked,
-            replied,
+            asked: keepers.len(),
+            replied: query.replied.borrow().len(),
+            ..found
         }
     }
 
