Gateway: versions are observed with each change of the view

A stream of unknown origin was refused for up to 200 ms after a gateway had become ready, although its service has one version: the versions were observed by the maintenance round only.

--- a/crates/entry/tests/gateway_versions.rs
+++ b/crates/entry/tests/gateway_versions.rs
@@ -251,9 +251,12 @@
 fn a_stream_of_unknown_origin_goes_on_in_a_service_with_one_version() {
     let store = store_with_manifest();
     let _engines = Engines::start(&store, &["v1"], break_new);
-    let gateway = TestGateway::start(&store);
-    let answer = take_up(&gateway, "b1", "a1", 2);
-    assert_eq!((answer.status(), answer.is_whole), (200, true));
+    // A gateway serves such a stream from the moment that it is ready.
+    for number in 0..8 {
+        let gateway = TestGateway::start(&store);
+        let answer = take_up(&gateway, &format!("b{number}"), "a1", 2);
+        assert_eq!((answer.status(), answer.is_whole), (200, true), "{number}");
+    }
 }
 
 // Guards against a stream that goes on at another software version once its own has left.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -273,6 +273,7 @@
         change(&mut self.view.borrow_mut(), &mut context);
         let update = context.update;
         drop(fleet);
+        self.origins.observe(self);
         self.on_view_update(update, source);
     }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -269,7 +269,6 @@
         view.drop_unconfirmed(RECOVERY_WINDOW, context);
     });
     expire_lapsed(core, now);
-    core.origins.observe(core);
     core.log.flush();
     if !core.shutdown.is_stopping() {
         return false;
