--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -74,8 +74,8 @@
     down_at: Option<MonoTime>,
     /// Whether it has said that it leaves, which this incarnation never takes back.
     is_leaving: bool,
-    /// Until when it wants no requests of this gateway; kept until it has served one after that.
-    quiet_until: Option<MonoTime>,
+    /// The end of the backoff that it asked for; kept until it has served a request after that.
+    backoff_until: Option<MonoTime>,
     last_sends: VecDeque<MonoTime>,
 }
 
@@ -92,7 +92,7 @@
             report: None,
             down_at: None,
             is_leaving: false,
-            quiet_until: None,
+            backoff_until: None,
             last_sends: VecDeque::new(),
         }
     }
@@ -182,7 +182,7 @@
 
     /// Returns whether nothing may be sent there, even if no other backend server is left.
     pub fn refuses_sends(&self, now: MonoTime) -> bool {
-        self.is_leaving || self.quiet_until.is_some_and(|until| now < until)
+        self.is_leaving || self.backoff_until.is_some_and(|until| now < until)
     }
 
     /// Records that it says that it leaves; returns whether that is new.
@@ -190,21 +190,21 @@
         !std::mem::replace(&mut self.is_leaving, true)
     }
 
-    /// Records that it wants no requests of this gateway for a while. A longer wish stands.
-    pub fn keep_quiet(&mut self, span: Span, now: MonoTime) {
-        self.quiet_until = self.quiet_until.max(Some(now + span));
+    /// Records that it asked this gateway to back off for a while. A longer request stands.
+    pub fn back_off(&mut self, span: Span, now: MonoTime) {
+        self.backoff_until = self.backoff_until.max(Some(now + span));
     }
 
-    /// Returns when it takes requests of this gateway again, if it wants none until then.
+    /// Returns the end of its backoff, if it is in one.
     pub fn opens_at(&self, now: MonoTime) -> Option<MonoTime> {
-        self.quiet_until
+        self.backoff_until
             .filter(|until| now < *until && !self.is_leaving)
     }
 
     /// Returns whether it takes requests again only one by one, and the last one was just sent.
     fn trickles(&self, now: MonoTime) -> bool {
         let last = self.last_sends.back();
-        self.quiet_until.is_some() && last.is_some_and(|last| now.since(*last) < TRICKLE_INTERVAL)
+        self.backoff_until.is_some() && last.is_some_and(|last| now.since(*last) < TRICKLE_INTERVAL)
     }
 
     /// Records that this gateway or another one found it to be down.
@@ -225,7 +225,7 @@
 
     /// Records an answer that the backend server gave deliberately, which counts as a success.
     pub fn succeeded(&mut self, slots: u32, now: MonoTime) {
-        self.quiet_until = self.quiet_until.filter(|until| now < *until);
+        self.backoff_until = self.backoff_until.filter(|until| now < *until);
         self.health.succeeded(slots, now);
     }
 
--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -225,7 +225,7 @@
         self.members.get_mut(&key)
     }
 
-    /// Returns when the first of a service's backend servers that want no requests takes some again.
+    /// Returns when the first of a service's backend servers in backoff takes requests again.
     pub fn first_opening(&self, service: &str, now: MonoTime) -> Option<MonoTime> {
         let members = self.service_keys(service).iter();
         members
--- a/crates/balance/src/stream_origin.rs
+++ b/crates/balance/src/stream_origin.rs
@@ -2,7 +2,7 @@
 //!
 //! What two software versions of a backend server write does not fit together, and backend servers
 //! do not check what they continue. A stream may therefore only go on at the version that began it,
-//! also when its caller takes it up at another gateway. Each gateway keeps the origins of the
+//! also when its caller resumes it at another gateway. Each gateway keeps the origins of the
 //! streams that it began or was told of in an [`OriginTable`]. A stream of unknown origin may only
 //! go on where a [`VersionHistory`] shows that its service has had a single version for as long as
 //! a stream can last.
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// How long the origin of a stream is kept, which is longer than any caller takes up a stream.
+/// How long the origin of a stream is kept, which is longer than a caller takes to resume a stream.
 pub const ORIGIN_RETENTION: Span = Span::from_secs(60);
 
 /// The greatest number of origins that a gateway keeps; the oldest are dropped first.
--- a/crates/entry/tests/gateway_wishes.rs
+++ b/crates/entry/tests/gateway_backpressure.rs
@@ -1,4 +1,4 @@
-//! What backend servers say about further requests: that they leave, or want none for a while.
+//! How gateways heed engines that leave or ask for backoff.
 
 mod gateway;
 
@@ -7,8 +7,8 @@
 use gateway::{Call, TestGateway, announce, store_with_manifest, wait_for};
 use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest, UsersStore};
 
-/// How long an engine of these tests wants no requests.
-const QUIET: Duration = Duration::from_millis(1_500);
+/// The backoff that an engine of these tests asks for.
+const BACKOFF: Duration = Duration::from_millis(1_500);
 
 fn desk_engine(
     store: &UsersStore,
@@ -39,10 +39,10 @@
     EngineReply::Bytes(text.into_bytes())
 }
 
-/// Turns the first request away for [`QUIET`], and serves all others.
-fn quiet_at_first(request: &SeenRequest) -> EngineReply {
+/// Turns the first request away for [`BACKOFF`], and serves all others.
+fn back_off_at_first(request: &SeenRequest) -> EngineReply {
     match request.nth {
-        0 => turn_away(&QUIET.as_secs_f64().to_string()),
+        0 => turn_away(&BACKOFF.as_secs_f64().to_string()),
         _ => ok(request),
     }
 }
@@ -112,51 +112,51 @@
     assert!(gateway.log("backend-leaving").is_empty());
 }
 
-// Guards against sends to an engine before the end of the time for which it wants none.
+// Guards against sends to an engine before the end of its backoff.
 #[test]
-fn an_engine_that_wants_quiet_gets_nothing_until_its_time_is_over() {
+fn an_engine_that_asks_for_backoff_gets_nothing_until_its_time_is_over() {
     let store = store_with_manifest();
-    let quiet = desk_engine(&store, "i-quiet", quiet_at_first);
+    let busy = desk_engine(&store, "i-busy", back_off_at_first);
     let gateway = TestGateway::start(&store);
     let started = Instant::now();
     let answer = gateway.caller().call(&Call::publish("a1"));
-    assert!(started.elapsed() < QUIET / 2, "told at once");
+    assert!(started.elapsed() < BACKOFF / 2, "told at once");
     assert_eq!(answer.status(), 503);
     let after: f64 = answer.header("retry-after").unwrap().parse().unwrap();
-    assert!(after > QUIET.as_secs_f64() - 0.3, "{after}");
-    while started.elapsed() < QUIET - Duration::from_millis(200) {
+    assert!(after > BACKOFF.as_secs_f64() - 0.3, "{after}");
+    while started.elapsed() < BACKOFF - Duration::from_millis(200) {
         assert_eq!(publish(&gateway, "a2"), 503);
         std::thread::sleep(Duration::from_millis(50));
     }
-    assert_eq!(quiet.seen().len(), 1);
+    assert_eq!(busy.seen().len(), 1);
     wait_for("the engine serves again", || publish(&gateway, "a3") == 200);
-    let line = gateway.wait_log("backend-quiet", |line| line["backend"] == "i-quiet");
+    let line = gateway.wait_log("backend-backoff", |line| line["backend"] == "i-busy");
     let explained = TestGateway::explain(&[&gateway], "a2");
     assert!(
-        explained.contains("backend-quiet backend=i-quiet"),
+        explained.contains("backend-backoff backend=i-busy"),
         "{explained}"
     );
-    assert_eq!(line["for_ms"], QUIET.as_secs_f64() * 1e3);
+    assert_eq!(line["for_ms"], BACKOFF.as_secs_f64() * 1e3);
 }
 
-// Guards against a request that waits for a quiet engine while another one serves.
+// Guards against a request that waits for the backoff of one engine while another one serves.
 #[test]
 fn a_request_that_is_turned_away_goes_to_another_engine_at_once() {
     let store = store_with_manifest();
-    let quiet = desk_engine(&store, "i-quiet", |_| turn_away("30"));
+    let busy = desk_engine(&store, "i-busy", |_| turn_away("30"));
     // The connections close, so that every call chooses an engine afresh.
     let _serving = desk_engine(&store, "i-serving", |request| {
         ok_with(request, "Connection: close")
     });
     let gateway = TestGateway::start(&store);
-    wait_for("the quiet engine was asked", || {
+    wait_for("the busy engine was asked", || {
         assert_eq!(publish(&gateway, "a1"), 200);
-        !quiet.seen().is_empty()
+        !busy.seen().is_empty()
     });
     for number in 0..10 {
         assert_eq!(publish(&gateway, &format!("b{number}")), 200);
     }
-    assert_eq!(quiet.seen().len(), 1);
+    assert_eq!(busy.seen().len(), 1);
 }
 
 // Guards against a value of `Retry-After` that is no time and closes an engine.
--- a/crates/entry/tests/gateway_versions.rs
+++ b/crates/entry/tests/gateway_versions.rs
@@ -21,7 +21,7 @@
 
 impl Engines {
     /// Starts two engines of each version. An engine that began a stream is full when its caller
-    /// takes the stream up, so that it has to go on at another engine.
+    /// resumes the stream, so that it has to go on at another engine.
     fn start(
         store: &UsersStore,
         versions: &[&'static str],
@@ -138,8 +138,8 @@
     assert!(caller.read_until(&text).contains(&text), "{}", call.id);
 }
 
-/// Takes a stream up that `first` began, after the event with this id.
-fn take_up(gateway: &TestGateway, id: &str, first: &str, event: u64) -> WireMessage {
+/// Resumes a stream that `first` began, after the event with this id.
+fn resume(gateway: &TestGateway, id: &str, first: &str, event: u64) -> WireMessage {
     let headers = resume_headers(first, event);
     gateway.caller().call(&Call {
         headers: &headers,
@@ -185,10 +185,10 @@
     }
 }
 
-// Guards against a stream that its caller takes up at another gateway, which continues it at another
+// Guards against a stream that its caller resumes at another gateway, which continues it at another
 // software version, after the gateway that began it has died.
 #[test]
-fn a_stream_that_is_taken_up_at_another_gateway_stays_at_its_version() {
+fn a_stream_that_is_resumed_at_another_gateway_stays_at_its_version() {
     let store = store_with_manifest();
     let engines = Engines::start(&store, &["v1", "v1.1"], hold_new);
     let [mut first, second] = two_gateways(&store);
@@ -199,21 +199,17 @@
     std::thread::sleep(Duration::from_millis(200));
     first.kill();
     for number in 0..8 {
-        let [begun, taken_up] = [format!("a{number}"), format!("b{number}")];
-        let answer = take_up(&second, &taken_up, &begun, 2);
-        assert_eq!(
-            (answer.status(), answer.is_whole),
-            (200, true),
-            "{taken_up}"
-        );
-        let versions = engines.versions_of(&[&begun, &taken_up]);
+        let [begun, resumed] = [format!("a{number}"), format!("b{number}")];
+        let answer = resume(&second, &resumed, &begun, 2);
+        assert_eq!((answer.status(), answer.is_whole), (200, true), "{resumed}");
+        let versions = engines.versions_of(&[&begun, &resumed]);
         assert_eq!(versions.len(), 1, "{begun} went on at {versions:?}");
     }
 }
 
 // Guards against a stream whose second continuation forgets the version of its first event.
 #[test]
-fn a_stream_that_is_taken_up_twice_stays_at_its_version() {
+fn a_stream_that_is_resumed_twice_stays_at_its_version() {
     let store = store_with_manifest();
     let engines = Engines::start(&store, &["v1", "v1.1"], hold_all);
     let gateway = TestGateway::start(&store);
@@ -240,7 +236,7 @@
     let store = store_with_manifest();
     let engines = Engines::start(&store, &["v1", "v1.1"], break_new);
     let gateway = TestGateway::start(&store);
-    let answer = take_up(&gateway, "b1", "a1", 2);
+    let answer = resume(&gateway, "b1", "a1", 2);
     assert_eq!(answer.status(), 503);
     assert!(answer.header("retry-after").is_some());
     assert!(engines.versions().is_empty());
@@ -254,7 +250,7 @@
     // A gateway serves such a stream from the moment that it is ready.
     for number in 0..8 {
         let gateway = TestGateway::start(&store);
-        let answer = take_up(&gateway, &format!("b{number}"), "a1", 2);
+        let answer = resume(&gateway, &format!("b{number}"), "a1", 2);
         assert_eq!((answer.status(), answer.is_whole), (200, true), "{number}");
     }
 }
@@ -277,7 +273,7 @@
             .count()
             == 2
     });
-    let answer = take_up(&gateway, "b1", "a1", 2);
+    let answer = resume(&gateway, "b1", "a1", 2);
     assert_eq!(answer.status(), 503);
     assert!(newer.versions().is_empty());
     assert_eq!(engines.versions().len(), 1);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -20,7 +20,7 @@
 use crate::exchange::SendPlan;
 use crate::log_line::LogWriter;
 use crate::metrics::{GatewayMetrics, GaugeReading};
-use crate::origin_exchange::{KeeperCounts, OriginExchange};
+use crate::origin_exchange::{OriginExchange, ReplicaCounts};
 use crate::platform_view::{ApplyContext, PlatformView, ViewUpdate};
 use crate::prelude::*;
 use crate::shutdown::ShutdownState;
@@ -107,10 +107,14 @@
     }
 
     /// Returns the addresses of the gateways that keep the origin of a stream.
-    pub(crate) fn origin_keepers(&self, stream: StreamId, counts: KeeperCounts) -> Vec<SocketAddr> {
+    pub(crate) fn origin_replicas(
+        &self,
+        stream: StreamId,
+        counts: ReplicaCounts,
+    ) -> Vec<SocketAddr> {
         let settings = self.settings();
         let view = self.view.borrow();
-        view.origin_keepers(stream, counts, &settings.name, &settings.centre)
+        view.origin_replicas(stream, counts, &settings.name, &settings.centre)
     }
 
     /// Returns the newest era of the store that is known.
@@ -214,23 +218,23 @@
     }
 
     /// Heeds what a backend server says about further requests with an answer.
-    pub(crate) fn heed_wishes(&self, plan: &SendPlan<'_>, facts: &AnswerFacts) {
+    pub(crate) fn apply_backpressure(&self, plan: &SendPlan<'_>, facts: &AnswerFacts) {
         if facts.is_leaving && self.with_backend(plan.key, BackendState::mark_leaving) == Some(true)
         {
             self.pool.borrow_mut().discard(plan.key);
-            self.metrics.record_wish("leaving");
-            self.log_wish("backend-leaving", plan, None);
+            self.metrics.record_backpressure("leaving");
+            self.log_backpressure("backend-leaving", plan, None);
         }
-        if let Some(span) = facts.quiet_for {
-            self.with_backend(plan.key, |state| state.keep_quiet(span, monotonic_now()));
-            self.metrics.record_wish("quiet");
-            self.log_wish("backend-quiet", plan, Some(span));
+        if let Some(span) = facts.backoff {
+            self.with_backend(plan.key, |state| state.back_off(span, monotonic_now()));
+            self.metrics.record_backpressure("backoff");
+            self.log_backpressure("backend-backoff", plan, Some(span));
         }
     }
 
-    fn log_wish(&self, event: &'static str, plan: &SendPlan<'_>, span: Option<Span>) {
+    fn log_backpressure(&self, event: &'static str, plan: &SendPlan<'_>, span: Option<Span>) {
         let fleet = self.fleet.borrow();
-        let fields = WishFields {
+        let fields = BackpressureFields {
             request: plan.attempt_id,
             backend: fleet.get(plan.key).map(|member| &*member.entry.id),
             for_ms: span.map(Span::as_millis_f64),
@@ -238,8 +242,8 @@
         self.log.change(event, fields);
     }
 
-    /// Returns how long it takes until the first backend server of a service that wants no requests
-    /// takes some again.
+    /// Returns how long it takes until the first of a service's backend servers in backoff takes
+    /// requests again.
     pub(crate) fn first_opening(&self, service: &str) -> Option<Span> {
         let now = monotonic_now();
         let at = self.fleet.borrow().first_opening(service, now)?;
@@ -311,7 +315,7 @@
 }
 
 #[derive(Debug, serde::Serialize)]
-struct WishFields<'a> {
+struct BackpressureFields<'a> {
     request: &'a str,
     backend: Option<&'a str>,
     for_ms: Option<f64>,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -87,7 +87,7 @@
         let mut skipped = false;
         loop {
             let (head, facts) = read_answer_head(core, &mut conn, plan.method).await?;
-            core.heed_wishes(plan, &facts);
+            core.apply_backpressure(plan, &facts);
             let reader = BodyReader::open(head.framing);
             let is_ours = match &facts.attempt_id {
                 Some(id) => **id == *plan.attempt_id,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -71,7 +71,7 @@
     connections: Counter<u64>,
     streams: Counter<u64>,
     resumes: Counter<u64>,
-    wishes: Counter<u64>,
+    backpressure: Counter<u64>,
     first_time: Histogram<f64>,
     total_time: Histogram<f64>,
     gap_time: Histogram<f64>,
@@ -113,12 +113,12 @@
             resumes: counter(
                 &meter,
                 "gateway.resumes",
-                "Streams that callers take up, by how their version was found",
+                "Streams that callers resume, by how their version was found",
             ),
-            wishes: counter(
+            backpressure: counter(
                 &meter,
-                "gateway.wishes",
-                "Backend servers that leave or want no requests for a while",
+                "gateway.backpressure",
+                "Answers of backend servers that leave or ask for backoff",
             ),
             streams: counter(
                 &meter,
@@ -161,8 +161,8 @@
         self.resumes.add(1, &[KeyValue::new("source", source)]);
     }
 
-    pub(crate) fn record_wish(&self, kind: &'static str) {
-        self.wishes.add(1, &[KeyValue::new("kind", kind)]);
+    pub(crate) fn record_backpressure(&self, kind: &'static str) {
+        self.backpressure.add(1, &[KeyValue::new("kind", kind)]);
     }
 
     pub(crate) fn record_refusal(&self, reason: &'static str) {
--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -1,10 +1,10 @@
 //! Shares between gateways which software version began each resumable stream.
 //!
 //! A gateway that passes on the first event of a stream records the version that wrote it, and tells
-//! a few other gateways, the stream's keepers. Keepers are chosen by rendezvous hashing over the
+//! a few other gateways, the stream's replicas. Replicas are chosen by rendezvous hashing over the
 //! stream, one in the gateway's own data centre and two anywhere, so that a gateway that gets the
 //! caller's next attempt knows whom to ask without a directory, and the origin outlives the gateway
-//! that began the stream. Records and queries are datagrams; a query is repeated until all keepers
+//! that began the stream. Records and queries are datagrams; a query is repeated until all replicas
 //! have replied (docs/PLATFORM.md, "Software versions").
 
 use std::cell::{Cell, OnceCell, RefCell};
@@ -31,7 +31,7 @@
 /// The greatest number of records in one datagram.
 const MAX_RECORDS: usize = 60;
 
-/// How many times a query is sent to a keeper that does not reply.
+/// How many times a query is sent to a replica that does not reply.
 const QUERY_SENDS: u32 = 3;
 
 /// The time between two sends of a query.
@@ -41,16 +41,16 @@
 /// versions counts as complete; it is above the longest time between two polls of the store.
 const MAX_CONTACT_AGE: Span = Span::from_millis(2_500);
 
-/// The keepers that are told of a stream.
-pub(crate) const TOLD_KEEPERS: KeeperCounts = KeeperCounts { near: 1, any: 2 };
+/// The replicas that are told of a stream.
+pub(crate) const TOLD_REPLICAS: ReplicaCounts = ReplicaCounts { near: 1, any: 2 };
 
-/// The keepers that are asked. A gateway leaves itself out of the ranking, so that ranks differ by
+/// The replicas that are asked. A gateway leaves itself out of the ranking, so that ranks differ by
 /// one between gateways.
-const ASKED_KEEPERS: KeeperCounts = KeeperCounts { near: 2, any: 3 };
+const ASKED_REPLICAS: ReplicaCounts = ReplicaCounts { near: 2, any: 3 };
 
 /// How many gateways keep a stream's origin.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct KeeperCounts {
+pub(crate) struct ReplicaCounts {
     /// In the own data centre.
     pub(crate) near: usize,
     /// In any data centre.
@@ -62,8 +62,8 @@
 pub(crate) enum OriginSource {
     /// This gateway has the origin.
     Own,
-    /// A keeper has it.
-    Keeper,
+    /// A replica has it.
+    Replica,
     /// The service has had a single version.
     SingleVersion,
     /// Nobody knows, and the service has or may have had several versions.
@@ -75,7 +75,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Own => "own",
-            Self::Keeper => "keeper",
+            Self::Replica => "replica",
             Self::SingleVersion => "single-version",
             Self::Unknown => "unknown",
         }
@@ -87,7 +87,7 @@
 pub(crate) struct ResolvedOrigin {
     pub(crate) version: Option<VersionId>,
     pub(crate) source: OriginSource,
-    /// How many keepers were asked.
+    /// How many replicas were asked.
     pub(crate) asked: usize,
     /// How many of them replied.
     pub(crate) replied: usize,
@@ -117,7 +117,7 @@
     }
 }
 
-/// What the keepers replied to one query.
+/// What the replicas replied to one query.
 #[derive(Debug, Default)]
 struct OpenQuery {
     replied: RefCell<FastSet<SocketAddr>>,
@@ -144,7 +144,7 @@
         let _ = self.socket.set(socket);
     }
 
-    /// Records which version began a stream, and tells the stream's keepers.
+    /// Records which version began a stream, and tells the stream's replicas.
     pub(crate) fn record(&self, stream: StreamId, version: VersionId) {
         let now = monotonic_now();
         self.table.borrow_mut().record(stream, version, now);
@@ -171,7 +171,7 @@
         }
     }
 
-    /// Takes over the reply of a keeper. A reply to a query that has ended is dropped.
+    /// Takes over the reply of a replica. A reply to a query that has ended is dropped.
     pub(crate) fn on_reply(&self, reply: &OriginReply, from: SocketAddr) {
         let queries = self.queries.borrow();
         let Some(query) = queries.get(&reply.nonce) else {
@@ -225,27 +225,27 @@
         let Some(stream) = stream else {
             return ResolvedOrigin::inferred(&spans);
         };
-        let keepers = core.origin_keepers(stream, ASKED_KEEPERS);
-        let query = self.ask(core, stream, service, &keepers).await;
+        let replicas = core.origin_replicas(stream, ASKED_REPLICAS);
+        let query = self.ask(core, stream, service, &replicas).await;
         spans.append(&mut query.versions.borrow_mut());
         let found = match query.origin.get() {
-            Some(version) => ResolvedOrigin::known(version, OriginSource::Keeper),
+            Some(version) => ResolvedOrigin::known(version, OriginSource::Replica),
             None => ResolvedOrigin::inferred(&spans),
         };
         ResolvedOrigin {
-            asked: keepers.len(),
+            asked: replicas.len(),
             replied: query.replied.borrow().len(),
             ..found
         }
     }
 
-    /// Asks keepers until one has the origin, all have replied or the time is over.
+    /// Asks replicas until one has the origin, all have replied or the time is over.
     async fn ask(
         &self,
         core: &GatewayCore,
         stream: StreamId,
         service: &str,
-        keepers: &[SocketAddr],
+        replicas: &[SocketAddr],
     ) -> Rc<OpenQuery> {
         let query = Rc::new(OpenQuery::default());
         let nonce = core.random_number();
@@ -261,13 +261,13 @@
                 service: service.to_owned(),
             });
             let bytes = encode(message);
-            for keeper in keepers {
-                if !query.replied.borrow().contains(keeper) {
-                    self.send(&bytes, *keeper);
+            for replica in replicas {
+                if !query.replied.borrow().contains(replica) {
+                    self.send(&bytes, *replica);
                 }
             }
             let is_decided =
-                || query.origin.get().is_some() || query.replied.borrow().len() >= keepers.len();
+                || query.origin.get().is_some() || query.replied.borrow().len() >= replicas.len();
             let wait = async {
                 while !is_decided() {
                     query.changed.notified().await;
@@ -287,18 +287,18 @@
         }
     }
 
-    /// Sends the records that are waiting, one datagram for each keeper.
+    /// Sends the records that are waiting, one datagram for each replica.
     fn flush(&self, core: &GatewayCore) {
         let unsent = std::mem::take(&mut *self.unsent.borrow_mut());
-        let mut by_keeper: BTreeMap<SocketAddr, Vec<OriginRecord>> = BTreeMap::new();
+        let mut by_replica: BTreeMap<SocketAddr, Vec<OriginRecord>> = BTreeMap::new();
         for record in unsent {
-            for keeper in core.origin_keepers(record.stream, TOLD_KEEPERS) {
-                by_keeper.entry(keeper).or_default().push(record);
+            for replica in core.origin_replicas(record.stream, TOLD_REPLICAS) {
+                by_replica.entry(replica).or_default().push(record);
             }
         }
-        for (keeper, records) in by_keeper {
+        for (replica, records) in by_replica {
             for chunk in records.chunks(MAX_RECORDS) {
-                self.send(&encode(PeerMessage::Origins(chunk.to_vec())), keeper);
+                self.send(&encode(PeerMessage::Origins(chunk.to_vec())), replica);
             }
         }
     }
--- a/crates/gateway/src/platform_view/gateways.rs
+++ b/crates/gateway/src/platform_view/gateways.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{ApplyContext, KnownFact, PlatformView, RemovalMode, ViewChange};
-use crate::origin_exchange::KeeperCounts;
+use crate::origin_exchange::ReplicaCounts;
 use crate::port::{GatewayEntry, StoreItem, StoreSubject};
 use crate::prelude::*;
 
@@ -149,10 +149,10 @@
 
     /// Returns the gossip addresses of the live gateways that keep the origin of a stream: the first
     /// ones by rendezvous hashing, in one data centre and in all.
-    pub(crate) fn origin_keepers(
+    pub(crate) fn origin_replicas(
         &self,
         stream: StreamId,
-        counts: KeeperCounts,
+        counts: ReplicaCounts,
         own: &str,
         centre: &str,
     ) -> Vec<SocketAddr> {
@@ -166,7 +166,7 @@
             })
             .collect();
         ranked.sort_unstable_by_key(|(order, ..)| *order);
-        let mut keepers = Vec::with_capacity(counts.near + counts.any);
+        let mut replicas = Vec::with_capacity(counts.near + counts.any);
         let mut near_left = counts.near;
         for (rank, (_, fact, address)) in ranked.into_iter().enumerate() {
             let is_near = &*fact.entry.centre == centre && near_left > 0;
@@ -174,10 +174,10 @@
                 near_left -= 1;
             }
             if is_near || rank < counts.any {
-                keepers.push(address);
+                replicas.push(address);
             }
         }
-        keepers
+        replicas
     }
 
     /// Returns the facts about gateways, tombstones included.
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -59,7 +59,7 @@
     /// The id of the last event that the caller has received.
     pub resume_from: Option<u64>,
     /// The id of the caller's attempt that brought the first event of the stream that this request
-    /// takes up.
+    /// resumes.
     pub resumed_attempt: Option<Arc<str>>,
 }
 
@@ -76,8 +76,8 @@
     pub load: Option<LoadReport>,
     /// Whether the backend server says that it leaves.
     pub is_leaving: bool,
-    /// How long the backend server wants no requests of this gateway.
-    pub quiet_for: Option<Span>,
+    /// How long the backend server asks this gateway to back off.
+    pub backoff: Option<Span>,
 }
 
 /// The headers that the gateway sets on one send to a backend server, besides the caller's own.
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -84,7 +84,7 @@
     longest_gap: Span,
     last_problem: String,
     /// The delay after which the caller may retry, if admission control refused the request or the
-    /// backend servers want none.
+    /// backend servers back off.
     admission_delay: Option<Span>,
 }
 
--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -9,10 +9,10 @@
 use crate::prelude::*;
 
 impl RequestRun<'_> {
-    /// Finds the version of a stream that the caller takes up. The stream is not sent anywhere while
-    /// its version is unknown.
+    /// Finds the version of a stream that the caller resumes. The stream is not sent anywhere while its
+    /// version is unknown.
     pub(super) async fn find_origin(&mut self) -> Step {
-        if !self.takes_up_stream() {
+        if !self.is_resume() {
             return Step::TryAgain;
         }
         let (core, job) = (self.core, self.job);
@@ -47,7 +47,7 @@
         }
     }
 
-    fn takes_up_stream(&self) -> bool {
+    fn is_resume(&self) -> bool {
         let facts = &self.job.facts;
         let goes_on = facts.resume_from.is_some() || facts.resumed_attempt.is_some();
         goes_on && self.job.routed.route.repeat.is_stream()
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -264,7 +264,7 @@
         );
     }
 
-    /// Records how the version of a stream that the caller takes up was found.
+    /// Records how the version of a stream that the caller resumes was found.
     pub(super) fn record_resume(&self, origin: &ResolvedOrigin, started: MonoTime) {
         let source = origin.source.as_str();
         self.core.metrics.record_resume(source);
@@ -284,7 +284,7 @@
         };
         self.core
             .log
-            .request("stream-taken-up", kind, self.attempt_id, fields);
+            .request("stream-resumed", kind, self.attempt_id, fields);
     }
 
     /// Logs why a request was refused before it was sent to any backend server.
--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -275,8 +275,8 @@
             Some(backend) => backends.contains(&backend.as_str()),
             None => line.change.as_deref() == Some("manifest"),
         },
-        // A request that was sent nowhere may have found all backend servers closed by their wish.
-        "backend-leaving" | "backend-quiet" => {
+        // A request that was sent nowhere may have found that all backend servers leave or back off.
+        "backend-leaving" | "backend-backoff" => {
             let backend = line.backend.as_deref().unwrap_or("");
             backends.is_empty() || backends.contains(&backend)
         }
