--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -26,8 +26,8 @@
 /// The time for which a backend server that was found to be down counts as down, unless it answers.
 const DOWN_TTL: Span = Span::from_millis(1_200);
 
-/// The shortest time between two sends to a backend server that wanted none for a while, until one of
-/// them succeeds.
+/// The shortest time between two probes of a backend server after its backoff, until one of them
+/// succeeds.
 const TRICKLE_INTERVAL: Span = Span::from_millis(150);
 
 /// The load that a backend server reports with its answers.
@@ -201,7 +201,7 @@
             .filter(|until| now < *until && !self.is_leaving)
     }
 
-    /// Returns whether it takes requests again only one by one, and the last one was just sent.
+    /// Returns whether it is probed after a backoff, and the last probe was just sent.
     fn trickles(&self, now: MonoTime) -> bool {
         let last = self.last_sends.back();
         self.backoff_until.is_some() && last.is_some_and(|last| now.since(*last) < TRICKLE_INTERVAL)
--- a/crates/balance/src/stream_origin.rs
+++ b/crates/balance/src/stream_origin.rs
@@ -1,7 +1,7 @@
 //! Where streams began: which software version of a service wrote their first event.
 //!
-//! What two software versions of a backend server write does not fit together, and backend servers
-//! do not check what they continue. A stream may therefore only go on at the version that began it,
+//! The output of two software versions cannot be joined, and a backend server that resumes a stream
+//! does not know which version began it. A stream may therefore only go on at the version that began it,
 //! also when its caller resumes it at another gateway. Each gateway keeps the origins of the
 //! streams that it began or was told of in an [`OriginTable`]. A stream of unknown origin may only
 //! go on where a [`VersionHistory`] shows that its service has had a single version for as long as
