--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -4,6 +4,8 @@
 //! The package does no I/O and reads no clock: the driver passes in the time and random numbers, so
 //! that each decision can be tested without a socket (docs/PLATFORM.md, "Choosing").
 
+use std::fmt;
+
 mod admission;
 mod backend_state;
 mod cached_parts;
@@ -37,6 +39,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct PartId(pub u64);
 
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 /// One part of a prompt; a model engine reads the parts in order.
 #[derive(Debug, Clone, Copy)]
 pub struct PromptPart {
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use oleander_balance::{AdmissionQuery, Choice};
+use oleander_balance::{AdmissionQuery, Choice, PromptPart};
 use oleander_base::monotonic_now;
 use serde::Serialize;
 
@@ -65,6 +65,9 @@
     verdict: Verdict,
     outcome: &'a str,
     took_ms: f64,
+    /// The parts of the prompt, in order.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    parts: Vec<String>,
 }
 
 #[derive(Debug, Serialize)]
@@ -104,6 +107,11 @@
     ejected: usize,
 }
 
+/// Returns the parts of a prompt as log lines name them.
+fn part_names(parts: &[PromptPart]) -> Vec<String> {
+    parts.iter().map(|part| part.id.to_string()).collect()
+}
+
 impl RequestRun<'_> {
     pub(super) fn mark_unreachable(&self, target: &SendTarget) {
         let now = monotonic_now();
@@ -148,6 +156,7 @@
             verdict,
             outcome,
             took_ms: monotonic_now().since(sent_at).as_millis_f64(),
+            parts: part_names(&self.job.facts.parts),
         };
         self.core
             .log
@@ -246,7 +255,7 @@
                 software: &target.software,
                 urgency: self.job.routed.urgency,
                 unread: choice.prefill.total().round(),
-                part: choice.part.map(|part| format!("{:x}", part.0)),
+                part: choice.part.map(|part| part.to_string()),
                 home_rank: choice.home_rank,
                 cost: choice.cost.round(),
                 first_wait_ms: choice.first_wait.as_millis_f64().round(),
