--- /dev/null
+++ b/crates/entry/tests/gateway_crashing_parts.rs
@@ -0,0 +1,166 @@
+//! Parts of prompts that crash the engines that begin to write an answer on them.
+
+mod gateway;
+
+use std::time::{Duration, Instant};
+
+use gateway::{Call, TestGateway, announce, store_with_manifest};
+use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest, UsersStore, WireMessage};
+
+/// The first part of all prompts.
+const SHARED_PART: &str = "5c1e07a2";
+
+/// The part that crashes engines.
+const CRASHING_PART: &str = "bad0bad0";
+
+/// The number of engines at the start.
+const ENGINES: usize = 6;
+
+/// The number of crashes after which the gateways must know the part.
+const KNOWN_AFTER: usize = 5;
+
+/// The time that the gateways have to learn of the last of these crashes.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
+/// The number of requests with the part that may reach engines after that.
+const ALLOWED_LATER: usize = 3;
+
+/// The pause between two requests with the part.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Engines that a part of a prompt crashes, and their registry. Crashed engines are replaced.
+struct CrashingEngines {
+    store: UsersStore,
+    engines: Vec<ScriptedEngine>,
+}
+
+impl CrashingEngines {
+    fn start() -> Self {
+        let mut fleet = Self {
+            store: store_with_manifest(),
+            engines: Vec::new(),
+        };
+        for _ in 0..ENGINES {
+            fleet.add();
+        }
+        fleet
+    }
+
+    fn add(&mut self) {
+        let id = format!("i-{}", self.engines.len());
+        let engine = ScriptedEngine::spawn(answer);
+        announce(&self.store, &id, "engines", &engine, "available");
+        self.engines.push(engine);
+    }
+
+    fn crashes(&self) -> usize {
+        let crashed = self.engines.iter().filter(|engine| engine.has_crashed());
+        crashed.count()
+    }
+
+    /// Starts an engine for each one that has crashed.
+    fn replace(&mut self) {
+        while self.engines.len() - self.crashes() < ENGINES {
+            self.add();
+        }
+    }
+
+    /// Returns the number of requests with the crashing part that reached engines.
+    fn reached(&self) -> usize {
+        let seen = self.engines.iter().flat_map(ScriptedEngine::seen);
+        seen.filter(has_crashing_part).count()
+    }
+
+    /// Sends requests with the part to the gateways in turn until the part must be known to them.
+    fn crash(&mut self, gateways: &[&TestGateway]) {
+        let until = Instant::now() + STABLE_TIME;
+        for number in 0.. {
+            if self.crashes() >= KNOWN_AFTER || Instant::now() > until {
+                return;
+            }
+            let gateway = gateways[number % gateways.len()];
+            crashing_call(gateway, &format!("c{number}"));
+            assert!(sound_call(gateway, &format!("s{number}")).status() > 0);
+            self.replace();
+            std::thread::sleep(PAUSE);
+        }
+    }
+}
+
+fn has_crashing_part(request: &SeenRequest) -> bool {
+    let parts = request.message.header("prompt-prefix").unwrap_or("");
+    parts.contains(CRASHING_PART)
+}
+
+/// Serves whole streams; crashes after the head of an answer on the crashing part.
+fn answer(request: &SeenRequest) -> EngineReply {
+    let mut bytes = request.stream_head();
+    if has_crashing_part(request) {
+        return EngineReply::BytesThenCrash(bytes);
+    }
+    for id in 1..=4 {
+        bytes.extend(SeenRequest::event(id));
+    }
+    bytes.extend(b"0\r\n\r\n");
+    EngineReply::Bytes(bytes)
+}
+
+/// Calls with a prompt of the shared part, the parts in the middle, and a part of its own.
+fn call(gateway: &TestGateway, id: &str, middle: &str) -> WireMessage {
+    let own: u64 = id.bytes().fold(7, |sum, byte| sum * 131 + u64::from(byte));
+    let headers = format!(
+        "Model: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: {SHARED_PART}:1000,{middle}{own:x}:60\r\n"
+    );
+    gateway.caller().call(&Call {
+        headers: &headers,
+        ..Call::stream(id)
+    })
+}
+
+fn crashing_call(gateway: &TestGateway, id: &str) -> WireMessage {
+    call(gateway, id, &format!("c0ffee:200,{CRASHING_PART}:200,"))
+}
+
+/// Calls with all parts of a request that crashes engines but the one that does it.
+fn sound_call(gateway: &TestGateway, id: &str) -> WireMessage {
+    call(gateway, id, "c0ffee:200,")
+}
+
+// Guards against sends of a part that has crashed several engines, by any gateway.
+#[test]
+fn a_part_that_has_crashed_engines_reaches_no_more_of_them() {
+    let mut engines = CrashingEngines::start();
+    let one = TestGateway::spawn("edge-1", &engines.store, &[]);
+    let other = TestGateway::spawn("edge-2", &engines.store, &[]);
+    one.wait_ready();
+    other.wait_ready();
+    engines.crash(&[&one, &other]);
+    std::thread::sleep(STABLE_TIME);
+    let before = engines.reached();
+    for number in 0..20 {
+        let gateway = [&one, &other][number % 2];
+        crashing_call(gateway, &format!("later{number}"));
+        engines.replace();
+    }
+    let later = engines.reached() - before;
+    assert!(later <= ALLOWED_LATER, "{later} reached engines");
+}
+
+// Guards against a gateway that learns of the part only from crashes of its own.
+#[test]
+fn a_gateway_that_starts_later_learns_of_the_part_from_the_others() {
+    let mut engines = CrashingEngines::start();
+    let one = TestGateway::spawn("edge-1", &engines.store, &[]);
+    one.wait_ready();
+    engines.crash(&[&one]);
+    let other = TestGateway::spawn("edge-2", &engines.store, &[]);
+    other.wait_ready();
+    std::thread::sleep(STABLE_TIME);
+    let before = engines.reached();
+    for number in 0..10 {
+        crashing_call(&other, &format!("later{number}"));
+        engines.replace();
+    }
+    let later = engines.reached() - before;
+    assert!(later <= ALLOWED_LATER, "{later} reached engines");
+}
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -2,8 +2,9 @@
 
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::thread;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 
@@ -75,6 +76,9 @@
     /// Writes the bytes and keeps the connection open until the other side closes it or sends
     /// another message, without another answer.
     BytesThenSilence(Vec<u8>),
+    /// Writes the bytes; then the whole engine ends: all of its connections close, and new ones are
+    /// refused.
+    BytesThenCrash(Vec<u8>),
 }
 
 type Script = dyn Fn(&SeenRequest) -> EngineReply + Send + Sync;
@@ -82,9 +86,7 @@
 /// A running scripted engine.
 pub struct ScriptedEngine {
     address: SocketAddr,
-    seen: Arc<Mutex<Vec<SeenRequest>>>,
-    closed_early: Arc<Mutex<usize>>,
-    resets: Arc<Mutex<usize>>,
+    state: EngineState,
 }
 
 impl std::fmt::Debug for ScriptedEngine {
@@ -102,28 +104,25 @@
         let address = listener
             .local_addr()
             .expect("a bound socket has an address");
-        let seen = Arc::new(Mutex::new(Vec::new()));
-        let closed_early = Arc::new(Mutex::new(0));
-        let resets = Arc::new(Mutex::new(0));
         let script: Arc<Script> = Arc::new(script);
-        let observations = EngineObservations {
-            seen: Arc::clone(&seen),
-            closed_early: Arc::clone(&closed_early),
-            resets: Arc::clone(&resets),
-        };
+        let state = EngineState::default();
+        let accepted = state.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let observations = observations.clone();
+                let stream = Arc::new(stream);
+                if !accepted.connections.add(&stream) {
+                    return;
+                }
+                let state = accepted.clone();
                 let script = Arc::clone(&script);
-                thread::spawn(move || serve(&stream, &*script, &observations));
+                thread::spawn(move || {
+                    if serve(&stream, &*script, &state) == ServeEnd::Crash {
+                        state.connections.crash(address);
+                    }
+                });
             }
         });
-        Self {
-            address,
-            seen,
-            closed_early,
-            resets,
-        }
+        Self { address, state }
     }
 
     /// Returns the address that the engine listens on.
@@ -131,38 +130,91 @@
         self.address
     }
 
+    /// Ends the engine: all of its connections close, and new ones are refused.
+    pub fn crash(&self) {
+        self.state.connections.crash(self.address);
+    }
+
+    /// Returns whether the engine has ended.
+    pub fn has_crashed(&self) -> bool {
+        self.state.connections.0.lock().has_crashed
+    }
+
     /// Returns the received requests in order.
     pub fn seen(&self) -> Vec<SeenRequest> {
-        self.seen.lock().clone()
+        self.state.seen.lock().clone()
     }
 
     /// Returns the number of connections whose reading failed, as after a reset, during
     /// [`EngineReply::BytesThenSilence`].
     pub fn resets(&self) -> usize {
-        *self.resets.lock()
+        *self.state.resets.lock()
     }
 
     /// Returns the number of connections that were closed or reset, or sent another message, during
     /// [`EngineReply::BytesThenSilence`].
     pub fn closed_early(&self) -> usize {
-        *self.closed_early.lock()
+        *self.state.closed_early.lock()
     }
 }
 
-/// The requests and the closed connections that all connections of an engine record.
-#[derive(Clone)]
-struct EngineObservations {
+/// What all connections of an engine share.
+#[derive(Clone, Default)]
+struct EngineState {
     seen: Arc<Mutex<Vec<SeenRequest>>>,
     closed_early: Arc<Mutex<usize>>,
     resets: Arc<Mutex<usize>>,
+    connections: Arc<OpenConnections>,
+}
+
+/// The connections of an engine that a crash closes.
+#[derive(Default)]
+struct OpenConnections(Mutex<ConnectionList>);
+
+#[derive(Default)]
+struct ConnectionList {
+    has_crashed: bool,
+    streams: Vec<Weak<TcpStream>>,
 }
 
-fn serve(stream: &TcpStream, script: &Script, observations: &EngineObservations) {
+impl OpenConnections {
+    /// Adds a connection; returns false if the engine has crashed.
+    fn add(&self, stream: &Arc<TcpStream>) -> bool {
+        let mut list = self.0.lock();
+        list.streams.retain(|stream| stream.strong_count() > 0);
+        list.streams.push(Arc::downgrade(stream));
+        !list.has_crashed
+    }
+
+    /// Ends the accept loop, which takes one more connection for that, and closes all connections
+    /// once new ones are refused.
+    fn crash(&self, address: SocketAddr) {
+        self.0.lock().has_crashed = true;
+        while TcpStream::connect(address).is_ok() {
+            thread::sleep(Duration::from_millis(1));
+        }
+        for stream in self.0.lock().streams.drain(..) {
+            if let Some(stream) = stream.upgrade() {
+                // The other side may have closed the connection already.
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+}
+
+/// How the service of a connection ended.
+#[derive(Debug, PartialEq, Eq)]
+enum ServeEnd {
+    Connection,
+    Crash,
+}
+
+fn serve(stream: &TcpStream, script: &Script, state: &EngineState) -> ServeEnd {
     let mut reader = BufReader::new(stream);
     let mut nth_on_connection = 0;
     while let Ok(Some(message)) = read_message(&mut reader) {
         let request = {
-            let mut seen = observations.seen.lock();
+            let mut seen = state.seen.lock();
             let request = SeenRequest {
                 message,
                 nth_on_connection,
@@ -175,30 +227,35 @@
         match script(&request) {
             EngineReply::Bytes(bytes) => {
                 if write(stream, &bytes).is_err() {
-                    return;
+                    return ServeEnd::Connection;
                 }
             }
             EngineReply::BytesThenClose(bytes) => {
                 // The other side may have closed the connection already; it ends in either case.
                 let _ = write(stream, &bytes);
                 let _ = stream.shutdown(Shutdown::Both);
-                return;
+                return ServeEnd::Connection;
             }
             EngineReply::BytesThenReset(bytes) => {
                 let _ = write(stream, &bytes);
                 reset(stream);
-                return;
+                return ServeEnd::Connection;
             }
             EngineReply::BytesThenSilence(bytes) => {
                 let _ = write(stream, &bytes);
                 if read_message(&mut reader).is_err() {
-                    *observations.resets.lock() += 1;
+                    *state.resets.lock() += 1;
                 }
-                *observations.closed_early.lock() += 1;
-                return;
+                *state.closed_early.lock() += 1;
+                return ServeEnd::Connection;
+            }
+            EngineReply::BytesThenCrash(bytes) => {
+                let _ = write(stream, &bytes);
+                return ServeEnd::Crash;
             }
         }
     }
+    ServeEnd::Connection
 }
 
 fn write(mut stream: &TcpStream, bytes: &[u8]) -> std::io::Result<()> {
@@ -208,7 +265,7 @@
 
 fn reset(stream: &TcpStream) {
     // A reset may overtake bytes that were written before; the pause lets them arrive first.
-    thread::sleep(std::time::Duration::from_millis(30));
+    thread::sleep(Duration::from_millis(30));
     let socket = socket2::SockRef::from(stream);
-    let _ = socket.set_linger(Some(std::time::Duration::ZERO));
+    let _ = socket.set_linger(Some(Duration::ZERO));
 }
