--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -21,6 +21,7 @@
 use crate::log_line::LogWriter;
 use crate::metrics::{GatewayMetrics, GaugeReading};
 use crate::origin_exchange::{OriginExchange, ReplicaCounts};
+use crate::peer_socket::PeerSocket;
 use crate::platform_view::{ApplyContext, PlatformView, ViewUpdate};
 use crate::prelude::*;
 use crate::shutdown::ShutdownState;
@@ -46,6 +47,7 @@
     pub(crate) fleet: RefCell<FleetTable>,
     pub(crate) pool: RefCell<ConnPool>,
     pub(crate) services: RefCell<FastMap<Arc<str>, ServiceState>>,
+    pub(crate) peers: PeerSocket,
     pub(crate) origins: OriginExchange,
     store_era: Cell<StoreEra>,
     pub(crate) shutdown: ShutdownState,
@@ -75,6 +77,7 @@
             fleet: RefCell::default(),
             pool: RefCell::default(),
             services: RefCell::default(),
+            peers: PeerSocket::default(),
             origins: OriginExchange::default(),
             store_era: Cell::default(),
             shutdown: ShutdownState::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -22,7 +22,7 @@
 
 use crate::core::GatewayCore;
 use crate::peer_message::{
-    DownRecord, LoadMessage, LoadRecord, MAX_DATAGRAM_BYTES, PeerMessage, decode, encode,
+    DownRecord, LoadMessage, LoadRecord, MAX_DATAGRAM_BYTES, PeerMessage, decode,
 };
 use crate::prelude::*;
 
@@ -59,29 +59,25 @@
                 biased;
                 () = &mut round => break,
                 received = socket.recv_from(&mut buffer) => match received {
-                    Ok((length, from)) => receive(&core, &socket, &buffer[..length], from),
+                    Ok((length, from)) => receive(&core, &buffer[..length], from),
                     // An unreachable gateway shows up as an error of the next read. It leaves the
                     // list of gateways when its lease expires.
                     Err(_) => sleep(Duration::from_millis(5)).await,
                 },
             }
         }
-        send_message(&core, &socket).await;
+        send_news(&core);
     }
 }
 
-async fn send_message(core: &GatewayCore, socket: &UdpSocket) {
+fn send_news(core: &GatewayCore) {
     let reports = fresh_reports(core);
     let downs = fresh_downs(core);
     if reports.is_empty() && downs.is_empty() {
         return;
     }
-    let targets = pick_targets(core);
-    let bytes = encode(PeerMessage::Load(LoadMessage { reports, downs }));
-    for target in targets {
-        // A datagram that cannot be sent counts as lost, which any datagram may be.
-        let _ = socket.send_to(&bytes, target).await;
-    }
+    let message = PeerMessage::Load(LoadMessage { reports, downs });
+    core.peers.send(message, &pick_targets(core, FANOUT));
 }
 
 /// Returns the newest load reports, newest first.
@@ -135,11 +131,12 @@
     MonoTime(now.0.saturating_sub(age.0))
 }
 
-fn pick_targets(core: &GatewayCore) -> Vec<SocketAddr> {
+/// Returns the addresses of other gateways, chosen at random.
+pub(crate) fn pick_targets(core: &GatewayCore, count: usize) -> Vec<SocketAddr> {
     let settings = core.settings();
     let mut addresses = core.view.borrow().gossip_addresses(&settings.name);
-    let mut targets = Vec::with_capacity(FANOUT);
-    while targets.len() < FANOUT && !addresses.is_empty() {
+    let mut targets = Vec::with_capacity(count);
+    while targets.len() < count && !addresses.is_empty() {
         let index = (core.random() * addresses.len() as f64) as usize;
         targets.push(addresses.swap_remove(index.min(addresses.len() - 1)));
     }
@@ -147,7 +144,7 @@
 }
 
 /// Handles one datagram of another gateway.
-fn receive(core: &GatewayCore, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
+fn receive(core: &GatewayCore, bytes: &[u8], from: SocketAddr) {
     let Some(message) = decode(bytes) else {
         return;
     };
@@ -156,8 +153,7 @@
         PeerMessage::Origins(records) => core.origins.on_records(&records),
         PeerMessage::OriginQuery(query) => {
             let reply = core.origins.reply(core, &query);
-            // A reply that cannot be sent counts as lost; the query is repeated.
-            let _ = socket.try_send_to(&encode(PeerMessage::OriginReply(reply)), from);
+            core.peers.send(PeerMessage::OriginReply(reply), &[from]);
         }
         PeerMessage::OriginReply(reply) => core.origins.on_reply(&reply, from),
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod origin_exchange;
 mod peer_facts;
 mod peer_message;
+mod peer_socket;
 mod platform_view;
 pub mod port;
 mod process;
--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -7,7 +7,7 @@
 //! that began the stream. Records and queries are datagrams; a query is repeated until all replicas
 //! have replied (docs/PLATFORM.md, "Software versions").
 
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,12 +17,11 @@
     OriginTable, StreamId, VersionHistory, VersionId, VersionSpan, sole_version,
 };
 use oleander_base::{FastMap, FastSet, monotonic_now};
-use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use crate::core::GatewayCore;
-use crate::peer_message::{OriginQuery, OriginRecord, OriginReply, PeerMessage, encode};
+use crate::peer_message::{OriginQuery, OriginRecord, OriginReply, PeerMessage};
 use crate::prelude::*;
 
 /// How long records are collected before they are sent.
@@ -134,16 +133,9 @@
     unsent: RefCell<Vec<OriginRecord>>,
     has_unsent: Notify,
     queries: RefCell<FastMap<u64, Rc<OpenQuery>>>,
-    socket: OnceCell<Rc<UdpSocket>>,
 }
 
 impl OriginExchange {
-    /// Sets the socket to other gateways. Without one, nothing is sent.
-    pub(crate) fn connect(&self, socket: Rc<UdpSocket>) {
-        // The socket is set once, when the process starts.
-        let _ = self.socket.set(socket);
-    }
-
     /// Records which version began a stream, and tells the stream's replicas.
     pub(crate) fn record(&self, stream: StreamId, version: VersionId) {
         let now = monotonic_now();
@@ -260,12 +252,12 @@
                 stream,
                 service: service.to_owned(),
             });
-            let bytes = encode(message);
-            for replica in replicas {
-                if !query.replied.borrow().contains(replica) {
-                    self.send(&bytes, *replica);
-                }
-            }
+            let replied = query.replied.borrow().clone();
+            let silent = replicas
+                .iter()
+                .filter(|replica| !replied.contains(*replica));
+            let silent: Vec<SocketAddr> = silent.copied().collect();
+            core.peers.send(message, &silent);
             let is_decided =
                 || query.origin.get().is_some() || query.replied.borrow().len() >= replicas.len();
             let wait = async {
@@ -280,13 +272,6 @@
         query
     }
 
-    fn send(&self, bytes: &[u8], target: SocketAddr) {
-        if let Some(socket) = self.socket.get() {
-            // A datagram that cannot be sent counts as lost, which any datagram may be.
-            let _ = socket.try_send_to(bytes, target);
-        }
-    }
-
     /// Sends the records that are waiting, one datagram for each replica.
     fn flush(&self, core: &GatewayCore) {
         let unsent = std::mem::take(&mut *self.unsent.borrow_mut());
@@ -298,7 +283,8 @@
         }
         for (replica, records) in by_replica {
             for chunk in records.chunks(MAX_RECORDS) {
-                self.send(&encode(PeerMessage::Origins(chunk.to_vec())), replica);
+                let message = PeerMessage::Origins(chunk.to_vec());
+                core.peers.send(message, &[replica]);
             }
         }
     }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -202,7 +202,7 @@
     spawn_local(run_store_watch(Rc::clone(&core)));
     spawn_local(run_lease(Rc::clone(&core)));
     let gossip = Rc::new(listeners.gossip);
-    core.origins.connect(Rc::clone(&gossip));
+    core.peers.connect(Rc::clone(&gossip));
     spawn_local(run_gossip(Rc::clone(&core), gossip));
     spawn_local(run_origin_exchange(Rc::clone(&core)));
     spawn_local(accept_callers(Rc::clone(&core), listeners.frontend));
