Gateway: quarantine parts of prompts that crash backend servers

Cause: each end of an engine counted as its own failure, so that failover and the callers' repeats carried the request to the next one, and nothing connected the ends with a part that the requests share.

Evidence: in the gateways' lines 26 of 27 engines that ended had a request with the head of its answer and no event.

Why it works: the parts of answers that had not begun when an engine's process ended become suspects, any answer that begins clears them, and three separate crashes without one put a part into quarantine at all gateways. Of parts that always occur together only one is blocked.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -6,11 +6,14 @@
 
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
+
 mod admission;
 mod backend_state;
 mod cached_parts;
 mod choice;
 mod cost;
+mod crash_suspects;
 mod fleet_table;
 mod home;
 mod latency;
@@ -24,6 +27,7 @@
 pub use cached_parts::CachedParts;
 pub use choice::{Choice, ChoiceInput, IdleConnections, choose_backend};
 pub use cost::PrefillTokens;
+pub use crash_suspects::{CrashRecord, Quarantine, SuspectId, SuspectRecord, SuspectTable};
 pub use fleet_table::{
     BackendEntry, BackendKey, BackendPhase, EntryChange, FleetMember, FleetTable,
 };
@@ -36,7 +40,7 @@
 };
 
 /// The reference of a shared prompt part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PartId(pub u64);
 
 impl fmt::Display for PartId {
--- /dev/null
+++ b/crates/balance/tests/crash_suspects.rs
@@ -0,0 +1,377 @@
+//! Tests of the parts of prompts that crash backend servers.
+
+use std::collections::VecDeque;
+
+use oleander_balance::{PartId, PromptPart, SuspectId, SuspectRecord, SuspectTable};
+use oleander_base::prelude::*;
+use proptest::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const SERVICE: &str = "engines";
+const START: MonoTime = MonoTime(1_000_000);
+const SHARED: u64 = 1;
+const CALLER: u64 = 2;
+const CRASHING: u64 = 3;
+const OTHER: u64 = 9;
+
+/// The number of crashes after which all gateways must know the part.
+const KNOWN_AFTER: usize = 5;
+
+/// The time that the gateways have to learn of the last of these crashes.
+const STABLE_TIME: Span = Span::from_secs(3);
+
+/// The number of requests with the part that may reach backend servers after that.
+const ALLOWED_LATER: usize = 3;
+
+fn at(ms: u64) -> MonoTime {
+    START + Span::from_millis(ms)
+}
+
+/// Returns the parts that other requests may share of a prompt with these parts and one of its own.
+fn ids(parts: &[u64]) -> Vec<SuspectId> {
+    let part = |id: &u64| PromptPart {
+        id: PartId(*id),
+        tokens: 100,
+    };
+    let own = part(&u64::MAX);
+    let parts: Vec<PromptPart> = parts.iter().map(part).chain([own]).collect();
+    SuspectId::shared(SERVICE, &parts)
+}
+
+fn blocks(table: &mut SuspectTable, parts: &[u64], now: MonoTime) -> bool {
+    table.refresh(now);
+    table.check(&ids(parts), |_| false, now).is_some()
+}
+
+/// Returns a table that has seen `count` crashes on these parts, one each 400 ms, with other answers in
+/// between, and the time of the last crash.
+fn crashed(parts: &[u64], count: u64) -> (SuspectTable, MonoTime) {
+    let mut table = SuspectTable::default();
+    for number in 0..count {
+        table.record_crash(&ids(parts), 100 + number, at(number * 400));
+        table.record_begun(&ids(&[OTHER]), at(number * 400 + 200));
+    }
+    (table, at((count - 1) * 400))
+}
+
+#[test]
+fn a_part_is_quarantined_after_three_crashes_without_an_answer() {
+    let (mut table, last) = crashed(&[SHARED, CRASHING], 2);
+    assert!(!blocks(
+        &mut table,
+        &[SHARED, CRASHING],
+        last + Span::from_secs(2)
+    ));
+    let (mut table, last) = crashed(&[SHARED, CRASHING], 3);
+    table.record_begun(&ids(&[SHARED]), last);
+    let later = last + Span::from_secs(2);
+    assert!(blocks(&mut table, &[SHARED, CRASHING], later));
+    assert!(
+        !blocks(&mut table, &[SHARED, OTHER], later),
+        "a sound request"
+    );
+}
+
+#[test]
+fn the_last_part_and_other_services_are_never_suspects() {
+    let (mut table, last) = crashed(&[CRASHING], 5);
+    table.refresh(last);
+    let part = |id| PromptPart {
+        id: PartId(id),
+        tokens: 100,
+    };
+    let own = SuspectId::shared(SERVICE, &[part(OTHER), part(CRASHING)]);
+    assert!(table.check(&own, |_| false, last).is_none());
+    let elsewhere = SuspectId::shared("others", &[part(CRASHING), part(OTHER)]);
+    assert!(table.check(&elsewhere, |_| false, last).is_none());
+    assert!(blocks(&mut table, &[CRASHING], last));
+}
+
+#[test]
+fn an_answer_that_begins_clears_a_part() {
+    let (mut table, last) = crashed(&[CRASHING], 4);
+    assert!(blocks(&mut table, &[CRASHING], last));
+    table.record_begun(&ids(&[CRASHING]), last + Span::from_millis(1));
+    assert!(!blocks(
+        &mut table,
+        &[CRASHING],
+        last + Span::from_millis(2)
+    ));
+}
+
+#[test]
+fn crashes_at_one_moment_count_once() {
+    let mut table = SuspectTable::default();
+    for backend in 0..18 {
+        table.record_crash(&ids(&[SHARED]), backend, at(backend / 2));
+    }
+    table.record_begun(&ids(&[OTHER]), at(900));
+    assert!(!blocks(&mut table, &[SHARED], at(2_000)));
+}
+
+#[test]
+fn an_outage_in_which_no_answer_begins_quarantines_nothing() {
+    let mut table = SuspectTable::default();
+    for backend in 0..18 {
+        table.record_crash(&ids(&[SHARED]), backend, at(backend * 200));
+    }
+    assert!(!blocks(&mut table, &[SHARED], at(10_000)));
+}
+
+#[test]
+fn a_part_that_only_shares_crashes_blocks_nothing_by_itself() {
+    let (mut table, last) = crashed(&[CALLER, CRASHING], 4);
+    // One request with the crashing part had another caller.
+    table.record_crash(&ids(&[CRASHING]), 7, last);
+    let later = last + Span::from_millis(100);
+    assert!(!blocks(&mut table, &[CALLER, OTHER], later));
+    assert!(blocks(&mut table, &[CRASHING, OTHER], later));
+    assert!(blocks(&mut table, &[CALLER, CRASHING], later));
+}
+
+#[test]
+fn one_gateway_probes_after_a_quarantine_that_grows_with_each_crash() {
+    let (mut table, last) = crashed(&[CRASHING], 3);
+    let crashing = ids(&[CRASHING]);
+    table.refresh(last + Span::from_secs(1));
+    let mut is_sent = |prober: bool, now| table.check(&crashing, |_| prober, now).is_none();
+    let over = last + Span::from_secs(60);
+    assert!(!is_sent(true, last + Span::from_secs(59)));
+    assert!(!is_sent(false, over));
+    assert!(is_sent(true, over));
+    assert!(
+        !is_sent(true, over + Span::from_secs(1)),
+        "one request only"
+    );
+    table.record_crash(&crashing, 55, over);
+    let mut is_sent = |now| table.check(&crashing, |_| true, now).is_none();
+    assert!(!is_sent(over + Span::from_secs(119)));
+    assert!(is_sent(over + Span::from_secs(120)));
+}
+
+#[test]
+fn a_quarantine_that_nobody_probes_is_dropped_in_the_end() {
+    let (mut table, last) = crashed(&[CRASHING], 3);
+    table.refresh(last + Span::from_secs(1));
+    assert!(table.prune(last + Span::from_secs(119)).is_empty());
+    assert_eq!(table.prune(last + Span::from_secs(120)), ids(&[CRASHING]));
+    assert!(table.is_empty());
+}
+
+#[test]
+fn a_gateway_that_started_after_the_crashes_takes_over_the_quarantine() {
+    let (mut table, last) = crashed(&[CRASHING], 3);
+    table.refresh(last + Span::from_secs(1));
+    let now = last + Span::from_secs(30);
+    let record = table.record(ids(&[CRASHING])[0], now).unwrap();
+    let mut late = SuspectTable::default();
+    let started = MonoTime(10);
+    assert!(late.merge(&record, started));
+    assert!(!late.merge(&record, started), "nothing new");
+    let quarantine = late.check(&ids(&[CRASHING]), |_| false, started).unwrap();
+    assert_eq!(quarantine.crashes, 3);
+    assert!(quarantine.time_left < Span::from_secs(31));
+}
+
+#[test]
+fn an_older_report_does_not_bring_back_what_was_cleared() {
+    let (mut table, last) = crashed(&[CRASHING], 3);
+    table.refresh(last + Span::from_secs(1));
+    let now = last + Span::from_secs(2);
+    let older = table.record(ids(&[CRASHING])[0], now).unwrap();
+    table.record_begun(&ids(&[CRASHING]), now);
+    table.merge(&older, now);
+    assert!(!blocks(&mut table, &[CRASHING], now));
+    let cleared = table.record(ids(&[CRASHING])[0], now).unwrap();
+    let (mut other, _) = crashed(&[CRASHING], 3);
+    other.refresh(now);
+    assert!(other.merge(&cleared, now));
+    assert!(!blocks(&mut other, &[CRASHING], now));
+}
+
+#[test]
+fn a_table_stays_bounded_and_keeps_quarantined_parts() {
+    let (mut table, last) = crashed(&[CRASHING], 3);
+    table.refresh(last + Span::from_secs(1));
+    for part in 1_000..2_000 {
+        table.record_crash(&ids(&[part]), part, last);
+    }
+    assert!(table.recent(Span::from_secs(9), last).len() <= 256);
+    assert_eq!(
+        table.recent(Span::from_secs(9), last)[0],
+        ids(&[CRASHING])[0]
+    );
+}
+
+/// A request at a backend server of a [`SuspectFleet`].
+#[derive(Debug, Clone)]
+struct SimRequest {
+    gateway: usize,
+    ids: Vec<SuspectId>,
+    is_crashing: bool,
+    begins_ms: u64,
+}
+
+/// Gateways with their tables and backend servers that a part crashes, in steps of a millisecond.
+struct SuspectFleet {
+    random: ChaCha8Rng,
+    tables: Vec<SuspectTable>,
+    /// The requests whose answers have not begun, by backend server.
+    running: Vec<Vec<SimRequest>>,
+    /// When each backend server is back after a crash.
+    back_ms: Vec<u64>,
+    incarnations: u64,
+    names: Vec<u64>,
+    /// Records on their way, with the time of arrival.
+    messages: VecDeque<(u64, usize, SuspectRecord)>,
+    crashes_ms: Vec<u64>,
+}
+
+impl SuspectFleet {
+    fn start(seed: u64, gateways: usize, backends: usize) -> Self {
+        Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            tables: (0..gateways).map(|_| SuspectTable::default()).collect(),
+            running: vec![Vec::new(); backends],
+            back_ms: vec![0; backends],
+            incarnations: backends as u64,
+            names: (0..backends as u64).collect(),
+            messages: VecDeque::new(),
+            crashes_ms: Vec::new(),
+        }
+    }
+
+    /// Sends a request through a random gateway; returns whether it reached a backend server.
+    fn send(&mut self, parts: &[u64], now_ms: u64) -> bool {
+        let gateway = self.random.random_range(0..self.tables.len());
+        let ids = ids(parts);
+        let table = &mut self.tables[gateway];
+        table.refresh(at(now_ms));
+        if table.check(&ids, |_| false, at(now_ms)).is_some() {
+            return false;
+        }
+        let up: Vec<usize> = (0..self.running.len())
+            .filter(|backend| self.back_ms[*backend] <= now_ms)
+            .collect();
+        if up.is_empty() {
+            return false;
+        }
+        let backend = up[self.random.random_range(0..up.len())];
+        let begins_ms = now_ms + self.random.random_range(60..400);
+        self.running[backend].push(SimRequest {
+            gateway,
+            ids,
+            is_crashing: parts.contains(&CRASHING),
+            begins_ms,
+        });
+        true
+    }
+
+    fn step(&mut self, now_ms: u64) {
+        for backend in 0..self.running.len() {
+            let due = |request: &SimRequest| request.begins_ms <= now_ms;
+            let crashes = self.running[backend]
+                .iter()
+                .any(|request| request.is_crashing && due(request));
+            if crashes {
+                self.crash(backend, now_ms);
+                continue;
+            }
+            let (begun, waiting): (Vec<_>, Vec<_>) = self.running[backend].drain(..).partition(due);
+            self.running[backend] = waiting;
+            for request in begun {
+                let table = &mut self.tables[request.gateway];
+                let cleared = table.record_begun(&request.ids, at(now_ms));
+                self.tell(request.gateway, &cleared, now_ms);
+            }
+        }
+        self.deliver(now_ms);
+    }
+
+    fn crash(&mut self, backend: usize, now_ms: u64) {
+        self.crashes_ms.push(now_ms);
+        let name = self.names[backend];
+        for request in std::mem::take(&mut self.running[backend]) {
+            let table = &mut self.tables[request.gateway];
+            let changed = table.record_crash(&request.ids, name, at(now_ms));
+            self.tell(request.gateway, &changed, now_ms);
+        }
+        self.names[backend] = self.incarnations;
+        self.incarnations += 1;
+        self.back_ms[backend] = now_ms + 3_000;
+    }
+
+    /// Sends records to all other gateways. One in ten is lost.
+    fn tell(&mut self, from: usize, ids: &[SuspectId], now_ms: u64) {
+        for id in ids {
+            let Some(record) = self.tables[from].record(*id, at(now_ms)) else {
+                continue;
+            };
+            for to in (0..self.tables.len()).filter(|to| *to != from) {
+                if self.random.random_bool(0.9) {
+                    let arrives = now_ms + self.random.random_range(10..40);
+                    self.messages.push_back((arrives, to, record.clone()));
+                }
+            }
+        }
+    }
+
+    /// Delivers the messages that have arrived; every third of a second everything is repeated.
+    fn deliver(&mut self, now_ms: u64) {
+        let (due, later): (VecDeque<_>, VecDeque<_>) = self
+            .messages
+            .drain(..)
+            .partition(|(arrives, ..)| *arrives <= now_ms);
+        self.messages = later;
+        for (_, to, record) in due {
+            self.tables[to].merge(&record, at(now_ms));
+        }
+        if now_ms.is_multiple_of(333) {
+            for from in 0..self.tables.len() {
+                self.tables[from].refresh(at(now_ms));
+                let recent = self.tables[from].recent(Span::from_secs(5), at(now_ms));
+                self.tell(from, &recent, now_ms);
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    // A storm of requests with a crashing part, among sound ones that share its caller and its other
+    // parts: the part is known in time, and sound requests go on.
+    #[test]
+    fn a_crashing_part_is_found_among_those_that_share_its_requests(
+        seed in any::<u64>(),
+        gateways in 2_usize..10,
+        crashing_per_s in 0.7_f64..8.0,
+        caller_per_s in 2.0_f64..10.0,
+    ) {
+        let mut fleet = SuspectFleet::start(seed, gateways, 18);
+        let mut later = 0;
+        let (mut sound, mut sent) = (0, 0);
+        for now_ms in 0..40_000_u64 {
+            let known_at = fleet.crashes_ms.get(KNOWN_AFTER - 1).copied();
+            let is_late = known_at.is_some_and(|known| now_ms > known + STABLE_TIME.0 / 1_000);
+            if fleet.random.random_bool(crashing_per_s / 1e3) && now_ms > 5_000 {
+                let reached = fleet.send(&[SHARED, CALLER, CRASHING], now_ms);
+                later += usize::from(is_late && reached);
+            }
+            if fleet.random.random_bool(0.02) {
+                fleet.send(&[SHARED, OTHER], now_ms);
+            }
+            if fleet.random.random_bool(caller_per_s / 1e3) {
+                let reached = fleet.send(&[SHARED, CALLER], now_ms);
+                let is_counted = now_ms > 20_000;
+                sound += usize::from(is_counted);
+                sent += usize::from(is_counted && reached);
+            }
+            fleet.step(now_ms);
+        }
+        prop_assert!(later <= ALLOWED_LATER, "{later} later");
+        prop_assert!(sent * 2 >= sound, "{sent} of {sound} sound requests");
+    }
+}
--- a/crates/entry/tests/gateway_crashing_parts.rs
+++ b/crates/entry/tests/gateway_crashing_parts.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use gateway::{Call, TestGateway, announce, store_with_manifest};
+use gateway::{Call, TestGateway, announce, store_with_manifest, wait_for};
 use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest, UsersStore, WireMessage};
 
 /// The first part of all prompts.
@@ -13,6 +13,9 @@
 /// The part that crashes engines.
 const CRASHING_PART: &str = "bad0bad0";
 
+/// The part whose answers get no further than their heads.
+const HELD_PART: &str = "face0ff0";
+
 /// The number of engines at the start.
 const ENGINES: usize = 6;
 
@@ -65,6 +68,11 @@
         }
     }
 
+    /// Returns the number of requests that reached engines.
+    fn seen(&self) -> usize {
+        self.engines.iter().map(|engine| engine.seen().len()).sum()
+    }
+
     /// Returns the number of requests with the crashing part that reached engines.
     fn reached(&self) -> usize {
         let seen = self.engines.iter().flat_map(ScriptedEngine::seen);
@@ -87,17 +95,24 @@
     }
 }
 
-fn has_crashing_part(request: &SeenRequest) -> bool {
+fn has_part(request: &SeenRequest, part: &str) -> bool {
     let parts = request.message.header("prompt-prefix").unwrap_or("");
-    parts.contains(CRASHING_PART)
+    parts.contains(part)
 }
 
-/// Serves whole streams; crashes after the head of an answer on the crashing part.
+fn has_crashing_part(request: &SeenRequest) -> bool {
+    has_part(request, CRASHING_PART)
+}
+
+/// Serves whole streams, and holds those with the held part; crashes after the head of an answer on the crashing part.
 fn answer(request: &SeenRequest) -> EngineReply {
     let mut bytes = request.stream_head();
     if has_crashing_part(request) {
         return EngineReply::BytesThenCrash(bytes);
     }
+    if has_part(request, HELD_PART) {
+        return EngineReply::BytesThenSilence(bytes);
+    }
     for id in 1..=4 {
         bytes.extend(SeenRequest::event(id));
     }
@@ -105,16 +120,23 @@
     EngineReply::Bytes(bytes)
 }
 
-/// Calls with a prompt of the shared part, the parts in the middle, and a part of its own.
 fn call(gateway: &TestGateway, id: &str, middle: &str) -> WireMessage {
+    let mut caller = gateway.caller();
+    caller.send(&call_text(id, middle));
+    caller.read().expect("an answer")
+}
+
+/// Returns a call with a prompt of the shared part, the parts in the middle, and a part of its own.
+fn call_text(id: &str, middle: &str) -> String {
     let own: u64 = id.bytes().fold(7, |sum, byte| sum * 131 + u64::from(byte));
     let headers = format!(
         "Model: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: {SHARED_PART}:1000,{middle}{own:x}:60\r\n"
     );
-    gateway.caller().call(&Call {
+    let call = Call {
         headers: &headers,
         ..Call::stream(id)
-    })
+    };
+    call.text()
 }
 
 fn crashing_call(gateway: &TestGateway, id: &str) -> WireMessage {
@@ -146,6 +168,79 @@
     assert!(later <= ALLOWED_LATER, "{later} reached engines");
 }
 
+// Guards against a quarantine that also keeps sound requests of the same caller from engines, which
+// have all parts but the crashing one in common with those that crash them.
+#[test]
+fn sound_requests_with_the_other_parts_begin_at_the_first_attempt() {
+    let mut engines = CrashingEngines::start();
+    let one = TestGateway::spawn("edge-1", &engines.store, &[]);
+    let other = TestGateway::spawn("edge-2", &engines.store, &[]);
+    one.wait_ready();
+    other.wait_ready();
+    engines.crash(&[&one, &other]);
+    std::thread::sleep(2 * STABLE_TIME);
+    let mut begun = 0;
+    for number in 0..40 {
+        let gateway = [&one, &other][number % 2];
+        crashing_call(gateway, &format!("later{number}"));
+        engines.replace();
+        let answer = sound_call(gateway, &format!("sound{number}"));
+        begun += usize::from(answer.status() == 200);
+    }
+    assert!(begun >= 20, "{begun} of 40 begun");
+}
+
+// Guards against a caller that is not told whether its request ran, nor when to come back.
+#[test]
+fn a_request_with_a_quarantined_part_is_refused_as_not_run() {
+    let mut engines = CrashingEngines::start();
+    let gateway = TestGateway::start(&engines.store);
+    engines.crash(&[&gateway]);
+    std::thread::sleep(STABLE_TIME);
+    let before = engines.reached();
+    let answer = crashing_call(&gateway, "later");
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(engines.reached(), before);
+    gateway.wait_log("quarantined", |line| line["id"] == "later");
+    let explained = TestGateway::explain(&[&gateway], "later");
+    let part = format!("part={CRASHING_PART}");
+    assert!(explained.contains(&part), "{explained}");
+    assert!(!gateway.log("backend-crashed").is_empty());
+    assert!(gateway.page("/metrics").contains("quarantined-parts"));
+}
+
+// Guards against an outage of all engines that is taken for the work of a part of their requests.
+#[test]
+fn engines_that_end_together_quarantine_no_part() {
+    let mut engines = CrashingEngines::start();
+    let gateway = TestGateway::start(&engines.store);
+    let mut callers = Vec::new();
+    for number in 0..ENGINES * 2 {
+        let mut caller = gateway.caller();
+        caller.send(&call_text(
+            &format!("held{number}"),
+            &format!("{HELD_PART}:200,"),
+        ));
+        callers.push(caller);
+    }
+    wait_for("the engines hold requests", || {
+        engines.seen() >= ENGINES * 2
+    });
+    for engine in &engines.engines {
+        engine.crash();
+    }
+    for caller in &mut callers {
+        caller.read();
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    engines.replace();
+    wait_for("the engines serve again", || {
+        sound_call(&gateway, "sound").status() == 200
+    });
+    assert!(gateway.log("part-quarantined").is_empty());
+}
+
 // Guards against a gateway that learns of the part only from crashes of its own.
 #[test]
 fn a_gateway_that_starts_later_learns_of_the_part_from_the_others() {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -24,6 +24,7 @@
 use crate::peer_socket::PeerSocket;
 use crate::platform_view::{ApplyContext, PlatformView, ViewUpdate};
 use crate::prelude::*;
+use crate::quarantine::PartQuarantine;
 use crate::shutdown::ShutdownState;
 use crate::suspend::SuspendDetector;
 
@@ -49,6 +50,7 @@
     pub(crate) services: RefCell<FastMap<Arc<str>, ServiceState>>,
     pub(crate) peers: PeerSocket,
     pub(crate) origins: OriginExchange,
+    pub(crate) quarantine: PartQuarantine,
     store_era: Cell<StoreEra>,
     pub(crate) shutdown: ShutdownState,
     pub(crate) metrics: Rc<GatewayMetrics>,
@@ -79,6 +81,7 @@
             services: RefCell::default(),
             peers: PeerSocket::default(),
             origins: OriginExchange::default(),
+            quarantine: PartQuarantine::default(),
             store_era: Cell::default(),
             shutdown: ShutdownState::default(),
             metrics: Rc::new(metrics),
@@ -306,6 +309,7 @@
             kept_connections: self.pool.borrow().len(),
             in_flight: self.in_flight.get(),
             caller_connections: self.caller_connections.get(),
+            quarantined_parts: self.quarantine.len(),
         }
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -66,18 +66,20 @@
                 },
             }
         }
-        send_news(&core);
+        let targets = pick_targets(&core, FANOUT);
+        send_news(&core, &targets);
+        core.quarantine.send_round(&core, &targets);
     }
 }
 
-fn send_news(core: &GatewayCore) {
+fn send_news(core: &GatewayCore, targets: &[SocketAddr]) {
     let reports = fresh_reports(core);
     let downs = fresh_downs(core);
     if reports.is_empty() && downs.is_empty() {
         return;
     }
     let message = PeerMessage::Load(LoadMessage { reports, downs });
-    core.peers.send(message, &pick_targets(core, FANOUT));
+    core.peers.send(message, targets);
 }
 
 /// Returns the newest load reports, newest first.
@@ -156,6 +158,7 @@
             core.peers.send(PeerMessage::OriginReply(reply), &[from]);
         }
         PeerMessage::OriginReply(reply) => core.origins.on_reply(&reply, from),
+        PeerMessage::Suspects(records) => core.quarantine.on_records(core, &records),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod platform_view;
 pub mod port;
 mod process;
+mod quarantine;
 mod request;
 mod settings;
 mod shutdown;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -57,6 +57,7 @@
     pub(crate) kept_connections: usize,
     pub(crate) in_flight: usize,
     pub(crate) caller_connections: usize,
+    pub(crate) quarantined_parts: usize,
 }
 
 /// The metrics of one gateway.
@@ -72,6 +73,7 @@
     streams: Counter<u64>,
     resumes: Counter<u64>,
     backpressure: Counter<u64>,
+    quarantine: Counter<u64>,
     first_time: Histogram<f64>,
     total_time: Histogram<f64>,
     gap_time: Histogram<f64>,
@@ -120,6 +122,11 @@
                 "gateway.backpressure",
                 "Answers of backend servers that leave or ask for backoff",
             ),
+            quarantine: counter(
+                &meter,
+                "gateway.quarantine",
+                "Crashes of backend servers and what followed for parts of prompts, by event",
+            ),
             streams: counter(
                 &meter,
                 "gateway.streams",
@@ -165,6 +172,10 @@
         self.backpressure.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    pub(crate) fn record_quarantine(&self, event: &'static str) {
+        self.quarantine.add(1, &[KeyValue::new("event", event)]);
+    }
+
     pub(crate) fn record_refusal(&self, reason: &'static str) {
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
@@ -219,6 +230,7 @@
         gauge("kept-connections", reading.kept_connections as f64);
         gauge("in-flight", reading.in_flight as f64);
         gauge("caller-connections", reading.caller_connections as f64);
+        gauge("quarantined-parts", reading.quarantined_parts as f64);
         gauge("store-era", reading.store_era.0 as f64);
         if let Some(age) = reading.store_contact_age {
             gauge("store-contact-age-seconds", age.as_secs_f64());
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -1,11 +1,14 @@
 //! The datagrams that gateways send to each other.
 
-use oleander_balance::{StreamId, VersionId, VersionSpan};
+use oleander_balance::{StreamId, SuspectRecord, VersionId, VersionSpan};
 use serde::{Deserialize, Serialize};
 
 /// The longest datagram, in bytes.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 1_400;
 
+/// The room for the records of one datagram, in bytes; the rest is for what encloses them.
+pub(crate) const MAX_RECORD_BYTES: usize = MAX_DATAGRAM_BYTES - 20;
+
 /// The version of the format. Datagrams of other versions are ignored.
 const FORMAT_VERSION: u8 = 3;
 
@@ -20,6 +23,8 @@
     OriginQuery(OriginQuery),
     /// Answers an [`OriginQuery`].
     OriginReply(OriginReply),
+    /// Which parts of prompts have crashed backend servers.
+    Suspects(Vec<SuspectRecord>),
 }
 
 /// The newest load reports and failures.
--- a/crates/gateway/src/platform_view/gateways.rs
+++ b/crates/gateway/src/platform_view/gateways.rs
@@ -180,6 +180,14 @@
         replicas
     }
 
+    /// Returns whether a gateway is the first of all live ones by rendezvous hashing over a key.
+    pub(crate) fn is_first_gateway(&self, own: &str, key: u64) -> bool {
+        let order = |name: &str| xxh3_64_with_seed(name.as_bytes(), key);
+        let is_live = |fact: &GatewayFact| fact.gone_at.is_none();
+        let mut others = self.gateways.iter().filter(|(_, fact)| is_live(fact));
+        others.all(|(name, _)| order(own) <= order(name))
+    }
+
     /// Returns the facts about gateways, tombstones included.
     pub(super) fn gateway_facts(&self) -> impl Iterator<Item = KnownFact> {
         self.gateways.iter().map(|(name, fact)| KnownFact {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -23,6 +23,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::origin_exchange::run_origin_exchange;
 use crate::prelude::*;
+use crate::quarantine::run_quarantine_news;
 use crate::store_watch::{RECOVERY_WINDOW, run_store_watch};
 
 /// The length of the queue of connections that wait to be accepted.
@@ -205,6 +206,7 @@
     core.peers.connect(Rc::clone(&gossip));
     spawn_local(run_gossip(Rc::clone(&core), gossip));
     spawn_local(run_origin_exchange(Rc::clone(&core)));
+    spawn_local(run_quarantine_news(Rc::clone(&core)));
     spawn_local(accept_callers(Rc::clone(&core), listeners.frontend));
     spawn_local(watch_settings(Rc::clone(&core)));
     let mut maintenance = interval(Duration::from(MAINTENANCE_INTERVAL));
@@ -265,6 +267,7 @@
     let now = monotonic_now();
     core.pool.borrow_mut().prune(now);
     core.view.borrow_mut().prune(now);
+    core.quarantine.prune(core);
     core.update_view("era", |view, context| {
         view.drop_unconfirmed(RECOVERY_WINDOW, context);
     });
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,288 @@
+//! Keeps parts of prompts that crash backend servers from being sent.
+//!
+//! A send that breaks off before the first event of its answer raises the question whether its backend
+//! server has crashed. A new connection to it, which only a server that is gone refuses, answers that.
+//! The parts of such requests become suspects (`oleander_balance::SuspectTable`). Gateways share
+//! what they learn of suspects at once, each with a few others that pass it on, and repeat it with their
+//! periodic news, so that a gateway that starts later learns of it too (docs/PLATFORM.md, "Parts that
+//! crash backend servers").
+
+use std::cell::RefCell;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use oleander_balance::{
+    BackendKey, PromptPart, Quarantine, SuspectId, SuspectRecord, SuspectTable,
+};
+use oleander_base::{FastMap, FastSet, monotonic_now};
+use serde::Serialize;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::core::GatewayCore;
+use crate::gossip::pick_targets;
+use crate::http::{HttpConn, TcpTimeouts};
+use crate::peer_message::{MAX_RECORD_BYTES, PeerMessage};
+use crate::prelude::*;
+
+/// The timeout of the connection that tells whether a backend server has crashed.
+const CHECK_TIMEOUT: Span = Span::from_millis(300);
+
+/// How long news of suspects is collected before it is sent.
+const NEWS_DELAY: Span = Span::from_millis(10);
+
+/// The number of gateways that news of suspects is sent to at once.
+const NEWS_FANOUT: usize = 3;
+
+/// How long changes of suspects are repeated with the periodic news.
+const REPEAT_TIME: Span = Span::from_secs(5);
+
+#[derive(Debug, Serialize)]
+struct CrashFields<'a> {
+    backend: &'a str,
+    /// The parts of the requests whose answers had not begun.
+    suspects: Vec<String>,
+}
+
+#[derive(Debug, Serialize)]
+struct PartFields {
+    part: String,
+    crashes: usize,
+}
+
+/// What this gateway knows of parts that crash backend servers, and its exchange of that with others.
+#[derive(Debug, Default)]
+pub(crate) struct PartQuarantine {
+    table: RefCell<SuspectTable>,
+    /// The suspects of each backend server of which it is not known yet whether it has crashed.
+    unchecked: RefCell<FastMap<BackendKey, Vec<SuspectId>>>,
+    news: RefCell<FastSet<SuspectId>>,
+    has_news: Notify,
+}
+
+impl PartQuarantine {
+    /// Returns the part that keeps a request from being sent, if there is one.
+    pub(crate) fn check(
+        &self,
+        core: &GatewayCore,
+        service: &str,
+        parts: &[PromptPart],
+    ) -> Option<Quarantine> {
+        if self.table.borrow().is_empty() {
+            return None;
+        }
+        self.refresh(core);
+        let settings = core.settings();
+        let view = core.view.borrow();
+        let is_prober = |id: SuspectId| view.is_first_gateway(&settings.name, id.part.0);
+        let ids = SuspectId::shared(service, parts);
+        let mut table = self.table.borrow_mut();
+        table.check(&ids, is_prober, monotonic_now())
+    }
+
+    /// Notes that an answer began.
+    pub(crate) fn on_begun(&self, core: &GatewayCore, service: &str, parts: &[PromptPart]) {
+        let ids = SuspectId::shared(service, parts);
+        let quarantined = self.quarantined_among(&ids);
+        let cleared = self.table.borrow_mut().record_begun(&ids, monotonic_now());
+        self.log_released(core, &quarantined);
+        self.tell(&cleared);
+    }
+
+    /// Notes that a send broke off before the first event of its answer, and finds out whether the
+    /// backend server has crashed.
+    pub(crate) fn on_unbegun(
+        &self,
+        core: &Rc<GatewayCore>,
+        key: BackendKey,
+        service: &str,
+        parts: &[PromptPart],
+    ) {
+        let ids = SuspectId::shared(service, parts);
+        if ids.is_empty() {
+            return;
+        }
+        let mut unchecked = self.unchecked.borrow_mut();
+        let is_running = unchecked.contains_key(&key);
+        unchecked.entry(key).or_default().extend(ids);
+        if !is_running {
+            spawn_local(check_backend(Rc::clone(core), key));
+        }
+    }
+
+    /// Takes over what another gateway knows.
+    pub(crate) fn on_records(&self, core: &GatewayCore, records: &[SuspectRecord]) {
+        let now = monotonic_now();
+        for record in records {
+            let ids = [record.id];
+            let before = self.quarantined_among(&ids);
+            if self.table.borrow_mut().merge(record, now) {
+                self.tell(&ids);
+            }
+            match before.is_empty() {
+                true => self.log_quarantined(core, &self.quarantined_among(&ids)),
+                false => self.log_released(core, &before),
+            }
+        }
+    }
+
+    /// Repeats what is known, for gateways that have missed it.
+    pub(crate) fn send_round(&self, core: &GatewayCore, targets: &[SocketAddr]) {
+        if self.table.borrow().is_empty() {
+            return;
+        }
+        self.refresh(core);
+        let recent = self.table.borrow().recent(REPEAT_TIME, monotonic_now());
+        self.send(core, &recent, targets);
+    }
+
+    /// Drops what is too old to matter.
+    pub(crate) fn prune(&self, core: &GatewayCore) {
+        let dropped = self.table.borrow_mut().prune(monotonic_now());
+        self.log_released(core, &dropped);
+    }
+
+    /// Returns the number of quarantined parts.
+    pub(crate) fn len(&self) -> usize {
+        self.table.borrow().quarantined_count()
+    }
+
+    fn refresh(&self, core: &GatewayCore) {
+        let quarantined = self.table.borrow_mut().refresh(monotonic_now());
+        self.log_quarantined(core, &quarantined);
+        self.tell(&quarantined);
+    }
+
+    fn record_crash(&self, core: &GatewayCore, key: BackendKey, ids: &[SuspectId]) {
+        let Some(id) = core
+            .fleet
+            .borrow()
+            .get(key)
+            .map(|member| member.entry.id.clone())
+        else {
+            return;
+        };
+        let backend = xxh3_64(id.as_bytes());
+        let changed = self
+            .table
+            .borrow_mut()
+            .record_crash(ids, backend, monotonic_now());
+        let fields = CrashFields {
+            backend: &id,
+            suspects: changed.iter().map(|id| id.part.to_string()).collect(),
+        };
+        core.log.change("backend-crashed", fields);
+        core.metrics.record_quarantine("crash");
+        self.tell(&changed);
+    }
+
+    fn quarantined_among(&self, ids: &[SuspectId]) -> Vec<SuspectId> {
+        let table = self.table.borrow();
+        let quarantined = ids
+            .iter()
+            .filter(|id| table.crashes_in_quarantine(**id) > 0);
+        quarantined.copied().collect()
+    }
+
+    fn log_quarantined(&self, core: &GatewayCore, ids: &[SuspectId]) {
+        for id in ids {
+            let fields = PartFields {
+                part: id.part.to_string(),
+                crashes: self.table.borrow().crashes_in_quarantine(*id),
+            };
+            core.log.change("part-quarantined", fields);
+            core.metrics.record_quarantine("quarantined");
+        }
+    }
+
+    /// Logs the parts that are not quarantined any longer.
+    fn log_released(&self, core: &GatewayCore, quarantined: &[SuspectId]) {
+        for id in quarantined {
+            if self.table.borrow().crashes_in_quarantine(*id) > 0 {
+                continue;
+            }
+            let part = id.part.to_string();
+            core.log
+                .change("part-released", PartFields { part, crashes: 0 });
+            core.metrics.record_quarantine("released");
+        }
+    }
+
+    fn tell(&self, ids: &[SuspectId]) {
+        if ids.is_empty() {
+            return;
+        }
+        self.news.borrow_mut().extend(ids.iter().copied());
+        self.has_news.notify_one();
+    }
+
+    /// Sends what is known of some parts, as much as one datagram holds.
+    fn send(&self, core: &GatewayCore, ids: &[SuspectId], targets: &[SocketAddr]) {
+        let now = monotonic_now();
+        let table = self.table.borrow();
+        let mut records = Vec::new();
+        let mut bytes = 0;
+        for record in ids.iter().filter_map(|id| table.record(*id, now)) {
+            bytes += record.max_bytes();
+            if bytes > MAX_RECORD_BYTES {
+                break;
+            }
+            records.push(record);
+        }
+        if !records.is_empty() {
+            core.peers.send(PeerMessage::Suspects(records), targets);
+        }
+    }
+}
+
+/// Finds out whether a backend server has crashed, and records its suspects if it has.
+async fn check_backend(core: Rc<GatewayCore>, key: BackendKey) {
+    let has_crashed = refuses_connections(&core, key).await;
+    let ids = core.quarantine.unchecked.borrow_mut().remove(&key);
+    if has_crashed {
+        core.quarantine
+            .record_crash(&core, key, &ids.unwrap_or_default());
+    }
+}
+
+/// Returns whether a backend server refuses connections, as one whose process has ended does. One that
+/// does not answer may be out of reach only.
+async fn refuses_connections(core: &GatewayCore, key: BackendKey) -> bool {
+    let address = core
+        .fleet
+        .borrow()
+        .get(key)
+        .map(|member| member.entry.address);
+    let Some(address) = address else {
+        return false;
+    };
+    let limits = TcpTimeouts::default();
+    let connect = HttpConn::connect(address, &limits);
+    match timeout(Duration::from(CHECK_TIMEOUT), connect).await {
+        Ok(Ok(conn)) => {
+            core.metrics.record_connection("backend");
+            if conn.reset_on_close().is_ok() {
+                core.pool.borrow_mut().put(key, conn, None, monotonic_now());
+            }
+            false
+        }
+        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+        Err(_) => false,
+    }
+}
+
+/// Sends news of suspects for as long as the process runs.
+pub(crate) async fn run_quarantine_news(core: Rc<GatewayCore>) {
+    loop {
+        core.quarantine.has_news.notified().await;
+        sleep(Duration::from(NEWS_DELAY)).await;
+        let news = std::mem::take(&mut *core.quarantine.news.borrow_mut());
+        let ids: Vec<SuspectId> = news.into_iter().collect();
+        let targets = pick_targets(&core, NEWS_FANOUT);
+        core.quarantine.send(&core, &ids, &targets);
+    }
+}
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -164,8 +164,10 @@
         self.verdict = self.verdict.join(verdict);
         self.last_problem = error.to_string();
         self.record_failure(target, verdict, &error.to_string(), sent_at);
-        if matches!(error, SendError::NotReached(_)) {
-            self.mark_unreachable(target);
+        match error {
+            SendError::NotReached(_) => self.mark_unreachable(target),
+            SendError::Unanswered(_) => self.record_unbegun(target),
+            SendError::NotSent(_) => {}
         }
         if verdict == Verdict::NotRun {
             return Step::TryAgain;
--- a/crates/gateway/src/request/buffered.rs
+++ b/crates/gateway/src/request/buffered.rs
@@ -33,6 +33,7 @@
             WaitOutcome::Completed(Ok(body)) => body,
             WaitOutcome::CallerLeft => return Step::Done(self.caller_left()),
             WaitOutcome::Completed(Err(error)) => {
+                self.record_unbegun(target);
                 self.record_failure(target, Verdict::MayHaveRun, &error.to_string(), sent_at);
                 return self.after_failed_run("the backend server's answer was cut");
             }
@@ -55,6 +56,7 @@
                 return Step::TryAgain;
             }
         } else {
+            self.record_begun();
             self.record_success(target);
         }
         Step::Done(self.deliver(buffered).await)
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -161,6 +161,7 @@
         if self.time_left() < MIN_SEND_TIME {
             return Err("no time left");
         }
+        self.check_parts()?;
         let routed = &self.job.routed;
         let query = ChoiceQuery {
             service: &routed.service,
@@ -187,6 +188,20 @@
         Ok(choice)
     }
 
+    /// Refuses a request with a part that has crashed backend servers.
+    fn check_parts(&mut self) -> Result<(), &'static str> {
+        let job = self.job;
+        let check = &self.core.quarantine;
+        match check.check(self.core, &job.routed.service, &job.facts.parts) {
+            None => Ok(()),
+            Some(quarantine) => {
+                self.record_quarantined(&quarantine);
+                self.admission_delay = Some(quarantine.time_left);
+                Err("a part of the prompt has crashed backend servers")
+            }
+        }
+    }
+
     /// Refuses a request that would wait far longer than its latency target.
     fn admit(&mut self, choice: &Choice) -> Result<(), &'static str> {
         let routed = &self.job.routed;
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use oleander_balance::{AdmissionQuery, Choice, PromptPart};
+use oleander_balance::{AdmissionQuery, Choice, PromptPart, Quarantine};
 use oleander_base::monotonic_now;
 use serde::Serialize;
 
@@ -58,6 +58,14 @@
     return_after_ms: f64,
 }
 
+#[derive(Debug, Serialize)]
+struct QuarantinedFields<'a> {
+    id: &'a str,
+    part: String,
+    crashes: usize,
+    return_after_ms: f64,
+}
+
 #[derive(Debug, Serialize)]
 struct AttemptFields<'a> {
     id: &'a str,
@@ -199,6 +207,35 @@
             .with_backend(target.key, |state| state.succeeded(target.slots, now));
     }
 
+    /// Notes that an attempt's answer began.
+    pub(super) fn record_begun(&self) {
+        let job = self.job;
+        let quarantine = &self.core.quarantine;
+        quarantine.on_begun(self.core, &job.routed.service, &job.facts.parts);
+    }
+
+    /// Notes that an attempt broke off before its answer began, as it does when the prompt crashes the
+    /// backend server.
+    pub(super) fn record_unbegun(&self, target: &SendTarget) {
+        let job = self.job;
+        let quarantine = &self.core.quarantine;
+        quarantine.on_unbegun(self.core, target.key, &job.routed.service, &job.facts.parts);
+    }
+
+    /// Logs which part of the prompt keeps the request from being sent.
+    pub(super) fn record_quarantined(&self, quarantine: &Quarantine) {
+        self.core.metrics.record_quarantine("request-refused");
+        let fields = QuarantinedFields {
+            id: self.attempt_id,
+            part: quarantine.part.to_string(),
+            crashes: quarantine.crashes,
+            return_after_ms: quarantine.time_left.as_millis_f64().round(),
+        };
+        self.core
+            .log
+            .request("quarantined", LineKind::Failure, self.attempt_id, fields);
+    }
+
     /// Counts how one attempt's stream ended, and logs it unless it is complete.
     pub(super) fn record_stream_end(&self, target: &SendTarget, end: &StreamEnd<'_>) {
         let framing = end.framing.as_str();
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -179,6 +179,9 @@
     ) -> Step {
         self.record_stream_end(target, &state.end(answer.head.framing, Some(reason)));
         drop(answer);
+        if state.timing.events == 0 {
+            self.record_unbegun(target);
+        }
         self.record_failure(target, Verdict::Ran, reason, sent_at);
         self.handle_broken_stream("the backend server's stream broke")
     }
@@ -215,6 +218,7 @@
         let now = monotonic_now();
         if timing.first.is_none() {
             guard.mark_prompt_read();
+            self.record_begun();
             let parts = &self.job.facts.parts;
             self.core.with_backend(target.key, |state| {
                 for part in parts {
--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -49,6 +49,8 @@
     version: Option<serde_json::Value>,
     era: Option<u64>,
     for_ms: Option<f64>,
+    part: Option<String>,
+    crashes: Option<u64>,
     software: Option<String>,
     resumed_attempt: Option<String>,
     framing: Option<String>,
@@ -327,6 +329,8 @@
         line.outcome.as_ref().map(|text| format!("{text:?}")),
     );
     add("era", line.era.map(|era| era.to_string()));
+    add("part", line.part.clone());
+    add("crashes", line.crashes.map(|count| count.to_string()));
     add("for_ms", line.for_ms.map(|span| format!("{span:.0}")));
     add("software", line.software.clone());
     add("resumed_attempt", line.resumed_attempt.clone());
