--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -10,6 +10,7 @@
 
 use crate::cached_parts::CachedParts;
 use crate::latency::LatencyModel;
+use crate::rate_limit::RateLimit;
 
 /// The time for which a load report is valid.
 pub(crate) const REPORT_TTL: Span = Span::from_millis(2_500);
@@ -68,6 +69,8 @@
     pub latency: LatencyModel,
     /// The prompt parts that it probably has cached.
     pub parts: CachedParts,
+    /// The request rate that it has named.
+    pub rate_limit: RateLimit,
     health: BackendHealth,
     report: Option<DatedReport>,
     /// When it was last found to be down, here or by another gateway.
@@ -88,6 +91,7 @@
             own_short: 0,
             latency: LatencyModel::default(),
             parts: CachedParts::default(),
+            rate_limit: RateLimit::default(),
             health: BackendHealth::open(MIN_EJECTION, MAX_EJECTION),
             report: None,
             down_at: None,
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -17,6 +17,7 @@
 mod fleet_table;
 mod home;
 mod latency;
+mod rate_limit;
 mod reserve;
 mod retry_window;
 mod service_traffic;
@@ -33,6 +34,7 @@
 };
 pub use home::HomeSet;
 pub use latency::{LatencyModel, StreamSample};
+pub use rate_limit::{NamedRate, RateLimit};
 pub use retry_window::{RetryLimits, RetryWindow};
 pub use service_traffic::{RequestTraits, ServiceTraffic};
 pub use stream_origin::{
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -9,7 +9,7 @@
 
 use oleander_balance::{
     BackendKey, BackendState, Choice, ChoiceInput, FleetTable, InFlightSend, LatencyModel,
-    LoadReport, RetryWindow, ServiceTraffic, StreamId, VersionId, choose_backend,
+    LoadReport, NamedRate, RetryWindow, ServiceTraffic, StreamId, VersionId, choose_backend,
 };
 use oleander_base::{FastMap, monotonic_now};
 use rand::rngs::SmallRng;
@@ -236,6 +236,31 @@
             self.metrics.record_backpressure("backoff");
             self.log_backpressure("backend-backoff", plan, Some(span));
         }
+        self.apply_rate_limit(plan, facts.rate_limit);
+    }
+
+    fn apply_rate_limit(&self, plan: &SendPlan<'_>, rate: NamedRate) {
+        let now = monotonic_now();
+        let is_new = self.with_backend(plan.key, |state| state.rate_limit.name(rate, now));
+        if is_new == Some(true) {
+            self.metrics.record_backpressure("limit");
+            self.log_rate_limit(plan.key, Some(plan.attempt_id));
+        }
+    }
+
+    /// Logs the request rate that a backend server has named; `request` is absent if another gateway
+    /// told of it.
+    pub(crate) fn log_rate_limit(&self, key: BackendKey, request: Option<&str>) {
+        let fleet = self.fleet.borrow();
+        let Some(member) = fleet.get(key) else {
+            return;
+        };
+        let fields = RateLimitFields {
+            request,
+            backend: &member.entry.id,
+            per_s: member.state.rate_limit.per_s(),
+        };
+        self.log.change("backend-limit", fields);
     }
 
     fn log_backpressure(&self, event: &'static str, plan: &SendPlan<'_>, span: Option<Span>) {
@@ -328,6 +353,14 @@
     for_ms: Option<f64>,
 }
 
+#[derive(Debug, serde::Serialize)]
+struct RateLimitFields<'a> {
+    request: Option<&'a str>,
+    backend: &'a str,
+    /// Requests a second; absent if the limit was lifted.
+    per_s: Option<f64>,
+}
+
 #[derive(Debug, serde::Serialize)]
 struct EraFields {
     source: &'static str,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -120,7 +120,7 @@
             backpressure: counter(
                 &meter,
                 "gateway.backpressure",
-                "Answers of backend servers that leave or ask for backoff",
+                "Answers of backend servers that leave, ask for backoff or name a limit",
             ),
             quarantine: counter(
                 &meter,
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use oleander_balance::{BackendEntry, LoadReport, PromptPart};
+use oleander_balance::{BackendEntry, LoadReport, NamedRate, PromptPart};
 use oleander_base::prelude::*;
 use thiserror::Error;
 
@@ -78,6 +78,8 @@
     pub is_leaving: bool,
     /// How long the backend server asks this gateway to back off.
     pub backoff: Option<Span>,
+    /// The request rate that the backend server names.
+    pub rate_limit: NamedRate,
 }
 
 /// The headers that the gateway sets on one send to a backend server, besides the caller's own.
