--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -4,7 +4,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Weak};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 
@@ -19,6 +19,8 @@
     pub nth_on_connection: usize,
     /// The index of the request among all of the engine, from 0.
     pub nth: usize,
+    /// When the request was read.
+    pub at: Instant,
 }
 
 impl SeenRequest {
@@ -219,6 +221,7 @@
                 message,
                 nth_on_connection,
                 nth: seen.len(),
+                at: Instant::now(),
             };
             seen.push(request.clone());
             request
