Gateway: no request on a kept connection to a backend server found down

A data centre was cut off from 25 to 30 s; a request that edge-lima-c-1 had sent on at 27.7 s reached an engine behind the cut at 33.364 s, 2.7 s after that had said that it leaves, and long after its caller had left.

What such a connection holds may still be delivered when the cut heals. A new connection is not made through a cut, so that nothing is sent.

What changes: a backend server that is found down, here or by another gateway, or is suspected with its data centre, loses its kept connections. The new test fails before (the connection is still open after 10 s) and passes after.

mark_unreachable returns which backend servers it ejected; its test compares them in place of their number.

--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -267,32 +267,37 @@
         self.members.iter().map(|(key, member)| (*key, member))
     }
 
-    /// Ejects a backend server to which no connection can be made; returns how many were ejected.
+    /// Ejects a backend server to which no connection can be made; returns those that were ejected.
     ///
     /// Two such backend servers in one data centre within `PARTITION_WINDOW` suggest a network
     /// partition. All others there are then ejected too, before each of them delays callers with
     /// its own failures. A gateway is assumed never to be partitioned from its own data centre.
-    pub fn mark_unreachable(&mut self, key: BackendKey, own_centre: &str, now: MonoTime) -> usize {
+    pub fn mark_unreachable(
+        &mut self,
+        key: BackendKey,
+        own_centre: &str,
+        now: MonoTime,
+    ) -> Vec<BackendKey> {
         let Some(member) = self.members.get_mut(&key) else {
-            return 0;
+            return Vec::new();
         };
         member.state.eject(now);
         member.state.mark_down(now);
         let centre = Arc::clone(&member.entry.centre);
+        let mut ejected = vec![key];
         if &*centre == own_centre {
-            return 1;
+            return ejected;
         }
         let mark = LastUnreachable { key, at: now };
         let last = self.unreachable.insert(Arc::clone(&centre), mark);
         if !last.is_some_and(|last| last.key != key && now.since(last.at) < PARTITION_WINDOW) {
-            return 1;
+            return ejected;
         }
-        let mut ejected = 1;
         for (other, member) in &mut self.members {
             let is_suspect = *other != key && member.entry.centre == centre;
             if is_suspect && member.state.is_open(now) {
                 member.state.eject(now);
-                ejected += 1;
+                ejected.push(*other);
             }
         }
         ejected
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -357,15 +357,15 @@
     }
     let keys = fleet.service_keys(PLAIN).to_vec();
     let now = MonoTime(1_000_000);
-    assert_eq!(fleet.mark_unreachable(keys[0], "north", now), 1);
+    assert_eq!(fleet.mark_unreachable(keys[0], "north", now), [keys[0]]);
     assert_eq!(
         fleet.mark_unreachable(keys[0], "north", now),
-        1,
+        [keys[0]],
         "two failures of one backend server do not eject the others"
     );
     assert_eq!(
         fleet.mark_unreachable(keys[1], "north", now + Span::from_millis(300)),
-        2
+        [keys[1], keys[2]]
     );
     for _ in 0..12 {
         let later = ChoiceInput {
--- a/crates/entry/tests/gateway_fleet.rs
+++ b/crates/entry/tests/gateway_fleet.rs
@@ -298,3 +298,24 @@
         gateways.remove(0).kill();
     }
 }
+
+// Guards against a request on a kept connection to an engine that cannot be reached any longer: behind
+// a cut, its bytes may arrive long after the caller has left.
+#[test]
+fn kept_connections_to_an_engine_that_another_gateway_found_down_are_closed() {
+    let store = store_with_manifest();
+    let engine = desk_engine(&store, "i-1");
+    let one = TestGateway::spawn("edge-1", &store, &[]);
+    let other = TestGateway::spawn("edge-2", &store, &[]);
+    one.wait_ready();
+    other.wait_ready();
+    other.wait_log("belief", |line| line["gateway"] == "edge-1");
+    assert_eq!(status(&one, "a1"), 200);
+    assert_eq!(engine.open_connections(), 1);
+    engine.refuse_connections();
+    assert_eq!(status(&other, "a2"), 503);
+    one.wait_log("backend-told-down", |line| line["backend"] == "i-1");
+    wait_for("the connection is closed", || {
+        engine.open_connections() == 0
+    });
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -179,18 +179,30 @@
             member.state.reported(report, at);
         }
     }
-    for record in message.downs {
-        let Some(member) = fleet.by_hash_mut(record.id_hash) else {
-            continue;
-        };
-        let was_down = member.state.down_since(now).is_some();
-        member.state.mark_down(time_before(record.age_ms, now));
-        if !was_down && member.state.down_since(now).is_some() {
-            let fields = BackendDownFields {
-                backend: &member.entry.id,
-                age_ms: record.age_ms,
-            };
-            core.log.change("backend-told-down", fields);
-        }
+    drop(fleet);
+    for record in &message.downs {
+        apply_down(core, record, now);
+    }
+}
+
+/// Takes over that another gateway found a backend server to be down.
+fn apply_down(core: &GatewayCore, record: &DownRecord, now: MonoTime) {
+    let mut fleet = core.fleet.borrow_mut();
+    let Some(key) = fleet.key_of_hash(record.id_hash) else {
+        return;
+    };
+    let Some(member) = fleet.get_mut(key) else {
+        return;
+    };
+    let was_down = member.state.down_since(now).is_some();
+    member.state.mark_down(time_before(record.age_ms, now));
+    if was_down || member.state.down_since(now).is_none() {
+        return;
     }
+    core.pool.borrow_mut().discard(key);
+    let fields = BackendDownFields {
+        backend: &member.entry.id,
+        age_ms: record.age_ms,
+    };
+    core.log.change("backend-told-down", fields);
 }
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -127,10 +127,17 @@
         let mut fleet = self.core.fleet.borrow_mut();
         let ejected = fleet.mark_unreachable(target.key, &settings.centre, now);
         drop(fleet);
-        if ejected > 1 {
+        // A path that is cut may deliver what is sent on an old connection when nobody waits for it. A new
+        // connection shows that the path works before anything is sent.
+        let mut pool = self.core.pool.borrow_mut();
+        for key in &ejected {
+            pool.discard(*key);
+        }
+        drop(pool);
+        if ejected.len() > 1 {
             let fields = UnreachableFields {
                 backend: &target.id,
-                ejected,
+                ejected: ejected.len(),
             };
             self.core.log.change("data-centre-suspected", fields);
         }
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -137,6 +137,18 @@
         self.state.connections.crash(self.address);
     }
 
+    /// Refuses new connections and goes on serving the open ones.
+    pub fn refuse_connections(&self) {
+        self.state.connections.refuse(self.address);
+    }
+
+    /// Returns the number of open connections.
+    pub fn open_connections(&self) -> usize {
+        let list = self.state.connections.0.lock();
+        let streams = list.streams.iter();
+        streams.filter(|stream| stream.strong_count() > 0).count()
+    }
+
     /// Returns whether the engine has ended.
     pub fn has_crashed(&self) -> bool {
         self.state.connections.0.lock().has_crashed
@@ -175,26 +187,33 @@
 
 #[derive(Default)]
 struct ConnectionList {
+    refuses: bool,
     has_crashed: bool,
     streams: Vec<Weak<TcpStream>>,
 }
 
 impl OpenConnections {
-    /// Adds a connection; returns false if the engine has crashed.
+    /// Adds a connection; returns false if the engine refuses it.
     fn add(&self, stream: &Arc<TcpStream>) -> bool {
         let mut list = self.0.lock();
         list.streams.retain(|stream| stream.strong_count() > 0);
         list.streams.push(Arc::downgrade(stream));
-        !list.has_crashed
+        !list.refuses
     }
 
-    /// Ends the accept loop, which takes one more connection for that, and closes all connections
-    /// once new ones are refused.
-    fn crash(&self, address: SocketAddr) {
-        self.0.lock().has_crashed = true;
+    /// Ends the accept loop, which takes one more connection for that, and waits until new ones are
+    /// refused.
+    fn refuse(&self, address: SocketAddr) {
+        self.0.lock().refuses = true;
         while TcpStream::connect(address).is_ok() {
             thread::sleep(Duration::from_millis(1));
         }
+    }
+
+    /// Refuses new connections and closes the open ones.
+    fn crash(&self, address: SocketAddr) {
+        self.0.lock().has_crashed = true;
+        self.refuse(address);
         for stream in self.0.lock().streams.drain(..) {
             if let Some(stream) = stream.upgrade() {
                 // The other side may have closed the connection already.
