--- /dev/null
+++ b/crates/entry/tests/gateway_floods.rs
@@ -0,0 +1,187 @@
+//! Engines whose answers go on without end.
+
+mod gateway;
+
+use std::time::{Duration, Instant};
+
+use gateway::{Call, TestGateway, announce, store_with_manifest};
+use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest, UsersStore};
+
+/// The number of calls that are flooded at once.
+const CALLS: usize = 16;
+
+/// The longest time to a call's final answer, from another engine or as a failure.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+
+/// The longest time to an answer of the readiness check.
+const READINESS_TIME: Duration = Duration::from_millis(300);
+
+/// The memory that the gateway may use: half of what its settings grant, in kilobytes.
+const MEMORY_KILOBYTES: u64 = 110 * 1_024 / 2;
+
+/// How an engine floods its connection.
+#[derive(Debug, Clone, Copy)]
+enum FloodKind {
+    /// A stream's event without end.
+    Event,
+    /// Comment lines of a stream.
+    Comments,
+    /// Interim answers before the head.
+    InterimAnswers,
+    /// The trailers of a stream in chunks.
+    Trailers,
+    /// A head.
+    Head,
+    /// A body without a frame.
+    Body,
+}
+
+impl FloodKind {
+    fn reply(self, request: &SeenRequest) -> EngineReply {
+        let line = |text: &str| text.repeat(4_096 / text.len()).into_bytes();
+        let after = |mut head: Vec<u8>, text: &str| {
+            head.extend(text.as_bytes());
+            head
+        };
+        match self {
+            Self::Event => EngineReply::Flood(
+                after(request.unframed_stream_head(), "id: 1\ndata: "),
+                line("endless "),
+            ),
+            Self::Comments => {
+                EngineReply::Flood(request.unframed_stream_head(), line(": still here\n"))
+            }
+            Self::InterimAnswers => {
+                EngineReply::Flood(Vec::new(), line("HTTP/1.1 100 Continue\r\n\r\n"))
+            }
+            Self::Trailers => {
+                EngineReply::Flood(after(request.stream_head(), "0\r\n"), line("X-More: 1\r\n"))
+            }
+            Self::Head => {
+                EngineReply::Flood(b"HTTP/1.1 200 OK\r\nX-More: ".to_vec(), line("endless "))
+            }
+            Self::Body => EngineReply::Flood(request.unframed_stream_head(), line("endless ")),
+        }
+    }
+}
+
+fn whole_stream(request: &SeenRequest) -> EngineReply {
+    let mut bytes = request.stream_head();
+    bytes.extend(SeenRequest::event(1));
+    bytes.extend(b"0\r\n\r\n");
+    EngineReply::Bytes(bytes)
+}
+
+fn engine(
+    store: &UsersStore,
+    id: &str,
+    service: &str,
+    script: impl Fn(&SeenRequest) -> EngineReply + Send + Sync + 'static,
+) -> ScriptedEngine {
+    let engine = ScriptedEngine::spawn(script);
+    announce(store, id, service, &engine, "available");
+    engine
+}
+
+/// Sends calls that may go to another engine, all at once; returns the statuses of their answers.
+fn call_at_once(gateway: &TestGateway, calls: &[Call<'_>]) -> Vec<u16> {
+    let mut callers: Vec<_> = calls.iter().map(|_| gateway.caller()).collect();
+    for (caller, call) in callers.iter_mut().zip(calls) {
+        caller.send(&call.text());
+    }
+    let read = |caller: &mut gateway::Caller| caller.read().map_or(0, |answer| answer.status());
+    callers.iter_mut().map(read).collect()
+}
+
+/// Floods calls of one kind while a sound engine is there too, and checks what the callers, the
+/// readiness check and the machine notice.
+fn flood(kind: FloodKind, service: &str) {
+    let store = store_with_manifest();
+    let flooding = engine(&store, "i-flooding", service, move |request| {
+        kind.reply(request)
+    });
+    let is_stream = service == "engines";
+    let _sound = engine(&store, "i-sound", service, move |request| match is_stream {
+        true => whole_stream(request),
+        false => EngineReply::Bytes(request.answer("done")),
+    });
+    let gateway = TestGateway::start(&store);
+    let ids: Vec<String> = (0..CALLS).map(|number| format!("a{number}")).collect();
+    let call = |id| match is_stream {
+        true => Call::stream(id),
+        false => Call::lookup(id),
+    };
+    let calls: Vec<Call<'_>> = ids.iter().map(|id| call(id)).collect();
+    let (slowest, statuses, elapsed) = std::thread::scope(|scope| {
+        let answers = scope.spawn(|| {
+            let started = Instant::now();
+            let statuses = call_at_once(&gateway, &calls);
+            (statuses, started.elapsed())
+        });
+        let mut slowest = Duration::ZERO;
+        while !answers.is_finished() {
+            let started = Instant::now();
+            assert!(gateway.is_ready());
+            slowest = slowest.max(started.elapsed());
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        let (statuses, elapsed) = answers.join().expect("the calls are answered");
+        (slowest, statuses, elapsed)
+    });
+    assert!(
+        !flooding.seen().is_empty(),
+        "{kind:?}: no call met the flood"
+    );
+    assert!(elapsed <= ANSWER_TIME, "{kind:?}: {elapsed:?}");
+    assert_eq!(statuses, [200; CALLS], "{kind:?}");
+    assert!(
+        slowest <= READINESS_TIME,
+        "{kind:?}: readiness took {slowest:?}"
+    );
+    let memory = gateway.resident_kilobytes();
+    assert!(memory <= MEMORY_KILOBYTES, "{kind:?}: {memory} kB");
+    let line = gateway.wait_log("attempt-failed", |line| line["backend"] == "i-flooding");
+    assert!(
+        line["outcome"]
+            .as_str()
+            .unwrap_or("")
+            .contains("longer than"),
+        "{line}"
+    );
+}
+
+// Guards against an event without end that holds up all callers of a gateway.
+#[test]
+fn an_event_without_end_costs_one_send() {
+    flood(FloodKind::Event, "engines");
+}
+
+// Guards against comments without end, which never complete an event.
+#[test]
+fn comments_without_end_cost_one_send() {
+    flood(FloodKind::Comments, "engines");
+}
+
+// Guards against interim answers that put off an answer until the caller's time is over.
+#[test]
+fn interim_answers_without_end_cost_one_send() {
+    flood(FloodKind::InterimAnswers, "engines");
+}
+
+// Guards against trailers that put off the end of a stream until the caller's time is over.
+#[test]
+fn trailers_without_end_cost_one_send() {
+    flood(FloodKind::Trailers, "engines");
+}
+
+// Guards against a head without end.
+#[test]
+fn a_head_without_end_costs_one_send() {
+    flood(FloodKind::Head, "engines");
+}
+
+// Guards against bodies that are each held up to a bound of their own, without one for all of them.
+#[test]
+fn bodies_without_end_share_one_bound() {
+    flood(FloodKind::Body, "desk");
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -63,6 +63,8 @@
     pub(crate) idle_close: Notify,
     pub(crate) in_flight: Cell<usize>,
     pub(crate) caller_connections: Cell<usize>,
+    /// The bytes of answers that count towards the budget of [`crate::held_bytes`].
+    pub(crate) held_bytes: Cell<usize>,
     random: RefCell<SmallRng>,
 }
 
@@ -91,6 +93,7 @@
             idle_close: Notify::new(),
             in_flight: Cell::new(0),
             caller_connections: Cell::new(0),
+            held_bytes: Cell::new(0),
             random: RefCell::new(SmallRng::from_os_rng()),
         }
     }
--- a/crates/gateway/src/event_split.rs
+++ b/crates/gateway/src/event_split.rs
@@ -2,6 +2,11 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::http::{ByteBound, MAX_EVENT_BYTES};
+
+/// The longest end of an event, in bytes.
+const MAX_END_BYTES: usize = 4;
+
 /// Holds the bytes at the end of a stream that do not yet form a complete event.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
@@ -22,21 +27,28 @@
 }
 
 impl EventSplitter {
-    /// Adds bytes and returns the events that are now complete.
-    pub(crate) fn push(&mut self, data: &[u8]) -> Option<EventBatch> {
+    /// Adds bytes and returns the events that are now complete. Bytes that were searched before are not
+    /// searched again.
+    pub(crate) fn push(&mut self, data: &[u8]) -> Result<Option<EventBatch>, ByteBound> {
+        let searched = self.pending.len().saturating_sub(MAX_END_BYTES - 1);
         self.pending.extend_from_slice(data);
-        let end = last_event_end(&self.pending)?;
-        let bytes = self.pending.split_to(end).freeze();
+        let Some(end) = last_event_end(&self.pending[searched..]) else {
+            return match self.pending.len() > MAX_EVENT_BYTES {
+                true => Err(ByteBound::Event),
+                false => Ok(None),
+            };
+        };
+        let bytes = self.pending.split_to(searched + end).freeze();
         let mut ids = event_ids(&bytes);
         let first_id = ids.next();
         let last_id = ids.last().or(first_id);
         let count = event_count(&bytes);
-        Some(EventBatch {
+        Ok(Some(EventBatch {
             bytes,
             first_id,
             last_id,
             count,
-        })
+        }))
     }
 
     /// Returns the number of bytes received after the last complete event.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -14,16 +14,14 @@
 
 use crate::core::GatewayCore;
 use crate::http::{
-    AnswerHead, BodyPiece, BodyReader, ConnError, HeadError, HeadLimits, HttpConn, TcpTimeouts,
+    AnswerHead, BodyError, BodyPiece, BodyReader, ByteBound, ConnError, HeadError, HeadLimits,
+    HttpConn, MAX_ANSWER_HEAD_BYTES, MAX_INTERIM_ANSWERS, TcpTimeouts,
 };
 use crate::prelude::*;
 
 /// The timeout of connecting to a backend server.
 const CONNECT_TIMEOUT: Span = Span::from_millis(300);
 
-/// The longest head of an answer, in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
-
 /// The most bytes that are skipped of a late answer to an earlier request.
 const MAX_SKIPPED_BYTES: usize = 1024 * 1024;
 
@@ -115,14 +113,12 @@
     pub(crate) async fn next(&mut self) -> Result<BodyPiece, ConnError> {
         loop {
             let piece = self.reader.next(&mut self.conn.buffer);
-            match piece.map_err(|error| broken_connection(&error))? {
+            match piece.map_err(broken_body)? {
                 BodyPiece::NeedsMore => match self.conn.fill().await {
                     Ok(()) => {}
                     Err(ConnError::Closed) => {
                         self.is_reusable = false;
-                        self.reader
-                            .on_eof()
-                            .map_err(|error| broken_connection(&error))?;
+                        self.reader.on_eof().map_err(broken_body)?;
                     }
                     Err(error) => return Err(error),
                 },
@@ -142,8 +138,13 @@
     }
 }
 
-fn broken_connection(error: &dyn std::error::Error) -> ConnError {
-    ConnError::Broken(std::io::Error::other(error.to_string()))
+fn broken_body(error: BodyError) -> ConnError {
+    match error {
+        BodyError::OverBound(bound) => ConnError::OverBound(bound),
+        BodyError::BadChunk | BodyError::Cut => {
+            ConnError::Broken(std::io::Error::other(error.to_string()))
+        }
+    }
 }
 
 fn unanswered(error: &dyn std::fmt::Display) -> SendError {
@@ -209,13 +210,17 @@
     method: &str,
 ) -> Result<(AnswerHead, AnswerFacts), SendError> {
     let limits = HeadLimits {
-        head_bytes: MAX_HEAD_BYTES,
+        head_bytes: MAX_ANSWER_HEAD_BYTES,
     };
-    loop {
-        let bytes = conn
-            .read_head(&limits)
-            .await
-            .map_err(|error| unanswered(&error))?;
+    let over_bound = |bound: ByteBound| {
+        core.metrics.record_bound(bound);
+        unanswered(&bound)
+    };
+    for _ in 0..=MAX_INTERIM_ANSWERS {
+        let bytes = conn.read_head(&limits).await.map_err(|error| match error {
+            ConnError::HeadTooLong => over_bound(ByteBound::Head),
+            error => unanswered(&error),
+        })?;
         let head =
             AnswerHead::parse(bytes, method).map_err(|error: HeadError| unanswered(&error))?;
         if head.status >= 200 {
@@ -223,6 +228,7 @@
             return Ok((head, facts));
         }
     }
+    Err(over_bound(ByteBound::InterimAnswers))
 }
 
 async fn skip_body(conn: &mut HttpConn, mut reader: BodyReader) -> Result<(), SendError> {
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -5,6 +5,8 @@
 use bytes::{Buf, Bytes, BytesMut};
 use thiserror::Error;
 
+use super::bounds::{ByteBound, MAX_TRAILER_BYTES};
+
 /// The longest chunk-size or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 1_024;
 
@@ -39,6 +41,9 @@
     /// The connection ended before the body did.
     #[error("the connection ended before the body did")]
     Cut,
+    /// The body passes a bound.
+    #[error("{0}")]
+    OverBound(ByteBound),
 }
 
 /// The result of one step of the reader.
@@ -58,7 +63,8 @@
     ChunkSize,
     ChunkData(u64),
     ChunkEnd,
-    Trailers,
+    /// The number of trailer bytes so far.
+    Trailers(usize),
     UntilClose,
     Done,
 }
@@ -108,7 +114,7 @@
                 }
                 ReadState::ChunkSize => match chunk_size(buffer)? {
                     None => return Ok(BodyPiece::NeedsMore),
-                    Some(0) => self.state = ReadState::Trailers,
+                    Some(0) => self.state = ReadState::Trailers(0),
                     Some(size) => self.state = ReadState::ChunkData(size),
                 },
                 ReadState::ChunkData(left) => {
@@ -133,10 +139,13 @@
                     buffer.advance(2);
                     self.state = ReadState::ChunkSize;
                 }
-                ReadState::Trailers => match trailer_line(buffer)? {
+                ReadState::Trailers(seen) => match trailer_line(buffer)? {
                     None => return Ok(BodyPiece::NeedsMore),
-                    Some(true) => self.state = ReadState::Done,
-                    Some(false) => {}
+                    Some(0) => self.state = ReadState::Done,
+                    Some(len) if seen + len > MAX_TRAILER_BYTES => {
+                        return Err(BodyError::OverBound(ByteBound::Trailers));
+                    }
+                    Some(len) => self.state = ReadState::Trailers(seen + len),
                 },
             }
         }
@@ -173,8 +182,8 @@
     }
 }
 
-/// Takes one trailer line; returns whether it was the empty line that ends the body.
-fn trailer_line(buffer: &mut BytesMut) -> Result<Option<bool>, BodyError> {
+/// Takes one trailer line and returns its length without its end; the empty line ends the body.
+fn trailer_line(buffer: &mut BytesMut) -> Result<Option<usize>, BodyError> {
     let Some(end) = memchr::memmem::find(buffer, b"\r\n") else {
         if buffer.len() >= MAX_LINE_BYTES {
             return Err(BodyError::BadChunk);
@@ -182,7 +191,7 @@
         return Ok(None);
     };
     buffer.advance(end + 2);
-    Ok(Some(end == 0))
+    Ok(Some(end))
 }
 
 /// Writes one chunk; empty data writes nothing, because an empty chunk would end the body.
--- /dev/null
+++ b/crates/gateway/src/http/bounds.rs
@@ -0,0 +1,66 @@
+//! The bounds on bytes that other processes may send without end.
+//!
+//! A process in trouble may send bytes that never complete what they belong to. Each bound limits
+//! what is held or skipped of that; a send that passes one counts as broken (docs/PLATFORM.md,
+//! "Bytes without end").
+
+use thiserror::Error;
+
+/// The longest head of an answer, in bytes.
+pub const MAX_ANSWER_HEAD_BYTES: usize = 32 * 1024;
+
+/// The greatest number of interim answers before an answer.
+pub const MAX_INTERIM_ANSWERS: usize = 16;
+
+/// The longest event of a stream, with the comments before it, in bytes.
+pub const MAX_EVENT_BYTES: usize = 64 * 1024;
+
+/// The most trailers of one body, in bytes.
+pub(super) const MAX_TRAILER_BYTES: usize = 8 * 1024;
+
+/// The longest answer that is held before it is delivered, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// The longest body of an answer of the key-value store or of another gateway, in bytes.
+pub const MAX_CONTROL_BYTES: usize = 16 * 1024 * 1024;
+
+/// A bound that a send has passed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum ByteBound {
+    /// [`MAX_ANSWER_HEAD_BYTES`].
+    #[error("the head is longer than {MAX_ANSWER_HEAD_BYTES} bytes")]
+    Head,
+    /// [`MAX_INTERIM_ANSWERS`].
+    #[error("the interim answers are longer than {MAX_INTERIM_ANSWERS} heads")]
+    InterimAnswers,
+    /// [`MAX_EVENT_BYTES`].
+    #[error("an event is longer than {MAX_EVENT_BYTES} bytes")]
+    Event,
+    /// [`MAX_TRAILER_BYTES`].
+    #[error("the trailers are longer than {MAX_TRAILER_BYTES} bytes")]
+    Trailers,
+    /// [`MAX_ANSWER_BYTES`].
+    #[error("the answer is longer than {MAX_ANSWER_BYTES} bytes")]
+    Answer,
+    /// [`MAX_CONTROL_BYTES`].
+    #[error("the answer is longer than {MAX_CONTROL_BYTES} bytes")]
+    Control,
+    /// What is left of the memory for all answers together.
+    #[error("the answers held at once are longer than their part of the memory")]
+    HeldAnswers,
+}
+
+impl ByteBound {
+    /// Returns the name for metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Head => "head",
+            Self::InterimAnswers => "interim-answers",
+            Self::Event => "event",
+            Self::Trailers => "trailers",
+            Self::Answer => "answer",
+            Self::Control => "control",
+            Self::HeldAnswers => "held-answers",
+        }
+    }
+}
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -11,6 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use super::bounds::ByteBound;
 use super::head::head_len;
 
 /// The space reserved for one read, in bytes.
@@ -56,6 +57,9 @@
     /// The head is longer than its limit.
     #[error("the head is too long")]
     HeadTooLong,
+    /// What was received passes a bound.
+    #[error("{0}")]
+    OverBound(ByteBound),
 }
 
 /// A connection with its read buffer.
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -7,9 +7,14 @@
 //! (docs/PLATFORM.md, "Connections").
 
 mod body;
+mod bounds;
 mod conn;
 mod head;
 
 pub use body::{BodyError, BodyFraming, BodyPiece, BodyReader, push_chunk, push_last_chunk};
+pub use bounds::{
+    ByteBound, MAX_ANSWER_BYTES, MAX_ANSWER_HEAD_BYTES, MAX_CONTROL_BYTES, MAX_EVENT_BYTES,
+    MAX_INTERIM_ANSWERS,
+};
 pub use conn::{ConnError, HeadLimits, HttpConn, TcpTimeouts};
 pub use head::{AnswerHead, HeadError, HeaderBlock, HeaderView, RequestHead};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod event_split;
 mod exchange;
 mod gossip;
+mod held_bytes;
 pub mod http;
 mod internal_server;
 mod lease;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use crate::http::ByteBound;
 use crate::prelude::*;
 
 /// The name of the instrumentation scope.
@@ -74,6 +75,7 @@
     resumes: Counter<u64>,
     backpressure: Counter<u64>,
     quarantine: Counter<u64>,
+    bounds: Counter<u64>,
     first_time: Histogram<f64>,
     total_time: Histogram<f64>,
     gap_time: Histogram<f64>,
@@ -127,6 +129,11 @@
                 "gateway.quarantine",
                 "Crashes of backend servers and what followed for parts of prompts, by event",
             ),
+            bounds: counter(
+                &meter,
+                "gateway.bounds",
+                "Answers that passed a bound on their bytes, by bound",
+            ),
             streams: counter(
                 &meter,
                 "gateway.streams",
@@ -176,6 +183,11 @@
         self.quarantine.add(1, &[KeyValue::new("event", event)]);
     }
 
+    pub(crate) fn record_bound(&self, bound: ByteBound) {
+        let labels = [KeyValue::new("bound", bound.as_str())];
+        self.bounds.add(1, &labels);
+    }
+
     pub(crate) fn record_refusal(&self, reason: &'static str) {
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -248,7 +248,7 @@
         } else {
             self.record_rejection(target, sent_at);
         }
-        let body = read_to_end(&mut answer);
+        let body = read_to_end(self.core, &mut answer);
         if let WaitOutcome::Completed(Ok(_)) = wait(self.caller, self.time_left(), body).await {
             answer.finish(self.core);
         }
--- a/crates/gateway/src/request/buffered.rs
+++ b/crates/gateway/src/request/buffered.rs
@@ -28,13 +28,19 @@
         target: &SendTarget,
         sent_at: MonoTime,
     ) -> Step {
-        let read = wait(self.caller, self.time_left(), read_to_end(&mut answer)).await;
+        let read = wait(
+            self.caller,
+            self.time_left(),
+            read_to_end(self.core, &mut answer),
+        )
+        .await;
         let body = match read {
             WaitOutcome::Completed(Ok(body)) => body,
             WaitOutcome::CallerLeft => return Step::Done(self.caller_left()),
             WaitOutcome::Completed(Err(error)) => {
                 self.record_unbegun(target);
-                self.record_failure(target, Verdict::MayHaveRun, &error.to_string(), sent_at);
+                let reason = self.broken_by(&error);
+                self.record_failure(target, Verdict::MayHaveRun, &reason, sent_at);
                 return self.after_failed_run("the backend server's answer was cut");
             }
             WaitOutcome::TimedOut => {
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -9,6 +9,7 @@
 use super::attempt::SendTarget;
 use super::stream::{StreamEnd, StreamTiming};
 use super::{RequestRun, RunResult};
+use crate::http::ConnError;
 use crate::log_line::LineKind;
 use crate::metrics::RequestEnd;
 use crate::origin_exchange::{OriginSource, ResolvedOrigin};
@@ -214,6 +215,14 @@
             .with_backend(target.key, |state| state.succeeded(target.slots, now));
     }
 
+    /// Returns why the rest of an answer could not be read, and counts the bound that it passed, if any.
+    pub(super) fn broken_by(&self, error: &ConnError) -> String {
+        if let ConnError::OverBound(bound) = error {
+            self.core.metrics.record_bound(*bound);
+        }
+        error.to_string()
+    }
+
     /// Notes that an attempt's answer began.
     pub(super) fn record_begun(&self) {
         let job = self.job;
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -123,8 +123,13 @@
             };
             match piece {
                 Ok(BodyPiece::Data(data)) => {
-                    let Some(batch) = state.splitter.push(&data) else {
-                        continue;
+                    let batch = match state.splitter.push(&data) {
+                        Ok(Some(batch)) => batch,
+                        Ok(None) => continue,
+                        Err(bound) => {
+                            let reason = self.broken_by(&ConnError::OverBound(bound));
+                            return self.break_off(answer, &state, target, &reason, sent_at);
+                        }
                     };
                     if self.is_out_of_order(&batch) {
                         let reason = "events out of order";
@@ -144,7 +149,7 @@
                     };
                 }
                 Err(error) => {
-                    let reason = error.to_string();
+                    let reason = self.broken_by(&error);
                     return self.break_off(answer, &state, target, &reason, sent_at);
                 }
             }
--- a/crates/gateway/src/request/wait.rs
+++ b/crates/gateway/src/request/wait.rs
@@ -6,15 +6,14 @@
 use oleander_base::prelude::*;
 use tokio::time::timeout;
 
+use crate::core::GatewayCore;
 use crate::exchange::Exchange;
-use crate::http::{BodyPiece, ConnError, HttpConn};
+use crate::held_bytes::HeldBytes;
+use crate::http::{BodyPiece, ByteBound, ConnError, HttpConn, MAX_ANSWER_BYTES};
 
 /// The limit on bytes read ahead from a caller while its request is served.
 const READ_AHEAD: usize = 64 * 1024;
 
-/// The longest answer that is buffered before it is delivered, in bytes.
-const MAX_BUFFERED_ANSWER: usize = 8 * 1024 * 1024;
-
 /// The outcome of a wait on a backend server.
 pub(super) enum WaitOutcome<T> {
     Completed(T),
@@ -39,15 +38,20 @@
 }
 
 /// Reads a body completely.
-pub(super) async fn read_to_end(answer: &mut Exchange) -> Result<Bytes, ConnError> {
+pub(super) async fn read_to_end(
+    core: &GatewayCore,
+    answer: &mut Exchange,
+) -> Result<Bytes, ConnError> {
     let mut body = BytesMut::new();
+    let mut held = HeldBytes::open(core);
     loop {
         match answer.next().await? {
             BodyPiece::Data(data) => body.extend_from_slice(&data),
             _ => return Ok(body.freeze()),
         }
-        if body.len() > MAX_BUFFERED_ANSWER {
-            return Err(ConnError::HeadTooLong);
+        if body.len() > MAX_ANSWER_BYTES {
+            return Err(ConnError::OverBound(ByteBound::Answer));
         }
+        held.grow_to(body.len()).map_err(ConnError::OverBound)?;
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -37,4 +37,6 @@
     pub grace_time: Span,
     /// The limits of the retry budget.
     pub retry: RetryLimits,
+    /// The memory that this process may use, in bytes, if that is limited.
+    pub memory_bytes: Option<u64>,
 }
--- a/crates/gateway/src/store_client.rs
+++ b/crates/gateway/src/store_client.rs
@@ -10,8 +10,8 @@
 
 use crate::core::GatewayCore;
 use crate::http::{
-    AnswerHead, BodyError, BodyPiece, BodyReader, ConnError, HeadError, HeadLimits, HttpConn,
-    TcpTimeouts,
+    AnswerHead, BodyError, BodyPiece, BodyReader, ByteBound, ConnError, HeadError, HeadLimits,
+    HttpConn, MAX_CONTROL_BYTES, TcpTimeouts,
 };
 use crate::port::StoreRequest;
 use crate::prelude::*;
@@ -194,7 +194,12 @@
     let mut body = BytesMut::new();
     loop {
         match reader.next(&mut conn.buffer)? {
-            BodyPiece::Data(data) => body.extend_from_slice(&data),
+            BodyPiece::Data(data) => {
+                body.extend_from_slice(&data);
+                if body.len() > MAX_CONTROL_BYTES {
+                    return Err(ConnError::OverBound(ByteBound::Control).into());
+                }
+            }
             BodyPiece::End => return Ok(body.freeze()),
             BodyPiece::NeedsMore => match conn.fill().await {
                 Ok(()) => {}
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -78,6 +78,9 @@
     /// Writes the bytes and keeps the connection open until the other side closes it or sends
     /// another message, without another answer.
     BytesThenSilence(Vec<u8>),
+    /// Writes the first bytes, then the others again and again until the other side closes the
+    /// connection.
+    Flood(Vec<u8>, Vec<u8>),
     /// Writes the bytes; then the whole engine ends: all of its connections close, and new ones are
     /// refused.
     BytesThenCrash(Vec<u8>),
@@ -271,6 +274,13 @@
                 *state.closed_early.lock() += 1;
                 return ServeEnd::Connection;
             }
+            EngineReply::Flood(first, repeated) => {
+                let mut written = write(stream, &first);
+                while written.is_ok() {
+                    written = write(stream, &repeated);
+                }
+                return ServeEnd::Connection;
+            }
             EngineReply::BytesThenCrash(bytes) => {
                 let _ = write(stream, &bytes);
                 return ServeEnd::Crash;
