--- a/crates/balance/tests/backpressure.rs
+++ b/crates/balance/tests/backpressure.rs
@@ -2,10 +2,8 @@
 
 mod common;
 
-use common::{NoIdleConnections, entry};
-use oleander_balance::{
-    BackendKey, ChoiceInput, FleetTable, LatencyModel, ServiceTraffic, choose_backend,
-};
+use common::{choose_plain, entry};
+use oleander_balance::{BackendKey, FleetTable};
 use oleander_base::prelude::*;
 
 const SERVICE: &str = "desk";
@@ -22,25 +20,7 @@
 }
 
 fn choose(fleet: &mut FleetTable, now: MonoTime) -> Option<BackendKey> {
-    let latency = LatencyModel::default();
-    let traffic = ServiceTraffic::default();
-    let input = ChoiceInput {
-        service: SERVICE,
-        centre: "north",
-        parts: &[],
-        prompt_tokens: 0,
-        urgency: 1,
-        first_target: Span::from_millis(100),
-        pause_limit: None,
-        connections: &NoIdleConnections,
-        tried: &[],
-        version: None,
-        gateways: 2,
-        service_latency: &latency,
-        traffic: &traffic,
-        now,
-    };
-    choose_backend(fleet, &input, || 0.5).map(|choice| choice.key)
+    choose_plain(fleet, SERVICE, now)
 }
 
 // Guards against a leaving backend server that is chosen because it is the last one.
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -5,7 +5,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use oleander_balance::{BackendEntry, BackendKey, BackendPhase, IdleConnections};
+use oleander_balance::{
+    BackendEntry, BackendKey, BackendPhase, ChoiceInput, FleetTable, IdleConnections, LatencyModel,
+    ServiceTraffic, choose_backend,
+};
+use oleander_base::prelude::*;
 
 /// The idle connections of a gateway that has none.
 #[derive(Debug)]
@@ -30,3 +34,26 @@
         phase: BackendPhase::Serving,
     }
 }
+
+/// Chooses a backend server of a service for a request without a prompt.
+pub fn choose_plain(fleet: &mut FleetTable, service: &str, now: MonoTime) -> Option<BackendKey> {
+    let latency = LatencyModel::default();
+    let traffic = ServiceTraffic::default();
+    let input = ChoiceInput {
+        service,
+        centre: "north",
+        parts: &[],
+        prompt_tokens: 0,
+        urgency: 1,
+        first_target: Span::from_millis(100),
+        pause_limit: None,
+        connections: &NoIdleConnections,
+        tried: &[],
+        version: None,
+        gateways: 2,
+        service_latency: &latency,
+        traffic: &traffic,
+        now,
+    };
+    choose_backend(fleet, &input, || 0.5).map(|choice| choice.key)
+}
--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -10,7 +10,9 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
-use oleander_standin::users::{ScriptedEngine, UsersStore, WireMessage, read_message};
+use oleander_standin::users::{
+    EngineReply, ScriptedEngine, SeenRequest, UsersStore, WireMessage, read_message,
+};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 
@@ -406,6 +408,18 @@
     })
 }
 
+/// Starts an engine and registers it in the store.
+pub fn start_engine(
+    store: &UsersStore,
+    id: &str,
+    service: &str,
+    script: impl Fn(&SeenRequest) -> EngineReply + Send + Sync + 'static,
+) -> ScriptedEngine {
+    let engine = ScriptedEngine::spawn(script);
+    announce(store, id, service, &engine, "available");
+    engine
+}
+
 /// Registers an engine in the store.
 pub fn announce(store: &UsersStore, id: &str, service: &str, engine: &ScriptedEngine, phase: &str) {
     announce_version(store, id, service, engine, phase, "v1");
--- a/crates/entry/tests/gateway_backpressure.rs
+++ b/crates/entry/tests/gateway_backpressure.rs
@@ -4,22 +4,12 @@
 
 use std::time::{Duration, Instant};
 
-use gateway::{Call, TestGateway, announce, store_with_manifest, wait_for};
-use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest, UsersStore};
+use gateway::{Call, TestGateway, announce, start_engine, store_with_manifest, wait_for};
+use oleander_standin::users::{EngineReply, SeenRequest};
 
 /// The backoff that an engine of these tests asks for.
 const BACKOFF: Duration = Duration::from_millis(1_500);
 
-fn desk_engine(
-    store: &UsersStore,
-    id: &str,
-    script: impl Fn(&SeenRequest) -> EngineReply + Send + Sync + 'static,
-) -> ScriptedEngine {
-    let engine = ScriptedEngine::spawn(script);
-    announce(store, id, "desk", &engine, "available");
-    engine
-}
-
 fn ok(request: &SeenRequest) -> EngineReply {
     EngineReply::Bytes(request.answer("done"))
 }
@@ -55,14 +45,14 @@
 #[test]
 fn an_engine_that_says_that_it_leaves_gets_nothing_more() {
     let store = store_with_manifest();
-    let leaving = desk_engine(&store, "i-leaving", |request| {
+    let leaving = start_engine(&store, "i-leaving", "desk", |request| {
         ok_with(request, "Server-Leaving: 1")
     });
     let gateway = TestGateway::start(&store);
     assert_eq!(publish(&gateway, "a1"), 200);
     gateway.wait_log("backend-leaving", |line| line["backend"] == "i-leaving");
     assert_eq!(publish(&gateway, "a2"), 503, "there is no other engine");
-    let staying = desk_engine(&store, "i-staying", ok);
+    let staying = start_engine(&store, "i-staying", "desk", ok);
     wait_for("the other engine serves", || publish(&gateway, "a3") == 200);
     // The registry says again that the engine serves.
     announce(&store, "i-leaving", "desk", &leaving, "available");
@@ -84,7 +74,7 @@
     ];
     for answer in answers {
         let store = store_with_manifest();
-        let engine = desk_engine(&store, "i-1", move |_| {
+        let engine = start_engine(&store, "i-1", "desk", move |_| {
             EngineReply::BytesThenClose(answer.as_bytes().to_vec())
         });
         let gateway = TestGateway::start(&store);
@@ -98,7 +88,7 @@
 #[test]
 fn a_misdirected_answer_does_not_say_that_the_engine_leaves() {
     let store = store_with_manifest();
-    let engine = desk_engine(&store, "i-1", |request| match request.nth {
+    let engine = start_engine(&store, "i-1", "desk", |request| match request.nth {
         0 => EngineReply::Bytes(
             b"HTTP/1.1 421 Misdirected Request\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
                 .to_vec(),
@@ -116,7 +106,7 @@
 #[test]
 fn an_engine_that_asks_for_backoff_gets_nothing_until_its_time_is_over() {
     let store = store_with_manifest();
-    let busy = desk_engine(&store, "i-busy", back_off_at_first);
+    let busy = start_engine(&store, "i-busy", "desk", back_off_at_first);
     let gateway = TestGateway::start(&store);
     let started = Instant::now();
     let answer = gateway.caller().call(&Call::publish("a1"));
@@ -143,9 +133,9 @@
 #[test]
 fn a_request_that_is_turned_away_goes_to_another_engine_at_once() {
     let store = store_with_manifest();
-    let busy = desk_engine(&store, "i-busy", |_| turn_away("30"));
+    let busy = start_engine(&store, "i-busy", "desk", |_| turn_away("30"));
     // The connections close, so that every call chooses an engine afresh.
-    let _serving = desk_engine(&store, "i-serving", |request| {
+    let _serving = start_engine(&store, "i-serving", "desk", |request| {
         ok_with(request, "Connection: close")
     });
     let gateway = TestGateway::start(&store);
@@ -171,7 +161,7 @@
         "Wed, 21 Oct 2026 07:28:00 GMT",
     ] {
         let store = store_with_manifest();
-        let engine = desk_engine(&store, "i-1", move |request| match request.nth {
+        let engine = start_engine(&store, "i-1", "desk", move |request| match request.nth {
             0 => turn_away(value),
             _ => ok(request),
         });
--- a/crates/entry/tests/gateway_crashing_parts.rs
+++ b/crates/entry/tests/gateway_crashing_parts.rs
@@ -79,6 +79,17 @@
         seen.filter(has_crashing_part).count()
     }
 
+    /// Sends requests with the part to the gateways in turn; returns how many reached engines.
+    fn send_later(&mut self, gateways: &[&TestGateway], count: usize) -> usize {
+        let before = self.reached();
+        for number in 0..count {
+            let gateway = gateways[number % gateways.len()];
+            crashing_call(gateway, &format!("later{number}"));
+            self.replace();
+        }
+        self.reached() - before
+    }
+
     /// Sends requests with the part to the gateways in turn until the part must be known to them.
     fn crash(&mut self, gateways: &[&TestGateway]) {
         let until = Instant::now() + STABLE_TIME;
@@ -158,13 +169,7 @@
     other.wait_ready();
     engines.crash(&[&one, &other]);
     std::thread::sleep(STABLE_TIME);
-    let before = engines.reached();
-    for number in 0..20 {
-        let gateway = [&one, &other][number % 2];
-        crashing_call(gateway, &format!("later{number}"));
-        engines.replace();
-    }
-    let later = engines.reached() - before;
+    let later = engines.send_later(&[&one, &other], 20);
     assert!(later <= ALLOWED_LATER, "{later} reached engines");
 }
 
@@ -251,11 +256,6 @@
     let other = TestGateway::spawn("edge-2", &engines.store, &[]);
     other.wait_ready();
     std::thread::sleep(STABLE_TIME);
-    let before = engines.reached();
-    for number in 0..10 {
-        crashing_call(&other, &format!("later{number}"));
-        engines.replace();
-    }
-    let later = engines.reached() - before;
+    let later = engines.send_later(&[&other], 10);
     assert!(later <= ALLOWED_LATER, "{later} reached engines");
 }
--- a/crates/entry/tests/gateway_floods.rs
+++ b/crates/entry/tests/gateway_floods.rs
@@ -4,8 +4,8 @@
 
 use std::time::{Duration, Instant};
 
-use gateway::{Call, TestGateway, announce, store_with_manifest};
-use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest, UsersStore};
+use gateway::{Call, TestGateway, start_engine, store_with_manifest};
+use oleander_standin::users::{EngineReply, SeenRequest};
 
 /// The number of calls that are flooded at once.
 const CALLS: usize = 16;
@@ -72,17 +72,6 @@
     EngineReply::Bytes(bytes)
 }
 
-fn engine(
-    store: &UsersStore,
-    id: &str,
-    service: &str,
-    script: impl Fn(&SeenRequest) -> EngineReply + Send + Sync + 'static,
-) -> ScriptedEngine {
-    let engine = ScriptedEngine::spawn(script);
-    announce(store, id, service, &engine, "available");
-    engine
-}
-
 /// Sends calls that may go to another engine, all at once; returns the statuses of their answers.
 fn call_at_once(gateway: &TestGateway, calls: &[Call<'_>]) -> Vec<u16> {
     let mut callers: Vec<_> = calls.iter().map(|_| gateway.caller()).collect();
@@ -97,11 +86,11 @@
 /// readiness check and the machine notice.
 fn flood(kind: FloodKind, service: &str) {
     let store = store_with_manifest();
-    let flooding = engine(&store, "i-flooding", service, move |request| {
+    let flooding = start_engine(&store, "i-flooding", service, move |request| {
         kind.reply(request)
     });
     let is_stream = service == "engines";
-    let _sound = engine(&store, "i-sound", service, move |request| match is_stream {
+    let _sound = start_engine(&store, "i-sound", service, move |request| match is_stream {
         true => whole_stream(request),
         false => EngineReply::Bytes(request.answer("done")),
     });
--- a/crates/entry/tests/gateway_rate_limits.rs
+++ b/crates/entry/tests/gateway_rate_limits.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use gateway::{Call, TestGateway, announce, store_with_manifest, wait_for};
+use gateway::{Call, TestGateway, start_engine, store_with_manifest, wait_for};
 use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest, UsersStore};
 
 /// The requests a second that the engines in need name.
@@ -26,16 +26,6 @@
     (1.5 * LIMIT * WINDOW.as_secs_f64() + 5.0) as usize
 }
 
-fn desk_engine(
-    store: &UsersStore,
-    id: &str,
-    script: impl Fn(&SeenRequest) -> EngineReply + Send + Sync + 'static,
-) -> ScriptedEngine {
-    let engine = ScriptedEngine::spawn(script);
-    announce(store, id, "desk", &engine, "available");
-    engine
-}
-
 fn ok(request: &SeenRequest) -> EngineReply {
     EngineReply::Bytes(request.answer("done"))
 }
@@ -94,9 +84,9 @@
 #[test]
 fn gateways_together_keep_to_the_limit_that_an_engine_names() {
     let store = store_with_manifest();
-    let in_need = desk_engine(&store, "i-in-need", limited);
+    let in_need = start_engine(&store, "i-in-need", "desk", limited);
     let sound: Vec<ScriptedEngine> = (0..3)
-        .map(|number| desk_engine(&store, &format!("i-{number}"), ok))
+        .map(|number| start_engine(&store, &format!("i-{number}"), "desk", ok))
         .collect();
     let gateways = start_gateways(&store, 4);
     let statuses = call_for(&gateways, STABLE_TIME + 2 * WINDOW);
@@ -113,7 +103,7 @@
 fn a_service_in_need_serves_at_its_limit_and_refuses_the_rest() {
     let store = store_with_manifest();
     let engines: Vec<ScriptedEngine> = (0..3)
-        .map(|number| desk_engine(&store, &format!("i-{number}"), limited))
+        .map(|number| start_engine(&store, &format!("i-{number}"), "desk", limited))
         .collect();
     let gateways = start_gateways(&store, 2);
     call_for(&gateways, STABLE_TIME);
@@ -142,7 +132,7 @@
     let store = store_with_manifest();
     let is_in_need = Arc::new(AtomicBool::new(true));
     let needs = Arc::clone(&is_in_need);
-    let _engine = desk_engine(&store, "i-1", move |request| {
+    let _engine = start_engine(&store, "i-1", "desk", move |request| {
         match needs.load(Ordering::Relaxed) {
             true => limited(request),
             false => ok(request),
--- a/crates/entry/tests/gateway_streams.rs
+++ b/crates/entry/tests/gateway_streams.rs
@@ -2,22 +2,12 @@
 
 mod gateway;
 
-use gateway::{Call, TestGateway, announce, store_with_manifest};
-use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest, UsersStore, WireMessage};
+use gateway::{Call, TestGateway, start_engine, store_with_manifest};
+use oleander_standin::users::{EngineReply, SeenRequest, WireMessage};
 
 /// The path of a route whose streams must not go on at another engine.
 const ONCE_PATH: &str = "/draft/x";
 
-fn engine(
-    store: &UsersStore,
-    id: &str,
-    script: impl Fn(&SeenRequest) -> EngineReply + Send + Sync + 'static,
-) -> ScriptedEngine {
-    let engine = ScriptedEngine::spawn(script);
-    announce(store, id, "engines", &engine, "available");
-    engine
-}
-
 /// Returns the text of the events from `from` up to and including `to`.
 fn events(from: u64, to: u64) -> String {
     (from..=to).map(SeenRequest::event_text).collect()
@@ -58,7 +48,7 @@
     let first_len = events(1, 1).len();
     let text = whole.clone();
     // The call's id is the number of bytes that the engine sends.
-    let _engine = engine(&store, "i-1", move |request| {
+    let _engine = start_engine(&store, "i-1", "engines", move |request| {
         let id = request
             .message
             .header("attempt-id")
@@ -86,7 +76,7 @@
 #[test]
 fn an_unframed_stream_without_an_event_is_not_an_answer() {
     let store = store_with_manifest();
-    let _engine = engine(&store, "i-1", |request| unframed(request, ""));
+    let _engine = start_engine(&store, "i-1", "engines", |request| unframed(request, ""));
     let gateway = TestGateway::start(&store);
     assert_eq!(call_once(&gateway, "a1").status(), 502);
 }
@@ -95,7 +85,7 @@
 #[test]
 fn a_stream_that_ends_inside_an_event_is_broken_whatever_its_frame_says() {
     let store = store_with_manifest();
-    let _engine = engine(&store, "i-1", |request| {
+    let _engine = start_engine(&store, "i-1", "engines", |request| {
         chunked(request, &format!("{}id: 2\ndata: pie", events(1, 1)))
     });
     let gateway = TestGateway::start(&store);
@@ -112,7 +102,7 @@
         0 => unframed(request, &format!("{}id: 3\ndata: pie", events(1, 2))),
         last => unframed(request, &events(last + 1, 4)),
     };
-    let engines = ["i-1", "i-2"].map(|id| engine(&store, id, script));
+    let engines = ["i-1", "i-2"].map(|id| start_engine(&store, id, "engines", script));
     let gateway = TestGateway::start(&store);
     let answer = gateway.caller().call(&Call::stream("a1"));
     assert!(answer.is_whole);
@@ -128,7 +118,7 @@
 #[test]
 fn comments_after_the_last_event_do_not_break_a_stream() {
     let store = store_with_manifest();
-    let _engine = engine(&store, "i-1", |request| {
+    let _engine = start_engine(&store, "i-1", "engines", |request| {
         unframed(request, &format!("{}: the end\n\n\n: bye\n", events(1, 2)))
     });
     let gateway = TestGateway::start(&store);
