--- a/crates/entry/tests/gateway_floods.rs
+++ b/crates/entry/tests/gateway_floods.rs
@@ -174,3 +174,24 @@
 fn bodies_without_end_share_one_bound() {
     flood(FloodKind::Body, "desk");
 }
+
+// Guards against a bound that also breaks off long events that have an end.
+#[test]
+fn a_long_event_below_the_bound_is_delivered_whole() {
+    let text = format!("id: 1\ndata: {}\n\n", "x".repeat(60_000));
+    let sent = text.clone();
+    let store = store_with_manifest();
+    let _engine = start_engine(&store, "i-1", "engines", move |request| {
+        let mut bytes = request.stream_head();
+        for piece in sent.as_bytes().chunks(700) {
+            let piece = std::str::from_utf8(piece).expect("the event is ASCII");
+            bytes.extend(SeenRequest::chunk(piece));
+        }
+        bytes.extend(b"0\r\n\r\n");
+        EngineReply::Bytes(bytes)
+    });
+    let gateway = TestGateway::start(&store);
+    let answer = gateway.caller().call(&Call::stream("a1"));
+    assert_eq!(answer.status(), 200);
+    assert!(answer.text() == text, "{} bytes", answer.text().len());
+}
