Gateway: all news of suspects is sent, and the most suspicious part is repeated first

By reading: when a crash made more parts suspect than one datagram holds, the rest was told to nobody, and the repeated news preferred the latest changes. Where many requests wait at an engine, the guilty part could be among those left out. News takes as many datagrams as it needs now; the new test fails with the order before. The crashes of one part stand in a file of their own.

--- a/crates/balance/src/crash_suspects.rs
+++ b/crates/balance/src/crash_suspects.rs
@@ -3,9 +3,8 @@
 //!
 //! A crash ends all requests of a backend server, so a single one does not tell which part caused
 //! it. A part becomes a suspect when a backend server crashes before the first event of an answer
-//! on it, and is cleared when any later answer on it begins. It is quarantined after
-//! `MIN_CRASHES` separate crashes without an answer in between, provided that other answers of the
-//! service have begun meanwhile; in an outage of a whole service no answer clears any part.
+//! on it, and is cleared when any later answer on it begins. It is quarantined after several separate
+//! crashes without an answer in between (`part_crashes.rs`).
 //!
 //! Parts that occur together share crashes. A quarantined part therefore does not block a request
 //! that lacks another quarantined part to which these crashes can be attributed just as well.
@@ -14,35 +13,16 @@
 //! the quarantine is over, which takes twice as long with each further crash. Gateways merge their
 //! tables (docs/PLATFORM.md, "Parts that crash backend servers").
 
+use std::cmp::Reverse;
+
 use oleander_base::FastMap;
 use oleander_base::prelude::*;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::part_crashes::{PartCrash, PartCrashes, PeerTime};
 use crate::{PartId, PromptPart};
 
-/// The number of separate crashes after which a part is quarantined.
-const MIN_CRASHES: usize = 3;
-
-/// The least time between two separate crashes. Backend servers that end within a shorter time share
-/// a cause outside the requests, such as a loss of power.
-const SEPARATE_CRASH_GAP: Span = Span::from_millis(50);
-
-/// The time from the first crash for which other answers may clear a part before it is quarantined.
-const OBSERVATION_TIME: Span = Span::from_secs(1);
-
-/// The length of a quarantine after [`MIN_CRASHES`] crashes; it doubles with each further crash.
-const MIN_QUARANTINE: Span = Span::from_secs(60);
-
-/// How many times the length of a quarantine doubles.
-const MAX_DOUBLINGS: u32 = 4;
-
-/// How long a cleared part is remembered, so that older reports do not make it a suspect again.
-const CLEARED_RETENTION: Span = Span::from_secs(60);
-
-/// The greatest number of crashes that are kept for one part; the oldest are dropped first.
-const MAX_CRASHES: usize = 24;
-
 /// The greatest number of parts in a table.
 const MAX_SUSPECTS: usize = 256;
 
@@ -68,139 +48,6 @@
     }
 }
 
-/// A time on this gateway's clock, in microseconds; negative before the clock began, as for what
-/// another gateway saw earlier.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct PeerTime(i64);
-
-impl PeerTime {
-    fn before(age: Span, now: MonoTime) -> Self {
-        let micros = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
-        Self(micros(now.0).saturating_sub(micros(age.0)))
-    }
-
-    fn age(self, now: MonoTime) -> Span {
-        let now = i64::try_from(now.0).unwrap_or(i64::MAX);
-        Span(u64::try_from(now.saturating_sub(self.0)).unwrap_or(0))
-    }
-}
-
-/// A crash of a backend server before the first event of an answer on a part.
-#[derive(Debug, Clone, Copy)]
-struct PartCrash {
-    /// The hash of the backend server's id.
-    backend: u64,
-    at: PeerTime,
-}
-
-/// What is known of one part.
-#[derive(Debug, Default)]
-struct PartState {
-    /// The crashes since an answer on the part last began, oldest first.
-    crashes: Vec<PartCrash>,
-    /// When an answer on the part last began, if that cleared it.
-    cleared_at: Option<PeerTime>,
-    is_quarantined: bool,
-    /// When this gateway last let a request through to probe the part.
-    probed_at: Option<MonoTime>,
-}
-
-impl PartState {
-    fn add(&mut self, crash: PartCrash) -> bool {
-        let is_known = self
-            .crashes
-            .iter()
-            .any(|known| known.backend == crash.backend);
-        if is_known || self.cleared_at.is_some_and(|cleared| crash.at <= cleared) {
-            return false;
-        }
-        let index = self.crashes.partition_point(|known| known.at <= crash.at);
-        self.crashes.insert(index, crash);
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
-        }
-        true
-    }
-
-    /// Drops the crashes up to the begin of an answer; returns whether there were any.
-    fn clear(&mut self, at: PeerTime) -> bool {
-        let count = self.crashes.len();
-        self.crashes.retain(|crash| crash.at > at);
-        if self.crashes.is_empty() {
-            self.is_quarantined = false;
-            self.probed_at = None;
-        }
-        self.cleared_at = self.cleared_at.max(Some(at));
-        self.crashes.len() < count
-    }
-
-    fn separate_crashes(&self) -> usize {
-        let mut count = 0;
-        let mut last: Option<PeerTime> = None;
-        for crash in &self.crashes {
-            let gap = last.map(|last| crash.at.0 - last.0);
-            if gap.is_none_or(|gap| gap >= SEPARATE_CRASH_GAP.0 as i64) {
-                count += 1;
-                last = Some(crash.at);
-            }
-        }
-        count
-    }
-
-    /// Returns whether the crashes suffice for a quarantine, given when any answer of the service last
-    /// began.
-    fn is_condemned(&self, service_begun: Option<PeerTime>, now: MonoTime) -> bool {
-        let Some(first) = self.crashes.first() else {
-            return false;
-        };
-        first.at.age(now) >= OBSERVATION_TIME
-            && service_begun.is_some_and(|begun| begun > first.at)
-            && self.separate_crashes() >= MIN_CRASHES
-    }
-
-    fn quarantine_time(&self) -> Span {
-        let further = self.crashes.len().saturating_sub(MIN_CRASHES);
-        let doublings = u32::try_from(further)
-            .unwrap_or(u32::MAX)
-            .min(MAX_DOUBLINGS);
-        Span(MIN_QUARANTINE.0 << doublings)
-    }
-
-    /// Returns how long the quarantine lasts yet.
-    fn time_left(&self, now: MonoTime) -> Span {
-        let last = self.crashes.last();
-        last.map_or(Span::ZERO, |last| {
-            self.quarantine_time().saturating_sub(last.at.age(now))
-        })
-    }
-
-    /// Returns whether nothing more follows from what is known.
-    fn is_expired(&self, now: MonoTime) -> bool {
-        let lasts = Span(self.quarantine_time().0 * 2);
-        let is_over = |crash: &PartCrash| crash.at.age(now) >= lasts;
-        let was_cleared = |at: PeerTime| at.age(now) < CLEARED_RETENTION;
-        self.crashes.last().is_none_or(is_over) && !self.cleared_at.is_some_and(was_cleared)
-    }
-
-    /// Returns whether the other part can have caused this one's crashes: it has as many, and nearly
-    /// all of these are among them. A few may be missing, because the gateway that saw them is gone.
-    fn is_explained_by(&self, other: &Self) -> bool {
-        let is_shared = |crash: &&PartCrash| {
-            let mut others = other.crashes.iter();
-            others.any(|known| known.backend == crash.backend)
-        };
-        let shared = self.crashes.iter().filter(is_shared).count();
-        other.crashes.len() >= self.crashes.len() && shared * 4 >= self.crashes.len() * 3
-    }
-
-    fn may_probe(&self, now: MonoTime) -> bool {
-        self.time_left(now) == Span::ZERO
-            && self
-                .probed_at
-                .is_none_or(|probed| now.since(probed) >= MIN_QUARANTINE)
-    }
-}
-
 /// One crash of a [`SuspectRecord`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
@@ -247,7 +94,7 @@
 /// The parts that have crashed backend servers, as known to one gateway.
 #[derive(Debug, Default)]
 pub struct SuspectTable {
-    parts: FastMap<SuspectId, PartState>,
+    parts: FastMap<SuspectId, PartCrashes>,
     /// When an answer of each service last began here.
     begun: FastMap<u64, PeerTime>,
 }
@@ -315,7 +162,7 @@
         let mut quarantined = Vec::new();
         for (id, state) in &mut self.parts {
             let service_begun = begun.get(&id.service).copied();
-            if !state.is_quarantined && state.is_condemned(service_begun, now) {
+            if !state.is_quarantined && state.needs_quarantine(service_begun, now) {
                 state.is_quarantined = true;
                 quarantined.push(*id);
             }
@@ -355,7 +202,12 @@
     }
 
     /// Returns whether a quarantined part that is not among `ids` can have caused a part's crashes.
-    fn is_attributed_elsewhere(&self, id: SuspectId, state: &PartState, ids: &[SuspectId]) -> bool {
+    fn is_attributed_elsewhere(
+        &self,
+        id: SuspectId,
+        state: &PartCrashes,
+        ids: &[SuspectId],
+    ) -> bool {
         self.parts.iter().any(|(other_id, other)| {
             other.is_quarantined
                 && other_id.service == id.service
@@ -380,21 +232,20 @@
         })
     }
 
-    /// Returns the quarantined parts, and the others that changed within `span`, the most important
-    /// ones first.
+    /// Returns the quarantined parts, and the others that changed within `span`: first those with the
+    /// most crashes, and among equals the latest.
     pub fn recent(&self, span: Span, now: MonoTime) -> Vec<SuspectId> {
-        let changed_at = |state: &PartState| {
-            let crashed_at = state.crashes.last().map(|crash| crash.at);
-            crashed_at.max(state.cleared_at)
-        };
-        let mut recent: Vec<(bool, PeerTime, SuspectId)> = self
+        let mut recent: Vec<(&SuspectId, &PartCrashes, Span)> = self
             .parts
             .iter()
-            .filter_map(|(id, state)| Some((state.is_quarantined, changed_at(state)?, *id)))
-            .filter(|(is_quarantined, at, _)| *is_quarantined || at.age(now) < span)
+            .filter_map(|(id, part)| Some((id, part, part.changed_at()?.age(now))))
+            .filter(|(_, part, age)| part.is_quarantined || *age < span)
             .collect();
-        recent.sort_unstable_by_key(|(is_quarantined, at, _)| (!is_quarantined, at.age(now)));
-        recent.into_iter().map(|(.., id)| id).collect()
+        recent.sort_unstable_by_key(|(_, part, age)| {
+            let crashes = Reverse(part.crashes.len());
+            (!part.is_quarantined, crashes, *age)
+        });
+        recent.into_iter().map(|(id, ..)| *id).collect()
     }
 
     /// Drops the parts of which nothing more follows; returns those that were quarantined.
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -17,6 +17,7 @@
 mod fleet_table;
 mod home;
 mod latency;
+mod part_crashes;
 mod rate_limit;
 mod reserve;
 mod retry_window;
--- a/crates/balance/tests/crash_suspects.rs
+++ b/crates/balance/tests/crash_suspects.rs
@@ -191,6 +191,17 @@
     assert!(!blocks(&mut other, &[CRASHING], now));
 }
 
+// Guards against a part that others never hear of, because many innocent ones fill the message.
+#[test]
+fn the_part_with_the_most_crashes_is_told_first() {
+    let (mut table, last) = crashed(&[CRASHING], 2);
+    for part in 1_000..1_100 {
+        table.record_crash(&ids(&[part]), 101, last + Span::from_millis(1));
+    }
+    let told = table.recent(Span::from_secs(5), last + Span::from_millis(2));
+    assert_eq!(told[0], ids(&[CRASHING])[0]);
+}
+
 #[test]
 fn a_table_stays_bounded_and_keeps_quarantined_parts() {
     let (mut table, last) = crashed(&[CRASHING], 3);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -130,14 +130,16 @@
         }
     }
 
-    /// Repeats what is known, for gateways that have missed it.
+    /// Repeats what matters most, as much as one datagram holds, for gateways that have missed it.
     pub(crate) fn send_round(&self, core: &GatewayCore, targets: &[SocketAddr]) {
         if self.table.borrow().is_empty() {
             return;
         }
         self.refresh(core);
         let recent = self.table.borrow().recent(REPEAT_TIME, monotonic_now());
-        self.send(core, &recent, targets);
+        if let Some(records) = self.datagrams(&recent).into_iter().next() {
+            core.peers.send(PeerMessage::Suspects(records), targets);
+        }
     }
 
     /// Drops what is too old to matter.
@@ -220,22 +222,31 @@
         self.has_news.notify_one();
     }
 
-    /// Sends what is known of some parts, as much as one datagram holds.
+    /// Sends what is known of some parts, in as many datagrams as that takes.
     fn send(&self, core: &GatewayCore, ids: &[SuspectId], targets: &[SocketAddr]) {
+        for records in self.datagrams(ids) {
+            core.peers.send(PeerMessage::Suspects(records), targets);
+        }
+    }
+
+    /// Divides the records of some parts between datagrams.
+    fn datagrams(&self, ids: &[SuspectId]) -> Vec<Vec<SuspectRecord>> {
         let now = monotonic_now();
         let table = self.table.borrow();
-        let mut records = Vec::new();
-        let mut bytes = 0;
+        let mut datagrams: Vec<Vec<SuspectRecord>> = Vec::new();
+        let mut room = 0;
         for record in ids.iter().filter_map(|id| table.record(*id, now)) {
-            bytes += record.max_bytes();
-            if bytes > MAX_RECORD_BYTES {
-                break;
+            let bytes = record.max_bytes();
+            if bytes > room {
+                datagrams.push(Vec::new());
+                room = MAX_RECORD_BYTES;
+            }
+            room = room.saturating_sub(bytes);
+            if let Some(datagram) = datagrams.last_mut() {
+                datagram.push(record);
             }
-            records.push(record);
-        }
-        if !records.is_empty() {
-            core.peers.send(PeerMessage::Suspects(records), targets);
         }
+        datagrams
     }
 }
 
