--- a/crates/balance/src/crash_suspects.rs
+++ b/crates/balance/src/crash_suspects.rs
@@ -1,5 +1,5 @@
-//! Parts of prompts that crash the backend servers that begin to write an answer on them, also known
-//! as queries of death.
+//! Parts of prompts that crash a backend server as it starts to generate, also known as queries of
+//! death.
 //!
 //! A crash ends all requests of a backend server, so a single one does not tell which part caused
 //! it. A part becomes a suspect when a backend server crashes before the first event of an answer
--- a/crates/balance/src/rate_limit.rs
+++ b/crates/balance/src/rate_limit.rs
@@ -1,4 +1,4 @@
-//! The request rate that a backend server in need names for all gateways together.
+//! The request rate that an overloaded backend server names for all gateways together.
 //!
 //! The gateways divide the rate without messages: by rendezvous hashing over the backend server they
 //! agree on a rank, the first ranks share the rate evenly, and the others send nothing. Each one
@@ -9,11 +9,11 @@
 use oleander_base::prelude::*;
 
 /// The number of gateways that share any rate. More of them share a higher rate, one for each request
-/// a second. Fewer would leave gateways without a backend server in a small service that is in need as a
-/// whole; each one more adds a request to what may come at once.
+/// a second. Fewer would leave gateways without a backend server in a small service that is overloaded as
+/// a whole; each one more adds a request to what may come at once.
 const MIN_SHARERS: f64 = 3.0;
 
-/// The rate, in requests a second, that is sent in any case: only an answer tells that the need is
+/// The rate, in requests a second, that is sent in any case: only an answer tells that the overload is
 /// over.
 const MIN_RATE: f64 = 0.2;
 
--- a/crates/entry/tests/gateway_crashing_parts.rs
+++ b/crates/entry/tests/gateway_crashing_parts.rs
@@ -1,4 +1,4 @@
-//! Parts of prompts that crash the engines that begin to write an answer on them.
+//! Parts of prompts that crash engines as they start to generate.
 
 mod gateway;
 
--- a/crates/entry/tests/gateway_rate_limits.rs
+++ b/crates/entry/tests/gateway_rate_limits.rs
@@ -1,4 +1,4 @@
-//! Request rates that engines in need name for all gateways together.
+//! Request rates that overloaded engines name for all gateways together.
 
 mod gateway;
 
@@ -9,7 +9,7 @@
 use gateway::{Call, TestGateway, start_engine, store_with_manifest, wait_for};
 use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest, UsersStore};
 
-/// The requests a second that the engines in need name.
+/// The requests a second that the overloaded engines name.
 const LIMIT: f64 = 1.3;
 
 /// The time that gateways have to heed a limit.
@@ -84,23 +84,23 @@
 #[test]
 fn gateways_together_keep_to_the_limit_that_an_engine_names() {
     let store = store_with_manifest();
-    let in_need = start_engine(&store, "i-in-need", "desk", limited);
+    let overloaded = start_engine(&store, "i-overloaded", "desk", limited);
     let sound: Vec<ScriptedEngine> = (0..3)
         .map(|number| start_engine(&store, &format!("i-{number}"), "desk", ok))
         .collect();
     let gateways = start_gateways(&store, 4);
     let statuses = call_for(&gateways, STABLE_TIME + 2 * WINDOW);
-    let busiest = busiest_window(&in_need);
+    let busiest = busiest_window(&overloaded);
     assert!(busiest <= allowed(), "{busiest} in a window");
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
     let elsewhere: usize = sound.iter().map(|engine| engine.seen().len()).sum();
     assert!(elsewhere > statuses.len() / 2);
 }
 
-// Guards against gateways that exceed the limits of a service whose engines are all in need, and
+// Guards against gateways that exceed the limits of a service whose engines are all overloaded, and
 // against callers who are not told when to come back.
 #[test]
-fn a_service_in_need_serves_at_its_limit_and_refuses_the_rest() {
+fn an_overloaded_service_serves_at_its_limit_and_refuses_the_rest() {
     let store = store_with_manifest();
     let engines: Vec<ScriptedEngine> = (0..3)
         .map(|number| start_engine(&store, &format!("i-{number}"), "desk", limited))
@@ -130,10 +130,10 @@
 #[test]
 fn a_limit_that_ends_is_forgotten_by_all_gateways() {
     let store = store_with_manifest();
-    let is_in_need = Arc::new(AtomicBool::new(true));
-    let needs = Arc::clone(&is_in_need);
+    let is_overloaded = Arc::new(AtomicBool::new(true));
+    let names_limit = Arc::clone(&is_overloaded);
     let _engine = start_engine(&store, "i-1", "desk", move |request| {
-        match needs.load(Ordering::Relaxed) {
+        match names_limit.load(Ordering::Relaxed) {
             true => limited(request),
             false => ok(request),
         }
@@ -142,7 +142,7 @@
     call_for(&gateways, STABLE_TIME);
     let line = gateways[0].wait_log("backend-limit", |line| line["backend"] == "i-1");
     assert_eq!(line["per_s"], LIMIT);
-    is_in_need.store(false, Ordering::Relaxed);
+    is_overloaded.store(false, Ordering::Relaxed);
     wait_for("every gateway serves each call", || {
         let statuses = call_for(&gateways, Duration::from_millis(300));
         statuses.iter().all(|status| *status == 200)
