Gateway: a manifest goes to the other gateways compressed, and an answer that has begun may take a second

Cause: the gateway that reads the store for its data centre sends each of 20 followers the whole manifest, 1,365 routes in some 400 KB. Its link carries 10 Mbit/s, so these answers need over 5 s; each follower gives up after 400 ms and begins again. Behind the queue on that link the reader's own connections fail too: its watch of the store, so that it kept the old manifest itself, and its connections to backend servers, so that it took itself for cut off and relayed prompts over the same link.

Evidence: logs of burgas-a on: manifest 30 acknowledged at 28.1 s, all followers give their reader up between 27.8 and 29.6 s ("no answer in time"), edge-burgas-a-14, the reader, logs backends-lost at 28.6 s, answers 404 by manifest 28 and never gets 30 up to the end of the logs at 33 s. plovdiv-a shows the same at 28.8 s.

The manifest is deflated once and passed on in that form to gateways that ask for it; others get it as before. 1,365 routes of random names are 29 KB instead of 416 KB (zlib at the same level). An answer may take 400 ms to begin, as before, and one second more to end.

The stand-in's proxy has links of a given rate for it.

--- a/crates/gateway/src/peer_facts.rs
+++ b/crates/gateway/src/peer_facts.rs
@@ -2,24 +2,22 @@
 //!
 //! In a data centre with many gateways a few read the store and the others query them, because each
 //! store call costs the platform. A gateway that gets no answer from the store queries any other
-//! gateway. An answer holds the facts that are newer than the revision in the query. It is JSON,
-//! with each value as the store holds it (docs/PLATFORM.md, "Between gateways").
+//! gateway. An answer holds the facts that are newer than the revision in the query (docs/PLATFORM.md,
+//! "Between gateways").
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use oleander_base::monotonic_now;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use thiserror::Error;
 use tokio::time::timeout;
 
 use crate::core::GatewayCore;
+use crate::facts_message::{FactRow, FactsMessage, UnpackError};
 use crate::http::{AnswerHead, ConnError, HeadLimits, HttpConn, TcpTimeouts};
-use crate::platform_view::{KnownFact, RemovalMode};
-use crate::port::{StoreItem, StoreSubject};
+use crate::platform_view::KnownFact;
 use crate::prelude::*;
 use crate::store_client::read_body;
 use crate::store_watch::apply_facts;
@@ -27,8 +25,12 @@
 /// The path at which a gateway serves its facts.
 pub(crate) const FACTS_PATH: &str = "/facts";
 
-/// The timeout of a query to another gateway.
-const QUERY_TIMEOUT: Span = Span::from_millis(400);
+/// How long another gateway may take to begin its answer.
+const HEAD_TIMEOUT: Span = Span::from_millis(400);
+
+/// How long the rest of an answer may take. A large manifest to many gateways fills a slow link for a
+/// while, and an answer that is given up half-way has to be sent again as a whole.
+const BODY_TIMEOUT: Span = Span::from_millis(1_000);
 
 /// The greatest age of the queried gateway's own contact with the store.
 const MAX_CONTACT_AGE: Span = Span::from_millis(1_500);
@@ -36,50 +38,6 @@
 /// The longest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 4 * 1024;
 
-/// The facts of one gateway, as its answer carries them.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct FactsMessage {
-    /// The era of the store in which the facts are complete; older gateways name none.
-    #[serde(default)]
-    era: StoreEra,
-    /// The revision up to which the facts are complete.
-    at: u64,
-    /// The time since the gateway's last contact with the store, in milliseconds.
-    contact_age_ms: u64,
-    facts: Vec<FactRow>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct FactRow {
-    subject: FactSubject,
-    #[serde(default)]
-    era: StoreEra,
-    revision: u64,
-    /// The value as the store holds it; absent for a tombstone.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    value: Option<String>,
-    /// Whether a tombstone may stand for an entry that expired only because the store was
-    /// unreachable.
-    #[serde(default, skip_serializing_if = "is_false")]
-    may_have_lapsed: bool,
-}
-
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "serde asks for a reference"
-)]
-fn is_false(value: &bool) -> bool {
-    !*value
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-enum FactSubject {
-    Manifest,
-    Backend(Arc<str>),
-    Gateway(Arc<str>),
-}
-
 /// Why a query to another gateway failed.
 #[derive(Debug, Error)]
 pub(crate) enum FactsError {
@@ -89,6 +47,8 @@
     Connection(#[from] ConnError),
     #[error("malformed answer: {0}")]
     Answer(String),
+    #[error("malformed answer: {0}")]
+    Packed(#[from] UnpackError),
     #[error("its last contact with the store was {0} ms ago")]
     Stale(u64),
 }
@@ -106,6 +66,8 @@
     after: StoreVersion,
     /// The version of its manifest.
     manifest: u64,
+    /// Whether it can read packed values.
+    reads_packed: bool,
 }
 
 impl FactsQuery {
@@ -115,6 +77,7 @@
         Self {
             after: view.version,
             manifest: view.manifest_version(),
+            reads_packed: true,
         }
     }
 
@@ -132,14 +95,21 @@
                 revision: Revision(number("after")),
             },
             manifest: number("manifest"),
+            reads_packed: number("packed") == 1,
         }
     }
 
     fn target(self) -> String {
-        let Self { after, manifest } = self;
+        let Self {
+            after,
+            manifest,
+            reads_packed,
+        } = self;
         format!(
-            "{FACTS_PATH}?after={}&era={}&manifest={manifest}",
-            after.revision, after.era
+            "{FACTS_PATH}?after={}&era={}&manifest={manifest}&packed={}",
+            after.revision,
+            after.era,
+            u8::from(reads_packed)
         )
     }
 }
@@ -151,8 +121,8 @@
     let age = view
         .store_contact
         .map_or(u64::MAX, |contact| now.since(contact).0 / 1_000);
-    let facts = view.facts_after(query.after, query.manifest);
-    let facts = facts.into_iter().filter_map(fact_row);
+    let facts = view.facts_after(query.after, query.manifest, query.reads_packed);
+    let facts = facts.into_iter().filter_map(FactRow::of);
     let message = FactsMessage {
         era: view.version.era,
         at: view.version.revision.0,
@@ -162,50 +132,6 @@
     serde_json::to_vec(&message).expect("facts always serialize")
 }
 
-/// Converts a fact to its row. A value that is not UTF-8 cannot be decoded by any gateway and is
-/// left out.
-fn fact_row(fact: KnownFact) -> Option<FactRow> {
-    let item = fact.item;
-    let subject = match item.subject {
-        StoreSubject::Manifest => FactSubject::Manifest,
-        StoreSubject::Backend(id) => FactSubject::Backend(id),
-        StoreSubject::Gateway(name) => FactSubject::Gateway(name),
-        StoreSubject::Other => return None,
-    };
-    let value = match item.value {
-        None => None,
-        Some(bytes) => Some(String::from_utf8(bytes.to_vec()).ok()?),
-    };
-    Some(FactRow {
-        subject,
-        era: fact.era,
-        revision: item.revision.0,
-        value,
-        may_have_lapsed: fact.mode == RemovalMode::MayHaveLapsed,
-    })
-}
-
-fn known_fact(row: FactRow) -> KnownFact {
-    let subject = match row.subject {
-        FactSubject::Manifest => StoreSubject::Manifest,
-        FactSubject::Backend(id) => StoreSubject::Backend(id),
-        FactSubject::Gateway(name) => StoreSubject::Gateway(name),
-    };
-    KnownFact {
-        item: StoreItem {
-            subject,
-            revision: Revision(row.revision),
-            value: row.value.map(Bytes::from),
-        },
-        era: row.era,
-        mode: if row.may_have_lapsed {
-            RemovalMode::MayHaveLapsed
-        } else {
-            RemovalMode::Gone
-        },
-    }
-}
-
 /// Queries one other gateway, chosen at random, for newer facts.
 pub(crate) async fn query_random_gateway(core: &Rc<GatewayCore>) {
     let Some(address) = pick_gateway(core) else {
@@ -251,14 +177,13 @@
             .kept
             .take()
             .filter(|kept| kept.address == address && kept.conn.is_idle());
-        let fetched = timeout(Duration::from(QUERY_TIMEOUT), fetch(kept, address, query)).await;
-        let answer = fetched.unwrap_or(Err(FactsError::TimedOut))?;
+        let answer = fetch(kept, address, query).await?;
         self.kept = Some(answer.kept);
         let message = answer.message;
         if Span::from_millis(message.contact_age_ms) > MAX_CONTACT_AGE {
             return Err(FactsError::Stale(message.contact_age_ms));
         }
-        Ok(apply_message(core, message))
+        apply_message(core, message)
     }
 }
 
@@ -283,20 +208,21 @@
     addresses.get(index).copied()
 }
 
-fn apply_message(core: &GatewayCore, message: FactsMessage) -> usize {
+fn apply_message(core: &GatewayCore, message: FactsMessage) -> Result<usize, FactsError> {
+    let facts = message.facts.into_iter().map(FactRow::into_fact);
+    let facts: Vec<KnownFact> = facts.collect::<Result<_, _>>()?;
     let now = monotonic_now();
     let store_contact = MonoTime(now.0.saturating_sub(message.contact_age_ms * 1_000));
     let known = core.view.borrow().store_contact;
     core.view.borrow_mut().store_contact = known.max(Some(store_contact));
-    let count = message.facts.len();
-    let facts = message.facts.into_iter().map(known_fact).collect();
+    let count = facts.len();
     core.raise_era(message.era, "gateway");
     let at = StoreVersion {
         era: message.era,
         revision: Revision(message.at),
     };
     apply_facts(core, facts, at, "gateway");
-    count
+    Ok(count)
 }
 
 async fn fetch(
@@ -304,6 +230,34 @@
     address: SocketAddr,
     query: FactsQuery,
 ) -> Result<FactsAnswer, FactsError> {
+    let begun = begin(kept, address, query);
+    let (mut conn, head) = within(HEAD_TIMEOUT, begun).await?;
+    let body = async {
+        let body = read_body(&mut conn, &head).await;
+        body.map_err(|error| FactsError::Answer(error.to_string()))
+    };
+    let body = within(BODY_TIMEOUT, body).await?;
+    let message = serde_json::from_slice(&body);
+    Ok(FactsAnswer {
+        message: message.map_err(|error| FactsError::Answer(error.to_string()))?,
+        kept: IdleConn { address, conn },
+    })
+}
+
+async fn within<T>(
+    limit: Span,
+    work: impl Future<Output = Result<T, FactsError>>,
+) -> Result<T, FactsError> {
+    let done = timeout(Duration::from(limit), work).await;
+    done.unwrap_or(Err(FactsError::TimedOut))
+}
+
+/// Sends a query and reads the head of its answer.
+async fn begin(
+    kept: Option<IdleConn>,
+    address: SocketAddr,
+    query: FactsQuery,
+) -> Result<(HttpConn, AnswerHead), FactsError> {
     let mut conn = match kept {
         Some(kept) => kept.conn,
         None => HttpConn::connect(address, &TcpTimeouts::default())
@@ -318,15 +272,8 @@
     let limits = HeadLimits {
         head_bytes: MAX_HEAD_BYTES,
     };
-    let answer_error = |error: &dyn std::fmt::Display| FactsError::Answer(error.to_string());
     let bytes = conn.read_head(&limits).await?;
-    let head = AnswerHead::parse(bytes, "GET").map_err(|error| answer_error(&error))?;
-    let body = read_body(&mut conn, &head)
-        .await
-        .map_err(|error| answer_error(&error))?;
-    let message = serde_json::from_slice(&body).map_err(|error| answer_error(&error))?;
-    Ok(FactsAnswer {
-        message,
-        kept: IdleConn { address, conn },
-    })
+    let head = AnswerHead::parse(bytes, "GET");
+    let head = head.map_err(|error| FactsError::Answer(error.to_string()))?;
+    Ok((conn, head))
 }
--- a/crates/gateway/src/platform_view/backends.rs
+++ b/crates/gateway/src/platform_view/backends.rs
@@ -166,9 +166,11 @@
         }
     }
 
-    /// Returns the facts about backend servers, tombstones included.
-    pub(super) fn backend_facts(&self) -> impl Iterator<Item = KnownFact> {
-        self.backends.iter().map(|(id, fact)| KnownFact {
+    /// Returns the facts about backend servers that are newer than a version of the store, tombstones included.
+    pub(super) fn backend_facts(&self, after: StoreVersion) -> impl Iterator<Item = KnownFact> {
+        let is_newer = move |fact: &&BackendFact| fact.version > after;
+        let newer = self.backends.iter().filter(move |(_, fact)| is_newer(fact));
+        newer.map(|(id, fact)| KnownFact {
             item: StoreItem {
                 subject: StoreSubject::Backend(Arc::clone(id)),
                 revision: fact.version.revision,
@@ -176,6 +178,7 @@
             },
             era: fact.version.era,
             mode: fact.mode,
+            packed: None,
         })
     }
 
--- a/crates/gateway/src/platform_view/gateways.rs
+++ b/crates/gateway/src/platform_view/gateways.rs
@@ -205,9 +205,11 @@
             .count()
     }
 
-    /// Returns the facts about gateways, tombstones included.
-    pub(super) fn gateway_facts(&self) -> impl Iterator<Item = KnownFact> {
-        self.gateways.iter().map(|(name, fact)| KnownFact {
+    /// Returns the facts about gateways that are newer than a version of the store, tombstones included.
+    pub(super) fn gateway_facts(&self, after: StoreVersion) -> impl Iterator<Item = KnownFact> {
+        let is_newer = move |fact: &&GatewayFact| fact.version > after;
+        let newer = self.gateways.iter().filter(move |(_, fact)| is_newer(fact));
+        newer.map(|(name, fact)| KnownFact {
             item: StoreItem {
                 subject: StoreSubject::Gateway(Arc::clone(name)),
                 revision: fact.version.revision,
@@ -215,6 +217,7 @@
             },
             era: fact.version.era,
             mode: RemovalMode::Gone,
+            packed: None,
         })
     }
 
--- a/crates/gateway/src/platform_view/mod.rs
+++ b/crates/gateway/src/platform_view/mod.rs
@@ -15,13 +15,13 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use oleander_balance::{BackendKey, FleetTable};
 use oleander_base::{FastMap, FastSet};
 use serde::Serialize;
 
 use self::backends::BackendFact;
 use self::gateways::GatewayFact;
+use crate::facts_message::PackedValue;
 use crate::port::{StoreItem, StoreSubject};
 use crate::prelude::*;
 
@@ -94,11 +94,18 @@
     era_since: MonoTime,
     /// The last contact with the store, directly or through a gateway that had read it.
     pub(crate) store_contact: Option<MonoTime>,
-    manifest_fact: Option<(StoreVersion, Bytes)>,
+    manifest_fact: Option<ManifestFact>,
     backends: FastMap<Arc<str>, BackendFact>,
     gateways: FastMap<Arc<str>, GatewayFact>,
 }
 
+/// The manifest in force, as the store holds it.
+#[derive(Debug)]
+struct ManifestFact {
+    version: StoreVersion,
+    text: PackedValue,
+}
+
 /// A fact in the form that is passed to other gateways.
 #[derive(Debug)]
 pub(crate) struct KnownFact {
@@ -107,6 +114,8 @@
     pub(crate) era: StoreEra,
     /// How the removal is interpreted, if the fact is a deletion.
     pub(crate) mode: RemovalMode,
+    /// The packed form of the value, if it is known.
+    pub(crate) packed: Option<Arc<str>>,
 }
 
 impl KnownFact {
@@ -134,12 +143,27 @@
     pub(crate) update: ViewUpdate,
 }
 
+impl ManifestFact {
+    fn known_fact(&self, is_packed: bool) -> KnownFact {
+        KnownFact {
+            item: StoreItem {
+                subject: StoreSubject::Manifest,
+                revision: self.version.revision,
+                value: Some(self.text.value.clone()),
+            },
+            era: self.version.era,
+            mode: RemovalMode::Gone,
+            packed: is_packed.then(|| self.text.packed()),
+        }
+    }
+}
+
 impl PlatformView {
     /// Applies one fact if it is newer than the known one.
     pub(crate) fn apply(&mut self, fact: KnownFact, context: &mut ApplyContext<'_>) {
         let version = fact.version();
         match fact.item.subject {
-            StoreSubject::Manifest => self.apply_manifest(version, fact.item.value, context),
+            StoreSubject::Manifest => self.apply_manifest(fact, context),
             StoreSubject::Backend(ref id) => {
                 let id = Arc::clone(id);
                 self.apply_backend(id, fact, context);
@@ -157,14 +181,10 @@
         self.manifest.as_ref().map_or(0, |known| known.version)
     }
 
-    fn apply_manifest(
-        &mut self,
-        version: StoreVersion,
-        value: Option<Bytes>,
-        context: &mut ApplyContext<'_>,
-    ) {
+    fn apply_manifest(&mut self, fact: KnownFact, context: &mut ApplyContext<'_>) {
+        let version = fact.version();
         let changes = &mut context.update.changes;
-        let known = self.manifest_fact.as_ref().map(|(version, _)| *version);
+        let known = self.manifest_fact.as_ref().map(|fact| fact.version);
         let is_older = known.is_some_and(|known| {
             // Over an era, the versions of the manifests alone tell which is newer.
             known.era == version.era && known.revision >= version.revision
@@ -172,7 +192,7 @@
         if is_older {
             return;
         }
-        let Some(value) = value else {
+        let Some(value) = fact.item.value else {
             changes.push(ViewChange::ManifestIgnored {
                 reason: "the manifest was deleted; the last one stays in force".to_owned(),
             });
@@ -192,7 +212,8 @@
                     routes: manifest.route_count(),
                 });
                 self.manifest = Some(Rc::new(manifest));
-                self.manifest_fact = Some((version, value));
+                let text = PackedValue::new(value, fact.packed);
+                self.manifest_fact = Some(ManifestFact { version, text });
             }
             Err(error) => changes.push(ViewChange::ManifestIgnored {
                 reason: error.to_string(),
@@ -223,26 +244,21 @@
 
     /// Returns the facts that are newer than a version of the store, and the manifest if it is newer
     /// than the given one.
-    pub(crate) fn facts_after(&self, after: StoreVersion, manifest_version: u64) -> Vec<KnownFact> {
+    pub(crate) fn facts_after(
+        &self,
+        after: StoreVersion,
+        manifest_version: u64,
+        packs_manifest: bool,
+    ) -> Vec<KnownFact> {
         let is_newer = self.manifest_version() > manifest_version;
         let manifest = self
             .manifest_fact
             .iter()
-            .filter(|(version, _)| is_newer || *version > after)
-            .map(|(version, value)| KnownFact {
-                item: StoreItem {
-                    subject: StoreSubject::Manifest,
-                    revision: version.revision,
-                    value: Some(value.clone()),
-                },
-                era: version.era,
-                mode: RemovalMode::Gone,
-            });
-        let newer = self
-            .backend_facts()
-            .chain(self.gateway_facts())
-            .filter(|fact| fact.version() > after);
-        manifest.chain(newer).collect()
+            .filter(|fact| is_newer || fact.version > after)
+            .map(|fact| fact.known_fact(packs_manifest));
+        let backends = self.backend_facts(after);
+        let gateways = self.gateway_facts(after);
+        manifest.chain(backends).chain(gateways).collect()
     }
 
     /// Drops expired tombstones and the addresses of gateways that were removed long ago.
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -282,7 +282,12 @@
 
     fn apply(&self, era: StoreEra, items: Vec<StoreItem>, revision: Revision) {
         let mode = self.removal_mode();
-        let fact = |item| KnownFact { item, era, mode };
+        let fact = |item| KnownFact {
+            item,
+            era,
+            mode,
+            packed: None,
+        };
         let facts = items.into_iter().map(fact).collect();
         apply_facts(&self.core, facts, StoreVersion { era, revision }, "store");
     }
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -13,6 +13,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -53,6 +54,8 @@
     pub delay: Duration,
     /// Whether bytes are held back.
     pub blocked: bool,
+    /// The rate of the link that all connections share, in bytes a second, if it has one.
+    pub bytes_per_s: Option<u64>,
 }
 
 /// The faults of a proxy. The default forwards everything.
@@ -99,6 +102,7 @@
             faults: fault_receiver,
             cut_all: cut_receiver,
             counters: counters.clone(),
+            links: SharedLinks::default(),
         };
         let stopped = stop.clone();
         let thread = spawn_runtime("fault-proxy", async move {
@@ -177,6 +181,37 @@
     faults: watch::Receiver<ProxyFaults>,
     cut_all: watch::Receiver<u64>,
     counters: Arc<ProxyCounters>,
+    links: SharedLinks,
+}
+
+/// The times until which both directions of the shared link are busy.
+#[derive(Debug, Clone, Default)]
+struct SharedLinks {
+    to_target: LinkClock,
+    to_caller: LinkClock,
+}
+
+type LinkClock = Arc<Mutex<Option<Instant>>>;
+
+impl SharedLinks {
+    /// Waits until a chunk has passed the link of one direction.
+    async fn pass(&self, direction: Direction, fault: DirectionFault, bytes: usize) {
+        let Some(rate) = fault.bytes_per_s else {
+            return;
+        };
+        let clock = match direction {
+            Direction::ToTarget => &self.to_target,
+            Direction::ToCaller => &self.to_caller,
+        };
+        let passed = {
+            let mut busy_until = clock.lock();
+            let start = busy_until.map_or_else(Instant::now, |until| until.max(Instant::now()));
+            let passed = start + Duration::from_secs_f64(bytes as f64 / rate as f64);
+            *busy_until = Some(passed);
+            passed
+        };
+        tokio::time::sleep_until(passed).await;
+    }
 }
 
 async fn accept_all(listener: StdListener, route: ProxyRoute) {
@@ -342,6 +377,8 @@
         let part = chunk
             .len()
             .min(usize::try_from(remaining_bytes).unwrap_or(usize::MAX));
+        let fault = direction.fault(&route.faults.borrow());
+        route.links.pass(direction, fault, part).await;
         if to.write_all(&chunk[..part]).await.is_err() {
             return PumpOutcome::Broken;
         }
