Gateway: facts from the store pass through a tree of gateways, and one gateway reads it for the fleet

Cause: the work of a reader grew with its data centre: each follower polled it four times in the bound, and each change went to all of them over one link, whichever machine the hash of its name had chosen. Each data centre had a reader of the store of its own.

Now one gateway reads the store for the fleet, one of each data centre queries that one, and below it no gateway has more than four children (oleander_balance::fact_tree, pure). The places near the root go to the machines with the most processor time and link, which each announces. A query is held until there is news, at most an eighth of the bound, so that a change does not wait for the next poll at each level. A gateway that gets no answer of the store says so at once to those that query it; they ask another one, and the one in the place of the reader reads the store. One that does not answer is asked again after 1 s, and twice as long after each further failure, so that a frozen machine costs its neighbours little.

The exchange works with its predecessor: an older gateway ignores the new parameters and answers at once, and its answers without news are paced by the time that they would have been held; it ranks readers by hash alone and gets the same answers as before.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -15,6 +15,7 @@
 mod cost;
 mod crash_attribution;
 mod crash_suspects;
+mod fact_tree;
 mod fleet_table;
 mod home;
 mod latency;
@@ -39,6 +40,7 @@
     BackendCrash, CrashRecord, Quarantine, QuarantineChange, SuspectRecord, SuspectTable,
     SuspectVerdict,
 };
+pub use fact_tree::{TREE_CHILDREN, TreeMember, fact_sources, passing_capacity};
 pub use fleet_table::{
     BackendEntry, BackendKey, BackendPhase, EntryChange, FleetMember, FleetTable,
 };
--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -92,12 +92,17 @@
 
     /// Starts a gateway.
     pub fn spawn(name: &str, store: &UsersStore, seeds: &[SocketAddr]) -> Self {
-        Self::spawn_with(name, store, seeds, true)
+        Self::spawn_with(name, "north-a", store, seeds, true)
+    }
+
+    /// Starts a gateway in a data centre.
+    pub fn spawn_in(centre: &str, name: &str, store: &UsersStore) -> Self {
+        Self::spawn_with(name, centre, store, &[], true)
     }
 
     /// Starts a gateway whose log is not read.
     pub fn spawn_unread(name: &str, store: &UsersStore) -> Self {
-        Self::spawn_with(name, store, &[], false)
+        Self::spawn_with(name, "north-a", store, &[], false)
     }
 
     /// Returns the resident memory of the process, in kilobytes.
@@ -109,12 +114,19 @@
         number.and_then(|text| text.parse().ok()).expect("a number")
     }
 
-    fn spawn_with(name: &str, store: &UsersStore, seeds: &[SocketAddr], is_read: bool) -> Self {
+    fn spawn_with(
+        name: &str,
+        centre: &str,
+        store: &UsersStore,
+        seeds: &[SocketAddr],
+        is_read: bool,
+    ) -> Self {
         let addresses = [free_address(), free_address(), free_address()];
         let metrics = free_address();
         let dir = tempfile::tempdir().expect("a test may write a folder");
         let settings_path = dir.path().join("local.json");
-        let text = settings(name, store.address(), addresses, seeds);
+        let mut text = settings(name, store.address(), addresses, seeds);
+        text["zone"] = centre.into();
         let gossip_port = text["port_range"][0].as_u64().expect("a port");
         let gossip_port = u16::try_from(gossip_port).expect("ports are small");
         std::fs::write(&settings_path, text.to_string()).expect("a test may write a file");
--- a/crates/entry/tests/gateway_facts.rs
+++ b/crates/entry/tests/gateway_facts.rs
@@ -94,3 +94,77 @@
     let lost_after: usize = gateways.iter().map(lost).sum();
     assert_eq!(lost_after, lost_before, "no gateway gave its reader up");
 }
+
+/// Starts two gateways in each of four data centres and waits until all know each other.
+fn start_fleet(store: &UsersStore) -> Vec<TestGateway> {
+    let centres = ["north-a", "north-b", "north-c", "north-d"];
+    let names: Vec<String> = (1..=8).map(|number| format!("edge-{number}")).collect();
+    let start = |(name, centre): (&String, &&str)| TestGateway::spawn_in(centre, name, store);
+    let gateways: Vec<TestGateway> = names
+        .iter()
+        .zip(centres.iter().cycle())
+        .map(start)
+        .collect();
+    for gateway in &gateways {
+        gateway.wait_ready();
+        for name in &names {
+            gateway.wait_log("belief", |line| line["gateway"] == name.as_str());
+        }
+    }
+    std::thread::sleep(APPLY_TIME);
+    gateways
+}
+
+fn is_in_force(gateway: &TestGateway, version: u64) -> bool {
+    let lines = gateway.log("belief");
+    lines
+        .iter()
+        .any(|line| line["change"] == "manifest" && line["version"] == version)
+}
+
+// Guards against calls of the store that grow with the data centres.
+#[test]
+fn one_gateway_reads_the_store_for_the_gateways_of_all_data_centres() {
+    let store = store_with_manifest();
+    let _engine = start_engine(&store, "i-1", "desk", |request| {
+        EngineReply::Bytes(request.answer("done"))
+    });
+    let gateways = start_fleet(&store);
+    let before = store.calls();
+    std::thread::sleep(Duration::from_secs(4));
+    let calls = store.calls() - before;
+    // Each renews its lease every 4 s, and the reader polls twice a second.
+    let renewals = gateways.len();
+    let polls = 2 * 4;
+    assert!(calls <= renewals + polls + 2, "{calls} calls");
+}
+
+// Guards against a change that comes into force late because the gateway that reads the store stands still.
+#[test]
+fn a_change_passes_round_a_reader_that_stands_still() {
+    let store = store_with_manifest();
+    let _engine = start_engine(&store, "i-1", "desk", |request| {
+        EngineReply::Bytes(request.answer("done"))
+    });
+    let gateways = start_fleet(&store);
+    let mut version = 1;
+    // One of them is the reader.
+    for stopped in &gateways {
+        stopped.signal(libc::SIGSTOP);
+        version += 1;
+        store.put("op/config", manifest(version).to_string());
+        let written = Instant::now();
+        for gateway in gateways
+            .iter()
+            .filter(|gateway| !std::ptr::eq(*gateway, stopped))
+        {
+            wait_for("the manifest is in force", || is_in_force(gateway, version));
+        }
+        let took = written.elapsed();
+        stopped.signal(libc::SIGCONT);
+        assert!(took < APPLY_TIME, "{took:?}");
+        wait_for("it is in force there as well", || {
+            is_in_force(stopped, version)
+        });
+    }
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -59,6 +59,10 @@
     pub(crate) metrics: Rc<GatewayMetrics>,
     pub(crate) log: LogWriter,
     pub(crate) suspend: SuspendDetector,
+    /// Whether this gateway reads the store itself and gets no answer.
+    pub(crate) is_store_lost: Cell<bool>,
+    /// Wakes the held queries of other gateways when there is news for them.
+    pub(crate) view_changed: Notify,
     /// Wakes waiting tasks when the gateway begins to stop.
     pub(crate) stop_notify: Notify,
     /// Tells idle connections of callers to close.
@@ -94,6 +98,8 @@
             shutdown: ShutdownState::default(),
             metrics: Rc::new(metrics),
             suspend: SuspendDetector::open(),
+            is_store_lost: Cell::new(false),
+            view_changed: Notify::new(),
             stop_notify: Notify::new(),
             idle_close: Notify::new(),
             in_flight: Cell::new(0),
@@ -260,6 +266,9 @@
         let update = context.update;
         drop(fleet);
         self.origins.observe(self);
+        if !update.changes.is_empty() {
+            self.view_changed.notify_waiters();
+        }
         self.on_view_update(update, source);
     }
 
--- a/crates/gateway/src/internal_server.rs
+++ b/crates/gateway/src/internal_server.rs
@@ -13,7 +13,7 @@
 
 use crate::core::GatewayCore;
 use crate::http::{HeadLimits, HttpConn, RequestHead, TcpTimeouts};
-use crate::peer_facts::{FACTS_PATH, FactsQuery, encode_facts};
+use crate::peer_facts::{FACTS_PATH, FactsQuery, encode_facts, hold_query};
 use crate::prelude::*;
 
 /// The longest head of a request, in bytes.
@@ -88,6 +88,9 @@
         let Ok(head) = RequestHead::parse(bytes) else {
             return;
         };
+        if let (ServerRole::Control, FACTS_PATH) = (role, head.path()) {
+            hold_query(&core, FactsQuery::parse(head.target())).await;
+        }
         let answer = answer(&core, &head, role);
         let mut out = format!(
             "HTTP/1.1 {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n\r\n",
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use oleander_balance::passing_capacity;
 use serde::Serialize;
 use tokio::time::sleep;
 
@@ -96,6 +97,7 @@
         gossip: Some(settings.gossip),
         frontend: Some(settings.frontend),
         centre: std::sync::Arc::clone(&settings.centre),
+        capacity: passing_capacity(settings.cores, settings.link_mbps),
     };
     let request = core.port.announce_request(&settings.name, &entry, lease);
     let announced = client.call(&request, CALL_TIMEOUT).await?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod core;
 mod event_split;
 mod exchange;
+mod fact_sources;
 mod facts_message;
 mod gossip;
 mod held_bytes;
--- a/crates/gateway/src/peer_facts.rs
+++ b/crates/gateway/src/peer_facts.rs
@@ -1,7 +1,8 @@
 //! Lets gateways query each other for their newest facts from the key-value store.
 //!
-//! In a data centre with many gateways a few read the store and the others query them, because each
-//! store call costs the platform. A gateway that gets no answer from the store queries any other
+//! One gateway reads the store and the others query each other, as the tree of
+//! `oleander_balance::fact_sources` says, because each store call costs the platform. A query is held
+//! until there is news or a short time is over, so that a change passes through the tree at once. A gateway that gets no answer from the store queries any other
 //! gateway. An answer holds the facts that are newer than the revision in the query (docs/PLATFORM.md,
 //! "Between gateways").
 
@@ -25,15 +26,19 @@
 /// The path at which a gateway serves its facts.
 pub(crate) const FACTS_PATH: &str = "/facts";
 
-/// How long another gateway may take to begin its answer.
+/// How long another gateway may take to begin its answer, besides the time that it holds the query.
 const HEAD_TIMEOUT: Span = Span::from_millis(400);
 
 /// How long the rest of an answer may take. A large manifest to many gateways fills a slow link for a
 /// while, and an answer that is given up half-way has to be sent again as a whole.
 const BODY_TIMEOUT: Span = Span::from_millis(1_000);
 
-/// The greatest age of the queried gateway's own contact with the store.
-const MAX_CONTACT_AGE: Span = Span::from_millis(1_500);
+/// The longest time that a query is held.
+const MAX_HOLD: Span = Span::from_secs(2);
+
+/// The shortest time between the beginnings of two queries. Changes that follow each other within it travel
+/// together.
+const MIN_QUERY_INTERVAL: Span = Span::from_millis(100);
 
 /// The longest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 4 * 1024;
@@ -68,16 +73,19 @@
     manifest: u64,
     /// Whether it can read packed values.
     reads_packed: bool,
+    /// How long the query may be held if there is no news.
+    hold: Span,
 }
 
 impl FactsQuery {
     /// Returns what this gateway knows.
-    fn of(core: &GatewayCore) -> Self {
+    fn of(core: &GatewayCore, hold: Span) -> Self {
         let view = core.view.borrow();
         Self {
             after: view.version,
             manifest: view.manifest_version(),
             reads_packed: true,
+            hold,
         }
     }
 
@@ -96,6 +104,7 @@
             },
             manifest: number("manifest"),
             reads_packed: number("packed") == 1,
+            hold: Span::from_millis(number("hold_ms").min(MAX_HOLD.0 / 1_000)),
         }
     }
 
@@ -104,23 +113,42 @@
             after,
             manifest,
             reads_packed,
+            hold,
         } = self;
         format!(
-            "{FACTS_PATH}?after={}&era={}&manifest={manifest}&packed={}",
+            "{FACTS_PATH}?after={}&era={}&manifest={manifest}&packed={}&hold_ms={}",
             after.revision,
             after.era,
-            u8::from(reads_packed)
+            u8::from(reads_packed),
+            hold.0 / 1_000
         )
     }
 }
 
+/// Holds the query of another gateway until there is news for it, or this gateway cannot tell any.
+pub(crate) async fn hold_query(core: &GatewayCore, query: FactsQuery) {
+    let until = monotonic_now() + query.hold;
+    loop {
+        let changed = core.view_changed.notified();
+        let has_news = core
+            .view
+            .borrow()
+            .has_facts_after(query.after, query.manifest);
+        let left = until.since(monotonic_now());
+        if has_news || core.is_store_lost.get() || left == Span::ZERO {
+            return;
+        }
+        // The loop looks again whether the time is over.
+        let _ = timeout(Duration::from(left), changed).await;
+    }
+}
+
 /// Encodes the facts that another gateway does not know.
 pub(crate) fn encode_facts(core: &GatewayCore, query: FactsQuery) -> Vec<u8> {
     let view = core.view.borrow();
     let now = monotonic_now();
-    let age = view
-        .store_contact
-        .map_or(u64::MAX, |contact| now.since(contact).0 / 1_000);
+    let contact = view.store_contact.filter(|_| !core.is_store_lost.get());
+    let age = contact.map_or(u64::MAX, |contact| now.since(contact).0 / 1_000);
     let facts = view.facts_after(query.after, query.manifest, query.reads_packed);
     let facts = facts.into_iter().filter_map(FactRow::of);
     let message = FactsMessage {
@@ -138,8 +166,8 @@
         return;
     };
     let mut client = FactsClient::default();
-    let outcome = match client.query(core, address).await {
-        Ok(count) => format!("{count} facts"),
+    let outcome = match client.query(core, address, Span::ZERO).await {
+        Ok(answer) => format!("{} facts", answer.facts),
         Err(error) => error.to_string(),
     };
     core.log.change(
@@ -166,13 +194,15 @@
 }
 
 impl FactsClient {
-    /// Queries a gateway for newer facts, applies them and returns their number.
+    /// Queries a gateway for newer facts and applies them. The gateway may hold the query for `hold`.
     pub(crate) async fn query(
         &mut self,
         core: &GatewayCore,
         address: SocketAddr,
-    ) -> Result<usize, FactsError> {
-        let query = FactsQuery::of(core);
+        hold: Span,
+    ) -> Result<AppliedFacts, FactsError> {
+        let started = monotonic_now();
+        let query = FactsQuery::of(core, hold);
         let kept = self
             .kept
             .take()
@@ -180,13 +210,29 @@
         let answer = fetch(kept, address, query).await?;
         self.kept = Some(answer.kept);
         let message = answer.message;
-        if Span::from_millis(message.contact_age_ms) > MAX_CONTACT_AGE {
+        let max_age = core.settings().view_pace().max_contact_age;
+        if Span::from_millis(message.contact_age_ms) > max_age {
             return Err(FactsError::Stale(message.contact_age_ms));
         }
-        apply_message(core, message)
+        let facts = apply_message(core, message)?;
+        // A gateway of an older version answers at once also if there is no news.
+        let interval = if facts == 0 { hold } else { Span::ZERO };
+        Ok(AppliedFacts {
+            facts,
+            next_at: started + interval.max(MIN_QUERY_INTERVAL),
+        })
     }
 }
 
+/// The outcome of a query.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AppliedFacts {
+    /// The number of facts that came.
+    pub(crate) facts: usize,
+    /// When the gateway may be queried again.
+    pub(crate) next_at: MonoTime,
+}
+
 #[derive(Debug)]
 struct FactsAnswer {
     message: FactsMessage,
@@ -231,7 +277,7 @@
     query: FactsQuery,
 ) -> Result<FactsAnswer, FactsError> {
     let begun = begin(kept, address, query);
-    let (mut conn, head) = within(HEAD_TIMEOUT, begun).await?;
+    let (mut conn, head) = within(query.hold + HEAD_TIMEOUT, begun).await?;
     let body = async {
         let body = read_body(&mut conn, &head).await;
         body.map_err(|error| FactsError::Answer(error.to_string()))
--- a/crates/gateway/src/platform_view/backends.rs
+++ b/crates/gateway/src/platform_view/backends.rs
@@ -118,6 +118,7 @@
             mode,
             since: now,
         };
+        self.changed_at = self.changed_at.max(version);
         self.backends.insert(id, fact);
     }
 
--- a/crates/gateway/src/platform_view/gateways.rs
+++ b/crates/gateway/src/platform_view/gateways.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use oleander_balance::StreamId;
+use oleander_balance::{StreamId, TreeMember, fact_sources};
 use oleander_base::FastSet;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{ApplyContext, KnownFact, PlatformView, RemovalMode, ViewChange};
 use crate::origin_exchange::ReplicaCounts;
@@ -35,14 +35,6 @@
     unlisted_at: Option<MonoTime>,
 }
 
-/// A live gateway in the order that all gateways of its data centre agree on.
-#[derive(Debug)]
-pub(crate) struct RankedGateway {
-    order: u64,
-    pub(crate) name: Arc<str>,
-    pub(crate) control: SocketAddr,
-}
-
 impl PlatformView {
     pub(super) fn apply_gateway(
         &mut self,
@@ -63,6 +55,7 @@
             if let Some(fact) = known {
                 fact.version = version;
                 fact.gone_at = Some(now);
+                self.changed_at = self.changed_at.max(version);
                 update
                     .changes
                     .push(ViewChange::GatewayGone { gateway: name });
@@ -79,6 +72,7 @@
                 gateway: Arc::clone(&name),
             });
         }
+        self.changed_at = self.changed_at.max(version);
         self.gateways.insert(
             name,
             GatewayFact {
@@ -123,20 +117,23 @@
             .collect()
     }
 
-    /// Returns the live gateways of a data centre. The first ones read the store for the others.
-    pub(crate) fn ranked_gateways(&self, centre: &str) -> Vec<RankedGateway> {
-        let mut ranked: Vec<RankedGateway> = self
-            .gateways
-            .iter()
-            .filter(|(_, fact)| fact.gone_at.is_none() && &*fact.entry.centre == centre)
-            .map(|(name, fact)| RankedGateway {
-                order: xxh3_64(name.as_bytes()),
-                name: Arc::clone(name),
-                control: fact.entry.control,
+    /// Returns the addresses of the gateways that a gateway queries for facts, in order.
+    pub(crate) fn fact_sources(&self, own: TreeMember<'_>) -> Vec<SocketAddr> {
+        let live = || {
+            self.gateways
+                .iter()
+                .filter(|(_, fact)| fact.gone_at.is_none())
+        };
+        let members: Vec<TreeMember<'_>> = live()
+            .map(|(name, fact)| TreeMember {
+                name,
+                centre: &fact.entry.centre,
+                capacity: fact.entry.capacity,
             })
             .collect();
-        ranked.sort_unstable_by_key(|gateway| gateway.order);
-        ranked
+        let names = fact_sources(&members, own);
+        let facts = names.into_iter().filter_map(|name| self.gateways.get(name));
+        facts.map(|fact| fact.entry.control).collect()
     }
 
     /// Returns the addresses at which live gateways receive gossip.
--- a/crates/gateway/src/platform_view/mod.rs
+++ b/crates/gateway/src/platform_view/mod.rs
@@ -90,6 +90,8 @@
     pub(crate) manifest: Option<Rc<Manifest>>,
     /// The version of the store up to which the view is complete.
     pub(crate) version: StoreVersion,
+    /// The version of the newest change of a fact.
+    changed_at: StoreVersion,
     /// When the era of that version became known.
     era_since: MonoTime,
     /// The last contact with the store, directly or through a gateway that had read it.
@@ -212,6 +214,7 @@
                     routes: manifest.route_count(),
                 });
                 self.manifest = Some(Rc::new(manifest));
+                self.changed_at = self.changed_at.max(version);
                 let text = PackedValue::new(value, fact.packed);
                 self.manifest_fact = Some(ManifestFact { version, text });
             }
@@ -242,6 +245,11 @@
         self.mark_unlisted_gateways(&listed.gateways, at, context.now);
     }
 
+    /// Returns whether [`Self::facts_after`] would return anything.
+    pub(crate) fn has_facts_after(&self, after: StoreVersion, manifest_version: u64) -> bool {
+        self.changed_at > after || self.manifest_version() > manifest_version
+    }
+
     /// Returns the facts that are newer than a version of the store, and the manifest if it is newer
     /// than the given one.
     pub(crate) fn facts_after(
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -210,6 +210,8 @@
     pub frontend: Option<SocketAddr>,
     /// The data centre.
     pub centre: Arc<str>,
+    /// How much it can pass on to other gateways; 0 at older versions.
+    pub capacity: u32,
 }
 
 /// Translates between the gateway and its platform.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -35,9 +35,6 @@
 /// The time between two checks of the settings file.
 const SETTINGS_POLL_INTERVAL: Span = Span::from_secs(1);
 
-/// The greatest age of the contact with the store at which lapsed entries are removed for good.
-const MAX_CONTACT_AGE: Span = Span::from_millis(1_200);
-
 /// Why a gateway cannot start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -291,7 +288,8 @@
 
 fn expire_lapsed(core: &GatewayCore, now: MonoTime) {
     let contact = core.view.borrow().store_contact;
-    if contact.is_none_or(|contact| now.since(contact) > MAX_CONTACT_AGE) {
+    let max_age = core.settings().view_pace().max_contact_age;
+    if contact.is_none_or(|contact| now.since(contact) > max_age) {
         return;
     }
     let expired = core.fleet.borrow_mut().expire_lapsed(RECOVERY_WINDOW, now);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -39,4 +39,32 @@
     pub retry: RetryLimits,
     /// The memory that this process may use, in bytes, if that is limited.
     pub memory_bytes: Option<u64>,
+    /// The processor time that this process may use, in cores, if that is limited.
+    pub cores: Option<f64>,
+    /// The rate of this machine's link, in Mbit/s, if it is known.
+    pub link_mbps: Option<f64>,
+}
+
+/// How often the view of the platform is brought up to date. All times are fractions of the shortest time
+/// in which a change must be in force (docs/PLATFORM.md, "How late a change may be").
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ViewPace {
+    /// The time between two calls of the store, and how long it may hold a watch.
+    pub(crate) store_interval: Span,
+    /// How long another gateway may hold a query for which it has no news.
+    pub(crate) query_hold: Span,
+    /// The age of the contact with the store beyond which another gateway's facts are not enough.
+    pub(crate) max_contact_age: Span,
+}
+
+impl GatewaySettings {
+    /// Returns how often the view is brought up to date.
+    pub(crate) fn view_pace(&self) -> ViewPace {
+        let bound = self.drain_time.min(self.apply_time).0;
+        ViewPace {
+            store_interval: Span(bound / 4),
+            query_hold: Span(bound / 8),
+            max_contact_age: Span(bound / 4 * 3),
+        }
+    }
 }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -5,10 +5,11 @@
 //! changes into batches. The interval is a fraction of the time that a change may take to be
 //! applied.
 //!
-//! In each data centre one gateway reads the store and the others query it, or its substitute if it
-//! does not answer or has had no recent contact with the store. If neither has recent data, a
-//! gateway reads the store itself. A store that does not answer is called less and less often, and
-//! meanwhile any other gateway is queried for what it has read.
+//! One gateway reads the store for the fleet, and each of the others queries one of those before it in
+//! the tree of gateways, or another one if that does not answer or has had no recent contact with the
+//! store (`oleander_balance::fact_sources`). If neither has recent data, a gateway reads the store
+//! itself. A store that does not answer is called less and less often, and meanwhile any other gateway
+//! is queried for what it has read.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,28 +19,14 @@
 use tokio::time::sleep;
 
 use crate::core::GatewayCore;
-use crate::peer_facts::{FactsClient, FactsError, query_random_gateway};
+use crate::fact_sources::FactSources;
+use crate::peer_facts::query_random_gateway;
 use crate::platform_view::{KnownFact, ListedKeys, RemovalMode};
 use crate::port::StoreItem;
 use crate::prelude::*;
 use crate::store_client::{StoreClient, StoreError};
 
-/// How many gateways of a data centre the others query: the reader of the store and its substitute.
-const READER_COUNT: usize = 2;
-
-/// How long a reader that did not answer is not queried again.
-const READER_BACKOFF: Span = Span::from_millis(2_000);
-
-/// How long a reader without recent contact with the store is not queried again.
-const STALE_BACKOFF: Span = Span::from_millis(700);
-
-/// The number of polls within the shortest time in which a change must be applied.
-const POLLS_PER_BOUND: u64 = 4;
-
-/// How long the store holds a watch that has no changes.
-const WATCH_WAIT: Span = Span::from_millis(1_000);
-
-/// The time allowed for the answer of a watch beyond [`WATCH_WAIT`].
+/// The time allowed for the answer of a watch beyond the time that the store may hold it.
 const WATCH_GRACE: Span = Span::from_millis(700);
 
 /// The timeout of one page of a listing.
@@ -48,7 +35,7 @@
 /// The pause after a first failed store call. A random factor makes it up to twice as long.
 const BACKOFF_BASE: Span = Span::from_millis(150);
 
-/// How many times the pause doubles at a gateway that reads the store for others.
+/// How many times the pause doubles at the gateway that reads the store for the others.
 const READER_DOUBLINGS: u32 = 2;
 
 /// How many times the pause doubles at the other gateways.
@@ -81,7 +68,7 @@
 struct StoreWatch {
     core: Rc<GatewayCore>,
     client: StoreClient,
-    readers: [FactsClient; READER_COUNT],
+    sources: FactSources,
     needs_list: bool,
     unreachable_since: Option<MonoTime>,
     last_response: MonoTime,
@@ -90,16 +77,13 @@
     failures: u32,
     /// The time before which the store is not called again.
     retry_at: MonoTime,
-    /// The time before which each reader is not queried again.
-    readers_retry_at: [MonoTime; READER_COUNT],
-    is_reader: bool,
 }
 
 /// Keeps the platform view up to date for as long as the process runs.
 pub(crate) async fn run_store_watch(core: Rc<GatewayCore>) {
     let mut watch = StoreWatch {
         client: StoreClient::open(Rc::clone(&core)),
-        readers: Default::default(),
+        sources: FactSources::default(),
         core,
         needs_list: true,
         unreachable_since: None,
@@ -107,13 +91,10 @@
         recovered_at: None,
         failures: 0,
         retry_at: MonoTime::default(),
-        readers_retry_at: [MonoTime::default(); READER_COUNT],
-        is_reader: true,
     };
     loop {
-        let started = monotonic_now();
         match watch.poll().await {
-            Ok(()) => watch.sleep_until(started + watch.poll_interval()).await,
+            Ok(next_at) => watch.sleep_until(next_at).await,
             Err(error) => watch.handle_error(&error).await,
         }
     }
@@ -121,9 +102,7 @@
 
 impl StoreWatch {
     fn poll_interval(&self) -> Span {
-        let settings = self.core.settings();
-        let bound = settings.drain_time.min(settings.apply_time);
-        Span(bound.0 / POLLS_PER_BOUND)
+        self.core.settings().view_pace().store_interval
     }
 
     async fn sleep_until(&self, moment: MonoTime) {
@@ -131,20 +110,30 @@
         sleep(Duration::from(left)).await;
     }
 
-    async fn poll(&mut self) -> Result<(), StoreError> {
-        if self.query_readers().await {
-            return Ok(());
+    /// Brings the view up to date; returns when to do so again.
+    async fn poll(&mut self) -> Result<MonoTime, StoreError> {
+        if let Some(applied) = self.sources.query(&self.core).await {
+            self.on_contact();
+            return Ok(applied.next_at);
         }
+        let next_at = monotonic_now() + self.poll_interval();
         if monotonic_now() < self.retry_at {
             query_random_gateway(&self.core).await;
-            return Ok(());
+        } else {
+            self.read_store().await?;
         }
+        Ok(next_at)
+    }
+
+    /// Reads from the store what has changed.
+    async fn read_store(&mut self) -> Result<(), StoreError> {
         let after = self.core.view.borrow().version;
         if self.needs_list || after.era < self.core.store_era() {
             return self.list().await;
         }
-        let request = self.core.port.watch_request(after.revision, WATCH_WAIT);
-        let reply = self.client.call(&request, WATCH_WAIT + WATCH_GRACE).await?;
+        let wait = self.poll_interval();
+        let request = self.core.port.watch_request(after.revision, wait);
+        let reply = self.client.call(&request, wait + WATCH_GRACE).await?;
         if reply.era != after.era {
             // The revision that was asked for means another state in this era.
             return self.list().await;
@@ -159,44 +148,6 @@
         Ok(())
     }
 
-    /// Queries the gateways that rank before this one as readers; returns whether one of them
-    /// answered with recent data.
-    async fn query_readers(&mut self) -> bool {
-        let settings = self.core.settings();
-        let ranked = self.core.view.borrow().ranked_gateways(&settings.centre);
-        let own_rank = ranked
-            .iter()
-            .position(|gateway| gateway.name == settings.name)
-            .unwrap_or(0);
-        self.is_reader = own_rank < READER_COUNT;
-        for (rank, reader) in ranked.iter().enumerate().take(own_rank.min(READER_COUNT)) {
-            if monotonic_now() < self.readers_retry_at[rank] {
-                continue;
-            }
-            match self.readers[rank].query(&self.core, reader.control).await {
-                Ok(_) => {
-                    self.on_contact();
-                    return true;
-                }
-                Err(error) => self.on_reader_failure(rank, &error),
-            }
-        }
-        false
-    }
-
-    fn on_reader_failure(&mut self, rank: usize, error: &FactsError) {
-        let backoff = match error {
-            FactsError::Stale(_) => STALE_BACKOFF,
-            _ => READER_BACKOFF,
-        };
-        self.readers_retry_at[rank] = monotonic_now() + backoff;
-        let fields = ContactLostFields {
-            reason: error.to_string(),
-            revision: self.core.view.borrow().version.revision.0,
-        };
-        self.core.log.change("reader-lost", fields);
-    }
-
     async fn list(&mut self) -> Result<(), StoreError> {
         self.needs_list = true;
         let mut after: Option<String> = None;
@@ -263,6 +214,7 @@
         }
         self.last_response = now;
         self.failures = 0;
+        self.core.is_store_lost.set(false);
         if let Some(unreachable_since) = self.unreachable_since.take() {
             let fields = StoreRegainedFields {
                 away_ms: now.since(unreachable_since).as_millis_f64(),
@@ -306,6 +258,8 @@
             // The listing that follows is paced like any poll.
             return;
         }
+        self.core.is_store_lost.set(true);
+        self.core.view_changed.notify_waiters();
         if self.unreachable_since.is_none() {
             self.unreachable_since = Some(now);
             self.core.log.change(
@@ -326,7 +280,7 @@
 
     /// Returns the pause before the store is called again after a failure.
     fn next_backoff(&mut self) -> Span {
-        let max_doublings = if self.is_reader {
+        let max_doublings = if self.sources.is_reader() {
             READER_DOUBLINGS
         } else {
             FOLLOWER_DOUBLINGS
