Gateway: a crash of many backend servers at once blames no part of prompts that most requests share

Cause, two of them. The second in which answers may still clear a part began with the first crash that it was suspected of. A single crash some seconds earlier, that no answer had cleared at this gateway yet, used it up, and the crash of many then quarantined the part at once. And a part that was at three of the many by chance had enough crashes, however many others crashed beside them.

Now the time to clear a part begins with the crash that makes them enough. And crashes within two seconds count for nothing as long as six times as many backend servers crashed around them; that is more than the five suspects that the attribution takes for at fault at the same time, so what does crash backend servers is found as before, at the latest with its first crash after the two seconds.

Evidence: a simulation of 144 backend servers of which a sixth crash within 400 ms, with 6 and 70 gateways, four parts that all requests share, 300 below them, and news up to 250 ms late; and one of backend servers that crash by turns.

Three tests of crash_suspects asked for a quarantine 0.4 s, or 0.5 s, after the crash that makes them enough; they ask for the same one 1 s after the last crash now, which is the time that the rule always named, counted from where it begins.

--- a/crates/balance/src/crash_suspects.rs
+++ b/crates/balance/src/crash_suspects.rs
@@ -24,6 +24,7 @@
 use crate::crash_attribution::{
     SuspectMap, is_accounted_for, is_attributed_elsewhere, is_disputed,
 };
+use crate::crash_log::CrashLog;
 use crate::suspect_crashes::{MIN_CRASHES, PeerTime, SuspectCrash, SuspectCrashes, is_too_old};
 use crate::suspect_id::{ServiceId, SuspectId};
 use crate::suspect_probe::{ClaimRecord, ProbeClaim};
@@ -131,6 +132,8 @@
     suspects: SuspectMap,
     /// When an answer of each service last began here.
     begun: FastMap<ServiceId, PeerTime>,
+    /// The crashes of all backend servers that are known.
+    crashes: CrashLog,
 }
 
 impl SuspectTable {
@@ -155,6 +158,7 @@
             sent_at: PeerTime::here(crash.sent_at),
             at: PeerTime::here(crash.at),
         };
+        self.crashes.add(added);
         let add = |id: &&SuspectId| {
             let state = self.suspects.entry(**id).or_default();
             let earlier = state.crashes.len();
@@ -201,6 +205,7 @@
                 sent_at: time(crash.sent_age_ms),
                 at: time(crash.age_ms),
             };
+            self.crashes.add(crash);
             is_new |= state.add(crash, record.service, now);
         }
         if record.is_quarantined && self.is_taken_over(record.id, now) {
@@ -239,6 +244,7 @@
             let service = state.service.and_then(|service| self.begun.get(&service));
             !state.is_quarantined
                 && state.needs_quarantine(id.observation_time(), service.copied(), now)
+                && !self.crashes.has_mass_crash(&state.crashes)
                 && !is_accounted_for(&self.suspects, **id, state, now)
         };
         let is_innocent = |(id, state): &(&SuspectId, &SuspectCrashes)| {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -14,6 +14,7 @@
 mod choice;
 mod cost;
 mod crash_attribution;
+mod crash_log;
 mod crash_suspects;
 mod fact_tree;
 mod fleet_table;
--- a/crates/balance/src/suspect_crashes.rs
+++ b/crates/balance/src/suspect_crashes.rs
@@ -77,8 +77,9 @@
 }
 
 impl SuspectCrash {
-    fn is_apart_from(&self, earlier: PeerTime) -> bool {
-        self.at.0 - earlier.0 >= SEPARATE_CRASH_GAP.0 as i64
+    /// Returns whether the crash was some time later than another one, or more.
+    pub(crate) fn is_apart_from(&self, earlier: PeerTime, gap: Span) -> bool {
+        self.at.0 - earlier.0 >= gap.0 as i64
     }
 
     fn was_sent_after(&self, earlier: PeerTime) -> bool {
@@ -102,8 +103,8 @@
     pub(crate) crashes: Vec<SuspectCrash>,
     /// The service of the last crash, if it is known.
     pub(crate) service: Option<ServiceId>,
-    /// When this gateway learned of the first of these crashes.
-    known_since: Option<MonoTime>,
+    /// When this gateway learned of the crash with which there were [`MIN_CRASHES`].
+    enough_since: Option<MonoTime>,
     /// The crashes that it has been cleared of, in the order in which they became known.
     ///
     /// Gateways tell each other these instead of a time, which each datagram would make later.
@@ -130,12 +131,14 @@
         if was_cleared || self.has_crash(crash.backend) {
             return false;
         }
-        self.known_since.get_or_insert(now);
         let index = self.crashes.partition_point(|known| known.at <= crash.at);
         if index == self.crashes.len() {
             self.service = service.or(self.service);
         }
         self.crashes.insert(index, crash);
+        if self.crashes.len() >= MIN_CRASHES {
+            self.enough_since.get_or_insert(now);
+        }
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.remove(0);
         }
@@ -169,11 +172,9 @@
         self.crashes
             .retain(|crash| !backends.contains(&crash.backend));
         if self.crashes.len() < MIN_CRASHES {
+            self.enough_since = None;
             self.release();
         }
-        if self.crashes.is_empty() {
-            self.known_since = None;
-        }
         is_new
     }
 
@@ -233,14 +234,15 @@
 
     /// Returns whether enough of the crashes are separate.
     fn has_separate_crashes(&self) -> bool {
-        let moments = self.count_separate(SuspectCrash::is_apart_from);
-        let separate = self
-            .count_separate(|crash, last| crash.is_apart_from(last) || crash.was_sent_after(last));
+        let is_apart = |crash: &SuspectCrash, last| crash.is_apart_from(last, SEPARATE_CRASH_GAP);
+        let moments = self.count_separate(is_apart);
+        let separate =
+            self.count_separate(|crash, last| is_apart(crash, last) || crash.was_sent_after(last));
         moments >= MIN_CRASH_MOMENTS && separate >= MIN_CRASHES
     }
 
     /// Returns whether the crashes suffice for a quarantine, given when any answer of the service last
-    /// began and how long others may still clear the suspect after the first crash became known.
+    /// began and how long others may still clear the suspect after enough crashes became known.
     pub(crate) fn needs_quarantine(
         &self,
         observation_time: Span,
@@ -250,8 +252,8 @@
         let Some(first) = self.crashes.first() else {
             return false;
         };
-        self.known_since
-            .is_some_and(|known| now.since(known) >= observation_time)
+        self.enough_since
+            .is_some_and(|enough| now.since(enough) >= observation_time)
             && service_begun.is_some_and(|begun| begun > first.at)
             && self.has_separate_crashes()
     }
@@ -284,7 +286,7 @@
         }
         let was_quarantined = self.is_quarantined;
         self.crashes.clear();
-        self.known_since = None;
+        self.enough_since = None;
         self.release();
         was_quarantined
     }
--- a/crates/balance/tests/crash_suspects.rs
+++ b/crates/balance/tests/crash_suspects.rs
@@ -17,6 +17,9 @@
     START + Span::from_millis(ms)
 }
 
+/// The time that others have to clear a part after the crash that makes them enough.
+const OBSERVED: Span = Span::from_secs(1);
+
 /// Returns the parts that other requests may share of a prompt with these parts and one of its own.
 fn ids(parts: &[u64]) -> Vec<SuspectId> {
     let part = |id: &u64| PromptPart {
@@ -88,6 +91,7 @@
 #[test]
 fn the_last_part_and_other_services_are_never_suspects() {
     let (mut table, last) = crashed(&[CRASHING], 5);
+    let last = last + OBSERVED;
     table.refresh(last);
     let part = |id| PromptPart {
         id: PartId(id),
@@ -103,6 +107,7 @@
 #[test]
 fn an_answer_that_begins_clears_a_part() {
     let (mut table, last) = crashed(&[CRASHING], 4);
+    let last = last + OBSERVED;
     assert!(blocks(&mut table, &[CRASHING], last));
     table.record_answer(
         ServiceId::of(SERVICE),
@@ -144,7 +149,7 @@
     let (mut table, last) = crashed(&[CALLER, CRASHING], 4);
     // One request with the crashing part had another caller.
     record(&mut table, &ids(&[CRASHING]), crash(7, last));
-    let later = last + Span::from_millis(100);
+    let later = last + OBSERVED;
     assert!(!blocks(&mut table, &[CALLER, OTHER], later));
     assert!(blocks(&mut table, &[CRASHING, OTHER], later));
     assert!(blocks(&mut table, &[CALLER, CRASHING], later));
--- a/crates/balance/tests/suspect_fleet/mod.rs
+++ b/crates/balance/tests/suspect_fleet/mod.rs
@@ -1,5 +1,8 @@
 //! A simulation of gateways that share their tables of suspects, and of backend servers that parts crash.
 
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 
 use oleander_balance::{
@@ -71,6 +74,14 @@
     pub(crate) from_ms: u64,
 }
 
+/// A crash of a share of the backend servers, one after the other within a short time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct MassCrash {
+    pub(crate) at_ms: u64,
+    pub(crate) share: f64,
+    pub(crate) within_ms: u64,
+}
+
 /// The conditions of one run.
 #[derive(Debug, Clone)]
 pub(crate) struct FleetPlan {
@@ -85,6 +96,8 @@
     pub(crate) delay_ms: u64,
     pub(crate) loss: f64,
     pub(crate) other_crashes_per_s: f64,
+    /// Crashes of many backend servers at once, of a cause outside the requests.
+    pub(crate) mass_crashes: Vec<MassCrash>,
     pub(crate) gateway_restarts_per_s: f64,
     pub(crate) length_ms: u64,
     /// From when on sound requests are counted.
@@ -102,6 +115,7 @@
             delay_ms: 40,
             loss: 0.1,
             other_crashes_per_s: 0.0,
+            mass_crashes: Vec::new(),
             gateway_restarts_per_s: 0.0,
             length_ms: 60_000,
             counted_from_ms: 10_000,
@@ -115,6 +129,8 @@
     /// The number of sound requests, and of those whose answers began.
     pub(crate) sound: usize,
     pub(crate) begun: usize,
+    /// How many times a gateway began to quarantine a suspect by itself.
+    pub(crate) quarantines: usize,
     /// For each crashing part, when it crashed backend servers.
     crashes_ms: BTreeMap<u64, Vec<u64>>,
     /// For each crashing part, the requests that reached a backend server too late.
@@ -202,6 +218,7 @@
             let backend = self.random.random_range(0..self.running.len());
             self.crash(backend, now_ms);
         }
+        self.crash_many(now_ms);
         if self.happens(self.plan.gateway_restarts_per_s) {
             let gateway = self.random.random_range(0..self.tables.len());
             self.tables[gateway] = SuspectTable::new(gateway as u64);
@@ -211,6 +228,24 @@
         self.send_rounds(now_ms);
     }
 
+    /// Crashes the backend servers whose turn it is in a crash of many.
+    fn crash_many(&mut self, now_ms: u64) {
+        for index in 0..self.plan.mass_crashes.len() {
+            let MassCrash {
+                at_ms,
+                share,
+                within_ms,
+            } = self.plan.mass_crashes[index];
+            let count = (share * self.running.len() as f64) as u64;
+            for turn in 0..count {
+                if at_ms + turn * within_ms / count == now_ms {
+                    let backend = self.random.random_range(0..self.running.len());
+                    self.crash(backend, now_ms);
+                }
+            }
+        }
+    }
+
     /// Returns whether an event of a rate happens within this millisecond.
     fn happens(&mut self, per_s: f64) -> bool {
         self.random.random_bool((per_s / 1e3).min(1.0))
@@ -248,6 +283,7 @@
         self.results.sound += usize::from(request.is_counted);
         let table = &mut self.tables[gateway];
         let quarantined = table.refresh(at(now_ms));
+        self.results.quarantines += quarantined.quarantined.len();
         let verdict = table.check(&request.ids, at(now_ms));
         self.tell(gateway, &quarantined.quarantined, now_ms);
         match verdict {
@@ -401,7 +437,8 @@
             if now_ms % ROUND_MS != from as u64 % ROUND_MS {
                 continue;
             }
-            self.tables[from].refresh(at(now_ms));
+            let changed = self.tables[from].refresh(at(now_ms));
+            self.results.quarantines += changed.quarantined.len();
             let recent = self.tables[from].recent(Span::from_secs(5), at(now_ms));
             let targets = self.pick_others(from, ROUND_FANOUT);
             self.post(from, &recent, &targets, now_ms);
