Gateway: calls of the store by purpose, bytes to other gateways by kind, and ignored datagrams in the metrics

Which calls of the store grow with the machines, and which exchange sends the bytes between data centres, could not be told from a running fleet. A test sends the datagrams of each kind in the form of the landing before, and a query for facts as that one asks; both are understood, an unknown kind and another version are counted as ignored. The format of datagrams has not changed since.

--- a/crates/entry/tests/gateway_facts.rs
+++ b/crates/entry/tests/gateway_facts.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use gateway::{Call, TestGateway, manifest, start_engine, store_with_manifest, wait_for};
+use gateway::{Call, Caller, TestGateway, manifest, start_engine, store_with_manifest, wait_for};
 use oleander_standin::users::{EngineReply, UsersStore};
 use oleander_standin::{DirectionFault, FaultProxy, ProxyFaults};
 use serde_json::{Value, json};
@@ -168,3 +168,73 @@
         });
     }
 }
+
+/// Returns the facts that a gateway passes on for a query in the form of an earlier version.
+fn query_as_before(gateway: &TestGateway) -> Value {
+    let mut caller = Caller::open(gateway.control);
+    caller.send("GET /facts?after=0&era=0&manifest=0 HTTP/1.1\r\nHost: g\r\n\r\n");
+    serde_json::from_str(&caller.read().expect("facts").text()).expect("facts are JSON")
+}
+
+// Guards against gateways of an earlier version that cannot read what this one passes on, while machines are
+// replaced one after the other.
+#[test]
+fn a_gateway_of_an_earlier_version_reads_the_facts() {
+    let store = store_with_manifest();
+    let _engine = start_engine(&store, "i-1", "desk", |request| {
+        EngineReply::Bytes(request.answer("done"))
+    });
+    let gateway = TestGateway::start(&store);
+    let facts = query_as_before(&gateway);
+    let rows = facts["facts"].as_array().expect("rows");
+    let manifest = rows.iter().find(|row| row["subject"] == "manifest");
+    let text = manifest.expect("a manifest")["value"].as_str();
+    assert!(
+        text.expect("a value that is not packed")
+            .contains(gateway::HOST)
+    );
+    assert!(rows.iter().all(|row| row["packed"].is_null()));
+}
+
+/// The version of the datagrams and the number of a kind that no version knows yet.
+const UNKNOWN_KIND: [u8; 2] = [6, 99];
+
+/// One datagram of each kind as earlier versions send it: its version, its kind, and the fields.
+const EARLIER_DATAGRAMS: [&[u8]; 7] = [
+    // The load of one backend server, and none that is down.
+    &[6, 0, 1, 5, 10, 1, 0, 0],
+    // One that is down.
+    &[6, 0, 0, 1, 5, 10],
+    &[6, 1, 1, 9, 8],
+    &[6, 2, 7, 9, 1, b'e'],
+    &[6, 4, 0],
+    &[6, 5, 1, 5, 10, 0],
+    &[6, 6, 1, 5, 3, 10, 0],
+];
+
+// Guards against news of an earlier version that is taken for unreadable, and against unknown news that is
+// ignored without a trace.
+#[test]
+fn datagrams_of_an_earlier_version_are_read_and_unknown_ones_counted() {
+    let store = store_with_manifest();
+    let _engine = start_engine(&store, "i-1", "desk", |request| {
+        EngineReply::Bytes(request.answer("done"))
+    });
+    let gateway = TestGateway::start(&store);
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+    let ignored = || {
+        let page = gateway.page("/metrics");
+        let mut lines = page.lines();
+        let line = lines.find(|line| line.starts_with("gateway_peer_ignored_total"));
+        let count = line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        count.unwrap_or(0.0)
+    };
+    let unknown: [&[u8]; 3] = [&UNKNOWN_KIND, &[7, 0, 0, 0], &[]];
+    for datagram in EARLIER_DATAGRAMS.iter().chain(&unknown) {
+        socket
+            .send_to(datagram, gateway.gossip)
+            .expect("it is sent");
+    }
+    wait_for("unknown datagrams are counted", || ignored() >= 3.0);
+    assert!(ignored() < 3.5, "none of an earlier version is among them");
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -81,6 +81,7 @@
         metrics: GatewayMetrics,
     ) -> Self {
         let quarantine = CrashQuarantine::new(&settings.name);
+        let metrics = Rc::new(metrics);
         Self {
             log: LogWriter::spawn(&settings.name),
             port,
@@ -89,14 +90,14 @@
             fleet: RefCell::default(),
             pool: RefCell::default(),
             services: RefCell::default(),
-            peers: PeerSocket::default(),
+            peers: PeerSocket::new(Rc::clone(&metrics)),
             origins: OriginExchange::default(),
             quarantine,
             reach: BackendReach::default(),
             relays: RelayTargets::default(),
             store_era: Cell::default(),
             shutdown: ShutdownState::default(),
-            metrics: Rc::new(metrics),
+            metrics,
             suspend: SuspendDetector::open(),
             is_store_lost: Cell::new(false),
             view_changed: Notify::new(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -157,6 +157,7 @@
 /// Handles one datagram of another gateway.
 fn receive(core: &GatewayCore, bytes: &[u8], from: SocketAddr) {
     let Some(message) = decode(bytes) else {
+        core.metrics.record_ignored_datagram();
         return;
     };
     match message {
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -10,7 +10,7 @@
 use crate::core::GatewayCore;
 use crate::port::GatewayEntry;
 use crate::prelude::*;
-use crate::store_client::{StoreClient, StoreError};
+use crate::store_client::{StoreClient, StoreError, StorePurpose};
 
 /// The time to live of the lease, after which the announcement of a crashed gateway disappears.
 const LEASE_TTL: Span = Span::from_secs(12);
@@ -54,8 +54,9 @@
         if core.shutdown.is_stopping() {
             if let Some(held) = lease {
                 // If this call fails, the lease expires by itself.
+                let request = core.port.release_request(held.id);
                 let _ = client
-                    .call(&core.port.release_request(held.id), CALL_TIMEOUT)
+                    .call(StorePurpose::Release, &request, CALL_TIMEOUT)
                     .await;
             }
             return;
@@ -86,7 +87,11 @@
     let settings = core.settings();
     let ttl = LEASE_TTL.max(settings.store_min_ttl);
     let granted = client
-        .call(&core.port.lease_request(ttl), CALL_TIMEOUT)
+        .call(
+            StorePurpose::Grant,
+            &core.port.lease_request(ttl),
+            CALL_TIMEOUT,
+        )
         .await?;
     let lease = core
         .port
@@ -100,7 +105,9 @@
         capacity: passing_capacity(settings.cores, settings.link_mbps),
     };
     let request = core.port.announce_request(&settings.name, &entry, lease);
-    let announced = client.call(&request, CALL_TIMEOUT).await?;
+    let announced = client
+        .call(StorePurpose::Announce, &request, CALL_TIMEOUT)
+        .await?;
     if announced.era != granted.era {
         return Err(StoreError::EraChanged);
     }
@@ -123,7 +130,11 @@
     lease: HeldLease,
 ) -> Result<(), StoreError> {
     let reply = client
-        .call(&core.port.renew_request(lease.id), CALL_TIMEOUT)
+        .call(
+            StorePurpose::Renew,
+            &core.port.renew_request(lease.id),
+            CALL_TIMEOUT,
+        )
         .await?;
     if reply.era == lease.era {
         Ok(())
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use crate::http::ByteBound;
 use crate::prelude::*;
 use crate::quarantine::QuarantineCounts;
+use crate::store_client::StorePurpose;
 
 /// The name of the instrumentation scope.
 const METER_NAME: &str = "oleanderplank.gateway";
@@ -72,6 +73,8 @@
     attempts: Counter<u64>,
     retries: Counter<u64>,
     store_calls: Counter<u64>,
+    peer_bytes: Counter<u64>,
+    ignored_datagrams: Counter<u64>,
     connections: Counter<u64>,
     streams: Counter<u64>,
     resumes: Counter<u64>,
@@ -114,7 +117,17 @@
             store_calls: counter(
                 &meter,
                 "gateway.store.calls",
-                "Calls of the store by outcome",
+                "Calls of the store by purpose and outcome",
+            ),
+            peer_bytes: counter(
+                &meter,
+                "gateway.peer.bytes",
+                "Bytes of datagrams and facts sent to other gateways, by kind",
+            ),
+            ignored_datagrams: counter(
+                &meter,
+                "gateway.peer.ignored",
+                "Datagrams of another format, such as that of another version",
             ),
             connections: counter(&meter, "gateway.connections", "New connections by side"),
             resumes: counter(
@@ -221,13 +234,25 @@
         self.retries.add(1, &labels);
     }
 
-    pub(crate) fn record_store_call(&self, status: Option<u16>) {
+    pub(crate) fn record_store_call(&self, purpose: StorePurpose, status: Option<u16>) {
         let outcome = match status {
             Some(status) => status.to_string(),
             None => "no-answer".to_owned(),
         };
-        self.store_calls
-            .add(1, &[KeyValue::new("outcome", outcome)]);
+        let labels = [
+            KeyValue::new("purpose", purpose.as_str()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.store_calls.add(1, &labels);
+    }
+
+    pub(crate) fn record_peer_bytes(&self, kind: &'static str, bytes: usize) {
+        let labels = [KeyValue::new("kind", kind)];
+        self.peer_bytes.add(bytes as u64, &labels);
+    }
+
+    pub(crate) fn record_ignored_datagram(&self) {
+        self.ignored_datagrams.add(1, &[]);
     }
 
     pub(crate) fn record_connection(&self, side: &'static str) {
--- a/crates/gateway/src/peer_facts.rs
+++ b/crates/gateway/src/peer_facts.rs
@@ -157,7 +157,9 @@
         contact_age_ms: age,
         facts: facts.collect(),
     };
-    serde_json::to_vec(&message).expect("facts always serialize")
+    let bytes = serde_json::to_vec(&message).expect("facts always serialize");
+    core.metrics.record_peer_bytes("facts", bytes.len());
+    bytes
 }
 
 /// Queries one other gateway, chosen at random, for newer facts.
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -9,7 +9,8 @@
 /// The room for the records of one datagram, in bytes; the rest is for what encloses them.
 pub(crate) const MAX_RECORD_BYTES: usize = MAX_DATAGRAM_BYTES - 20;
 
-/// The version of the format. Datagrams of other versions are ignored.
+/// The version of the format. Datagrams of other versions are ignored, as are those of a kind that this version
+/// does not know: a new kind goes to the end of [`PeerMessage`] and leaves the version as it is.
 const FORMAT_VERSION: u8 = 6;
 
 /// One message between gateways.
@@ -31,6 +32,19 @@
     Brittle(Vec<BrittleRecord>),
 }
 
+impl PeerMessage {
+    /// Returns the name of its kind in the metrics.
+    pub(crate) fn kind(&self) -> &'static str {
+        match self {
+            Self::Load(_) => "load",
+            Self::Origins(_) | Self::OriginQuery(_) | Self::OriginReply(_) => "origins",
+            Self::Suspects(_) => "suspects",
+            Self::RateLimits(_) => "rates",
+            Self::Brittle(_) => "brittle",
+        }
+    }
+}
+
 /// The newest load reports and failures.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct LoadMessage {
--- a/crates/gateway/src/store_client.rs
+++ b/crates/gateway/src/store_client.rs
@@ -59,6 +59,36 @@
     }
 }
 
+/// What the store is called for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum StorePurpose {
+    /// All keys are read.
+    List,
+    /// Changes are read.
+    Watch,
+    /// A lease is granted.
+    Grant,
+    /// This gateway is announced.
+    Announce,
+    /// The lease is renewed.
+    Renew,
+    /// The lease is given up.
+    Release,
+}
+
+impl StorePurpose {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::List => "list",
+            Self::Watch => "watch",
+            Self::Grant => "grant",
+            Self::Announce => "announce",
+            Self::Renew => "renew",
+            Self::Release => "release",
+        }
+    }
+}
+
 /// The body of a successful answer, with the store's era.
 #[derive(Debug)]
 pub(crate) struct StoreReply {
@@ -96,6 +126,7 @@
     /// Makes one call. A failed call may have taken effect.
     pub(crate) async fn call(
         &mut self,
+        purpose: StorePurpose,
         request: &StoreRequest,
         limit: Span,
     ) -> Result<StoreReply, StoreError> {
@@ -109,7 +140,7 @@
             Err(_) => Err(StoreError::TimedOut),
         };
         let status = result.as_ref().ok().map(|done| done.head.status);
-        self.core.metrics.record_store_call(status);
+        self.core.metrics.record_store_call(purpose, status);
         let done = result?;
         self.conn = done.conn;
         let era = self.read_era(&done.head)?;
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -24,7 +24,7 @@
 use crate::platform_view::{KnownFact, ListedKeys, RemovalMode};
 use crate::port::StoreItem;
 use crate::prelude::*;
-use crate::store_client::{StoreClient, StoreError};
+use crate::store_client::{StoreClient, StoreError, StorePurpose};
 
 /// The time allowed for the answer of a watch beyond the time that the store may hold it.
 const WATCH_GRACE: Span = Span::from_millis(700);
@@ -133,7 +133,10 @@
         }
         let wait = self.poll_interval();
         let request = self.core.port.watch_request(after.revision, wait);
-        let reply = self.client.call(&request, wait + WATCH_GRACE).await?;
+        let call = self
+            .client
+            .call(StorePurpose::Watch, &request, wait + WATCH_GRACE);
+        let reply = call.await?;
         if reply.era != after.era {
             // The revision that was asked for means another state in this era.
             return self.list().await;
@@ -156,7 +159,8 @@
         let mut items = Vec::new();
         loop {
             let request = self.core.port.list_request(after.as_deref());
-            let reply = self.client.call(&request, LIST_TIMEOUT).await?;
+            let call = self.client.call(StorePurpose::List, &request, LIST_TIMEOUT);
+            let reply = call.await?;
             let page = self
                 .core
                 .port
