Gateway: the age of a complete view of software versions follows the bound

A view was complete up to 2.5 s after the last contact with the store. Where changes may take 4 s, facts that pass through the tree of gateways may be 3 s old, and a stream of unknown origin would have been refused though only one version serves.

--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -36,10 +36,6 @@
 /// The time between two sends of a query.
 const QUERY_INTERVAL: Span = Span::from_millis(50);
 
-/// The greatest age of the contact with the store at which this gateway's view of a service's
-/// versions counts as complete; it is above the longest time between two polls of the store.
-const MAX_CONTACT_AGE: Span = Span::from_millis(2_500);
-
 /// The replicas that are told of a stream.
 pub(crate) const TOLD_REPLICAS: ReplicaCounts = ReplicaCounts { near: 1, any: 2 };
 
@@ -194,7 +190,8 @@
     fn versions(&self, core: &GatewayCore, service: &str) -> VersionSpan {
         let now = monotonic_now();
         let contact = core.view.borrow().store_contact;
-        let is_current = contact.is_some_and(|contact| now.since(contact) < MAX_CONTACT_AGE);
+        let max_age = core.settings().view_pace().max_version_age;
+        let is_current = contact.is_some_and(|contact| now.since(contact) < max_age);
         match self.history.borrow().span(service, now) {
             VersionSpan::Single(_) if !is_current => VersionSpan::Unknown,
             span => span,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -55,6 +55,9 @@
     pub(crate) query_hold: Span,
     /// The age of the contact with the store beyond which another gateway's facts are not enough.
     pub(crate) max_contact_age: Span,
+    /// The age of the contact with the store at which the view of a service's software versions does not
+    /// count as complete any longer. It is above the age that facts from another gateway may have.
+    pub(crate) max_version_age: Span,
 }
 
 impl GatewaySettings {
@@ -65,6 +68,7 @@
             store_interval: Span(bound / 4),
             query_hold: Span(bound / 8),
             max_contact_age: Span(bound / 4 * 3),
+            max_version_age: Span(bound / 4 * 5),
         }
     }
 }
