Gateway: one that reaches no other gateway either is not cut off from the backend servers

Cause: eight connections to backend servers that do not come about within 300 ms counted as a cut, whatever they failed for. A full link, or too little processor time, delays all connections alike; the time that the gateway needed itself was taken for the link's.

Now it connects to three other gateways, where they take relayed requests, in the same 300 ms. One that is cut off from backend servers reaches them, and is known as fast as before; one that is slow does not, goes on trying, and relays nothing, which could not have arrived either. Without another gateway nothing changes.

Tests: a_gateway_that_is_only_slow_is_not_cut_off (pure); a_gateway_that_reaches_no_other_gateway_either_relays_nothing failed before with a backends-lost line; the tests of the three kinds of cuts pass as before.

--- a/crates/balance/src/reach_tracker.rs
+++ b/crates/balance/src/reach_tracker.rs
@@ -4,6 +4,10 @@
 //! that fails, or silence of several backend servers, therefore raises a doubt about the gateway itself,
 //! which probes of others settle: one new connection shows that it reaches them, and if none can be made
 //! it is cut off. What it sees while in doubt says nothing about backend servers yet.
+//!
+//! A gateway whose own link is full, or that gets too little processor time, makes no connection in time either.
+//! It makes none to other gateways at that moment, which one that is cut off from backend servers does. It
+//! is not cut off, and relaying its requests through that link would only fill it further.
 
 use oleander_base::prelude::*;
 
@@ -31,6 +35,15 @@
     at: MonoTime,
 }
 
+/// The result of a round of probes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProbeRound {
+    /// Whether a connection to a backend server was made in time.
+    pub reached_backend: bool,
+    /// Whether one to another gateway was made in the same time; absent if there is no other gateway.
+    pub reached_gateway: Option<bool>,
+}
+
 /// The evidence on whether backend servers are in reach.
 #[derive(Debug, Default)]
 pub struct ReachTracker {
@@ -67,11 +80,14 @@
         Some(now.since(since))
     }
 
-    /// Records that no probe could connect; returns whether the gateway is cut off only now.
-    pub fn on_probes_failed(&mut self, now: MonoTime) -> bool {
-        let is_new = self.cut_since.is_none();
-        self.cut_since.get_or_insert(now);
-        is_new
+    /// Records a round of probes; returns whether that shows that the gateway is cut off, which was not known.
+    pub fn on_probes(&mut self, round: ProbeRound, now: MonoTime) -> bool {
+        let is_own_link = round.reached_gateway == Some(false);
+        if round.reached_backend || is_own_link || self.is_cut_off() {
+            return false;
+        }
+        self.cut_since = Some(now);
+        true
     }
 
     /// Returns whether what this gateway sees of backend servers may be due to its own links.
--- a/crates/balance/tests/reach_tracker.rs
+++ b/crates/balance/tests/reach_tracker.rs
@@ -1,10 +1,18 @@
 //! Tests of the evidence on whether backend servers are in reach.
 
-use oleander_balance::{BackendKey, ProbeCandidate, ReachFailure, ReachTracker, pick_probes};
+use oleander_balance::{
+    BackendKey, ProbeCandidate, ProbeRound, ReachFailure, ReachTracker, pick_probes,
+};
 use oleander_base::prelude::*;
 
 const START: MonoTime = MonoTime(1_000_000);
 
+/// Probes of a gateway that reaches other gateways and no backend server.
+const NONE_REACHED: ProbeRound = ProbeRound {
+    reached_backend: false,
+    reached_gateway: Some(true),
+};
+
 fn at(ms: u64) -> MonoTime {
     START + Span::from_millis(ms)
 }
@@ -40,13 +48,52 @@
     let mut tracker = ReachTracker::default();
     tracker.on_failure(BackendKey(1), ReachFailure::Connection, 18, at(0));
     assert!(!tracker.is_cut_off());
-    assert!(tracker.on_probes_failed(at(300)));
-    assert!(!tracker.on_probes_failed(at(900)));
+    assert!(tracker.on_probes(NONE_REACHED, at(300)));
+    assert!(!tracker.on_probes(NONE_REACHED, at(900)));
     assert!(tracker.is_doubtful(18, at(60_000)), "a cut does not expire");
     assert_eq!(tracker.on_connected(at(1_300)), Some(Span::from_secs(1)));
     assert!(!tracker.is_cut_off());
 }
 
+/// The time that a probe may take, in milliseconds.
+const PROBE_MS: u64 = 300;
+
+/// Returns the result of probes that take a number of milliseconds; `None` stands for those that never connect.
+fn round(backend_ms: Option<u64>, gateway_ms: Option<u64>) -> ProbeRound {
+    let is_in_time = |ms: Option<u64>| ms.is_some_and(|ms| ms <= PROBE_MS);
+    ProbeRound {
+        reached_backend: is_in_time(backend_ms),
+        reached_gateway: Some(is_in_time(gateway_ms)),
+    }
+}
+
+// Guards against a slow gateway, or one whose link is full, that takes itself for cut off and relays its requests.
+#[test]
+fn a_gateway_that_is_only_slow_is_not_cut_off() {
+    let is_cut_off = |round: ProbeRound| {
+        let mut tracker = ReachTracker::default();
+        tracker.on_failure(BackendKey(1), ReachFailure::Connection, 144, at(0));
+        tracker.on_probes(round, at(PROBE_MS)) && tracker.is_cut_off()
+    };
+    for slow_ms in [301, 1_200, 20_000] {
+        assert!(
+            !is_cut_off(round(Some(slow_ms), Some(slow_ms))),
+            "{slow_ms} ms"
+        );
+    }
+    assert!(!is_cut_off(round(None, None)), "cut off from all");
+    assert!(!is_cut_off(round(Some(290), None)), "cut off from gateways");
+    assert!(
+        is_cut_off(round(None, Some(20))),
+        "backend servers are silent or refuse"
+    );
+    let alone = ProbeRound {
+        reached_backend: false,
+        reached_gateway: None,
+    };
+    assert!(is_cut_off(alone), "there is no other gateway");
+}
+
 #[test]
 fn old_failures_raise_no_doubt() {
     let mut tracker = ReachTracker::default();
--- a/crates/entry/tests/gateway_cut.rs
+++ b/crates/entry/tests/gateway_cut.rs
@@ -249,6 +249,23 @@
     assert!(!relayed.iter().any(|line| id(line).starts_with("healed")));
 }
 
+// Guards against a gateway with a link of its own that is too slow, or cut, which takes itself for cut off from
+// the engines and fills that link with relayed requests.
+#[test]
+fn a_gateway_that_reaches_no_other_gateway_either_relays_nothing() {
+    let mut fleet = CutFleet::start();
+    fleet.other.kill();
+    fleet.cut(LinkCut::Refuse);
+    fleet.serve("cut", STABLE_TIME);
+    assert!(fleet.cut.log("backends-lost").is_empty());
+    assert!(fleet.cut.log("relayed").is_empty());
+    fleet.cut.wait_log("own-link-slow", |_| true);
+    fleet.heal();
+    wait_for("it serves again", || {
+        fleet.cut.caller().call(&Call::lookup("healed")).status() == 200
+    });
+}
+
 // Guards against sound engines that no gateway uses, because one that is cut off says they are down.
 #[test]
 fn what_a_cut_gateway_sees_of_engines_is_not_believed_by_others() {
--- a/crates/gateway/src/backend_reach.rs
+++ b/crates/gateway/src/backend_reach.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oleander_balance::{BackendKey, ProbeCandidate, ReachFailure, ReachTracker, pick_probes};
+use oleander_balance::{
+    BackendKey, ProbeCandidate, ProbeRound, ReachFailure, ReachTracker, pick_probes,
+};
 use oleander_base::monotonic_now;
 use serde::Serialize;
 use tokio::sync::Notify;
@@ -16,7 +18,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::core::GatewayCore;
-use crate::exchange::connect_backend;
+use crate::exchange::{connect_backend, connect_gateway};
 use crate::prelude::*;
 
 /// The number of backend servers that must all refuse a connection before the gateway counts as cut off,
@@ -26,6 +28,9 @@
 /// The number of backend servers that are probed together while the gateway is cut off.
 const CUT_OFF_PROBES: usize = 3;
 
+/// The number of other gateways that are probed beside them.
+const GATEWAY_PROBES: usize = 3;
+
 /// The time between two rounds of probes while the gateway is cut off.
 const PROBE_INTERVAL: Span = Span::from_millis(500);
 
@@ -35,6 +40,10 @@
     backends: usize,
 }
 
+/// The line says all by its event.
+#[derive(Debug, Default, Serialize)]
+struct OwnLinkFields {}
+
 #[derive(Debug, Serialize)]
 struct RegainedFields {
     away_ms: f64,
@@ -99,9 +108,13 @@
         !self.is_cut_off()
     }
 
-    fn on_probes_failed(&self, core: &GatewayCore) {
+    fn on_probes(&self, core: &GatewayCore, round: ProbeRound) {
+        let is_new = self.tracker.borrow_mut().on_probes(round, monotonic_now());
         self.settled.notify_waiters();
-        if !self.tracker.borrow_mut().on_probes_failed(monotonic_now()) {
+        if round.reached_gateway == Some(false) && !self.is_cut_off() {
+            core.log.change("own-link-slow", OwnLinkFields::default());
+        }
+        if !is_new {
             return;
         }
         core.pool.borrow_mut().clear();
@@ -126,18 +139,57 @@
 /// Probes until a connection is made that settles the last doubt.
 async fn run_probes(core: Rc<GatewayCore>) {
     while core.reach.is_doubtful(&core) {
-        let is_reached = match core.reach.is_cut_off() {
-            true => reaches_any(&core, CUT_OFF_PROBES).await,
-            false => reaches_any(&core, 1).await || reaches_any(&core, DECISIVE_PROBES).await,
+        let round = if core.reach.is_cut_off() {
+            ProbeRound {
+                reached_backend: reaches_any(&core, CUT_OFF_PROBES).await,
+                reached_gateway: None,
+            }
+        } else if reaches_any(&core, 1).await {
+            continue;
+        } else {
+            probe_widely(&core).await
         };
-        if !is_reached {
-            core.reach.on_probes_failed(&core);
+        if !round.reached_backend {
+            core.reach.on_probes(&core, round);
             sleep(Duration::from(PROBE_INTERVAL)).await;
         }
     }
     core.reach.is_probing.set(false);
 }
 
+/// Probes many backend servers, and at the same time other gateways.
+async fn probe_widely(core: &Rc<GatewayCore>) -> ProbeRound {
+    let (reached_backend, reached_gateway) =
+        tokio::join!(reaches_any(core, DECISIVE_PROBES), reaches_gateway(core));
+    ProbeRound {
+        reached_backend,
+        reached_gateway,
+    }
+}
+
+/// Returns whether one of some other gateways accepts a connection where it takes relayed requests; `None`
+/// if there is no other one.
+async fn reaches_gateway(core: &Rc<GatewayCore>) -> Option<bool> {
+    let mut picked = Vec::new();
+    let mut probes = JoinSet::new();
+    while picked.len() < GATEWAY_PROBES {
+        let Some(gateway) = core.relays.pick(core, &picked) else {
+            break;
+        };
+        picked.push(gateway.name);
+        let core = Rc::clone(core);
+        probes.spawn_local(async move { connect_gateway(&core, gateway.frontend).await.is_ok() });
+    }
+    let mut reached = None;
+    while let Some(probe) = probes.join_next().await {
+        if matches!(probe, Ok(true)) {
+            return Some(true);
+        }
+        reached = Some(false);
+    }
+    reached
+}
+
 /// Returns whether one of some backend servers accepts a connection, which is kept.
 async fn reaches_any(core: &Rc<GatewayCore>, count: usize) -> bool {
     let mut probes = JoinSet::new();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -191,7 +191,11 @@
     Ok(conn)
 }
 
-async fn connect_gateway(core: &GatewayCore, address: SocketAddr) -> io::Result<HttpConn> {
+/// Connects to another gateway.
+pub(crate) async fn connect_gateway(
+    core: &GatewayCore,
+    address: SocketAddr,
+) -> io::Result<HttpConn> {
     core.metrics.record_connection("gateway");
     connect(address, &TcpTimeouts::default()).await
 }
