Gateway: the news of suspects is paced, and suspects of one moment do not displace each other

Cause: each request that was at one of them is a suspect, and each of its shared parts. With up to 128 requests at each of 31 backend servers these are thousands; each gateway that hears of one tells three others at once, with all that is known of it. A table holds 256 suspects, so that those of one moment displaced each other, and each was news again whenever it came back.

Now a gateway sends at most 10 datagrams of news a second to three others, four at once if it was quiet, the suspects first that have the most crashes or are cleared of the most, and what changes meanwhile is told once (SuspectNews, pure). A suspect that another gateway tells of finds a place in a full table only with more crashes, or five seconds later, than the least suspicious one there.

The simulations of crashing parts use the paced news now and keep their bounds.

--- a/crates/balance/src/crash_suspects.rs
+++ b/crates/balance/src/crash_suspects.rs
@@ -32,6 +32,11 @@
 /// The greatest number of suspects in a table.
 const MAX_SUSPECTS: usize = 256;
 
+/// How much later a suspect must have crashed a backend server than another one with as many crashes, to take
+/// its place in a full table. Without that, the many suspects of one moment would displace each other,
+/// and each would be news again when it came back.
+const DISPLACING_GAP: Span = Span::from_secs(5);
+
 /// One crash of a [`SuspectRecord`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
@@ -190,6 +195,9 @@
     /// Takes over what another gateway knows; returns whether anything is new.
     pub fn merge(&mut self, record: &SuspectRecord, now: MonoTime) -> bool {
         let time = |age_ms: u32| PeerTime::before(Span::from_millis(u64::from(age_ms)), now);
+        if !self.takes_in(record, now) {
+            return false;
+        }
         let state = self.suspects.entry(record.id).or_default();
         let mut is_new = state.clear_crashes(&record.cleared, PeerTime::here(now));
         let last_age = record.crashes.iter().map(|crash| crash.age_ms).min();
@@ -227,6 +235,29 @@
         is_new
     }
 
+    /// Returns whether a suspect that another gateway tells of is known, or finds a place.
+    fn takes_in(&self, record: &SuspectRecord, now: MonoTime) -> bool {
+        if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&record.id) {
+            return true;
+        }
+        let Some((_, least)) = self.least_suspicious() else {
+            return true;
+        };
+        let last_age = record.crashes.iter().map(|crash| crash.age_ms).min();
+        let last_age = Span::from_millis(last_age.unwrap_or(u32::MAX).into());
+        let least_age = least.crashes.last().map(|crash| crash.at.age(now));
+        let is_later = least_age.is_none_or(|least_age| last_age + DISPLACING_GAP <= least_age);
+        !least.is_quarantined && (record.crashes.len(), is_later) > (least.crashes.len(), false)
+    }
+
+    /// Returns the suspect that gives way first in a table that is too large.
+    fn least_suspicious(&self) -> Option<(&SuspectId, &SuspectCrashes)> {
+        self.suspects.iter().min_by_key(|(_, state)| {
+            let last = state.crashes.last().map(|crash| crash.at);
+            (state.is_quarantined, state.crashes.len(), last)
+        })
+    }
+
     /// Returns whether a quarantine that another gateway tells of holds for what is known here.
     fn is_taken_over(&self, id: SuspectId, now: MonoTime) -> bool {
         let state = self.suspects.get(&id);
@@ -394,11 +425,7 @@
     /// Drops the least suspicious entries of a table that is too large.
     fn limit(&mut self) {
         while self.suspects.len() > MAX_SUSPECTS {
-            let least = self.suspects.iter().min_by_key(|(_, state)| {
-                let last = state.crashes.last().map(|crash| crash.at);
-                (state.is_quarantined, state.crashes.len(), last)
-            });
-            let Some(id) = least.map(|(id, _)| *id) else {
+            let Some(id) = self.least_suspicious().map(|(id, _)| *id) else {
                 return;
             };
             self.suspects.remove(&id);
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -30,6 +30,7 @@
 mod stream_origin;
 mod suspect_crashes;
 mod suspect_id;
+mod suspect_news;
 mod suspect_probe;
 
 pub use admission::{Admission, AdmissionQuery, admit};
@@ -57,6 +58,7 @@
     ORIGIN_RETENTION, OriginTable, StreamId, VersionHistory, VersionId, VersionSpan, sole_version,
 };
 pub use suspect_id::{ServiceId, SuspectId, SuspectSet};
+pub use suspect_news::SuspectNews;
 pub use suspect_probe::{CLAIM_WAIT, ClaimRecord};
 
 /// The reference of a shared prompt part.
--- a/crates/balance/tests/crashes_of_other_causes.rs
+++ b/crates/balance/tests/crashes_of_other_causes.rs
@@ -82,3 +82,31 @@
         check_no_quarantine(&format!("{gateways} gateways"), &plan);
     }
 }
+
+/// The most bytes of news a second that one gateway may send to others after a crash of many.
+const NEWS_BYTES_PER_S: usize = 45_000;
+
+// Guards against news of suspects that fills the links when many backend servers crash at once.
+#[test]
+fn the_news_of_a_crash_of_many_is_bounded() {
+    for gateways in [70, 295] {
+        let plan = FleetPlan {
+            mass_crashes: vec![MassCrash {
+                at_ms: 1_000,
+                share: 0.17,
+                within_ms: 400,
+            }],
+            traffic: vec![shared_traffic(1_000.0, 300); 4],
+            suspects_requests: true,
+            length_ms: 5_000,
+            ..busy_fleet(gateways, 0.0)
+        };
+        let results = SuspectFleet::play(plan, 1);
+        let per_s = results.news_bytes / gateways / 4;
+        println!("{gateways} gateways: {per_s} bytes of news a second each");
+        assert!(
+            per_s <= NEWS_BYTES_PER_S,
+            "{gateways}: {per_s} bytes a second"
+        );
+    }
+}
--- a/crates/balance/tests/suspect_fleet/mod.rs
+++ b/crates/balance/tests/suspect_fleet/mod.rs
@@ -6,9 +6,10 @@
 use std::collections::BTreeMap;
 
 use oleander_balance::{
-    BackendCrash, CLAIM_WAIT, PartId, PromptPart, ServiceId, SuspectId, SuspectRecord,
+    BackendCrash, CLAIM_WAIT, PartId, PromptPart, ServiceId, SuspectId, SuspectNews, SuspectRecord,
     SuspectTable, SuspectVerdict,
 };
+use oleander_base::RequestDigest;
 use oleander_base::prelude::*;
 use rand::Rng;
 use rand::SeedableRng;
@@ -31,6 +32,9 @@
 
 /// The number of gateways that news is sent to at once, and in each round.
 const NEWS_FANOUT: usize = 3;
+
+/// The room for records in a datagram, in bytes.
+const DATAGRAM_BYTES: usize = 1_380;
 const ROUND_FANOUT: usize = 2;
 const ROUND_MS: u64 = 333;
 
@@ -96,6 +100,8 @@
     pub(crate) delay_ms: u64,
     pub(crate) loss: f64,
     pub(crate) other_crashes_per_s: f64,
+    /// Whether requests are suspects themselves, each another one.
+    pub(crate) suspects_requests: bool,
     /// Crashes of many backend servers at once, of a cause outside the requests.
     pub(crate) mass_crashes: Vec<MassCrash>,
     pub(crate) gateway_restarts_per_s: f64,
@@ -115,6 +121,7 @@
             delay_ms: 40,
             loss: 0.1,
             other_crashes_per_s: 0.0,
+            suspects_requests: false,
             mass_crashes: Vec::new(),
             gateway_restarts_per_s: 0.0,
             length_ms: 60_000,
@@ -131,6 +138,8 @@
     pub(crate) begun: usize,
     /// How many times a gateway began to quarantine a suspect by itself.
     pub(crate) quarantines: usize,
+    /// The bytes of news that all gateways sent at once, besides the rounds.
+    pub(crate) news_bytes: usize,
     /// For each crashing part, when it crashed backend servers.
     crashes_ms: BTreeMap<u64, Vec<u64>>,
     /// For each crashing part, the requests that reached a backend server too late.
@@ -173,6 +182,8 @@
     plan: FleetPlan,
     random: ChaCha8Rng,
     tables: Vec<SuspectTable>,
+    /// What each gateway is to tell others.
+    news: Vec<SuspectNews>,
     /// When each gateway is known to callers.
     serves_ms: Vec<u64>,
     /// The requests whose answers have not begun, by backend server.
@@ -194,6 +205,7 @@
         let mut fleet = Self {
             random: ChaCha8Rng::seed_from_u64(seed),
             tables: (0..plan.gateways as u64).map(SuspectTable::new).collect(),
+            news: (0..plan.gateways).map(|_| SuspectNews::default()).collect(),
             serves_ms: vec![0; plan.gateways],
             running: vec![Vec::new(); backends],
             claimed: Vec::new(),
@@ -222,9 +234,11 @@
         if self.happens(self.plan.gateway_restarts_per_s) {
             let gateway = self.random.random_range(0..self.tables.len());
             self.tables[gateway] = SuspectTable::new(gateway as u64);
+            self.news[gateway] = SuspectNews::default();
             self.serves_ms[gateway] = now_ms + START_MS;
         }
         self.deliver(now_ms);
+        self.send_news(now_ms);
         self.send_rounds(now_ms);
     }
 
@@ -272,7 +286,7 @@
             return;
         }
         let gateway = serving[self.random.random_range(0..serving.len())];
-        let request = SimRequest {
+        let mut request = SimRequest {
             gateway,
             parts: kind.parts.clone(),
             ids: ids(&kind.parts),
@@ -281,6 +295,11 @@
             begins_ms: 0,
         };
         self.results.sound += usize::from(request.is_counted);
+        if self.plan.suspects_requests {
+            request
+                .ids
+                .push(SuspectId::Request(RequestDigest(self.random.random())));
+        }
         let table = &mut self.tables[gateway];
         let quarantined = table.refresh(at(now_ms));
         self.results.quarantines += quarantined.quarantined.len();
@@ -385,11 +404,23 @@
         self.back_ms[backend] = now_ms + RESTART_MS;
     }
 
-    /// Sends records to a few other gateways, which pass on what is new to them.
-    fn tell(&mut self, from: usize, ids: &[SuspectId], now_ms: u64) {
-        if !ids.is_empty() {
+    /// Notes records that a few other gateways are to hear of, which pass on what is new to them.
+    fn tell(&mut self, from: usize, ids: &[SuspectId], _now_ms: u64) {
+        self.news[from].add(ids);
+    }
+
+    fn send_news(&mut self, now_ms: u64) {
+        for from in 0..self.tables.len() {
+            if self.news[from].time_left(at(now_ms)) != Some(Span::ZERO) {
+                continue;
+            }
+            let records = self.news[from].take(&self.tables[from], DATAGRAM_BYTES, at(now_ms));
+            let bytes: usize = records.iter().map(SuspectRecord::max_bytes).sum();
             let targets = self.pick_others(from, NEWS_FANOUT);
-            self.post(from, ids, &targets, now_ms);
+            self.results.news_bytes += bytes * targets.len();
+            for record in records {
+                self.post_record(&record, &targets, now_ms);
+            }
         }
     }
 
@@ -409,17 +440,20 @@
 
     fn post(&mut self, from: usize, ids: &[SuspectId], targets: &[usize], now_ms: u64) {
         for id in ids {
-            let Some(record) = self.tables[from].record(*id, at(now_ms)) else {
+            if let Some(record) = self.tables[from].record(*id, at(now_ms)) {
+                self.post_record(&record, targets, now_ms);
+            }
+        }
+    }
+
+    fn post_record(&mut self, record: &SuspectRecord, targets: &[usize], now_ms: u64) {
+        for to in targets {
+            if self.random.random_bool(self.plan.loss) {
                 continue;
-            };
-            for to in targets {
-                if self.random.random_bool(self.plan.loss) {
-                    continue;
-                }
-                let delay = self.random.random_range(10..self.plan.delay_ms.max(11));
-                let arrivals = self.messages.entry(now_ms + delay).or_default();
-                arrivals.push((*to, record.clone()));
             }
+            let delay = self.random.random_range(10..self.plan.delay_ms.max(11));
+            let arrivals = self.messages.entry(now_ms + delay).or_default();
+            arrivals.push((*to, record.clone()));
         }
     }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -14,10 +14,10 @@
 use std::time::Duration;
 
 use oleander_balance::{
-    BackendCrash, BackendKey, ServiceId, SuspectId, SuspectRecord, SuspectSet, SuspectTable,
-    SuspectVerdict,
+    BackendCrash, BackendKey, ServiceId, SuspectId, SuspectNews, SuspectRecord, SuspectSet,
+    SuspectTable, SuspectVerdict,
 };
-use oleander_base::{FastMap, FastSet, monotonic_now};
+use oleander_base::{FastMap, monotonic_now};
 use serde::Serialize;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -93,7 +93,7 @@
     table: RefCell<SuspectTable>,
     /// The broken sends to each backend server of which it is not known yet whether it has crashed.
     unchecked: RefCell<FastMap<BackendKey, Vec<BrokenSend>>>,
-    news: RefCell<FastSet<SuspectId>>,
+    news: RefCell<SuspectNews>,
     has_news: Notify,
 }
 
@@ -206,6 +206,25 @@
         }
     }
 
+    /// Tells a few other gateways what has changed, as fast as that is allowed.
+    async fn send_news(&self, core: &GatewayCore) {
+        loop {
+            let time_left = self.news.borrow().time_left(monotonic_now());
+            let Some(time_left) = time_left else {
+                return;
+            };
+            sleep(Duration::from(time_left)).await;
+            let table = self.table.borrow();
+            let mut news = self.news.borrow_mut();
+            let records = news.take(&table, MAX_RECORD_BYTES, monotonic_now());
+            drop((table, news));
+            if !records.is_empty() {
+                let targets = pick_targets(core, NEWS_FANOUT);
+                core.peers.send(PeerMessage::Suspects(records), &targets);
+            }
+        }
+    }
+
     /// Drops what is too old to matter.
     pub(crate) fn prune(&self, core: &GatewayCore) {
         let dropped = self.table.borrow_mut().prune(monotonic_now());
@@ -302,7 +321,7 @@
         if ids.is_empty() {
             return;
         }
-        self.news.borrow_mut().extend(ids.iter().copied());
+        self.news.borrow_mut().add(ids);
         self.has_news.notify_one();
     }
 
@@ -365,9 +384,6 @@
     loop {
         core.quarantine.has_news.notified().await;
         sleep(Duration::from(NEWS_DELAY)).await;
-        let news = std::mem::take(&mut *core.quarantine.news.borrow_mut());
-        let ids: Vec<SuspectId> = news.into_iter().collect();
-        let targets = pick_targets(&core, NEWS_FANOUT);
-        core.quarantine.send(&core, &ids, &targets);
+        core.quarantine.send_news(&core).await;
     }
 }
