--- a/crates/balance/tests/crash_attribution.rs
+++ b/crates/balance/tests/crash_attribution.rs
@@ -6,7 +6,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use suspect_fleet::{FleetPlan, RequestKind, SuspectFleet, Traffic};
+use suspect_fleet::{FleetPlan, FleetResults, RequestKind, SuspectFleet, Traffic};
 
 const SHARED: u64 = 1;
 const GROUP: u64 = 2;
@@ -207,34 +207,68 @@
     }
 }
 
-/// The case that random runs found, with 5 late sends.
-fn restarted_fleet() -> FleetPlan {
-    let crashing = crashing(1);
-    let mut traffic = traffic(
-        Layout::Above,
-        0.452_302_854_332_392_26,
-        10.798_557_964_377_766,
-        &crashing,
-    );
-    traffic.push(others(OTHERS_PER_S));
-    FleetPlan {
+/// Requests whose first part crashes backend servers, before gateways that start again now and then.
+struct RestartCase {
+    seed: u64,
+    gateways: usize,
+    sound_per_s: f64,
+    bad_per_s: f64,
+    other_crashes_per_s: f64,
+    delay_ms: u64,
+    loss: f64,
+    gateway_restarts_per_s: f64,
+}
+
+/// The cases that random runs found, with 5 late sends each.
+const RESTART_CASES: [RestartCase; 2] = [
+    RestartCase {
+        seed: 14_560_328_701_331_626_670,
         gateways: 3,
-        crashing,
-        traffic,
+        sound_per_s: 0.452_302_854_332_392_26,
+        bad_per_s: 10.798_557_964_377_766,
+        other_crashes_per_s: 0.167_460_791_620_708_15,
         delay_ms: 232,
         loss: 0.0,
         gateway_restarts_per_s: 0.016_246_148_729_620_26,
-        other_crashes_per_s: 0.167_460_791_620_708_15,
-        ..FleetPlan::default()
+    },
+    RestartCase {
+        seed: 2_936_659_824_086_558_805,
+        gateways: 10,
+        sound_per_s: 0.1,
+        bad_per_s: 15.312_829_790_473_874,
+        other_crashes_per_s: 0.0,
+        delay_ms: 67,
+        loss: 0.137_723_159_977_898_44,
+        gateway_restarts_per_s: 0.038_181_446_001_832_03,
+    },
+];
+
+impl RestartCase {
+    fn play(&self) -> FleetResults {
+        let crashing = crashing(1);
+        let mut traffic = traffic(Layout::Above, self.sound_per_s, self.bad_per_s, &crashing);
+        traffic.push(others(OTHERS_PER_S));
+        let plan = FleetPlan {
+            gateways: self.gateways,
+            crashing,
+            traffic,
+            delay_ms: self.delay_ms,
+            loss: self.loss,
+            gateway_restarts_per_s: self.gateway_restarts_per_s,
+            other_crashes_per_s: self.other_crashes_per_s,
+            ..FleetPlan::default()
+        };
+        SuspectFleet::play(plan, self.seed)
     }
 }
 
-// Guards against a gateway that starts again and sends requests that the others know to crash backend servers.
+// Guards against gateways that send requests which others know to crash backend servers, as after a restart.
 #[test]
-fn a_gateway_that_starts_again_sends_few_requests_that_crash() {
-    let results = SuspectFleet::play(restarted_fleet(), 14_560_328_701_331_626_670);
-    let late = results.late_sends();
-    assert!(late <= ALLOWED_LATER, "{late} late");
+fn gateways_that_start_again_send_few_requests_that_crash() {
+    for case in &RESTART_CASES {
+        let late = case.play().late_sends();
+        assert!(late <= ALLOWED_LATER, "{late} late with seed {}", case.seed);
+    }
 }
 
 proptest! {
