--- a/crates/balance/tests/crash_attribution.rs
+++ b/crates/balance/tests/crash_attribution.rs
@@ -207,9 +207,11 @@
     }
 }
 
-/// Requests whose first part crashes backend servers, before gateways that start again now and then.
-struct RestartCase {
+/// One case of the random runs below.
+struct LateCase {
     seed: u64,
+    layout: Layout,
+    count: u64,
     gateways: usize,
     sound_per_s: f64,
     bad_per_s: f64,
@@ -220,9 +222,11 @@
 }
 
 /// The cases that random runs found, with 5 late sends each.
-const RESTART_CASES: [RestartCase; 2] = [
-    RestartCase {
+const LATE_CASES: [LateCase; 2] = [
+    LateCase {
         seed: 14_560_328_701_331_626_670,
+        layout: Layout::Above,
+        count: 1,
         gateways: 3,
         sound_per_s: 0.452_302_854_332_392_26,
         bad_per_s: 10.798_557_964_377_766,
@@ -231,8 +235,10 @@
         loss: 0.0,
         gateway_restarts_per_s: 0.016_246_148_729_620_26,
     },
-    RestartCase {
+    LateCase {
         seed: 2_936_659_824_086_558_805,
+        layout: Layout::Above,
+        count: 1,
         gateways: 10,
         sound_per_s: 0.1,
         bad_per_s: 15.312_829_790_473_874,
@@ -243,10 +249,10 @@
     },
 ];
 
-impl RestartCase {
+impl LateCase {
     fn play(&self) -> FleetResults {
-        let crashing = crashing(1);
-        let mut traffic = traffic(Layout::Above, self.sound_per_s, self.bad_per_s, &crashing);
+        let crashing = crashing(self.count);
+        let mut traffic = traffic(self.layout, self.sound_per_s, self.bad_per_s, &crashing);
         traffic.push(others(OTHERS_PER_S));
         let plan = FleetPlan {
             gateways: self.gateways,
@@ -262,15 +268,37 @@
     }
 }
 
-// Guards against gateways that send requests which others know to crash backend servers, as after a restart.
+// Guards against gateways that send requests which others know to crash backend servers, as after a restart or
+// when claims cross.
 #[test]
-fn gateways_that_start_again_send_few_requests_that_crash() {
-    for case in &RESTART_CASES {
+fn what_is_known_to_crash_is_sent_a_few_times_at_most() {
+    for case in &LATE_CASES {
         let late = case.play().late_sends();
         assert!(late <= ALLOWED_LATER, "{late} late with seed {}", case.seed);
     }
 }
 
+/// The case that random runs found in which all backend servers are down at once, with 4 late sends.
+const OUTAGE_CASE: LateCase = LateCase {
+    seed: 10_429_386_228_259_713_095,
+    layout: Layout::Crossed,
+    count: 2,
+    gateways: 9,
+    sound_per_s: 0.1,
+    bad_per_s: 15.838_412_867_579_041,
+    other_crashes_per_s: 0.0,
+    delay_ms: 164,
+    loss: 0.176_982_448_654_529_63,
+    gateway_restarts_per_s: 0.0,
+};
+
+// Guards against parts that are not quarantined because what they crash leaves no backend server that answers.
+#[test]
+fn parts_that_crash_all_backend_servers_are_quarantined() {
+    let late = OUTAGE_CASE.play().late_sends();
+    assert!(late <= ALLOWED_LATER, "{late} late");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         failure_persistence: None,
