Gateway: one that starts while the store is away serves by what the others know

What callers saw: a gateway that was started, or restarted, while the store was away for more than a moment stayed unready until the store was back, although all others served.

Cause: the facts of a gateway whose own contact with the store is too old were refused before they were applied, also by one that has none itself. The others serve by these facts; a withdrawn key or a server that has left is not used again by them, since a gateway that knows a manifest still refuses old ones, and any newer fact replaces them. It looks for newer ones as before.

An age of the contact that is not known does not overflow any longer, either.

--- a/crates/entry/tests/gateway_facts.rs
+++ b/crates/entry/tests/gateway_facts.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use gateway::{Call, Caller, TestGateway, manifest, start_engine, store_with_manifest, wait_for};
-use oleander_standin::users::{EngineReply, UsersStore};
+use oleander_standin::users::{EngineReply, StoreMode, UsersStore};
 use oleander_standin::{DirectionFault, FaultProxy, ProxyFaults};
 use serde_json::{Value, json};
 
@@ -169,6 +169,21 @@
     }
 }
 
+// Guards against a gateway that starts while the store is away and serves nobody, although the others do.
+#[test]
+fn a_gateway_that_starts_while_the_store_is_away_serves_by_what_others_know() {
+    let store = store_with_manifest();
+    let _engine = start_engine(&store, "i-1", "desk", |request| {
+        EngineReply::Bytes(request.answer("done"))
+    });
+    let first = TestGateway::start(&store);
+    store.set_mode(StoreMode::Closing);
+    std::thread::sleep(2 * APPLY_TIME);
+    let second = TestGateway::spawn("edge-2", &store, &[first.control]);
+    second.wait_ready();
+    assert_eq!(second.caller().call(&Call::publish("a1")).status(), 200);
+}
+
 /// Returns the facts that a gateway passes on for a query in the form of an earlier version.
 fn query_as_before(gateway: &TestGateway) -> Value {
     let mut caller = Caller::open(gateway.control);
--- a/crates/gateway/src/peer_facts.rs
+++ b/crates/gateway/src/peer_facts.rs
@@ -213,10 +213,16 @@
         self.kept = Some(answer.kept);
         let message = answer.message;
         let max_age = core.settings().view_pace().max_contact_age;
-        if Span::from_millis(message.contact_age_ms) > max_age {
-            return Err(FactsError::Stale(message.contact_age_ms));
+        let contact_age_ms = message.contact_age_ms;
+        let is_stale = contact_age_ms > max_age.0 / 1_000;
+        // A gateway that has just started serves by what the others serve by, however old that is.
+        if is_stale && core.manifest().is_some() {
+            return Err(FactsError::Stale(contact_age_ms));
         }
         let facts = apply_message(core, message)?;
+        if is_stale {
+            return Err(FactsError::Stale(contact_age_ms));
+        }
         // A gateway of an older version answers at once also if there is no news.
         let interval = if facts == 0 { hold } else { Span::ZERO };
         Ok(AppliedFacts {
@@ -260,7 +266,8 @@
     let facts = message.facts.into_iter().map(FactRow::into_fact);
     let facts: Vec<KnownFact> = facts.collect::<Result<_, _>>()?;
     let now = monotonic_now();
-    let store_contact = MonoTime(now.0.saturating_sub(message.contact_age_ms * 1_000));
+    let contact_age = message.contact_age_ms.saturating_mul(1_000);
+    let store_contact = MonoTime(now.0.saturating_sub(contact_age));
     let known = core.view.borrow().store_contact;
     core.view.borrow_mut().store_contact = known.max(Some(store_contact));
     let count = facts.len();
