--- a/crates/balance/src/fact_tree.rs
+++ b/crates/balance/src/fact_tree.rs
@@ -4,7 +4,7 @@
 //! centre, its head, and below a head the gateways of the data centre form a tree in which none has
 //! more than a few children. So the calls of the store do not grow with the fleet, and neither do the
 //! bytes that one gateway sends. Every gateway computes the tree by itself from the announcements;
-//! those that differ for a moment cost a second reader at most. The places near the root go to the
+//! as long as those differ, a few gateways may read the store at the same time, which is allowed. The places near the root go to the
 //! gateways with the most capacity (docs/PLATFORM.md, "Between gateways").
 
 use std::cmp::Reverse;
@@ -14,6 +14,12 @@
 /// The number of gateways that one gateway passes facts on to within its data centre.
 pub const TREE_CHILDREN: usize = 4;
 
+/// The processor share that counts as one unit of capacity, in cores.
+const CAPACITY_CORES: f64 = 0.05;
+
+/// The link rate that counts as one unit of capacity, in Mbit/s.
+const CAPACITY_MBPS: f64 = 5.0;
+
 /// A gateway that has a place in the tree.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TreeMember<'a> {
@@ -35,12 +41,6 @@
     }
 }
 
-/// The processor share that counts as one unit of capacity, in cores.
-const CAPACITY_CORES: f64 = 0.05;
-
-/// The link rate that counts as one unit of capacity, in Mbit/s.
-const CAPACITY_MBPS: f64 = 5.0;
-
 /// Returns how much a gateway can pass on, in powers of two of its scarcer resource, so that similar
 /// machines count as equal and share the work by the hash of their names.
 pub fn passing_capacity(cores: Option<f64>, link_mbps: Option<f64>) -> u32 {
--- a/crates/gateway/src/backend_reach.rs
+++ b/crates/gateway/src/backend_reach.rs
@@ -40,9 +40,12 @@
     backends: usize,
 }
 
-/// The line says all by its event.
-#[derive(Debug, Default, Serialize)]
-struct OwnLinkFields {}
+/// The probes that did not come about while this gateway's own link was slow.
+#[derive(Debug, Serialize)]
+struct OwnLinkFields {
+    backends: usize,
+    gateways: usize,
+}
 
 #[derive(Debug, Serialize)]
 struct RegainedFields {
@@ -112,7 +115,11 @@
         let is_new = self.tracker.borrow_mut().on_probes(round, monotonic_now());
         self.settled.notify_waiters();
         if round.reached_gateway == Some(false) && !self.is_cut_off() {
-            core.log.change("own-link-slow", OwnLinkFields::default());
+            let fields = OwnLinkFields {
+                backends: DECISIVE_PROBES,
+                gateways: GATEWAY_PROBES,
+            };
+            core.log.change("own-link-slow", fields);
         }
         if !is_new {
             return;
--- a/crates/gateway/src/peer_facts.rs
+++ b/crates/gateway/src/peer_facts.rs
@@ -2,9 +2,9 @@
 //!
 //! One gateway reads the store and the others query each other, as the tree of
 //! `oleander_balance::fact_sources` says, because each store call costs the platform. A query is held
-//! until there is news or a short time is over, so that a change passes through the tree at once. A gateway that gets no answer from the store queries any other
-//! gateway. An answer holds the facts that are newer than the revision in the query (docs/PLATFORM.md,
-//! "Between gateways").
+//! until there is news or a short time is over, so that a change passes through the tree at once. A
+//! gateway that gets no answer from the store queries any other gateway. An answer holds the facts that
+//! are newer than the revision in the query (docs/PLATFORM.md, "Between gateways").
 
 use std::net::SocketAddr;
 use std::rc::Rc;
