Gateway: a cleared suspect is not forgotten among the many of one moment

A full table drops the suspects with the fewest crashes, and one that an answer has cleared has none: it went before the hundreds of single requests of a crash of many. The next gateway that still told of the quarantine found a place for it, so that it went round.

Now what a suspect was cleared of weighs as much as what it is suspected of, for its place in the table and for that of one told.

Test: a_cleared_part_is_remembered_in_a_full_table failed before.

--- a/crates/balance/src/crash_suspects.rs
+++ b/crates/balance/src/crash_suspects.rs
@@ -37,8 +37,8 @@
 /// large fleet the answers that clear it begin at other gateways.
 const ANSWERED_OBSERVATION_TIME: Span = Span::from_millis(2_500);
 
-/// How much later a suspect must have crashed a backend server than another one with as many crashes, to take
-/// its place in a full table. Without that, the many suspects of one moment would displace each other,
+/// How much later a suspect must have crashed a backend server than another one of the same weight, to take its
+/// place in a full table. Without that, the many suspects of one moment would displace each other,
 /// and each would be news again when it came back.
 const DISPLACING_GAP: Span = Span::from_secs(5);
 
@@ -73,6 +73,11 @@
 }
 
 impl SuspectRecord {
+    /// Returns how much the record tells: the crashes that it brings, and those that it clears.
+    pub(crate) fn weight(&self) -> usize {
+        self.crashes.len() + self.cleared.len()
+    }
+
     /// Returns the greatest length of the encoded record, in bytes.
     pub fn max_bytes(&self) -> usize {
         const MAX_ID_BYTES: usize = 1 + 2 * 10;
@@ -255,22 +260,21 @@
         if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&record.id) {
             return true;
         }
-        let Some((_, least)) = self.least_suspicious() else {
+        let Some((_, least)) = self.least_important() else {
             return true;
         };
         let last_age = record.crashes.iter().map(|crash| crash.age_ms).min();
         let last_age = Span::from_millis(last_age.unwrap_or(u32::MAX).into());
-        let least_age = least.crashes.last().map(|crash| crash.at.age(now));
+        let least_age = least.changed_at().map(|at| at.age(now));
         let is_later = least_age.is_none_or(|least_age| last_age + DISPLACING_GAP <= least_age);
-        !least.is_quarantined && (record.crashes.len(), is_later) > (least.crashes.len(), false)
+        !least.is_quarantined && (record.weight(), is_later) > (least.weight(), false)
     }
 
     /// Returns the suspect that gives way first in a table that is too large.
-    fn least_suspicious(&self) -> Option<(&SuspectId, &SuspectCrashes)> {
-        self.suspects.iter().min_by_key(|(_, state)| {
-            let last = state.crashes.last().map(|crash| crash.at);
-            (state.is_quarantined, state.crashes.len(), last)
-        })
+    fn least_important(&self) -> Option<(&SuspectId, &SuspectCrashes)> {
+        self.suspects
+            .iter()
+            .min_by_key(|(_, state)| (state.is_quarantined, state.weight(), state.changed_at()))
     }
 
     /// Returns whether a quarantine that another gateway tells of holds for what is known here.
@@ -437,10 +441,10 @@
         self.suspects.is_empty()
     }
 
-    /// Drops the least suspicious entries of a table that is too large.
+    /// Drops the least important entries of a table that is too large.
     fn limit(&mut self) {
         while self.suspects.len() > MAX_SUSPECTS {
-            let Some(id) = self.least_suspicious().map(|(id, _)| *id) else {
+            let Some(id) = self.least_important().map(|(id, _)| *id) else {
                 return;
             };
             self.suspects.remove(&id);
--- a/crates/balance/src/suspect_crashes.rs
+++ b/crates/balance/src/suspect_crashes.rs
@@ -202,6 +202,12 @@
         told.map(|cleared| cleared.backend).collect()
     }
 
+    /// Returns how much is known of it: the crashes that it is suspected of, and those that it was cleared of.
+    /// A suspect that was cleared and forgotten would be quarantined again by a gateway that has not heard of it.
+    pub(crate) fn weight(&self) -> usize {
+        self.crashes.len() + self.cleared.len()
+    }
+
     /// Returns when it was last suspected or cleared.
     pub(crate) fn changed_at(&self) -> Option<PeerTime> {
         let crashed_at = self.crashes.last().map(|crash| crash.at);
--- a/crates/balance/src/suspect_news.rs
+++ b/crates/balance/src/suspect_news.rs
@@ -63,6 +63,5 @@
 }
 
 fn importance(record: &SuspectRecord) -> (bool, usize) {
-    let weight = record.crashes.len() + record.cleared.len();
-    (record.is_quarantined, weight)
+    (record.is_quarantined, record.weight())
 }
--- a/crates/balance/tests/crash_suspects.rs
+++ b/crates/balance/tests/crash_suspects.rs
@@ -328,6 +328,28 @@
     );
 }
 
+// Guards against a part that gateways quarantine and release in turn, because one that was cleared of it has
+// forgotten that among the many suspects of one moment.
+#[test]
+fn a_cleared_part_is_remembered_in_a_full_table() {
+    let part = ids(&[SHARED]);
+    let (mut first, last) = crashed(&[SHARED], 4);
+    let later = last + OBSERVED;
+    first.refresh(later);
+    let quarantined = first.record(part[0], later).unwrap();
+    let mut second = SuspectTable::default();
+    second.merge(&quarantined, later);
+    assert!(blocks(&mut second, &[SHARED], later));
+    let answered = later + Span::from_millis(1);
+    second.record_answer(ServiceId::of(SERVICE), &part, answered);
+    for other in 1_000..2_000 {
+        record(&mut second, &ids(&[other]), crash(other, answered));
+    }
+    let told = answered + Span::from_secs(1);
+    second.merge(&first.record(part[0], told).unwrap(), told);
+    assert!(!blocks(&mut second, &[SHARED], told));
+}
+
 // Guards against a part that gateways quarantine and release in turn, because each datagram makes the times of
 // crashes and answers seem later than they were.
 #[test]
