--- a/crates/balance/tests/suspect_fleet/mod.rs
+++ b/crates/balance/tests/suspect_fleet/mod.rs
@@ -182,7 +182,7 @@
     plan: FleetPlan,
     random: ChaCha8Rng,
     tables: Vec<SuspectTable>,
-    /// What each gateway is to tell others.
+    /// The news that each gateway has for others.
     news: Vec<SuspectNews>,
     /// When each gateway is known to callers.
     serves_ms: Vec<u64>,
--- a/crates/entry/tests/gateway_facts.rs
+++ b/crates/entry/tests/gateway_facts.rs
@@ -169,7 +169,7 @@
     }
 }
 
-// Guards against a gateway that starts while the store is away and serves nobody, although the others do.
+// Guards against a gateway that starts while the store is away and refuses all callers, although the others serve theirs.
 #[test]
 fn a_gateway_that_starts_while_the_store_is_away_serves_by_what_others_know() {
     let store = store_with_manifest();
--- a/crates/gateway/src/store_client.rs
+++ b/crates/gateway/src/store_client.rs
@@ -59,7 +59,7 @@
     }
 }
 
-/// What the store is called for.
+/// The purpose of a call of the store.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum StorePurpose {
     /// All keys are read.
