--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -11,7 +11,7 @@
 use crate::cached_parts::CachedParts;
 use crate::latency::LatencyModel;
 use crate::rate_limit::RateLimit;
-use crate::rejection_limit::RejectionLimit;
+use crate::rejection_limit::{RejectionLimit, RoomBelief};
 
 /// The time for which a load report is valid.
 pub(crate) const REPORT_TTL: Span = Span::from_millis(2_500);
@@ -226,6 +226,19 @@
         (usable - self.running(0.0, now)).max(0.0) as u32
     }
 
+    /// Returns what is believed of its room for another request.
+    pub fn room_belief(&self, now: MonoTime) -> RoomBelief {
+        let limit = &self.rejection_limit;
+        RoomBelief {
+            grounds: limit.grounds(self.own_pending),
+            threshold: limit.threshold(),
+            pending: self.own_pending,
+            free_slots: self.free_slots(now),
+            report_age: self.report.map(|dated| now.since(dated.at)),
+            since_rejection: limit.rejected_at().map(|at| now.since(at)),
+        }
+    }
+
     /// Returns whether nothing may be sent there, not even a request that was already chosen for it.
     pub fn refuses_sends(&self, now: MonoTime) -> bool {
         self.is_leaving || self.backoff_until.is_some_and(|until| now < until)
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -52,7 +52,7 @@
 pub use rate_limit::{GatewayRank, NamedRate, RateLimit};
 pub use reach_probes::{ProbeCandidate, pick_probes};
 pub use reach_tracker::{ProbeRound, ReachFailure, ReachTracker};
-pub use rejection_limit::{Brittleness, RejectionLimit};
+pub use rejection_limit::{Brittleness, RejectionLimit, RoomBelief, SendGrounds};
 pub use retry_window::{RetryLimits, RetryWindow};
 pub use service_traffic::{RequestTraits, ServiceTraffic};
 pub use stream_origin::{
--- a/crates/balance/src/rejection_limit.rs
+++ b/crates/balance/src/rejection_limit.rs
@@ -32,6 +32,45 @@
     Brittle(u32),
 }
 
+/// Why a request is sent to a backend server that might turn it away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendGrounds {
+    /// The backend server is not known to be brittle.
+    NotBrittle,
+    /// The request is within this gateway's quota.
+    Quota,
+    /// A report shows free slots.
+    FreeSlots,
+}
+
+impl SendGrounds {
+    /// Returns the name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotBrittle => "not-brittle",
+            Self::Quota => "quota",
+            Self::FreeSlots => "free-slots",
+        }
+    }
+}
+
+/// What this gateway believed of a backend server when it sent a request there.
+#[derive(Debug, Clone, Copy)]
+pub struct RoomBelief {
+    /// Why it sent the request.
+    pub grounds: SendGrounds,
+    /// The rejections in a second that the backend server survives, if it is brittle.
+    pub threshold: Option<u32>,
+    /// The requests of this gateway there that were not known to be admitted.
+    pub pending: u32,
+    /// The free slots that a recent report showed.
+    pub free_slots: u32,
+    /// The age of the last load report.
+    pub report_age: Option<Span>,
+    /// The time since the last rejection that was known.
+    pub since_rejection: Option<Span>,
+}
+
 /// The rejections of one backend server as known here, and this gateway's quota.
 #[derive(Debug, Default)]
 pub struct RejectionLimit {
@@ -110,6 +149,15 @@
         self.quota.max(least) + free_slots / self.gateways.max(1)
     }
 
+    /// Returns why another request may be sent.
+    pub fn grounds(&self, pending: u32) -> SendGrounds {
+        match self.threshold {
+            None => SendGrounds::NotBrittle,
+            Some(_) if pending < self.quota => SendGrounds::Quota,
+            Some(_) => SendGrounds::FreeSlots,
+        }
+    }
+
     /// Returns when another request may be sent, if that is not now.
     pub fn opens_at(&self, pending: u32, free_slots: u32, now: MonoTime) -> Option<MonoTime> {
         if self.admits(pending, free_slots, now) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -71,6 +71,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     attempts: Counter<u64>,
+    rejections: Counter<u64>,
     retries: Counter<u64>,
     store_calls: Counter<u64>,
     peer_bytes: Counter<u64>,
@@ -109,6 +110,11 @@
             requests: counter(&meter, "gateway.requests", "Requests by service and end"),
             refusals: counter(&meter, "gateway.refusals", "Refused requests by reason"),
             attempts: counter(&meter, "gateway.attempts", "Sends by service and outcome"),
+            rejections: counter(
+                &meter,
+                "gateway.rejections",
+                "Requests that backend servers turned away, by why they were sent",
+            ),
             retries: counter(
                 &meter,
                 "gateway.retries",
@@ -225,6 +231,15 @@
         self.attempts.add(1, &labels);
     }
 
+    /// Records that a backend server turned a request away.
+    pub(crate) fn record_rejection(&self, service: &str, grounds: &'static str) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("grounds", grounds),
+        ];
+        self.rejections.add(1, &labels);
+    }
+
     pub(crate) fn record_retry(&self, service: &str, is_allowed: bool) {
         let outcome = if is_allowed { "sent" } else { "no-budget" };
         let labels = [
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -4,7 +4,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 
-use oleander_balance::{BackendKey, Choice, ReachFailure, VersionId};
+use oleander_balance::{BackendKey, Choice, ReachFailure, RoomBelief, VersionId};
 use oleander_base::monotonic_now;
 
 use super::wait::{WaitOutcome, read_to_end, wait};
@@ -47,6 +47,8 @@
     pub(super) software: Arc<str>,
     pub(super) version: VersionId,
     pub(super) slots: u32,
+    /// What was believed of the backend server's room; absent at another gateway.
+    pub(super) room: Option<RoomBelief>,
 }
 
 impl SendTarget {
@@ -58,6 +60,7 @@
             software: Arc::default(),
             version: VersionId::of(""),
             slots: 0,
+            room: None,
         }
     }
 }
@@ -150,6 +153,7 @@
             software: Arc::clone(&member.entry.software),
             version: member.version,
             slots: member.entry.slots,
+            room: Some(member.state.room_belief(monotonic_now())),
         })
     }
 
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use oleander_balance::{AdmissionQuery, BackendState, Choice, PromptPart};
+use oleander_balance::{AdmissionQuery, BackendState, Choice, PromptPart, RoomBelief};
 use oleander_base::monotonic_now;
 use serde::Serialize;
 
@@ -71,6 +71,32 @@
     /// The parts of the prompt, in order.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     parts: Vec<String>,
+    /// What was believed of the backend server's room, of a rejected attempt.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    room: Option<RoomFields>,
+}
+
+#[derive(Debug, Serialize)]
+struct RoomFields {
+    grounds: &'static str,
+    threshold: Option<u32>,
+    pending: u32,
+    free_slots: u32,
+    report_age_ms: Option<f64>,
+    since_rejection_ms: Option<f64>,
+}
+
+impl From<RoomBelief> for RoomFields {
+    fn from(room: RoomBelief) -> Self {
+        Self {
+            grounds: room.grounds.as_str(),
+            threshold: room.threshold,
+            pending: room.pending,
+            free_slots: room.free_slots,
+            report_age_ms: room.report_age.map(Span::as_millis_f64),
+            since_rejection_ms: room.since_rejection.map(Span::as_millis_f64),
+        }
+    }
 }
 
 #[derive(Debug, Serialize)]
@@ -124,6 +150,11 @@
         self.core
             .metrics
             .record_attempt(service, Verdict::NotRun.as_str());
+        if let Some(room) = target.room {
+            self.core
+                .metrics
+                .record_rejection(service, room.grounds.as_str());
+        }
         self.log_attempt(
             "attempt-rejected",
             target,
@@ -149,6 +180,10 @@
             took_ms: monotonic_now().since(sent_at).as_millis_f64(),
             digest: self.digest.to_string(),
             parts: part_names(&self.job.facts.parts),
+            room: (event == "attempt-rejected")
+                .then_some(target.room)
+                .flatten()
+                .map(RoomFields::from),
         };
         self.core
             .log
