Gateway: a request goes to a brittle backend server only with a lease on one of its slots

Cause: the bound on rejections had a term for each gateway, one request in any case where a report shows a free slot. And one rejection stopped all gateways for 1.2 s, however many are survived.

Now one gateway, the owner, leases each slot once; it is asked by a datagram for each request, and a queue of all gateways, the most urgent first, waits there. A standby owner stands in while it is silent. An owner that may not be the only one leases at most half of the rejections that are survived, so what two owners lease too much stays bounded without an agreement between them.

--- a/crates/balance/examples/choice_cost.rs
+++ b/crates/balance/examples/choice_cost.rs
@@ -60,6 +60,7 @@
             pause_limit: Some(Span::from_millis(600)),
             connections: &NoIdleConnections,
             tried: &[],
+            accepts_full: false,
             version: None,
             gateways: 6,
             service_latency: &latency,
--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -16,13 +16,6 @@
 /// The time for which a load report is valid.
 pub(crate) const REPORT_TTL: Span = Span::from_millis(2_500);
 
-/// The time for which a load report shows the free slots of a brittle backend server.
-const FREE_REPORT_TTL: Span = Span::from_secs(1);
-
-/// The share of a brittle backend server's slots that counts as free; other gateways send at the same
-/// time.
-const USABLE_SHARE: f64 = 0.75;
-
 /// The number of recent sends whose times are kept, to correct a load report by the sends since.
 const SEND_HISTORY_LIMIT: usize = 64;
 
@@ -207,33 +200,20 @@
     /// Returns whether no further request may be chosen for it, even if no other backend server is
     /// left.
     pub fn is_closed(&self, now: MonoTime) -> bool {
-        let free_slots = self.free_slots(now);
-        self.refuses_sends(now)
-            || !self.rate_limit.admits(now)
-            || !self
-                .rejection_limit
-                .admits(self.own_pending, free_slots, now)
+        self.refuses_sends(now) || !self.rate_limit.admits(now)
     }
 
-    /// Returns the free slots that a recent report without a queue shows, less this gateway's sends since
-    /// and a reserve for those of others.
-    fn free_slots(&self, now: MonoTime) -> u32 {
-        let report = self.fresh_report(FREE_REPORT_TTL, now);
-        if report.is_none_or(|(report, _)| report.waiting > 0) {
-            return 0;
-        }
-        let usable = f64::from(self.slots) * USABLE_SHARE;
-        (usable - self.running(0.0, now)).max(0.0) as u32
+    /// Returns whether no slot is free there, by the owner of its slots.
+    pub fn is_full(&self, now: MonoTime) -> bool {
+        self.rejection_limit.full_until(now).is_some()
     }
 
     /// Returns what is believed of its room for another request.
     pub fn room_belief(&self, now: MonoTime) -> RoomBelief {
         let limit = &self.rejection_limit;
         RoomBelief {
-            grounds: limit.grounds(self.own_pending),
             threshold: limit.threshold(),
             pending: self.own_pending,
-            free_slots: self.free_slots(now),
             report_age: self.report.map(|dated| now.since(dated.at)),
             since_rejection: limit.rejected_at().map(|at| now.since(at)),
         }
@@ -254,17 +234,14 @@
         self.backoff_until = self.backoff_until.max(Some(now + span));
     }
 
-    /// Returns when it takes requests again, if it backs off or is at the limit that it named.
+    /// Returns when it takes requests again, if it backs off, is at the limit that it named or is full.
     pub fn opens_at(&self, now: MonoTime) -> Option<MonoTime> {
         if self.is_leaving {
             return None;
         }
         let backoff = self.backoff_until.filter(|until| now < *until);
-        let free_slots = self.free_slots(now);
-        let rejection = self
-            .rejection_limit
-            .opens_at(self.own_pending, free_slots, now);
-        backoff.max(self.rate_limit.opens_at(now)).max(rejection)
+        let full = self.rejection_limit.full_until(now);
+        backoff.max(self.rate_limit.opens_at(now)).max(full)
     }
 
     /// Returns whether it is probed after a backoff, and the last probe was just sent.
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -72,6 +72,8 @@
     pub connections: &'a dyn IdleConnections,
     /// The backend servers that this request was already sent to.
     pub tried: &'a [BackendKey],
+    /// Whether a backend server without a free slot may be chosen, to wait for one there.
+    pub accepts_full: bool,
     /// The only software version that may be chosen, for a stream that goes on.
     pub version: Option<VersionId>,
     /// The number of gateways that share the fleet, this one included.
@@ -247,7 +249,8 @@
         if !is_serving || self.input.tried.contains(&candidate.key) {
             return false;
         }
-        if member.state.is_closed(self.input.now) {
+        let now = self.input.now;
+        if member.state.is_closed(now) || (member.state.is_full(now) && !self.input.accepts_full) {
             return false;
         }
         if self
--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -12,6 +12,7 @@
 use crate::backend_state::BackendState;
 use crate::home::{HomeSet, RankCache};
 use crate::rate_limit::GatewayRank;
+use crate::rejection_limit::Brittleness;
 use crate::reserve::ReservedSet;
 use crate::stream_origin::VersionId;
 
@@ -239,12 +240,23 @@
             if member.state.rate_limit.per_s().is_some() {
                 member.state.rate_limit.divide(place(member.id_hash), now);
             }
-            if member.state.rejection_limit.threshold().is_some() {
-                member.state.rejection_limit.divide(place(member.id_hash));
-            }
         }
     }
 
+    /// Takes over what a backend server said at a time about the rejections that it survives; returns whether
+    /// that is a change.
+    pub fn name_brittleness(
+        &mut self,
+        key: BackendKey,
+        brittleness: Brittleness,
+        at: MonoTime,
+    ) -> bool {
+        let Some(member) = self.members.get_mut(&key) else {
+            return false;
+        };
+        member.state.rejection_limit.name(brittleness, at)
+    }
+
     /// Returns when the first of a service's backend servers that back off or are at their limits takes
     /// requests again.
     pub fn first_opening(&self, service: &str, now: MonoTime) -> Option<MonoTime> {
@@ -373,13 +385,14 @@
             .or_default();
         index.keys.push(key);
         index.invalidate();
+        let state = BackendState::open(entry.slots);
         let id_hash = xxh3_64(entry.id.as_bytes());
         self.by_hash.insert(id_hash, key);
         self.members.insert(
             key,
             FleetMember {
                 version: VersionId::of(&entry.software),
-                state: BackendState::open(entry.slots),
+                state,
                 entry,
                 id_hash,
                 lapsed_at: None,
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -28,6 +28,8 @@
 mod reserve;
 mod retry_window;
 mod service_traffic;
+mod slot_ledger;
+mod slot_owner;
 mod stream_origin;
 mod suspect_crashes;
 mod suspect_id;
@@ -55,6 +57,10 @@
 pub use rejection_limit::{Brittleness, RejectionLimit, RoomBelief, SendGrounds};
 pub use retry_window::{RetryLimits, RetryWindow};
 pub use service_traffic::{RequestTraits, ServiceTraffic};
+pub use slot_ledger::{
+    LEASE_TTL, LeaseAsk, LeaseEnd, LeaseId, LeaseReply, OwnerRole, SlotLedger, SlotTerms,
+};
+pub use slot_owner::{OwnerCandidate, slot_owners};
 pub use stream_origin::{
     ORIGIN_RETENTION, OriginTable, StreamId, VersionHistory, VersionId, VersionSpan, sole_version,
 };
--- a/crates/balance/src/rejection_limit.rs
+++ b/crates/balance/src/rejection_limit.rs
@@ -1,25 +1,16 @@
-//! The rejections that a brittle backend server survives, divided between all gateways.
+//! The rejections that a brittle backend server survives, and what this gateway knows of its room.
 //!
 //! A brittle backend server says how many requests it can turn away in a second; with more it falls over.
-//! Each gateway has a quota of requests there that are not known to be admitted, and the quotas add up to
-//! what the backend server survives. Free slots that a recent report shows add to that, divided between the
-//! gateways. After any rejection, one that another gateway tells of included, nothing is sent for a while
-//! (docs/PLATFORM.md, "Brittle backend servers").
+//! Only a request with a lease on one of its slots is sent there (`slot_ledger.rs`; docs/PLATFORM.md, "Brittle
+//! backend servers").
 
 use oleander_base::prelude::*;
 
-use crate::GatewayRank;
-
-/// How long nothing is sent after a rejection: longer than the second in which rejections count together, by
-/// what news of one takes to reach the other gateways.
-const REJECTION_HOLD: Span = Span::from_millis(1_200);
+use crate::slot_ledger::OwnerRole;
 
 /// The time within which rejections count as the same news.
 const SAME_NEWS: Span = Span::from_millis(100);
 
-/// How soon a quota that is in use may be free again.
-const QUOTA_WAIT: Span = Span::from_millis(200);
-
 /// The rejections that a backend server survives, by its own answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Brittleness {
@@ -32,15 +23,26 @@
     Brittle(u32),
 }
 
-/// Why a request is sent to a backend server that might turn it away.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+impl Brittleness {
+    /// Returns the rejections in a second that it survives, if it is brittle.
+    pub(crate) fn threshold(self) -> Option<u32> {
+        match self {
+            Self::Brittle(threshold) => Some(threshold),
+            Self::Unknown | Self::Sturdy => None,
+        }
+    }
+}
+
+/// Why a request was sent to a backend server that might turn it away.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum SendGrounds {
     /// The backend server is not known to be brittle.
+    #[default]
     NotBrittle,
-    /// The request is within this gateway's quota.
-    Quota,
-    /// A report shows free slots.
-    FreeSlots,
+    /// The first owner of its slots leased one.
+    Lease,
+    /// The standby owner leased one.
+    StandbyLease,
 }
 
 impl SendGrounds {
@@ -48,8 +50,17 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NotBrittle => "not-brittle",
-            Self::Quota => "quota",
-            Self::FreeSlots => "free-slots",
+            Self::Lease => "lease",
+            Self::StandbyLease => "standby-lease",
+        }
+    }
+}
+
+impl From<OwnerRole> for SendGrounds {
+    fn from(role: OwnerRole) -> Self {
+        match role {
+            OwnerRole::First => Self::Lease,
+            OwnerRole::Standby => Self::StandbyLease,
         }
     }
 }
@@ -57,49 +68,40 @@
 /// What this gateway believed of a backend server when it sent a request there.
 #[derive(Debug, Clone, Copy)]
 pub struct RoomBelief {
-    /// Why it sent the request.
-    pub grounds: SendGrounds,
     /// The rejections in a second that the backend server survives, if it is brittle.
     pub threshold: Option<u32>,
     /// The requests of this gateway there that were not known to be admitted.
     pub pending: u32,
-    /// The free slots that a recent report showed.
-    pub free_slots: u32,
     /// The age of the last load report.
     pub report_age: Option<Span>,
     /// The time since the last rejection that was known.
     pub since_rejection: Option<Span>,
 }
 
-/// The rejections of one backend server as known here, and this gateway's quota.
+/// The rejections of one backend server as known here.
 #[derive(Debug, Default)]
 pub struct RejectionLimit {
-    /// The rejections in a second that it survives, if it is brittle.
-    threshold: Option<u32>,
+    /// What it last said itself.
+    own: Brittleness,
     /// When the answer came that says so.
     named_at: MonoTime,
     /// When it last turned a request away, here or at another gateway.
     rejected_at: Option<MonoTime>,
-    /// The requests of this gateway there that may be without a known admission.
-    quota: u32,
-    /// The number of gateways that divide it; 0 until it is divided.
-    gateways: u32,
+    /// Until when no slot is free, by the owner of its slots.
+    full_until: Option<MonoTime>,
 }
 
 impl RejectionLimit {
     /// Takes over what an answer said at this time; returns whether that is a change. An older answer
     /// changes nothing.
     pub fn name(&mut self, brittleness: Brittleness, at: MonoTime) -> bool {
-        let threshold = match brittleness {
-            Brittleness::Unknown => return false,
-            Brittleness::Sturdy => None,
-            Brittleness::Brittle(threshold) => Some(threshold),
-        };
-        if at < self.named_at {
+        if brittleness == Brittleness::Unknown || at < self.named_at {
             return false;
         }
+        let known = self.threshold();
+        self.own = brittleness;
         self.named_at = at;
-        std::mem::replace(&mut self.threshold, threshold) != threshold
+        self.threshold() != known
     }
 
     /// Records that a request was turned away; returns whether that is news.
@@ -111,7 +113,7 @@
 
     /// Returns the rejections in a second that it survives, if it is brittle.
     pub fn threshold(&self) -> Option<u32> {
-        self.threshold
+        self.own.threshold()
     }
 
     /// Returns when the last answer came that said whether it is brittle.
@@ -124,50 +126,14 @@
         self.rejected_at
     }
 
-    /// Divides the rejections between the gateways. The first one has a quota in any case, because only
-    /// an answer shows that there is room again.
-    pub fn divide(&mut self, place: GatewayRank) {
-        let threshold = self.threshold.unwrap_or(0) as usize;
-        let share =
-            threshold / place.gateways + usize::from(place.rank < threshold % place.gateways);
-        let least = usize::from(place.rank == 0);
-        self.quota = u32::try_from(share.max(least)).unwrap_or(u32::MAX);
-        self.gateways = u32::try_from(place.gateways).unwrap_or(u32::MAX);
-    }
-
-    /// Returns whether another request may be sent, given those of this gateway that are not known to be
-    /// admitted and the free slots that a recent report shows.
-    pub fn admits(&self, pending: u32, free_slots: u32, now: MonoTime) -> bool {
-        self.threshold.is_none()
-            || (self.hold_end(now).is_none() && pending < self.allowance(free_slots))
-    }
-
-    /// Returns how many requests of this gateway may be there without a known admission: with a free slot
-    /// one in any case.
-    fn allowance(&self, free_slots: u32) -> u32 {
-        let least = u32::from(free_slots > 0);
-        self.quota.max(least) + free_slots / self.gateways.max(1)
-    }
-
-    /// Returns why another request may be sent.
-    pub fn grounds(&self, pending: u32) -> SendGrounds {
-        match self.threshold {
-            None => SendGrounds::NotBrittle,
-            Some(_) if pending < self.quota => SendGrounds::Quota,
-            Some(_) => SendGrounds::FreeSlots,
-        }
-    }
-
-    /// Returns when another request may be sent, if that is not now.
-    pub fn opens_at(&self, pending: u32, free_slots: u32, now: MonoTime) -> Option<MonoTime> {
-        if self.admits(pending, free_slots, now) {
-            return None;
-        }
-        Some(self.hold_end(now).unwrap_or(now + QUOTA_WAIT))
+    /// Records that no slot is free for a while.
+    pub fn mark_full(&mut self, until: MonoTime) {
+        self.full_until = Some(until);
     }
 
-    fn hold_end(&self, now: MonoTime) -> Option<MonoTime> {
-        let end = self.rejected_at? + REJECTION_HOLD;
-        (now < end).then_some(end)
+    /// Returns until when no slot is free, if it is brittle.
+    pub fn full_until(&self, now: MonoTime) -> Option<MonoTime> {
+        self.threshold()?;
+        self.full_until.filter(|until| now < *until)
     }
 }
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -54,6 +54,7 @@
         pause_limit: Some(Span::from_millis(600)),
         connections: &NoIdleConnections,
         tried: &[],
+        accepts_full: false,
         version: None,
         gateways: 6,
         service_latency: latency,
@@ -331,6 +332,7 @@
     for expected in [keys[2], keys[0], keys[1]] {
         let input = ChoiceInput {
             tried: &tried.clone(),
+            accepts_full: false,
             ..input(PLAIN, &[], &latency)
         };
         let choice = choose(&mut fleet, &input);
@@ -339,6 +341,7 @@
     }
     let input = ChoiceInput {
         tried: &tried,
+        accepts_full: false,
         ..input(PLAIN, &[], &latency)
     };
     assert!(choose_backend(&mut fleet, &input, || 0.5).is_none());
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -49,6 +49,7 @@
         pause_limit: None,
         connections: &NoIdleConnections,
         tried: &[],
+        accepts_full: false,
         version: None,
         gateways: 2,
         service_latency: &latency,
--- a/crates/balance/tests/homes.rs
+++ b/crates/balance/tests/homes.rs
@@ -67,6 +67,7 @@
             pause_limit: Some(Span::from_millis(800)),
             connections: &NoIdleConnections,
             tried: &[],
+            accepts_full: false,
             version: None,
             gateways: 70,
             service_latency: &self.latency,
--- a/crates/balance/tests/stream_origin.rs
+++ b/crates/balance/tests/stream_origin.rs
@@ -129,6 +129,7 @@
             pause_limit: None,
             connections: &NoIdleConnections,
             tried: &tried,
+            accepts_full: false,
             version: Some(version(names[wanted])),
             gateways: 2,
             service_latency: &latency,
--- a/crates/entry/tests/gateway_brittle.rs
+++ b/crates/entry/tests/gateway_brittle.rs
@@ -256,13 +256,15 @@
             .map(|keeper| keeper.join().expect("a keeper ends"));
         (calls, served, falls.sum())
     });
-    PlayResult {
+    let result = PlayResult {
         falls,
         calls,
         served,
         brittle_lines: gateways[0].log("backend-brittle").len(),
         rejections: rejections(&gateways),
-    }
+    };
+    println!("{play:?}: {result:?}");
+    result
 }
 
 // Guards against gateways that press on engines which have turned requests away, until they fall over.
--- a/crates/gateway/src/backpressure.rs
+++ b/crates/gateway/src/backpressure.rs
@@ -69,10 +69,12 @@
         at: MonoTime,
         request: Option<&str>,
     ) {
-        let is_new = self.with_backend(key, |state| state.rejection_limit.name(brittleness, at));
-        if is_new == Some(true) {
+        let is_new = self
+            .fleet
+            .borrow_mut()
+            .name_brittleness(key, brittleness, at);
+        if is_new {
             self.metrics.record_backpressure("brittle");
-            self.divide_limits();
             self.log_brittleness(key, request);
         }
     }
--- a/crates/gateway/src/brittle_news.rs
+++ b/crates/gateway/src/brittle_news.rs
@@ -12,6 +12,7 @@
 use crate::gossip::pick_targets;
 use crate::peer_message::{BrittleRecord, PeerMessage};
 use crate::prelude::*;
+use crate::slot_exchange::count_rejection;
 
 /// The greatest number of backend servers in one message.
 const MAX_RECORDS: usize = 50;
@@ -35,11 +36,12 @@
     core.peers.send(PeerMessage::Brittle(records), targets);
 }
 
-/// Records that a backend server turned a request away, and tells other gateways if it is brittle.
-pub(crate) fn on_rejected(core: &GatewayCore, key: BackendKey, at: MonoTime) {
+/// Records that a backend server turned a request away, and tells other gateways if it is brittle; returns
+/// whether it is news.
+pub(crate) fn on_rejected(core: &GatewayCore, key: BackendKey, at: MonoTime) -> bool {
     let is_news = core.with_backend(key, |state| state.rejection_limit.record_rejection(at));
     if is_news != Some(true) {
-        return;
+        return false;
     }
     let fleet = core.fleet.borrow();
     let record = fleet
@@ -50,6 +52,7 @@
         core.peers
             .send(PeerMessage::Brittle(vec![record]), &targets);
     }
+    true
 }
 
 fn record(member: &FleetMember, now: MonoTime) -> Option<BrittleRecord> {
@@ -77,8 +80,10 @@
         };
         let brittleness = Brittleness::Brittle(record.threshold);
         core.name_brittleness(key, brittleness, at(record.age_ms), None);
-        if let Some(age_ms) = record.rejected_age_ms {
-            on_rejected(core, key, at(age_ms));
+        if let Some(age_ms) = record.rejected_age_ms
+            && on_rejected(core, key, at(age_ms))
+        {
+            count_rejection(core, key);
         }
     }
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -9,7 +9,7 @@
 
 use oleander_balance::{
     BackendKey, BackendState, Choice, ChoiceInput, FleetTable, InFlightSend, LatencyModel,
-    LoadReport, RetryWindow, ServiceTraffic, StreamId, VersionId, choose_backend,
+    LeaseEnd, LoadReport, RetryWindow, ServiceTraffic, StreamId, VersionId, choose_backend,
 };
 use oleander_base::{FastMap, monotonic_now};
 use rand::rngs::SmallRng;
@@ -27,6 +27,7 @@
 use crate::quarantine::CrashQuarantine;
 use crate::relay_targets::RelayTargets;
 use crate::shutdown::ShutdownState;
+use crate::slot_exchange::{SlotExchange, SlotLease};
 use crate::suspend::SuspendDetector;
 
 /// The number of gateways assumed until the key-value store's state is known.
@@ -54,6 +55,7 @@
     pub(crate) quarantine: CrashQuarantine,
     pub(crate) reach: BackendReach,
     pub(crate) relays: RelayTargets,
+    pub(crate) slots: SlotExchange,
     store_era: Cell<StoreEra>,
     pub(crate) shutdown: ShutdownState,
     pub(crate) metrics: Rc<GatewayMetrics>,
@@ -82,6 +84,7 @@
     ) -> Self {
         let quarantine = CrashQuarantine::new(&settings.name);
         let metrics = Rc::new(metrics);
+        let mut random = SmallRng::from_os_rng();
         Self {
             log: LogWriter::spawn(&settings.name),
             port,
@@ -95,6 +98,7 @@
             quarantine,
             reach: BackendReach::default(),
             relays: RelayTargets::default(),
+            slots: SlotExchange::open(random.random()),
             store_era: Cell::default(),
             shutdown: ShutdownState::default(),
             metrics,
@@ -106,7 +110,7 @@
             in_flight: Cell::new(0),
             caller_connections: Cell::new(0),
             held_bytes: Cell::new(0),
-            random: RefCell::new(SmallRng::from_os_rng()),
+            random: RefCell::new(random),
         }
     }
 
@@ -204,6 +208,7 @@
             pause_limit: query.route.pause_limit,
             connections: &*self.pool.borrow(),
             tried: query.tried,
+            accepts_full: query.accepts_full,
             version: query.version,
             gateways,
             service_latency: &service.latency,
@@ -239,6 +244,16 @@
         fleet.get(key).map(|member| member.entry.address)
     }
 
+    /// Returns the hash of a backend server's id, if it still exists.
+    pub(crate) fn backend_hash(&self, key: BackendKey) -> Option<u64> {
+        self.fleet.borrow().get(key).map(|member| member.id_hash)
+    }
+
+    /// Returns the backend server whose id has this hash.
+    pub(crate) fn backend_key(&self, id_hash: u64) -> Option<BackendKey> {
+        self.fleet.borrow().key_of_hash(id_hash)
+    }
+
     /// Takes one extra send out of a service's retry budget; returns whether it was allowed.
     pub(crate) fn take_retry(&self, service: &Arc<str>) -> bool {
         let gateways = self.gateway_count();
@@ -297,6 +312,7 @@
             caller_connections: self.caller_connections.get(),
             quarantined: self.quarantine.counts(),
             is_cut_off: self.reach.is_cut_off(),
+            slots: self.slots.counts(),
         }
     }
 }
@@ -332,6 +348,8 @@
     pub(crate) route: &'a RouteSpec,
     pub(crate) urgency: u8,
     pub(crate) tried: &'a [BackendKey],
+    /// Whether a backend server without a free slot may be chosen.
+    pub(crate) accepts_full: bool,
     pub(crate) version: Option<VersionId>,
 }
 
@@ -341,10 +359,12 @@
     core: Rc<GatewayCore>,
     key: Option<BackendKey>,
     send: Option<InFlightSend>,
+    /// The slot of a brittle backend server.
+    slot: Option<SlotLease>,
 }
 
 impl SendGuard {
-    pub(crate) fn open(core: &Rc<GatewayCore>, choice: &Choice) -> Self {
+    pub(crate) fn open(core: &Rc<GatewayCore>, choice: &Choice, slot: Option<SlotLease>) -> Self {
         let send = core.with_backend(choice.key, |state| {
             state.sent(choice.prefill.total(), choice.is_short, monotonic_now())
         });
@@ -352,6 +372,7 @@
             core: Rc::clone(core),
             key: Some(choice.key),
             send,
+            slot,
         }
     }
 
@@ -361,7 +382,18 @@
             core: Rc::clone(core),
             key: None,
             send: None,
+            slot: None,
+        }
+    }
+
+    /// Gives the slot back, if there is one; returns whether there was.
+    pub(crate) fn end_slot(&mut self, end: LeaseEnd) -> bool {
+        let slot = self.slot.take();
+        let had_slot = slot.is_some();
+        if let Some(slot) = slot {
+            slot.end(end);
         }
+        had_slot
     }
 
     /// Marks the prompt as read by the backend server.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -27,6 +27,7 @@
     DownRecord, LoadMessage, LoadRecord, MAX_DATAGRAM_BYTES, PeerMessage, decode,
 };
 use crate::prelude::*;
+use crate::slot_exchange::{on_slot_message, send_slot_round};
 
 /// The mean time between two rounds.
 const ROUND_INTERVAL: Span = Span::from_millis(333);
@@ -73,6 +74,7 @@
         core.quarantine.send_round(&core, &targets);
         send_limits(&core, &targets);
         send_brittle(&core, &targets);
+        send_slot_round(&core);
     }
 }
 
@@ -171,6 +173,7 @@
         PeerMessage::Suspects(records) => core.quarantine.on_records(core, &records),
         PeerMessage::RateLimits(records) => apply_limits(core, &records),
         PeerMessage::Brittle(records) => apply_brittle(core, &records),
+        PeerMessage::Slots(message) => on_slot_message(core, message, from),
     }
 }
 
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -103,6 +103,7 @@
         frontend: Some(settings.frontend),
         centre: std::sync::Arc::clone(&settings.centre),
         capacity: passing_capacity(settings.cores, settings.link_mbps),
+        leases_slots: true,
     };
     let request = core.port.announce_request(&settings.name, &entry, lease);
     let announced = client
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod request;
 mod settings;
 mod shutdown;
+mod slot_exchange;
 mod store_client;
 mod store_version;
 mod store_watch;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use crate::http::ByteBound;
 use crate::prelude::*;
 use crate::quarantine::QuarantineCounts;
+use crate::slot_exchange::SlotCounts;
 use crate::store_client::StorePurpose;
 
 /// The name of the instrumentation scope.
@@ -62,6 +63,7 @@
     pub(crate) caller_connections: usize,
     pub(crate) quarantined: QuarantineCounts,
     pub(crate) is_cut_off: bool,
+    pub(crate) slots: SlotCounts,
 }
 
 /// The metrics of one gateway.
@@ -72,6 +74,7 @@
     refusals: Counter<u64>,
     attempts: Counter<u64>,
     rejections: Counter<u64>,
+    slot_asks: Counter<u64>,
     retries: Counter<u64>,
     store_calls: Counter<u64>,
     peer_bytes: Counter<u64>,
@@ -115,6 +118,11 @@
                 "gateway.rejections",
                 "Requests that backend servers turned away, by why they were sent",
             ),
+            slot_asks: counter(
+                &meter,
+                "gateway.slot.asks",
+                "Requests for a slot of a brittle backend server, by outcome",
+            ),
             retries: counter(
                 &meter,
                 "gateway.retries",
@@ -231,6 +239,11 @@
         self.attempts.add(1, &labels);
     }
 
+    /// Records how an owner answered a request for a slot.
+    pub(crate) fn record_slot_ask(&self, outcome: &'static str) {
+        self.slot_asks.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records that a backend server turned a request away.
     pub(crate) fn record_rejection(&self, service: &str, grounds: &'static str) {
         let labels = [
@@ -297,6 +310,9 @@
         gauge("quarantined-parts", reading.quarantined.parts as f64);
         gauge("quarantined-requests", reading.quarantined.requests as f64);
         gauge("cut-off", f64::from(u8::from(reading.is_cut_off)));
+        gauge("slots-held", reading.slots.held as f64);
+        gauge("slots-granted", reading.slots.granted as f64);
+        gauge("slots-queued", reading.slots.queued as f64);
         gauge("store-era", reading.store_era.0 as f64);
         if let Some(age) = reading.store_contact_age {
             gauge("store-contact-age-seconds", age.as_secs_f64());
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -1,6 +1,8 @@
 //! The datagrams that gateways send to each other.
 
-use oleander_balance::{StreamId, SuspectRecord, VersionId, VersionSpan};
+use oleander_balance::{
+    LeaseEnd, LeaseId, LeaseReply, StreamId, SuspectRecord, VersionId, VersionSpan,
+};
 use serde::{Deserialize, Serialize};
 
 /// The longest datagram, in bytes.
@@ -30,6 +32,8 @@
     RateLimits(Vec<RateLimitRecord>),
     /// The brittle backend servers.
     Brittle(Vec<BrittleRecord>),
+    /// Leases on the slots of brittle backend servers.
+    Slots(SlotMessage),
 }
 
 impl PeerMessage {
@@ -41,6 +45,7 @@
             Self::Suspects(_) => "suspects",
             Self::RateLimits(_) => "rates",
             Self::Brittle(_) => "brittle",
+            Self::Slots(_) => "slots",
         }
     }
 }
@@ -94,6 +99,43 @@
     pub(crate) rejected_age_ms: Option<u32>,
 }
 
+/// A message about leases on the slots of brittle backend servers.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum SlotMessage {
+    /// Asks an owner of the slots for a lease.
+    Ask {
+        /// The hash of the backend server's id.
+        backend: u64,
+        lease: LeaseId,
+        urgency: u8,
+        /// How long the request may wait for a slot.
+        wait_ms: u16,
+    },
+    /// Answers an ask.
+    Reply { lease: LeaseId, reply: LeaseReply },
+    /// Tells an owner that leases have ended.
+    Ended(Vec<EndedLease>),
+    /// Tells an owner that leases are still held.
+    Renew(Vec<LeaseRenewal>),
+}
+
+/// A lease that has ended.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct EndedLease {
+    /// The hash of the backend server's id.
+    pub(crate) backend: u64,
+    pub(crate) lease: LeaseId,
+    pub(crate) end: LeaseEnd,
+}
+
+/// A lease that is still held.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct LeaseRenewal {
+    /// The hash of the backend server's id.
+    pub(crate) backend: u64,
+    pub(crate) lease: LeaseId,
+}
+
 /// The version that began a stream.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct OriginRecord {
--- a/crates/gateway/src/platform_view/gateways.rs
+++ b/crates/gateway/src/platform_view/gateways.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use oleander_balance::{StreamId, TreeMember, fact_sources};
+use oleander_balance::{OwnerCandidate, StreamId, TreeMember, fact_sources, slot_owners};
 use oleander_base::FastSet;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -13,6 +13,7 @@
 use crate::port::{GatewayEntry, StoreItem, StoreSubject};
 use crate::prelude::*;
 use crate::relay_targets::RelayTarget;
+use crate::slot_exchange::SlotOwner;
 
 /// How long a gateway that was removed from the store still counts as one of the gateways.
 const GONE_GATEWAY_COUNTED: Span = Span::from_secs(15);
@@ -202,6 +203,29 @@
             .count()
     }
 
+    /// Returns the owners of a backend server's slots, the first one first.
+    pub(crate) fn slot_owners(&self, own: &str, backend: u64) -> [Option<SlotOwner>; 2] {
+        let is_candidate = |fact: &GatewayFact| {
+            fact.gone_at.is_none() && fact.entry.leases_slots && fact.entry.gossip.is_some()
+        };
+        let candidates = self
+            .gateways
+            .iter()
+            .filter(|(_, fact)| is_candidate(fact))
+            .map(|(name, fact)| OwnerCandidate {
+                name,
+                capacity: fact.entry.capacity,
+            });
+        slot_owners(candidates, backend).map(|name| {
+            let name = name?;
+            if name == own {
+                return Some(SlotOwner::Own);
+            }
+            let address = self.gateways.get(name)?.entry.gossip?;
+            Some(SlotOwner::Other(address))
+        })
+    }
+
     /// Returns the facts about gateways that are newer than a version of the store, tombstones included.
     pub(super) fn gateway_facts(&self, after: StoreVersion) -> impl Iterator<Item = KnownFact> {
         let is_newer = move |fact: &&GatewayFact| fact.version > after;
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -212,6 +212,8 @@
     pub centre: Arc<str>,
     /// How much it can pass on to other gateways; 0 at older versions.
     pub capacity: u32,
+    /// Whether it leases the slots of brittle backend servers; older versions do not.
+    pub leases_slots: bool,
 }
 
 /// Translates between the gateway and its platform.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -4,9 +4,12 @@
 use std::pin::pin;
 use std::sync::Arc;
 
-use oleander_balance::{BackendKey, Choice, ReachFailure, RoomBelief, VersionId};
+use oleander_balance::{
+    BackendKey, Choice, LeaseEnd, ReachFailure, RoomBelief, SendGrounds, VersionId,
+};
 use oleander_base::monotonic_now;
 
+use super::slot::SlotStep;
 use super::wait::{WaitOutcome, read_to_end, wait};
 use super::{RequestRun, RunResult};
 use crate::brittle_news::on_rejected;
@@ -15,6 +18,7 @@
 use crate::port::SendHeaders;
 use crate::prelude::*;
 use crate::relay_targets::RelayTarget;
+use crate::slot_exchange::count_rejection;
 
 /// The shortest time without an answer after which an idempotent request is tried elsewhere.
 const IDEMPOTENT_TIMEOUT: Span = Span::from_millis(250);
@@ -49,6 +53,8 @@
     pub(super) slots: u32,
     /// What was believed of the backend server's room; absent at another gateway.
     pub(super) room: Option<RoomBelief>,
+    /// Why the request is sent there although it might be turned away.
+    pub(super) grounds: SendGrounds,
 }
 
 impl SendTarget {
@@ -61,17 +67,29 @@
             version: VersionId::of(""),
             slots: 0,
             room: None,
+            grounds: SendGrounds::default(),
         }
     }
 }
 
 impl RequestRun<'_> {
     pub(super) async fn attempt(&mut self, choice: &Choice) -> Step {
-        let Some(target) = self.target(choice) else {
+        let Some(mut target) = self.target(choice) else {
             self.tried.push(choice.key);
             return Step::TryAgain;
         };
-        let mut guard = SendGuard::open(self.core, choice);
+        let slot = match self.take_slot(choice).await {
+            SlotStep::Send(slot) => slot,
+            SlotStep::Elsewhere => return Step::TryAgain,
+            SlotStep::NoneInTime => return Step::GiveUp("no free slot at any backend server"),
+            SlotStep::CallerLeft => return Step::Done(self.caller_left()),
+        };
+        target.grounds = slot
+            .as_ref()
+            .map(|slot| slot.role.into())
+            .unwrap_or_default();
+        self.has_retry = false;
+        let mut guard = SendGuard::open(self.core, choice, slot);
         let bytes = self.encode(&target);
         self.log_send(choice, &target);
         let plan = SendPlan {
@@ -87,6 +105,9 @@
             WaitOutcome::CallerLeft => return Step::Done(self.caller_left()),
             WaitOutcome::Completed(Ok(exchange)) => exchange,
             WaitOutcome::Completed(Err(error)) => {
+                if error.verdict() == Verdict::NotRun {
+                    guard.end_slot(LeaseEnd::Free);
+                }
                 return self.handle_send_failure(&target, &error, sent_at);
             }
             WaitOutcome::TimedOut => {
@@ -154,6 +175,7 @@
             version: member.version,
             slots: member.entry.slots,
             room: Some(member.state.room_belief(monotonic_now())),
+            grounds: SendGrounds::default(),
         })
     }
 
@@ -220,7 +242,7 @@
     ) -> Step {
         let status = answer.head.status;
         if answer.facts.is_not_run {
-            return self.handle_rejection(answer, target, status, sent_at).await;
+            return self.handle_rejection(answer, guard, target, sent_at).await;
         }
         self.runs += 1;
         let is_good = (200..300).contains(&status);
@@ -259,12 +281,14 @@
     pub(super) async fn handle_rejection(
         &mut self,
         mut answer: Exchange,
+        guard: &mut SendGuard,
         target: &SendTarget,
-        status: u16,
         sent_at: MonoTime,
     ) -> Step {
+        let status = answer.head.status;
         self.last_problem = format!("the backend server refused with {status}");
         if status == 421 {
+            guard.end_slot(LeaseEnd::Free);
             // Another process has the address, so the registry's entry is out of date.
             self.record_failure(
                 target,
@@ -278,8 +302,12 @@
             }
         } else {
             self.record_rejection(target, sent_at);
+            let had_slot = guard.end_slot(LeaseEnd::Rejected);
             if let Some(key) = target.key {
                 on_rejected(self.core, key, monotonic_now());
+                if !had_slot {
+                    count_rejection(self.core, key);
+                }
             }
         }
         let body = read_to_end(self.core, &mut answer);
--- a/crates/gateway/src/request/buffered.rs
+++ b/crates/gateway/src/request/buffered.rs
@@ -1,7 +1,7 @@
 //! Delivers answers that are buffered completely before the first byte goes to the caller.
 
 use bytes::Bytes;
-use oleander_balance::ReachFailure;
+use oleander_balance::{LeaseEnd, ReachFailure};
 use oleander_base::monotonic_now;
 
 use super::attempt::{SendTarget, Step};
@@ -51,6 +51,7 @@
             }
         };
         guard.mark_prompt_read();
+        guard.end_slot(LeaseEnd::Free);
         let buffered = BufferedAnswer {
             head: answer.head.clone(),
             body,
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -13,6 +13,7 @@
 mod origin;
 mod recording;
 mod relay;
+mod slot;
 mod stream;
 mod suspects;
 mod wait;
@@ -114,6 +115,12 @@
     began_relayed: bool,
     /// Whether no other gateway is left to relay to.
     has_no_relay: bool,
+    /// Whether the next send is paid for out of the retry budget.
+    has_retry: bool,
+    /// How many times no slot was free at a chosen backend server.
+    full_replies: u32,
+    /// Whether it waits for a slot at the next backend server.
+    waits_for_slot: bool,
 }
 
 impl<'a> RequestRun<'a> {
@@ -170,6 +177,9 @@
             relayed_to: Vec::new(),
             began_relayed: false,
             has_no_relay: false,
+            has_retry: false,
+            full_replies: 0,
+            waits_for_slot: false,
         };
         let result = run.run().await;
         run.log_end(result);
@@ -214,22 +224,35 @@
             route: &routed.route,
             urgency: routed.urgency,
             tried: &self.tried,
+            accepts_full: false,
             version: self.origin,
         };
         let missing = match self.origin {
             Some(_) => "no backend server of the version that began the stream",
             None => "no backend server",
         };
-        let Some(choice) = self.core.choose(&query) else {
+        let free = match self.asks_further() {
+            true => self.core.choose(&query),
+            false => None,
+        };
+        self.waits_for_slot = free.is_none();
+        let full = || {
+            self.core.choose(&ChoiceQuery {
+                accepts_full: true,
+                ..query
+            })
+        };
+        let Some(choice) = free.or_else(full) else {
             self.admission_delay = self.core.first_opening(&routed.service);
             return Err(missing);
         };
         if self.tried.is_empty() {
             self.admit(&choice)?;
         }
-        if self.sends > 0 && !self.core.take_retry(&routed.service) {
+        if self.sends > 0 && !self.has_retry && !self.core.take_retry(&routed.service) {
             return Err("no retry budget");
         }
+        self.has_retry = self.sends > 0;
         Ok(choice)
     }
 
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use oleander_balance::{AdmissionQuery, BackendState, Choice, PromptPart, RoomBelief};
+use oleander_balance::{AdmissionQuery, BackendState, Choice, PromptPart};
 use oleander_base::monotonic_now;
 use serde::Serialize;
 
@@ -81,24 +81,33 @@
     grounds: &'static str,
     threshold: Option<u32>,
     pending: u32,
-    free_slots: u32,
     report_age_ms: Option<f64>,
     since_rejection_ms: Option<f64>,
 }
 
-impl From<RoomBelief> for RoomFields {
-    fn from(room: RoomBelief) -> Self {
-        Self {
-            grounds: room.grounds.as_str(),
+impl RoomFields {
+    fn of(target: &SendTarget) -> Option<Self> {
+        let room = target.room?;
+        Some(Self {
+            grounds: target.grounds.as_str(),
             threshold: room.threshold,
             pending: room.pending,
-            free_slots: room.free_slots,
             report_age_ms: room.report_age.map(Span::as_millis_f64),
             since_rejection_ms: room.since_rejection.map(Span::as_millis_f64),
-        }
+        })
     }
 }
 
+#[derive(Debug, Serialize)]
+struct NoSlotFields<'a> {
+    id: &'a str,
+    service: &'a str,
+    /// The backend servers that had no free slot.
+    asked: u32,
+    waited_ms: f64,
+    return_after_ms: Option<f64>,
+}
+
 #[derive(Debug, Serialize)]
 struct StreamFields<'a> {
     id: &'a str,
@@ -150,10 +159,10 @@
         self.core
             .metrics
             .record_attempt(service, Verdict::NotRun.as_str());
-        if let Some(room) = target.room {
+        if target.key.is_some() {
             self.core
                 .metrics
-                .record_rejection(service, room.grounds.as_str());
+                .record_rejection(service, target.grounds.as_str());
         }
         self.log_attempt(
             "attempt-rejected",
@@ -181,9 +190,8 @@
             digest: self.digest.to_string(),
             parts: part_names(&self.job.facts.parts),
             room: (event == "attempt-rejected")
-                .then_some(target.room)
-                .flatten()
-                .map(RoomFields::from),
+                .then(|| RoomFields::of(target))
+                .flatten(),
         };
         self.core
             .log
@@ -346,6 +354,20 @@
         );
     }
 
+    /// Logs that a request is refused because it got no slot.
+    pub(super) fn log_no_slot(&self, asked: u32, waited: Span) {
+        let fields = NoSlotFields {
+            id: self.attempt_id,
+            service: &self.job.routed.service,
+            asked,
+            waited_ms: waited.as_millis_f64(),
+            return_after_ms: self.admission_delay.map(Span::as_millis_f64),
+        };
+        self.core
+            .log
+            .request("no-slot", LineKind::Failure, self.attempt_id, fields);
+    }
+
     pub(super) fn log_end(&self, result: RunResult) {
         let total = monotonic_now().since(self.job.started);
         let service = &self.job.routed.service;
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oleander_balance::{ReachFailure, StreamSample};
+use oleander_balance::{LeaseEnd, ReachFailure, StreamSample};
 use oleander_base::monotonic_now;
 use tokio::time::timeout;
 
@@ -161,7 +161,10 @@
                             self.record_broken(target, state.timing.events > 0, sent_at);
                             self.break_off(answer, &state, target, reason, sent_at)
                         }
-                        None => self.complete(answer, state, target, sent_at).await,
+                        None => {
+                            guard.end_slot(LeaseEnd::Free);
+                            self.complete(answer, state, target, sent_at).await
+                        }
                     };
                 }
                 Err(error) => {
