Gateway: a brittle backend server that is back as another process counts as brittle at once

Callers saw a backend server that had fallen over fall again as soon as it was back.

Backend servers of a service become brittle together. One that has said nothing itself counts as brittle as long as the last word in its service says so; its own word goes first. Only own words are told to other gateways.

--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -105,6 +105,10 @@
     ranks: RankCache,
     reserved: ReservedSet,
     reserved_count: usize,
+    /// The rejections in a second that its backend servers survive, by the last one that said so.
+    threshold: Option<u32>,
+    /// When the answer came that says so.
+    brittleness_at: MonoTime,
 }
 
 impl ServiceIndex {
@@ -244,7 +248,7 @@
     }
 
     /// Takes over what a backend server said at a time about the rejections that it survives; returns whether
-    /// that is a change.
+    /// that is a change. Those of its service that have said nothing yet survive as many.
     pub fn name_brittleness(
         &mut self,
         key: BackendKey,
@@ -254,7 +258,22 @@
         let Some(member) = self.members.get_mut(&key) else {
             return false;
         };
-        member.state.rejection_limit.name(brittleness, at)
+        let is_change = member.state.rejection_limit.name(brittleness, at);
+        let service = Arc::clone(&member.entry.service);
+        let index = self.by_service.get_mut(&service).expect("members have one");
+        if brittleness == Brittleness::Unknown || at < index.brittleness_at {
+            return is_change;
+        }
+        index.brittleness_at = at;
+        let threshold = brittleness.threshold();
+        if std::mem::replace(&mut index.threshold, threshold) != threshold {
+            for key in &index.keys {
+                if let Some(member) = self.members.get_mut(key) {
+                    member.state.rejection_limit.inherit(threshold);
+                }
+            }
+        }
+        is_change
     }
 
     /// Returns when the first of a service's backend servers that back off or are at their limits takes
@@ -385,7 +404,8 @@
             .or_default();
         index.keys.push(key);
         index.invalidate();
-        let state = BackendState::open(entry.slots);
+        let mut state = BackendState::open(entry.slots);
+        state.rejection_limit.inherit(index.threshold);
         let id_hash = xxh3_64(entry.id.as_bytes());
         self.by_hash.insert(id_hash, key);
         self.members.insert(
--- a/crates/balance/src/rejection_limit.rs
+++ b/crates/balance/src/rejection_limit.rs
@@ -1,8 +1,10 @@
 //! The rejections that a brittle backend server survives, and what this gateway knows of its room.
 //!
 //! A brittle backend server says how many requests it can turn away in a second; with more it falls over.
-//! Only a request with a lease on one of its slots is sent there (`slot_ledger.rs`; docs/PLATFORM.md, "Brittle
-//! backend servers").
+//! Only a request with a lease on one of its slots is sent there (`slot_ledger.rs`). All backend servers of a
+//! service become brittle together, and one that fell over is back as another process. So one that has said
+//! nothing itself yet counts as brittle while others of its service are (docs/PLATFORM.md, "Brittle backend
+//! servers").
 
 use oleander_base::prelude::*;
 
@@ -85,6 +87,8 @@
     own: Brittleness,
     /// When the answer came that says so.
     named_at: MonoTime,
+    /// What others of its service survive, which counts until it has said something itself.
+    service_threshold: Option<u32>,
     /// When it last turned a request away, here or at another gateway.
     rejected_at: Option<MonoTime>,
     /// Until when no slot is free, by the owner of its slots.
@@ -104,6 +108,11 @@
         self.threshold() != known
     }
 
+    /// Takes over what other backend servers of its service survive.
+    pub fn inherit(&mut self, threshold: Option<u32>) {
+        self.service_threshold = threshold;
+    }
+
     /// Records that a request was turned away; returns whether that is news.
     pub fn record_rejection(&mut self, at: MonoTime) -> bool {
         let is_news = self.rejected_at.is_none_or(|known| known + SAME_NEWS < at);
@@ -113,6 +122,14 @@
 
     /// Returns the rejections in a second that it survives, if it is brittle.
     pub fn threshold(&self) -> Option<u32> {
+        match self.own {
+            Brittleness::Unknown => self.service_threshold,
+            own => own.threshold(),
+        }
+    }
+
+    /// Returns the rejections that it said itself it survives.
+    pub fn own_threshold(&self) -> Option<u32> {
         self.own.threshold()
     }
 
--- a/crates/gateway/src/brittle_news.rs
+++ b/crates/gateway/src/brittle_news.rs
@@ -60,7 +60,7 @@
     let age_ms = |at: MonoTime| u32::try_from(now.since(at).0 / 1_000).unwrap_or(u32::MAX);
     Some(BrittleRecord {
         id_hash: member.id_hash,
-        threshold: limit.threshold()?,
+        threshold: limit.own_threshold()?,
         age_ms: age_ms(limit.named_at()),
         rejected_age_ms: limit.rejected_at().map(age_ms),
     })
