Gateway: one in ten slots goes to the request that has waited longest

The queue for slots of brittle backend servers would have given a less urgent request nothing for as long as more urgent ones alone are more than the slots can run. Found by reading, with a test of that load; no caller saw it.

--- a/crates/balance/src/slot_ledger.rs
+++ b/crates/balance/src/slot_ledger.rs
@@ -41,9 +41,13 @@
 /// How long a gateway that gets no lease does not ask again.
 const FULL_RETRY: Span = Span::from_millis(30);
 
-/// The head start of each level of urgency in the queue. It is bounded, so that every level makes progress.
+/// The head start of each level of urgency in the queue.
 const URGENCY_HEAD_START: Span = Span::from_millis(100);
 
+/// One in so many grants to the queue goes to the request that has waited longest, so that every level of urgency
+/// makes progress while more urgent requests alone are more than the slots can run.
+const OLDEST_TURN: u64 = 10;
+
 /// The greatest number of requests in the queue.
 const MAX_QUEUED: usize = 64;
 
@@ -143,6 +147,7 @@
 #[derive(Debug, Clone, Copy)]
 struct QueuedAsk {
     ask: LeaseAsk,
+    asked_at: MonoTime,
     /// The order in the queue: the time of arrival and the head start of what is urgent.
     order: MonoTime,
     expires: MonoTime,
@@ -154,6 +159,7 @@
     owner_since: MonoTime,
     leases: FastMap<LeaseId, LeaseState>,
     queue: Vec<QueuedAsk>,
+    queue_grants: u64,
     rejections: VecDeque<MonoTime>,
     /// The slots that the last rejection has shown, and when.
     shown: Option<(u32, MonoTime)>,
@@ -166,6 +172,7 @@
             owner_since: now,
             leases: FastMap::default(),
             queue: Vec::new(),
+            queue_grants: 0,
             rejections: VecDeque::new(),
             shown: None,
         }
@@ -194,6 +201,7 @@
         let head_start = Span(URGENCY_HEAD_START.0 * u64::from(ask.urgency));
         self.queue.push(QueuedAsk {
             ask,
+            asked_at: now,
             order: now + head_start,
             expires: now + ask.wait,
         });
@@ -233,10 +241,10 @@
         self.expire(now);
         let mut granted = Vec::new();
         while self.has_room(terms, now) {
-            let first = (0..self.queue.len()).min_by_key(|index| self.queue[*index].order);
-            let Some(index) = first else {
+            let Some(index) = self.first_queued() else {
                 break;
             };
+            self.queue_grants += 1;
             let queued = self.queue.swap_remove(index);
             self.grant(queued.ask.lease, now);
             granted.push(queued.ask);
@@ -254,6 +262,18 @@
         self.queue.len()
     }
 
+    /// Returns the place of the request that gets the next slot.
+    fn first_queued(&self) -> Option<usize> {
+        let is_oldest_turn = self.queue_grants % OLDEST_TURN == OLDEST_TURN - 1;
+        (0..self.queue.len()).min_by_key(|index| {
+            let queued = &self.queue[*index];
+            match is_oldest_turn {
+                true => queued.asked_at,
+                false => queued.order,
+            }
+        })
+    }
+
     fn grant(&mut self, lease: LeaseId, now: MonoTime) {
         let state = LeaseState {
             expires: now + LEASE_TTL,
--- a/crates/balance/tests/slot_leases.rs
+++ b/crates/balance/tests/slot_leases.rs
@@ -178,6 +178,34 @@
     assert_eq!(ledger.grant_queued(&FIRST, later)[0].lease, LeaseId(20));
 }
 
+// Guards against requests that get nothing as long as more urgent ones come faster than the slots can run them.
+#[test]
+fn every_level_of_urgency_makes_progress_in_the_queue() {
+    let mut ledger = SlotLedger::open(START);
+    take_all(&mut ledger, &FIRST, 1, SETTLED);
+    let mut running: Vec<u64> = (1..=6).collect();
+    let mut granted = [0, 0];
+    for turn in 0..200_u64 {
+        let now = SETTLED + Span::from_millis(turn * 10);
+        for lease in 0..7 {
+            let urgency = if lease < 6 { 0 } else { 2 };
+            ledger.ask(ask(1_000 + turn * 10 + lease, urgency, 100), &FIRST, now);
+        }
+        for lease in std::mem::take(&mut running) {
+            ledger.release(LeaseId(lease), LeaseEnd::Free, now);
+        }
+        for ask in ledger.grant_queued(&FIRST, now) {
+            granted[usize::from(ask.urgency > 0)] += 1;
+            running.push(ask.lease.0);
+        }
+    }
+    // Less than one in ten of all, but far from none: the oldest in the queue are of both levels.
+    assert!(
+        granted[1] > 10 && granted[0] > 8 * granted[1],
+        "{granted:?}"
+    );
+}
+
 #[test]
 fn owners_are_shared_out_by_capacity_and_change_little() {
     let names: Vec<String> = (0..40).map(|number| format!("edge-{number}")).collect();
