--- a/crates/entry/tests/gateway_brittle.rs
+++ b/crates/entry/tests/gateway_brittle.rs
@@ -32,6 +32,8 @@
 #[derive(Debug, Clone, Copy)]
 struct BrittlePlay {
     gateways: usize,
+    /// The number of gateways that callers use.
+    called: usize,
     callers: usize,
     /// The pause of a caller between two calls.
     pause: Duration,
@@ -53,6 +55,8 @@
     brittle_lines: usize,
     /// The rejections by why the requests were sent.
     rejections: BTreeMap<String, usize>,
+    /// The times that the first gateway found an owner of slots silent.
+    silent_owners: usize,
 }
 
 impl fmt::Debug for PlayResult {
@@ -182,7 +186,7 @@
 fn call_until(play: BrittlePlay, gateways: &[TestGateway], until: Instant) -> (usize, usize) {
     thread::scope(|scope| {
         let call = |number: usize| {
-            let gateway = &gateways[number % gateways.len()];
+            let gateway = &gateways[number % play.called];
             scope.spawn(move || {
                 let mut served = 0;
                 thread::sleep(play.pause.mul_f64(number as f64 / play.callers as f64));
@@ -227,6 +231,14 @@
 }
 
 fn play(play: BrittlePlay) -> PlayResult {
+    play_with(play, |_, _| ())
+}
+
+/// Plays while `disturb` does something to the gateways.
+fn play_with(
+    play: BrittlePlay,
+    disturb: impl FnOnce(&[TestGateway], &UsersStore) + Send,
+) -> PlayResult {
     let store = store_with_manifest();
     let lets_wait = Arc::new(AtomicBool::new(true));
     let set = EngineSet { play, lets_wait };
@@ -250,6 +262,7 @@
                 scope.spawn(move || set.keep_up(store, number, engine, until))
             })
             .collect();
+        scope.spawn(|| disturb(&gateways, &store));
         let (calls, served) = call_until(play, &gateways, until);
         let falls = keepers
             .into_iter()
@@ -262,6 +275,7 @@
         served,
         brittle_lines: gateways[0].log("backend-brittle").len(),
         rejections: rejections(&gateways),
+        silent_owners: gateways[0].log("slot-owner-silent").len(),
     };
     println!("{play:?}: {result:?}");
     result
@@ -272,6 +286,7 @@
 fn brittle_engines_that_let_none_wait_stay_up_under_overload() {
     let result = play(BrittlePlay {
         gateways: 3,
+        called: 3,
         callers: 24,
         pause: Duration::from_millis(10),
         slots: 2,
@@ -290,6 +305,7 @@
 fn brittle_engines_stay_up_and_serve_behind_more_gateways_than_rejections() {
     let result = play(BrittlePlay {
         gateways: 40,
+        called: 40,
         callers: 120,
         pause: Duration::from_millis(650),
         slots: 8,
@@ -307,6 +323,7 @@
 fn brittle_engines_stay_up_under_overload_behind_many_gateways() {
     let result = play(BrittlePlay {
         gateways: 78,
+        called: 78,
         callers: 240,
         pause: Duration::from_millis(100),
         slots: 8,
@@ -317,3 +334,37 @@
     assert!(result.falls <= ALLOWED_FALLS, "{result:?}");
     assert!(result.served > 0, "no call was served");
 }
+
+// Guards against engines that fall over while gateways that own their slots stand still, end or are new.
+#[test]
+fn brittle_engines_stay_up_while_owners_of_their_slots_are_paused_killed_and_started() {
+    let load = BrittlePlay {
+        gateways: 16,
+        called: 8,
+        callers: 64,
+        pause: Duration::from_millis(300),
+        slots: 8,
+        work_time: Duration::from_millis(150),
+        threshold: 2,
+        reports_full: false,
+    };
+    let result = play_with(load, |gateways, store| {
+        for gateway in &gateways[8..12] {
+            gateway.signal(libc::SIGSTOP);
+        }
+        thread::sleep(Duration::from_secs(2));
+        for gateway in &gateways[8..12] {
+            gateway.signal(libc::SIGCONT);
+        }
+        for gateway in &gateways[12..16] {
+            gateway.signal(libc::SIGKILL);
+        }
+        let spawn = |number| TestGateway::spawn(&format!("edge-new-{number}"), store, &[]);
+        let new: Vec<TestGateway> = (1..=4).map(spawn).collect();
+        thread::sleep(Duration::from_secs(3));
+        drop(new);
+    });
+    assert!(result.silent_owners > 0, "no owner was disturbed");
+    assert!(result.falls <= ALLOWED_FALLS, "{result:?}");
+    assert!(result.served * 2 >= result.calls, "{result:?}");
+}
