Platform: a registry entry whose id cannot be written as a header is ignored

The key could do harm: it stands in the head of each request for its engine, so that one with a line end in it added headers there, and one with a space or of any length did not fit.

--- a/crates/entry/tests/gateway_fleet.rs
+++ b/crates/entry/tests/gateway_fleet.rs
@@ -73,6 +73,85 @@
     assert_eq!(ignored(), 3);
 }
 
+// Guards against an odd entry of another writer that ends the gateways that read it, or that they stop at.
+#[test]
+fn odd_registry_entries_neither_end_a_gateway_nor_stop_it() {
+    let store = store_with_manifest();
+    let first = desk_engine(&store, "i-1");
+    let mut gateway = TestGateway::start(&store);
+    let entry = |address: &str, slots: &str, rest: &str| {
+        format!(
+            r#"{{"backend":"desk","address":"{address}","zone":"north-a","version":"v1","max_concurrency":{slots},"phase":"available"{rest}}}"#
+        )
+    };
+    let nested = |open: &str, close: &str| open.repeat(100_000) + &close.repeat(100_000);
+    let nowhere = "127.0.0.1:1";
+    let odd = [
+        nested("[", "]"),
+        nested(r#"{"a":"#, "}").replace("{}", "{\"a\":1}"),
+        entry(nowhere, "8", &format!(r#","extra":{}"#, nested("[", "]"))),
+        entry(nowhere, "1e999", ""),
+        entry(nowhere, "-1", ""),
+        entry(nowhere, "4294967296", ""),
+        entry(
+            nowhere,
+            "4294967295",
+            r#","seq":18446744073709551615,"born":18446744073709551615"#,
+        ),
+        entry(nowhere, "0", ""),
+        entry(nowhere, "8", r#","seq":1e400"#),
+        entry(nowhere, "8", r#","born":99999999999999999999999"#),
+        entry("127.0.0.1:99999", "8", ""),
+        entry("127.0.0.1:-1", "8", ""),
+        entry("127.0.0.1:0", "8", ""),
+        entry("0.0.0.0:0", "8", ""),
+        entry("[::1", "8", ""),
+        "null".to_owned(),
+        "\u{feff}{}".to_owned(),
+        String::new(),
+    ];
+    for (number, value) in odd.iter().enumerate() {
+        store.put(&format!("servers/odd-{number}"), value.clone());
+    }
+    store.put("servers/", entry(nowhere, "8", ""));
+    store.put("servers/x\r\nSmuggled: 1", entry(nowhere, "8", ""));
+    let second = desk_engine(&store, "i-2");
+    announce(&store, "i-1", "desk", &first, "draining");
+    wait_for("the next entry is in force", || {
+        assert!(gateway.is_ready());
+        status(&gateway, "a1");
+        !second.seen().is_empty()
+    });
+    for number in 0..20 {
+        assert_eq!(status(&gateway, &format!("b{number}")), 200);
+    }
+    gateway.signal(libc::SIGTERM);
+    gateway.wait_end();
+}
+
+// Guards against an entry whose key adds headers to the requests for its engine.
+#[test]
+fn an_entry_whose_id_is_no_header_value_is_ignored() {
+    let store = store_with_manifest();
+    let gateway = TestGateway::spawn("edge-1", &store, &[]);
+    let ids = ["x\r\nSmuggled: 1", "", "a b", "x\u{e9}", &"x".repeat(1_000)];
+    let engines = ids.map(|id| desk_engine(&store, id));
+    wait_for("each is ignored", || {
+        let lines = gateway.log("belief");
+        let ignored = lines
+            .iter()
+            .filter(|line| line["change"] == "backend-ignored");
+        ignored.count() == ids.len()
+    });
+    let sound = desk_engine(&store, "i-1");
+    gateway.wait_ready();
+    for number in 0..10 {
+        assert_eq!(status(&gateway, &format!("a{number}")), 200);
+    }
+    assert_eq!(sound.seen().len(), 10);
+    assert!(engines.iter().all(|engine| engine.seen().is_empty()));
+}
+
 #[test]
 fn a_manifest_is_in_force_soon_and_never_an_older_one() {
     let store = store_with_manifest();
