Gateway: an answer without an attempt id on a kept connection is not that of the request on it

It could happen here: a refusal with another request's id was passed over, one without an id was believed, since only an answer that follows a skipped one was not. The request was refused with 503 and had run, at two engines in turn (the test: left 503 before; now answered, run once).

Connections are kept only if their answers name attempts, so one without a name there is no answer to the request. It is passed over; if no other follows, the request may have run. On a new connection nothing else can be answered.

The entry path: services' requests that may run once have a new connection each; completions may be made again (read, not tested anew).

--- a/crates/entry/tests/gateway_calls.rs
+++ b/crates/entry/tests/gateway_calls.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use gateway::{Call, KEY, TestGateway, announce, store_with_manifest, wait_for};
+use gateway::{Call, KEY, TestGateway, announce, start_engine, store_with_manifest, wait_for};
 use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest, UsersStore};
 
 type Script = fn(&SeenRequest) -> EngineReply;
@@ -254,6 +254,37 @@
     assert_eq!(engine.seen()[1].nth_on_connection, 1, "the same connection");
 }
 
+// Guards against an earlier refusal, written once more on a kept connection, that is taken for the answer to the
+// request on it: its caller is told "not run", and it runs at a second engine.
+#[test]
+fn an_earlier_refusal_on_a_kept_connection_refuses_no_other_call() {
+    for stale_id in ["", "Attempt-Id: a1\r\n"] {
+        let store = store_with_manifest();
+        let refusal = |id_line: &str| {
+            format!("HTTP/1.1 503 Full\r\n{id_line}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+        };
+        let script = move |request: &SeenRequest| {
+            if request.message.header("attempt-id") == Some("a1") {
+                return EngineReply::Bytes(refusal("Attempt-Id: a1\r\n").into_bytes());
+            }
+            let mut bytes = refusal(stale_id).into_bytes();
+            bytes.extend(request.answer("done"));
+            EngineReply::Bytes(bytes)
+        };
+        let engines = ["i-1", "i-2"].map(|id| start_engine(&store, id, "desk", script));
+        let gateway = TestGateway::start(&store);
+        let mut caller = gateway.caller();
+        assert_eq!(caller.call(&Call::publish("a1")).status(), 503);
+        let answer = caller.call(&Call::publish("a2"));
+        assert_ne!(answer.status(), 503, "{stale_id:?}");
+        let runs = engines.iter().flat_map(ScriptedEngine::seen);
+        let runs = runs.filter(|seen| seen.message.header("attempt-id") == Some("a2"));
+        let runs: Vec<SeenRequest> = runs.collect();
+        assert_eq!(runs.len(), 1, "{stale_id:?}");
+        assert_eq!(runs[0].nth_on_connection, 1, "the same connection");
+    }
+}
+
 #[test]
 fn an_answer_without_proof_or_in_an_encoding_is_not_delivered_as_a_success() {
     let store = store_with_manifest();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -82,7 +82,7 @@
         core: &Rc<GatewayCore>,
         plan: &SendPlan<'_>,
     ) -> Result<Self, SendError> {
-        let mut conn = open_conn(core, plan).await?;
+        let OpenedConn { mut conn, is_kept } = open_conn(core, plan).await?;
         if plan.key.is_some_and(|key| core.refuses_sends(key)) {
             let reason = "the backend server has asked for no requests meanwhile";
             return Err(SendError::NotSent(reason.to_owned()));
@@ -95,9 +95,10 @@
                 core.apply_backpressure(key, plan.attempt_id, &facts);
             }
             let reader = BodyReader::open(head.framing);
+            // An answer without an id may be another one to an earlier request on a kept connection.
             let is_ours = match &facts.attempt_id {
                 Some(id) => **id == *plan.attempt_id,
-                None => !skipped,
+                None => !skipped && !is_kept,
             };
             if is_ours {
                 let has_attempt_id = facts.attempt_id.is_some();
@@ -162,7 +163,15 @@
     SendError::Unanswered(error.to_string())
 }
 
-async fn open_conn(core: &GatewayCore, plan: &SendPlan<'_>) -> Result<HttpConn, SendError> {
+/// A connection for one request.
+#[derive(Debug)]
+struct OpenedConn {
+    conn: HttpConn,
+    /// Whether earlier requests were sent on it.
+    is_kept: bool,
+}
+
+async fn open_conn(core: &GatewayCore, plan: &SendPlan<'_>) -> Result<OpenedConn, SendError> {
     if let Some(suspended) = core.suspend.detect() {
         core.log.change("suspended", SuspendFields::new(suspended));
         core.pool.borrow_mut().clear();
@@ -171,13 +180,20 @@
         Some(key) => {
             let kept = core.pool.borrow_mut().take(key, monotonic_now());
             if let Some(conn) = kept {
-                return Ok(conn);
+                return Ok(OpenedConn {
+                    conn,
+                    is_kept: true,
+                });
             }
             connect_backend(core, plan.address).await
         }
         None => connect_gateway(core, plan.address).await,
     };
-    opened.map_err(|error| SendError::NotReached(error.to_string()))
+    let conn = opened.map_err(|error| SendError::NotReached(error.to_string()))?;
+    Ok(OpenedConn {
+        conn,
+        is_kept: false,
+    })
 }
 
 /// Connects to a backend server.
