Gateway: only a stream of the same kind, from its next event on, goes on in a stream that has begun

From other operators: a stream broke off and the next engine answered with an error; clients found its text or head in their stream, or a stream that ended as if it were complete. Here answers with an error status never were written into a stream. But an answer with status 200 was, whatever it was: its text stood in the stream, which ended as complete (the test, left "sorry" and the last chunk before), and one without a body ended it as complete.

An answer goes on in a stream only if it has the content type of the first one, and its first event has the id that follows. Eight kinds of error are tested now.

--- a/crates/entry/tests/gateway_calls.rs
+++ b/crates/entry/tests/gateway_calls.rs
@@ -433,6 +433,59 @@
     );
 }
 
+// Guards against the text of an error, or its whole head, in the middle of a stream that has begun, and against a stream
+// that such an error ends as if it were complete.
+#[test]
+fn no_error_that_answers_a_resumed_stream_is_written_into_it() {
+    let head = |status: &str, headers: &str| {
+        format!("HTTP/1.1 {status}\r\nAttempt-Id: ID\r\n{headers}\r\n")
+    };
+    let signed = "Server-Signature: proof-ID\r\n";
+    let text = "Content-Type: text/plain\r\n";
+    let events = "Content-Type: text/event-stream\r\n";
+    let errors = [
+        head("500 Broken", "Transfer-Encoding: chunked\r\n") + "5\r\nsorry\r\n0\r\n\r\n",
+        head("500 Broken", &format!("{signed}Connection: close\r\n")) + "sorry\n\n",
+        head("404 Missing", &format!("{signed}Content-Length: 7\r\n")) + "sorry\n\n",
+        head("200 OK", &format!("{signed}{text}Content-Length: 7\r\n")) + "sorry\n\n",
+        head("200 OK", &format!("{signed}{text}Content-Length: 0\r\n")),
+        head("200 OK", &format!("{signed}{events}Content-Length: 20\r\n"))
+            + "event: error\ndata: x\n\n",
+        head("204 Nothing", signed),
+        "sorry, an error\r\n\r\n".to_owned(),
+    ];
+    for error in errors {
+        let store = store_with_manifest();
+        let reply = error.clone();
+        let script = move |request: &SeenRequest| {
+            if request.message.header("last-event-id").is_some() {
+                let id = request
+                    .message
+                    .header("attempt-id")
+                    .expect("calls have ids");
+                return EngineReply::BytesThenClose(reply.replace("ID", id).into_bytes());
+            }
+            let mut bytes = request.stream_head();
+            bytes.extend(SeenRequest::event(1));
+            EngineReply::BytesThenReset(bytes)
+        };
+        let engines = ["i-1", "i-2"].map(|id| start_engine(&store, id, "engines", script.clone()));
+        let gateway = TestGateway::start(&store);
+        let mut caller = gateway.caller();
+        caller.send(&Call::stream("a1").text());
+        let bytes = String::from_utf8(caller.read_rest()).expect("streams are text");
+        let seen = engines.iter().map(|engine| engine.seen().len());
+        assert_eq!(seen.sum::<usize>(), 2, "it was resumed: {error}");
+        let end = bytes.split("id: 1").nth(1).expect("the first event");
+        assert!(!end.contains("HTTP/1.1"), "{error}: {bytes}");
+        assert!(
+            !end.contains("sorry") && !end.contains("error"),
+            "{error}: {bytes}"
+        );
+        assert!(!bytes.ends_with("0\r\n\r\n"), "{error}: {bytes}");
+    }
+}
+
 #[test]
 fn an_engine_stops_when_its_caller_leaves() {
     let store = store_with_manifest();
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -257,7 +257,7 @@
             return self.after_failed_run("the backend server's answer was not its own");
         }
         self.verdict = self.verdict.join(Verdict::Ran);
-        if self.is_head_sent && !is_good {
+        if !self.is_continuation(&answer.head) {
             // The caller has received part of a stream, so no other answer can be delivered.
             let outcome = format!("the backend server did not go on and answered {status}");
             self.record_failure(target, Verdict::Ran, &outcome, sent_at);
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -100,6 +100,8 @@
     verdict: Verdict,
     failed_answer: Option<BufferedAnswer>,
     is_head_sent: bool,
+    /// The content type of the stream that the caller has received a part of.
+    stream_type: Option<Box<str>>,
     closes: bool,
     last_event: Option<u64>,
     events: usize,
@@ -167,6 +169,7 @@
             verdict: Verdict::NotRun,
             failed_answer: None,
             is_head_sent: false,
+            stream_type: None,
             closes: !job.head.keeps_alive,
             last_event: job.facts.resume_from,
             events: 0,
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -20,6 +20,9 @@
 use crate::port::AnswerFraming;
 use crate::prelude::*;
 
+/// The header that names the form of a body; the parts of one stream have the same.
+const CONTENT_TYPE: &str = "Content-Type";
+
 /// How many latency targets a resumable stream may be silent before it is resumed elsewhere.
 const STREAM_SILENCE_TARGETS: u64 = 2;
 
@@ -144,7 +147,7 @@
                             return self.break_off(answer, &state, target, &reason, sent_at);
                         }
                     };
-                    if self.is_out_of_order(&batch) {
+                    if self.is_out_of_order(&batch, state.timing.events == 0) {
                         let reason = "events out of order";
                         self.record_failure(target, Verdict::Ran, reason, sent_at);
                         return self.handle_broken_stream(reason);
@@ -237,13 +240,22 @@
         Span(target.0.saturating_mul(STREAM_SILENCE_TARGETS)).max(MIN_STREAM_SILENCE)
     }
 
-    pub(super) fn is_out_of_order(&self, batch: &EventBatch) -> bool {
+    /// Returns whether events do not follow those before; `is_first` tells that they are the first of an attempt.
+    pub(super) fn is_out_of_order(&self, batch: &EventBatch, is_first: bool) -> bool {
         match (self.last_event, batch.first_id) {
             (Some(last), Some(first)) => first != last + 1,
+            // A stream with ids goes on with an event that has one.
+            (Some(_), None) => is_first && batch.count > 0,
             _ => false,
         }
     }
 
+    /// Returns whether an answer may go on in the stream that the caller has received a part of.
+    pub(super) fn is_continuation(&self, head: &AnswerHead) -> bool {
+        let is_same_type = head.headers.text(CONTENT_TYPE) == self.stream_type.as_deref();
+        !self.is_head_sent || ((200..300).contains(&head.status) && is_same_type)
+    }
+
     pub(super) fn record_events(
         &mut self,
         batch: &EventBatch,
@@ -291,6 +303,7 @@
             return;
         }
         self.is_head_sent = true;
+        self.stream_type = head.headers.text(CONTENT_TYPE).map(Box::from);
         self.closes |= self.core.shutdown.is_stopping();
         let framing = AnswerFraming {
             length: None,
