Engine client: an answer that is no stream goes on in none

The entry path's side of the report on errors in streams: a resumed call that an engine answered with status 200 and a JSON body, an error, was delivered as an event of the stream and ended it as complete. It is a failure of the engine now, and the next one is tried.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -75,10 +75,14 @@
             timeouts: call.timeouts,
         };
         let response = self.client.send(request).await?;
-        if response.status == StatusCode::OK {
-            return Ok(EngineStream::new(response));
+        if response.status != StatusCode::OK {
+            return Err(status_error(response).await);
         }
-        Err(status_error(response).await)
+        let stream = EngineStream::new(response);
+        if call.resume.is_some() && !stream.is_streamed() {
+            return Err(malformed("the answer to a resumed call is no stream"));
+        }
+        Ok(stream)
     }
 
     /// Asks an engine to cancel a request by the name that its call carried.
--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Returns whether the answer arrives as events.
+    pub(crate) fn is_streamed(&self) -> bool {
+        self.state != StreamState::Unstreamed
+    }
+
     /// Returns the next event or an error, or none after the end of the answer.
     ///
     /// After an error or the end it returns none. The method is cancel safe: dropping its future
