--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -175,15 +175,24 @@
 #[test]
 fn unknown_outcomes_are_resolved_and_reported() {
     let fleet = TestFleet::spawn();
-    fleet.deployment.platform.drop_write_answers(1);
+    fleet
+        .deployment
+        .platform
+        .drop_write_answers_of("class/fast", 1);
     let file = fleet.file("class.fast.toml", &class_document(900));
     let done = stdout_text(&fleet.run(&["record", "put", &file]), 0);
     assert!(done.contains("its outcome was unknown at first"), "{done}");
-    fleet.deployment.platform.drop_write_answers(1);
+    fleet
+        .deployment
+        .platform
+        .drop_write_answers_of("class/fast", 1);
     let edit = ["record", "edit", "class", "fast", "patience_ms=7000"];
     let done = stdout_text(&fleet.run_at_platform(&edit), 0);
     assert!(done.contains("its outcome was unknown at first"), "{done}");
-    fleet.deployment.platform.drop_write_answers(1);
+    fleet
+        .deployment
+        .platform
+        .drop_write_answers_of("class/fast", 1);
     stdout_text(&fleet.run(&["record", "delete", "class", "fast"]), 0);
     stderr_text(&fleet.run(&["record", "get", "class", "fast"]), 1);
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -123,8 +123,15 @@
 
     /// Drops the answers of the next `count` successful writes, which still take effect.
     pub fn drop_write_answers(&self, count: u32) {
+        self.drop_write_answers_of("", count);
+    }
+
+    /// Drops the answers of the next `count` successful writes that contain a text, whichever others processes
+    /// make meanwhile.
+    pub fn drop_write_answers_of(&self, text: &str, count: u32) {
         let mut plan = self.core.faults();
         plan.drop_next_answers = count;
+        text.clone_into(&mut plan.drop_only);
         self.core.set_faults(plan);
     }
 
--- a/crates/standin/src/platform_core.rs
+++ b/crates/standin/src/platform_core.rs
@@ -76,8 +76,8 @@
         self.faults.lock().plan.clone()
     }
 
-    pub(crate) fn should_drop_answer(&self) -> bool {
-        self.faults.lock().should_drop_answer()
+    pub(crate) fn should_drop_answer(&self, write: &[u8]) -> bool {
+        self.faults.lock().should_drop_answer(write)
     }
 
     pub(crate) fn counters(&self) -> PlatformCounters {
--- a/crates/standin/src/platform_faults.rs
+++ b/crates/standin/src/platform_faults.rs
@@ -31,6 +31,8 @@
     pub delay_ms: u64,
     /// The number of further successful writes whose answers are dropped.
     pub drop_next_answers: u32,
+    /// A text that such a write contains, its key for example; empty for any write.
+    pub drop_only: String,
     /// The share of successful writes whose answers are dropped, from 0 to 1.
     pub drop_share: f64,
     /// The seed of the random choices for `drop_share`.
@@ -72,8 +74,9 @@
     }
 
     /// Returns whether to drop the answer of the present write, and counts it.
-    pub(crate) fn should_drop_answer(&mut self) -> bool {
-        if self.plan.drop_next_answers > 0 {
+    pub(crate) fn should_drop_answer(&mut self, write: &[u8]) -> bool {
+        let is_meant = memchr::memmem::find(write, self.plan.drop_only.as_bytes()).is_some();
+        if self.plan.drop_next_answers > 0 && is_meant {
             self.plan.drop_next_answers -= 1;
             return true;
         }
--- a/crates/standin/src/platform_http.rs
+++ b/crates/standin/src/platform_http.rs
@@ -102,7 +102,7 @@
     if matches!(result, Err(WireError::Conflict { .. })) {
         core.count(|counters| counters.conflicts += 1);
     }
-    if is_write && result.is_ok() && core.should_drop_answer() {
+    if is_write && result.is_ok() && core.should_drop_answer(&body) {
         core.count(|counters| counters.dropped_answers += 1);
         return close_connection(&request);
     }
