--- a/crates/balance/src/slot_ledger.rs
+++ b/crates/balance/src/slot_ledger.rs
@@ -156,7 +156,9 @@
 /// The leases on the slots of one backend server.
 #[derive(Debug)]
 pub struct SlotLedger {
-    owner_since: MonoTime,
+    /// The role in the last decision, and since when this gateway has it.
+    role: Option<OwnerRole>,
+    role_since: MonoTime,
     leases: FastMap<LeaseId, LeaseState>,
     queue: Vec<QueuedAsk>,
     queue_grants: u64,
@@ -169,7 +171,8 @@
     /// Opens the ledger of a gateway that has just become an owner.
     pub fn open(now: MonoTime) -> Self {
         Self {
-            owner_since: now,
+            role: None,
+            role_since: now,
             leases: FastMap::default(),
             queue: Vec::new(),
             queue_grants: 0,
@@ -180,6 +183,7 @@
 
     /// Decides on a request for a lease. The same request again gets the same reply.
     pub fn ask(&mut self, ask: LeaseAsk, terms: &SlotTerms, now: MonoTime) -> LeaseReply {
+        self.take_role(terms.role, now);
         self.expire(now);
         if self.leases.contains_key(&ask.lease) {
             return LeaseReply::Granted(terms.role);
@@ -238,6 +242,7 @@
 
     /// Grants leases to requests in the queue for which there is room now, and returns these.
     pub fn grant_queued(&mut self, terms: &SlotTerms, now: MonoTime) -> Vec<LeaseAsk> {
+        self.take_role(terms.role, now);
         self.expire(now);
         let mut granted = Vec::new();
         while self.has_room(terms, now) {
@@ -262,6 +267,13 @@
         self.queue.len()
     }
 
+    fn take_role(&mut self, role: OwnerRole, now: MonoTime) {
+        let last = self.role.replace(role);
+        if last.is_some_and(|last| last != role) {
+            self.role_since = now;
+        }
+    }
+
     /// Returns the place of the request that gets the next slot.
     fn first_queued(&self) -> Option<usize> {
         let is_oldest_turn = self.queue_grants % OLDEST_TURN == OLDEST_TURN - 1;
@@ -297,7 +309,7 @@
         }
         let shown = self.recovered(now).unwrap_or(u32::MAX);
         let limit = terms.usable_slots().min(shown);
-        let is_settled = now.since(self.owner_since) >= SETTLE_TIME;
+        let is_settled = now.since(self.role_since) >= SETTLE_TIME;
         if terms.role == OwnerRole::First && is_settled {
             return self.leases.len() < limit as usize;
         }
--- a/crates/gateway/src/slot_exchange.rs
+++ b/crates/gateway/src/slot_exchange.rs
@@ -30,8 +30,12 @@
 /// How many times an owner is asked until it counts as silent.
 const ASKS: u32 = 3;
 
-/// How long an owner that did not answer is not asked.
-const SILENT_TIME: Span = Span::from_secs(1);
+/// How long an owner that did not answer is not asked at first; datagrams may have been lost. Each further time is
+/// twice as long.
+const MIN_SILENT_TIME: Span = Span::from_millis(250);
+
+/// The longest time for which an owner that did not answer is not asked.
+const MAX_SILENT_TIME: Span = Span::from_secs(2);
 
 /// The pause of this gateway at a backend server of whose slots no owner answers.
 const NO_OWNER_PAUSE: Span = Span::from_millis(250);
@@ -85,6 +89,15 @@
     }
 }
 
+/// An owner that did not answer.
+#[derive(Debug, Clone, Copy)]
+struct SilentOwner {
+    /// Until when it is not asked.
+    until: MonoTime,
+    /// How long it is not asked this time.
+    span: Span,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct HeldLease {
     key: BackendKey,
@@ -100,8 +113,8 @@
     held: RefCell<FastMap<LeaseId, HeldLease>>,
     /// The requests that wait for a reply.
     asks: RefCell<FastMap<LeaseId, UnboundedSender<LeaseReply>>>,
-    /// Until when an owner that did not answer is not asked.
-    silent: RefCell<FastMap<SocketAddr, MonoTime>>,
+    /// The owners that did not answer, until one does.
+    silent: RefCell<FastMap<SocketAddr, SilentOwner>>,
     /// The leases that ended since the last round, which their owners are told of once more then: a lost
     /// datagram would keep a slot until its lease expires.
     ended: RefCell<FastMap<SocketAddr, Vec<EndedLease>>>,
@@ -130,14 +143,23 @@
         let SlotOwner::Other(address) = owner else {
             return false;
         };
-        let until = self.silent.borrow().get(&address).copied();
-        until.is_some_and(|until| now < until)
+        let silent = self.silent.borrow();
+        silent.get(&address).is_some_and(|owner| now < owner.until)
     }
 
     fn mark_silent(&self, address: SocketAddr, now: MonoTime) {
         let mut silent = self.silent.borrow_mut();
-        silent.retain(|_, until| now < *until);
-        silent.insert(address, now + SILENT_TIME);
+        silent.retain(|_, owner| now < owner.until + MAX_SILENT_TIME);
+        let span = match silent.get(&address) {
+            Some(owner) => Span(2 * owner.span.0).min(MAX_SILENT_TIME),
+            None => MIN_SILENT_TIME,
+        };
+        let until = now + span;
+        silent.insert(address, SilentOwner { until, span });
+    }
+
+    fn mark_heard(&self, address: SocketAddr) {
+        self.silent.borrow_mut().remove(&address);
     }
 
     /// Returns how many leases this gateway holds, and how many it has granted.
@@ -484,6 +506,7 @@
             send_reply(core, lease, reply, from);
         }
         SlotMessage::Reply { lease, reply } => {
+            core.slots.mark_heard(from);
             // The request may have given up meanwhile and told the owner so.
             deliver(core, lease, reply);
         }
