Gateway: the slots of a brittle backend server are those that its answers tell

Its entries tell of 8 slots where 2 are.

Answers tell the number of slots besides those that run and wait. The smaller one of theirs and the entry's counts; a gateway that asks tells the owner what it knows, since few answers come to the owner itself.

--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -74,8 +74,10 @@
     pub rate_limit: RateLimit,
     /// The rejections that it has said it survives.
     pub rejection_limit: RejectionLimit,
-    /// The number of its slots.
+    /// The number of its slots, by its registry entry.
     pub slots: u32,
+    /// The number of its slots by its own answers.
+    reported_slots: Option<u32>,
     /// The number of this gateway's requests there whose answers have not begun.
     own_pending: u32,
     health: BackendHealth,
@@ -101,6 +103,7 @@
             rate_limit: RateLimit::default(),
             rejection_limit: RejectionLimit::default(),
             slots,
+            reported_slots: None,
             own_pending: 0,
             health: BackendHealth::open(MIN_EJECTION, MAX_EJECTION),
             report: None,
@@ -160,6 +163,17 @@
         });
     }
 
+    /// Takes over the number of slots that its answers tell, here or at another gateway.
+    pub fn set_reported_slots(&mut self, slots: u32) {
+        self.reported_slots = Some(slots);
+    }
+
+    /// Returns how many requests it runs at once; of two numbers the smaller one.
+    pub fn usable_slots(&self) -> u32 {
+        self.reported_slots
+            .map_or(self.slots, |reported| reported.min(self.slots))
+    }
+
     /// Returns the newest report with its time, if it is not older than `span`.
     pub fn fresh_report(&self, span: Span, now: MonoTime) -> Option<(LoadReport, MonoTime)> {
         let dated = self.report.filter(|dated| now.since(dated.at) < span)?;
--- a/crates/balance/src/slot_ledger.rs
+++ b/crates/balance/src/slot_ledger.rs
@@ -20,8 +20,6 @@
 use oleander_base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::LoadReport;
-
 /// How long a lease lasts that is not renewed: three rounds in which holders renew theirs.
 pub const LEASE_TTL: Span = Span::from_millis(1_500);
 
@@ -79,8 +77,6 @@
     pub threshold: u32,
     /// The number of its slots.
     pub slots: u32,
-    /// Its last load report, if that is recent.
-    pub report: Option<LoadReport>,
 }
 
 impl SlotTerms {
@@ -89,14 +85,6 @@
     fn shared_limit(&self) -> u32 {
         self.threshold.div_ceil(2).max(1)
     }
-
-    /// Returns how many requests run there when all slots are taken. A report with a queue shows it, because
-    /// an engine that lets fewer wait than before rejects what comes then.
-    fn usable_slots(&self) -> u32 {
-        let queued = self.report.filter(|report| report.waiting > 0);
-        let usable = queued.map_or(self.slots, |report| report.running.min(self.slots));
-        usable.max(1)
-    }
 }
 
 /// A request for a lease.
@@ -308,7 +296,7 @@
             return false;
         }
         let shown = self.recovered(now).unwrap_or(u32::MAX);
-        let limit = terms.usable_slots().min(shown);
+        let limit = terms.slots.max(1).min(shown);
         let is_settled = now.since(self.role_since) >= SETTLE_TIME;
         if terms.role == OwnerRole::First && is_settled {
             return self.leases.len() < limit as usize;
--- a/crates/balance/tests/rejection_limit.rs
+++ b/crates/balance/tests/rejection_limit.rs
@@ -86,6 +86,21 @@
     assert_eq!(threshold(&fleet, keys[2]), Some(4));
 }
 
+// Guards against requests that are sent into a queue which may be closed before they run: an entry that tells of more
+// slots than there are.
+#[test]
+fn the_slots_that_a_backend_server_reports_count_if_they_are_fewer() {
+    let mut fleet = FleetTable::default();
+    fleet.upsert(entry("i-0", SERVICE, 6));
+    let key = fleet.key_of("i-0").expect("it is there");
+    let state = &mut fleet.get_mut(key).expect("it is there").state;
+    assert_eq!(state.usable_slots(), 6);
+    state.set_reported_slots(2);
+    assert_eq!(state.usable_slots(), 2);
+    state.set_reported_slots(8);
+    assert_eq!(state.usable_slots(), 6);
+}
+
 #[test]
 fn a_full_backend_server_is_not_chosen_while_it_is_brittle() {
     let mut fleet = FleetTable::default();
--- a/crates/gateway/src/backpressure.rs
+++ b/crates/gateway/src/backpressure.rs
@@ -55,6 +55,9 @@
             self.metrics.record_backpressure("backoff");
             self.log_backpressure("backend-backoff", key, request, Some(span));
         }
+        if let Some(slots) = facts.slots {
+            self.with_backend(key, |state| state.set_reported_slots(slots));
+        }
         let now = monotonic_now();
         self.name_limit(key, facts.rate_limit, now, Some(request));
         self.name_brittleness(key, facts.brittleness, now, Some(request));
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -110,6 +110,8 @@
         urgency: u8,
         /// How long the request may wait for a slot.
         wait_ms: u16,
+        /// The number of slots as known to the gateway that asks.
+        slots: u32,
     },
     /// Answers an ask.
     Reply { lease: LeaseId, reply: LeaseReply },
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -76,6 +76,8 @@
     pub is_not_run: bool,
     /// The load that the backend server reports.
     pub load: Option<LoadReport>,
+    /// The number of its slots that the backend server reports.
+    pub slots: Option<u32>,
     /// Whether the backend server says that it leaves.
     pub is_leaving: bool,
     /// How long the backend server asks this gateway to back off.
--- a/crates/gateway/src/slot_exchange.rs
+++ b/crates/gateway/src/slot_exchange.rs
@@ -40,9 +40,6 @@
 /// The pause of this gateway at a backend server of whose slots no owner answers.
 const NO_OWNER_PAUSE: Span = Span::from_millis(250);
 
-/// The greatest age of a load report that an owner heeds.
-const MAX_REPORT_AGE: Span = Span::from_millis(1_000);
-
 /// The greatest number of leases in one message.
 const MAX_RECORDS: usize = 60;
 
@@ -304,11 +301,15 @@
                 let Some(backend) = self.core.backend_hash(self.wish.key) else {
                     return;
                 };
+                let slots = self
+                    .core
+                    .with_backend(self.wish.key, |state| state.usable_slots());
                 let message = SlotMessage::Ask {
                     backend,
                     lease: self.id,
                     urgency: ask.urgency,
                     wait_ms: u16::try_from(ask.wait.0 / 1_000).unwrap_or(u16::MAX),
+                    slots: slots.unwrap_or(u32::MAX),
                 };
                 self.core
                     .peers
@@ -430,13 +431,11 @@
     let fleet = core.fleet.borrow();
     let member = fleet.get(key)?;
     let state = &member.state;
-    let report = state.fresh_report(MAX_REPORT_AGE, monotonic_now());
     Some(SlotTerms {
         role,
         // The gateway that asks may know of the brittleness first.
         threshold: state.rejection_limit.threshold().unwrap_or(1),
-        slots: member.entry.slots,
-        report: report.map(|(report, _)| report),
+        slots: state.usable_slots(),
     })
 }
 
@@ -492,6 +491,7 @@
             lease,
             urgency,
             wait_ms,
+            slots,
         } => {
             let ask = LeaseAsk {
                 lease,
@@ -500,7 +500,10 @@
                 wait: Span::from_millis(u64::from(wait_ms)),
             };
             let reply = match core.backend_key(backend) {
-                Some(key) => decide(core, key, ask),
+                Some(key) => {
+                    note_slots(core, key, slots);
+                    decide(core, key, ask)
+                }
                 None => LeaseReply::NotOwner,
             };
             send_reply(core, lease, reply, from);
@@ -526,6 +529,16 @@
     }
 }
 
+/// Takes over how many slots another gateway knows of, if these are fewer than known here: few answers come to
+/// the owner itself.
+fn note_slots(core: &GatewayCore, key: BackendKey, slots: u32) {
+    core.with_backend(key, |state| {
+        if slots < state.usable_slots() {
+            state.set_reported_slots(slots);
+        }
+    });
+}
+
 /// Notes a rejection by the end of a lease, so that news of it does not count as another one.
 fn note_rejection(core: &GatewayCore, key: BackendKey, end: LeaseEnd) {
     if end == LeaseEnd::Rejected {
