--- a/crates/balance/tests/slot_fleet/mod.rs
+++ b/crates/balance/tests/slot_fleet/mod.rs
@@ -5,6 +5,10 @@
 //! too many of these in a second. What one chooser that knows all slots would serve is played beside it, on the same
 //! arrivals.
 
+mod asker;
+mod owner;
+mod plan;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 
@@ -17,6 +21,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+pub(crate) use self::plan::{FleetPlan, FleetResult, GatewayFault};
+
 const START: MonoTime = MonoTime(1_000_000_000);
 const REPLY_TIMEOUT: Span = Span::from_millis(50);
 const MIN_SILENT_TIME: Span = Span::from_millis(250);
@@ -32,62 +38,6 @@
 /// More gateways than can fail in one play.
 const MAX_RANKS: usize = 8;
 
-/// Trouble of one gateway.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum GatewayFault {
-    /// It handles nothing for a while, and then what has come meanwhile.
-    Pause(Span),
-    /// It ends; the others notice after seconds.
-    Kill,
-    /// It is new: the others ask it as soon as they know of it.
-    Join,
-    /// It sends and gets no messages of other gateways for a while.
-    Cut(Span),
-}
-
-/// The inputs of a play.
-#[derive(Debug, Clone)]
-pub(crate) struct FleetPlan {
-    pub(crate) gateways: usize,
-    pub(crate) backends: usize,
-    pub(crate) slots: u32,
-    pub(crate) threshold: u32,
-    /// Requests in relation to what all slots can run.
-    pub(crate) load: f64,
-    pub(crate) work: Span,
-    /// The mean time of a message between two gateways.
-    pub(crate) delay: Span,
-    /// The share of messages that are lost.
-    pub(crate) loss: f64,
-    pub(crate) length: Span,
-    /// When requests begin to count.
-    pub(crate) counts_from: Span,
-    /// Faults at times; each strikes the first owner of a random backend server.
-    pub(crate) faults: Vec<(Span, GatewayFault)>,
-    pub(crate) seed: u64,
-}
-
-/// The results of a play.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct FleetResult {
-    pub(crate) arrived: usize,
-    pub(crate) served: usize,
-    pub(crate) rejected: usize,
-    pub(crate) falls: usize,
-    pub(crate) messages: usize,
-    /// The requests that one chooser with perfect knowledge serves, of as many that arrive there.
-    pub(crate) perfect: usize,
-    pub(crate) perfect_arrived: usize,
-}
-
-impl FleetResult {
-    /// Returns the share of its requests that is served, against the share that perfect knowledge serves.
-    pub(crate) fn relative_share(&self) -> f64 {
-        let share = self.served as f64 / self.arrived as f64;
-        share / (self.perfect as f64 / self.perfect_arrived as f64)
-    }
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct BackendRef {
     index: usize,
@@ -355,95 +305,6 @@
             && known.paused_until <= self.now
     }
 
-    fn choose(&mut self, request: usize) {
-        let state = &self.requests[request];
-        let gateway = &self.gateways[state.gateway];
-        let is_open =
-            |index: &usize| !state.tried.contains(index) && !self.backends[*index].is_down;
-        let is_full = |index: &usize| {
-            gateway
-                .full
-                .get(index)
-                .is_some_and(|until| self.now < *until)
-        };
-        let open: Vec<usize> = (0..self.backends.len()).filter(is_open).collect();
-        let free: Vec<usize> = open
-            .iter()
-            .copied()
-            .filter(|index| !is_full(index))
-            .collect();
-        let waits = free.is_empty() || state.tried.len() >= MAX_TRIES;
-        let candidates = if waits {
-            (0..self.backends.len())
-                .filter(|index| !self.backends[*index].is_down)
-                .collect()
-        } else {
-            free
-        };
-        if candidates.is_empty() || state.waits {
-            return;
-        }
-        let index = candidates[self.random.random_range(0..candidates.len())];
-        let generation = self.backends[index].generation;
-        let state = &mut self.requests[request];
-        state.backend = BackendRef { index, generation };
-        state.waits = waits;
-        state.place = 0;
-        state.asks = 0;
-        state.lease = LeaseId(self.random.random());
-        self.ask(request);
-    }
-
-    /// Asks the owner whose turn it is, or goes on to another backend server.
-    fn ask(&mut self, request: usize) {
-        let state = self.requests[request].clone();
-        let owners = self.owners(state.gateway, state.backend.index);
-        let Some(owner) = owners.get(state.place).copied().flatten() else {
-            self.mark_full(request, NO_OWNER_PAUSE);
-            return self.choose(request);
-        };
-        let is_silent = self.gateways[state.gateway]
-            .silent
-            .get(&owner)
-            .is_some_and(|(until, _)| self.now < *until);
-        if is_silent || state.asks == ASKS {
-            if state.asks == ASKS {
-                let silent = &mut self.gateways[state.gateway].silent;
-                let span = match silent.get(&owner) {
-                    Some((_, span)) => Span(2 * span.0).min(MAX_SILENT_TIME),
-                    None => MIN_SILENT_TIME,
-                };
-                silent.insert(owner, (self.now + span, span));
-                self.release(&state, owner, LeaseEnd::Free);
-            }
-            let state = &mut self.requests[request];
-            state.place += 1;
-            state.asks = 0;
-            return self.ask(request);
-        }
-        let state = &mut self.requests[request];
-        state.asks += 1;
-        state.step += 1;
-        let (step, lease, backend) = (state.step, state.lease, state.backend);
-        let (wait, from) = (
-            if state.waits { SLOT_WAIT } else { Span::ZERO },
-            state.gateway,
-        );
-        self.message(
-            from,
-            owner,
-            Event::Ask {
-                request,
-                step,
-                owner,
-                lease,
-                backend,
-                wait,
-            },
-        );
-        self.at(REPLY_TIMEOUT, Event::Timeout { request, step });
-    }
-
     /// Returns the owners of a backend server's slots as one gateway sees them.
     fn owners(&self, viewer: usize, backend: usize) -> [Option<usize>; 2] {
         let lag = self.view_lags[viewer];
@@ -479,217 +340,6 @@
         self.at(delay.max(wakes), event);
     }
 
-    fn ledger(
-        &mut self,
-        owner: usize,
-        backend: BackendRef,
-    ) -> Option<(&mut SlotLedger, SlotTerms)> {
-        let role = match self.owners(owner, backend.index) {
-            [Some(first), _] if first == owner => OwnerRole::First,
-            [_, Some(second)] if second == owner => OwnerRole::Standby,
-            _ => return None,
-        };
-        let terms = SlotTerms {
-            role,
-            threshold: self.plan.threshold,
-            slots: self.plan.slots,
-        };
-        let key = (owner, backend.index, backend.generation);
-        let now = self.now;
-        let ledger = self
-            .ledgers
-            .entry(key)
-            .or_insert_with(|| SlotLedger::open(now));
-        Some((ledger, terms))
-    }
-
-    fn on_ask(
-        &mut self,
-        request: usize,
-        step: u32,
-        owner: usize,
-        lease: LeaseId,
-        backend: BackendRef,
-        wait: Span,
-    ) {
-        let now = self.now;
-        let ask = LeaseAsk {
-            lease,
-            asker: None,
-            urgency: self.requests[request].urgency,
-            wait,
-        };
-        let reply = match self.ledger(owner, backend) {
-            Some((ledger, terms)) => ledger.ask(ask, &terms, now),
-            None => {
-                self.ledgers
-                    .remove(&(owner, backend.index, backend.generation));
-                LeaseReply::NotOwner
-            }
-        };
-        if reply == LeaseReply::Queued {
-            self.asked_by.insert(lease, (request, step));
-        }
-        let to = self.requests[request].gateway;
-        self.message(
-            owner,
-            to,
-            Event::Reply {
-                request,
-                step,
-                owner,
-                reply,
-            },
-        );
-    }
-
-    fn on_reply(&mut self, request: usize, step: u32, owner: usize, reply: LeaseReply) {
-        let state = self.requests[request].clone();
-        self.gateways[state.gateway].silent.remove(&owner);
-        if state.step != step || state.granted_by.is_some() {
-            return;
-        }
-        match reply {
-            LeaseReply::Granted(_) => {
-                let state = &mut self.requests[request];
-                state.step += 1;
-                state.granted_by = Some(owner);
-                self.running.insert(request);
-                let backend = state.backend;
-                let link = Span::from_millis(1);
-                self.at(link, Event::Send { request, backend });
-            }
-            LeaseReply::Queued => {
-                // The timeout is now that of the wait; the step stays, since the grant carries it.
-                self.requests[request].asks = ASKS + 1;
-                self.at(SLOT_WAIT, Event::Timeout { request, step });
-            }
-            LeaseReply::Full { retry_ms } => {
-                self.mark_full(request, Span::from_millis(u64::from(retry_ms)));
-                self.next_backend(request);
-            }
-            LeaseReply::NotOwner => {
-                let state = &mut self.requests[request];
-                state.place += 1;
-                state.asks = 0;
-                self.ask(request);
-            }
-        }
-    }
-
-    fn mark_full(&mut self, request: usize, pause: Span) {
-        let state = &mut self.requests[request];
-        state.step += 1;
-        state.tried.push(state.backend.index);
-        let until = self.now + pause;
-        self.gateways[state.gateway]
-            .full
-            .insert(state.backend.index, until);
-    }
-
-    fn next_backend(&mut self, request: usize) {
-        self.choose(request);
-    }
-
-    fn on_timeout(&mut self, request: usize, step: u32) {
-        let state = self.requests[request].clone();
-        if state.step != step || state.granted_by.is_some() {
-            return;
-        }
-        if state.asks <= ASKS {
-            return self.ask(request);
-        }
-        // It waited in vain.
-        let owners = self.owners(state.gateway, state.backend.index);
-        if let Some(owner) = owners[state.place.min(1)] {
-            self.release(&state, owner, LeaseEnd::Free);
-        }
-        self.requests[request].step += 1;
-    }
-
-    fn release(&mut self, state: &Request, owner: usize, end: LeaseEnd) {
-        let release = Event::Release {
-            owner,
-            lease: state.lease,
-            backend: state.backend,
-            end,
-        };
-        self.released.push((state.gateway, release));
-        self.message(state.gateway, owner, release);
-    }
-
-    fn on_release(&mut self, owner: usize, lease: LeaseId, backend: BackendRef, end: LeaseEnd) {
-        let now = self.now;
-        if let Some((ledger, _)) = self.ledger(owner, backend) {
-            ledger.release(lease, end, now);
-        }
-        self.grant_queued(owner, backend);
-    }
-
-    fn grant_queued(&mut self, owner: usize, backend: BackendRef) {
-        let now = self.now;
-        let Some((ledger, terms)) = self.ledger(owner, backend) else {
-            return;
-        };
-        for ask in ledger.grant_queued(&terms, now) {
-            if let Some((request, step)) = self.asked_by.remove(&ask.lease) {
-                let reply = LeaseReply::Granted(terms.role);
-                let to = self.requests[request].gateway;
-                self.message(
-                    owner,
-                    to,
-                    Event::Reply {
-                        request,
-                        step,
-                        owner,
-                        reply,
-                    },
-                );
-            }
-        }
-    }
-
-    fn on_renew(&mut self, owner: usize, lease: LeaseId, backend: BackendRef) {
-        let now = self.now;
-        if let Some((ledger, _)) = self.ledger(owner, backend) {
-            ledger.renew(lease, now);
-        }
-    }
-
-    fn on_renew_round(&mut self) {
-        self.at(RENEW_INTERVAL, Event::RenewRound);
-        for (gateway, release) in std::mem::take(&mut self.released) {
-            if let Event::Release { owner, .. } = release {
-                self.message(gateway, owner, release);
-            }
-        }
-        let running = self
-            .running
-            .iter()
-            .map(|request| self.requests[*request].clone());
-        let running: Vec<Request> = running.filter(|state| self.is_up(state.gateway)).collect();
-        for state in running {
-            let first = self.owners(state.gateway, state.backend.index)[0];
-            let other = state.granted_by.filter(|owner| Some(*owner) != first);
-            for owner in [first, other].into_iter().flatten() {
-                let (lease, backend) = (state.lease, state.backend);
-                self.message(
-                    state.gateway,
-                    owner,
-                    Event::Renew {
-                        owner,
-                        lease,
-                        backend,
-                    },
-                );
-            }
-        }
-        let known: Vec<(usize, usize, usize)> = self.ledgers.keys().copied().collect();
-        for (owner, index, generation) in known {
-            self.grant_queued(owner, BackendRef { index, generation });
-        }
-    }
-
     fn on_send(&mut self, request: usize, at: BackendRef) {
         let window = Span::from_secs(1);
         let now = self.now;
@@ -759,19 +409,6 @@
         );
     }
 
-    fn on_answer(&mut self, request: usize, end: LeaseEnd) {
-        let state = self.requests[request].clone();
-        let owner = self.requests[request].granted_by.take();
-        self.running.remove(&request);
-        if let Some(owner) = owner.filter(|_| self.is_up(state.gateway)) {
-            self.release(&state, owner, end);
-        }
-        if end == LeaseEnd::Rejected {
-            self.mark_full(request, NO_OWNER_PAUSE);
-            self.choose(request);
-        }
-    }
-
     fn on_fault(&mut self, number: usize) {
         let backend = self.random.random_range(0..self.backends.len());
         let owner = self.owners(0, backend)[0].expect("there is an owner");
--- a/crates/gateway/src/brittle_news.rs
+++ b/crates/gateway/src/brittle_news.rs
@@ -12,7 +12,7 @@
 use crate::gossip::pick_targets;
 use crate::peer_message::{BrittleRecord, PeerMessage};
 use crate::prelude::*;
-use crate::slot_exchange::count_rejection;
+use crate::slots::count_rejection;
 
 /// The greatest number of backend servers in one message.
 const MAX_RECORDS: usize = 50;
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -27,7 +27,7 @@
 use crate::quarantine::CrashQuarantine;
 use crate::relay_targets::RelayTargets;
 use crate::shutdown::ShutdownState;
-use crate::slot_exchange::{SlotExchange, SlotLease};
+use crate::slots::{SlotExchange, SlotLease};
 use crate::suspend::SuspendDetector;
 
 /// The number of gateways assumed until the key-value store's state is known.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -27,7 +27,7 @@
     DownRecord, LoadMessage, LoadRecord, MAX_DATAGRAM_BYTES, PeerMessage, decode,
 };
 use crate::prelude::*;
-use crate::slot_exchange::{on_slot_message, send_slot_round};
+use crate::slots::{on_slot_message, send_slot_round};
 
 /// The mean time between two rounds.
 const ROUND_INTERVAL: Span = Span::from_millis(333);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,7 +37,7 @@
 mod request;
 mod settings;
 mod shutdown;
-mod slot_exchange;
+mod slots;
 mod store_client;
 mod store_version;
 mod store_watch;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,7 +13,7 @@
 use crate::http::ByteBound;
 use crate::prelude::*;
 use crate::quarantine::QuarantineCounts;
-use crate::slot_exchange::SlotCounts;
+use crate::slots::SlotCounts;
 use crate::store_client::StorePurpose;
 
 /// The name of the instrumentation scope.
--- a/crates/gateway/src/platform_view/gateways.rs
+++ b/crates/gateway/src/platform_view/gateways.rs
@@ -13,7 +13,7 @@
 use crate::port::{GatewayEntry, StoreItem, StoreSubject};
 use crate::prelude::*;
 use crate::relay_targets::RelayTarget;
-use crate::slot_exchange::SlotOwner;
+use crate::slots::SlotOwner;
 
 /// How long a gateway that was removed from the store still counts as one of the gateways.
 const GONE_GATEWAY_COUNTED: Span = Span::from_secs(15);
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -18,7 +18,7 @@
 use crate::port::SendHeaders;
 use crate::prelude::*;
 use crate::relay_targets::RelayTarget;
-use crate::slot_exchange::count_rejection;
+use crate::slots::count_rejection;
 
 /// The shortest time without an answer after which an idempotent request is tried elsewhere.
 const IDEMPOTENT_TIMEOUT: Span = Span::from_millis(250);
--- a/crates/gateway/src/request/slot.rs
+++ b/crates/gateway/src/request/slot.rs
@@ -8,7 +8,7 @@
 use super::wait::{WaitOutcome, wait};
 use super::{MIN_SEND_TIME, RequestRun};
 use crate::prelude::*;
-use crate::slot_exchange::{SlotLease, SlotOutcome, SlotWish, take_slot};
+use crate::slots::{SlotLease, SlotOutcome, SlotWish, take_slot};
 
 /// How many backend servers are asked for a free slot before the request waits for one.
 const MAX_FULL_REPLIES: u32 = 4;
