--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -57,9 +57,7 @@
 pub use rejection_limit::{Brittleness, RejectionLimit, RoomBelief, SendGrounds};
 pub use retry_window::{RetryLimits, RetryWindow};
 pub use service_traffic::{RequestTraits, ServiceTraffic};
-pub use slot_ledger::{
-    LEASE_TTL, LeaseAsk, LeaseEnd, LeaseId, LeaseReply, OwnerRole, SlotLedger, SlotTerms,
-};
+pub use slot_ledger::{LeaseAsk, LeaseEnd, LeaseId, LeaseReply, OwnerRole, SlotLedger, SlotTerms};
 pub use slot_owner::{OwnerCandidate, slot_owners};
 pub use stream_origin::{
     ORIGIN_RETENTION, OriginTable, StreamId, VersionHistory, VersionId, VersionSpan, sole_version,
--- a/crates/balance/src/slot_ledger.rs
+++ b/crates/balance/src/slot_ledger.rs
@@ -21,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 
 /// How long a lease lasts that is not renewed: three rounds in which holders renew theirs.
-pub const LEASE_TTL: Span = Span::from_millis(1_500);
+const LEASE_TTL: Span = Span::from_millis(1_500);
 
 /// How long a new first owner leases as a standby one does: until all gateways ask it and have renewed their
 /// leases.
--- a/crates/gateway/src/request/slot.rs
+++ b/crates/gateway/src/request/slot.rs
@@ -13,8 +13,8 @@
 /// How many backend servers are asked for a free slot before the request waits for one.
 const MAX_FULL_REPLIES: u32 = 4;
 
-/// The longest wait for a slot. A request that waits for longer than half of its latency target is late
-/// anyway, and does better to come back.
+/// The longest wait for a slot; a shorter latency target makes it half of that, as the request would be late
+/// anyway.
 const MAX_SLOT_WAIT: Span = Span::from_millis(500);
 
 /// The longest time for asking the owners of a backend server's slots, besides the wait.
