--- a/crates/balance/src/rejection_limit.rs
+++ b/crates/balance/src/rejection_limit.rs
@@ -67,7 +67,7 @@
     }
 }
 
-/// What this gateway believed of a backend server when it sent a request there.
+/// The belief about a backend server's room with which a request was sent there.
 #[derive(Debug, Clone, Copy)]
 pub struct RoomBelief {
     /// The rejections in a second that the backend server survives, if it is brittle.
@@ -83,11 +83,11 @@
 /// The rejections of one backend server as known here.
 #[derive(Debug, Default)]
 pub struct RejectionLimit {
-    /// What it last said itself.
+    /// Its own last word.
     own: Brittleness,
     /// When the answer came that says so.
     named_at: MonoTime,
-    /// What others of its service survive, which counts until it has said something itself.
+    /// The rejections that others of its service survive, which count until it has said something itself.
     service_threshold: Option<u32>,
     /// When it last turned a request away, here or at another gateway.
     rejected_at: Option<MonoTime>,
--- a/crates/balance/tests/slot_leases.rs
+++ b/crates/balance/tests/slot_leases.rs
@@ -296,7 +296,7 @@
     result
 }
 
-// Guards against brittle backend servers that fall over, or are kept up by serving nobody, behind any number of
+// Guards against brittle backend servers that fall over, or are kept up at the cost of all callers, behind any number of
 // gateways.
 #[test]
 fn brittle_backend_servers_stay_up_and_serve_behind_any_number_of_gateways() {
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -51,7 +51,7 @@
     pub(super) software: Arc<str>,
     pub(super) version: VersionId,
     pub(super) slots: u32,
-    /// What was believed of the backend server's room; absent at another gateway.
+    /// The belief about the backend server's room; absent at another gateway.
     pub(super) room: Option<RoomBelief>,
     /// Why the request is sent there although it might be turned away.
     pub(super) grounds: SendGrounds,
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -71,7 +71,7 @@
     /// The parts of the prompt, in order.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     parts: Vec<String>,
-    /// What was believed of the backend server's room, of a rejected attempt.
+    /// The belief about the backend server's room, of a rejected attempt.
     #[serde(skip_serializing_if = "Option::is_none")]
     room: Option<RoomFields>,
 }
--- a/crates/gateway/src/request/slot.rs
+++ b/crates/gateway/src/request/slot.rs
@@ -20,7 +20,7 @@
 /// The longest time for asking the owners of a backend server's slots, besides the wait.
 const ASK_TIME: Span = Span::from_millis(400);
 
-/// What follows the choice of a backend server.
+/// The step that follows the choice of a backend server.
 pub(super) enum SlotStep {
     /// The request is sent, with a lease if the backend server is brittle.
     Send(Option<SlotLease>),
--- a/crates/gateway/src/slots/owner.rs
+++ b/crates/gateway/src/slots/owner.rs
@@ -1,4 +1,4 @@
-//! Grants leases on the slots that this gateway owns, and handles what other gateways say of theirs.
+//! Grants leases on the slots that this gateway owns, and handles the messages of other gateways about slots.
 
 use std::net::SocketAddr;
 
--- a/crates/gateway/src/slots/round.rs
+++ b/crates/gateway/src/slots/round.rs
@@ -1,4 +1,4 @@
-//! What the holder and the owner of leases do with each round of news.
+//! The duties of holders and owners of leases with each round of news.
 
 use std::net::SocketAddr;
 
