--- a/review/lab/fleet.rs
+++ b/review/lab/fleet.rs
@@ -2,7 +2,7 @@
 //! of stand-ins.
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -82,9 +82,13 @@
     }
 
     pub fn is_ready(&self) -> bool {
+        Self::answers_ready(self.readiness)
+    }
+
+    /// Returns whether a gateway says at its readiness address that it is ready.
+    pub fn answers_ready(readiness: SocketAddr) -> bool {
         let text = "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        TcpStream::connect_timeout(&self.readiness, Duration::from_millis(200)).is_ok()
-            && call(self.readiness, text, Duration::from_millis(500)).status == 200
+        call(readiness, text, Duration::from_millis(500)).status == 200
     }
 
     /// Waits until the gateway says that it is ready; false if it does not.
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -2,6 +2,7 @@
 //! it held and 2 if the case could not run.
 
 mod fleet;
+mod forgotten_version;
 mod platform;
 mod relayed_twice;
 
@@ -17,6 +18,7 @@
     });
     let code = match case.as_str() {
         "relayed-twice" => relayed_twice::run(&folder, has_trouble),
+        "forgotten-version" => forgotten_version::run(&folder, has_trouble),
         _ => {
             eprintln!("no such case: {case:?}");
             2
--- a/review/lab/platform.rs
+++ b/review/lab/platform.rs
@@ -761,6 +761,57 @@
     pub error: String,
 }
 
+/// A stream as far as it came.
+#[derive(Debug, Clone, Default)]
+pub struct StreamAnswer {
+    pub status: u16,
+    pub is_whole: bool,
+    /// The number and the data of each whole event.
+    pub events: Vec<(u64, String)>,
+    pub retry_after: Option<Duration>,
+    pub error: String,
+}
+
+/// Sends one request for a stream on a new connection, and reads the stream until it ends in any way.
+pub fn call_stream(address: SocketAddr, text: &str, limit: Duration) -> StreamAnswer {
+    let failed = |error: String| StreamAnswer { error, ..StreamAnswer::default() };
+    let stream = match TcpStream::connect_timeout(&address, Duration::from_secs(1)) {
+        Ok(stream) => stream,
+        Err(error) => return failed(error.to_string()),
+    };
+    let _ = (stream.set_read_timeout(Some(limit)), stream.set_nodelay(true));
+    let mut reader = BufReader::new(stream.try_clone().expect("a socket can be cloned"));
+    if let Err(error) = (&mut &stream).write_all(text.as_bytes()) {
+        return failed(error.to_string());
+    }
+    let Some(head) = read_head(&mut reader) else {
+        return failed("no answer".to_owned());
+    };
+    let mut answer = StreamAnswer { status: head.status(), ..StreamAnswer::default() };
+    let seconds = head.header("retry-after").and_then(|text| text.parse::<f64>().ok());
+    answer.retry_after = seconds.map(Duration::from_secs_f64);
+    if head.header("transfer-encoding").is_none() {
+        answer.is_whole = read_body(&mut reader, &head).is_some();
+        return answer;
+    }
+    let mut pending = String::new();
+    while let Some(chunk) = read_chunk(&mut reader) {
+        if chunk.is_empty() {
+            answer.is_whole = true;
+            break;
+        }
+        pending.push_str(&String::from_utf8_lossy(&chunk));
+        while let Some(end) = pending.find("\n\n") {
+            let event: String = pending.drain(..end + 2).collect();
+            let field = |name: &str| event.lines().find_map(|line| line.strip_prefix(name)).unwrap_or("").trim().to_owned();
+            if let Ok(id) = field("id:").parse() {
+                answer.events.push((id, field("data:")));
+            }
+        }
+    }
+    answer
+}
+
 /// Sends one request on a new connection and reads its answer, as long as the requester waits.
 pub fn call(address: SocketAddr, text: &str, limit: Duration) -> Answer {
     let failed = |error: String| Answer { error, ..Answer::default() };
