Review case 3: a deadly request is let through again and again

Cause: crashes are told apart by the engine's id alone, so engines that come back under their ids count once (crates/balance/src/suspect_crashes.rs).

--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the review that are scripts: `lab CASE FOLDER`. The exit code is 1 if the rule was broken, 0 if
 //! it held and 2 if the case could not run.
 
+mod deadly_request;
 mod fleet;
 mod forgotten_version;
 mod platform;
@@ -18,6 +19,7 @@
     });
     let code = match case.as_str() {
         "relayed-twice" => relayed_twice::run(&folder, has_trouble),
+        "deadly-request" => deadly_request::run(&folder, has_trouble),
         "forgotten-version" => forgotten_version::run(&folder, has_trouble),
         _ => {
             eprintln!("no such case: {case:?}");
--- a/review/lab/platform.rs
+++ b/review/lab/platform.rs
@@ -661,39 +661,54 @@
 pub type Script = Arc<dyn Fn(&Message, &mut TcpStream) -> bool + Send + Sync>;
 
 /// A process of an engine; one that has ended serves nothing any more.
+#[derive(Clone)]
 pub struct Engine {
     address: SocketAddr,
     is_over: Arc<AtomicBool>,
-    open: Arc<Mutex<Vec<Arc<TcpStream>>>>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Engine {
+    /// Names a process that is started by [`Self::serve`].
+    pub fn at(address: SocketAddr) -> Self {
+        Self { address, is_over: Arc::default(), open: Arc::default() }
+    }
+
     pub fn start(address: SocketAddr, id: &str, script: Script) -> Self {
-        let listener = TcpListener::bind(address).expect("the engine's address is free");
-        let is_over = Arc::new(AtomicBool::new(false));
-        let open = Arc::<Mutex<Vec<Arc<TcpStream>>>>::default();
-        let (over, streams, id) = (Arc::clone(&is_over), Arc::clone(&open), id.to_owned());
+        let engine = Self::at(address);
+        engine.serve(id, script);
+        engine
+    }
+
+    pub fn serve(&self, id: &str, script: Script) {
+        let listener = TcpListener::bind(self.address).expect("the engine's address is free");
+        let (engine, id) = (self.clone(), id.to_owned());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                if over.load(Ordering::SeqCst) {
+                if engine.has_ended() {
                     return;
                 }
                 let _ = stream.set_nodelay(true);
-                streams.lock().unwrap().push(Arc::new(stream.try_clone().expect("a socket can be cloned")));
-                let (script, id, over) = (Arc::clone(&script), id.clone(), Arc::clone(&over));
+                engine.open.lock().unwrap().push(stream.try_clone().expect("a socket can be cloned"));
+                let (script, id, over) = (Arc::clone(&script), id.clone(), Arc::clone(&engine.is_over));
                 thread::spawn(move || serve(stream, &id, &script, &over));
             }
         });
-        Self { address, is_over, open }
     }
 
-    /// Ends the process: its connections close and new ones are refused.
+    pub fn has_ended(&self) -> bool {
+        self.is_over.load(Ordering::SeqCst)
+    }
+
+    /// Ends the process: new connections are refused and those that are open end.
     pub fn crash(&self) {
         self.is_over.store(true, Ordering::SeqCst);
         // One more connection ends the loop that accepts.
-        let _ = TcpStream::connect(self.address);
+        while TcpStream::connect(self.address).is_ok() {
+            thread::sleep(Duration::from_millis(1));
+        }
         for stream in self.open.lock().unwrap().drain(..) {
-            reset(&stream);
+            let _ = stream.shutdown(Shutdown::Both);
         }
     }
 }
