--- a/review/lab/deadly_request.rs
+++ b/review/lab/deadly_request.rs
@@ -1,6 +1,5 @@
-//! A request crashes each engine that begins to run it. The engines of a service of three are back after two
-//! seconds, each under the id that it had. The request comes again and again, with the same path, caller and
-//! body.
+//! A request crashes each engine that begins to run it. The engines are back after two seconds. The request comes
+//! again and again, with the same path, caller and body.
 
 use std::collections::BTreeSet;
 use std::io::Write;
@@ -10,18 +9,15 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::fleet::{Gateway, Net, Terms, engine_entry, manifest, request};
-use crate::platform::{Engine, Record, Script, Store, call, plain_answer};
+use crate::fleet::{Gateway, Net, Terms, engine_entry, manifest, prompt, request};
+use crate::platform::{Engine, Record, Script, Store, call, event, plain_answer, stream_head};
 
 const GATEWAYS: u8 = 3;
-const ENGINES: u8 = 3;
 const MODEL_ENGINES: u8 = 9;
 /// The time after which an engine that crashed is back.
 const BACK_AFTER: Duration = Duration::from_secs(2);
 const STABLE_S: f64 = 3.0;
 const DEADLY: &str = "/lookup/entry-4711/2f";
-/// How long the requests come, in seconds.
-const LENGTH_S: f64 = 80.0;
 
 /// The times at which engines began to run the deadly request, with the requester's attempt.
 type Arrivals = Arc<Mutex<Vec<(f64, String, String)>>>;
@@ -40,9 +36,31 @@
     })
 }
 
-pub fn run(folder: &str, has_trouble: bool) -> i32 {
+/// The engines of the service come back under their ids; sound requests come beside the deadly one.
+pub fn run_kept_ids(folder: &str, has_trouble: bool) -> i32 {
     // With new ids the same case shows what is expected.
     let has_new_ids = std::env::var("IDS").as_deref() == Ok("new");
+    run(folder, has_trouble, &Setting { engines: 3, has_new_ids, has_sound: true, length_s: 80.0 })
+}
+
+/// The engines of the service come back under new ids; nobody else calls the service.
+pub fn run_quiet(folder: &str, has_trouble: bool) -> i32 {
+    // With sound requests the same case shows what is expected.
+    let has_sound = std::env::var("SOUND").as_deref() == Ok("1");
+    run(folder, has_trouble, &Setting { engines: 4, has_new_ids: true, has_sound, length_s: 25.0 })
+}
+
+struct Setting {
+    engines: u8,
+    has_new_ids: bool,
+    /// Whether sound requests come to the service.
+    has_sound: bool,
+    /// How long the requests come, in seconds.
+    length_s: f64,
+}
+
+fn run(folder: &str, has_trouble: bool, setting: &Setting) -> i32 {
+    let Setting { engines, has_new_ids, has_sound, length_s } = *setting;
     let net = Net::new();
     let record = Record::open();
     let arrivals = Arrivals::default();
@@ -51,11 +69,11 @@
     let store = Store::open();
     store.put("op/config", &manifest(7));
     let is_over = Arc::new(AtomicBool::new(false));
-    for number in 0..ENGINES {
+    for number in 0..engines {
         let (store, record, arrivals, is_over) = (store.clone(), record.clone(), arrivals.clone(), is_over.clone());
         thread::spawn(move || {
             let address = net.at(100 + number, 8080);
-            let zone = ["stred-a", "stred-b", "stred-c"][number as usize];
+            let zone = ["stred-a", "stred-b", "stred-c", "stred-d"][number as usize];
             let mut boot = 0_u64;
             while !is_over.load(Ordering::SeqCst) {
                 boot += 1;
@@ -92,7 +110,10 @@
     for number in 0..MODEL_ENGINES {
         let address = net.at(120 + number, 8080);
         let id = format!("i-{:08x}", 0x100 + u32::from(number));
-        let script: Script = Arc::new(|message, stream| stream.write_all(&plain_answer(message, "found")).is_ok());
+        let script: Script = Arc::new(|message, stream| {
+            let answer = [stream_head(message), event(1, "piece"), b"0\r\n\r\n".to_vec()].concat();
+            stream.write_all(&answer).is_ok()
+        });
         drop(Engine::start(address, &id, script));
         let zone = ["stred-a", "stred-b", "stred-c"][number as usize % 3];
         store.put(&format!("servers/{id}"), &engine_entry("plank", &address.to_string(), zone, "v1", 1, 1));
@@ -116,7 +137,9 @@
             let mut number = 0;
             while !is_over.load(Ordering::SeqCst) {
                 number += 1;
-                let text = request("GET", "/lookup/sound/2f", &format!("sound-{name}-{number}"), 1_500, "", "");
+                let path = if has_sound { "/lookup/sound/2f" } else { "/archive/sound/2f" };
+                let headers = if has_sound { String::new() } else { prompt(number) };
+                let text = request("GET", path, &format!("sound-{name}-{number}"), 1_500, &headers, "");
                 let answer = call(frontend, &text, Duration::from_millis(1_500));
                 let mut served = served.lock().unwrap();
                 served.0 += usize::from(answer.status == 200);
@@ -129,7 +152,7 @@
     thread::sleep(Duration::from_secs(1));
     let started = record.now();
     let mut number = 0_usize;
-    while record.now() - started < LENGTH_S {
+    while record.now() - started < length_s {
         number += 1;
         let frontend: SocketAddr = gateways[number % gateways.len()].frontend;
         let id = format!("deadly-{number:03}");
--- a/review/lab/forgotten_version.rs
+++ b/review/lab/forgotten_version.rs
@@ -1,8 +1,9 @@
-//! While the last engine of a software version leaves, all gateways are killed and start again. The streams that
-//! it began are taken up by their requesters, and only engines of another version are left.
+//! All gateways are killed and start again while engines of two software versions serve side by side, or while the
+//! last engine of one of them leaves. The streams that were broken off are taken up by their requesters.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -16,6 +17,10 @@
 const EVENTS: u64 = 60;
 const GAP: Duration = Duration::from_millis(150);
 const LIMIT: Duration = Duration::from_millis(15_000);
+const STABLE_S: f64 = 3.0;
+/// What a requester waits before each further attempt: at once, or longer each time.
+const SOON: [Duration; 4] = [Duration::from_millis(100); 4];
+const LATER: [Duration; 3] = [Duration::from_millis(1_000), Duration::from_millis(3_000), Duration::from_millis(3_000)];
 
 fn script(version: &'static str, record: Record, running: Arc<AtomicUsize>) -> Script {
     Arc::new(move |message, stream| {
@@ -46,15 +51,19 @@
     last: u64,
     is_whole: bool,
     attempts: usize,
+    /// When each attempt was sent, and whether it brought an event.
+    sent: Vec<(f64, bool)>,
 }
 
 /// Follows one stream like a requester: after a broken connection it is taken up with its last event, and the id
 /// of the attempt that brought the first one.
-fn follow(number: u64, gateways: &[(SocketAddr, SocketAddr)], record: &Record) -> Taken {
+///
+/// It waits a while before each further attempt, or as long as it is told to.
+fn follow(number: u64, gateways: &[(SocketAddr, SocketAddr)], record: &Record, waits: &[Duration]) -> Taken {
     let started = Instant::now();
     let mut taken = Taken::default();
     let mut first_attempt = String::new();
-    while !taken.is_whole && taken.attempts < 5 {
+    while !taken.is_whole && taken.attempts <= waits.len() {
         let left = LIMIT.saturating_sub(started.elapsed());
         if left < Duration::from_millis(500) {
             break;
@@ -80,7 +89,11 @@
         }
         record.add(format!("sent     {id} after event {}", taken.last));
         let text = request("POST", "/archive/2f", &id, left.as_millis() as u64, &headers, &format!("story {number}"));
+        taken.sent.push((record.now(), false));
         let answer = call_stream(frontend, &text, left);
+        if let Some(last) = taken.sent.last_mut() {
+            last.1 = !answer.events.is_empty();
+        }
         for (event, version) in &answer.events {
             if taken.last == 0 {
                 first_attempt = id.clone();
@@ -93,54 +106,157 @@
             "answered {id} {} whole {} up to event {} {}",
             answer.status, taken.is_whole, taken.last, answer.error
         ));
-        // After a refusal the requester comes back when it is told to.
-        let pause = answer.retry_after.unwrap_or(Duration::from_millis(100));
-        thread::sleep(pause.min(left / 3));
+        let Some(wait) = waits.get(taken.attempts - 1) else {
+            break;
+        };
+        thread::sleep((*wait).max(answer.retry_after.unwrap_or_default()));
     }
     taken
 }
 
-pub fn run(folder: &str, has_trouble: bool) -> i32 {
-    let net = Net::new();
-    let record = Record::open();
-    let temporary = std::env::temp_dir().join(format!("oleander-review-{}", std::process::id()));
-    std::fs::create_dir_all(&temporary).expect("a temporary folder");
-    let store = Store::open();
-    store.put("op/config", &manifest(7));
-    // One engine of the old version is left, and two of the new one serve beside it.
-    let old_running = Arc::new(AtomicUsize::new(0));
-    let mut engines = Vec::new();
-    for (number, version) in [(0_u8, "v1"), (1, "v2"), (2, "v2")] {
-        let running = if number == 0 { old_running.clone() } else { Arc::default() };
-        let address = net.at(100 + number, 8080);
-        let id = format!("i-{number:08x}");
-        engines.push(Engine::start(address, &id, script(version, record.clone(), running)));
-        let zone = ["stred-a", "stred-b", "stred-c"][number as usize];
-        store.put(&format!("servers/{id}"), &engine_entry("plank", &address.to_string(), zone, version, 1, 1));
-    }
-    let at = net.at(150, 8223);
-    store.serve(at, Arc::new(|_, data| data.to_owned()));
-    let start = || -> Vec<Gateway> {
-        (1..=GATEWAYS).map(|number| Gateway::start(net, number, at, &temporary, &Terms::default())).collect()
-    };
-    let mut gateways = start();
-    if !gateways.iter().all(Gateway::wait_ready) {
-        eprintln!("a gateway is not ready");
-        return 2;
+/// What all parts of a run share.
+struct Lab {
+    net: Net,
+    record: Record,
+    temporary: PathBuf,
+    store: Store,
+    engines: Vec<Engine>,
+    /// The streams that run at the first engine.
+    old_running: Arc<AtomicUsize>,
+}
+
+impl Lab {
+    fn open(versions: &[&'static str]) -> Self {
+        let net = Net::new();
+        let record = Record::open();
+        let temporary = std::env::temp_dir().join(format!("oleander-review-{}", std::process::id()));
+        std::fs::create_dir_all(&temporary).expect("a temporary folder");
+        let store = Store::open();
+        store.put("op/config", &manifest(7));
+        let old_running = Arc::new(AtomicUsize::new(0));
+        let mut engines = Vec::new();
+        for (number, version) in (0_u8..).zip(versions) {
+            let running = if number == 0 { old_running.clone() } else { Arc::default() };
+            let address = net.at(100 + number, 8080);
+            let id = format!("i-{number:08x}");
+            engines.push(Engine::start(address, &id, script(version, record.clone(), running)));
+            let zone = ["stred-a", "stred-b", "stred-c", "stred-d"][number as usize % 4];
+            store.put(&format!("servers/{id}"), &engine_entry("plank", &address.to_string(), zone, version, 1, 1));
+        }
+        store.serve(net.at(150, 8223), Arc::new(|_, data| data.to_owned()));
+        Self { net, record, temporary, store, engines, old_running }
+    }
+
+    fn start_gateways(&self) -> Vec<Gateway> {
+        let at = self.net.at(150, 8223);
+        (1..=GATEWAYS).map(|number| Gateway::start(self.net, number, at, &self.temporary, &Terms::default())).collect()
     }
-    thread::sleep(Duration::from_secs(3));
 
+    fn close(&self, folder: &str, result: &str, gateways: Vec<Gateway>) {
+        self.record.add(format!("RESULT   {result}"));
+        self.record.write(&format!("{folder}/record.txt"));
+        println!("{result}");
+        drop(gateways);
+        if std::env::var("KEEP_LOGS").is_err() {
+            let _ = std::fs::remove_dir_all(&self.temporary);
+        }
+    }
+}
+
+/// Starts a number of streams, whose requesters follow them.
+fn begin(
+    numbers: std::ops::Range<u64>,
+    gateways: &[Gateway],
+    record: &Record,
+    waits: &'static [Duration],
+    taken: &Arc<Mutex<BTreeMap<u64, Taken>>>,
+) -> Vec<thread::JoinHandle<()>> {
     let addresses: Vec<_> = gateways.iter().map(|gateway| (gateway.frontend, gateway.readiness)).collect();
-    let taken: Arc<Mutex<BTreeMap<u64, Taken>>> = Arc::default();
     let mut callers = Vec::new();
-    for number in 0..STREAMS {
+    for number in numbers {
         let (addresses, record, taken) = (addresses.clone(), record.clone(), taken.clone());
         callers.push(thread::spawn(move || {
-            let stream = follow(number, &addresses, &record);
+            let stream = follow(number, &addresses, &record, waits);
             taken.lock().unwrap().insert(number, stream);
         }));
         thread::sleep(Duration::from_millis(40));
     }
+    callers
+}
+
+/// Two versions serve all the while. Streams that are taken up at machines in touch have to go on.
+pub fn run_side_by_side(folder: &str, has_trouble: bool) -> i32 {
+    let lab = Lab::open(&["v1", "v1", "v2", "v2"]);
+    let record = &lab.record;
+    let mut gateways = lab.start_gateways();
+    if !gateways.iter().all(Gateway::wait_ready) {
+        eprintln!("a gateway is not ready");
+        return 2;
+    }
+    thread::sleep(Duration::from_secs(3));
+    let taken: Arc<Mutex<BTreeMap<u64, Taken>>> = Arc::default();
+    let mut callers = begin(0..STREAMS, &gateways, record, &LATER, &taken);
+    thread::sleep(Duration::from_millis(1_500));
+    let mut started = 0.0;
+    if has_trouble {
+        record.add("KILLED   all gateways".to_owned());
+        drop(gateways);
+        thread::sleep(Duration::from_millis(500));
+        started = record.now();
+        record.add("STARTED  all gateways again".to_owned());
+        gateways = lab.start_gateways();
+    }
+    thread::sleep(Duration::from_millis(3_500));
+    // New streams at the same time, to compare with.
+    callers.extend(begin(STREAMS..STREAMS + 12, &gateways, record, &[], &taken));
+    for caller in callers {
+        let _ = caller.join();
+    }
+    let taken = taken.lock().unwrap();
+    let is_in_touch = |at: f64| at > started + STABLE_S;
+    let (mut again, mut goes_on, mut new, mut begun, mut mixed) = (0, 0, 0, 0, 0);
+    for (number, stream) in taken.iter() {
+        mixed += usize::from(stream.versions.len() > 1);
+        if *number >= STREAMS {
+            new += 1;
+            begun += usize::from(stream.last > 0);
+            continue;
+        }
+        let later: Vec<bool> =
+            stream.sent.iter().skip(1).filter(|(at, _)| is_in_touch(*at)).map(|(_, brought)| *brought).collect();
+        if !later.is_empty() {
+            again += 1;
+            goes_on += usize::from(later.contains(&true));
+        }
+    }
+    let result = format!(
+        "{STREAMS} streams, {again} taken up again at machines in touch, {goes_on} of these go on; {begun} of {new} new streams begin; {mixed} hold events of two versions"
+    );
+    lab.close(folder, &result, gateways);
+    // LOST: of 12 or more such streams, under half of the share of new streams that begin.
+    if again >= 12 && goes_on * new * 2 < begun * again {
+        return 1;
+    }
+    match has_trouble && again < 12 {
+        true => 2,
+        false => 0,
+    }
+}
+
+/// The last engine of a version leaves while all gateways are killed.
+pub fn run(folder: &str, has_trouble: bool) -> i32 {
+    // One engine of the old version is left, and two of the new one serve beside it.
+    let lab = Lab::open(&["v1", "v2", "v2"]);
+    let (net, store, record, old_running) = (lab.net, &lab.store, &lab.record, &lab.old_running);
+    let mut gateways = lab.start_gateways();
+    if !gateways.iter().all(Gateway::wait_ready) {
+        eprintln!("a gateway is not ready");
+        return 2;
+    }
+    thread::sleep(Duration::from_secs(3));
+
+    let taken: Arc<Mutex<BTreeMap<u64, Taken>>> = Arc::default();
+    let callers = begin(0..STREAMS, &gateways, record, &SOON, &taken);
     thread::sleep(Duration::from_millis(500));
     record.add("DRAINING the last engine of v1 (planned)".to_owned());
     let address = net.at(100, 8080).to_string();
@@ -158,12 +274,12 @@
         thread::sleep(Duration::from_millis(20));
     }
     store.remove("servers/i-00000000");
-    engines[0].crash();
+    lab.engines[0].crash();
     record.add("LEFT     the engine of v1, with nothing left to do".to_owned());
     if has_trouble {
         thread::sleep(Duration::from_millis(500));
         record.add("STARTED  all gateways again".to_owned());
-        gateways = start();
+        gateways = lab.start_gateways();
     }
     for caller in callers {
         let _ = caller.join();
@@ -180,13 +296,7 @@
         }
     }
     let result = format!("{STREAMS} streams, {whole} whole, {at_old} at v1 when all were killed, {mixed} hold events of two versions");
-    record.add(format!("RESULT   {result}"));
-    record.write(&format!("{folder}/record.txt"));
-    println!("{result}");
-    drop(gateways);
-    if std::env::var("KEEP_LOGS").is_err() {
-        let _ = std::fs::remove_dir_all(&temporary);
-    }
+    lab.close(folder, &result, gateways);
     // ORDER: more than two such streams.
     match (mixed > 2, at_old > 2) {
         (true, _) => 1,
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -19,7 +19,9 @@
     });
     let code = match case.as_str() {
         "relayed-twice" => relayed_twice::run(&folder, has_trouble),
-        "deadly-request" => deadly_request::run(&folder, has_trouble),
+        "deadly-request" => deadly_request::run_kept_ids(&folder, has_trouble),
+        "deadly-quiet" => deadly_request::run_quiet(&folder, has_trouble),
+        "forgotten-streams" => forgotten_version::run_side_by_side(&folder, has_trouble),
         "forgotten-version" => forgotten_version::run(&folder, has_trouble),
         _ => {
             eprintln!("no such case: {case:?}");
