Review: a run that shows requests denied by an old limit

Cause: limits are read before a connection waits for its next request (caller_conn.rs, serve_next). Change: lab subcommand old-limits, not a case yet.

--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -4,6 +4,7 @@
 mod deadly_request;
 mod fleet;
 mod forgotten_version;
+mod old_limits;
 mod platform;
 mod relayed_twice;
 
@@ -18,6 +19,7 @@
         std::process::exit(2);
     });
     let code = match case.as_str() {
+        "old-limits" => old_limits::run(&folder, has_trouble),
         "relayed-twice" => relayed_twice::run(&folder, has_trouble),
         "deadly-request" => deadly_request::run_kept_ids(&folder, has_trouble),
         "deadly-quiet" => deadly_request::run_quiet(&folder, has_trouble),
