--- a/review/lab/fleet.rs
+++ b/review/lab/fleet.rs
@@ -7,7 +7,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use crate::platform::{Store, View, call, send_signal};
+use crate::platform::{Store, View, call};
 
 pub const HOST: &str = "ficu95.example";
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
@@ -32,6 +32,7 @@
     pub frontend: SocketAddr,
     pub readiness: SocketAddr,
     child: Child,
+    /// It only tells whether a case could run.
     log: PathBuf,
 }
 
@@ -108,14 +109,6 @@
         let log = std::fs::read_to_string(&self.log).unwrap_or_default();
         log.lines().filter(|line| line.contains(text)).count()
     }
-
-    pub fn signal(&self, signal: i32) {
-        send_signal(self.child.id(), signal);
-    }
-
-    pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
-    }
 }
 
 impl Drop for Gateway {
--- a/review/lab/platform.rs
+++ b/review/lab/platform.rs
@@ -373,10 +373,6 @@
         self.changed.notify_all();
     }
 
-    pub fn has(&self, key: &str) -> bool {
-        self.state.lock().unwrap().items.contains_key(key)
-    }
-
     /// Serves one address, with the view of the machine that calls there.
     pub fn serve(&self, address: SocketAddr, view: View) {
         let listener = TcpListener::bind(address).expect("the store's address is free");
@@ -521,14 +517,6 @@
 unsafe extern "C" {
     fn listen(fd: i32, backlog: i32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const u8, length: u32) -> i32;
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
-pub fn send_signal(pid: u32, signal: i32) {
-    // SAFETY: two integers are passed; the process is one that this program started.
-    unsafe {
-        kill(pid as i32, signal);
-    }
 }
 
 /// Makes a connection end with a reset as soon as all its users have dropped it, and wakes one that reads.
