--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the review that are scripts: `lab CASE FOLDER`. The exit code is 1 if the rule was broken, 0 if
 //! it held and 2 if the case could not run.
 
+mod deadly_part;
 mod deadly_request;
 mod fleet;
 mod forgotten_version;
@@ -20,6 +21,7 @@
     });
     let code = match case.as_str() {
         "old-limits" => old_limits::run(&folder, has_trouble),
+        "deadly-part" => deadly_part::run(&folder, has_trouble),
         "relayed-twice" => relayed_twice::run(&folder, has_trouble),
         "deadly-request" => deadly_request::run_kept_ids(&folder, has_trouble),
         "deadly-quiet" => deadly_request::run_quiet(&folder, has_trouble),
