--- a/review/lab/relayed_twice.rs
+++ b/review/lab/relayed_twice.rs
@@ -1,5 +1,5 @@
-//! Two machines lose all engines one after the other. Requests that may run once are relayed by the first one
-//! to the second one, are sent to an engine there, and lose their answers in the second cut.
+//! The two machines of a zone lose all engines one after the other. Requests that may run once are relayed by the
+//! first one to others, among them the second one, are sent to an engine there, and lose their answers in its cut.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -9,7 +9,11 @@
 use crate::fleet::{Gateway, Net, Terms, engine_entry, manifest, prompt, request, serve_view};
 use crate::platform::{Engine, Link, Record, Script, Store, call, event, plain_answer, stream_head};
 
-const GATEWAYS: u8 = 3;
+const GATEWAYS: u8 = 6;
+/// The numbers of the machines that are cut off, both in the same zone.
+const FIRST: u8 = 1;
+const SECOND: u8 = 5;
+const DRAFTS: u64 = 30;
 const PLANK: u8 = 6;
 const DESK: u8 = 4;
 
@@ -60,7 +64,7 @@
     let mut links: BTreeMap<(u8, u8), Link> = BTreeMap::new();
     for number in 0..PLANK + DESK {
         let service = if number < PLANK { "plank" } else { "desk" };
-        let zone = ["stred-a", "stred-b", "stred-c"][number as usize % 3];
+        let zone = ["stred-a", "stred-b", "stred-c", "stred-d"][number as usize % 4];
         let address = net.at(100 + number, 8080);
         let id = format!("i-{number:08x}");
         engines.push(Engine::start(address, &id, script(id.clone(), record.clone(), runs.clone())));
@@ -110,35 +114,35 @@
     thread::sleep(Duration::from_secs(1));
 
     if has_trouble {
-        record.add(format!("CUT      {} from all engines; connections hang", gateways[0].name));
-        of(1).for_each(Link::cut);
+        record.add(format!("CUT      {} from all engines; connections hang", gateways[FIRST as usize - 1].name));
+        of(FIRST).for_each(Link::cut);
     }
     thread::sleep(Duration::from_millis(4_000));
     let mut callers = Vec::new();
     let answers: Arc<Mutex<BTreeMap<String, (u16, bool)>>> = Arc::default();
-    for number in 0..14_u64 {
+    for number in 0..DRAFTS {
         let id = format!("draft-{number:02}");
         let headers = prompt(0xe440_0000 + number);
         let text = request("POST", "/draft/2f", &id, 8_000, &headers, &format!("draft number {number}"));
-        let (frontend, record, answers) = (gateways[0].frontend, record.clone(), answers.clone());
-        record.add(format!("sent     {id} to {}", gateways[0].name));
+        let (frontend, record, answers) = (gateways[FIRST as usize - 1].frontend, record.clone(), answers.clone());
+        record.add(format!("sent     {id} to {}", gateways[FIRST as usize - 1].name));
         callers.push(thread::spawn(move || {
             let answer = call(frontend, &text, Duration::from_millis(8_000));
             record.add(format!("answered {id} {} whole {} {}", answer.status, answer.is_whole, answer.error));
             answers.lock().unwrap().insert(id, (answer.status, answer.is_whole));
         }));
-        thread::sleep(Duration::from_millis(80));
+        thread::sleep(Duration::from_millis(40));
     }
     if has_trouble {
-        record.add(format!("CUT      {} from all engines; connections hang", gateways[1].name));
-        of(2).for_each(Link::cut);
+        record.add(format!("CUT      {} from all engines; connections hang", gateways[SECOND as usize - 1].name));
+        of(SECOND).for_each(Link::cut);
         thread::sleep(Duration::from_millis(4_500));
-        record.add(format!("RESET    of the connections of {} that hung", gateways[1].name));
-        of(2).for_each(Link::reset_open);
+        record.add(format!("RESET    of the connections of {} that hung", gateways[SECOND as usize - 1].name));
+        of(SECOND).for_each(Link::reset_open);
         thread::sleep(Duration::from_millis(2_500));
         record.add("HEALED   both".to_owned());
-        of(1).for_each(Link::heal);
-        of(2).for_each(Link::heal);
+        of(FIRST).for_each(Link::heal);
+        of(SECOND).for_each(Link::heal);
     }
     for caller in callers {
         let _ = caller.join();
@@ -148,7 +152,7 @@
     for thread in usual {
         let _ = thread.join();
     }
-    let has_run = !has_trouble || gateways[0].log_count("\"backends-lost\"") > 0;
+    let has_run = !has_trouble || gateways[FIRST as usize - 1].log_count("\"backends-lost\"") > 0;
     let mut twice = 0;
     let mut refused = 0;
     let mut served = 0;
@@ -165,16 +169,16 @@
             record.add(format!("REFUSED  {id} was answered {status} and ran at {}", at.join(" and ")));
         }
     }
-    record.add(format!("RESULT   14 drafts, {served} served, {twice} ran twice, {refused} refused though they ran"));
+    record.add(format!("RESULT   {DRAFTS} drafts, {served} served, {twice} ran twice, {refused} refused though they ran"));
     record.write(&format!("{folder}/record.txt"));
-    println!("14 drafts, {served} served, {twice} ran twice, {refused} refused though they ran");
+    println!("{DRAFTS} drafts, {served} served, {twice} ran twice, {refused} refused though they ran");
     drop(gateways);
     if std::env::var("KEEP_LOGS").is_err() {
         let _ = std::fs::remove_dir_all(&temporary);
     }
     match (twice + refused > 0, has_run) {
         (true, _) => 1,
-        (false, true) if has_trouble || served == 14 => 0,
+        (false, true) if has_trouble || served as u64 == DRAFTS => 0,
         _ => 2,
     }
 }
