A cut-off gateway's mark no longer means that a relayed request has not run

Cause: the gateway that answers put its cut-off mark on every answer, also on a 502 after a send that may have run, and the one that asks took the mark at any status, and any unsigned 4xx, for "not run" and relayed the request again. The mark says something of the gateway's links and nothing of the request. Change: one function, RelayOutcome::of, joins the verdicts over two gateways. Gateways state their verdict on the whole request in Gateway-Verdict; without it (older builds) only 408, 421, 429 and 503 promise "not run". The mark stands only beside "not run", so that an older gateway that asks is right too.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -39,6 +39,7 @@
 mod read_meter;
 mod refusal_record;
 mod rejection_limit;
+mod relay_outcome;
 mod reserve;
 mod retry_window;
 mod scale_demand;
@@ -97,6 +98,7 @@
 pub use read_meter::ReadMeter;
 pub use refusal_record::RefusalRecord;
 pub use rejection_limit::{Brittleness, RejectionLimit, RoomBelief, SendGrounds};
+pub use relay_outcome::{RelayEvidence, RelayOutcome, promises_not_run};
 pub use retry_window::{RetryLimits, RetryWindow};
 pub use scale_demand::{DemandOutlook, DemandTracker};
 pub use scale_planner::{
--- /dev/null
+++ b/crates/entry/tests/gateway_relays.rs
@@ -0,0 +1,364 @@
+//! A gateway that is cut off from all engines, before other gateways whose answers are scripted.
+
+mod gateway;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gateway::{Call, TestGateway, announce_at, store_with_manifest, wait_for};
+use oleander_standin::users::{
+    EngineLink, EngineReply, LinkCut, ScriptedEngine, SeenRequest, UsersStore,
+};
+use parking_lot::Mutex;
+use serde_json::json;
+
+/// The number of engines of each service.
+const ENGINES: usize = 4;
+
+/// The names of the scripted gateways.
+const OTHERS: [&str; 2] = ["edge-2", "edge-3"];
+
+/// The rest of the head of an answer without a body.
+const NO_BODY: &str = "Content-Length: 0\r\n\r\n";
+
+/// Links to engines, and the engines behind them.
+struct LinkedEngines {
+    links: Vec<EngineLink>,
+    engines: Vec<ScriptedEngine>,
+}
+
+impl LinkedEngines {
+    fn start(store: &UsersStore, script: fn(&SeenRequest) -> EngineReply) -> Self {
+        let engines: Vec<_> = (0..2 * ENGINES)
+            .map(|_| ScriptedEngine::spawn(script))
+            .collect();
+        let links: Vec<_> = engines
+            .iter()
+            .map(|engine| EngineLink::spawn(engine.address()))
+            .collect();
+        for (number, link) in links.iter().enumerate() {
+            let service = ["desk", "engines"][number % 2];
+            announce_at(store, &format!("i-{number}"), service, link.address());
+        }
+        Self { links, engines }
+    }
+
+    /// Refuses new connections to all engines until the gateway has noticed that it is cut off.
+    fn cut_off(&self, gateway: &TestGateway) {
+        for link in &self.links {
+            link.cut(LinkCut::Refuse);
+        }
+        wait_for("the gateway is cut off", || {
+            gateway.caller().call(&Call::lookup("meanwhile"));
+            !gateway.log("backends-lost").is_empty()
+        });
+    }
+}
+
+/// Announces a scripted gateway, which answers no queries.
+fn announce_gateway(store: &UsersStore, name: &str, gateway: &ScriptedEngine) {
+    let nowhere = "127.0.0.1:1";
+    let entry = json!({"control": nowhere, "frontend": gateway.address(), "zone": "north-b"});
+    store.put(&format!("gateways/{name}"), entry.to_string());
+}
+
+/// The answer of the first gateway that a request is relayed to.
+type FirstAnswer = fn(&SeenRequest) -> EngineReply;
+
+/// A gateway that is cut off from engines, before two others.
+struct RelayFleet {
+    asking: TestGateway,
+    others: Vec<ScriptedEngine>,
+    /// The present script for first relays.
+    first_answer: Arc<Mutex<FirstAnswer>>,
+    _engines: LinkedEngines,
+    _store: UsersStore,
+}
+
+impl RelayFleet {
+    fn start() -> Self {
+        let store = store_with_manifest();
+        let engines = LinkedEngines::start(&store, deliver);
+        let first_answer: Arc<Mutex<FirstAnswer>> = Arc::new(Mutex::new(deliver));
+        let relayed = Arc::new(Mutex::new(Vec::new()));
+        let others: Vec<_> = OTHERS
+            .iter()
+            .map(|name| {
+                let first_answer = Arc::clone(&first_answer);
+                let relayed = Arc::clone(&relayed);
+                let other = ScriptedEngine::spawn(move |request| {
+                    let id = request
+                        .message
+                        .header("attempt-id")
+                        .unwrap_or("")
+                        .to_owned();
+                    let is_first = !relayed.lock().contains(&id);
+                    relayed.lock().push(id);
+                    match is_first {
+                        true => first_answer.lock()(request),
+                        false => deliver(request),
+                    }
+                });
+                announce_gateway(&store, name, &other);
+                other
+            })
+            .collect();
+        let asking = TestGateway::start(&store);
+        engines.cut_off(&asking);
+        Self {
+            asking,
+            others,
+            first_answer,
+            _engines: engines,
+            _store: store,
+        }
+    }
+
+    /// Returns how many gateways a request was relayed to.
+    fn relays(&self, id: &str) -> usize {
+        let seen = self.others.iter().flat_map(ScriptedEngine::seen);
+        seen.filter(|request| request.message.header("attempt-id") == Some(id))
+            .count()
+    }
+
+    /// Sends a call whose first relay gets an answer, and checks the number of relays and the status that the
+    /// caller gets.
+    fn check(&self, call: &Call<'_>, first_answer: FirstAnswer, relays: usize, status: u16) {
+        *self.first_answer.lock() = first_answer;
+        let answer = self.asking.caller().call(call);
+        let seen = (self.relays(call.id), answer.status());
+        assert_eq!(seen, (relays, status), "{}", call.id);
+        let promises = [408, 421, 429, 503].contains(&status);
+        let stated = answer.header("gateway-verdict");
+        assert!(
+            stated.is_none() || (stated == Some("not-run")) == promises,
+            "{}: {stated:?}",
+            call.id
+        );
+    }
+}
+
+/// Answers as an engine would behind a gateway.
+fn deliver(request: &SeenRequest) -> EngineReply {
+    if request.message.start.contains("/publish/") || request.message.start.contains("/lookup/") {
+        return EngineReply::BytesThenClose(request.answer("done"));
+    }
+    let mut bytes = request.stream_head();
+    bytes.extend(SeenRequest::event(1));
+    bytes.extend(b"0\r\n\r\n");
+    EngineReply::BytesThenClose(bytes)
+}
+
+/// Returns an answer of a gateway itself, with the request's id and these further header lines.
+fn own_answer(request: &SeenRequest, status: u16, headers: &str) -> EngineReply {
+    let id = request.message.header("attempt-id").unwrap_or("");
+    let head = format!("HTTP/1.1 {status} Own\r\nAttempt-Id: {id}\r\n{headers}{NO_BODY}");
+    EngineReply::BytesThenClose(head.into_bytes())
+}
+
+/// Returns an answer with an engine's signature.
+fn signed_answer(request: &SeenRequest, status: u16, headers: &str) -> EngineReply {
+    own_answer(
+        request,
+        status,
+        &format!("Server-Signature: s\r\n{headers}"),
+    )
+}
+
+/// Returns the first bytes of a signed answer, after which the connection is reset.
+fn cut_answer(request: &SeenRequest, kept: impl Fn(usize) -> usize) -> EngineReply {
+    let bytes = request.answer("half of it");
+    let kept = kept(bytes.len());
+    EngineReply::BytesThenReset(bytes[..kept].to_vec())
+}
+
+const CUT_OFF: &str = "Gateway-Cut-Off: 1\r\n";
+const NOT_RUN: &str = "Gateway-Verdict: not-run\r\n";
+const MAY_HAVE_RUN: &str = "Gateway-Verdict: may-have-run\r\n";
+const NOT_EXECUTED: &str = "Not-Executed: 1\r\n";
+
+// Guards against a request that runs twice, because the first of two gateways takes an answer of the second one for
+// "not run" although the request may have run there.
+#[test]
+fn a_request_that_may_have_run_behind_another_gateway_goes_to_no_further_one() {
+    let fleet = RelayFleet::start();
+    let answers: [(&str, FirstAnswer, u16); 15] = [
+        (
+            "502-marked",
+            |request| own_answer(request, 502, CUT_OFF),
+            502,
+        ),
+        (
+            "504-marked",
+            |request| own_answer(request, 504, CUT_OFF),
+            502,
+        ),
+        ("502-plain", |request| own_answer(request, 502, ""), 502),
+        ("404-plain", |request| own_answer(request, 404, ""), 502),
+        (
+            "404-marked",
+            |request| own_answer(request, 404, CUT_OFF),
+            502,
+        ),
+        ("301-plain", |request| own_answer(request, 301, ""), 502),
+        ("200-unsigned", |request| own_answer(request, 200, ""), 502),
+        (
+            "502-stated",
+            |request| own_answer(request, 502, MAY_HAVE_RUN),
+            502,
+        ),
+        (
+            "503-contradicted",
+            |request| own_answer(request, 503, MAY_HAVE_RUN),
+            502,
+        ),
+        (
+            "500-not-executed",
+            |request| signed_answer(request, 500, NOT_EXECUTED),
+            502,
+        ),
+        ("500-signed", |request| signed_answer(request, 500, ""), 500),
+        (
+            "no-answer",
+            |_| EngineReply::BytesThenClose(Vec::new()),
+            502,
+        ),
+        ("reset", |_| EngineReply::BytesThenReset(Vec::new()), 502),
+        ("cut-in-head", |request| cut_answer(request, |_| 30), 502),
+        (
+            "cut-in-body",
+            |request| cut_answer(request, |len| len - 3),
+            502,
+        ),
+    ];
+    for (id, answer, status) in answers {
+        fleet.check(&Call::publish(id), answer, 1, status);
+    }
+}
+
+// Guards against a refusal that is true and is not tried elsewhere, and against one that goes round all gateways.
+#[test]
+fn a_request_that_has_not_run_behind_another_gateway_goes_to_a_further_one() {
+    let fleet = RelayFleet::start();
+    let answers: [(&str, FirstAnswer, usize, u16); 10] = [
+        (
+            "503-marked",
+            |request| own_answer(request, 503, CUT_OFF),
+            2,
+            200,
+        ),
+        (
+            "429-marked",
+            |request| own_answer(request, 429, CUT_OFF),
+            2,
+            200,
+        ),
+        ("408-plain", |request| own_answer(request, 408, ""), 2, 200),
+        ("421-plain", |request| own_answer(request, 421, ""), 2, 200),
+        (
+            "404-stated",
+            |request| own_answer(request, 404, NOT_RUN),
+            2,
+            200,
+        ),
+        (
+            "413-stated",
+            |request| own_answer(request, 413, NOT_RUN),
+            2,
+            200,
+        ),
+        ("503-plain", |request| own_answer(request, 503, ""), 1, 503),
+        ("429-plain", |request| own_answer(request, 429, ""), 1, 503),
+        (
+            "503-stated",
+            |request| own_answer(request, 503, NOT_RUN),
+            1,
+            503,
+        ),
+        (
+            "503-not-executed",
+            |request| signed_answer(request, 503, NOT_EXECUTED),
+            2,
+            200,
+        ),
+    ];
+    for (id, answer, relays, status) in answers {
+        fleet.check(&Call::publish(id), answer, relays, status);
+    }
+}
+
+// Guards against a stream, or a request that may be repeated, that is refused or repeated by the wrong verdict.
+#[test]
+fn the_verdict_behind_another_gateway_holds_for_all_kinds_of_requests() {
+    let fleet = RelayFleet::start();
+    let marked: FirstAnswer = |request| own_answer(request, 502, CUT_OFF);
+    let refused: FirstAnswer = |request| own_answer(request, 503, CUT_OFF);
+    for (letter, call) in [("l", Call::lookup("")), ("s", Call::stream(""))] {
+        let [failed, elsewhere] = ["failed", "elsewhere"].map(|id| format!("{letter}-{id}"));
+        let of = |id| Call { id, ..call.clone() };
+        // The other gateway repeats a request as often as its route allows.
+        fleet.check(&of(&failed), marked, 1, 502);
+        fleet.check(&of(&elsewhere), refused, 2, 200);
+    }
+}
+
+// Guards against a stream that may run once and has begun behind another gateway, and is begun again.
+#[test]
+fn a_stream_that_may_run_once_is_not_begun_again_behind_a_further_gateway() {
+    let fleet = RelayFleet::start();
+    *fleet.first_answer.lock() = |request| {
+        let mut bytes = request.stream_head();
+        bytes.extend(SeenRequest::event(1));
+        EngineReply::BytesThenReset(bytes)
+    };
+    let draft = Call {
+        path: "/draft/x",
+        ..Call::stream("draft")
+    };
+    let answer = fleet.asking.caller().call(&draft);
+    assert!(!answer.is_whole, "an answer that ends early looks complete");
+    assert_eq!(fleet.relays("draft"), 1);
+}
+
+// Guards against a mark that older gateways take for "not run" in an answer to a request that may have run.
+#[test]
+fn a_gateway_that_is_cut_off_marks_only_what_has_not_run() {
+    let store = store_with_manifest();
+    let linked = LinkedEngines::start(&store, |request| match &*request.message.start {
+        start if start.contains("/publish/") => EngineReply::BytesThenSilence(Vec::new()),
+        _ => deliver(request),
+    });
+    let other = ScriptedEngine::spawn(deliver);
+    announce_gateway(&store, "edge-2", &other);
+    let gateway = TestGateway::start(&store);
+    let relayed = |id| Call {
+        headers: "Gateway-Relayed: 1\r\n",
+        time_ms: 10_000,
+        ..Call::publish(id)
+    };
+    let mut caller = gateway.caller();
+    caller.send(&relayed("ran").text());
+    let has_it = |engine: &&ScriptedEngine| !engine.seen().is_empty();
+    wait_for("an engine has the request", || {
+        linked.engines.iter().any(|engine| has_it(&engine))
+    });
+    linked.cut_off(&gateway);
+    for engine in linked.engines.iter().filter(has_it) {
+        engine.crash();
+    }
+    let answer = caller.read().expect("an answer");
+    assert_eq!(answer.status(), 502);
+    assert_eq!(answer.header("gateway-cut-off"), None);
+    assert_eq!(answer.header("gateway-verdict"), Some("may-have-run"));
+    let refusal = gateway.caller().call(&relayed("refused"));
+    assert_eq!(refusal.status(), 503);
+    assert_eq!(refusal.header("gateway-cut-off"), Some("1"));
+    assert_eq!(refusal.header("gateway-verdict"), Some("not-run"));
+    std::thread::sleep(Duration::from_millis(50));
+    assert!(
+        other
+            .seen()
+            .iter()
+            .all(|request| { request.message.header("attempt-id") == Some("meanwhile") })
+    );
+}
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -104,6 +104,8 @@
     pub brittleness: Brittleness,
     /// Whether another gateway says that it is cut off from backend servers.
     pub is_cut_off: bool,
+    /// Another gateway's verdict on a relayed request over all its sends; older gateways state none.
+    pub relay_verdict: Option<Verdict>,
 }
 
 /// The headers that the gateway sets on one send to a backend server, besides the caller's own.
@@ -149,7 +151,8 @@
     pub verdict: Verdict,
     /// Whether the connection closes after the answer.
     pub closes: bool,
-    /// Whether this gateway is cut off from backend servers, for another one that relayed the request.
+    /// Whether this gateway is cut off from backend servers, for another one that relayed the request. It is said
+    /// only with [`Verdict::NotRun`], because older gateways take such an answer for "not run".
     pub is_cut_off: bool,
 }
 
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -348,7 +348,7 @@
             retry_after: is_refusal.then(|| self.return_delay()),
             verdict: self.verdict,
             closes: self.closes,
-            is_cut_off: self.is_cut_off(),
+            is_cut_off: is_refusal && self.is_cut_off(),
         };
         let job = self.job;
         let is_written =
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -2,12 +2,14 @@
 //!
 //! A gateway that is cut off from all backend servers still reaches its callers and other gateways. The
 //! other gateway serves the request like one of its own callers' and never relays it further. Its answers
-//! tell what a backend server's would: one with the signature is the backend server's own, and a refusal
-//! promises that the request has not run (docs/PLATFORM.md, "Cut off from backend servers").
+//! tell what a backend server's would: one with the signature is the backend server's own, and
+//! `oleander_balance::RelayOutcome` reads from all others whether the request may have run (docs/PLATFORM.md,
+//! "Cut off from backend servers").
 
 use std::cell::Cell;
 use std::sync::Arc;
 
+use oleander_balance::{RelayEvidence, RelayOutcome};
 use serde::Serialize;
 
 use super::attempt::{SendTarget, Step};
@@ -32,38 +34,15 @@
     resume_from: Option<u64>,
 }
 
-/// The meaning of another gateway's answer to a relayed request.
-enum RelayAnswer {
-    /// It is the answer of a backend server.
-    Delivered,
-    /// That gateway cannot serve it, and it has not run.
-    Elsewhere,
-    /// It is refused, and it has not run.
-    Refused,
-    /// It may have run.
-    Failed,
-}
-
-impl RelayAnswer {
-    fn of(answer: &Exchange) -> Self {
-        let facts = &answer.facts;
-        match answer.head.status {
-            _ if facts.is_signed => Self::Delivered,
-            _ if facts.is_cut_off => Self::Elsewhere,
-            429 | 503 => Self::Refused,
-            // That gateway's manifest, or what it takes of a request, differs from this one's.
-            400..=499 => Self::Elsewhere,
-            _ => Self::Failed,
-        }
-    }
-
-    fn as_str(&self) -> &'static str {
-        match self {
-            Self::Delivered => "delivered",
-            Self::Elsewhere => "elsewhere",
-            Self::Refused => "refused",
-            Self::Failed => "failed",
-        }
+/// Returns what another gateway's answer says about a relayed request.
+fn relay_evidence(answer: &Exchange) -> RelayEvidence {
+    let facts = &answer.facts;
+    RelayEvidence {
+        status: answer.head.status,
+        is_signed: facts.is_signed,
+        is_not_run: facts.is_not_run,
+        verdict: facts.relay_verdict,
+        is_cut_off: facts.is_cut_off,
     }
 }
 
@@ -155,11 +134,11 @@
         target: &SendTarget,
         sent_at: MonoTime,
     ) -> Step {
-        let outcome = RelayAnswer::of(&answer);
+        let outcome = RelayOutcome::of(&relay_evidence(&answer));
         self.core.metrics.record_relay(outcome.as_str());
         let status = answer.head.status;
         match outcome {
-            RelayAnswer::Delivered => {
+            RelayOutcome::Delivered => {
                 self.sends += 1;
                 if status >= 500 {
                     self.use_up_runs();
@@ -169,19 +148,19 @@
                 self.handle_answer(answer, &mut guard, target, sent_at)
                     .await
             }
-            RelayAnswer::Elsewhere => {
+            RelayOutcome::Elsewhere => {
                 self.core.relays.avoid(&target.id);
                 self.last_problem = format!("another gateway answered {status}");
                 self.record_rejection(target, sent_at);
                 Step::TryAgain
             }
-            RelayAnswer::Refused => {
+            RelayOutcome::Refused => {
                 self.admission_delay = answer.facts.backoff;
                 self.last_problem = format!("another gateway refused with {status}");
                 self.record_rejection(target, sent_at);
                 Step::GiveUp("another gateway refused it")
             }
-            RelayAnswer::Failed => {
+            RelayOutcome::Failed => {
                 self.sends += 1;
                 self.use_up_runs();
                 self.verdict = self.verdict.join(Verdict::MayHaveRun);
