An engine's unsigned status is not passed on as a promise that a request has not run

What callers could see: an answer without an engine's signature and without Not-Executed, with status 408, 421, 429 or 503, went to the caller as it came. There it is the gateway's promise "not run", after which a request that may run once is sent again, although the engine may have run it. Through a relay, each unsigned answer of an engine looked like the other gateway's own; older gateways repeat a request after its unsigned 4xx. Change: a signature is asked for these statuses as for a 2xx, and for every answer to a relayed request; without it the request has a 502 with the verdict "may have run". Evidence: the new test failed before (408 instead of 502).

--- a/crates/entry/tests/gateway_relays.rs
+++ b/crates/entry/tests/gateway_relays.rs
@@ -362,3 +362,37 @@
             .all(|request| { request.message.header("attempt-id") == Some("meanwhile") })
     );
 }
+
+/// Answers with the status that the path of the request names, without a signature.
+fn unsigned_answer(request: &SeenRequest) -> EngineReply {
+    let path = request.message.start.split(' ').nth(1).unwrap_or("");
+    let status = path.rsplit('/').next().and_then(|last| last.parse().ok());
+    own_answer(request, status.unwrap_or(404), "")
+}
+
+// Guards against an engine's status that is passed on as the gateway's promise that the request has not run.
+#[test]
+fn an_unsigned_answer_is_no_promise_that_the_request_has_not_run() {
+    let store = store_with_manifest();
+    let _engine = gateway::start_engine(&store, "i-1", "desk", unsigned_answer);
+    let gateway = TestGateway::start(&store);
+    let status = |path: &str, headers: &str| {
+        let call = Call {
+            path,
+            headers,
+            ..Call::publish("unsigned")
+        };
+        let answer = gateway.caller().call(&call);
+        let verdict = answer.header("gateway-verdict").map(str::to_owned);
+        (answer.status(), verdict)
+    };
+    let failed = (502, Some("may-have-run".to_owned()));
+    for path in ["/publish/408", "/publish/429", "/publish/503"] {
+        assert_eq!(status(path, ""), failed, "{path}");
+    }
+    assert_eq!(status("/publish/404", "").0, 404, "an answer to a caller");
+    for path in ["/publish/400", "/publish/404", "/publish/301"] {
+        let relayed = status(path, "Gateway-Relayed: 1\r\n");
+        assert_eq!(relayed, failed, "{path}, which another gateway relayed");
+    }
+}
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -7,6 +7,7 @@
 
 use oleander_balance::{
     BackendKey, Choice, LeaseEnd, ReachFailure, RoomBelief, SendGrounds, VersionId,
+    promises_not_run,
 };
 use oleander_base::monotonic_now;
 
@@ -282,7 +283,7 @@
         }
         self.runs += 1;
         let is_good = (200..300).contains(&status);
-        if is_good && !answer.facts.is_signed {
+        if self.needs_signature(status) && !answer.facts.is_signed {
             self.verdict = self.verdict.join(Verdict::MayHaveRun);
             self.record_failure(
                 target,
@@ -306,6 +307,13 @@
         self.relay_buffered(answer, guard, target, sent_at).await
     }
 
+    /// Returns whether an answer of this status is passed on only with the backend server's signature. Without it,
+    /// a status would be taken for this gateway's own promise that the request has not run, and another gateway
+    /// could not tell any answer from one of this gateway's.
+    fn needs_signature(&self, status: u16) -> bool {
+        (200..300).contains(&status) || promises_not_run(status) || self.job.facts.is_relayed
+    }
+
     pub(super) fn after_failed_run(&self, reason: &'static str) -> Step {
         if self.may_run_again() {
             Step::TryAgain
