Streams do not go on at another software version after a loss of all gateways

Cause: a gateway says that a service has had a single version by what it has seen itself since its start, and a fleet that starts together has seen nothing. Waiting for a minute after each start would keep the rule and lose every stream after a kill of all in a service that has one version for weeks. Change: the store holds a record of the versions at which streams in progress may have begun. A gateway reads it with the registry, from the store or from another gateway, before it serves; it is written when a version comes or has been gone for 60 s, by one gateway in its turn, under the revision that it replaces, and again if an era of the store has lost it. Between gateways it travels beside the facts, in a field that older gateways skip. Streams of a service with one version go on at once after a kill of all gateways, without a further write (a test).

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -61,6 +61,7 @@
 mod usage_log;
 mod usage_merge;
 mod usage_schedule;
+mod version_record;
 mod wait_error;
 
 pub use admission::{Admission, AdmissionQuery, admit};
@@ -123,6 +124,7 @@
 pub use usage_log::{UsageCounts, UsageEvent, UsageLog};
 pub use usage_merge::UsageCollection;
 pub use usage_schedule::{CarriedWindows, UsageSchedule, WindowStep, WindowTerms};
+pub use version_record::VersionRecord;
 pub use wait_error::WaitError;
 
 /// The reference of a shared prompt part.
--- a/crates/balance/src/stream_origin.rs
+++ b/crates/balance/src/stream_origin.rs
@@ -5,7 +5,8 @@
 //! also when its caller resumes it at another gateway. Each gateway keeps the origins of the
 //! streams that it began or was told of in an [`OriginTable`]. A stream of unknown origin may only
 //! go on where a [`VersionHistory`] shows that its service has had a single version for as long as
-//! a stream can last.
+//! a stream can last. A gateway has seen only the versions since its start; a [`VersionRecord`] tells it of those
+//! before.
 
 use std::collections::VecDeque;
 use std::fmt;
@@ -16,6 +17,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::version_record::VersionRecord;
+
 /// How long the origin of a stream is kept, which is longer than a caller takes to resume a stream.
 pub const ORIGIN_RETENTION: Span = Span::from_secs(60);
 
@@ -127,24 +130,86 @@
     Mixed,
 }
 
-/// The software versions of each service that were lately in the registry.
+/// How lately a version must have been in the registry for a gateway to add it to the record. It is well below
+/// [`ORIGIN_RETENTION`], so that gateways which saw a version leave a little later do not take back its removal.
+const RECORDED_WITHIN: Span = Span::from_secs(30);
+
+/// When a version of a service was seen.
+#[derive(Debug, Clone, Copy)]
+struct SeenVersion {
+    /// The last time in the registry, or the first one in the record.
+    seen_at: MonoTime,
+    /// The last time in the registry.
+    registered_at: Option<MonoTime>,
+}
+
+impl SeenVersion {
+    fn is_recent(&self, now: MonoTime) -> bool {
+        now.since(self.seen_at) < ORIGIN_RETENTION
+    }
+
+    fn was_registered_lately(&self, now: MonoTime) -> bool {
+        let registered = self.registered_at;
+        registered.is_some_and(|registered| now.since(registered) < RECORDED_WITHIN)
+    }
+}
+
+/// The software versions of each service that were lately in the registry, or that the record names.
 #[derive(Debug, Default)]
 pub struct VersionHistory {
-    /// When each version of a service was last seen.
-    services: FastMap<Arc<str>, FastMap<VersionId, MonoTime>>,
+    services: FastMap<Arc<str>, FastMap<VersionId, SeenVersion>>,
 }
 
 impl VersionHistory {
     /// Records that a backend server of this version belongs to a service.
     pub fn observe(&mut self, service: &Arc<str>, version: VersionId, now: MonoTime) {
         let versions = self.services.entry(Arc::clone(service)).or_default();
-        versions.insert(version, now);
+        let seen = SeenVersion {
+            seen_at: now,
+            registered_at: Some(now),
+        };
+        versions.insert(version, seen);
+    }
+
+    /// Takes over the versions that the record names and did not name before. When they left is not known, so they
+    /// count as if they had just done so.
+    pub fn adopt(&mut self, record: &VersionRecord, before: &VersionRecord, now: MonoTime) {
+        let new = record
+            .iter()
+            .filter(|(service, version)| !before.contains(service, *version));
+        for (service, version) in new {
+            let versions = self.services.entry(Arc::clone(service)).or_default();
+            let seen = versions.entry(version).or_insert(SeenVersion {
+                seen_at: now,
+                registered_at: None,
+            });
+            seen.seen_at = now;
+        }
+    }
+
+    /// Returns the record that should take the place of the known one, unless that is as it should be.
+    pub fn next_record(&self, known: &VersionRecord, now: MonoTime) -> Option<VersionRecord> {
+        let mut next = VersionRecord::default();
+        for (service, version) in known.iter() {
+            let seen = self.services.get(service).and_then(|all| all.get(&version));
+            if seen.is_some_and(|seen| seen.is_recent(now)) {
+                next.insert(service, version);
+            }
+        }
+        for (service, versions) in &self.services {
+            for (version, seen) in versions {
+                if seen.was_registered_lately(now) {
+                    next.insert(service, *version);
+                }
+            }
+        }
+        (next != *known).then_some(next)
     }
 
     /// Forgets versions that no stream in progress can have begun at.
     pub fn prune(&mut self, now: MonoTime) {
         for versions in self.services.values_mut() {
-            versions.retain(|_, seen| now.since(*seen) < ORIGIN_RETENTION);
+            versions.retain(|_, seen| seen.is_recent(now));
         }
         self.services.retain(|_, versions| !versions.is_empty());
     }
@@ -156,7 +221,7 @@
         };
         let mut recent = versions
             .iter()
-            .filter(|(_, seen)| now.since(**seen) < ORIGIN_RETENTION)
+            .filter(|(_, seen)| seen.is_recent(now))
             .map(|(version, _)| *version);
         match (recent.next(), recent.next()) {
             (None, _) => VersionSpan::Unknown,
--- a/crates/balance/tests/stream_origin.rs
+++ b/crates/balance/tests/stream_origin.rs
@@ -7,7 +7,8 @@
 use common::{NoIdleConnections, entry};
 use oleander_balance::{
     BackendEntry, ChoiceInput, FleetTable, LatencyModel, ORIGIN_RETENTION, OriginTable,
-    ServiceTraffic, StreamId, VersionHistory, VersionId, VersionSpan, choose_backend, sole_version,
+    ServiceTraffic, StreamId, VersionHistory, VersionId, VersionRecord, VersionSpan,
+    choose_backend, sole_version,
 };
 use oleander_base::prelude::*;
 use proptest::prelude::*;
@@ -72,6 +73,118 @@
     }
 }
 
+/// Returns the record that names these versions of the service.
+fn record(names: &[&str]) -> VersionRecord {
+    let service = Arc::from(SERVICE);
+    let mut record = VersionRecord::default();
+    for name in names {
+        record.insert(&service, version(name));
+    }
+    record
+}
+
+/// The versions that two gateways see in the registry, and the record that both of them write.
+struct RecordedFleet {
+    record: VersionRecord,
+    histories: Vec<VersionHistory>,
+    writes: usize,
+}
+
+impl RecordedFleet {
+    fn start(record: VersionRecord, gateways: usize, now: MonoTime) -> Self {
+        let start = |_| {
+            let mut history = VersionHistory::default();
+            history.adopt(&record, &VersionRecord::default(), now);
+            history
+        };
+        let histories = (0..gateways).map(start).collect();
+        Self {
+            record,
+            histories,
+            writes: 0,
+        }
+    }
+
+    /// Lets each gateway see these versions and write the record if it finds it out of date.
+    fn observe(&mut self, names: &[&str], now: MonoTime) {
+        let service = Arc::from(SERVICE);
+        for index in 0..self.histories.len() {
+            let history = &mut self.histories[index];
+            for name in names {
+                history.observe(&service, version(name), now);
+            }
+            history.prune(now);
+            if let Some(next) = history.next_record(&self.record, now) {
+                let before = std::mem::replace(&mut self.record, next);
+                self.writes += 1;
+                for history in &mut self.histories {
+                    history.adopt(&self.record, &before, now);
+                }
+            }
+        }
+    }
+
+    fn span(&self, now: MonoTime) -> VersionSpan {
+        self.histories[0].span(SERVICE, now)
+    }
+}
+
+// Guards against a gateway that has just started and takes the version that is left for the only one there was.
+#[test]
+fn a_gateway_that_has_just_started_counts_the_versions_of_the_record() {
+    let mut fleet = RecordedFleet::start(record(&["v1", "v2"]), 1, START);
+    fleet.observe(&["v2"], START);
+    assert_eq!(fleet.span(START), VersionSpan::Mixed);
+    assert_eq!(fleet.record, record(&["v1", "v2"]), "v1 may be needed yet");
+    let over = START + ORIGIN_RETENTION;
+    fleet.observe(&["v2"], over);
+    assert_eq!(fleet.span(over), VersionSpan::Single(version("v2")));
+    assert_eq!(fleet.record, record(&["v2"]));
+    assert_eq!(fleet.writes, 1);
+}
+
+#[test]
+fn a_gateway_that_has_just_started_believes_a_record_of_one_version() {
+    let mut fleet = RecordedFleet::start(record(&["v1"]), 1, START);
+    fleet.observe(&["v1"], START);
+    assert_eq!(fleet.span(START), VersionSpan::Single(version("v1")));
+    assert_eq!(fleet.writes, 0, "nothing has changed");
+}
+
+// Guards against gateways that write the record by turns, one back what the other has removed.
+#[test]
+fn a_record_is_written_once_for_each_version_that_comes_or_goes() {
+    let second = |number: u64| START + Span::from_secs(number);
+    let mut fleet = RecordedFleet::start(VersionRecord::default(), 3, START);
+    for number in 0..300 {
+        let names: &[&str] = match number {
+            0..20 => &["v1"],
+            20..30 => &["v1", "v2"],
+            30..100 => &["v1"],
+            100..140 => &["v1", "v3"],
+            _ => &["v3"],
+        };
+        fleet.observe(names, second(number));
+        let is_mixed = fleet.span(second(number)) == VersionSpan::Mixed;
+        let expects_mixed = (20..89).contains(&number) || (100..199).contains(&number);
+        assert_eq!(is_mixed, expects_mixed, "second {number}");
+    }
+    assert_eq!(fleet.record, record(&["v3"]));
+    // v1, v2 and v3 come, v2 and v1 go.
+    assert_eq!(fleet.writes, 5);
+    // A gateway that starts while a version is remembered does not keep it alive.
+    let mut fleet = RecordedFleet::start(record(&["v3", "v4"]), 2, START);
+    fleet.histories[1] = VersionHistory::default();
+    for number in 0..80 {
+        fleet.observe(&["v3"], second(number));
+        if number == 50 {
+            let known = fleet.record.clone();
+            fleet.histories[1].adopt(&known, &VersionRecord::default(), second(number));
+        }
+    }
+    assert_eq!(fleet.record, record(&["v3"]));
+}
+
 // Guards against an engine that starts again under its id with other software and keeps its state.
 #[test]
 fn another_software_version_is_another_incarnation() {
--- a/crates/entry/tests/gateway_versions.rs
+++ b/crates/entry/tests/gateway_versions.rs
@@ -3,6 +3,7 @@
 mod gateway;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -278,3 +279,133 @@
     assert!(newer.versions().is_empty());
     assert_eq!(engines.versions().len(), 1);
 }
+
+/// The key of the record of software versions in the store.
+const RECORD: &str = "software-versions";
+
+/// Waits until the record names this many versions of the service, and returns it.
+fn wait_record(store: &UsersStore, versions: usize) -> String {
+    let mut record = String::new();
+    wait_for("the record names the versions", || {
+        record = store.value(RECORD).unwrap_or_default();
+        let record: serde_json::Value = serde_json::from_str(&record).unwrap_or_default();
+        let named = record["engines"].as_array().map_or(0, Vec::len);
+        named == versions
+    });
+    record
+}
+
+fn remove_engines(store: &UsersStore, version: &str) {
+    for number in 1..=2 {
+        store.delete(&format!("servers/i-{version}-{number}"));
+    }
+}
+
+// Guards against a stream that goes on at another software version, because the last engine of its own left while no
+// gateway ran, so that the gateways that start afterwards see a single version.
+#[test]
+fn a_stream_whose_version_left_while_all_gateways_were_down_is_refused() {
+    let store = store_with_manifest();
+    let _engines = Engines::start(&store, &["v1", "v1.1"], hold_new);
+    let mut gateways = two_gateways(&store);
+    for number in 0..6 {
+        begin(&gateways[number % 2], &format!("a{number}"), 2);
+    }
+    wait_record(&store, 2);
+    gateways.iter_mut().for_each(TestGateway::kill);
+    remove_engines(&store, "v1");
+    let restarted = TestGateway::start(&store);
+    for number in 0..6 {
+        let [begun, resumed] = [format!("a{number}"), format!("b{number}")];
+        let answer = resume(&restarted, &resumed, &begun, 2);
+        assert_eq!(answer.status(), 503, "{begun}");
+        assert!(answer.header("retry-after").is_some());
+    }
+    let new = restarted.caller().call(&Call::stream("new"));
+    assert_eq!(new.status(), 200, "a new stream begins");
+}
+
+// Guards against the same where the new version came only while no gateway ran.
+#[test]
+fn a_stream_whose_version_was_replaced_while_all_gateways_were_down_is_refused() {
+    let store = store_with_manifest();
+    let _engines = Engines::start(&store, &["v1"], hold_new);
+    let mut gateway = TestGateway::start(&store);
+    begin(&gateway, "a1", 2);
+    wait_record(&store, 1);
+    gateway.kill();
+    let newer = Engines::start(&store, &["v1.1"], hold_new);
+    remove_engines(&store, "v1");
+    let restarted = TestGateway::start(&store);
+    let answer = resume(&restarted, "b1", "a1", 2);
+    assert_eq!(answer.status(), 503);
+    assert!(newer.versions().is_empty());
+    wait_record(&store, 2);
+}
+
+// Guards against a fleet that forgets, with all of its gateways, that a service has had one version for long, and
+// against calls of the store that each start costs.
+#[test]
+fn streams_of_a_service_with_one_version_go_on_after_all_gateways_were_down() {
+    let store = store_with_manifest();
+    let _engines = Engines::start(&store, &["v1"], hold_new);
+    let mut gateways = two_gateways(&store);
+    begin(&gateways[0], "a1", 2);
+    let record = wait_record(&store, 1);
+    gateways.iter_mut().for_each(TestGateway::kill);
+    for number in 0..4 {
+        let restarted = TestGateway::start(&store);
+        let answer = resume(&restarted, &format!("b{number}"), "a1", 2);
+        assert_eq!((answer.status(), answer.is_whole), (200, true), "{number}");
+        let calls = restarted.page("/metrics");
+        assert!(
+            !calls.contains("versions-write"),
+            "the record is written again"
+        );
+    }
+    assert_eq!(store.value(RECORD), Some(record));
+}
+
+// Guards against a record that a store which comes back from a copy has lost, or that another writer has spoiled.
+#[test]
+fn a_lost_or_spoiled_record_of_versions_is_written_again() {
+    let store = store_with_manifest();
+    let copy = store.copy();
+    let engines = Engines::start(&store, &["v1", "v1.1"], hold_new);
+    let gateway = TestGateway::start(&store);
+    let record = wait_record(&store, 2);
+    store.put(RECORD, "no record");
+    assert_eq!(wait_record(&store, 2), record);
+    store.delete(RECORD);
+    assert_eq!(wait_record(&store, 2), record);
+    store.restore(copy);
+    assert_eq!(
+        store.value(RECORD),
+        None,
+        "the copy is older than the record"
+    );
+    for version in ["v1", "v1.1"] {
+        let engines = engines.0.iter().filter(|(known, _)| *known == version);
+        for (number, (_, engine)) in engines.enumerate() {
+            let id = format!("i-{version}-{}", number + 1);
+            announce_version(&store, &id, "engines", engine, "available", version);
+        }
+    }
+    assert_eq!(wait_record(&store, 2), record);
+    assert!(gateway.is_ready());
+}
+
+// Guards against a gateway that knows the registry from another gateway, and does not know the record.
+#[test]
+fn the_record_of_versions_is_passed_on_between_gateways() {
+    let store = store_with_manifest();
+    let _engines = Engines::start(&store, &["v1", "v1.1"], hold_new);
+    let first = TestGateway::start(&store);
+    wait_record(&store, 2);
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    let second = TestGateway::spawn_changed("edge-2", nowhere, &[first.control], true, |_| {});
+    second.wait_ready();
+    let line = second.wait_log("belief", |line| line["change"] == "versions-recorded");
+    assert_eq!(line["source"], "gateway");
+    assert_eq!(line["versions"], 2);
+}
--- a/crates/gateway/src/facts_message.rs
+++ b/crates/gateway/src/facts_message.rs
@@ -35,6 +35,20 @@
     /// The time since the gateway's last contact with the store, in milliseconds.
     pub(crate) contact_age_ms: u64,
     pub(crate) facts: Vec<FactRow>,
+    /// The record of software versions, if it is newer. It is no row of `facts`, because older gateways can read no
+    /// message with a row of a subject that they do not know.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) versions: Option<VersionsRow>,
+}
+
+/// The record of software versions in a [`FactsMessage`].
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct VersionsRow {
+    era: StoreEra,
+    revision: u64,
+    /// The value as the store holds it; absent if the record was deleted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    value: Option<String>,
 }
 
 /// One fact of a [`FactsMessage`].
@@ -119,7 +133,7 @@
             StoreSubject::Manifest => FactSubject::Manifest,
             StoreSubject::Backend(id) => FactSubject::Backend(id),
             StoreSubject::Gateway(name) => FactSubject::Gateway(name),
-            StoreSubject::Other => return None,
+            StoreSubject::Versions | StoreSubject::Other => return None,
         };
         let value = match item.value.filter(|_| fact.packed.is_none()) {
             None => None,
@@ -162,3 +176,36 @@
         })
     }
 }
+
+impl VersionsRow {
+    /// Converts a fact to its row, if it is the one about the record. A value that is not UTF-8 cannot be decoded by
+    /// any gateway and is left out.
+    pub(crate) fn of(fact: &KnownFact) -> Option<Self> {
+        if fact.item.subject != StoreSubject::Versions {
+            return None;
+        }
+        let value = match &fact.item.value {
+            None => None,
+            Some(bytes) => Some(String::from_utf8(bytes.to_vec()).ok()?),
+        };
+        Some(Self {
+            era: fact.era,
+            revision: fact.item.revision.0,
+            value,
+        })
+    }
+
+    /// Converts a row to its fact.
+    pub(crate) fn into_fact(self) -> KnownFact {
+        KnownFact {
+            item: StoreItem {
+                subject: StoreSubject::Versions,
+                revision: Revision(self.revision),
+                value: self.value.map(Bytes::from),
+            },
+            era: self.era,
+            packed: None,
+            mode: RemovalMode::Gone,
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,6 +51,7 @@
 mod store_version;
 mod store_watch;
 mod suspend;
+mod version_recorder;
 
 pub mod prelude;
 
--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use oleander_balance::{
-    OriginTable, StreamId, VersionHistory, VersionId, VersionSpan, sole_version,
+    OriginTable, StreamId, VersionHistory, VersionId, VersionRecord, VersionSpan, sole_version,
 };
 use oleander_base::{FastMap, FastSet, monotonic_now};
 use tokio::sync::Notify;
@@ -121,11 +121,28 @@
     changed: Notify,
 }
 
+/// A record of software versions that should take the place of another one.
+#[derive(Debug)]
+pub(crate) struct RecordChange {
+    pub(crate) record: VersionRecord,
+    /// The revision of the one that it replaces; revision 0 means that there is none.
+    pub(crate) replaces: Revision,
+}
+
+/// The record of software versions that this gateway's history has taken over.
+#[derive(Debug, Default)]
+struct AdoptedRecord {
+    at: StoreVersion,
+    record: VersionRecord,
+}
+
 /// The origins that this gateway knows, and its exchange of them with other gateways.
 #[derive(Debug, Default)]
 pub(crate) struct OriginExchange {
     table: RefCell<OriginTable>,
     history: RefCell<VersionHistory>,
+    adopted: RefCell<AdoptedRecord>,
+    record_outdated: Notify,
     unsent: RefCell<Vec<OriginRecord>>,
     has_unsent: Notify,
     queries: RefCell<FastMap<u64, Rc<OpenQuery>>>,
@@ -175,25 +192,66 @@
         query.changed.notify_one();
     }
 
-    /// Observes the versions in the registry.
+    /// Observes the versions in the registry and in the record.
     pub(crate) fn observe(&self, core: &GatewayCore) {
         let now = monotonic_now();
+        self.adopt_record(core, now);
+        if !is_current(core, now) {
+            return;
+        }
         let mut history = self.history.borrow_mut();
         for (_, member) in core.fleet.borrow().members() {
             history.observe(&member.entry.service, member.version, now);
         }
         history.prune(now);
+        let adopted = self.adopted.borrow();
+        if history.next_record(&adopted.record, now).is_some() {
+            self.record_outdated.notify_one();
+        }
+    }
+
+    /// Takes over the record of versions, if it has changed.
+    fn adopt_record(&self, core: &GatewayCore, now: MonoTime) {
+        let view = core.view.borrow();
+        let at = view.version_record_at();
+        let mut adopted = self.adopted.borrow_mut();
+        if at == adopted.at {
+            return;
+        }
+        let record = view.version_record().clone();
+        self.history
+            .borrow_mut()
+            .adopt(&record, &adopted.record, now);
+        *adopted = AdoptedRecord { at, record };
+    }
+
+    /// Waits until the record of versions may be out of date.
+    pub(crate) async fn record_outdated(&self) {
+        self.record_outdated.notified().await;
+    }
+
+    /// Returns the change that would bring the record of versions up to date, if it is not and this gateway knows
+    /// the present registry.
+    pub(crate) fn record_change(&self, core: &GatewayCore) -> Option<RecordChange> {
+        let now = monotonic_now();
+        let view = core.view.borrow();
+        if !is_current(core, now) || view.version.era != core.store_era() {
+            return None;
+        }
+        let known = view.version_record();
+        let record = self.history.borrow().next_record(known, now)?;
+        Some(RecordChange {
+            record,
+            replaces: view.version_record_revision(),
+        })
     }
 
     /// Returns what this gateway knows of a service's versions. Without recent contact with the store
     /// there may be another version that it does not know of.
     fn versions(&self, core: &GatewayCore, service: &str) -> VersionSpan {
         let now = monotonic_now();
-        let contact = core.view.borrow().store_contact;
-        let max_age = core.settings().view_pace().max_version_age;
-        let is_current = contact.is_some_and(|contact| now.since(contact) < max_age);
         match self.history.borrow().span(service, now) {
-            VersionSpan::Single(_) if !is_current => VersionSpan::Unknown,
+            VersionSpan::Single(_) if !is_current(core, now) => VersionSpan::Unknown,
             span => span,
         }
     }
@@ -287,6 +345,13 @@
     }
 }
 
+/// Returns whether this gateway's view of the registry counts as complete.
+fn is_current(core: &GatewayCore, now: MonoTime) -> bool {
+    let contact = core.view.borrow().store_contact;
+    let max_age = core.settings().view_pace().max_version_age;
+    contact.is_some_and(|contact| now.since(contact) < max_age)
+}
+
 /// Removes a query when its asker stops waiting, however that happens.
 struct QueryRemoval<'a> {
     exchange: &'a OriginExchange,
--- a/crates/gateway/src/peer_facts.rs
+++ b/crates/gateway/src/peer_facts.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 
 use crate::core::GatewayCore;
-use crate::facts_message::{FactRow, FactsMessage, UnpackError};
+use crate::facts_message::{FactRow, FactsMessage, UnpackError, VersionsRow};
 use crate::http::{AnswerHead, ConnError, HeadLimits, HttpConn, TcpTimeouts};
 use crate::platform_view::KnownFact;
 use crate::prelude::*;
@@ -150,12 +150,14 @@
     let contact = view.store_contact.filter(|_| !core.is_store_lost.get());
     let age = contact.map_or(u64::MAX, |contact| now.since(contact).0 / 1_000);
     let facts = view.facts_after(query.after, query.manifest, query.reads_packed);
+    let versions = facts.iter().find_map(VersionsRow::of);
     let facts = facts.into_iter().filter_map(FactRow::of);
     let message = FactsMessage {
         era: view.version.era,
         at: view.version.revision.0,
         contact_age_ms: age,
         facts: facts.collect(),
+        versions,
     };
     let bytes = serde_json::to_vec(&message).expect("facts always serialize");
     core.metrics.record_peer_bytes("facts", bytes.len());
@@ -264,7 +266,8 @@
 
 fn apply_message(core: &GatewayCore, message: FactsMessage) -> Result<usize, FactsError> {
     let facts = message.facts.into_iter().map(FactRow::into_fact);
-    let facts: Vec<KnownFact> = facts.collect::<Result<_, _>>()?;
+    let mut facts: Vec<KnownFact> = facts.collect::<Result<_, _>>()?;
+    facts.extend(message.versions.map(VersionsRow::into_fact));
     let now = monotonic_now();
     let contact_age = message.contact_age_ms.saturating_mul(1_000);
     let store_contact = MonoTime(now.0.saturating_sub(contact_age));
--- a/crates/gateway/src/platform_view/mod.rs
+++ b/crates/gateway/src/platform_view/mod.rs
@@ -11,6 +11,7 @@
 
 mod backends;
 mod gateways;
+mod versions;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 
 use self::backends::BackendFact;
 use self::gateways::GatewayFact;
+use self::versions::VersionFact;
 use crate::facts_message::PackedValue;
 use crate::port::{StoreItem, StoreSubject};
 use crate::prelude::*;
@@ -64,6 +66,10 @@
     GatewayJoined { gateway: Arc<str> },
     /// A gateway was removed from the store.
     GatewayGone { gateway: Arc<str> },
+    /// The record of software versions changed.
+    VersionsRecorded { versions: usize },
+    /// The record of software versions could not be decoded.
+    VersionsIgnored { reason: String },
 }
 
 /// The keys in a complete listing of the store.
@@ -71,15 +77,21 @@
 pub(crate) struct ListedKeys {
     backends: FastSet<Arc<str>>,
     gateways: FastSet<Arc<str>>,
+    has_versions: bool,
 }
 
 impl ListedKeys {
     pub(crate) fn insert(&mut self, subject: &StoreSubject) {
         match subject {
-            StoreSubject::Backend(id) => self.backends.insert(Arc::clone(id)),
-            StoreSubject::Gateway(name) => self.gateways.insert(Arc::clone(name)),
-            StoreSubject::Manifest | StoreSubject::Other => false,
-        };
+            StoreSubject::Backend(id) => {
+                self.backends.insert(Arc::clone(id));
+            }
+            StoreSubject::Gateway(name) => {
+                self.gateways.insert(Arc::clone(name));
+            }
+            StoreSubject::Versions => self.has_versions = true,
+            StoreSubject::Manifest | StoreSubject::Other => {}
+        }
     }
 }
 
@@ -99,6 +111,7 @@
     manifest_fact: Option<ManifestFact>,
     backends: FastMap<Arc<str>, BackendFact>,
     gateways: FastMap<Arc<str>, GatewayFact>,
+    version_fact: VersionFact,
 }
 
 /// The manifest in force, as the store holds it.
@@ -174,6 +187,7 @@
                 let name = Arc::clone(name);
                 self.apply_gateway(name, version, fact.item.value, context);
             }
+            StoreSubject::Versions => self.apply_versions(fact, context),
             StoreSubject::Other => {}
         }
     }
@@ -232,8 +246,8 @@
         self.version = self.version.max(at);
     }
 
-    /// Removes the backend servers that are missing from a complete listing, and notes the gateways
-    /// that are.
+    /// Removes the backend servers and the record of versions that are missing from a complete listing, and notes the
+    /// gateways that are.
     pub(crate) fn remove_unlisted(
         &mut self,
         listed: &ListedKeys,
@@ -243,6 +257,7 @@
     ) {
         self.remove_unlisted_backends(&listed.backends, at, mode, context);
         self.mark_unlisted_gateways(&listed.gateways, at, context.now);
+        self.remove_unlisted_versions(listed.has_versions, at);
     }
 
     /// Returns whether [`Self::facts_after`] would return anything.
@@ -266,7 +281,12 @@
             .map(|fact| fact.known_fact(packs_manifest));
         let backends = self.backend_facts(after);
         let gateways = self.gateway_facts(after);
-        manifest.chain(backends).chain(gateways).collect()
+        let versions = self.versions_fact(after);
+        manifest
+            .chain(backends)
+            .chain(gateways)
+            .chain(versions)
+            .collect()
     }
 
     /// Drops expired tombstones and the addresses of gateways that were removed long ago.
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -12,7 +12,8 @@
 
 use bytes::Bytes;
 use oleander_balance::{
-    AnswerClaim, BackendEntry, Brittleness, LoadReport, NamedRate, PromptPart, WorkReport,
+    AnswerClaim, BackendEntry, Brittleness, LoadReport, NamedRate, PromptPart, VersionRecord,
+    WorkReport,
 };
 use oleander_base::prelude::*;
 use thiserror::Error;
@@ -187,6 +188,8 @@
     Backend(Arc<str>),
     /// A gateway, by its name.
     Gateway(Arc<str>),
+    /// The record of the software versions.
+    Versions,
     /// Any other key.
     Other,
 }
@@ -383,6 +386,22 @@
     /// Returns the call that announces this gateway under a lease.
     fn announce_request(&self, name: &str, entry: &GatewayEntry, lease: u64) -> StoreRequest;
 
+    /// Decodes the record of the software versions.
+    fn decode_versions(&self, value: &[u8]) -> Result<VersionRecord, DecodeError>;
+    /// Returns the call that reads the record of the software versions.
+    fn versions_read_request(&self) -> StoreRequest;
+    /// Decodes the record's key that was read.
+    fn decode_versions_item(&self, body: &[u8]) -> Result<StoreItem, DecodeError>;
+    /// Returns the call that writes a record in place of the one of revision `known`; revision 0 means that there is
+    /// none.
+    fn versions_write_request(&self, record: &VersionRecord, known: Revision) -> StoreRequest;
+    /// Decodes the key that a write of this record has made.
+    fn decode_versions_write(
+        &self,
+        record: &VersionRecord,
+        body: &[u8],
+    ) -> Result<StoreItem, DecodeError>;
+
     /// Returns the call that reads a duty key.
     fn duty_read_request(&self, key: DutyKey) -> StoreRequest;
     /// Decodes a duty key that was read.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -29,6 +29,7 @@
 use crate::prelude::*;
 use crate::quarantine::run_quarantine_news;
 use crate::store_watch::{RECOVERY_WINDOW, run_store_watch};
+use crate::version_recorder::run_version_recorder;
 
 /// The length of the queue of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -212,6 +213,7 @@
     core.peers.connect(Rc::clone(&gossip));
     spawn_local(run_gossip(Rc::clone(&core), gossip));
     spawn_local(run_origin_exchange(Rc::clone(&core)));
+    spawn_local(run_version_recorder(Rc::clone(&core)));
     spawn_local(run_quarantine_news(Rc::clone(&core)));
     spawn_local(accept_callers(Rc::clone(&core), listeners.frontend));
     spawn_local(watch_settings(Rc::clone(&core)));
--- a/crates/gateway/src/store_client.rs
+++ b/crates/gateway/src/store_client.rs
@@ -78,6 +78,10 @@
     DutyRead,
     /// Keys of the duties are changed.
     DutyWrite,
+    /// The record of software versions is read.
+    VersionsRead,
+    /// The record of software versions is written.
+    VersionsWrite,
 }
 
 impl StorePurpose {
@@ -91,6 +95,8 @@
             Self::Release => "release",
             Self::DutyRead => "duty-read",
             Self::DutyWrite => "duty-write",
+            Self::VersionsRead => "versions-read",
+            Self::VersionsWrite => "versions-write",
         }
     }
 }
