Answers of other gateways, the store and the provider have bounds by what they are for

Cause: one bound for all answers that are not an engine's, made for the one that lists the whole registry. Change: the bound goes by the call: 16 MiB where the registry may be listed, 4 MiB for values of the store, 256 KiB for a gateway's counts, 64 KiB for confirmations and the provider, whose body is not used.

--- a/crates/gateway/src/duty/provider.rs
+++ b/crates/gateway/src/duty/provider.rs
@@ -15,7 +15,9 @@
 
 use super::lease::DutyGrant;
 use crate::core::GatewayCore;
-use crate::http::{AnswerHead, ConnError, HeadLimits, HttpConn, TcpTimeouts};
+use crate::http::{
+    AnswerHead, ConnError, HeadLimits, HttpConn, MAX_SHORT_ANSWER_BYTES, TcpTimeouts,
+};
 use crate::port::{DutyHeaders, ProviderRequest};
 use crate::prelude::*;
 use crate::settings::ProviderSettings;
@@ -230,7 +232,9 @@
             status: head.status,
         };
         // The status alone is the answer. After a broken body the connection is not used again.
-        let is_whole = read_body(&mut conn, &head).await.is_ok();
+        let is_whole = read_body(&mut conn, &head, MAX_SHORT_ANSWER_BYTES)
+            .await
+            .is_ok();
         if is_whole && head.keeps_alive && conn.is_idle() {
             *self.kept.borrow_mut() = Some(KeptConn { address, conn });
         }
--- a/crates/gateway/src/duty/usage_collect.rs
+++ b/crates/gateway/src/duty/usage_collect.rs
@@ -17,7 +17,9 @@
 
 use super::usage_exchange::{UsageAnswer, UsageQuery, own_answer, wall_clock};
 use crate::core::GatewayCore;
-use crate::http::{AnswerHead, ConnError, HeadLimits, HttpConn, TcpTimeouts};
+use crate::http::{
+    AnswerHead, ConnError, HeadLimits, HttpConn, MAX_USAGE_ANSWER_BYTES, TcpTimeouts,
+};
 use crate::prelude::*;
 use crate::store_client::read_body;
 
@@ -233,7 +235,7 @@
     if took > max_round_trip {
         return Err(QueryError::Slow(took));
     }
-    let body = read_body(&mut conn, &head).await;
+    let body = read_body(&mut conn, &head, MAX_USAGE_ANSWER_BYTES).await;
     let body = body.map_err(|error| malformed(&error))?;
     if head.status != 200 {
         return Err(QueryError::Answer(format!("status {}", head.status)));
--- a/crates/gateway/src/http/bounds.rs
+++ b/crates/gateway/src/http/bounds.rs
@@ -24,9 +24,19 @@
 /// The longest answer that is held before it is delivered, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
-/// The longest body of an answer of the key-value store or of another gateway, in bytes.
+/// The longest body of an answer that may list the whole registry, in bytes. A gateway reads one such answer at a
+/// time.
 pub const MAX_CONTROL_BYTES: usize = 16 * 1024 * 1024;
 
+/// The longest body of an answer with one key of the key-value store, or one page of a few keys, in bytes.
+pub const MAX_VALUE_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// The longest body of another gateway's answer with its counts, in bytes. Several are read at once.
+pub const MAX_USAGE_ANSWER_BYTES: usize = 256 * 1024;
+
+/// The longest body of an answer that only confirms a call, in bytes.
+pub const MAX_SHORT_ANSWER_BYTES: usize = 64 * 1024;
+
 /// A bound that a send has passed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum ByteBound {
@@ -48,9 +58,12 @@
     /// [`MAX_ANSWER_BYTES`].
     #[error("the answer is longer than {MAX_ANSWER_BYTES} bytes")]
     Answer,
-    /// [`MAX_CONTROL_BYTES`].
-    #[error("the answer is longer than {MAX_CONTROL_BYTES} bytes")]
-    Control,
+    /// The bound on an answer of the key-value store, the provider or another gateway.
+    #[error("the answer is longer than {max_bytes} bytes")]
+    Control {
+        /// The bound for its kind of call, in bytes.
+        max_bytes: usize,
+    },
     /// What is left of the memory for all answers together.
     #[error("the answers held at once are longer than their part of the memory")]
     HeldAnswers,
@@ -66,7 +79,7 @@
             Self::Comments => "comments",
             Self::Trailers => "trailers",
             Self::Answer => "answer",
-            Self::Control => "control",
+            Self::Control { .. } => "control",
             Self::HeldAnswers => "held-answers",
         }
     }
--- a/crates/gateway/src/peer_facts.rs
+++ b/crates/gateway/src/peer_facts.rs
@@ -17,7 +17,7 @@
 
 use crate::core::GatewayCore;
 use crate::facts_message::{FactRow, FactsMessage, UnpackError, VersionsRow};
-use crate::http::{AnswerHead, ConnError, HeadLimits, HttpConn, TcpTimeouts};
+use crate::http::{AnswerHead, ConnError, HeadLimits, HttpConn, MAX_CONTROL_BYTES, TcpTimeouts};
 use crate::platform_view::KnownFact;
 use crate::prelude::*;
 use crate::store_client::read_body;
@@ -291,7 +291,7 @@
     let begun = begin(kept, address, query);
     let (mut conn, head) = within(query.hold + HEAD_TIMEOUT, begun).await?;
     let body = async {
-        let body = read_body(&mut conn, &head).await;
+        let body = read_body(&mut conn, &head, MAX_CONTROL_BYTES).await;
         body.map_err(|error| FactsError::Answer(error.to_string()))
     };
     let body = within(BODY_TIMEOUT, body).await?;
--- a/crates/gateway/src/store_client.rs
+++ b/crates/gateway/src/store_client.rs
@@ -11,7 +11,7 @@
 use crate::core::GatewayCore;
 use crate::http::{
     AnswerHead, BodyError, BodyPiece, BodyReader, ByteBound, ConnError, HeadError, HeadLimits,
-    HttpConn, MAX_CONTROL_BYTES, TcpTimeouts,
+    HttpConn, MAX_CONTROL_BYTES, MAX_SHORT_ANSWER_BYTES, MAX_VALUE_ANSWER_BYTES, TcpTimeouts,
 };
 use crate::port::StoreRequest;
 use crate::prelude::*;
@@ -99,6 +99,17 @@
             Self::VersionsWrite => "versions-write",
         }
     }
+
+    /// Returns the bound on the answer's body, in bytes. A refused write brings the present values.
+    fn max_answer_bytes(self) -> usize {
+        match self {
+            Self::List | Self::Watch => MAX_CONTROL_BYTES,
+            Self::DutyRead | Self::DutyWrite | Self::VersionsRead | Self::VersionsWrite => {
+                MAX_VALUE_ANSWER_BYTES
+            }
+            Self::Grant | Self::Announce | Self::Renew | Self::Release => MAX_SHORT_ANSWER_BYTES,
+        }
+    }
 }
 
 /// The body of a successful answer, with the store's era.
@@ -151,7 +162,7 @@
         // After a lost answer a connection cannot be used any more, so it is stored again only
         // after a complete answer.
         let conn = self.conn.take();
-        let call = exchange(self.address, conn, request);
+        let call = exchange(self.address, conn, request, purpose.max_answer_bytes());
         let result = match timeout(Duration::from(limit), call).await {
             Ok(result) => result,
             Err(_) => Err(StoreError::TimedOut),
@@ -198,6 +209,7 @@
     address: SocketAddr,
     conn: Option<HttpConn>,
     request: &StoreRequest,
+    max_answer_bytes: usize,
 ) -> Result<StoreAnswer, StoreError> {
     let mut conn = match conn.filter(HttpConn::is_idle) {
         Some(conn) => conn,
@@ -212,7 +224,7 @@
         head_bytes: MAX_HEAD_BYTES,
     };
     let head = AnswerHead::parse(conn.read_head(&limits).await?, request.method)?;
-    let body = read_body(&mut conn, &head).await?;
+    let body = read_body(&mut conn, &head, max_answer_bytes).await?;
     let keeps = head.keeps_alive && conn.buffer.is_empty();
     Ok(StoreAnswer {
         head,
@@ -236,16 +248,20 @@
     )
 }
 
-/// Reads a complete body.
-pub(crate) async fn read_body(conn: &mut HttpConn, head: &AnswerHead) -> Result<Bytes, StoreError> {
+/// Reads a complete body of at most `max_bytes`.
+pub(crate) async fn read_body(
+    conn: &mut HttpConn,
+    head: &AnswerHead,
+    max_bytes: usize,
+) -> Result<Bytes, StoreError> {
     let mut reader = BodyReader::open(head.framing);
     let mut body = BytesMut::new();
     loop {
         match reader.next(&mut conn.buffer)? {
             BodyPiece::Data(data) => {
                 body.extend_from_slice(&data);
-                if body.len() > MAX_CONTROL_BYTES {
-                    return Err(ConnError::OverBound(ByteBound::Control).into());
+                if body.len() > max_bytes {
+                    return Err(ConnError::OverBound(ByteBound::Control { max_bytes }).into());
                 }
             }
             BodyPiece::End => return Ok(body.freeze()),
