--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crashing;
 pub mod crowd;
+pub mod flooding;
 pub mod scaled;
 
 use std::fs::File;
--- a/crates/entry/tests/gateway_floods.rs
+++ b/crates/entry/tests/gateway_floods.rs
@@ -4,6 +4,7 @@
 
 use std::time::{Duration, Instant};
 
+use gateway::flooding::FloodKind;
 use gateway::{Call, TestGateway, start_engine, store_with_manifest};
 use oleander_standin::users::{EngineReply, SeenRequest};
 
@@ -22,52 +23,6 @@
 /// The length of a long event's data.
 const LONG_EVENT_BYTES: usize = 900 * 1_024;
 
-/// How an engine floods its connection.
-#[derive(Debug, Clone, Copy)]
-enum FloodKind {
-    /// A stream's event without end.
-    Event,
-    /// Comment lines of a stream.
-    Comments,
-    /// Interim answers before the head.
-    InterimAnswers,
-    /// The trailers of a stream in chunks.
-    Trailers,
-    /// A head.
-    Head,
-    /// A body without a frame.
-    Body,
-}
-
-impl FloodKind {
-    fn reply(self, request: &SeenRequest) -> EngineReply {
-        let line = |text: &str| text.repeat(4_096 / text.len()).into_bytes();
-        let after = |mut head: Vec<u8>, text: &str| {
-            head.extend(text.as_bytes());
-            head
-        };
-        match self {
-            Self::Event => EngineReply::Flood(
-                after(request.unframed_stream_head(), "id: 1\ndata: "),
-                line("endless "),
-            ),
-            Self::Comments => {
-                EngineReply::Flood(request.unframed_stream_head(), line(": still here\n"))
-            }
-            Self::InterimAnswers => {
-                EngineReply::Flood(Vec::new(), line("HTTP/1.1 100 Continue\r\n\r\n"))
-            }
-            Self::Trailers => {
-                EngineReply::Flood(after(request.stream_head(), "0\r\n"), line("X-More: 1\r\n"))
-            }
-            Self::Head => {
-                EngineReply::Flood(b"HTTP/1.1 200 OK\r\nX-More: ".to_vec(), line("endless "))
-            }
-            Self::Body => EngineReply::Flood(request.unframed_stream_head(), line("endless ")),
-        }
-    }
-}
-
 fn whole_stream(request: &SeenRequest) -> EngineReply {
     let mut bytes = request.stream_head();
     bytes.extend(SeenRequest::event(1));
