Late answers without end cost one send

Cause: each late answer before the expected one had a bound of its own, and their number had none. Change: one bound for all late answers of a send, 16 and 1 MiB of bodies; the send then counts as broken. Evidence: late_answers_without_end_cost_one_send failed before. All kinds of floods through a relay are a test now; those kinds that stood before were held there as well.

--- a/crates/entry/tests/gateway/flooding.rs
+++ b/crates/entry/tests/gateway/flooding.rs
@@ -17,6 +17,8 @@
     Head,
     /// A body without a frame.
     Body,
+    /// Answers to other requests before the expected one.
+    LateAnswers,
 }
 
 impl FloodKind {
@@ -44,6 +46,10 @@
             Self::Head => {
                 EngineReply::Flood(b"HTTP/1.1 200 OK\r\nX-More: ".to_vec(), line("endless "))
             }
+            Self::LateAnswers => {
+                let late = "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 0\r\n\r\n";
+                EngineReply::Flood(Vec::new(), line(late))
+            }
             Self::Body => EngineReply::Flood(request.unframed_stream_head(), line("endless ")),
         }
     }
--- a/crates/entry/tests/gateway_floods.rs
+++ b/crates/entry/tests/gateway_floods.rs
@@ -133,6 +133,12 @@
     flood(FloodKind::Body, "desk");
 }
 
+// Guards against late answers without end, which put off an answer until the caller's time is over.
+#[test]
+fn late_answers_without_end_cost_one_send() {
+    flood(FloodKind::LateAnswers, "engines");
+}
+
 /// Returns a stream with one event of this many bytes of data, in chunks of this size.
 fn long_event(request: &SeenRequest, data_len: usize, chunk_len: usize) -> EngineReply {
     let text = format!("id: 1\ndata: {}\n\n", "x".repeat(data_len));
--- a/crates/entry/tests/gateway_relays.rs
+++ b/crates/entry/tests/gateway_relays.rs
@@ -3,8 +3,9 @@
 mod gateway;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use gateway::flooding::FloodKind;
 use gateway::{Call, TestGateway, announce_at, store_with_manifest, wait_for};
 use oleander_standin::users::{
     EngineLink, EngineReply, LinkCut, ScriptedEngine, SeenRequest, UsersStore,
@@ -396,3 +397,85 @@
         assert_eq!(relayed, failed, "{path}, which another gateway relayed");
     }
 }
+
+/// The longest time to a final answer after a flood behind another gateway.
+const FLOOD_ANSWER_TIME: Duration = Duration::from_secs(1);
+
+/// The memory that the gateway may use: half of what its settings grant, in kilobytes.
+const MEMORY_KILOBYTES: u64 = 110 * 1_024 / 2;
+
+/// The number of relayed calls that are flooded at once.
+const FLOODED_CALLS: usize = 16;
+
+/// Floods the first relays of calls, all at once, and checks what the callers and the machine notice.
+fn flood_relays(kind: FloodKind, first_answer: FirstAnswer, is_stream: bool) {
+    let fleet = RelayFleet::start();
+    *fleet.first_answer.lock() = first_answer;
+    let ids: Vec<String> = (0..FLOODED_CALLS)
+        .map(|number| format!("f{number}"))
+        .collect();
+    let mut callers: Vec<_> = ids.iter().map(|_| fleet.asking.caller()).collect();
+    let started = Instant::now();
+    for (caller, id) in callers.iter_mut().zip(&ids) {
+        let call = match is_stream {
+            true => Call::stream(id),
+            false => Call::lookup(id),
+        };
+        caller.send(&call.text());
+    }
+    for (caller, id) in callers.iter_mut().zip(&ids) {
+        let answer = caller.read().expect("an answer");
+        assert_eq!(
+            (answer.status(), answer.is_whole),
+            (200, true),
+            "{kind:?}: {id}"
+        );
+        assert_eq!(fleet.relays(id), 2, "{kind:?}: {id}");
+    }
+    let took = started.elapsed();
+    assert!(took <= FLOOD_ANSWER_TIME, "{kind:?}: {took:?}");
+    assert!(fleet.asking.is_ready(), "{kind:?}");
+    let memory = fleet.asking.resident_kilobytes();
+    assert!(memory <= MEMORY_KILOBYTES, "{kind:?}: {memory} kB");
+}
+
+// Guards against answers without end that another gateway passes on, or sends itself, and that fill the memory of the
+// gateway that relays.
+#[test]
+fn relayed_answers_without_end_cost_one_relay() {
+    flood_relays(
+        FloodKind::Event,
+        |request| FloodKind::Event.reply(request),
+        true,
+    );
+    flood_relays(
+        FloodKind::Comments,
+        |request| FloodKind::Comments.reply(request),
+        true,
+    );
+    flood_relays(
+        FloodKind::Trailers,
+        |request| FloodKind::Trailers.reply(request),
+        true,
+    );
+    flood_relays(
+        FloodKind::InterimAnswers,
+        |request| FloodKind::InterimAnswers.reply(request),
+        false,
+    );
+    flood_relays(
+        FloodKind::Head,
+        |request| FloodKind::Head.reply(request),
+        false,
+    );
+    flood_relays(
+        FloodKind::Body,
+        |request| FloodKind::Body.reply(request),
+        false,
+    );
+    flood_relays(
+        FloodKind::LateAnswers,
+        |request| FloodKind::LateAnswers.reply(request),
+        false,
+    );
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -18,16 +18,14 @@
 use crate::core::GatewayCore;
 use crate::http::{
     AnswerHead, BodyError, BodyPiece, BodyReader, ByteBound, ConnError, HeadError, HeadLimits,
-    HttpConn, MAX_ANSWER_HEAD_BYTES, MAX_INTERIM_ANSWERS, TcpTimeouts,
+    HttpConn, MAX_ANSWER_HEAD_BYTES, MAX_INTERIM_ANSWERS, MAX_LATE_ANSWERS, MAX_LATE_BYTES,
+    TcpTimeouts,
 };
 use crate::prelude::*;
 
 /// The timeout of connecting to a backend server or another gateway.
 const CONNECT_TIMEOUT: Span = Span::from_millis(300);
 
-/// The most bytes that are skipped of a late answer to an earlier request.
-const MAX_SKIPPED_BYTES: usize = 1024 * 1024;
-
 /// Why a send got no answer.
 #[derive(Debug, Error)]
 pub(crate) enum SendError {
@@ -93,7 +91,7 @@
         }
         let wrote_all = write_request(&conn, plan).await?;
         plan.is_written.set(true);
-        let mut skipped = false;
+        let mut skipped = SkippedAnswers::default();
         loop {
             let (head, facts) = read_answer_head(core, &mut conn, plan.method).await?;
             if let Some(key) = plan.key {
@@ -103,12 +101,15 @@
             // An answer without an id may be another one to an earlier request on a kept connection.
             let is_ours = match &facts.attempt_id {
                 Some(id) => **id == *plan.attempt_id,
-                None => !skipped && !is_kept,
+                None => skipped.count == 0 && !is_kept,
             };
             if is_ours {
                 let has_attempt_id = facts.attempt_id.is_some();
                 return Ok(Self {
-                    is_reusable: head.keeps_alive && wrote_all && has_attempt_id && !skipped,
+                    is_reusable: head.keeps_alive
+                        && wrote_all
+                        && has_attempt_id
+                        && skipped.count == 0,
                     conn,
                     key: plan.key,
                     reader,
@@ -118,8 +119,7 @@
             }
             // This is a late answer to an earlier request on this connection; the expected one
             // follows it.
-            skip_body(&mut conn, reader).await?;
-            skipped = true;
+            skipped.skip(core, &mut conn, reader).await?;
         }
     }
 
@@ -171,6 +171,11 @@
     SendError::Unanswered(error.to_string())
 }
 
+fn over_bound(core: &GatewayCore, bound: ByteBound) -> SendError {
+    core.metrics.record_bound(bound);
+    unanswered(&bound)
+}
+
 /// A connection for one request.
 #[derive(Debug)]
 struct OpenedConn {
@@ -271,13 +276,9 @@
     let limits = HeadLimits {
         head_bytes: MAX_ANSWER_HEAD_BYTES,
     };
-    let over_bound = |bound: ByteBound| {
-        core.metrics.record_bound(bound);
-        unanswered(&bound)
-    };
     for _ in 0..=MAX_INTERIM_ANSWERS {
         let bytes = conn.read_head(&limits).await.map_err(|error| match error {
-            ConnError::HeadTooLong => over_bound(ByteBound::Head),
+            ConnError::HeadTooLong => over_bound(core, ByteBound::Head),
             error => unanswered(&error),
         })?;
         let head =
@@ -287,24 +288,35 @@
             return Ok((head, facts));
         }
     }
-    Err(over_bound(ByteBound::InterimAnswers))
+    Err(over_bound(core, ByteBound::InterimAnswers))
 }
 
-async fn skip_body(conn: &mut HttpConn, mut reader: BodyReader) -> Result<(), SendError> {
-    let mut skipped = 0;
-    loop {
-        match reader
-            .next(&mut conn.buffer)
-            .map_err(|error| unanswered(&error))?
-        {
-            BodyPiece::Data(data) => {
-                skipped += data.len();
-                if skipped > MAX_SKIPPED_BYTES {
-                    return Err(SendError::Unanswered("an endless answer".to_owned()));
-                }
+/// The late answers that came before the expected one.
+#[derive(Debug, Default)]
+struct SkippedAnswers {
+    count: usize,
+    bytes: usize,
+}
+
+impl SkippedAnswers {
+    /// Reads one more late answer and drops it.
+    async fn skip(
+        &mut self,
+        core: &GatewayCore,
+        conn: &mut HttpConn,
+        mut reader: BodyReader,
+    ) -> Result<(), SendError> {
+        self.count += 1;
+        loop {
+            if self.count > MAX_LATE_ANSWERS || self.bytes > MAX_LATE_BYTES {
+                return Err(over_bound(core, ByteBound::LateAnswers));
+            }
+            let piece = reader.next(&mut conn.buffer);
+            match piece.map_err(|error| unanswered(&error))? {
+                BodyPiece::Data(data) => self.bytes += data.len(),
+                BodyPiece::End => return Ok(()),
+                BodyPiece::NeedsMore => conn.fill().await.map_err(|error| unanswered(&error))?,
             }
-            BodyPiece::End => return Ok(()),
-            BodyPiece::NeedsMore => conn.fill().await.map_err(|error| unanswered(&error))?,
         }
     }
 }
--- a/crates/gateway/src/http/bounds.rs
+++ b/crates/gateway/src/http/bounds.rs
@@ -12,6 +12,12 @@
 /// The greatest number of interim answers before an answer.
 pub const MAX_INTERIM_ANSWERS: usize = 16;
 
+/// The greatest number of late answers, to earlier requests on a connection, before the expected answer.
+pub const MAX_LATE_ANSWERS: usize = 16;
+
+/// The most bytes of the bodies of late answers before the expected answer.
+pub const MAX_LATE_BYTES: usize = 1024 * 1024;
+
 /// The longest event of a stream, with the comments before it, in bytes. An event may repeat a whole answer.
 pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
@@ -46,6 +52,11 @@
     /// [`MAX_INTERIM_ANSWERS`].
     #[error("the interim answers are longer than {MAX_INTERIM_ANSWERS} heads")]
     InterimAnswers,
+    /// [`MAX_LATE_ANSWERS`] or [`MAX_LATE_BYTES`].
+    #[error(
+        "the late answers are longer than {MAX_LATE_ANSWERS} answers or {MAX_LATE_BYTES} bytes"
+    )]
+    LateAnswers,
     /// [`MAX_EVENT_BYTES`].
     #[error("an event is longer than {MAX_EVENT_BYTES} bytes")]
     Event,
@@ -75,6 +86,7 @@
         match self {
             Self::Head => "head",
             Self::InterimAnswers => "interim-answers",
+            Self::LateAnswers => "late-answers",
             Self::Event => "event",
             Self::Comments => "comments",
             Self::Trailers => "trailers",
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -14,8 +14,8 @@
 pub use body::{BodyError, BodyFraming, BodyPiece, BodyReader, push_chunk, push_last_chunk};
 pub use bounds::{
     ByteBound, MAX_ANSWER_BYTES, MAX_ANSWER_HEAD_BYTES, MAX_COMMENT_BYTES, MAX_CONTROL_BYTES,
-    MAX_EVENT_BYTES, MAX_INTERIM_ANSWERS, MAX_SHORT_ANSWER_BYTES, MAX_USAGE_ANSWER_BYTES,
-    MAX_VALUE_ANSWER_BYTES,
+    MAX_EVENT_BYTES, MAX_INTERIM_ANSWERS, MAX_LATE_ANSWERS, MAX_LATE_BYTES, MAX_SHORT_ANSWER_BYTES,
+    MAX_USAGE_ANSWER_BYTES, MAX_VALUE_ANSWER_BYTES,
 };
 pub use conn::{ConnError, HeadLimits, HttpConn, SocketBuffers, TcpTimeouts, open_socket};
 pub use head::{AnswerHead, HeadError, HeadScan, HeaderBlock, HeaderView, RequestHead};
