A planned stop cuts no request that it accepted late, and answers all at its end

Cause: the time for which requests are accepted was a constant, and the end of the grace time ended the process, not the requests. Shortly before the exit, requests with no part of an answer get their final one: 503 if they have not run, else 502 or 504. Streams that have begun go on until the exit, as before.

--- a/crates/gateway/src/caller_conn.rs
+++ b/crates/gateway/src/caller_conn.rs
@@ -307,7 +307,7 @@
         Err(None) => return NextStep::Close,
     };
     // The gateway may have begun to stop while the body arrived.
-    if let Err(refusal) = check_accepts(core) {
+    if let Err(refusal) = check_accepts(core, &route.routed, &facts) {
         return refuse(core, caller, &facts, &refusal).await;
     }
     if let Err(cause) = hold_unread(caller) {
@@ -378,14 +378,28 @@
     }
 }
 
-fn check_accepts(core: &GatewayCore) -> Result<(), Refusal> {
-    if core.shutdown.accepts_requests(monotonic_now()) {
-        return Ok(());
-    }
-    Err(Refusal {
+fn refuse_stopping() -> Refusal {
+    Refusal {
         retry_after: Some(STOPPING_RETRY_DELAY),
         ..Refusal::closing(503, "the gateway stops")
-    })
+    }
+}
+
+/// Refuses a request that a stopping gateway may not be able to answer.
+fn check_accepts(
+    core: &GatewayCore,
+    routed: &RoutedCall,
+    facts: &CallFacts,
+) -> Result<(), Refusal> {
+    let route = &routed.route;
+    let time_limit = facts
+        .time_left
+        .map_or(route.timeout, |left| left.min(route.timeout));
+    let grace = core.settings().grace_time;
+    let is_accepted = core
+        .shutdown
+        .accepts(route.repeat, time_limit, grace, monotonic_now());
+    is_accepted.then_some(()).ok_or_else(refuse_stopping)
 }
 
 /// Finds the route of a request from its head alone, so that no body is read that nothing needs.
@@ -394,7 +408,9 @@
     head: &RequestHead,
     facts: &CallFacts,
 ) -> Result<FoundRoute, Refusal> {
-    check_accepts(core)?;
+    if !core.shutdown.accepts_requests(monotonic_now()) {
+        return Err(refuse_stopping());
+    }
     let Some(manifest) = core.manifest() else {
         return Err(Refusal::overload(core, "no manifest is known yet"));
     };
@@ -408,6 +424,7 @@
             RouteRefusal::NoRoute => Refusal::keeping(404, "no route serves this path"),
             RouteRefusal::UnknownKey => Refusal::keeping(401, "the key is not known"),
         })?;
+    check_accepts(core, &routed, facts)?;
     Ok(FoundRoute {
         routed,
         manifest_version: manifest.version,
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -221,7 +221,10 @@
     maintenance.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            _ = signals.terminate.recv() => stop(&core),
+            _ = signals.terminate.recv() => {
+                stop(&core);
+                spawn_local(end_requests(Rc::clone(&core)));
+            }
             _ = signals.reload.recv() => reload(&core),
             _ = maintenance.tick() => if run_maintenance(&core) {
                 break;
@@ -279,6 +282,14 @@
     );
 }
 
+/// Gives the requests in flight their final answers shortly before the kill is expected.
+async fn end_requests(core: Rc<GatewayCore>) {
+    let grace = core.settings().grace_time;
+    let left = core.shutdown.time_to_answers(grace, monotonic_now());
+    tokio::time::sleep(Duration::from(left)).await;
+    core.shutdown.end_requests();
+}
+
 /// Runs periodic maintenance; returns whether the process should exit.
 fn run_maintenance(core: &GatewayCore) -> bool {
     let now = monotonic_now();
--- a/crates/gateway/src/request/buffered.rs
+++ b/crates/gateway/src/request/buffered.rs
@@ -5,7 +5,7 @@
 use oleander_base::monotonic_now;
 
 use super::attempt::{SendTarget, Step};
-use super::wait::{WaitOutcome, read_to_end, wait};
+use super::wait::{WaitOutcome, read_to_end, wait_or_stop};
 use super::{RequestRun, RunResult};
 use crate::client_io::write_message;
 use crate::core::SendGuard;
@@ -30,7 +30,8 @@
         target: &SendTarget,
         sent_at: MonoTime,
     ) -> Step {
-        let read = wait(
+        let read = wait_or_stop(
+            self.core,
             self.caller,
             self.time_left(),
             read_to_end(self.core, &mut answer),
--- a/crates/gateway/src/request/evidence.rs
+++ b/crates/gateway/src/request/evidence.rs
@@ -17,7 +17,8 @@
 impl RequestRun<'_> {
     /// Notes that a backend server was not reached, which may be due to this gateway's own links.
     pub(super) fn record_out_of_reach(&self, target: &SendTarget, failure: ReachFailure) {
-        if let Some(key) = target.key {
+        // Requests that a stop ends say nothing of their backend servers.
+        if let Some(key) = target.key.filter(|_| !self.core.shutdown.ends_requests()) {
             self.core.reach.on_failure(self.core, key, failure);
         }
     }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -307,9 +307,17 @@
     }
 
     fn time_left(&self) -> Span {
+        if self.is_ended_by_stop() {
+            return Span::ZERO;
+        }
         self.deadline.since(monotonic_now())
     }
 
+    /// Returns whether the stopping gateway gives the request its final answer now.
+    fn is_ended_by_stop(&self) -> bool {
+        !self.is_head_sent && self.core.shutdown.ends_requests()
+    }
+
     /// Returns whether a request that may have run may be sent once more.
     fn may_run_again(&self) -> bool {
         let route = &self.job.routed.route;
@@ -318,6 +326,10 @@
 
     /// Ends a request for which no further attempt is possible.
     async fn give_up(&mut self, reason: &'static str) -> RunResult {
+        let reason = match self.is_ended_by_stop() {
+            true => "the gateway stops",
+            false => reason,
+        };
         if self.last_problem.is_empty() {
             self.last_problem = reason.to_owned();
         }
--- a/crates/gateway/src/request/outlet.rs
+++ b/crates/gateway/src/request/outlet.rs
@@ -12,7 +12,7 @@
 use oleander_base::monotonic_now;
 use tokio::time::{sleep, timeout};
 
-use super::wait::{WaitOutcome, wait};
+use super::wait::{WaitOutcome, wait, wait_or_stop};
 use super::{RequestRun, RunResult};
 use crate::exchange::Exchange;
 use crate::http::{BodyPiece, ConnError, HttpConn};
@@ -132,7 +132,12 @@
         loop {
             let left = until.since(monotonic_now());
             let Some(outlet) = self.outlet.as_mut().filter(|outlet| outlet.len() > 0) else {
-                return match wait(self.caller, left, answer.next()).await {
+                let next = answer.next();
+                let waited = match self.is_head_sent {
+                    true => wait(self.caller, left, next).await,
+                    false => wait_or_stop(self.core, self.caller, left, next).await,
+                };
+                return match waited {
                     WaitOutcome::Completed(piece) => RelayEvent::Piece(piece),
                     WaitOutcome::CallerLeft => RelayEvent::Ended(OutletEnd::CallerLeft),
                     WaitOutcome::TimedOut => RelayEvent::TimedOut,
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 
 use super::attempt::{SendTarget, Step};
-use super::wait::{WaitOutcome, wait};
+use super::wait::{WaitOutcome, wait_or_stop};
 use super::{MIN_SEND_TIME, RequestRun};
 use crate::core::SendGuard;
 use crate::exchange::{Exchange, SendError, SendPlan};
@@ -110,7 +110,13 @@
             is_written: &Cell::new(false),
         };
         let limit = self.time_left();
-        wait(self.caller, limit, Exchange::send(self.core, &plan)).await
+        wait_or_stop(
+            self.core,
+            self.caller,
+            limit,
+            Exchange::send(self.core, &plan),
+        )
+        .await
     }
 
     fn encode_relay(&self) -> Vec<u8> {
--- a/crates/gateway/src/request/wait.rs
+++ b/crates/gateway/src/request/wait.rs
@@ -37,6 +37,21 @@
     }
 }
 
+/// Waits like [`wait`], at most until the stopping gateway gives requests in flight their final answers. A stream that
+/// has begun has no final answer but its end, and does not wait like this.
+pub(super) async fn wait_or_stop<T>(
+    core: &GatewayCore,
+    caller: &mut HttpConn,
+    limit: Span,
+    work: impl Future<Output = T>,
+) -> WaitOutcome<T> {
+    tokio::select! {
+        biased;
+        waited = wait(caller, limit, work) => waited,
+        () = core.shutdown.wait_requests_end() => WaitOutcome::TimedOut,
+    }
+}
+
 /// Reads a body completely.
 pub(super) async fn read_to_end(
     core: &GatewayCore,
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -81,6 +81,15 @@
     /// Writes the first bytes, then the others again and again until the other side closes the
     /// connection.
     Flood(Vec<u8>, Vec<u8>),
+    /// Writes the bytes, then one server-sent event after another until the other side closes the connection.
+    Steady {
+        /// The bytes of the head, and of the events before `next_event`.
+        first: Vec<u8>,
+        /// The id of the first event that is written after a pause.
+        next_event: u64,
+        /// The pause before each event.
+        interval: Duration,
+    },
     /// Writes the bytes; then the whole engine ends: all of its connections close, and new ones are
     /// refused.
     BytesThenCrash(Vec<u8>),
@@ -281,6 +290,21 @@
                 }
                 return ServeEnd::Connection;
             }
+            EngineReply::Steady {
+                first,
+                next_event,
+                interval,
+            } => {
+                let mut written = write(stream, &first);
+                for id in next_event.. {
+                    if written.is_err() {
+                        break;
+                    }
+                    thread::sleep(interval);
+                    written = write(stream, &SeenRequest::event(id));
+                }
+                return ServeEnd::Connection;
+            }
             EngineReply::BytesThenCrash(bytes) => {
                 let _ = write(stream, &bytes);
                 return ServeEnd::Crash;
