Tests: answers that stop in a head, a body or trailers are never whole

Tried so far on answers sent directly by an engine. No caller got a whole answer or a promise that the request had not run, so nothing is changed.

--- a/crates/attempt/tests/attempt.rs
+++ b/crates/attempt/tests/attempt.rs
@@ -208,3 +208,112 @@
     let error = open().await.send(request).await.unwrap_err();
     assert!(started.elapsed() < LONG_WAIT / 2, "{error}");
 }
+
+/// A server that answers the first request on a connection whole, and stops within the answer to a later one.
+fn bind_stopping(whole: &'static str, kept: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                let mut buffer = [0; 4_096];
+                for answer in [whole, &whole[..kept]] {
+                    // The short head of a request arrives in one piece.
+                    match stream.read(&mut buffer) {
+                        Ok(size) if size > 0 => stream.write_all(answer.as_bytes()).unwrap(),
+                        _ => return,
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+// Guards against an answer that stops in its head, its body or its trailers and is taken for a whole one, on a new and
+// on a kept connection.
+#[ntex::test]
+async fn an_answer_that_stops_is_never_whole() {
+    let answers = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx-more: 1\r\n\r\ndone",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+    ];
+    for whole in answers {
+        for kept in 0..whole.len() {
+            let server = ScriptServer::bind(&whole[..kept], false);
+            assert_not_whole(&open().await, server.address, kept).await;
+            let address = bind_stopping(whole, kept);
+            let client = open().await;
+            let first = client.send(get(address)).await.unwrap();
+            assert_eq!(first.body.read(100).await.unwrap(), "done");
+            assert_not_whole(&client, address, kept).await;
+        }
+    }
+}
+
+async fn assert_not_whole(client: &AttemptClient, address: SocketAddr, kept: usize) {
+    let error = match client.send(get(address)).await {
+        Ok(response) => response.body.read(100).await.unwrap_err(),
+        Err(error) => error,
+    };
+    assert_eq!(error.verdict, Verdict::MayHaveRun, "{kept}: {error}");
+}
+
+/// The most bytes that the client may take of an answer without end, with what the kernel holds of it.
+const MAX_TAKEN_BYTES: usize = 16 * 1024 * 1024;
+
+/// A server that answers with some bytes and then others again and again, and counts those that were taken.
+fn bind_flooding(first: &'static str, repeated: &'static str) -> (SocketAddr, Arc<AtomicU32>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let taken = Arc::new(AtomicU32::new(0));
+    let count = Arc::clone(&taken);
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let count = Arc::clone(&count);
+            std::thread::spawn(move || {
+                let mut buffer = [0; 4_096];
+                stream.read(&mut buffer).unwrap();
+                let line = repeated.repeat(4_096 / repeated.len());
+                let mut written = stream.write_all(first.as_bytes());
+                while written.is_ok() {
+                    count.fetch_add(u32::try_from(line.len()).unwrap(), Ordering::SeqCst);
+                    written = stream.write_all(line.as_bytes());
+                }
+            });
+        }
+    });
+    (address, taken)
+}
+
+// Guards against bytes without end, in a head or a body, that fill the memory of the process that calls.
+#[ntex::test]
+async fn an_answer_without_end_is_given_up() {
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let floods = [
+        ("HTTP/1.1 200 OK\r\nx-more: ", "endless "),
+        ("HTTP/1.1 200 OK\r\n", "x-more: 1\r\n"),
+        ("", "endless "),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n",
+            "endless ",
+        ),
+        (chunked, "8\r\nendless \r\n"),
+        (chunked, "88888"),
+    ];
+    for (first, repeated) in floods {
+        let (address, taken) = bind_flooding(first, repeated);
+        let mut request = get(address);
+        request.timeouts.first_byte = Duration::from_secs(2);
+        let error = match open().await.send(request).await {
+            Ok(response) => response.body.read(64 * 1024).await.unwrap_err(),
+            Err(error) => error,
+        };
+        assert_eq!(error.verdict, Verdict::MayHaveRun, "{error}");
+        let bytes = taken.load(Ordering::SeqCst) as usize;
+        assert!(
+            bytes <= MAX_TAKEN_BYTES,
+            "{first:?} {repeated:?}: {bytes} bytes"
+        );
+    }
+}
--- a/crates/entry/tests/gateway_relays.rs
+++ b/crates/entry/tests/gateway_relays.rs
@@ -479,3 +479,84 @@
         false,
     );
 }
+
+/// Returns a signed answer in chunks with a trailer.
+fn chunked_answer(request: &SeenRequest) -> Vec<u8> {
+    let id = request.message.header("attempt-id").unwrap_or("");
+    let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: s\r\n");
+    format!("{head}Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nX-Sum: 4\r\n\r\n")
+        .into_bytes()
+}
+
+/// Returns a whole stream of one event.
+fn short_stream(request: &SeenRequest) -> Vec<u8> {
+    let mut bytes = request.stream_head();
+    bytes.extend(SeenRequest::event(1));
+    bytes.extend(b"0\r\n\r\n");
+    bytes
+}
+
+/// Stops within the answer after as many bytes as the end of the request's path names.
+fn stop_within(request: &SeenRequest, whole: &[u8]) -> EngineReply {
+    let path = request.message.start.split(' ').nth(1).unwrap_or("");
+    let kept: usize = path
+        .rsplit('/')
+        .next()
+        .and_then(|last| last.parse().ok())
+        .expect("a number");
+    EngineReply::BytesThenClose(whole[..kept.min(whole.len())].to_vec())
+}
+
+// Guards against an answer that stops in its head, its body or its trailers behind another gateway, and reaches the
+// caller as a whole one or as the promise that the request has not run.
+#[test]
+fn a_relayed_answer_that_stops_is_never_whole() {
+    /// More than the length of each answer, whose ids have one length.
+    const LONGEST: usize = 400;
+    let fleet = RelayFleet::start();
+    let answers: [(&str, FirstAnswer); 3] = [
+        ("publish", |request| {
+            stop_within(request, &request.answer("done"))
+        }),
+        ("publish", |request| {
+            stop_within(request, &chunked_answer(request))
+        }),
+        ("draft", |request| {
+            stop_within(request, &short_stream(request))
+        }),
+    ];
+    for (number, (route, first_answer)) in answers.into_iter().enumerate() {
+        *fleet.first_answer.lock() = first_answer;
+        let mut whole = 0;
+        for kept in 0..LONGEST {
+            let (id, path) = (
+                format!("cut-{number}-{kept:03}"),
+                format!("/{route}/{kept}"),
+            );
+            let call = match route {
+                "draft" => Call::stream(&id),
+                _ => Call::publish(&id),
+            };
+            let answer = fleet.asking.caller().call(&Call {
+                path: &path,
+                ..call
+            });
+            assert_eq!(fleet.relays(&id), 1, "{id}");
+            if answer.status() == 200 && answer.is_whole {
+                whole += 1;
+                let text = answer.text();
+                assert!(
+                    text == "done" || text == SeenRequest::event_text(1),
+                    "{id}: {text}"
+                );
+            } else {
+                assert_eq!(whole, 0, "{id}: a longer part is no whole answer");
+                assert!([200, 502].contains(&answer.status()), "{id}");
+            }
+        }
+        assert!(
+            (1..LONGEST).contains(&whole),
+            "{route}: {whole} whole answers"
+        );
+    }
+}
