A request on a kept connection is measured by the manifest in force

Cause: the limits were read before the wait for the request, which lasts as long as the connection is idle. Change: they are read when the request begins. Evidence: the new test failed before (413 instead of 200).

--- a/crates/entry/tests/gateway_calls.rs
+++ b/crates/entry/tests/gateway_calls.rs
@@ -574,3 +574,31 @@
     wait_for("the connection ends", || engine.closed_early() == 1);
     assert_eq!(engine.resets(), 1);
 }
+
+// Guards against a request on a kept connection that is measured by the limits of the manifest before.
+#[test]
+fn a_connection_that_was_idle_over_a_change_of_the_limits_has_the_new_ones() {
+    let store = UsersStore::spawn();
+    let limited = |version: u64, body_bytes: u64| {
+        let mut text = gateway::manifest(version);
+        text["limits"]["max_body_bytes"] = body_bytes.into();
+        text.to_string()
+    };
+    store.put("op/config", limited(1, 1_000));
+    let _engine = start_engine(&store, "i-1", "desk", |request| {
+        EngineReply::Bytes(request.answer("done"))
+    });
+    let gateway = TestGateway::start(&store);
+    let mut kept = gateway.caller();
+    assert_eq!(kept.call(&Call::publish("a1")).status(), 200);
+    store.put("op/config", limited(2, 20_000));
+    gateway.wait_log("belief", |line| {
+        line["change"] == "manifest" && line["version"] == 2
+    });
+    let body = "x".repeat(10_000);
+    let long = Call {
+        body: &body,
+        ..Call::publish("a2")
+    };
+    assert_eq!(kept.call(&long).status(), 200);
+}
--- a/crates/gateway/src/caller_conn.rs
+++ b/crates/gateway/src/caller_conn.rs
@@ -209,12 +209,12 @@
 }
 
 async fn serve_next(core: &Rc<GatewayCore>, caller: &mut CallerConn) -> NextStep {
-    let limits = core
-        .manifest()
-        .map_or_else(CallerLimits::default, |manifest| manifest.limits);
-    if caller.conn.buffer.is_empty() && !wait_request(core, caller, limits.idle_time).await {
+    let idle_time = caller_limits(core).idle_time;
+    if caller.conn.buffer.is_empty() && !wait_request(core, caller, idle_time).await {
         return NextStep::Close;
     }
+    // The manifest may have changed while the connection was idle.
+    let limits = caller_limits(core);
     let head_limits = HeadLimits {
         head_bytes: limits.head_bytes,
     };
@@ -255,6 +255,11 @@
     serve_request(core, caller, head, started, &limits).await
 }
 
+fn caller_limits(core: &GatewayCore) -> CallerLimits {
+    core.manifest()
+        .map_or_else(CallerLimits::default, |manifest| manifest.limits)
+}
+
 /// Waits for the first byte of a request; returns false if the connection is to be closed.
 async fn wait_request(core: &GatewayCore, caller: &mut CallerConn, idle: Span) -> bool {
     if core.shutdown.closes_idle_connections(monotonic_now()) {
