A crash of an engine that has started again under its id counts

Cause: a crash was known by the hash of the engine's id, so that a second one under the same id was left out, and with it the crash of each probe. Change: it is known by the id and the start that the registry names. A gateway of an older version goes on to name the id alone; what both report of one crash lies within the time in which crashes do not count as separate.

--- a/crates/balance/src/crash_suspects.rs
+++ b/crates/balance/src/crash_suspects.rs
@@ -45,7 +45,7 @@
 /// One crash of a [`SuspectRecord`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
-    /// The hash of the backend server's id.
+    /// The hash of the backend server's incarnation; of its id, at gateways of an older version.
     pub backend: u64,
     /// Its age in milliseconds.
     pub age_ms: u32,
@@ -100,7 +100,7 @@
 pub struct BackendCrash {
     /// Its service.
     pub service: ServiceId,
-    /// The hash of its id.
+    /// The hash of its incarnation, so that it may crash again after it has started again under its id.
     pub backend: u64,
     /// When the request was sent there.
     pub sent_at: MonoTime,
--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -6,7 +6,7 @@
 
 use oleander_base::FastMap;
 use oleander_base::prelude::*;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::PartId;
 use crate::backend_state::BackendState;
@@ -78,6 +78,8 @@
     pub state: BackendState,
     /// The hash of its id, for the ranking of homes.
     pub id_hash: u64,
+    /// The hash of its id and its start. A backend server that starts again under its id is another incarnation.
+    pub incarnation: u64,
     /// The version of its software.
     pub version: VersionId,
     /// When its entry lapsed while the key-value store was unavailable, if it did; the backend
@@ -409,6 +411,7 @@
         let mut state = BackendState::open(entry.slots);
         state.rejection_limit.inherit(index.threshold);
         let id_hash = xxh3_64(entry.id.as_bytes());
+        let incarnation = xxh3_64_with_seed(entry.id.as_bytes(), entry.started_ms);
         self.by_hash.insert(id_hash, key);
         self.members.insert(
             key,
@@ -417,6 +420,7 @@
                 state,
                 entry,
                 id_hash,
+                incarnation,
                 lapsed_at: None,
             },
         );
--- a/crates/balance/src/suspect_crashes.rs
+++ b/crates/balance/src/suspect_crashes.rs
@@ -69,7 +69,7 @@
 /// A crash of a backend server that had a suspect.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct SuspectCrash {
-    /// The hash of the backend server's id.
+    /// The hash of the backend server's incarnation.
     pub(crate) backend: u64,
     /// When the suspect was sent there.
     pub(crate) sent_at: PeerTime,
@@ -90,7 +90,7 @@
 /// A crash that an answer has cleared a suspect of.
 #[derive(Debug, Clone, Copy)]
 struct ClearedCrash {
-    /// The hash of the backend server's id.
+    /// The hash of the backend server's incarnation.
     backend: u64,
     /// When this gateway learned that.
     known_at: PeerTime,
@@ -193,7 +193,7 @@
     }
 
     /// Returns the backend servers of the crashes that it has lately been cleared of, by the hashes of
-    /// their ids.
+    /// their incarnations.
     ///
     /// They are kept for far longer than they are told, so that they are new to each gateway once.
     pub(crate) fn lately_cleared(&self, now: MonoTime) -> Vec<u64> {
--- a/crates/entry/tests/gateway_crashing_requests.rs
+++ b/crates/entry/tests/gateway_crashing_requests.rs
@@ -2,9 +2,12 @@
 
 mod gateway;
 
+use std::time::Duration;
+
 use gateway::crashing::{CrashScript, CrashingEngines, ENGINES, STABLE_TIME};
-use gateway::{Call, TestGateway, wait_for};
-use oleander_standin::users::{EngineReply, SeenRequest, WireMessage};
+use gateway::{Call, TestGateway, store_with_manifest, wait_for};
+use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest, UsersStore, WireMessage};
+use serde_json::json;
 
 /// The last segment of the path of requests that crash engines.
 const CRASHING: &str = "crashing";
@@ -247,3 +250,75 @@
     });
     assert!(gateway.log("request-quarantined").is_empty());
 }
+
+/// Two engines that start again under their ids.
+struct KeptIds {
+    store: UsersStore,
+    engines: Vec<ScriptedEngine>,
+    starts: u64,
+    reached: usize,
+}
+
+impl KeptIds {
+    fn start() -> Self {
+        let mut fleet = Self {
+            store: store_with_manifest(),
+            engines: Vec::new(),
+            starts: 0,
+            reached: 0,
+        };
+        for index in 0..2 {
+            let engine = fleet.start_engine(index);
+            fleet.engines.push(engine);
+        }
+        fleet
+    }
+
+    fn start_engine(&mut self, index: usize) -> ScriptedEngine {
+        self.starts += 1;
+        let engine = ScriptedEngine::spawn(answer);
+        let entry = json!({
+            "backend": LOOKUP.service, "address": engine.address(), "zone": "north-a", "version": "v1",
+            "max_concurrency": 8, "phase": "available", "seq": 1, "born": self.starts
+        });
+        self.store
+            .put(&format!("servers/i-{index}"), entry.to_string());
+        engine
+    }
+
+    /// Sends the crashing request, and starts the engine again that it has crashed; returns whether it reached one.
+    fn send(&mut self, gateway: &TestGateway, id: &str) -> bool {
+        LOOKUP.send_crashing(gateway, id);
+        let crashed = |engine: &ScriptedEngine| engine.has_crashed();
+        let crashed: Vec<usize> = (0..2)
+            .filter(|index| crashed(&self.engines[*index]))
+            .collect();
+        for index in &crashed {
+            self.engines[*index] = self.start_engine(*index);
+        }
+        self.reached += crashed.len();
+        wait_for("the service serves again", || {
+            LOOKUP.send(gateway, "sound", "sound").status() == 200
+        });
+        !crashed.is_empty()
+    }
+}
+
+// Guards against crashes that are not counted, because the engines start again under their ids.
+#[test]
+fn a_request_that_crashes_engines_which_keep_their_ids_reaches_no_more_of_them() {
+    let mut fleet = KeptIds::start();
+    let gateway = TestGateway::start(&fleet.store);
+    for number in 0..2 * KNOWN_AFTER {
+        if fleet.reached >= KNOWN_AFTER {
+            break;
+        }
+        fleet.send(&gateway, &format!("first{number}"));
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert!(fleet.reached >= KNOWN_AFTER, "the request crashes");
+    std::thread::sleep(STABLE_TIME);
+    let later = (0..10).filter(|number| fleet.send(&gateway, &format!("later{number}")));
+    let later = later.count();
+    assert!(later <= ALLOWED_LATER, "{later} reached engines");
+}
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -259,7 +259,7 @@
         for send in sends {
             let crash = BackendCrash {
                 service: ServiceId::of(&member.entry.service),
-                backend: member.id_hash,
+                backend: member.incarnation,
                 sent_at: send.sent_at,
                 at: send.broken_at,
             };
