Streams go on at their version after a loss of all gateways

Cause: the version that began a stream was kept in the memory of four gateways and nowhere else. Change: while several versions stand in the record, two collectors write the origins of the fleet's streams to the store each half second, under leases that outlast the streams; a gateway that starts then reads them once. The calls do not grow with the fleet, and there are none while each service has one version. The datagram's record of an origin is the public type StreamOrigin now.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -115,7 +115,8 @@
 pub use slot_ledger::{LeaseAsk, LeaseEnd, LeaseId, LeaseReply, OwnerRole, SlotLedger, SlotTerms};
 pub use slot_owner::{OwnerCandidate, slot_owners};
 pub use stream_origin::{
-    ORIGIN_RETENTION, OriginTable, StreamId, VersionHistory, VersionId, VersionSpan, sole_version,
+    ORIGIN_RETENTION, OriginTable, StreamId, StreamOrigin, VersionHistory, VersionId, VersionSpan,
+    sole_version,
 };
 pub use suspect_id::{ServiceId, SuspectId, SuspectSet};
 pub use suspect_news::SuspectNews;
--- a/crates/balance/src/stream_origin.rs
+++ b/crates/balance/src/stream_origin.rs
@@ -26,7 +26,7 @@
 const MAX_ORIGINS: usize = 100_000;
 
 /// A stream, by the hash of the id of the caller's attempt that brought its first event.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StreamId(pub u64);
 
 impl StreamId {
@@ -53,6 +53,15 @@
     }
 }
 
+/// The version that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// The stream.
+    pub stream: StreamId,
+    /// The version that wrote its first event.
+    pub version: VersionId,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct KnownOrigin {
     version: VersionId,
@@ -231,6 +240,14 @@
     }
 }
 
+impl VersionHistory {
+    /// Returns whether any service has had several versions over the time that a stream can last.
+    pub fn is_any_mixed(&self, now: MonoTime) -> bool {
+        let mut services = self.services.keys();
+        services.any(|service| self.span(service, now) == VersionSpan::Mixed)
+    }
+}
+
 /// Returns the only version in the views of several gateways, if they agree on one.
 pub fn sole_version(spans: &[VersionSpan]) -> Option<VersionId> {
     let mut sole = None;
--- a/crates/entry/tests/gateway_versions.rs
+++ b/crates/entry/tests/gateway_versions.rs
@@ -409,3 +409,81 @@
     assert_eq!(line["source"], "gateway");
     assert_eq!(line["versions"], 2);
 }
+
+/// Begins streams at two gateways in turn, and waits until their origins are in the store.
+fn begin_kept(store: &UsersStore, gateways: &[TestGateway; 2], count: usize) {
+    for number in 0..count {
+        begin(&gateways[number % 2], &format!("a{number}"), 2);
+    }
+    // A round of telling the collectors, and one of writing.
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert!(!store.keys("stream-origins/").is_empty());
+}
+
+// Guards against streams that cannot go on after a loss of all gateways, while engines of their version serve beside
+// those of another one.
+#[test]
+fn streams_go_on_at_their_version_after_all_gateways_were_down() {
+    let store = store_with_manifest();
+    let engines = Engines::start(&store, &["v1", "v1.1"], hold_new);
+    let mut gateways = two_gateways(&store);
+    begin_kept(&store, &gateways, 12);
+    gateways.iter_mut().for_each(TestGateway::kill);
+    let restarted = TestGateway::start(&store);
+    for number in 0..12 {
+        let [begun, resumed] = [format!("a{number}"), format!("b{number}")];
+        let answer = resume(&restarted, &resumed, &begun, 2);
+        assert_eq!((answer.status(), answer.is_whole), (200, true), "{resumed}");
+        let versions = engines.versions_of(&[&begun, &resumed]);
+        assert_eq!(versions.len(), 1, "{begun} went on at {versions:?}");
+    }
+    let unknown = resume(&restarted, "b99", "a99", 2);
+    assert_eq!(unknown.status(), 503);
+}
+
+// Guards against streams that began while there was one version, and are lost when another one comes just before all
+// gateways go.
+#[test]
+fn streams_that_began_before_the_second_version_go_on_as_well() {
+    let store = store_with_manifest();
+    let engines = Engines::start(&store, &["v1"], hold_new);
+    let mut gateways = two_gateways(&store);
+    for number in 0..6 {
+        begin(&gateways[number % 2], &format!("a{number}"), 2);
+    }
+    assert!(
+        store.keys("stream-origins/").is_empty(),
+        "one version needs none"
+    );
+    let _newer = Engines::start(&store, &["v1.1"], hold_new);
+    wait_for("the origins are kept", || {
+        !store.keys("stream-origins/").is_empty()
+    });
+    std::thread::sleep(Duration::from_millis(1_500));
+    gateways.iter_mut().for_each(TestGateway::kill);
+    let restarted = TestGateway::start(&store);
+    for number in 0..6 {
+        let [begun, resumed] = [format!("a{number}"), format!("b{number}")];
+        let answer = resume(&restarted, &resumed, &begun, 2);
+        assert_eq!((answer.status(), answer.is_whole), (200, true), "{resumed}");
+        assert_eq!(engines.versions_of(&[&resumed]).len(), 1, "{resumed}");
+    }
+}
+
+// Guards against origins that another writer has spoiled, which end the gateways that read them.
+#[test]
+fn spoiled_origins_in_the_store_are_left_out() {
+    let store = store_with_manifest();
+    let _engines = Engines::start(&store, &["v1", "v1.1"], hold_new);
+    let mut gateways = two_gateways(&store);
+    begin_kept(&store, &gateways, 2);
+    for (number, text) in ["", "{", "[]", r#"{"v":"-"}"#, r#"{"00":"AAAA"}"#]
+        .iter()
+        .enumerate()
+    {
+        store.put(&format!("stream-origins/x-{number}"), *text);
+    }
+    gateways.iter_mut().for_each(TestGateway::kill);
+    let restarted = TestGateway::start(&store);
+    assert_eq!(resume(&restarted, "b0", "a0", 2).status(), 200);
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -27,6 +27,7 @@
 use crate::memory::{MemoryExchange, MemoryHold};
 use crate::metrics::{GatewayMetrics, GaugeReading};
 use crate::origin_exchange::{OriginExchange, ReplicaCounts};
+use crate::origin_log::OriginLog;
 use crate::peer_socket::PeerSocket;
 use crate::platform_view::{ApplyContext, PlatformView, ViewUpdate};
 use crate::prelude::*;
@@ -63,6 +64,7 @@
     pub(crate) services: RefCell<FastMap<Arc<str>, ServiceState>>,
     pub(crate) peers: PeerSocket,
     pub(crate) origins: OriginExchange,
+    pub(crate) origin_log: OriginLog,
     pub(crate) quarantine: CrashQuarantine,
     pub(crate) reach: BackendReach,
     pub(crate) relays: RelayTargets,
@@ -120,6 +122,7 @@
             services: RefCell::default(),
             peers: PeerSocket::new(Rc::clone(&metrics)),
             origins: OriginExchange::default(),
+            origin_log: OriginLog::default(),
             quarantine,
             reach: BackendReach::default(),
             relays: RelayTargets::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -170,7 +170,10 @@
     core.memory.mark_heard(monotonic_now());
     match message {
         PeerMessage::Load(load) => apply_load(core, load),
-        PeerMessage::Origins(records) => core.origins.on_records(&records),
+        PeerMessage::Origins(records) => {
+            core.origins.on_records(&records);
+            core.origin_log.collect(&records);
+        }
         PeerMessage::OriginQuery(query) => {
             let reply = core.origins.reply(core, &query);
             core.peers.send(PeerMessage::OriginReply(reply), &[from]);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod memory;
 mod metrics;
 mod origin_exchange;
+mod origin_log;
 mod pace_news;
 mod pacing;
 mod peer_facts;
--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -14,21 +14,22 @@
 use std::time::Duration;
 
 use oleander_balance::{
-    OriginTable, StreamId, VersionHistory, VersionId, VersionRecord, VersionSpan, sole_version,
+    OriginTable, StreamId, StreamOrigin, VersionHistory, VersionId, VersionRecord, VersionSpan,
+    sole_version,
 };
 use oleander_base::{FastMap, FastSet, monotonic_now};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use crate::core::GatewayCore;
-use crate::peer_message::{OriginQuery, OriginRecord, OriginReply, PeerMessage};
+use crate::peer_message::{OriginQuery, OriginReply, PeerMessage};
 use crate::prelude::*;
 
 /// How long records are collected before they are sent.
 const RECORD_DELAY: Span = Span::from_millis(20);
 
 /// The greatest number of records in one datagram.
-const MAX_RECORDS: usize = 60;
+pub(crate) const MAX_RECORDS: usize = 60;
 
 /// How many times a query is sent to a replica that does not reply.
 const QUERY_SENDS: u32 = 3;
@@ -59,6 +60,8 @@
     Own,
     /// A replica has it.
     Replica,
+    /// Earlier processes wrote it to the key-value store.
+    Store,
     /// The service has had a single version.
     SingleVersion,
     /// Nobody knows, and the service has or may have had several versions.
@@ -71,6 +74,7 @@
         match self {
             Self::Own => "own",
             Self::Replica => "replica",
+            Self::Store => "store",
             Self::SingleVersion => "single-version",
             Self::Unknown => "unknown",
         }
@@ -143,7 +147,7 @@
     history: RefCell<VersionHistory>,
     adopted: RefCell<AdoptedRecord>,
     record_outdated: Notify,
-    unsent: RefCell<Vec<OriginRecord>>,
+    unsent: RefCell<Vec<StreamOrigin>>,
     has_unsent: Notify,
     queries: RefCell<FastMap<u64, Rc<OpenQuery>>>,
 }
@@ -153,13 +157,13 @@
     pub(crate) fn record(&self, stream: StreamId, version: VersionId) {
         let now = monotonic_now();
         self.table.borrow_mut().record(stream, version, now);
-        let record = OriginRecord { stream, version };
+        let record = StreamOrigin { stream, version };
         self.unsent.borrow_mut().push(record);
         self.has_unsent.notify_one();
     }
 
     /// Takes over what another gateway recorded.
-    pub(crate) fn on_records(&self, records: &[OriginRecord]) {
+    pub(crate) fn on_records(&self, records: &[StreamOrigin]) {
         let now = monotonic_now();
         let mut table = self.table.borrow_mut();
         for record in records {
@@ -256,6 +260,17 @@
         }
     }
 
+    /// Returns whether a service has had several versions in the time that a stream can last.
+    pub(crate) fn is_mixed(&self, service: &str) -> bool {
+        let history = self.history.borrow();
+        history.span(service, monotonic_now()) == VersionSpan::Mixed
+    }
+
+    /// Returns whether any service has had several versions in the time that a stream can last.
+    pub(crate) fn is_any_mixed(&self) -> bool {
+        self.history.borrow().is_any_mixed(monotonic_now())
+    }
+
     /// Finds the version that began a stream.
     pub(crate) async fn resolve(
         &self,
@@ -275,10 +290,17 @@
         let replicas = core.origin_replicas(stream, ASKED_REPLICAS);
         let query = self.ask(core, stream, service, &replicas).await;
         spans.append(&mut query.versions.borrow_mut());
-        let found = match query.origin.get() {
+        let mut found = match query.origin.get() {
             Some(version) => ResolvedOrigin::known(version, OriginSource::Replica),
             None => ResolvedOrigin::inferred(&spans),
         };
+        if found.version.is_none() {
+            core.origin_log.wait_loaded().await;
+            let stored = self.table.borrow().get(stream, monotonic_now());
+            if let Some(version) = stored {
+                found = ResolvedOrigin::known(version, OriginSource::Store);
+            }
+        }
         ResolvedOrigin {
             asked: replicas.len(),
             replied: query.replied.borrow().len(),
@@ -330,7 +352,7 @@
     /// Sends the records that are waiting, one datagram for each replica.
     fn flush(&self, core: &GatewayCore) {
         let unsent = std::mem::take(&mut *self.unsent.borrow_mut());
-        let mut by_replica: BTreeMap<SocketAddr, Vec<OriginRecord>> = BTreeMap::new();
+        let mut by_replica: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
         for record in unsent {
             for replica in core.origin_replicas(record.stream, TOLD_REPLICAS) {
                 by_replica.entry(replica).or_default().push(record);
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -1,7 +1,7 @@
 //! The datagrams that gateways send to each other.
 
 use oleander_balance::{
-    LeaseEnd, LeaseId, LeaseReply, StreamId, SuspectRecord, VersionId, VersionSpan,
+    LeaseEnd, LeaseId, LeaseReply, StreamId, StreamOrigin, SuspectRecord, VersionId, VersionSpan,
 };
 use serde::{Deserialize, Serialize};
 
@@ -23,7 +23,7 @@
     /// What the sender knows of the load and the failures of backend servers.
     Load(LoadMessage),
     /// Where streams began.
-    Origins(Vec<OriginRecord>),
+    Origins(Vec<StreamOrigin>),
     /// Asks where a stream began.
     OriginQuery(OriginQuery),
     /// Answers an [`OriginQuery`].
@@ -180,13 +180,6 @@
     pub(crate) age_ms: u32,
 }
 
-/// The version that began a stream.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub(crate) struct OriginRecord {
-    pub(crate) stream: StreamId,
-    pub(crate) version: VersionId,
-}
-
 /// Asks where a stream of a service began.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct OriginQuery {
--- a/crates/gateway/src/platform_view/gateways.rs
+++ b/crates/gateway/src/platform_view/gateways.rs
@@ -39,6 +39,21 @@
     unlisted_at: Option<MonoTime>,
 }
 
+/// The key by which the collectors of stream origins are ranked.
+const COLLECTOR_KEY: u64 = 1;
+
+/// The number of gateways that collect the origins of streams. The loss of one leaves the other.
+const ORIGIN_COLLECTORS: usize = 2;
+
+/// The gateways that collect the origins of streams for the key-value store.
+#[derive(Debug)]
+pub(crate) struct OriginCollectors {
+    /// Whether this gateway is one of them.
+    pub(crate) has_own: bool,
+    /// The addresses at which the others receive gossip.
+    pub(crate) others: Vec<SocketAddr>,
+}
+
 impl PlatformView {
     pub(super) fn apply_gateway(
         &mut self,
@@ -249,6 +264,27 @@
         replicas
     }
 
+    /// Returns the gateways that collect the origins of streams: the first live ones by rendezvous hashing.
+    pub(crate) fn origin_collectors(&self, own: &str) -> OriginCollectors {
+        let order = |name: &str| xxh3_64_with_seed(name.as_bytes(), COLLECTOR_KEY);
+        let mut ranked: Vec<(u64, Option<SocketAddr>)> = self
+            .gateways
+            .iter()
+            .filter(|(name, fact)| &***name != own && fact.gone_at.is_none())
+            .filter_map(|(name, fact)| Some((order(name), Some(fact.entry.gossip?))))
+            .collect();
+        ranked.push((order(own), None));
+        ranked.sort_unstable_by_key(|(order, _)| *order);
+        ranked.truncate(ORIGIN_COLLECTORS);
+        OriginCollectors {
+            has_own: ranked.iter().any(|(_, address)| address.is_none()),
+            others: ranked
+                .into_iter()
+                .filter_map(|(_, address)| address)
+                .collect(),
+        }
+    }
+
     /// Returns how many live gateways come before a gateway by rendezvous hashing over a key.
     pub(crate) fn gateway_rank(&self, own: &str, key: u64) -> usize {
         let order = |name: &str| xxh3_64_with_seed(name.as_bytes(), key);
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -12,8 +12,8 @@
 
 use bytes::Bytes;
 use oleander_balance::{
-    AnswerClaim, BackendEntry, Brittleness, LoadReport, NamedRate, PromptPart, VersionRecord,
-    WorkReport,
+    AnswerClaim, BackendEntry, Brittleness, LoadReport, NamedRate, PromptPart, StreamOrigin,
+    VersionRecord, WorkReport,
 };
 use oleander_base::prelude::*;
 use thiserror::Error;
@@ -293,6 +293,15 @@
     pub removes: &'a [DutyKey],
 }
 
+/// One page of the origins of streams in the store.
+#[derive(Debug, Clone)]
+pub struct OriginPage {
+    /// The origins.
+    pub origins: Vec<StreamOrigin>,
+    /// The key after which the next page starts, if there is one.
+    pub next_after: Option<String>,
+}
+
 /// One call of the provider, without the headers that name the holder.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProviderRequest {
@@ -402,6 +411,18 @@
         body: &[u8],
     ) -> Result<StoreItem, DecodeError>;
 
+    /// Returns the call that writes origins of streams under a lease, as the part `part` of those of one collector.
+    fn origins_write_request(
+        &self,
+        part: &str,
+        origins: &[StreamOrigin],
+        lease: u64,
+    ) -> StoreRequest;
+    /// Returns the call that reads the page of all origins after `after`.
+    fn origins_list_request(&self, after: Option<&str>) -> StoreRequest;
+    /// Decodes a page of origins. What cannot be decoded is left out.
+    fn decode_origins_page(&self, body: &[u8]) -> Result<OriginPage, DecodeError>;
+
     /// Returns the call that reads a duty key.
     fn duty_read_request(&self, key: DutyKey) -> StoreRequest;
     /// Decodes a duty key that was read.
--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -1,6 +1,6 @@
 //! Binds a stream to the software version that began it.
 
-use oleander_balance::StreamId;
+use oleander_balance::{StreamId, StreamOrigin};
 use oleander_base::monotonic_now;
 
 use super::RequestRun;
@@ -45,6 +45,8 @@
             let own = StreamId::of(self.attempt_id);
             let stream = self.resumed_stream().unwrap_or(own);
             self.core.origins.record(stream, version);
+            let origin = StreamOrigin { stream, version };
+            self.core.origin_log.note(&self.job.routed.service, origin);
         }
     }
 
--- a/crates/gateway/src/store_client.rs
+++ b/crates/gateway/src/store_client.rs
@@ -82,6 +82,10 @@
     VersionsRead,
     /// The record of software versions is written.
     VersionsWrite,
+    /// Origins of streams are read.
+    OriginsList,
+    /// Origins of streams are written.
+    OriginsWrite,
 }
 
 impl StorePurpose {
@@ -97,6 +101,8 @@
             Self::DutyWrite => "duty-write",
             Self::VersionsRead => "versions-read",
             Self::VersionsWrite => "versions-write",
+            Self::OriginsList => "origins-list",
+            Self::OriginsWrite => "origins-write",
         }
     }
 
@@ -104,10 +110,14 @@
     fn max_answer_bytes(self) -> usize {
         match self {
             Self::List | Self::Watch => MAX_CONTROL_BYTES,
-            Self::DutyRead | Self::DutyWrite | Self::VersionsRead | Self::VersionsWrite => {
-                MAX_VALUE_ANSWER_BYTES
+            Self::DutyRead
+            | Self::DutyWrite
+            | Self::VersionsRead
+            | Self::VersionsWrite
+            | Self::OriginsList => MAX_VALUE_ANSWER_BYTES,
+            Self::Grant | Self::Announce | Self::Renew | Self::Release | Self::OriginsWrite => {
+                MAX_SHORT_ANSWER_BYTES
             }
-            Self::Grant | Self::Announce | Self::Renew | Self::Release => MAX_SHORT_ANSWER_BYTES,
         }
     }
 }
