--- a/crates/balance/src/stream_origin.rs
+++ b/crates/balance/src/stream_origin.rs
@@ -223,6 +223,12 @@
         self.services.retain(|_, versions| !versions.is_empty());
     }
 
+    /// Returns whether any service has had several versions over the time that a stream can last.
+    pub fn is_any_mixed(&self, now: MonoTime) -> bool {
+        let mut services = self.services.keys();
+        services.any(|service| self.span(service, now) == VersionSpan::Mixed)
+    }
+
     /// Returns what is known of a service's versions over the time that a stream can last.
     pub fn span(&self, service: &str, now: MonoTime) -> VersionSpan {
         let Some(versions) = self.services.get(service) else {
@@ -240,14 +246,6 @@
     }
 }
 
-impl VersionHistory {
-    /// Returns whether any service has had several versions over the time that a stream can last.
-    pub fn is_any_mixed(&self, now: MonoTime) -> bool {
-        let mut services = self.services.keys();
-        services.any(|service| self.span(service, now) == VersionSpan::Mixed)
-    }
-}
-
 /// Returns the only version in the views of several gateways, if they agree on one.
 pub fn sole_version(spans: &[VersionSpan]) -> Option<VersionId> {
     let mut sole = None;
--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -371,13 +371,18 @@
 
 impl Caller {
     pub fn open(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).expect("the gateway listens");
+        Self::try_open(address).expect("the gateway listens")
+    }
+
+    /// Connects to a gateway that may have ended.
+    pub fn try_open(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(address).ok()?;
         stream
             .set_read_timeout(Some(WAIT_LIMIT))
             .expect("a socket takes a timeout");
-        Self {
+        Some(Self {
             reader: BufReader::new(stream),
-        }
+        })
     }
 
     pub fn send(&mut self, text: &str) {
--- a/crates/entry/tests/gateway_stops.rs
+++ b/crates/entry/tests/gateway_stops.rs
@@ -2,7 +2,7 @@
 
 mod gateway;
 
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -60,9 +60,7 @@
 fn call_apart(address: SocketAddr, text: String) -> JoinHandle<CallEnd> {
     let started = Instant::now();
     std::thread::spawn(move || {
-        let answer = TcpStream::connect(address).ok().and_then(|stream| {
-            drop(stream);
-            let mut caller = Caller::open(address);
+        let answer = Caller::try_open(address).and_then(|mut caller| {
             caller.send(&text);
             caller.read()
         });
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -101,7 +101,7 @@
             // An answer without an id may be another one to an earlier request on a kept connection.
             let is_ours = match &facts.attempt_id {
                 Some(id) => **id == *plan.attempt_id,
-                None => skipped.count == 0 && !is_kept,
+                None => skipped.is_empty() && !is_kept,
             };
             if is_ours {
                 let has_attempt_id = facts.attempt_id.is_some();
@@ -109,7 +109,7 @@
                     is_reusable: head.keeps_alive
                         && wrote_all
                         && has_attempt_id
-                        && skipped.count == 0,
+                        && skipped.is_empty(),
                     conn,
                     key: plan.key,
                     reader,
@@ -299,6 +299,10 @@
 }
 
 impl SkippedAnswers {
+    fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
     /// Reads one more late answer and drops it.
     async fn skip(
         &mut self,
--- a/crates/gateway/src/origin_log.rs
+++ b/crates/gateway/src/origin_log.rs
@@ -30,9 +30,11 @@
 /// How long one lease is used for writes.
 const LEASE_USE: Span = Span::from_secs(30);
 
-/// The time to live of a lease, for which its last write has to last.
-const LEASE_TTL: Span =
-    Span::from_secs(LEASE_USE.0 / 1_000_000 + ORIGIN_RETENTION.0 / 1_000_000 + 10);
+/// How much longer than [`ORIGIN_RETENTION`] the origins in a lease's last write stay.
+const LEASE_SLACK: Span = Span::from_secs(10);
+
+/// The time to live of a lease.
+const LEASE_TTL: Span = Span(LEASE_USE.0 + ORIGIN_RETENTION.0 + LEASE_SLACK.0);
 
 /// The timeout of one call.
 const CALL_TIMEOUT: Span = Span::from_millis(1_500);
@@ -141,14 +143,14 @@
 
     /// Tells the collectors the origins that they need.
     fn tell(&self, core: &GatewayCore) {
+        if !core.origins.is_any_mixed() {
+            self.is_collector.set(false);
+            return;
+        }
+        let origins = self.take_untold(core);
         let own = &core.settings().name;
-        let is_any_mixed = core.origins.is_any_mixed();
-        let origins = match is_any_mixed {
-            true => self.take_untold(core),
-            false => Vec::new(),
-        };
         let collectors = core.view.borrow().origin_collectors(own);
-        self.is_collector.set(collectors.has_own && is_any_mixed);
+        self.is_collector.set(collectors.has_own);
         for chunk in origins.chunks(MAX_RECORDS) {
             let message = PeerMessage::Origins(chunk.to_vec());
             core.peers.send(message, &collectors.others);
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -65,7 +65,7 @@
         if !self.is_stopping() {
             return true;
         }
-        let left = answer_time(grace).saturating_sub(self.stopped_for(now));
+        let left = self.time_to_answers(grace, now);
         let has_time = match repeat {
             RepeatKind::Once | RepeatKind::OnceStream => time_limit <= left,
             RepeatKind::Idempotent | RepeatKind::ResumableStream => left > Span::ZERO,
@@ -75,7 +75,7 @@
 
     /// Returns the time until requests in flight get their final answers.
     pub(crate) fn time_to_answers(&self, grace: Span, now: MonoTime) -> Span {
-        answer_time(grace).saturating_sub(self.stopped_for(now))
+        before_kill(grace, ANSWER_BEFORE_KILL).saturating_sub(self.stopped_for(now))
     }
 
     /// Ends the requests in flight that have no part of an answer yet.
@@ -113,11 +113,6 @@
     }
 }
 
-/// Returns the time from the stop signal until requests in flight get their final answers.
-fn answer_time(grace: Span) -> Span {
-    before_kill(grace, ANSWER_BEFORE_KILL)
-}
-
 /// Returns the time from the stop signal until `span` before the kill.
 fn before_kill(grace: Span, span: Span) -> Span {
     grace.saturating_sub(span.min(Span(grace.0 / MAX_GRACE_SHARE)))
