The log tells what became of a backend server's process at the end of an unframed answer

An answer with neither a length nor chunks ends with its connection, and so does one whose process was killed. No line told these apart. While such an answer is read, one idle connection to the same backend server is kept open (out of the pool, else a new one, which goes to the pool afterwards) and watched. The line unframed-end and the counter gateway.unframed.ends say whether it stayed open or was closed together with the answer's. Nothing is decided by it yet; the end waits 40 ms for the evidence.

--- a/crates/gateway/src/conn_pool.rs
+++ b/crates/gateway/src/conn_pool.rs
@@ -15,12 +15,24 @@
 /// The greatest number of idle connections per backend server.
 const MAX_IDLE_PER_BACKEND: usize = 96;
 
+/// A connection without a request, and when it is no longer used for one.
 #[derive(Debug)]
-struct IdleConn {
-    conn: HttpConn,
+pub(crate) struct IdleConn {
+    pub(crate) conn: HttpConn,
     expires_at: MonoTime,
 }
 
+impl IdleConn {
+    /// Takes over a connection whose backend server closes it after the idle time, if it states one.
+    pub(crate) fn open(conn: HttpConn, idle: Option<Span>, now: MonoTime) -> Self {
+        let idle = idle.map_or(DEFAULT_IDLE_TIME, |idle| idle.saturating_sub(IDLE_MARGIN));
+        Self {
+            conn,
+            expires_at: now + idle,
+        }
+    }
+}
+
 /// The idle connections, by backend server.
 #[derive(Debug, Default)]
 pub(crate) struct ConnPool {
@@ -30,10 +42,15 @@
 impl ConnPool {
     /// Takes a connection that is open and has no unread bytes.
     pub(crate) fn take(&mut self, key: BackendKey, now: MonoTime) -> Option<HttpConn> {
+        self.take_idle(key, now).map(|idle| idle.conn)
+    }
+
+    /// Takes a connection that is open and has no unread bytes, with the time until which it is used.
+    pub(crate) fn take_idle(&mut self, key: BackendKey, now: MonoTime) -> Option<IdleConn> {
         let conns = self.idle.get_mut(&key)?;
         while let Some(candidate) = conns.pop() {
             if now < candidate.expires_at && candidate.conn.is_idle() {
-                return Some(candidate.conn);
+                return Some(candidate);
             }
         }
         None
@@ -47,13 +64,17 @@
         idle: Option<Span>,
         now: MonoTime,
     ) {
-        let idle = idle.map_or(DEFAULT_IDLE_TIME, |idle| idle.saturating_sub(IDLE_MARGIN));
+        let idle = IdleConn::open(conn, idle, now);
+        if now < idle.expires_at {
+            self.put_idle(key, idle);
+        }
+    }
+
+    /// Keeps an idle connection, unless there are enough of its backend server.
+    pub(crate) fn put_idle(&mut self, key: BackendKey, idle: IdleConn) {
         let conns = self.idle.entry(key).or_default();
-        if conns.len() < MAX_IDLE_PER_BACKEND && idle > Span::ZERO {
-            conns.push(IdleConn {
-                conn,
-                expires_at: now + idle,
-            });
+        if conns.len() < MAX_IDLE_PER_BACKEND {
+            conns.push(idle);
         }
     }
 
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -23,6 +23,7 @@
 use crate::conn_pool::ConnPool;
 use crate::duty::DutyState;
 use crate::internal_server::PagePace;
+use crate::liveness::MonitorTable;
 use crate::log_line::LogWriter;
 use crate::memory::{MemoryExchange, MemoryHold};
 use crate::metrics::{GatewayMetrics, GaugeReading};
@@ -61,6 +62,7 @@
     pub(crate) view: RefCell<PlatformView>,
     pub(crate) fleet: RefCell<FleetTable>,
     pub(crate) pool: RefCell<ConnPool>,
+    pub(crate) monitors: MonitorTable,
     pub(crate) services: RefCell<FastMap<Arc<str>, ServiceState>>,
     pub(crate) peers: PeerSocket,
     pub(crate) origins: OriginExchange,
@@ -119,6 +121,7 @@
             view: RefCell::default(),
             fleet: RefCell::default(),
             pool: RefCell::default(),
+            monitors: MonitorTable::default(),
             services: RefCell::default(),
             peers: PeerSocket::new(Rc::clone(&metrics)),
             origins: OriginExchange::default(),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,10 +17,11 @@
 use crate::client_budget::max_kept_connections;
 use crate::core::GatewayCore;
 use crate::http::{
-    AnswerHead, BodyError, BodyPiece, BodyReader, ByteBound, ConnError, HeadError, HeadLimits,
-    HttpConn, MAX_ANSWER_HEAD_BYTES, MAX_INTERIM_ANSWERS, MAX_LATE_ANSWERS, MAX_LATE_BYTES,
-    TcpTimeouts,
+    AnswerHead, BodyError, BodyFraming, BodyPiece, BodyReader, ByteBound, ConnError, HeadError,
+    HeadLimits, HttpConn, MAX_ANSWER_HEAD_BYTES, MAX_INTERIM_ANSWERS, MAX_LATE_ANSWERS,
+    MAX_LATE_BYTES, TcpTimeouts,
 };
+use crate::liveness::{ConnectionEnd, EndEvidence, ProcessWatch};
 use crate::prelude::*;
 
 /// The timeout of connecting to a backend server or another gateway.
@@ -60,6 +61,12 @@
     key: Option<BackendKey>,
     reader: BodyReader,
     is_reusable: bool,
+    /// The process that writes the answer, if its end has to be confirmed.
+    watch: Option<ProcessWatch>,
+    /// When bytes last arrived that the gateway had waited for.
+    arrived_at: MonoTime,
+    ended: Option<ConnectionEnd>,
+    evidence: Option<EndEvidence>,
     pub(crate) head: AnswerHead,
     pub(crate) facts: AnswerFacts,
 }
@@ -113,6 +120,10 @@
                     conn,
                     key: plan.key,
                     reader,
+                    watch: None,
+                    arrived_at: monotonic_now(),
+                    ended: None,
+                    evidence: None,
                     head,
                     facts,
                 });
@@ -123,15 +134,29 @@
         }
     }
 
+    /// Begins to watch the process that writes the answer, if nothing but the end of the connection will end it.
+    pub(crate) fn watch_process(&mut self, core: &Rc<GatewayCore>, address: SocketAddr) {
+        if self.head.framing == BodyFraming::UntilClose {
+            let watch = |key| ProcessWatch::open(core, key, address);
+            self.watch = self.key.map(watch);
+        }
+    }
+
+    /// Returns what is known of the process at the end of an answer without a frame.
+    pub(crate) fn end_evidence(&self) -> Option<EndEvidence> {
+        self.evidence
+    }
+
     /// Returns the next piece of the body, waiting for more bytes instead of returning `NeedsMore`.
     pub(crate) async fn next(&mut self) -> Result<BodyPiece, ConnError> {
         loop {
             let piece = self.reader.next(&mut self.conn.buffer);
             match piece.map_err(broken_body)? {
-                BodyPiece::NeedsMore => match self.conn.fill().await {
+                BodyPiece::NeedsMore => match self.fill().await {
                     Ok(()) => {}
                     Err(ConnError::Closed) => {
                         self.is_reusable = false;
+                        self.confirm_end().await;
                         self.reader.on_eof().map_err(broken_body)?;
                     }
                     Err(error) => return Err(error),
@@ -141,6 +166,28 @@
         }
     }
 
+    /// Reads more bytes, and notes whether they had already arrived.
+    async fn fill(&mut self) -> Result<(), ConnError> {
+        if self.conn.fill_arrived()? {
+            return Ok(());
+        }
+        let filled = self.conn.fill().await;
+        self.arrived_at = monotonic_now();
+        filled
+    }
+
+    /// Finds out whether the process outlived the end of its answer, if it is watched.
+    async fn confirm_end(&mut self) {
+        let Some(watch) = &self.watch else {
+            return;
+        };
+        let end = *self.ended.get_or_insert(ConnectionEnd {
+            earliest: self.arrived_at,
+            seen_at: monotonic_now(),
+        });
+        self.evidence = Some(watch.evidence(end).await);
+    }
+
     /// Keeps the connection for reuse if the answer was read completely and nothing follows it.
     pub(crate) fn finish(self, core: &GatewayCore) {
         let Some(key) = self.key else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod internal_server;
 mod lease;
 mod limit_news;
+mod liveness;
 mod log_line;
 mod manifest;
 mod memory;
--- /dev/null
+++ b/crates/gateway/src/liveness.rs
@@ -0,0 +1,260 @@
+//! Tells whether a backend server's process outlived the end of an answer that has neither a length nor chunks.
+//!
+//! Such an answer ends with its connection. When a process ends, its kernel closes its connections in the same way, so
+//! the close alone does not tell a complete answer from a broken one. While such an answer is read, the gateway
+//! therefore keeps an idle connection to the same backend server open, one for all such answers there, and watches it.
+//! The connections of a process that ends are closed together. An idle connection that stays open, or a new one
+//! that is accepted where there was none, shows that the process still runs (docs/PLATFORM.md, "Answers without a
+//! frame").
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use oleander_balance::BackendKey;
+use oleander_base::{FastMap, monotonic_now};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::conn_pool::IdleConn;
+use crate::core::GatewayCore;
+use crate::exchange::connect_backend;
+use crate::prelude::*;
+
+/// How far apart the closes of one process's connections may be seen.
+const CLOSE_SPREAD: Span = Span::from_millis(40);
+
+/// The pause before another connection is opened after one that failed or did not last.
+const REOPEN_DELAY: Span = Span::from_millis(500);
+
+/// What the connections to a backend server tell about its process at the end of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EndEvidence {
+    /// An idle connection stayed open.
+    StayedOpen,
+    /// There was no idle connection, and a new one was accepted.
+    Accepted,
+    /// An idle connection was closed together with the answer's.
+    ClosedTogether,
+    /// There was no idle connection, and no new one could be made.
+    Unreachable,
+}
+
+impl EndEvidence {
+    /// Returns whether the process still ran after the end, so that it ended the answer itself.
+    pub(crate) fn is_alive(self) -> bool {
+        matches!(self, Self::StayedOpen | Self::Accepted)
+    }
+
+    /// Returns the name for logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::StayedOpen => "stayed-open",
+            Self::Accepted => "accepted",
+            Self::ClosedTogether => "closed-together",
+            Self::Unreachable => "unreachable",
+        }
+    }
+}
+
+/// When the connection of an answer ended.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ConnectionEnd {
+    /// The earliest time at which the other side may have closed it. It is earlier than `seen_at` if the gateway did
+    /// not read meanwhile.
+    pub(crate) earliest: MonoTime,
+    /// When the gateway saw it.
+    pub(crate) seen_at: MonoTime,
+}
+
+/// The idle connection that is watched at one backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum MonitorState {
+    Opening,
+    Open,
+    Failed,
+}
+
+/// Watches the process of one backend server, for as long as any answer needs that.
+#[derive(Debug)]
+struct ProcessMonitor {
+    key: BackendKey,
+    address: SocketAddr,
+    /// The number of answers that need it.
+    users: Cell<usize>,
+    state: Cell<MonitorState>,
+    /// When an idle connection was last closed by the backend server.
+    closed_at: Cell<Option<MonoTime>>,
+    changed: Notify,
+    released: Notify,
+}
+
+impl ProcessMonitor {
+    fn new(key: BackendKey, address: SocketAddr) -> Self {
+        Self {
+            key,
+            address,
+            users: Cell::new(0),
+            state: Cell::new(MonitorState::Opening),
+            closed_at: Cell::new(None),
+            changed: Notify::new(),
+            released: Notify::new(),
+        }
+    }
+
+    /// Watches one connection after another until no answer needs the monitor.
+    async fn run(&self, core: &Rc<GatewayCore>) {
+        while self.users.get() > 0 {
+            self.set(MonitorState::Opening);
+            let idle = self.open_conn(core).await;
+            if let Some(idle) = idle
+                && let Some(kept) = self.watch(idle).await
+            {
+                core.pool.borrow_mut().put_idle(self.key, kept);
+                return;
+            }
+            self.set(MonitorState::Failed);
+            tokio::select! {
+                () = sleep(Duration::from(REOPEN_DELAY)) => {}
+                () = self.wait_released() => {}
+            }
+        }
+    }
+
+    /// Takes an idle connection out of the pool, or opens one.
+    async fn open_conn(&self, core: &Rc<GatewayCore>) -> Option<IdleConn> {
+        let kept = core.pool.borrow_mut().take_idle(self.key, monotonic_now());
+        if kept.is_some() {
+            return kept;
+        }
+        let conn = connect_backend(core, self.address).await.ok()?;
+        Some(IdleConn::open(conn, None, monotonic_now()))
+    }
+
+    /// Watches one connection; returns it when no answer needs the monitor any more and it is still idle.
+    async fn watch(&self, idle: IdleConn) -> Option<IdleConn> {
+        self.set(MonitorState::Open);
+        loop {
+            tokio::select! {
+                biased;
+                _ = idle.conn.readable() => {}
+                () = self.wait_released() => return Some(idle),
+            }
+            if idle.conn.is_idle() {
+                continue;
+            }
+            // Bytes that belong to no request say nothing of the process.
+            if idle.conn.is_closed() {
+                self.closed_at.set(Some(monotonic_now()));
+            }
+            return None;
+        }
+    }
+
+    fn set(&self, state: MonitorState) {
+        self.state.set(state);
+        self.changed.notify_waiters();
+    }
+
+    async fn wait_opened(&self) {
+        while self.state.get() == MonitorState::Opening {
+            self.changed.notified().await;
+        }
+    }
+
+    async fn wait_released(&self) {
+        while self.users.get() > 0 {
+            self.released.notified().await;
+        }
+    }
+
+    /// Returns whether an idle connection was closed together with an answer's.
+    fn closed_with(&self, end: ConnectionEnd) -> bool {
+        let closed_at = self.closed_at.get();
+        closed_at.is_some_and(|closed_at| closed_at + CLOSE_SPREAD >= end.earliest)
+    }
+}
+
+/// The monitors of the backend servers from which answers without a frame are read.
+#[derive(Debug, Default)]
+pub(crate) struct MonitorTable {
+    by_backend: RefCell<FastMap<BackendKey, Rc<ProcessMonitor>>>,
+}
+
+impl MonitorTable {
+    /// Returns the monitor of a backend server, which is spawned if there is none.
+    fn monitor(
+        &self,
+        core: &Rc<GatewayCore>,
+        key: BackendKey,
+        address: SocketAddr,
+    ) -> Rc<ProcessMonitor> {
+        let mut monitors = self.by_backend.borrow_mut();
+        if let Some(known) = monitors.get(&key) {
+            return Rc::clone(known);
+        }
+        let monitor = Rc::new(ProcessMonitor::new(key, address));
+        monitors.insert(key, Rc::clone(&monitor));
+        let (core, spawned) = (Rc::clone(core), Rc::clone(&monitor));
+        spawn_local(async move { spawned.run(&core).await });
+        monitor
+    }
+
+    fn remove(&self, key: BackendKey) {
+        self.by_backend.borrow_mut().remove(&key);
+    }
+}
+
+/// Watches the process that writes one answer, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct ProcessWatch {
+    core: Rc<GatewayCore>,
+    monitor: Rc<ProcessMonitor>,
+}
+
+impl ProcessWatch {
+    /// Begins to watch a backend server's process.
+    pub(crate) fn open(core: &Rc<GatewayCore>, key: BackendKey, address: SocketAddr) -> Self {
+        let monitor = core.monitors.monitor(core, key, address);
+        monitor.users.set(monitor.users.get() + 1);
+        Self {
+            core: Rc::clone(core),
+            monitor,
+        }
+    }
+
+    /// Finds out whether the process outlived the end of its answer. The call is cancel-safe.
+    pub(crate) async fn evidence(&self, end: ConnectionEnd) -> EndEvidence {
+        let until = end.seen_at + CLOSE_SPREAD;
+        sleep(Duration::from(until.since(monotonic_now()))).await;
+        let monitor = &self.monitor;
+        monitor.wait_opened().await;
+        if monitor.closed_with(end) {
+            return EndEvidence::ClosedTogether;
+        }
+        if monitor.state.get() == MonitorState::Open {
+            return EndEvidence::StayedOpen;
+        }
+        match connect_backend(&self.core, monitor.address).await {
+            Ok(conn) => {
+                let idle = IdleConn::open(conn, None, monotonic_now());
+                self.core.pool.borrow_mut().put_idle(monitor.key, idle);
+                EndEvidence::Accepted
+            }
+            Err(_) => EndEvidence::Unreachable,
+        }
+    }
+}
+
+impl Drop for ProcessWatch {
+    fn drop(&mut self) {
+        let users = self.monitor.users.get() - 1;
+        self.monitor.users.set(users);
+        if users == 0 {
+            self.core.monitors.remove(self.monitor.key);
+            self.monitor.released.notify_one();
+        }
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -93,6 +93,7 @@
     ignored_datagrams: Counter<u64>,
     connections: Counter<u64>,
     streams: Counter<u64>,
+    unframed_ends: Counter<u64>,
     resumes: Counter<u64>,
     backpressure: Counter<u64>,
     quarantine: Counter<u64>,
@@ -243,6 +244,11 @@
                 "gateway.streams",
                 "Streams of backend servers by framing and end",
             ),
+            unframed_ends: counter(
+                &meter,
+                "gateway.unframed.ends",
+                "Ends of answers without length or chunks, by what was known of the backend server's process",
+            ),
             first_time: histogram(
                 &meter,
                 "gateway.first.time",
@@ -275,6 +281,11 @@
         self.streams.add(1, &labels);
     }
 
+    pub(crate) fn record_unframed_end(&self, evidence: &'static str) {
+        let labels = [KeyValue::new("evidence", evidence)];
+        self.unframed_ends.add(1, &labels);
+    }
+
     pub(crate) fn record_resume(&self, source: &'static str) {
         self.resumes.add(1, &[KeyValue::new("source", source)]);
     }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -279,7 +279,7 @@
     /// Decides from the head of an answer how it is handled.
     pub(super) async fn handle_answer(
         &mut self,
-        answer: Exchange,
+        mut answer: Exchange,
         guard: &mut SendGuard,
         target: &SendTarget,
         sent_at: MonoTime,
@@ -308,6 +308,7 @@
             self.record_failure(target, Verdict::Ran, &outcome, sent_at);
             return self.after_failed_run("the stream could not go on");
         }
+        answer.watch_process(self.core, target.address);
         if is_good && self.job.routed.route.repeat.is_stream() {
             return self.relay_stream(answer, guard, target, sent_at).await;
         }
--- a/crates/gateway/src/request/buffered.rs
+++ b/crates/gateway/src/request/buffered.rs
@@ -37,6 +37,7 @@
             read_to_end(self.core, &mut answer),
         )
         .await;
+        self.record_unframed_end(target, &answer);
         let body = match read {
             WaitOutcome::Completed(Ok(body)) => body,
             WaitOutcome::CallerLeft => return Step::Done(self.caller_left()),
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -9,6 +9,7 @@
 use super::attempt::SendTarget;
 use super::stream::{StreamEnd, StreamTiming};
 use super::{RequestRun, RunResult};
+use crate::exchange::Exchange;
 use crate::http::ConnError;
 use crate::log_line::LineKind;
 use crate::metrics::RequestEnd;
@@ -141,6 +142,15 @@
     partial_bytes: usize,
 }
 
+#[derive(Debug, Serialize)]
+struct UnframedEndFields<'a> {
+    id: &'a str,
+    backend: &'a str,
+    /// What the connections to the backend server told of its process.
+    evidence: &'static str,
+    last_event: Option<u64>,
+}
+
 #[derive(Debug, Serialize)]
 struct EndFields<'a> {
     id: &'a str,
@@ -285,6 +295,28 @@
             .request("stream-broken", LineKind::Failure, self.attempt_id, fields);
     }
 
+    /// Counts the end of an answer with neither a length nor chunks, and logs what was known of the backend server's
+    /// process then. Does nothing before such an end.
+    pub(super) fn record_unframed_end(&self, target: &SendTarget, answer: &Exchange) {
+        let Some(evidence) = answer.end_evidence() else {
+            return;
+        };
+        self.core.metrics.record_unframed_end(evidence.as_str());
+        let kind = match evidence.is_alive() {
+            true => LineKind::Normal,
+            false => LineKind::Failure,
+        };
+        let fields = UnframedEndFields {
+            id: self.attempt_id,
+            backend: &target.id,
+            evidence: evidence.as_str(),
+            last_event: self.last_event,
+        };
+        self.core
+            .log
+            .request("unframed-end", kind, self.attempt_id, fields);
+    }
+
     pub(super) fn record_latency(
         &self,
         timing: &StreamTiming,
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -145,6 +145,7 @@
                 }
                 RelayEvent::TimedOut => Err(ConnError::Silent),
             };
+            self.record_unframed_end(target, &answer);
             match piece {
                 Ok(BodyPiece::Data(data)) => {
                     let batch = match state.push(&data, &mut held) {
--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -58,6 +58,8 @@
     framing: Option<String>,
     broken_by: Option<String>,
     partial_bytes: Option<u64>,
+    evidence: Option<String>,
+    last_event: Option<u64>,
     lines: Option<u64>,
 }
 
@@ -347,6 +349,8 @@
         "partial_bytes",
         line.partial_bytes.map(|count| count.to_string()),
     );
+    add("evidence", line.evidence.clone());
+    add("last_event", line.last_event.map(|id| id.to_string()));
     let reason = line.reason.as_ref().filter(|reason| !reason.is_empty());
     add("reason", reason.map(|text| format!("{text:?}")));
     text
--- a/crates/standin/src/users/mod.rs
+++ b/crates/standin/src/users/mod.rs
@@ -15,6 +15,6 @@
 pub use engine_link::{EngineLink, LinkCut};
 pub use provider::{ProviderMode, UsersProvider};
 pub use scaling_provider::{ScalingProvider, SeenOrder};
-pub use scripted_engine::{EngineReply, ScriptedEngine, SeenRequest};
+pub use scripted_engine::{EngineReply, PacedEnd, ScriptedEngine, SeenRequest};
 pub use users_store::{StoreCopy, StoreMode, UsersStore};
 pub use wire_reader::{WireMessage, read_message};
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -93,6 +93,27 @@
     /// Writes the bytes; then the whole engine ends: all of its connections close, and new ones are
     /// refused.
     BytesThenCrash(Vec<u8>),
+    /// Writes the pieces one by one, with a pause after each.
+    Paced {
+        /// The bytes of the head and the body.
+        pieces: Vec<Vec<u8>>,
+        /// The pause.
+        interval: Duration,
+        /// How the answer ends.
+        end: PacedEnd,
+    },
+}
+
+/// How a paced answer ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PacedEnd {
+    /// The connection is closed.
+    Close,
+    /// The whole engine ends: all of its connections close, and new ones are refused.
+    Crash,
+    /// The engine ends and another process is at its address at once: all connections close, and new ones are
+    /// accepted.
+    Restart,
 }
 
 type Script = dyn Fn(&SeenRequest) -> EngineReply + Send + Sync;
@@ -129,10 +150,10 @@
                 }
                 let state = accepted.clone();
                 let script = Arc::clone(&script);
-                thread::spawn(move || {
-                    if serve(&stream, &*script, &state) == ServeEnd::Crash {
-                        state.connections.crash(address);
-                    }
+                thread::spawn(move || match serve(&stream, &*script, &state) {
+                    ServeEnd::Connection => {}
+                    ServeEnd::Crash => state.connections.crash(address),
+                    ServeEnd::Restart => state.connections.close_all(),
                 });
             }
         });
@@ -154,6 +175,11 @@
         self.state.connections.refuse(self.address);
     }
 
+    /// Returns the number of connections that were ever accepted.
+    pub fn accepted_connections(&self) -> usize {
+        self.state.connections.0.lock().accepted
+    }
+
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
         let list = self.state.connections.0.lock();
@@ -201,6 +227,7 @@
 struct ConnectionList {
     refuses: bool,
     has_crashed: bool,
+    accepted: usize,
     streams: Vec<Weak<TcpStream>>,
 }
 
@@ -210,6 +237,7 @@
         let mut list = self.0.lock();
         list.streams.retain(|stream| stream.strong_count() > 0);
         list.streams.push(Arc::downgrade(stream));
+        list.accepted += 1;
         !list.refuses
     }
 
@@ -226,6 +254,11 @@
     fn crash(&self, address: SocketAddr) {
         self.0.lock().has_crashed = true;
         self.refuse(address);
+        self.close_all();
+    }
+
+    /// Closes the open connections.
+    fn close_all(&self) {
         for stream in self.0.lock().streams.drain(..) {
             if let Some(stream) = stream.upgrade() {
                 // The other side may have closed the connection already.
@@ -240,6 +273,7 @@
 enum ServeEnd {
     Connection,
     Crash,
+    Restart,
 }
 
 fn serve(stream: &TcpStream, script: &Script, state: &EngineState) -> ServeEnd {
@@ -309,6 +343,26 @@
                 let _ = write(stream, &bytes);
                 return ServeEnd::Crash;
             }
+            EngineReply::Paced {
+                pieces,
+                interval,
+                end,
+            } => {
+                for piece in &pieces {
+                    if write(stream, piece).is_err() {
+                        return ServeEnd::Connection;
+                    }
+                    thread::sleep(interval);
+                }
+                return match end {
+                    PacedEnd::Close => {
+                        let _ = stream.shutdown(Shutdown::Both);
+                        ServeEnd::Connection
+                    }
+                    PacedEnd::Crash => ServeEnd::Crash,
+                    PacedEnd::Restart => ServeEnd::Restart,
+                };
+            }
         }
     }
     ServeEnd::Connection
