An answer without a frame is whole only if its backend server's process outlived it

What callers saw: a stream with neither a length nor chunks, whose engine's process was killed between two events, ended short with the last chunk, as whole; so did an answer that is no stream, at status 200 with a Content-Length that fits.

Cause: the end of the connection was taken for the end of the answer. The kernel of a process that was killed closes its connections in the same way (FIN).

A stream that goes on and brings no further event is whole. A relayed answer without a frame is broken off, since gateways frame all answers.

Why it works: a process's connections are closed together, and none of them survives it, also where another process accepts connections at its address at once.

--- a/crates/entry/tests/gateway_unframed_ends.rs
+++ b/crates/entry/tests/gateway_unframed_ends.rs
@@ -77,6 +77,8 @@
     let engines = ["i-1", "i-2"].map(|id| start_engine(&store, id, "engines", script.clone()));
     let gateway = TestGateway::start(&store);
     let answer = gateway.caller().call(&Call::stream("a1"));
+    let end = gateway.wait_log("unframed-end", |line| line["id"] == "a1");
+    assert_eq!(end["evidence"], "closed-together");
     (answer, sends(&engines))
 }
 
@@ -188,6 +190,23 @@
     );
 }
 
+// Guards against a whole stream that is cut, or has events twice, because its engine leaves right after the last event: it
+// goes on elsewhere, where nothing is left to say.
+#[test]
+fn an_unframed_stream_whose_engine_leaves_after_the_last_event_is_whole() {
+    let store = store_with_manifest();
+    let script = |request: &SeenRequest| match resume_point(request) {
+        0 => stream_up_to(request, LAST_EVENT, PacedEnd::Crash),
+        _ => stream_up_to(request, LAST_EVENT, PacedEnd::Close),
+    };
+    let engines = ["i-1", "i-2"].map(|id| start_engine(&store, id, "engines", script));
+    let gateway = TestGateway::start(&store);
+    let answer = gateway.caller().call(&Call::stream("a1"));
+    assert_eq!(answer.text(), events(1, LAST_EVENT));
+    assert!(answer.is_whole);
+    assert_eq!(sends(&engines), 2);
+}
+
 // Guards against whole answers that are cut because their engine has begun to refuse new connections, as one does that leaves.
 #[test]
 fn an_unframed_stream_of_an_engine_that_refuses_connections_is_whole() {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -61,8 +61,7 @@
     key: Option<BackendKey>,
     reader: BodyReader,
     is_reusable: bool,
-    /// The process that writes the answer, if its end has to be confirmed.
-    watch: Option<ProcessWatch>,
+    end_check: EndCheck,
     /// When bytes last arrived that the gateway had waited for.
     arrived_at: MonoTime,
     ended: Option<ConnectionEnd>,
@@ -71,6 +70,17 @@
     pub(crate) facts: AnswerFacts,
 }
 
+/// How the end of an answer is confirmed that ends with its connection.
+#[derive(Debug)]
+enum EndCheck {
+    /// The body has a frame, or is not delivered.
+    None,
+    /// The process that writes the answer has to outlive it.
+    Process(ProcessWatch),
+    /// Other gateways frame all answers, so that such an end is a break.
+    Never,
+}
+
 /// The destination and the bytes of one send.
 #[derive(Debug)]
 pub(crate) struct SendPlan<'a> {
@@ -120,7 +130,7 @@
                     conn,
                     key: plan.key,
                     reader,
-                    watch: None,
+                    end_check: EndCheck::None,
                     arrived_at: monotonic_now(),
                     ended: None,
                     evidence: None,
@@ -135,10 +145,14 @@
     }
 
     /// Begins to watch the process that writes the answer, if nothing but the end of the connection will end it.
+    ///
+    /// This is for answers that are delivered. The end of a body that is dropped needs no evidence.
     pub(crate) fn watch_process(&mut self, core: &Rc<GatewayCore>, address: SocketAddr) {
         if self.head.framing == BodyFraming::UntilClose {
-            let watch = |key| ProcessWatch::open(core, key, address);
-            self.watch = self.key.map(watch);
+            self.end_check = match self.key {
+                Some(key) => EndCheck::Process(ProcessWatch::open(core, key, address)),
+                None => EndCheck::Never,
+            };
         }
     }
 
@@ -156,7 +170,7 @@
                     Ok(()) => {}
                     Err(ConnError::Closed) => {
                         self.is_reusable = false;
-                        self.confirm_end().await;
+                        self.confirm_end().await?;
                         self.reader.on_eof().map_err(broken_body)?;
                     }
                     Err(error) => return Err(error),
@@ -176,16 +190,23 @@
         filled
     }
 
-    /// Finds out whether the process outlived the end of its answer, if it is watched.
-    async fn confirm_end(&mut self) {
-        let Some(watch) = &self.watch else {
-            return;
+    /// Confirms that the end of the connection is the end of the answer.
+    async fn confirm_end(&mut self) -> Result<(), ConnError> {
+        let watch = match &self.end_check {
+            EndCheck::None => return Ok(()),
+            EndCheck::Never => return Err(ConnError::Closed),
+            EndCheck::Process(watch) => watch,
         };
         let end = *self.ended.get_or_insert(ConnectionEnd {
             earliest: self.arrived_at,
             seen_at: monotonic_now(),
         });
-        self.evidence = Some(watch.evidence(end).await);
+        let evidence = watch.evidence(end).await;
+        self.evidence = Some(evidence);
+        match evidence.is_alive() {
+            true => Ok(()),
+            false => Err(ConnError::ProcessEnded),
+        }
     }
 
     /// Keeps the connection for reuse if the answer was read completely and nothing follows it.
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -88,6 +88,9 @@
     /// The connection failed.
     #[error("the connection broke: {0}")]
     Broken(#[from] io::Error),
+    /// The process at the other side ended, or may have ended, before it had written all.
+    #[error("the backend server's process may have ended with the connection")]
+    ProcessEnded,
     /// Nothing came for too long.
     #[error("the connection was silent")]
     Silent,
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -63,12 +63,12 @@
     /// Returns why a stream whose body ended as its framing says is not complete, unless it is.
     ///
     /// A broken stream without length or chunks ends with an orderly close like a complete one, so
-    /// the framing alone does not decide.
-    fn truncation(&self, framing: BodyFraming) -> Option<&'static str> {
+    /// the framing alone does not decide. A stream that goes on may have had its last event before.
+    fn truncation(&self, framing: BodyFraming, goes_on: bool) -> Option<&'static str> {
         if self.splitter.is_inside_event() {
             return Some("the stream ended inside an event");
         }
-        if framing == BodyFraming::UntilClose && self.timing.events == 0 {
+        if framing == BodyFraming::UntilClose && self.timing.events == 0 && !goes_on {
             return Some("the stream ended before its first event");
         }
         None
@@ -171,7 +171,8 @@
                     }
                 }
                 Ok(_) => {
-                    return match state.truncation(answer.head.framing) {
+                    let goes_on = self.last_event.is_some();
+                    return match state.truncation(answer.head.framing, goes_on) {
                         Some(reason) => {
                             self.record_broken(target, state.timing.events > 0, sent_at);
                             self.break_off(answer, &state, target, reason, sent_at)
@@ -187,7 +188,7 @@
                 }
                 Err(error) => {
                     match error {
-                        ConnError::Closed | ConnError::Broken(_) => {
+                        ConnError::Closed | ConnError::Broken(_) | ConnError::ProcessEnded => {
                             self.record_out_of_reach(target, ReachFailure::Connection);
                             self.record_broken(target, state.timing.events > 0, sent_at);
                         }
