The watched idle connection is replaced before its backend server closes it for having been idle

A stream that outlasts the idle time of its engine's connections could be taken for broken when the engine closed the idle connection within 40 ms of the stream's end. The connection is now replaced at the idle time that the backend server last stated, as the pool drops it then. A connection that was opened after the end is logged as accepted, since it does not show which process it belongs to.

--- a/crates/entry/tests/gateway_unframed_ends.rs
+++ b/crates/entry/tests/gateway_unframed_ends.rs
@@ -43,6 +43,25 @@
     }
 }
 
+/// Returns the head and the events of a whole stream that ends with its connection.
+fn paced_pieces(request: &SeenRequest) -> Vec<Vec<u8>> {
+    let events = (1..=LAST_EVENT).map(|id| SeenRequest::event_text(id).into());
+    std::iter::once(request.unframed_stream_head())
+        .chain(events)
+        .collect()
+}
+
+/// Returns a whole stream in chunks that states an idle time of one second.
+fn kept_stream(request: &SeenRequest) -> Vec<u8> {
+    let head = String::from_utf8(request.stream_head()).expect("a head is text");
+    let mut bytes = head
+        .replacen("\r\n\r\n", "\r\nKeep-Alive: timeout=1\r\n\r\n", 1)
+        .into_bytes();
+    bytes.extend(SeenRequest::event(1));
+    bytes.extend(b"0\r\n\r\n");
+    bytes
+}
+
 /// Returns the first `count` pieces of an answer that is no stream and ends with its connection.
 fn body_up_to(request: &SeenRequest, count: usize, end: PacedEnd) -> EngineReply {
     let id = request.message.header("attempt-id").unwrap_or("");
@@ -207,14 +226,38 @@
     assert_eq!(sends(&engines), 2);
 }
 
+// Guards against a whole stream that is cut because its engine closed an idle connection at the time that it states.
+#[test]
+fn an_unframed_stream_that_outlasts_idle_connections_is_whole() {
+    const IDLE: Duration = Duration::from_secs(1);
+    let store = store_with_manifest();
+    let stream = |request: &SeenRequest| match request.nth {
+        // The first answer states the idle time, and its connection is kept.
+        0 => EngineReply::Bytes(kept_stream(request)),
+        _ => EngineReply::Paced {
+            pieces: paced_pieces(request),
+            interval: IDLE / 2,
+            end: PacedEnd::Close,
+        },
+    };
+    let engine = start_engine(&store, "i-1", "engines", stream);
+    engine.close_idle_after(IDLE);
+    let gateway = TestGateway::start(&store);
+    assert!(gateway.caller().call(&Call::stream("a0")).is_whole);
+    let answer = gateway.caller().call(&Call {
+        path: ONCE_PATH,
+        ..Call::stream("a1")
+    });
+    assert_eq!(answer.text(), events(1, LAST_EVENT));
+    assert!(answer.is_whole);
+}
+
 // Guards against whole answers that are cut because their engine has begun to refuse new connections, as one does that leaves.
 #[test]
 fn an_unframed_stream_of_an_engine_that_refuses_connections_is_whole() {
     let store = store_with_manifest();
     let stream = |request: &SeenRequest| EngineReply::Paced {
-        pieces: std::iter::once(request.unframed_stream_head())
-            .chain((1..=LAST_EVENT).map(|id| SeenRequest::event_text(id).into()))
-            .collect(),
+        pieces: paced_pieces(request),
         interval: 4 * PACE,
         end: PacedEnd::Close,
     };
--- a/crates/gateway/src/conn_pool.rs
+++ b/crates/gateway/src/conn_pool.rs
@@ -19,12 +19,12 @@
 #[derive(Debug)]
 pub(crate) struct IdleConn {
     pub(crate) conn: HttpConn,
-    expires_at: MonoTime,
+    pub(crate) expires_at: MonoTime,
 }
 
 impl IdleConn {
     /// Takes over a connection whose backend server closes it after the idle time, if it states one.
-    pub(crate) fn open(conn: HttpConn, idle: Option<Span>, now: MonoTime) -> Self {
+    fn open(conn: HttpConn, idle: Option<Span>, now: MonoTime) -> Self {
         let idle = idle.map_or(DEFAULT_IDLE_TIME, |idle| idle.saturating_sub(IDLE_MARGIN));
         Self {
             conn,
@@ -37,6 +37,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ConnPool {
     idle: FastMap<BackendKey, Vec<IdleConn>>,
+    /// The idle times that backend servers last stated.
+    stated: FastMap<BackendKey, Span>,
 }
 
 impl ConnPool {
@@ -64,12 +66,20 @@
         idle: Option<Span>,
         now: MonoTime,
     ) {
+        if let Some(idle) = idle {
+            self.stated.insert(key, idle);
+        }
         let idle = IdleConn::open(conn, idle, now);
         if now < idle.expires_at {
             self.put_idle(key, idle);
         }
     }
 
+    /// Takes over a new connection, on which the backend server has not stated its idle time yet.
+    pub(crate) fn admit(&self, key: BackendKey, conn: HttpConn, now: MonoTime) -> IdleConn {
+        IdleConn::open(conn, self.stated.get(&key).copied(), now)
+    }
+
     /// Keeps an idle connection, unless there are enough of its backend server.
     pub(crate) fn put_idle(&mut self, key: BackendKey, idle: IdleConn) {
         let conns = self.idle.entry(key).or_default();
@@ -89,6 +99,7 @@
     /// Closes the connections to one backend server.
     pub(crate) fn discard(&mut self, key: BackendKey) {
         self.idle.remove(&key);
+        self.stated.remove(&key);
     }
 
     /// Closes every connection.
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -9,6 +9,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,12 +30,15 @@
 /// The pause before another connection is opened after one that failed or did not last.
 const REOPEN_DELAY: Span = Span::from_millis(500);
 
+/// The shortest time for which one idle connection is watched, however short the backend server's idle time is.
+const MIN_WATCH_TIME: Span = Span::from_millis(800);
+
 /// What the connections to a backend server tell about its process at the end of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum EndEvidence {
-    /// An idle connection stayed open.
+    /// An idle connection was open before the end and stayed open.
     StayedOpen,
-    /// There was no idle connection, and a new one was accepted.
+    /// There was no idle connection before the end, and a new one was accepted.
     Accepted,
     /// An idle connection was closed together with the answer's.
     ClosedTogether,
@@ -73,10 +77,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum MonitorState {
     Opening,
-    Open,
+    /// Open since this time.
+    Open(MonoTime),
     Failed,
 }
 
+/// How the watch of one idle connection ended.
+#[derive(Debug)]
+enum WatchEnd {
+    /// No answer needs it any more, and it is still idle.
+    Released(IdleConn),
+    /// The backend server is about to close it for having been idle, which says nothing of the process.
+    Expired,
+    /// It was closed, or is not usable.
+    Lost,
+}
+
 /// Watches the process of one backend server, for as long as any answer needs that.
 #[derive(Debug)]
 struct ProcessMonitor {
@@ -108,21 +124,30 @@
     async fn run(&self, core: &Rc<GatewayCore>) {
         while self.users.get() > 0 {
             self.set(MonitorState::Opening);
-            let idle = self.open_conn(core).await;
-            if let Some(idle) = idle
-                && let Some(kept) = self.watch(idle).await
-            {
-                core.pool.borrow_mut().put_idle(self.key, kept);
-                return;
-            }
-            self.set(MonitorState::Failed);
-            tokio::select! {
-                () = sleep(Duration::from(REOPEN_DELAY)) => {}
-                () = self.wait_released() => {}
+            let watched = match self.open_conn(core).await {
+                Some(idle) => self.watch(idle).await,
+                None => WatchEnd::Lost,
+            };
+            match watched {
+                WatchEnd::Released(idle) => {
+                    core.pool.borrow_mut().put_idle(self.key, idle);
+                    return;
+                }
+                WatchEnd::Expired => {}
+                WatchEnd::Lost => self.wait_reopen().await,
             }
         }
     }
 
+    /// Waits before another connection is opened after one that failed.
+    async fn wait_reopen(&self) {
+        self.set(MonitorState::Failed);
+        tokio::select! {
+            () = sleep(Duration::from(REOPEN_DELAY)) => {}
+            () = self.wait_released() => {}
+        }
+    }
+
     /// Takes an idle connection out of the pool, or opens one.
     async fn open_conn(&self, core: &Rc<GatewayCore>) -> Option<IdleConn> {
         let kept = core.pool.borrow_mut().take_idle(self.key, monotonic_now());
@@ -130,17 +155,20 @@
             return kept;
         }
         let conn = connect_backend(core, self.address).await.ok()?;
-        Some(IdleConn::open(conn, None, monotonic_now()))
+        Some(core.pool.borrow().admit(self.key, conn, monotonic_now()))
     }
 
-    /// Watches one connection; returns it when no answer needs the monitor any more and it is still idle.
-    async fn watch(&self, idle: IdleConn) -> Option<IdleConn> {
-        self.set(MonitorState::Open);
+    /// Watches one connection until it ends, expires or is needed no more.
+    async fn watch(&self, idle: IdleConn) -> WatchEnd {
+        self.set(MonitorState::Open(monotonic_now()));
+        let left = idle.expires_at.since(monotonic_now()).max(MIN_WATCH_TIME);
+        let mut expiry = pin!(sleep(Duration::from(left)));
         loop {
             tokio::select! {
                 biased;
                 _ = idle.conn.readable() => {}
-                () = self.wait_released() => return Some(idle),
+                () = self.wait_released() => return WatchEnd::Released(idle),
+                () = &mut expiry => return WatchEnd::Expired,
             }
             if idle.conn.is_idle() {
                 continue;
@@ -149,7 +177,7 @@
             if idle.conn.is_closed() {
                 self.closed_at.set(Some(monotonic_now()));
             }
-            return None;
+            return WatchEnd::Lost;
         }
     }
 
@@ -234,13 +262,17 @@
         if monitor.closed_with(end) {
             return EndEvidence::ClosedTogether;
         }
-        if monitor.state.get() == MonitorState::Open {
-            return EndEvidence::StayedOpen;
+        if let MonitorState::Open(since) = monitor.state.get() {
+            return match since <= end.earliest {
+                true => EndEvidence::StayedOpen,
+                false => EndEvidence::Accepted,
+            };
         }
         match connect_backend(&self.core, monitor.address).await {
             Ok(conn) => {
-                let idle = IdleConn::open(conn, None, monotonic_now());
-                self.core.pool.borrow_mut().put_idle(monitor.key, idle);
+                let mut pool = self.core.pool.borrow_mut();
+                let idle = pool.admit(monitor.key, conn, monotonic_now());
+                pool.put_idle(monitor.key, idle);
                 EndEvidence::Accepted
             }
             Err(_) => EndEvidence::Unreachable,
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -175,6 +175,11 @@
         self.state.connections.refuse(self.address);
     }
 
+    /// Closes connections that are idle for this long. It holds for connections that are accepted later.
+    pub fn close_idle_after(&self, idle: Duration) {
+        self.state.connections.0.lock().idle_limit = Some(idle);
+    }
+
     /// Returns the number of connections that were ever accepted.
     pub fn accepted_connections(&self) -> usize {
         self.state.connections.0.lock().accepted
@@ -228,6 +233,7 @@
     refuses: bool,
     has_crashed: bool,
     accepted: usize,
+    idle_limit: Option<Duration>,
     streams: Vec<Weak<TcpStream>>,
 }
 
@@ -238,6 +244,9 @@
         list.streams.retain(|stream| stream.strong_count() > 0);
         list.streams.push(Arc::downgrade(stream));
         list.accepted += 1;
+        // A read that fails for the limit ends the connection.
+        let limited = stream.set_read_timeout(list.idle_limit);
+        limited.expect("a socket takes a timeout");
         !list.refuses
     }
 
