--- a/crates/gateway/src/conn_pool.rs
+++ b/crates/gateway/src/conn_pool.rs
@@ -15,25 +15,44 @@
 /// The greatest number of idle connections per backend server.
 const MAX_IDLE_PER_BACKEND: usize = 96;
 
+/// A connection without a request, and when it is no longer used for one.
 #[derive(Debug)]
-struct IdleConn {
-    conn: HttpConn,
-    expires_at: MonoTime,
+pub(crate) struct IdleConn {
+    pub(crate) conn: HttpConn,
+    pub(crate) expires_at: MonoTime,
+}
+
+impl IdleConn {
+    /// Takes over a connection whose backend server closes it after the idle time, if it states one.
+    fn open(conn: HttpConn, idle: Option<Span>, now: MonoTime) -> Self {
+        let idle = idle.map_or(DEFAULT_IDLE_TIME, |idle| idle.saturating_sub(IDLE_MARGIN));
+        Self {
+            conn,
+            expires_at: now + idle,
+        }
+    }
 }
 
 /// The idle connections, by backend server.
 #[derive(Debug, Default)]
 pub(crate) struct ConnPool {
     idle: FastMap<BackendKey, Vec<IdleConn>>,
+    /// The idle times that backend servers last stated.
+    stated: FastMap<BackendKey, Span>,
 }
 
 impl ConnPool {
     /// Takes a connection that is open and has no unread bytes.
     pub(crate) fn take(&mut self, key: BackendKey, now: MonoTime) -> Option<HttpConn> {
+        self.take_idle(key, now).map(|idle| idle.conn)
+    }
+
+    /// Takes a connection that is open and has no unread bytes, with the time until which it is used.
+    pub(crate) fn take_idle(&mut self, key: BackendKey, now: MonoTime) -> Option<IdleConn> {
         let conns = self.idle.get_mut(&key)?;
         while let Some(candidate) = conns.pop() {
             if now < candidate.expires_at && candidate.conn.is_idle() {
-                return Some(candidate.conn);
+                return Some(candidate);
             }
         }
         None
@@ -47,13 +66,25 @@
         idle: Option<Span>,
         now: MonoTime,
     ) {
-        let idle = idle.map_or(DEFAULT_IDLE_TIME, |idle| idle.saturating_sub(IDLE_MARGIN));
+        if let Some(idle) = idle {
+            self.stated.insert(key, idle);
+        }
+        let idle = IdleConn::open(conn, idle, now);
+        if now < idle.expires_at {
+            self.put_idle(key, idle);
+        }
+    }
+
+    /// Takes over a new connection, on which the backend server has not stated its idle time yet.
+    pub(crate) fn admit(&self, key: BackendKey, conn: HttpConn, now: MonoTime) -> IdleConn {
+        IdleConn::open(conn, self.stated.get(&key).copied(), now)
+    }
+
+    /// Keeps an idle connection, unless there are enough of its backend server.
+    pub(crate) fn put_idle(&mut self, key: BackendKey, idle: IdleConn) {
         let conns = self.idle.entry(key).or_default();
-        if conns.len() < MAX_IDLE_PER_BACKEND && idle > Span::ZERO {
-            conns.push(IdleConn {
-                conn,
-                expires_at: now + idle,
-            });
+        if conns.len() < MAX_IDLE_PER_BACKEND {
+            conns.push(idle);
         }
     }
 
@@ -68,6 +99,7 @@
     /// Closes the connections to one backend server.
     pub(crate) fn discard(&mut self, key: BackendKey) {
         self.idle.remove(&key);
+        self.stated.remove(&key);
     }
 
     /// Closes every connection.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,10 +17,11 @@
 use crate::client_budget::max_kept_connections;
 use crate::core::GatewayCore;
 use crate::http::{
-    AnswerHead, BodyError, BodyPiece, BodyReader, ByteBound, ConnError, HeadError, HeadLimits,
-    HttpConn, MAX_ANSWER_HEAD_BYTES, MAX_INTERIM_ANSWERS, MAX_LATE_ANSWERS, MAX_LATE_BYTES,
-    TcpTimeouts,
+    AnswerHead, BodyError, BodyFraming, BodyPiece, BodyReader, ByteBound, ConnError, HeadError,
+    HeadLimits, HttpConn, MAX_ANSWER_HEAD_BYTES, MAX_INTERIM_ANSWERS, MAX_LATE_ANSWERS,
+    MAX_LATE_BYTES, TcpTimeouts,
 };
+use crate::liveness::{ConnectionEnd, EndEvidence, ProcessWatch};
 use crate::prelude::*;
 
 /// The timeout of connecting to a backend server or another gateway.
@@ -60,10 +61,26 @@
     key: Option<BackendKey>,
     reader: BodyReader,
     is_reusable: bool,
+    end_check: EndCheck,
+    /// When bytes last arrived that the gateway had waited for.
+    arrived_at: MonoTime,
+    ended: Option<ConnectionEnd>,
+    evidence: Option<EndEvidence>,
     pub(crate) head: AnswerHead,
     pub(crate) facts: AnswerFacts,
 }
 
+/// How the end of an answer is confirmed that ends with its connection.
+#[derive(Debug)]
+enum EndCheck {
+    /// The body has a frame, or is not delivered.
+    None,
+    /// The process that writes the answer has to outlive it.
+    Process(ProcessWatch),
+    /// Other gateways frame all answers, so that such an end is a break.
+    Never,
+}
+
 /// The destination and the bytes of one send.
 #[derive(Debug)]
 pub(crate) struct SendPlan<'a> {
@@ -113,6 +130,10 @@
                     conn,
                     key: plan.key,
                     reader,
+                    end_check: EndCheck::None,
+                    arrived_at: monotonic_now(),
+                    ended: None,
+                    evidence: None,
                     head,
                     facts,
                 });
@@ -123,15 +144,33 @@
         }
     }
 
+    /// Begins to watch the process that writes the answer, if nothing but the end of the connection will end it.
+    ///
+    /// This is for answers that are delivered. The end of a body that is dropped needs no evidence.
+    pub(crate) fn watch_process(&mut self, core: &Rc<GatewayCore>, address: SocketAddr) {
+        if self.head.framing == BodyFraming::UntilClose {
+            self.end_check = match self.key {
+                Some(key) => EndCheck::Process(ProcessWatch::open(core, key, address)),
+                None => EndCheck::Never,
+            };
+        }
+    }
+
+    /// Returns what is known of the process at the end of an answer without a frame.
+    pub(crate) fn end_evidence(&self) -> Option<EndEvidence> {
+        self.evidence
+    }
+
     /// Returns the next piece of the body, waiting for more bytes instead of returning `NeedsMore`.
     pub(crate) async fn next(&mut self) -> Result<BodyPiece, ConnError> {
         loop {
             let piece = self.reader.next(&mut self.conn.buffer);
             match piece.map_err(broken_body)? {
-                BodyPiece::NeedsMore => match self.conn.fill().await {
+                BodyPiece::NeedsMore => match self.fill().await {
                     Ok(()) => {}
                     Err(ConnError::Closed) => {
                         self.is_reusable = false;
+                        self.confirm_end().await?;
                         self.reader.on_eof().map_err(broken_body)?;
                     }
                     Err(error) => return Err(error),
@@ -141,6 +180,35 @@
         }
     }
 
+    /// Reads more bytes, and notes whether they had already arrived.
+    async fn fill(&mut self) -> Result<(), ConnError> {
+        if self.conn.fill_arrived()? {
+            return Ok(());
+        }
+        let filled = self.conn.fill().await;
+        self.arrived_at = monotonic_now();
+        filled
+    }
+
+    /// Confirms that the end of the connection is the end of the answer.
+    async fn confirm_end(&mut self) -> Result<(), ConnError> {
+        let watch = match &self.end_check {
+            EndCheck::None => return Ok(()),
+            EndCheck::Never => return Err(ConnError::Closed),
+            EndCheck::Process(watch) => watch,
+        };
+        let end = *self.ended.get_or_insert(ConnectionEnd {
+            earliest: self.arrived_at,
+            seen_at: monotonic_now(),
+        });
+        let evidence = watch.evidence(end).await;
+        self.evidence = Some(evidence);
+        match evidence.is_alive() {
+            true => Ok(()),
+            false => Err(ConnError::ProcessEnded),
+        }
+    }
+
     /// Keeps the connection for reuse if the answer was read completely and nothing follows it.
     pub(crate) fn finish(self, core: &GatewayCore) {
         let Some(key) = self.key else {
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -88,6 +88,9 @@
     /// The connection failed.
     #[error("the connection broke: {0}")]
     Broken(#[from] io::Error),
+    /// The process at the other side ended, or may have ended, before it had written all.
+    #[error("the backend server's process may have ended with the connection")]
+    ProcessEnded,
     /// Nothing came for too long.
     #[error("the connection was silent")]
     Silent,
@@ -298,6 +301,15 @@
         matches!(self.stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Returns whether the other side has closed the connection and no unread bytes are left.
+    pub fn is_closed(&self) -> bool {
+        let mut byte = [0];
+        match self.stream.try_read(&mut byte) {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Closes the write side, so that the other side sees the end of the stream.
     pub async fn shutdown_write(&mut self) {
         // The other side may have disconnected already, so an error is ignored.
