--- a/crates/entry/tests/gateway_explain.rs
+++ b/crates/entry/tests/gateway_explain.rs
@@ -2,9 +2,14 @@
 
 mod gateway;
 
-use gateway::{Call, TestGateway, announce, store_with_manifest, wait_for};
+use std::time::Duration;
+
+use gateway::{Call, TestGateway, announce, start_engine, store_with_manifest, wait_for};
 use oleander_operator::GatewayLogs;
-use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest, StoreMode};
+use oleander_standin::users::{EngineReply, PacedEnd, ScriptedEngine, SeenRequest, StoreMode};
+
+/// The pause between two pieces of an answer without a frame.
+const PACE: Duration = Duration::from_millis(25);
 
 #[test]
 fn a_request_that_full_engines_refused_is_explained() {
@@ -59,6 +64,52 @@
     assert!(text.contains("the store had not answered"), "{text}");
 }
 
+/// Explains a stream of one event without a frame that may run once.
+fn explain_unframed(text: &'static str, end: PacedEnd) -> String {
+    let store = store_with_manifest();
+    let _engine = start_engine(&store, "i-1", "engines", move |request| {
+        EngineReply::Paced {
+            pieces: vec![request.unframed_stream_head(), text.into()],
+            interval: PACE,
+            end,
+        }
+    });
+    let gateway = TestGateway::start(&store);
+    let call = Call {
+        path: "/draft/x",
+        ..Call::stream("unframed-1")
+    };
+    gateway.caller().call(&call);
+    gateway.wait_log("end", |line| line["id"] == "unframed-1");
+    TestGateway::explain(&[&gateway], "unframed-1")
+}
+
+// Guards against explanations that do not say why an answer without a frame was taken for whole, or for broken.
+#[test]
+fn the_end_of_an_answer_without_a_frame_is_explained() {
+    let cases = [
+        (
+            "id: 1\ndata: x\n\n",
+            PacedEnd::Close,
+            "; the answer of i-1 had no frame and counted as whole, because another connection to it stayed open",
+        ),
+        (
+            "id: 1\ndata: x\n\n",
+            PacedEnd::Crash,
+            "; the answer of i-1 had no frame and did not count as whole, because another connection to it closed at the same time",
+        ),
+        (
+            "id: 1\ndata: x\n\nid: 2\n",
+            PacedEnd::Close,
+            "; the answer of i-1 had no frame and did not count as whole, because the stream ended inside an event",
+        ),
+    ];
+    for (text, end, expected) in cases {
+        let explained = explain_unframed(text, end);
+        assert!(explained.contains(expected), "{explained}");
+    }
+}
+
 #[test]
 fn a_request_whose_gateway_died_is_explained() {
     let store = store_with_manifest();
--- a/crates/entry/tests/gateway_stops.rs
+++ b/crates/entry/tests/gateway_stops.rs
@@ -24,6 +24,13 @@
 /// The time between two late calls.
 const CALL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// When requests in flight get their final answers, after the stop signal: 0.8 s before the kill. The process ends 0.3 s
+/// later.
+const FINAL_ANSWERS_AFTER: Duration = Duration::from_millis(3_200);
+
+/// How long after the final answers a stream breaks that has begun.
+const BREAK_AFTER_FINAL_ANSWERS: Duration = Duration::from_millis(60);
+
 /// The time between two events of a long stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -223,6 +230,49 @@
     gateway.wait_end();
 }
 
+/// Begins a stream with an event each [`EVENT_INTERVAL`], or ends one that goes on with its next event.
+fn begin_or_end_stream(request: &SeenRequest) -> EngineReply {
+    let mut bytes = request.stream_head();
+    let Some(last) = request.message.header("last-event-id") else {
+        bytes.extend(SeenRequest::event(1));
+        return EngineReply::Steady {
+            first: bytes,
+            next_event: 2,
+            interval: EVENT_INTERVAL,
+        };
+    };
+    let last: u64 = last.parse().expect("an event id is a number");
+    bytes.extend(SeenRequest::event(last + 1));
+    bytes.extend(b"0\r\n\r\n");
+    EngineReply::Bytes(bytes)
+}
+
+// Guards against a stream that has begun, breaks shortly before the gateway ends, and is not resumed although another
+// engine has the rest.
+#[test]
+fn a_stream_that_breaks_shortly_before_the_gateway_ends_goes_on() {
+    let store = store_with_manifest();
+    let engines = ["i-1", "i-2"].map(|id| start_engine(&store, id, "engines", begin_or_end_stream));
+    let mut gateway = TestGateway::start(&store);
+    let mut caller = gateway.caller();
+    caller.send(&Call::stream("begun").text());
+    caller.read_until("piece 1\n");
+    let began = engines.iter().find(|engine| has_seen(engine, "begun"));
+    let began = began.expect("one of them began the stream");
+    gateway.signal(libc::SIGTERM);
+    std::thread::sleep(FINAL_ANSWERS_AFTER + BREAK_AFTER_FINAL_ANSWERS);
+    began.crash();
+    let rest = String::from_utf8_lossy(&caller.read_rest()).into_owned();
+    assert!(rest.ends_with("0\r\n\r\n"), "{rest:?}");
+    let ids = rest.lines().filter_map(|line| line.strip_prefix("id: "));
+    let ids: Vec<u64> = ids.map(|id| id.parse().expect("a number")).collect();
+    let last = ids.last().copied().expect("events came after the first");
+    assert!(ids.iter().copied().eq(2..=last), "{ids:?}");
+    let seen: usize = engines.iter().map(|engine| engine.seen().len()).sum();
+    assert_eq!(seen, 2, "it went on once");
+    gateway.wait_end();
+}
+
 /// Starts an engine whose streams have an event each [`EVENT_INTERVAL`], without end.
 fn steady_engine(store: &UsersStore) -> ScriptedEngine {
     start_engine(store, "i-1", "engines", |request| {
