A stream is broken off at the first event out of order, also inside one piece

What callers saw: events 1, 2, 4, 5 or 1, 2, 2, 3 or 1, 2, 1, 2, 3 as a whole stream with its last chunk, if an engine sent them in one piece.

Cause: only the first id of a piece was compared, with the last id of the piece before.

Change: the splitter compares each id with the one before, takes the events up to the first that does not follow, and marks the batch as cut. These events are delivered; the rest is a broken stream, which goes on after the last event in order if its route allows that.

Why it works: the rule inside a piece is the one between pieces (the next id is the last one plus one), so that the outcome no longer depends on how events were split on their way. Ids at the end of the number range no longer overflow.

--- a/crates/gateway/src/event_split.rs
+++ b/crates/gateway/src/event_split.rs
@@ -16,7 +16,7 @@
 }
 
 /// A run of complete events.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct EventBatch {
     /// The bytes of the events.
     pub(crate) bytes: Bytes,
@@ -26,6 +26,66 @@
     pub(crate) last_id: Option<u64>,
     /// The number of events.
     pub(crate) count: usize,
+    /// Whether an event that is out of order followed. It and what came after it are left out.
+    pub(crate) is_cut: bool,
+}
+
+impl EventBatch {
+    /// Takes the events in order from bytes that end with an event.
+    fn open(mut bytes: Bytes) -> Self {
+        let mut batch = Self::default();
+        let mut event = EventFields::default();
+        let (mut start, mut end) = (0, 0);
+        for line in bytes.split_inclusive(|byte| *byte == b'\n') {
+            end += line.len();
+            let line = without_end(line);
+            if !line.is_empty() {
+                event.read(line);
+                continue;
+            }
+            if !batch.add(std::mem::take(&mut event)) {
+                batch.is_cut = true;
+                break;
+            }
+            start = end;
+        }
+        bytes.truncate(start);
+        batch.bytes = bytes;
+        batch
+    }
+
+    /// Adds an event; returns false if it does not follow the one before.
+    fn add(&mut self, event: EventFields) -> bool {
+        if let (Some(last), Some(id)) = (self.last_id, event.id)
+            && !follows(last, id)
+        {
+            return false;
+        }
+        self.first_id = self.first_id.or(event.id);
+        self.last_id = event.id.or(self.last_id);
+        self.count += usize::from(event.has_field);
+        true
+    }
+}
+
+/// Returns whether the event `id` is the next one after `last`. A stream that skips an id has lost an event.
+pub(crate) fn follows(last: u64, id: u64) -> bool {
+    last.checked_add(1) == Some(id)
+}
+
+/// What is known of the lines of one event.
+#[derive(Debug, Default)]
+struct EventFields {
+    /// Whether it has any line but comments.
+    has_field: bool,
+    id: Option<u64>,
+}
+
+impl EventFields {
+    fn read(&mut self, line: &[u8]) {
+        self.has_field |= is_field(line);
+        self.id = event_id(line).or(self.id);
+    }
 }
 
 impl EventSplitter {
@@ -42,16 +102,7 @@
         };
         self.has_field = false;
         let bytes = self.pending.split_to(searched + end).freeze();
-        let mut ids = event_ids(&bytes);
-        let first_id = ids.next();
-        let last_id = ids.last().or(first_id);
-        let count = event_count(&bytes);
-        Ok(Some(EventBatch {
-            bytes,
-            first_id,
-            last_id,
-            count,
-        }))
+        Ok(Some(EventBatch::open(bytes)))
     }
 
     /// Returns the bound that the pending bytes have passed, if any. They are searched for a field once.
@@ -91,8 +142,14 @@
 
 fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
     bytes
-        .split(|byte| *byte == b'\n')
-        .map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+        .split_inclusive(|byte| *byte == b'\n')
+        .map(without_end)
+}
+
+/// Returns a line without its line feed and the carriage return before that.
+fn without_end(line: &[u8]) -> &[u8] {
+    let line = line.strip_suffix(b"\n").unwrap_or(line);
+    line.strip_suffix(b"\r").unwrap_or(line)
 }
 
 /// Returns whether a line belongs to an event, which blank lines and comments do not.
@@ -100,24 +157,8 @@
     !line.is_empty() && !line.starts_with(b":")
 }
 
-/// Returns the number of complete events, not counting blocks of comments.
-fn event_count(bytes: &[u8]) -> usize {
-    let mut count = 0;
-    let mut has_field = false;
-    for line in lines(bytes) {
-        if line.is_empty() {
-            count += usize::from(has_field);
-            has_field = false;
-        } else {
-            has_field |= is_field(line);
-        }
-    }
-    count
-}
-
-fn event_ids(bytes: &[u8]) -> impl Iterator<Item = u64> {
-    lines(bytes).filter_map(|line| {
-        let value = line.strip_prefix(b"id:")?;
-        std::str::from_utf8(value).ok()?.trim().parse().ok()
-    })
+/// Returns the id in a line that has one.
+fn event_id(line: &[u8]) -> Option<u64> {
+    let value = line.strip_prefix(b"id:")?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -10,7 +10,7 @@
 use super::outlet::RelayEvent;
 use super::{MIN_SEND_TIME, RequestRun, RunResult};
 use crate::core::SendGuard;
-use crate::event_split::{EventBatch, EventSplitter};
+use crate::event_split::{EventBatch, EventSplitter, follows};
 use crate::exchange::Exchange;
 use crate::held_bytes::HeldBytes;
 use crate::http::{
@@ -29,6 +29,9 @@
 /// The shortest silence after which a resumable stream is resumed elsewhere.
 const MIN_STREAM_SILENCE: Span = Span::from_millis(2_400);
 
+/// Why a stream is broken off whose next event is not the one that follows.
+const OUT_OF_ORDER: &str = "events out of order";
+
 /// How one attempt's stream ended.
 #[derive(Debug)]
 pub(super) struct StreamEnd<'a> {
@@ -157,9 +160,7 @@
                         }
                     };
                     if self.is_out_of_order(&batch, state.timing.events == 0) {
-                        let reason = "events out of order";
-                        self.record_failure(target, Verdict::Ran, reason, sent_at);
-                        return self.handle_broken_stream(reason);
+                        return self.break_off(answer, &state, target, OUT_OF_ORDER, sent_at);
                     }
                     self.record_origin(target);
                     if state.timing.first.is_none() {
@@ -169,6 +170,9 @@
                     if let Err(result) = self.write_events(&answer.head, &batch.bytes).await {
                         return Step::Done(result);
                     }
+                    if batch.is_cut {
+                        return self.break_off(answer, &state, target, OUT_OF_ORDER, sent_at);
+                    }
                 }
                 Ok(_) => {
                     let goes_on = self.last_event.is_some();
@@ -262,7 +266,7 @@
     /// Returns whether events do not follow those before; `is_first` tells that they are the first of an attempt.
     pub(super) fn is_out_of_order(&self, batch: &EventBatch, is_first: bool) -> bool {
         match (self.last_event, batch.first_id) {
-            (Some(last), Some(first)) => first != last + 1,
+            (Some(last), Some(first)) => !follows(last, first),
             // A stream with ids goes on with an event that has one.
             (Some(_), None) => is_first && batch.count > 0,
             _ => false,
