The blank line after an event may end otherwise than the event's lines

What callers saw: 502 for a whole stream, if the lines of its events end with a line feed and the blank line after them with a carriage return and a line feed.

Cause: an end was searched as two equal line ends, so that no event of such a stream ever ended.

Change: an end is a line feed, then a blank line with or without a carriage return. The new pattern is contained in the old one for carriage returns, so that all ends that were found before are found.

--- a/crates/gateway/src/event_split.rs
+++ b/crates/gateway/src/event_split.rs
@@ -4,8 +4,12 @@
 
 use crate::http::{ByteBound, MAX_COMMENT_BYTES, MAX_EVENT_BYTES};
 
-/// The longest end of an event, in bytes.
-const MAX_END_BYTES: usize = 4;
+/// The ends of an event, after any end of its last line: a blank line that ends with a line feed, or with a carriage
+/// return before it. The lines of one event may end differently.
+const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\n\r\n"];
+
+/// The longest of [`EVENT_ENDS`], in bytes.
+const MAX_END_BYTES: usize = 3;
 
 /// Holds the bytes at the end of a stream that do not yet form a complete event.
 #[derive(Debug, Default)]
@@ -135,9 +139,11 @@
 }
 
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let plain = memchr::memmem::rfind(bytes, b"\n\n").map(|at| at + 2);
-    let carriage = memchr::memmem::rfind(bytes, b"\r\n\r\n").map(|at| at + 4);
-    plain.max(carriage)
+    let ends = EVENT_ENDS.iter().filter_map(|end| {
+        let at = memchr::memmem::rfind(bytes, end)?;
+        Some(at + end.len())
+    });
+    ends.max()
 }
 
 fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
