A stream is not sent again after an event that has no id

What callers saw: "first, second, first, second" in one answer, if a stream that may be resumed broke off after events without ids.

Cause: such a stream was sent again without Last-Event-Id, or with that of an earlier event, although later events had been delivered.

Change: a stream may go on only while the last event that the caller has received has an id; comments do not count.

Why it works: the event after which a resume goes on is then the last one delivered. The users' protocol gives all events ids, so that no stream of theirs is cut by this.

--- a/crates/gateway/src/event_split.rs
+++ b/crates/gateway/src/event_split.rs
@@ -30,6 +30,8 @@
     pub(crate) last_id: Option<u64>,
     /// The number of events.
     pub(crate) count: usize,
+    /// Whether the last event has an id.
+    pub(crate) ends_with_id: bool,
     /// Whether an event that is out of order followed. It and what came after it are left out.
     pub(crate) is_cut: bool,
 }
@@ -67,7 +69,10 @@
         }
         self.first_id = self.first_id.or(event.id);
         self.last_id = event.id.or(self.last_id);
-        self.count += usize::from(event.has_field);
+        if event.has_field {
+            self.count += 1;
+            self.ends_with_id = event.id.is_some();
+        }
         true
     }
 }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -113,6 +113,8 @@
     stream_type: Option<Box<str>>,
     closes: bool,
     last_event: Option<u64>,
+    /// Whether the stream can go on after the last event that the caller has received, because it has an id.
+    has_resume_point: bool,
     events: usize,
     first_after: Option<Span>,
     longest_gap: Span,
@@ -185,6 +187,7 @@
             stream_type: None,
             closes: !job.head.keeps_alive,
             last_event: job.facts.resume_from,
+            has_resume_point: true,
             events: 0,
             first_after: None,
             longest_gap: Span::ZERO,
@@ -318,10 +321,11 @@
         !self.is_head_sent && self.core.shutdown.ends_requests()
     }
 
-    /// Returns whether a request that may have run may be sent once more.
+    /// Returns whether a request that may have run may be sent once more. A stream may not if the caller would receive
+    /// events twice.
     fn may_run_again(&self) -> bool {
         let route = &self.job.routed.route;
-        route.repeat.is_repeatable() && self.runs < route.max_attempts
+        route.repeat.is_repeatable() && self.runs < route.max_attempts && self.has_resume_point
     }
 
     /// Ends a request for which no further attempt is possible.
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -311,6 +311,9 @@
         timing.record(batch.count, now);
         self.longest_gap = self.longest_gap.max(timing.longest);
         self.events += batch.count;
+        if batch.count > 0 {
+            self.has_resume_point = batch.ends_with_id;
+        }
         self.last_event = batch.last_id.or(self.last_event);
     }
 
