--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -13,7 +13,7 @@
 
 use super::memory::MemoryStep;
 use super::slot::SlotStep;
-use super::wait::{WaitOutcome, read_to_end, wait_or_stop};
+use super::wait::{WaitOutcome, read_to_end};
 use super::{RequestRun, RunResult};
 use crate::brittle_news::on_rejected;
 use crate::core::SendGuard;
@@ -162,14 +162,8 @@
         let mut send = pin!(Exchange::send(self.core, plan));
         let mut timeout = self.answer_timeout();
         for _ in 0..=QUEUE_EXTENSIONS {
-            match wait_or_stop(
-                self.core,
-                self.caller,
-                timeout.min(self.time_left()),
-                send.as_mut(),
-            )
-            .await
-            {
+            let limit = timeout.min(self.time_left());
+            match self.wait_or_stop(limit, send.as_mut()).await {
                 WaitOutcome::TimedOut if self.is_queued(key) => {}
                 waited => return waited,
             }
@@ -364,9 +358,7 @@
             }
         }
         let body = read_to_end(self.core, &mut answer);
-        if let WaitOutcome::Completed(Ok(_)) =
-            wait_or_stop(self.core, self.caller, self.time_left(), body).await
-        {
+        if let WaitOutcome::Completed(Ok(_)) = self.wait_or_stop(self.time_left(), body).await {
             answer.finish(self.core);
         }
         Step::TryAgain
--- a/crates/gateway/src/request/buffered.rs
+++ b/crates/gateway/src/request/buffered.rs
@@ -5,7 +5,7 @@
 use oleander_base::monotonic_now;
 
 use super::attempt::{SendTarget, Step};
-use super::wait::{WaitOutcome, read_to_end, wait_or_stop};
+use super::wait::{WaitOutcome, read_to_end};
 use super::{RequestRun, RunResult};
 use crate::client_io::write_message;
 use crate::core::SendGuard;
@@ -30,13 +30,8 @@
         target: &SendTarget,
         sent_at: MonoTime,
     ) -> Step {
-        let read = wait_or_stop(
-            self.core,
-            self.caller,
-            self.time_left(),
-            read_to_end(self.core, &mut answer),
-        )
-        .await;
+        let body = read_to_end(self.core, &mut answer);
+        let read = self.wait_or_stop(self.time_left(), body).await;
         self.record_unframed_end(target, &answer);
         let body = match read {
             WaitOutcome::Completed(Ok(body)) => body,
--- a/crates/gateway/src/request/memory.rs
+++ b/crates/gateway/src/request/memory.rs
@@ -5,7 +5,7 @@
 
 use super::attempt::Step;
 use super::slot::MAX_ASK_TIME;
-use super::wait::{WaitOutcome, wait_or_stop};
+use super::wait::WaitOutcome;
 use super::{RequestJob, RequestRun};
 use crate::memory::{
     MemoryDemand, MemoryHold, MemoryOutcome, MemoryWish, guarded_capacity, needs_lease, take_memory,
@@ -97,7 +97,7 @@
             lasts,
         };
         let limit = (wish.wait + MAX_ASK_TIME).min(self.time_left());
-        match wait_or_stop(self.core, self.caller, limit, take_memory(self.core, wish)).await {
+        match self.wait_or_stop(limit, take_memory(self.core, wish)).await {
             WaitOutcome::Completed(MemoryOutcome::Leased(hold)) => {
                 self.note_memory_send();
                 MemoryStep::Send(Some(hold))
--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -5,7 +5,7 @@
 
 use super::RequestRun;
 use super::attempt::{SendTarget, Step};
-use super::wait::{WaitOutcome, wait_or_stop};
+use super::wait::WaitOutcome;
 use crate::prelude::*;
 
 impl RequestRun<'_> {
@@ -20,7 +20,7 @@
         let resolve = core
             .origins
             .resolve(core, self.resumed_stream(), &job.routed.service);
-        let origin = match wait_or_stop(self.core, self.caller, self.time_left(), resolve).await {
+        let origin = match self.wait_or_stop(self.time_left(), resolve).await {
             WaitOutcome::Completed(origin) => origin,
             WaitOutcome::CallerLeft => return Step::Done(self.caller_left()),
             WaitOutcome::TimedOut => return Step::GiveUp("no time left"),
--- a/crates/gateway/src/request/outlet.rs
+++ b/crates/gateway/src/request/outlet.rs
@@ -12,7 +12,7 @@
 use oleander_base::monotonic_now;
 use tokio::time::{sleep, timeout};
 
-use super::wait::{WaitOutcome, wait, wait_or_stop};
+use super::wait::WaitOutcome;
 use super::{RequestRun, RunResult};
 use crate::exchange::Exchange;
 use crate::http::{BodyPiece, ConnError, HttpConn};
@@ -133,11 +133,7 @@
             let left = until.since(monotonic_now());
             let Some(outlet) = self.outlet.as_mut().filter(|outlet| outlet.len() > 0) else {
                 let next = answer.next();
-                let waited = match self.is_head_sent {
-                    true => wait(self.caller, left, next).await,
-                    false => wait_or_stop(self.core, self.caller, left, next).await,
-                };
-                return match waited {
+                return match self.wait_or_stop(left, next).await {
                     WaitOutcome::Completed(piece) => RelayEvent::Piece(piece),
                     WaitOutcome::CallerLeft => RelayEvent::Ended(OutletEnd::CallerLeft),
                     WaitOutcome::TimedOut => RelayEvent::TimedOut,
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 
 use super::attempt::{SendTarget, Step};
-use super::wait::{WaitOutcome, wait_or_stop};
+use super::wait::WaitOutcome;
 use super::{MIN_SEND_TIME, RequestRun};
 use crate::core::SendGuard;
 use crate::exchange::{Exchange, SendError, SendPlan};
@@ -110,13 +110,8 @@
             is_written: &Cell::new(false),
         };
         let limit = self.time_left();
-        wait_or_stop(
-            self.core,
-            self.caller,
-            limit,
-            Exchange::send(self.core, &plan),
-        )
-        .await
+        self.wait_or_stop(limit, Exchange::send(self.core, &plan))
+            .await
     }
 
     fn encode_relay(&self) -> Vec<u8> {
--- a/crates/gateway/src/request/slot.rs
+++ b/crates/gateway/src/request/slot.rs
@@ -5,7 +5,7 @@
 
 use oleander_balance::Choice;
 
-use super::wait::{WaitOutcome, wait_or_stop};
+use super::wait::WaitOutcome;
 use super::{MIN_SEND_TIME, RequestRun};
 use crate::prelude::*;
 use crate::slots::{SlotLease, SlotOutcome, SlotWish, take_slot};
@@ -51,7 +51,7 @@
             wait: self.slot_wait(),
         };
         let limit = (wish.wait + MAX_ASK_TIME).min(self.time_left());
-        match wait_or_stop(self.core, self.caller, limit, take_slot(self.core, wish)).await {
+        match self.wait_or_stop(limit, take_slot(self.core, wish)).await {
             WaitOutcome::Completed(SlotOutcome::Leased(slot)) => SlotStep::Send(Some(slot)),
             WaitOutcome::CallerLeft => SlotStep::CallerLeft,
             _ if self.waits_for_slot => {
--- a/crates/gateway/src/request/suspects.rs
+++ b/crates/gateway/src/request/suspects.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::RequestRun;
-use super::wait::{WaitOutcome, wait_or_stop};
+use super::wait::WaitOutcome;
 use crate::log_line::LineKind;
 use crate::quarantine::SuspectName;
 
@@ -32,9 +32,7 @@
         let mut verdict = quarantine.check(self.core, &self.suspects);
         if let SuspectVerdict::Probe(ids) = &verdict {
             quarantine.claim(self.core, ids);
-            if let WaitOutcome::CallerLeft =
-                wait_or_stop(self.core, self.caller, CLAIM_WAIT, pending::<()>()).await
-            {
+            if let WaitOutcome::CallerLeft = self.wait_or_stop(CLAIM_WAIT, pending::<()>()).await {
                 return Err("the caller left");
             }
             if quarantine.takes_probe(self.core, ids) {
--- a/crates/gateway/src/request/wait.rs
+++ b/crates/gateway/src/request/wait.rs
@@ -6,6 +6,7 @@
 use oleander_base::prelude::*;
 use tokio::time::timeout;
 
+use super::RequestRun;
 use crate::core::GatewayCore;
 use crate::exchange::Exchange;
 use crate::held_bytes::HeldBytes;
@@ -37,18 +38,22 @@
     }
 }
 
-/// Waits like [`wait`], at most until the stopping gateway gives requests in flight their final answers. A stream that
-/// has begun has no final answer but its end, and does not wait like this.
-pub(super) async fn wait_or_stop<T>(
-    core: &GatewayCore,
-    caller: &mut HttpConn,
-    limit: Span,
-    work: impl Future<Output = T>,
-) -> WaitOutcome<T> {
-    tokio::select! {
-        biased;
-        waited = wait(caller, limit, work) => waited,
-        () = core.shutdown.wait_requests_end() => WaitOutcome::TimedOut,
+impl RequestRun<'_> {
+    /// Waits like [`wait`], at most until the stopping gateway gives requests in flight their final answers. A stream
+    /// that has begun has no final answer but its end, so its waits go on.
+    pub(super) async fn wait_or_stop<T>(
+        &mut self,
+        limit: Span,
+        work: impl Future<Output = T>,
+    ) -> WaitOutcome<T> {
+        if self.is_head_sent {
+            return wait(self.caller, limit, work).await;
+        }
+        tokio::select! {
+            biased;
+            waited = wait(self.caller, limit, work) => waited,
+            () = self.core.shutdown.wait_requests_end() => WaitOutcome::TimedOut,
+        }
     }
 }
 
