explain says why an answer without a frame was taken for whole or for broken

The cause line now adds, for each answer that ended with its connection, whether it counted as whole and why: what the connections to the backend server told of its process (unframed-end), or what broke the stream (stream-broken). Before, the cause of such an end was "it was answered as a whole" alone.

--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -129,7 +129,8 @@
         let mut out = String::new();
         self.write_timeline(&mut out, &own, first, last);
         self.write_platform_views(&mut out, &own, first);
-        let _ = writeln!(out, "cause: {}", self.cause(&own, last));
+        let ends = unframed_ends(&own);
+        let _ = writeln!(out, "cause: {}{ends}", self.cause(&own, last));
         if self.damaged + self.left_out > 0 {
             let _ = writeln!(
                 out,
@@ -270,6 +271,31 @@
     }
 }
 
+/// Returns why each answer without a frame was taken for whole, or for broken.
+fn unframed_ends(own: &[&LogLine]) -> String {
+    let ends = own.iter().filter(|line| line.event == "unframed-end");
+    let note = |end: &&LogLine| {
+        let broken = own
+            .iter()
+            .find(|line| line.event == "stream-broken" && line.backend == end.backend);
+        let broken_by = broken.and_then(|line| line.broken_by.as_deref());
+        let (outcome, reason) = match (end.evidence.as_deref(), broken_by) {
+            (Some("closed-together"), _) => (
+                "did not count",
+                "another connection to it closed at the same time",
+            ),
+            (Some("unreachable"), _) => ("did not count", "it took no new connection"),
+            (_, Some(broken_by)) => ("did not count", broken_by),
+            (Some("stayed-open"), None) => ("counted", "another connection to it stayed open"),
+            (Some("accepted"), None) => ("counted", "it took a new connection"),
+            _ => ("counted", "of no stated evidence"),
+        };
+        let backend = end.backend.as_deref().unwrap_or("?");
+        format!("; the answer of {backend} had no frame and {outcome} as whole, because {reason}")
+    };
+    ends.map(note).collect()
+}
+
 fn reason(line: &LogLine) -> &str {
     line.reason.as_deref().unwrap_or("of no stated reason")
 }
