A caller of HTTP/1.0 gets no stream

What callers saw: chunks in an answer to an HTTP/1.0 request. A caller that knows no chunks ends the answer with the connection, so that a cut stream looks whole to it.

Cause: streams were framed in chunks whatever the version of the request.

Change: a request of HTTP/1.0 for a stream is refused with 505 before it is sent anywhere. Other answers have a length, which such a caller knows; they stay. The users' protocol uses HTTP/1.1 only.

--- a/crates/gateway/src/caller_conn.rs
+++ b/crates/gateway/src/caller_conn.rs
@@ -429,6 +429,10 @@
             RouteRefusal::NoRoute => Refusal::keeping(404, "no route serves this path"),
             RouteRefusal::UnknownKey => Refusal::keeping(401, "the key is not known"),
         })?;
+    if routed.route.repeat.is_stream() && !head.knows_chunks {
+        // Without chunks the caller could not tell a stream that broke off from a whole one.
+        return Err(Refusal::closing(505, "a stream needs HTTP/1.1"));
+    }
     check_accepts(core, &routed, facts)?;
     Ok(FoundRoute {
         routed,
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -145,6 +145,8 @@
     pub framing: BodyFraming,
     /// Whether the caller keeps the connection open.
     pub keeps_alive: bool,
+    /// Whether the caller knows chunks, which HTTP/1.0 does not have.
+    pub knows_chunks: bool,
     /// Whether the caller waits for `100 Continue` before it sends the body.
     pub expects_continue: bool,
 }
@@ -280,6 +282,7 @@
             target: target_range,
             framing,
             keeps_alive,
+            knows_chunks: minor == 1,
             expects_continue,
         })
     }
