Evidence of a process's end: only closes of connections that had lasted, and a fresh one at once

What callers got since the fix: a whole answer failed where an engine at its connection limit closed the watched connection; a stream that broke inside an event, or that its caller resumed, ended as whole and empty where an engine answered with a head alone; a stream passed as whole where its engine had closed the watched connection for being idle shortly before its process ended.

Change: a connection that is closed within 50 ms of its opening is no evidence; after one that had lasted, the next is opened at once; an answer without events is whole only after an attempt of the same answer that broke off with its process after a complete event. A watched connection goes back to the pool only if none were discarded meanwhile and there is room, and an unused one is kept for 2 s or the idle time that its backend server states.

A panic in the test's own engine is mended.

--- a/crates/entry/tests/gateway_unframed_review.rs
+++ b/crates/entry/tests/gateway_unframed_review.rs
@@ -38,9 +38,8 @@
 impl Connections {
     /// Closes all connections but one.
     fn close_others(&self, own: &TcpStream) {
-        let own = own.peer_addr().expect("the caller is connected");
         for stream in self.open.lock().iter() {
-            if stream.peer_addr().is_ok_and(|peer| peer != own) {
+            if !std::ptr::eq(&raw const **stream, own) {
                 // The other side may have closed the connection already.
                 let _ = stream.shutdown(Shutdown::Both);
             }
--- a/crates/gateway/src/conn_pool.rs
+++ b/crates/gateway/src/conn_pool.rs
@@ -12,6 +12,10 @@
 /// How long a connection is kept if the backend server states no idle timeout.
 const DEFAULT_IDLE_TIME: Span = Span::from_secs(55);
 
+/// How long a connection on which no request was sent is kept, if the backend server has stated no idle timeout. Some
+/// close connections without a first request soon.
+const UNUSED_IDLE_TIME: Span = Span::from_secs(2);
+
 /// The greatest number of idle connections per backend server.
 const MAX_IDLE_PER_BACKEND: usize = 96;
 
@@ -20,17 +24,8 @@
 pub(crate) struct IdleConn {
     pub(crate) conn: HttpConn,
     pub(crate) expires_at: MonoTime,
-}
-
-impl IdleConn {
-    /// Takes over a connection whose backend server closes it after the idle time, if it states one.
-    fn open(conn: HttpConn, idle: Option<Span>, now: MonoTime) -> Self {
-        let idle = idle.map_or(DEFAULT_IDLE_TIME, |idle| idle.saturating_sub(IDLE_MARGIN));
-        Self {
-            conn,
-            expires_at: now + idle,
-        }
-    }
+    /// How many times connections had been discarded when it was taken out of the pool or opened.
+    discards: u64,
 }
 
 /// The idle connections, by backend server.
@@ -39,6 +34,8 @@
     idle: FastMap<BackendKey, Vec<IdleConn>>,
     /// The idle times that backend servers last stated.
     stated: FastMap<BackendKey, Span>,
+    /// How many times connections were discarded.
+    discards: u64,
 }
 
 impl ConnPool {
@@ -52,7 +49,10 @@
         let conns = self.idle.get_mut(&key)?;
         while let Some(candidate) = conns.pop() {
             if now < candidate.expires_at && candidate.conn.is_idle() {
-                return Some(candidate);
+                return Some(IdleConn {
+                    discards: self.discards,
+                    ..candidate
+                });
             }
         }
         None
@@ -69,21 +69,36 @@
         if let Some(idle) = idle {
             self.stated.insert(key, idle);
         }
-        let idle = IdleConn::open(conn, idle, now);
-        if now < idle.expires_at {
-            self.put_idle(key, idle);
-        }
+        let span = idle.map_or(DEFAULT_IDLE_TIME, |idle| idle.saturating_sub(IDLE_MARGIN));
+        self.keep(key, self.idle_conn(conn, now + span), now);
     }
 
-    /// Takes over a new connection, on which the backend server has not stated its idle time yet.
+    /// Takes over a new connection on which no request was sent.
     pub(crate) fn admit(&self, key: BackendKey, conn: HttpConn, now: MonoTime) -> IdleConn {
-        IdleConn::open(conn, self.stated.get(&key).copied(), now)
+        let stated = self.stated.get(&key);
+        let span = stated.map_or(UNUSED_IDLE_TIME, |idle| idle.saturating_sub(IDLE_MARGIN));
+        self.idle_conn(conn, now + span)
+    }
+
+    fn idle_conn(&self, conn: HttpConn, expires_at: MonoTime) -> IdleConn {
+        IdleConn {
+            conn,
+            expires_at,
+            discards: self.discards,
+        }
+    }
+
+    /// Keeps an idle connection that was taken out of the pool, or opened. It is closed if connections were discarded
+    /// meanwhile, because it may be one of those.
+    pub(crate) fn put_back(&mut self, key: BackendKey, idle: IdleConn, now: MonoTime) {
+        if idle.discards == self.discards {
+            self.keep(key, idle, now);
+        }
     }
 
-    /// Keeps an idle connection, unless there are enough of its backend server.
-    pub(crate) fn put_idle(&mut self, key: BackendKey, idle: IdleConn) {
+    fn keep(&mut self, key: BackendKey, idle: IdleConn, now: MonoTime) {
         let conns = self.idle.entry(key).or_default();
-        if conns.len() < MAX_IDLE_PER_BACKEND {
+        if conns.len() < MAX_IDLE_PER_BACKEND && now < idle.expires_at {
             conns.push(idle);
         }
     }
@@ -100,11 +115,13 @@
     pub(crate) fn discard(&mut self, key: BackendKey) {
         self.idle.remove(&key);
         self.stated.remove(&key);
+        self.discards += 1;
     }
 
     /// Closes every connection.
     pub(crate) fn clear(&mut self) {
         self.idle.clear();
+        self.discards += 1;
     }
 
     /// Returns the number of idle connections.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -62,8 +62,8 @@
     reader: BodyReader,
     is_reusable: bool,
     end_check: EndCheck,
-    /// When bytes last arrived that the gateway had waited for.
-    arrived_at: MonoTime,
+    /// When the last read ended for which the gateway had to wait.
+    waited_until: MonoTime,
     ended: Option<ConnectionEnd>,
     evidence: Option<EndEvidence>,
     pub(crate) head: AnswerHead,
@@ -78,7 +78,7 @@
     /// The process that writes the answer has to outlive it.
     Process(ProcessWatch),
     /// Other gateways frame all answers, so that such an end is a break.
-    Never,
+    AlwaysBroken,
 }
 
 /// The destination and the bytes of one send.
@@ -131,7 +131,7 @@
                     key: plan.key,
                     reader,
                     end_check: EndCheck::None,
-                    arrived_at: monotonic_now(),
+                    waited_until: monotonic_now(),
                     ended: None,
                     evidence: None,
                     head,
@@ -151,7 +151,7 @@
         if self.head.framing == BodyFraming::UntilClose {
             self.end_check = match self.key {
                 Some(key) => EndCheck::Process(ProcessWatch::open(core, key, address)),
-                None => EndCheck::Never,
+                None => EndCheck::AlwaysBroken,
             };
         }
     }
@@ -186,7 +186,7 @@
             return Ok(());
         }
         let filled = self.conn.fill().await;
-        self.arrived_at = monotonic_now();
+        self.waited_until = monotonic_now();
         filled
     }
 
@@ -194,11 +194,11 @@
     async fn confirm_end(&mut self) -> Result<(), ConnError> {
         let watch = match &self.end_check {
             EndCheck::None => return Ok(()),
-            EndCheck::Never => return Err(ConnError::Closed),
+            EndCheck::AlwaysBroken => return Err(ConnError::Closed),
             EndCheck::Process(watch) => watch,
         };
         let end = *self.ended.get_or_insert(ConnectionEnd {
-            earliest: self.arrived_at,
+            earliest: self.waited_until,
             seen_at: monotonic_now(),
         });
         let evidence = watch.evidence(end).await;
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -301,15 +301,6 @@
         matches!(self.stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Returns whether the other side has closed the connection and no unread bytes are left.
-    pub fn is_closed(&self) -> bool {
-        let mut byte = [0];
-        match self.stream.try_read(&mut byte) {
-            Ok(count) => count == 0,
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-        }
-    }
-
     /// Closes the write side, so that the other side sees the end of the stream.
     pub async fn shutdown_write(&mut self) {
         // The other side may have disconnected already, so an error is ignored.
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -3,9 +3,9 @@
 //! Such an answer ends with its connection. When a process ends, its kernel closes its connections in the same way, so
 //! the close alone does not tell a complete answer from a broken one. While such an answer is read, the gateway
 //! therefore keeps an idle connection to the same backend server open, one for all such answers there, and watches it.
-//! The connections of a process that ends are closed together. An idle connection that stays open, or a new one
-//! that is accepted where there was none, shows that the process still runs (docs/PLATFORM.md, "Answers without a
-//! frame").
+//! The connections of a process that ends are closed together, so that one that stays open shows that the process still
+//! runs. Where there was none, a new one that is accepted is weaker evidence: another process may have taken the address
+//! (docs/PLATFORM.md, "Answers without a frame").
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -19,6 +19,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::client_budget::max_kept_connections;
 use crate::conn_pool::IdleConn;
 use crate::core::GatewayCore;
 use crate::exchange::connect_backend;
@@ -27,9 +28,12 @@
 /// How far apart the closes of one process's connections may be seen.
 const CLOSE_SPREAD: Span = Span::from_millis(40);
 
-/// The pause before another connection is opened after one that failed or did not last.
+/// The pause before another connection is opened after one that failed.
 const REOPEN_DELAY: Span = Span::from_millis(500);
 
+/// How soon after it was opened a connection is closed by a backend server that has too many.
+const MAX_REFUSAL_TIME: Span = Span::from_millis(50);
+
 /// The shortest time for which one idle connection is watched, however short the backend server's idle time is.
 const MIN_WATCH_TIME: Span = Span::from_millis(800);
 
@@ -47,7 +51,7 @@
 }
 
 impl EndEvidence {
-    /// Returns whether the process still ran after the end, so that it ended the answer itself.
+    /// Returns whether the process counts as still running after the end, so that it ended the answer itself.
     pub(crate) fn is_alive(self) -> bool {
         matches!(self, Self::StayedOpen | Self::Accepted)
     }
@@ -87,10 +91,10 @@
 enum WatchEnd {
     /// No answer needs it any more, and it is still idle.
     Released(IdleConn),
-    /// The backend server is about to close it for having been idle, which says nothing of the process.
-    Expired,
-    /// It was closed, or is not usable.
-    Lost,
+    /// It is replaced by another one, because it was closed or is about to be closed for having been idle.
+    Replaced,
+    /// It was closed soon after it was opened, as by a backend server that has too many.
+    Failed,
 }
 
 /// Watches the process of one backend server, for as long as any answer needs that.
@@ -126,15 +130,12 @@
             self.set(MonitorState::Opening);
             let watched = match self.open_conn(core).await {
                 Some(idle) => self.watch(idle).await,
-                None => WatchEnd::Lost,
+                None => WatchEnd::Failed,
             };
             match watched {
-                WatchEnd::Released(idle) => {
-                    core.pool.borrow_mut().put_idle(self.key, idle);
-                    return;
-                }
-                WatchEnd::Expired => {}
-                WatchEnd::Lost => self.wait_reopen().await,
+                WatchEnd::Released(idle) => return keep_idle(core, self.key, idle),
+                WatchEnd::Replaced => {}
+                WatchEnd::Failed => self.wait_reopen().await,
             }
         }
     }
@@ -160,24 +161,26 @@
 
     /// Watches one connection until it ends, expires or is needed no more.
     async fn watch(&self, idle: IdleConn) -> WatchEnd {
-        self.set(MonitorState::Open(monotonic_now()));
-        let left = idle.expires_at.since(monotonic_now()).max(MIN_WATCH_TIME);
+        let opened_at = monotonic_now();
+        self.set(MonitorState::Open(opened_at));
+        let left = idle.expires_at.since(opened_at).max(MIN_WATCH_TIME);
         let mut expiry = pin!(sleep(Duration::from(left)));
         loop {
             tokio::select! {
                 biased;
                 _ = idle.conn.readable() => {}
                 () = self.wait_released() => return WatchEnd::Released(idle),
-                () = &mut expiry => return WatchEnd::Expired,
+                () = &mut expiry => return WatchEnd::Replaced,
             }
             if idle.conn.is_idle() {
                 continue;
             }
-            // Bytes that belong to no request say nothing of the process.
-            if idle.conn.is_closed() {
-                self.closed_at.set(Some(monotonic_now()));
+            let now = monotonic_now();
+            if now.since(opened_at) < MAX_REFUSAL_TIME {
+                return WatchEnd::Failed;
             }
-            return WatchEnd::Lost;
+            self.closed_at.set(Some(now));
+            return WatchEnd::Replaced;
         }
     }
 
@@ -205,6 +208,15 @@
     }
 }
 
+/// Gives an idle connection to the pool, unless the pool has as many as the process may keep.
+fn keep_idle(core: &GatewayCore, key: BackendKey, idle: IdleConn) {
+    let most = max_kept_connections(&core.settings());
+    let mut pool = core.pool.borrow_mut();
+    if pool.len() < most {
+        pool.put_back(key, idle, monotonic_now());
+    }
+}
+
 /// The monitors of the backend servers from which answers without a frame are read.
 #[derive(Debug, Default)]
 pub(crate) struct MonitorTable {
@@ -270,9 +282,9 @@
         }
         match connect_backend(&self.core, monitor.address).await {
             Ok(conn) => {
-                let mut pool = self.core.pool.borrow_mut();
-                let idle = pool.admit(monitor.key, conn, monotonic_now());
-                pool.put_idle(monitor.key, idle);
+                let pool = &self.core.pool;
+                let idle = pool.borrow().admit(monitor.key, conn, monotonic_now());
+                keep_idle(&self.core, monitor.key, idle);
                 EndEvidence::Accepted
             }
             Err(_) => EndEvidence::Unreachable,
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -115,6 +115,9 @@
     last_event: Option<u64>,
     /// Whether the stream can go on after the last event that the caller has received, because it has an id.
     has_resume_point: bool,
+    /// Whether the last attempt may have delivered the whole stream, because its backend server's process ended after a
+    /// complete event.
+    may_be_complete: bool,
     events: usize,
     first_after: Option<Span>,
     longest_gap: Span,
@@ -188,6 +191,7 @@
             closes: !job.head.keeps_alive,
             last_event: job.facts.resume_from,
             has_resume_point: true,
+            may_be_complete: false,
             events: 0,
             first_after: None,
             longest_gap: Span::ZERO,
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -66,12 +66,12 @@
     /// Returns why a stream whose body ended as its framing says is not complete, unless it is.
     ///
     /// A broken stream without length or chunks ends with an orderly close like a complete one, so
-    /// the framing alone does not decide. A stream that goes on may have had its last event before.
-    fn truncation(&self, framing: BodyFraming, goes_on: bool) -> Option<&'static str> {
+    /// the framing alone does not decide. Only a stream that may have had its last event before may be empty.
+    fn truncation(&self, framing: BodyFraming, may_be_empty: bool) -> Option<&'static str> {
         if self.splitter.is_inside_event() {
             return Some("the stream ended inside an event");
         }
-        if framing == BodyFraming::UntilClose && self.timing.events == 0 && !goes_on {
+        if framing == BodyFraming::UntilClose && self.timing.events == 0 && !may_be_empty {
             return Some("the stream ended before its first event");
         }
         None
@@ -135,6 +135,7 @@
     ) -> Step {
         let mut state = StreamState::default();
         let mut held = HeldBytes::open(self.core);
+        let may_be_empty = std::mem::take(&mut self.may_be_complete);
         self.open_outlet();
         loop {
             let limit = self.stream_timeout(target).min(self.time_left());
@@ -175,8 +176,7 @@
                     }
                 }
                 Ok(_) => {
-                    let goes_on = self.last_event.is_some();
-                    return match state.truncation(answer.head.framing, goes_on) {
+                    return match state.truncation(answer.head.framing, may_be_empty) {
                         Some(reason) => {
                             self.record_broken(target, state.timing.events > 0, sent_at);
                             self.break_off(answer, &state, target, reason, sent_at)
@@ -191,6 +191,8 @@
                     };
                 }
                 Err(error) => {
+                    self.may_be_complete = matches!(error, ConnError::ProcessEnded)
+                        && !state.splitter.is_inside_event();
                     match error {
                         ConnError::Closed | ConnError::Broken(_) | ConnError::ProcessEnded => {
                             self.record_out_of_reach(target, ReachFailure::Connection);
