Attempt: an HTTP/1.0 answer is whole only with all bytes that its length states

Callers of a plain service that speaks HTTP/1.0 got an answer that was shorter than its Content-Length as whole, with status 200, when the service's process ended in the middle of it. The HTTP client takes the orderly end of an HTTP/1.0 connection for the end of the body, whatever length the answer states; of a process that is killed the kernel closes the connections in order.

The body now counts its bytes against the stated length, and a short one is a failure that may have run. It counts as broken where crashes are attributed, as an HTTP/1.1 answer that is cut does.

--- a/crates/attempt/src/body.rs
+++ b/crates/attempt/src/body.rs
@@ -13,9 +13,29 @@
 
 use crate::error::{AttemptError, AttemptFailure, Result};
 
+/// What the HTTP client leaves to be checked at the end of a body.
+#[derive(Debug)]
+pub(crate) enum BodyEnd {
+    /// Nothing is left.
+    Checked,
+    /// So many more bytes have to come. The HTTP client takes the end of an HTTP/1.0 connection for the end of the
+    /// body, whatever length the answer states.
+    Length(u64),
+}
+
+impl BodyEnd {
+    /// Counts bytes of the body.
+    fn count(&mut self, bytes: usize) {
+        if let Self::Length(left) = self {
+            *left = left.saturating_sub(bytes as u64);
+        }
+    }
+}
+
 /// Streams the body of an answer; dropping it before its end closes the connection.
 pub struct AttemptBody {
     payload: Payload,
+    end: BodyEnd,
     is_unframed: bool,
     idle: Duration,
     last: Instant,
@@ -23,9 +43,10 @@
 }
 
 impl AttemptBody {
-    pub(crate) fn new(payload: Payload, idle: Duration) -> Self {
+    pub(crate) fn new(payload: Payload, end: BodyEnd, idle: Duration) -> Self {
         Self {
             payload,
+            end,
             is_unframed: false,
             idle,
             last: Instant::now(),
@@ -37,7 +58,7 @@
     pub(crate) fn unframed(idle: Duration) -> Self {
         Self {
             is_unframed: true,
-            ..Self::new(Payload::None, idle)
+            ..Self::new(Payload::None, BodyEnd::Checked, idle)
         }
     }
 
@@ -68,7 +89,14 @@
         }
         if let Poll::Ready(chunk) = Pin::new(&mut self.payload).poll_next(cx) {
             self.last = Instant::now();
-            return Poll::Ready(chunk.map(|chunk| chunk.map_err(|error| body_error(&error))));
+            return match chunk {
+                Some(Ok(chunk)) => {
+                    self.end.count(chunk.len());
+                    Poll::Ready(Some(Ok(chunk)))
+                }
+                Some(Err(error)) => Poll::Ready(Some(Err(body_error(&error)))),
+                None => self.poll_end(),
+            };
         }
         // The timer is reset only when it fires, not for each chunk.
         while self.timer.as_mut().poll(cx).is_ready() {
@@ -81,6 +109,16 @@
         }
         Poll::Pending
     }
+
+    /// Checks that the end of the connection is the end of the body.
+    fn poll_end(&self) -> Poll<Option<Result<Bytes>>> {
+        match self.end {
+            BodyEnd::Checked | BodyEnd::Length(0) => Poll::Ready(None),
+            BodyEnd::Length(_) => Poll::Ready(Some(Err(AttemptError::may_have_run(
+                AttemptFailure::Truncated,
+            )))),
+        }
+    }
 }
 
 impl fmt::Debug for AttemptBody {
--- a/crates/attempt/src/client.rs
+++ b/crates/attempt/src/client.rs
@@ -17,7 +17,7 @@
 use ntex::time::Seconds;
 use tokio::time::{Instant, timeout};
 
-use crate::body::AttemptBody;
+use crate::body::{AttemptBody, BodyEnd};
 use crate::error::{AttemptError, AttemptFailure, Result};
 use crate::request::{AttemptRequest, AttemptSettings, AttemptTimeouts};
 use crate::tracked_body::{SendFlag, TrackedBody};
@@ -73,7 +73,7 @@
         let timeouts = request.timeouts;
         let flag = SendFlag::default();
         let call = self.prepare(&request);
-        let is_head = request.method == Method::HEAD;
+        let method = request.method.clone();
         let response = if request.body.is_empty() {
             finish_bodyless(call.send(), timeouts).await?
         } else {
@@ -81,11 +81,16 @@
             let sending = call.send_body(Body::from_message(body));
             finish_tracked(sending, &flag, timeouts).await?
         };
-        let body = if !is_head && is_unframed(&response) {
+        let has_body = has_body(&method, response.status());
+        let body = if has_body && is_unframed(&response) {
             self.unframed.record(request.address, Instant::now());
             AttemptBody::unframed(timeouts.idle)
         } else {
-            AttemptBody::new(response.take_payload(), timeouts.idle)
+            let end = match has_body {
+                true => body_end(&response),
+                false => BodyEnd::Checked,
+            };
+            AttemptBody::new(response.take_payload(), end, timeouts.idle)
         };
         Ok(AttemptResponse {
             status: response.status(),
@@ -145,17 +150,34 @@
     Ok(client)
 }
 
+/// Returns whether an answer has a body, by its request and its status.
+fn has_body(method: &Method, status: StatusCode) -> bool {
+    *method != Method::HEAD
+        && !status.is_informational()
+        && status != StatusCode::NO_CONTENT
+        && status != StatusCode::NOT_MODIFIED
+}
+
 /// Returns whether the end of the answer's body can only be seen from the end of its connection.
 ///
 /// The library takes such an HTTP/1.1 answer for one without a body, so its body is lost.
 fn is_unframed(response: &ClientResponse) -> bool {
-    let status = response.status();
-    let has_body = !status.is_informational()
-        && status != StatusCode::NO_CONTENT
-        && status != StatusCode::NOT_MODIFIED;
     let headers = response.headers();
     let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-    has_body && !is_framed && response.version() == Version::HTTP_11
+    !is_framed && response.version() == Version::HTTP_11
+}
+
+/// Returns what is left to check at the end of the answer's body.
+fn body_end(response: &ClientResponse) -> BodyEnd {
+    match stated_length(response) {
+        Some(length) if response.version() == Version::HTTP_10 => BodyEnd::Length(length),
+        _ => BodyEnd::Checked,
+    }
+}
+
+fn stated_length(response: &ClientResponse) -> Option<u64> {
+    let length = response.headers().get(CONTENT_LENGTH)?;
+    length.to_str().ok()?.trim().parse().ok()
 }
 
 async fn finish_tracked(
--- a/crates/attempt/src/error.rs
+++ b/crates/attempt/src/error.rs
@@ -24,6 +24,9 @@
     /// The answer has neither a length nor chunks, so that its body cannot be read.
     #[error("the answer has neither a length nor chunks")]
     Unframed,
+    /// The connection ended before the stated length of the answer.
+    #[error("the answer is shorter than its length")]
+    Truncated,
     /// The head of the answer did not arrive within the first-byte timeout.
     #[error("no answer in time")]
     FirstByteTimeout,
@@ -38,6 +41,13 @@
     },
 }
 
+impl AttemptFailure {
+    /// Returns whether a connection ended before the whole answer had come, as when the server's process ends.
+    pub fn is_broken(&self) -> bool {
+        matches!(self, Self::Broken(_) | Self::Truncated)
+    }
+}
+
 /// Reports a failed attempt.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("{failure} ({verdict})")]
--- a/crates/entry/src/request_driver.rs
+++ b/crates/entry/src/request_driver.rs
@@ -252,10 +252,10 @@
 
     /// Returns whether an attempt broke off because its backend server has crashed.
     async fn has_crashed(&self, backend: BackendId, error: &EngineError) -> bool {
-        let is_broken = matches!(
-            error.failure,
-            EngineFailure::Attempt(AttemptFailure::Broken(_)) | EngineFailure::Truncated
-        );
+        let is_broken = match &error.failure {
+            EngineFailure::Attempt(failure) => failure.is_broken(),
+            failure => *failure == EngineFailure::Truncated,
+        };
         match self.context.node.view().address(backend) {
             Some(address) if is_broken => crash_check::has_crashed(address).await,
             _ => false,
--- a/crates/entry/src/service_job.rs
+++ b/crates/entry/src/service_job.rs
@@ -375,10 +375,10 @@
 }
 
 fn is_broken(error: &ServiceError) -> bool {
-    matches!(
-        error.failure,
-        ServiceFailure::Attempt(AttemptFailure::Broken(_))
-    )
+    match &error.failure {
+        ServiceFailure::Attempt(failure) => failure.is_broken(),
+        _ => false,
+    }
 }
 
 fn unknown_backend(backend: BackendId) -> ServiceError {
