Attempt: a transfer coding other than chunks frames no body

Callers of a plain service got a complete empty answer, status 200, when the service answered with HTTP/1.1, no length and 'Transfer-Encoding: identity'. The HTTP client takes such an answer for one without a body, and this package took any transfer coding for a frame. Only chunks count as one now, so that such an answer is a failure that may have run, like each one without a length or chunks.

--- a/crates/attempt/src/client.rs
+++ b/crates/attempt/src/client.rs
@@ -162,11 +162,17 @@
 ///
 /// The library takes such an HTTP/1.1 answer for one without a body, so its body is lost.
 fn is_unframed(response: &ClientResponse) -> bool {
-    let headers = response.headers();
-    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let is_framed = response.headers().contains_key(CONTENT_LENGTH) || is_chunked(response);
     !is_framed && response.version() == Version::HTTP_11
 }
 
+/// Returns whether the body comes in chunks. Another transfer coding frames nothing.
+fn is_chunked(response: &ClientResponse) -> bool {
+    let coding = response.headers().get(TRANSFER_ENCODING);
+    let coding = coding.and_then(|coding| coding.to_str().ok());
+    coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// Returns what is left to check at the end of the answer's body.
 fn body_end(response: &ClientResponse) -> BodyEnd {
     match stated_length(response) {
