Attempt: an answer that has no body by its status or length ends with its head

A call to a plain service failed with 'may have run', after its idle timeout, when the answer was a 304 that states a length, or an HTTP/1.0 one with 'Content-Length: 0' on a connection that stays open. The HTTP client waits for the length of a 304, and for the end of the connection where an HTTP/1.0 answer states no bytes.

--- a/crates/attempt/src/client.rs
+++ b/crates/attempt/src/client.rs
@@ -12,7 +12,7 @@
 use ntex::connect::{ConnectError as TcpError, Connector as TcpConnector};
 use ntex::http::body::Body;
 use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use ntex::http::{HeaderMap, Method, StatusCode, Version};
+use ntex::http::{HeaderMap, Method, Payload, StatusCode, Version};
 use ntex::service::apply_fn_factory;
 use ntex::time::Seconds;
 use tokio::time::{Instant, timeout};
@@ -81,15 +81,13 @@
             let sending = call.send_body(Body::from_message(body));
             finish_tracked(sending, &flag, timeouts).await?
         };
-        let has_body = has_body(&method, response.status());
-        let body = if has_body && is_unframed(&response) {
+        let body = if !has_body(&method, &response) {
+            AttemptBody::new(Payload::None, BodyEnd::Checked, timeouts.idle)
+        } else if is_unframed(&response) {
             self.unframed.record(request.address, Instant::now());
             AttemptBody::unframed(timeouts.idle)
         } else {
-            let end = match has_body {
-                true => body_end(&response),
-                false => BodyEnd::Checked,
-            };
+            let end = body_end(&response);
             AttemptBody::new(response.take_payload(), end, timeouts.idle)
         };
         Ok(AttemptResponse {
@@ -150,12 +148,16 @@
     Ok(client)
 }
 
-/// Returns whether an answer has a body, by its request and its status.
-fn has_body(method: &Method, status: StatusCode) -> bool {
+/// Returns whether an answer has a body, by its request, its status and its length.
+///
+/// The library waits for the length that a 304 answer states, and for the end of an HTTP/1.0 connection.
+fn has_body(method: &Method, response: &ClientResponse) -> bool {
+    let status = response.status();
     *method != Method::HEAD
         && !status.is_informational()
         && status != StatusCode::NO_CONTENT
         && status != StatusCode::NOT_MODIFIED
+        && stated_length(response) != Some(0)
 }
 
 /// Returns whether the end of the answer's body can only be seen from the end of its connection.
