Attempt: an HTTP/1.0 answer without a length is whole only if its process outlived it

Such an answer ends with its connection, and of a process that is killed the kernel closes the connections in order.

While such an answer is read, an idle connection to the same server is open. The connections of a process are closed together when it ends, so the answer is whole only if the idle connection is still open 40 ms after the end; else it is a failure that may have run. This costs one connection and 40 ms for each such answer, and nothing for others. A process that ends and whose address another one has before the idle connection is made is not noticed.

--- a/crates/attempt/src/body.rs
+++ b/crates/attempt/src/body.rs
@@ -1,9 +1,9 @@
 //! The streamed body of an answer, with an idle timeout.
 
 use std::fmt;
-use std::future::poll_fn;
+use std::future::{Future, poll_fn};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use ntex::http::Payload;
@@ -12,15 +12,19 @@
 use tokio::time::{Instant, Sleep, sleep};
 
 use crate::error::{AttemptError, AttemptFailure, Result};
+use crate::process_watch::ProcessWatch;
 
 /// What the HTTP client leaves to be checked at the end of a body.
-#[derive(Debug)]
 pub(crate) enum BodyEnd {
     /// Nothing is left.
     Checked,
     /// So many more bytes have to come. The HTTP client takes the end of an HTTP/1.0 connection for the end of the
     /// body, whatever length the answer states.
     Length(u64),
+    /// The server's process has to outlive the answer, which ends with its connection.
+    Process(ProcessWatch),
+    /// This tells whether it has.
+    Outlived(Pin<Box<dyn Future<Output = bool>>>),
 }
 
 impl BodyEnd {
@@ -87,6 +91,12 @@
             let failure = AttemptFailure::Unframed;
             return Poll::Ready(Some(Err(AttemptError::may_have_run(failure))));
         }
+        if let BodyEnd::Outlived(outlived) = &mut self.end {
+            let has_outlived = ready!(outlived.as_mut().poll(cx));
+            self.payload = Payload::None;
+            self.end = BodyEnd::Checked;
+            return Poll::Ready(process_end(has_outlived));
+        }
         if let Poll::Ready(chunk) = Pin::new(&mut self.payload).poll_next(cx) {
             self.last = Instant::now();
             return match chunk {
@@ -95,7 +105,7 @@
                     Poll::Ready(Some(Ok(chunk)))
                 }
                 Some(Err(error)) => Poll::Ready(Some(Err(body_error(&error)))),
-                None => self.poll_end(),
+                None => self.poll_end(cx),
             };
         }
         // The timer is reset only when it fires, not for each chunk.
@@ -111,12 +121,21 @@
     }
 
     /// Checks that the end of the connection is the end of the body.
-    fn poll_end(&self) -> Poll<Option<Result<Bytes>>> {
-        match self.end {
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes>>> {
+        match std::mem::replace(&mut self.end, BodyEnd::Checked) {
             BodyEnd::Checked | BodyEnd::Length(0) => Poll::Ready(None),
-            BodyEnd::Length(_) => Poll::Ready(Some(Err(AttemptError::may_have_run(
-                AttemptFailure::Truncated,
-            )))),
+            BodyEnd::Length(_) => {
+                let failure = AttemptFailure::Truncated;
+                Poll::Ready(Some(Err(AttemptError::may_have_run(failure))))
+            }
+            BodyEnd::Process(watch) => {
+                self.end = BodyEnd::Outlived(Box::pin(watch.has_outlived()));
+                self.poll_next(cx)
+            }
+            outlived @ BodyEnd::Outlived(_) => {
+                self.end = outlived;
+                self.poll_next(cx)
+            }
         }
     }
 }
@@ -129,6 +148,12 @@
     }
 }
 
+/// Returns the end of a body whose end is the end of its connection.
+fn process_end(has_outlived: bool) -> Option<Result<Bytes>> {
+    let failure = AttemptError::may_have_run(AttemptFailure::ProcessEnded);
+    (!has_outlived).then_some(Err(failure))
+}
+
 fn body_error(error: &PayloadError) -> AttemptError {
     AttemptError::may_have_run(AttemptFailure::Broken(error.to_string()))
 }
--- a/crates/attempt/src/client.rs
+++ b/crates/attempt/src/client.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 
 use crate::body::{AttemptBody, BodyEnd};
 use crate::error::{AttemptError, AttemptFailure, Result};
+use crate::process_watch::ProcessWatch;
 use crate::request::{AttemptRequest, AttemptSettings, AttemptTimeouts};
 use crate::tracked_body::{SendFlag, TrackedBody};
 use crate::unframed_servers::UnframedServers;
@@ -87,7 +89,7 @@
             self.unframed.record(request.address, Instant::now());
             AttemptBody::unframed(timeouts.idle)
         } else {
-            let end = body_end(&response);
+            let end = body_end(&response, request.address, timeouts.connect);
             AttemptBody::new(response.take_payload(), end, timeouts.idle)
         };
         Ok(AttemptResponse {
@@ -176,10 +178,13 @@
 }
 
 /// Returns what is left to check at the end of the answer's body.
-fn body_end(response: &ClientResponse) -> BodyEnd {
+fn body_end(response: &ClientResponse, server: SocketAddr, connect: Duration) -> BodyEnd {
+    if response.version() != Version::HTTP_10 {
+        return BodyEnd::Checked;
+    }
     match stated_length(response) {
-        Some(length) if response.version() == Version::HTTP_10 => BodyEnd::Length(length),
-        _ => BodyEnd::Checked,
+        Some(length) => BodyEnd::Length(length),
+        None => BodyEnd::Process(ProcessWatch::open(server, connect)),
     }
 }
 
--- a/crates/attempt/src/error.rs
+++ b/crates/attempt/src/error.rs
@@ -27,6 +27,9 @@
     /// The connection ended before the stated length of the answer.
     #[error("the answer is shorter than its length")]
     Truncated,
+    /// The server's process ended, or may have ended, with the connection that alone marks the end of the answer.
+    #[error("the server's process may have ended with the connection")]
+    ProcessEnded,
     /// The head of the answer did not arrive within the first-byte timeout.
     #[error("no answer in time")]
     FirstByteTimeout,
@@ -44,7 +47,7 @@
 impl AttemptFailure {
     /// Returns whether a connection ended before the whole answer had come, as when the server's process ends.
     pub fn is_broken(&self) -> bool {
-        matches!(self, Self::Broken(_) | Self::Truncated)
+        matches!(self, Self::Broken(_) | Self::Truncated | Self::ProcessEnded)
     }
 }
 
--- a/crates/attempt/src/lib.rs
+++ b/crates/attempt/src/lib.rs
@@ -17,6 +17,7 @@
 mod body;
 mod client;
 mod error;
+mod process_watch;
 mod request;
 mod tracked_body;
 mod unframed_servers;
