--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -5,6 +5,7 @@
 pub mod crashing;
 pub mod crowd;
 pub mod flooding;
+pub mod relaying;
 pub mod scaled;
 
 use std::fs::File;
--- a/crates/entry/tests/gateway_relays.rs
+++ b/crates/entry/tests/gateway_relays.rs
@@ -2,154 +2,16 @@
 
 mod gateway;
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use gateway::flooding::FloodKind;
-use gateway::{Call, TestGateway, announce_at, store_with_manifest, wait_for};
-use oleander_standin::users::{
-    EngineLink, EngineReply, LinkCut, ScriptedEngine, SeenRequest, UsersStore,
-};
-use parking_lot::Mutex;
-use serde_json::json;
-
-/// The number of engines of each service.
-const ENGINES: usize = 4;
-
-/// The names of the scripted gateways.
-const OTHERS: [&str; 2] = ["edge-2", "edge-3"];
+use gateway::relaying::{FirstAnswer, LinkedEngines, RelayFleet, announce_gateway, deliver};
+use gateway::{Call, TestGateway, store_with_manifest, wait_for};
+use oleander_standin::users::{EngineReply, ScriptedEngine, SeenRequest};
 
 /// The rest of the head of an answer without a body.
 const NO_BODY: &str = "Content-Length: 0\r\n\r\n";
 
-/// Links to engines, and the engines behind them.
-struct LinkedEngines {
-    links: Vec<EngineLink>,
-    engines: Vec<ScriptedEngine>,
-}
-
-impl LinkedEngines {
-    fn start(store: &UsersStore, script: fn(&SeenRequest) -> EngineReply) -> Self {
-        let engines: Vec<_> = (0..2 * ENGINES)
-            .map(|_| ScriptedEngine::spawn(script))
-            .collect();
-        let links: Vec<_> = engines
-            .iter()
-            .map(|engine| EngineLink::spawn(engine.address()))
-            .collect();
-        for (number, link) in links.iter().enumerate() {
-            let service = ["desk", "engines"][number % 2];
-            announce_at(store, &format!("i-{number}"), service, link.address());
-        }
-        Self { links, engines }
-    }
-
-    /// Refuses new connections to all engines until the gateway has noticed that it is cut off.
-    fn cut_off(&self, gateway: &TestGateway) {
-        for link in &self.links {
-            link.cut(LinkCut::Refuse);
-        }
-        wait_for("the gateway is cut off", || {
-            gateway.caller().call(&Call::lookup("meanwhile"));
-            !gateway.log("backends-lost").is_empty()
-        });
-    }
-}
-
-/// Announces a scripted gateway, which answers no queries.
-fn announce_gateway(store: &UsersStore, name: &str, gateway: &ScriptedEngine) {
-    let nowhere = "127.0.0.1:1";
-    let entry = json!({"control": nowhere, "frontend": gateway.address(), "zone": "north-b"});
-    store.put(&format!("gateways/{name}"), entry.to_string());
-}
-
-/// The answer of the first gateway that a request is relayed to.
-type FirstAnswer = fn(&SeenRequest) -> EngineReply;
-
-/// A gateway that is cut off from engines, before two others.
-struct RelayFleet {
-    asking: TestGateway,
-    others: Vec<ScriptedEngine>,
-    /// The present script for first relays.
-    first_answer: Arc<Mutex<FirstAnswer>>,
-    _engines: LinkedEngines,
-    _store: UsersStore,
-}
-
-impl RelayFleet {
-    fn start() -> Self {
-        let store = store_with_manifest();
-        let engines = LinkedEngines::start(&store, deliver);
-        let first_answer: Arc<Mutex<FirstAnswer>> = Arc::new(Mutex::new(deliver));
-        let relayed = Arc::new(Mutex::new(Vec::new()));
-        let others: Vec<_> = OTHERS
-            .iter()
-            .map(|name| {
-                let first_answer = Arc::clone(&first_answer);
-                let relayed = Arc::clone(&relayed);
-                let other = ScriptedEngine::spawn(move |request| {
-                    let id = request
-                        .message
-                        .header("attempt-id")
-                        .unwrap_or("")
-                        .to_owned();
-                    let is_first = !relayed.lock().contains(&id);
-                    relayed.lock().push(id);
-                    match is_first {
-                        true => first_answer.lock()(request),
-                        false => deliver(request),
-                    }
-                });
-                announce_gateway(&store, name, &other);
-                other
-            })
-            .collect();
-        let asking = TestGateway::start(&store);
-        engines.cut_off(&asking);
-        Self {
-            asking,
-            others,
-            first_answer,
-            _engines: engines,
-            _store: store,
-        }
-    }
-
-    /// Returns how many gateways a request was relayed to.
-    fn relays(&self, id: &str) -> usize {
-        let seen = self.others.iter().flat_map(ScriptedEngine::seen);
-        seen.filter(|request| request.message.header("attempt-id") == Some(id))
-            .count()
-    }
-
-    /// Sends a call whose first relay gets an answer, and checks the number of relays and the status that the
-    /// caller gets.
-    fn check(&self, call: &Call<'_>, first_answer: FirstAnswer, relays: usize, status: u16) {
-        *self.first_answer.lock() = first_answer;
-        let answer = self.asking.caller().call(call);
-        let seen = (self.relays(call.id), answer.status());
-        assert_eq!(seen, (relays, status), "{}", call.id);
-        let promises = [408, 421, 429, 503].contains(&status);
-        let stated = answer.header("gateway-verdict");
-        assert!(
-            stated.is_none() || (stated == Some("not-run")) == promises,
-            "{}: {stated:?}",
-            call.id
-        );
-    }
-}
-
-/// Answers as an engine would behind a gateway.
-fn deliver(request: &SeenRequest) -> EngineReply {
-    if request.message.start.contains("/publish/") || request.message.start.contains("/lookup/") {
-        return EngineReply::BytesThenClose(request.answer("done"));
-    }
-    let mut bytes = request.stream_head();
-    bytes.extend(SeenRequest::event(1));
-    bytes.extend(b"0\r\n\r\n");
-    EngineReply::BytesThenClose(bytes)
-}
-
 /// Returns an answer of a gateway itself, with the request's id and these further header lines.
 fn own_answer(request: &SeenRequest, status: u16, headers: &str) -> EngineReply {
     let id = request.message.header("attempt-id").unwrap_or("");
