--- a/crates/entry/tests/gateway/relaying.rs
+++ b/crates/entry/tests/gateway/relaying.rs
@@ -133,13 +133,15 @@
     }
 }
 
-/// Answers as an engine would behind a gateway.
+/// Answers as an engine would behind a gateway. A stream has one event, or goes on with one.
 pub fn deliver(request: &SeenRequest) -> EngineReply {
     if request.message.start.contains("/publish/") || request.message.start.contains("/lookup/") {
         return EngineReply::BytesThenClose(request.answer("done"));
     }
+    let resumed = request.message.header("last-event-id");
+    let last: u64 = resumed.map_or(0, |id| id.parse().expect("an event id is a number"));
     let mut bytes = request.stream_head();
-    bytes.extend(SeenRequest::event(1));
+    bytes.extend(SeenRequest::event(last + 1));
     bytes.extend(b"0\r\n\r\n");
     EngineReply::BytesThenClose(bytes)
 }
