--- a/crates/attempt/src/client.rs
+++ b/crates/attempt/src/client.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 
@@ -12,13 +13,14 @@
 use ntex::connect::{ConnectError as TcpError, Connector as TcpConnector};
 use ntex::http::body::Body;
 use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use ntex::http::{HeaderMap, Method, StatusCode, Version};
+use ntex::http::{HeaderMap, Method, Payload, StatusCode, Version};
 use ntex::service::apply_fn_factory;
 use ntex::time::Seconds;
 use tokio::time::{Instant, timeout};
 
-use crate::body::AttemptBody;
+use crate::body::{AttemptBody, BodyEnd};
 use crate::error::{AttemptError, AttemptFailure, Result};
+use crate::process_watch::ProcessWatch;
 use crate::request::{AttemptRequest, AttemptSettings, AttemptTimeouts};
 use crate::tracked_body::{SendFlag, TrackedBody};
 use crate::unframed_servers::UnframedServers;
@@ -73,7 +75,7 @@
         let timeouts = request.timeouts;
         let flag = SendFlag::default();
         let call = self.prepare(&request);
-        let is_head = request.method == Method::HEAD;
+        let method = request.method.clone();
         let response = if request.body.is_empty() {
             finish_bodyless(call.send(), timeouts).await?
         } else {
@@ -81,11 +83,14 @@
             let sending = call.send_body(Body::from_message(body));
             finish_tracked(sending, &flag, timeouts).await?
         };
-        let body = if !is_head && is_unframed(&response) {
+        let body = if !has_body(&method, &response) {
+            AttemptBody::new(Payload::None, BodyEnd::Checked, timeouts.idle)
+        } else if is_unframed(&response) {
             self.unframed.record(request.address, Instant::now());
             AttemptBody::unframed(timeouts.idle)
         } else {
-            AttemptBody::new(response.take_payload(), timeouts.idle)
+            let end = body_end(&response, request.address, timeouts.connect);
+            AttemptBody::new(response.take_payload(), end, timeouts.idle)
         };
         Ok(AttemptResponse {
             status: response.status(),
@@ -145,17 +150,47 @@
     Ok(client)
 }
 
+/// Returns whether an answer has a body, by its request, its status and its length.
+///
+/// The library waits for the length that a 304 answer states, and for the end of an HTTP/1.0 connection.
+fn has_body(method: &Method, response: &ClientResponse) -> bool {
+    let status = response.status();
+    *method != Method::HEAD
+        && !status.is_informational()
+        && status != StatusCode::NO_CONTENT
+        && status != StatusCode::NOT_MODIFIED
+        && stated_length(response) != Some(0)
+}
+
 /// Returns whether the end of the answer's body can only be seen from the end of its connection.
 ///
 /// The library takes such an HTTP/1.1 answer for one without a body, so its body is lost.
 fn is_unframed(response: &ClientResponse) -> bool {
-    let status = response.status();
-    let has_body = !status.is_informational()
-        && status != StatusCode::NO_CONTENT
-        && status != StatusCode::NOT_MODIFIED;
-    let headers = response.headers();
-    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-    has_body && !is_framed && response.version() == Version::HTTP_11
+    let is_framed = response.headers().contains_key(CONTENT_LENGTH) || is_chunked(response);
+    !is_framed && response.version() == Version::HTTP_11
+}
+
+/// Returns whether the body comes in chunks. Another transfer coding frames nothing.
+fn is_chunked(response: &ClientResponse) -> bool {
+    let coding = response.headers().get(TRANSFER_ENCODING);
+    let coding = coding.and_then(|coding| coding.to_str().ok());
+    coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
+/// Returns what is left to check at the end of the answer's body.
+fn body_end(response: &ClientResponse, server: SocketAddr, connect: Duration) -> BodyEnd {
+    if response.version() != Version::HTTP_10 {
+        return BodyEnd::Checked;
+    }
+    match stated_length(response) {
+        Some(length) => BodyEnd::Length(length),
+        None => BodyEnd::Process(ProcessWatch::open(server, connect)),
+    }
+}
+
+fn stated_length(response: &ClientResponse) -> Option<u64> {
+    let length = response.headers().get(CONTENT_LENGTH)?;
+    length.to_str().ok()?.trim().parse().ok()
 }
 
 async fn finish_tracked(
