A link between gateways and an engine that passes closes and resets on as they came

EngineLink ends both sides by a close, so that a reset of the engine reached the gateway as an orderly end, which means something else for an answer without a frame.

--- a/crates/standin/src/users/mod.rs
+++ b/crates/standin/src/users/mod.rs
@@ -5,6 +5,7 @@
 
 mod duty_checker;
 mod engine_link;
+mod faulty_link;
 mod provider;
 mod scaling_provider;
 mod scripted_engine;
@@ -13,6 +14,7 @@
 
 pub use duty_checker::{DutyChecker, ProviderCall};
 pub use engine_link::{EngineLink, LinkCut};
+pub use faulty_link::FaultyLink;
 pub use provider::{ProviderMode, UsersProvider};
 pub use scaling_provider::{ScalingProvider, SeenOrder};
 pub use scripted_engine::{EngineReply, PacedEnd, ScriptedEngine, SeenRequest};
