--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -7,10 +7,11 @@
 pub mod flooding;
 pub mod scaled;
 
+use std::ffi::OsString;
 use std::fs::File;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, OnceLock};
@@ -30,6 +31,9 @@
 /// An API key of the customer `press`.
 pub const KEY: &str = "key-of-press";
 
+/// The environment variable that may name another gateway program.
+const PROGRAM_VARIABLE: &str = "OLEANDERPLANK_PROGRAM";
+
 /// A running gateway process.
 pub struct TestGateway {
     child: Child,
@@ -49,19 +53,25 @@
 const PORT_COUNT: u16 = 16_000;
 /// Number of ports for the tests of one process.
 const PROCESS_PORTS: u32 = 200;
+/// The number of ports that this process has assigned.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
 /// Returns an address that no other test uses.
 ///
 /// The address is not probed by binding it: a process that another test starts at that moment would
 /// inherit the probing socket until it runs its program, and the gateway could not listen.
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
+pub fn free_address() -> SocketAddr {
     static START: OnceLock<(u16, File)> = OnceLock::new();
     let (start, _) = START.get_or_init(lock_ports);
-    let offset = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
+    let offset = start.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
     SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset))
 }
 
+/// Assigns the ports of this process anew. All processes that used them must have ended.
+pub fn reuse_ports() {
+    NEXT_PORT.store(0, Ordering::Relaxed);
+}
+
 /// Returns the offset of ports that no other test process uses as long as the returned file is locked.
 ///
 /// Process ids alone do not keep test processes apart: two whose ids were equal modulo the number of groups
@@ -207,22 +217,10 @@
         let gossip_port = text["port_range"][0].as_u64().expect("a port");
         let gossip_port = u16::try_from(gossip_port).expect("ports are small");
         std::fs::write(&settings_path, text.to_string()).expect("a test may write a file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_oleanderplank"))
-            .args(["gateway", "--metrics-port", &metrics.port().to_string()])
-            .env("OLEANDERPLANK_BOOT", &settings_path)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
         let log = Arc::new(Mutex::new(Vec::new()));
+        let mut child = spawn_process(&settings_path, metrics);
         if is_read {
-            let stdout = child.stdout.take().expect("standard output is piped");
-            let lines = Arc::clone(&log);
-            std::thread::spawn(move || {
-                let reader = BufReader::new(stdout);
-                for line in std::io::BufRead::lines(reader).map_while(Result::ok) {
-                    lines.lock().push(line);
-                }
-            });
+            read_log(&mut child, &log);
         }
         Self {
             child,
@@ -316,6 +314,31 @@
         self.wait_end();
     }
 
+    /// Starts the process again, with the same settings and addresses, after it has ended.
+    pub fn restart(&mut self) {
+        self.child = spawn_process(&self.settings_path, self.metrics);
+        read_log(&mut self.child, &self.log);
+    }
+
+    /// Waits until the process ends, for as long as `limit`. Returns whether it has ended.
+    pub fn has_ended_within(&mut self, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            if matches!(self.child.try_wait(), Ok(Some(_))) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
+    /// Returns the log lines that contain `text`.
+    pub fn lines_with(&self, text: &str) -> Vec<String> {
+        let lines = self.log.lock();
+        let found = lines.iter().filter(|line| line.contains(text));
+        found.cloned().collect()
+    }
+
     /// Waits for a log line of `event` for which `matches` holds.
     pub fn wait_log(&self, event: &str, matches: impl Fn(&Value) -> bool) -> Value {
         let mut found = None;
@@ -334,6 +357,34 @@
     }
 }
 
+/// Starts the gateway program.
+fn spawn_process(settings_path: &Path, metrics: SocketAddr) -> Child {
+    Command::new(program())
+        .args(["gateway", "--metrics-port", &metrics.port().to_string()])
+        .env("OLEANDERPLANK_BOOT", settings_path)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program starts")
+}
+
+/// Returns the gateway program: another build may be named, so that tests show what it does.
+fn program() -> OsString {
+    let named = std::env::var_os(PROGRAM_VARIABLE);
+    named.unwrap_or_else(|| env!("CARGO_BIN_EXE_oleanderplank").into())
+}
+
+/// Collects the lines of a gateway's log on a thread of its own.
+fn read_log(child: &mut Child, log: &Arc<Mutex<Vec<String>>>) {
+    let stdout = child.stdout.take().expect("standard output is piped");
+    let lines = Arc::clone(log);
+    std::thread::spawn(move || {
+        let reader = BufReader::new(stdout);
+        for line in std::io::BufRead::lines(reader).map_while(Result::ok) {
+            lines.lock().push(line);
+        }
+    });
+}
+
 impl Drop for TestGateway {
     fn drop(&mut self) {
         // The process may have ended already.
--- /dev/null
+++ b/crates/entry/tests/order_soak/fleet.rs
@@ -0,0 +1,176 @@
+//! The gateways, engines and the store of a soak, in the shape of a corrections log: six gateways in four data
+//! centres, engines of a streaming service and of a log service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use oleander_standin::users::UsersStore;
+use parking_lot::Mutex;
+use serde_json::json;
+
+use super::engine_slot::{EngineSlot, Reports};
+use crate::gateway::{TestGateway, store_with_manifest};
+
+/// The data centre of each gateway.
+const GATEWAY_CENTRES: [&str; 6] = ["a", "a", "b", "b", "c", "d"];
+const CENTRES: [&str; 4] = ["a", "b", "c", "d"];
+/// The number of engines of the streaming service at the start.
+const STREAM_ENGINES: usize = 8;
+/// The number of places for engines of the streaming service: a release needs one more.
+const STREAM_PLACES: usize = 9;
+/// The number of engines of the log service.
+const DESK_ENGINES: usize = 3;
+/// The pause between two writes of an engine's entry.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// The time after which the entry of an engine that writes no more is removed.
+const ENTRY_LIFE: Duration = Duration::from_millis(3_600);
+
+/// All processes of a soak.
+pub struct Fleet {
+    pub store: UsersStore,
+    pub gateways: Vec<Mutex<TestGateway>>,
+    /// The addresses at which callers reach the gateways.
+    pub frontends: Vec<SocketAddr>,
+    pub slots: Vec<EngineSlot>,
+    pub reports: Arc<Mutex<Reports>>,
+    /// Whether the run has ended.
+    pub is_over: AtomicBool,
+    next_id: AtomicU64,
+    expiring: Mutex<Vec<(String, Instant)>>,
+}
+
+impl Fleet {
+    /// Starts all processes and waits until the gateways are ready.
+    pub fn start() -> Self {
+        let store = store_with_manifest();
+        let slots = slots();
+        let gateways: Vec<TestGateway> = (0..GATEWAY_CENTRES.len())
+            .map(|nth| spawn_gateway(nth, &store))
+            .collect();
+        let fleet = Self {
+            frontends: gateways.iter().map(|gateway| gateway.frontend).collect(),
+            gateways: gateways.into_iter().map(Mutex::new).collect(),
+            store,
+            slots,
+            reports: Arc::default(),
+            is_over: AtomicBool::new(false),
+            next_id: AtomicU64::new(1),
+            expiring: Mutex::default(),
+        };
+        for slot in fleet.first_slots() {
+            fleet.start_engine(slot, "v1");
+        }
+        for gateway in &fleet.gateways {
+            gateway.lock().wait_ready();
+        }
+        fleet
+    }
+
+    /// Returns the places at which an engine is when the run begins.
+    fn first_slots(&self) -> impl Iterator<Item = &EngineSlot> {
+        let is_first = |nth: usize| !(STREAM_ENGINES..STREAM_PLACES).contains(&nth);
+        let slots = self.slots.iter().enumerate();
+        slots
+            .filter(move |(nth, _)| is_first(*nth))
+            .map(|(_, slot)| slot)
+    }
+
+    /// Starts an engine under a new id.
+    pub fn start_engine(&self, slot: &EngineSlot, version: &str) {
+        let id = self.next_id.fetch_add(1, Ordering::SeqCst);
+        self.start_engine_as(slot, &format!("i-{id}"), version);
+    }
+
+    /// Starts an engine under an id that may have been another's.
+    pub fn start_engine_as(&self, slot: &EngineSlot, id: &str, version: &str) {
+        self.expiring.lock().retain(|(known, _)| known != id);
+        slot.start(id, version, &self.store, &self.reports);
+    }
+
+    /// Kills an engine, whose entry expires unless its id starts again. Returns its id and version.
+    pub fn kill_engine(&self, slot: &EngineSlot) -> Option<(String, String)> {
+        let (id, version) = slot.kill(&self.reports)?;
+        let expires_at = Instant::now() + ENTRY_LIFE;
+        self.expiring.lock().push((id.clone(), expires_at));
+        Some((id, version))
+    }
+
+    /// Ends an engine that has left, and removes its entry.
+    pub fn remove_engine(&self, slot: &EngineSlot) {
+        if let Some((id, _)) = self.kill_engine(slot) {
+            self.expiring.lock().retain(|(known, _)| *known != id);
+            self.store.delete(&format!("servers/{id}"));
+        }
+    }
+
+    /// Returns the number of engines of a service that take requests.
+    pub fn available(&self, service: &str) -> usize {
+        let slots = self.slots.iter();
+        slots
+            .filter(|slot| slot.service == service && slot.is_available())
+            .count()
+    }
+
+    /// Returns the number of engines of a software version that take requests of the streaming service.
+    pub fn available_at(&self, version: &str) -> usize {
+        let is_here = |slot: &&EngineSlot| {
+            slot.service == "engines"
+                && slot.is_available()
+                && slot.version().as_deref() == Some(version)
+        };
+        self.slots.iter().filter(is_here).count()
+    }
+
+    /// Writes the engines' entries again and again until the run ends, and removes those that have expired.
+    pub fn keep_registry(&self) {
+        while self.goes_on_for(HEARTBEAT) {
+            for slot in &self.slots {
+                slot.write_entry(&self.store);
+            }
+            let now = Instant::now();
+            self.expiring.lock().retain(|(id, expires_at)| {
+                let is_expired = *expires_at <= now;
+                if is_expired {
+                    self.store.delete(&format!("servers/{id}"));
+                }
+                !is_expired
+            });
+        }
+    }
+
+    /// Waits, and returns whether the run still goes on.
+    pub fn goes_on_for(&self, pause: Duration) -> bool {
+        const STEP: Duration = Duration::from_millis(20);
+        let until = Instant::now() + pause;
+        while !self.is_over.load(Ordering::SeqCst) && Instant::now() < until {
+            thread::sleep(STEP.min(until.saturating_duration_since(Instant::now())));
+        }
+        !self.is_over.load(Ordering::SeqCst)
+    }
+}
+
+fn slots() -> Vec<EngineSlot> {
+    let slot = |service: &'static str, nth: usize| {
+        let centre = format!("north-{}", CENTRES[nth % CENTRES.len()]);
+        EngineSlot::new(service, &centre, nth % 2 == 1)
+    };
+    let streams = (0..STREAM_PLACES).map(|nth| slot("engines", nth));
+    let desk = (0..DESK_ENGINES).map(|nth| slot("desk", nth));
+    streams.chain(desk).collect()
+}
+
+fn spawn_gateway(nth: usize, store: &UsersStore) -> TestGateway {
+    const MEMORY_MEGABYTES: u64 = 260;
+    let name = format!("edge-{}", nth + 1);
+    TestGateway::spawn_changed(&name, store.address(), &[], true, |text| {
+        text["zone"] = json!(format!("north-{}", GATEWAY_CENTRES[nth]));
+        text["zones"] = CENTRES
+            .iter()
+            .map(|centre| (format!("north-{centre}"), json!("north")))
+            .collect();
+        text["limits"]["memory_mb"] = json!(MEMORY_MEGABYTES);
+    })
+}
--- /dev/null
+++ b/crates/entry/tests/order_soak/trouble.rs
@@ -0,0 +1,297 @@
+//! Faults from outside, in an order that follows from a seed: first one after the other, then overlapping.
+
+use std::thread::{self, Scope};
+use std::time::{Duration, Instant};
+
+use oleander_base::FastMap;
+use parking_lot::Mutex;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+
+use super::engine_slot::EngineSlot;
+use super::fleet::Fleet;
+use crate::gateway::TestGateway;
+
+/// A kind of fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Trouble {
+    /// An engine is killed and starts again soon at its address under a new id.
+    EngineRestart,
+    /// An engine is killed and starts again soon under its id, as another boot.
+    EngineReboot,
+    /// An engine is killed and stays away for some seconds.
+    EngineLoss,
+    /// An engine stops for a second and goes on.
+    EnginePause,
+    /// A gateway is killed and starts again.
+    GatewayKill,
+    /// A gateway stops for a second and goes on.
+    GatewayPause,
+    /// A gateway is told to end and starts again.
+    GatewayStop,
+    /// Several gateways, at times all, are killed at the same moment.
+    GatewayHerd,
+    /// All connections to an engine are reset.
+    LinkReset,
+    /// All bytes to and from an engine are delayed.
+    LinkDelay,
+    /// Nothing passes between the gateways and an engine for a second.
+    LinkCut,
+}
+
+/// The kinds of faults, as often as they are chosen: mostly engines that are killed.
+const CHOICES: [Trouble; 16] = [
+    Trouble::EngineRestart,
+    Trouble::EngineRestart,
+    Trouble::EngineRestart,
+    Trouble::EngineReboot,
+    Trouble::EngineReboot,
+    Trouble::EngineReboot,
+    Trouble::EngineLoss,
+    Trouble::EngineLoss,
+    Trouble::EnginePause,
+    Trouble::GatewayKill,
+    Trouble::GatewayPause,
+    Trouble::GatewayStop,
+    Trouble::GatewayHerd,
+    Trouble::LinkReset,
+    Trouble::LinkDelay,
+    Trouble::LinkCut,
+];
+
+/// The time for which a paused process stands still.
+const PAUSE: Duration = Duration::from_secs(1);
+/// The least number of engines of a service that are left when one is killed.
+const LEAST_ENGINES: usize = 2;
+
+/// Plays faults against a fleet.
+pub struct TroubleMaker<'a> {
+    fleet: &'a Fleet,
+    seed: u64,
+    counts: Mutex<FastMap<Trouble, usize>>,
+}
+
+impl<'a> TroubleMaker<'a> {
+    /// Creates the faults of a seed.
+    pub fn new(fleet: &'a Fleet, seed: u64) -> Self {
+        Self {
+            fleet,
+            seed,
+            counts: Mutex::default(),
+        }
+    }
+
+    /// Returns how often each kind of fault was played.
+    pub fn counts(&self) -> Vec<(Trouble, usize)> {
+        let counts = self.counts.lock();
+        let mut counts: Vec<_> = counts
+            .iter()
+            .map(|(trouble, count)| (*trouble, *count))
+            .collect();
+        counts.sort_unstable();
+        counts
+    }
+
+    /// Plays faults one after the other for the first half of the run, and overlapping for the second.
+    pub fn play<'s>(&'s self, scope: &'s Scope<'s, '_>, length: Duration) {
+        const LONGEST_PAUSE_MS: u64 = 500;
+        const BETWEEN: Duration = Duration::from_millis(100);
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed);
+        let half = Instant::now() + length / 2;
+        while self.fleet.goes_on_for(BETWEEN) {
+            let trouble = CHOICES[below(&mut random, CHOICES.len())];
+            let own = ChaCha8Rng::seed_from_u64(random.next_u64());
+            if Instant::now() < half {
+                self.make(trouble, own);
+            } else {
+                scope.spawn(move || self.make(trouble, own));
+                let pause = random.next_u64() % LONGEST_PAUSE_MS;
+                self.fleet.goes_on_for(Duration::from_millis(pause));
+            }
+        }
+    }
+
+    fn make(&self, trouble: Trouble, mut random: ChaCha8Rng) {
+        let is_made = match trouble {
+            Trouble::EngineRestart | Trouble::EngineReboot | Trouble::EngineLoss => {
+                self.kill_engine(trouble, &mut random)
+            }
+            Trouble::EnginePause => self.pause_engine(&mut random),
+            Trouble::GatewayKill => self.kill_gateways(1, &mut random),
+            Trouble::GatewayHerd => {
+                let count = 3 + below(&mut random, 4);
+                self.kill_gateways(count, &mut random)
+            }
+            Trouble::GatewayPause => self.pause_gateway(&mut random),
+            Trouble::GatewayStop => self.stop_gateway(&mut random),
+            Trouble::LinkReset | Trouble::LinkDelay | Trouble::LinkCut => {
+                self.harm_link(trouble, &mut random)
+            }
+        };
+        if is_made {
+            *self.counts.lock().entry(trouble).or_default() += 1;
+        }
+    }
+
+    fn choose_slot(&self, random: &mut ChaCha8Rng) -> &'a EngineSlot {
+        &self.fleet.slots[below(random, self.fleet.slots.len())]
+    }
+
+    fn kill_engine(&self, trouble: Trouble, random: &mut ChaCha8Rng) -> bool {
+        const SHORT_MS: u64 = 300;
+        const LONG_MS: u64 = 4_000;
+        let slot = self.choose_slot(random);
+        let Some(_busy) = slot.busy.try_lock() else {
+            return false;
+        };
+        if !slot.is_available() || self.fleet.available(slot.service) <= LEAST_ENGINES {
+            return false;
+        }
+        let Some((id, version)) = self.fleet.kill_engine(slot) else {
+            return false;
+        };
+        let longest_ms = match trouble {
+            Trouble::EngineLoss => LONG_MS,
+            _ => SHORT_MS,
+        };
+        self.fleet
+            .goes_on_for(Duration::from_millis(random.next_u64() % longest_ms));
+        match trouble {
+            Trouble::EngineReboot => self.fleet.start_engine_as(slot, &id, &version),
+            _ => self.fleet.start_engine(slot, &version),
+        }
+        true
+    }
+
+    fn pause_engine(&self, random: &mut ChaCha8Rng) -> bool {
+        let slot = self.choose_slot(random);
+        let Some(_busy) = slot.busy.try_lock() else {
+            return false;
+        };
+        slot.signal(libc::SIGSTOP);
+        self.fleet.goes_on_for(PAUSE);
+        slot.signal(libc::SIGCONT);
+        true
+    }
+
+    fn harm_link(&self, trouble: Trouble, random: &mut ChaCha8Rng) -> bool {
+        const SHORTEST_DELAY_MS: u64 = 5;
+        const DELAY_SPREAD_MS: u64 = 60;
+        let slot = self.choose_slot(random);
+        let (Some(_busy), Some(link)) = (slot.busy.try_lock(), slot.link()) else {
+            return false;
+        };
+        match trouble {
+            Trouble::LinkDelay => {
+                link.delay(SHORTEST_DELAY_MS + random.next_u64() % DELAY_SPREAD_MS);
+                self.fleet.goes_on_for(PAUSE);
+                link.delay(0);
+            }
+            Trouble::LinkCut => {
+                link.hold(true);
+                self.fleet.goes_on_for(PAUSE);
+                link.hold(false);
+            }
+            _ => link.reset_all(),
+        }
+        true
+    }
+
+    fn kill_gateways(&self, count: usize, random: &mut ChaCha8Rng) -> bool {
+        const LONGEST_AWAY_MS: u64 = 1_500;
+        let all = self.fleet.gateways.len();
+        let first = below(random, all);
+        let chosen = (0..count).map(|nth| &self.fleet.gateways[(first + nth) % all]);
+        let mut gateways: Vec<_> = chosen.filter_map(Mutex::try_lock).collect();
+        for gateway in &gateways {
+            gateway.signal(libc::SIGKILL);
+        }
+        let has_killed = !gateways.is_empty();
+        self.fleet
+            .goes_on_for(Duration::from_millis(random.next_u64() % LONGEST_AWAY_MS));
+        for gateway in &mut gateways {
+            gateway.wait_end();
+            gateway.restart();
+        }
+        drop(gateways);
+        has_killed
+    }
+
+    fn choose_gateway(&self, random: &mut ChaCha8Rng) -> &'a Mutex<TestGateway> {
+        &self.fleet.gateways[below(random, self.fleet.gateways.len())]
+    }
+
+    fn pause_gateway(&self, random: &mut ChaCha8Rng) -> bool {
+        let Some(gateway) = self.choose_gateway(random).try_lock() else {
+            return false;
+        };
+        gateway.signal(libc::SIGSTOP);
+        self.fleet.goes_on_for(PAUSE);
+        gateway.signal(libc::SIGCONT);
+        true
+    }
+
+    fn stop_gateway(&self, random: &mut ChaCha8Rng) -> bool {
+        const GRACE: Duration = Duration::from_secs(4);
+        let Some(mut gateway) = self.choose_gateway(random).try_lock() else {
+            return false;
+        };
+        gateway.signal(libc::SIGTERM);
+        if !gateway.has_ended_within(GRACE) {
+            gateway.kill();
+        }
+        gateway.restart();
+        true
+    }
+
+    /// Replaces the engines of the streaming service by those of another software version, one after the other. The
+    /// last ones stay, so that both versions serve until the run ends.
+    pub fn release(&self, version: &str, length: Duration) {
+        /// The part of the run before the release.
+        const BEFORE: u32 = 6;
+        /// The part of the run between two steps.
+        const STEP: u32 = 14;
+        /// The number of engines that are replaced.
+        const REPLACED: usize = 6;
+        if !self.fleet.goes_on_for(length / BEFORE) {
+            return;
+        }
+        let slots = self.fleet.slots.iter();
+        let mut places: Vec<&EngineSlot> = slots.filter(|slot| slot.service == "engines").collect();
+        places.rotate_right(1);
+        for pair in places.windows(2).take(REPLACED) {
+            let [free, old] = pair else {
+                return;
+            };
+            self.replace(free, old, version);
+            if !self.fleet.goes_on_for(length / STEP) {
+                return;
+            }
+        }
+    }
+
+    /// Starts an engine at a free place and has the one at another place leave.
+    fn replace(&self, free: &EngineSlot, old: &EngineSlot, version: &str) {
+        /// The time for which an engine that leaves goes on serving.
+        const DRAIN: Duration = Duration::from_millis(2_600);
+        let _free_busy = free.busy.lock();
+        self.fleet.start_engine(free, version);
+        let _old_busy = old.busy.lock();
+        old.leave(&self.fleet.store);
+        self.fleet.goes_on_for(DRAIN);
+        self.fleet.remove_engine(old);
+    }
+}
+
+fn below(random: &mut ChaCha8Rng, bound: usize) -> usize {
+    let bound = u64::try_from(bound).expect("the number is small");
+    usize::try_from(random.next_u64() % bound).expect("the number is small")
+}
+
+/// Ends a run after its length.
+pub fn end_after(fleet: &Fleet, length: Duration) {
+    thread::sleep(length);
+    fleet
+        .is_over
+        .store(true, std::sync::atomic::Ordering::SeqCst);
+}
