--- a/crates/entry/tests/gateway_order_soak.rs
+++ b/crates/entry/tests/gateway_order_soak.rs
@@ -47,7 +47,7 @@
         let (fleet, troubles) = (&fleet, &troubles);
         scope.spawn(|| fleet.keep_registry());
         scope.spawn(|| end_after(fleet, length));
-        scope.spawn(|| troubles.release("v2", length));
+        scope.spawn(|| troubles.release(length));
         scope.spawn(move || troubles.play(scope, length));
         let spawn = |number| {
             scope.spawn(move || {
--- a/crates/entry/tests/order_soak/fleet.rs
+++ b/crates/entry/tests/order_soak/fleet.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 
 use super::engine_slot::{EngineSlot, Reports};
+use super::trouble::VERSIONS;
 use crate::gateway::{TestGateway, store_with_manifest};
 
 /// The data centre of each gateway.
@@ -61,7 +62,7 @@
             expiring: Mutex::default(),
         };
         for slot in fleet.first_slots() {
-            fleet.start_engine(slot, "v1");
+            fleet.start_engine(slot, VERSIONS[0]);
         }
         for gateway in &fleet.gateways {
             gateway.lock().wait_ready();
@@ -114,16 +115,6 @@
             .count()
     }
 
-    /// Returns the number of engines of a software version that take requests of the streaming service.
-    pub fn available_at(&self, version: &str) -> usize {
-        let is_here = |slot: &&EngineSlot| {
-            slot.service == "engines"
-                && slot.is_available()
-                && slot.version().as_deref() == Some(version)
-        };
-        self.slots.iter().filter(is_here).count()
-    }
-
     /// Writes the engines' entries again and again until the run ends, and removes those that have expired.
     pub fn keep_registry(&self) {
         while self.goes_on_for(HEARTBEAT) {
--- a/crates/entry/tests/order_soak/trouble.rs
+++ b/crates/entry/tests/order_soak/trouble.rs
@@ -19,6 +19,8 @@
     EngineRestart,
     /// An engine is killed and starts again soon under its id, as another boot.
     EngineReboot,
+    /// An engine is killed and starts again soon under its id, at the other software version.
+    EngineUpgrade,
     /// An engine is killed and stays away for some seconds.
     EngineLoss,
     /// An engine stops for a second and goes on.
@@ -40,13 +42,14 @@
 }
 
 /// The kinds of faults, as often as they are chosen: mostly engines that are killed.
-const CHOICES: [Trouble; 16] = [
+const CHOICES: [Trouble; 17] = [
     Trouble::EngineRestart,
     Trouble::EngineRestart,
     Trouble::EngineRestart,
     Trouble::EngineReboot,
     Trouble::EngineReboot,
     Trouble::EngineReboot,
+    Trouble::EngineUpgrade,
     Trouble::EngineLoss,
     Trouble::EngineLoss,
     Trouble::EnginePause,
@@ -59,6 +62,8 @@
     Trouble::LinkCut,
 ];
 
+/// The software versions of engines.
+pub const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// The time for which a paused process stands still.
 const PAUSE: Duration = Duration::from_secs(1);
 /// The least number of engines of a service that are left when one is killed.
@@ -113,9 +118,10 @@
 
     fn make(&self, trouble: Trouble, mut random: ChaCha8Rng) {
         let is_made = match trouble {
-            Trouble::EngineRestart | Trouble::EngineReboot | Trouble::EngineLoss => {
-                self.kill_engine(trouble, &mut random)
-            }
+            Trouble::EngineRestart
+            | Trouble::EngineReboot
+            | Trouble::EngineUpgrade
+            | Trouble::EngineLoss => self.kill_engine(trouble, &mut random),
             Trouble::EnginePause => self.pause_engine(&mut random),
             Trouble::GatewayKill => self.kill_gateways(1, &mut random),
             Trouble::GatewayHerd => {
@@ -158,6 +164,11 @@
             .goes_on_for(Duration::from_millis(random.next_u64() % longest_ms));
         match trouble {
             Trouble::EngineReboot => self.fleet.start_engine_as(slot, &id, &version),
+            Trouble::EngineUpgrade => {
+                let other = VERSIONS.iter().find(|other| **other != version);
+                let other = other.expect("there are two versions");
+                self.fleet.start_engine_as(slot, &id, other);
+            }
             _ => self.fleet.start_engine(slot, &version),
         }
         true
@@ -244,9 +255,9 @@
         true
     }
 
-    /// Replaces the engines of the streaming service by those of another software version, one after the other. The
+    /// Replaces the engines of the streaming service by those of the second software version, one after the other. The
     /// last ones stay, so that both versions serve until the run ends.
-    pub fn release(&self, version: &str, length: Duration) {
+    pub fn release(&self, length: Duration) {
         /// The part of the run before the release.
         const BEFORE: u32 = 6;
         /// The part of the run between two steps.
@@ -263,7 +274,7 @@
             let [free, old] = pair else {
                 return;
             };
-            self.replace(free, old, version);
+            self.replace(free, old, VERSIONS[1]);
             if !self.fleet.goes_on_for(length / STEP) {
                 return;
             }
