A close of a connection out of the pool is evidence, however short it was watched

A connection that was taken out of the pool counted as refused if it was closed within 50 ms of that, though its backend server had accepted it long before. Only one that was opened for the watch can be refused, within 20 ms.

--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -32,7 +32,7 @@
 const REOPEN_DELAY: Span = Span::from_millis(500);
 
 /// How soon after it was opened a connection is closed by a backend server that has too many.
-const MAX_REFUSAL_TIME: Span = Span::from_millis(50);
+const MAX_REFUSAL_TIME: Span = Span::from_millis(20);
 
 /// The shortest time for which one idle connection is watched, however short the backend server's idle time is.
 const MIN_WATCH_TIME: Span = Span::from_millis(800);
@@ -128,9 +128,11 @@
     async fn run(&self, core: &Rc<GatewayCore>) {
         while self.users.get() > 0 {
             self.set(MonitorState::Opening);
-            let watched = match self.open_conn(core).await {
-                Some(idle) => self.watch(idle).await,
-                None => WatchEnd::Failed,
+            let kept = core.pool.borrow_mut().take_idle(self.key, monotonic_now());
+            let watched = match kept {
+                // It was accepted long before.
+                Some(idle) => self.watch(idle, MonoTime::default()).await,
+                None => self.watch_new(core).await,
             };
             match watched {
                 WatchEnd::Released(idle) => return keep_idle(core, self.key, idle),
@@ -149,18 +151,18 @@
         }
     }
 
-    /// Takes an idle connection out of the pool, or opens one.
-    async fn open_conn(&self, core: &Rc<GatewayCore>) -> Option<IdleConn> {
-        let kept = core.pool.borrow_mut().take_idle(self.key, monotonic_now());
-        if kept.is_some() {
-            return kept;
-        }
-        let conn = connect_backend(core, self.address).await.ok()?;
-        Some(core.pool.borrow().admit(self.key, conn, monotonic_now()))
+    /// Opens a connection and watches it.
+    async fn watch_new(&self, core: &Rc<GatewayCore>) -> WatchEnd {
+        let Ok(conn) = connect_backend(core, self.address).await else {
+            return WatchEnd::Failed;
+        };
+        let now = monotonic_now();
+        let idle = core.pool.borrow().admit(self.key, conn, now);
+        self.watch(idle, now + MAX_REFUSAL_TIME).await
     }
 
-    /// Watches one connection until it ends, expires or is needed no more.
-    async fn watch(&self, idle: IdleConn) -> WatchEnd {
+    /// Watches one connection until it ends, expires or is needed no more. A close before `accepted_at` is a refusal.
+    async fn watch(&self, idle: IdleConn, accepted_at: MonoTime) -> WatchEnd {
         let opened_at = monotonic_now();
         self.set(MonitorState::Open(opened_at));
         let left = idle.expires_at.since(opened_at).max(MIN_WATCH_TIME);
@@ -176,7 +178,7 @@
                 continue;
             }
             let now = monotonic_now();
-            if now.since(opened_at) < MAX_REFUSAL_TIME {
+            if now < accepted_at {
                 return WatchEnd::Failed;
             }
             self.closed_at.set(Some(now));
