--- a/crates/gateway/src/event_split.rs
+++ b/crates/gateway/src/event_split.rs
@@ -49,7 +49,7 @@
                 event.read(line);
                 continue;
             }
-            if !batch.add(std::mem::take(&mut event)) {
+            if !batch.add(&std::mem::take(&mut event)) {
                 batch.is_cut = true;
                 break;
             }
@@ -61,7 +61,7 @@
     }
 
     /// Adds an event; returns false if it does not follow the one before.
-    fn add(&mut self, event: EventFields) -> bool {
+    fn add(&mut self, event: &EventFields) -> bool {
         if let (Some(last), Some(id)) = (self.last_id, event.id)
             && !follows(last, id)
         {
