A stream with records of two versions has no certain one

Callers may have seen a stream go on at another version: a gateway that is cut off relays a request, the gateway behind it begins the stream and records its version, the link between the two breaks before the first event arrives, and the next one begins it at another version under the same attempt id. The first record stood at the replicas, though the caller has the second one's events.

By reading; no run with processes shows it. Records that contradict each other now bind the stream to a version that no backend server has, so that it is refused. The test of the first record that stands said what was wrong for this case; its other checks stay, and a test with two versions in both orders takes its place.

--- a/crates/balance/src/stream_origin.rs
+++ b/crates/balance/src/stream_origin.rs
@@ -41,6 +41,10 @@
 pub struct VersionId(pub u64);
 
 impl VersionId {
+    /// Stands for a version that cannot be told, which no backend server has. A stream that is bound to it goes on
+    /// nowhere.
+    pub const UNCERTAIN: Self = Self(0);
+
     /// Returns the id of the version with this name.
     pub fn of(name: &str) -> Self {
         Self(xxh3_64(name.as_bytes()))
@@ -77,18 +81,21 @@
 }
 
 impl OriginTable {
-    /// Records the version that began a stream. The first record of a stream stands, because a
-    /// stream begins once.
+    /// Records the version that began a stream. Records of several versions contradict each other, so that none is
+    /// certain: of two gateways that began a stream for one relayed request, only one passed it on to the caller.
     pub fn record(&mut self, stream: StreamId, version: VersionId, now: MonoTime) {
         self.prune(now);
-        let is_new = !self.origins.contains_key(&stream);
-        if is_new {
-            let origin = KnownOrigin {
-                version,
-                recorded_at: now,
-            };
-            self.origins.insert(stream, origin);
-            self.order.push_back((now, stream));
+        match self.origins.get_mut(&stream) {
+            Some(known) if known.version == version => {}
+            Some(known) => known.version = VersionId::UNCERTAIN,
+            None => {
+                let origin = KnownOrigin {
+                    version,
+                    recorded_at: now,
+                };
+                self.origins.insert(stream, origin);
+                self.order.push_back((now, stream));
+            }
         }
         while self.order.len() > MAX_ORIGINS {
             self.drop_oldest();
--- a/crates/balance/tests/stream_origin.rs
+++ b/crates/balance/tests/stream_origin.rs
@@ -21,11 +21,11 @@
 }
 
 #[test]
-fn the_first_record_of_a_stream_stands_until_it_expires() {
+fn the_record_of_a_stream_stands_until_it_expires() {
     let mut table = OriginTable::default();
     let stream = StreamId::of("a1");
     table.record(stream, version("v1"), START);
-    table.record(stream, version("v2"), START);
+    table.record(stream, version("v1"), START);
     assert_eq!(table.get(stream, START), Some(version("v1")));
     let expired = START + ORIGIN_RETENTION;
     assert_eq!(table.get(stream, expired), None);
@@ -33,6 +33,21 @@
     assert_eq!(table.len(), 1, "expired origins are dropped");
 }
 
+// Guards against a stream that goes on at the version that one of two gateways began, when its caller got the events of
+// the other one.
+#[test]
+fn a_stream_with_records_of_two_versions_has_no_certain_one() {
+    for names in [["v1", "v2", "v2"], ["v1", "v2", "v1"]] {
+        let mut table = OriginTable::default();
+        let stream = StreamId::of("a1");
+        for name in names {
+            table.record(stream, version(name), START);
+        }
+        assert_eq!(table.get(stream, START), Some(VersionId::UNCERTAIN));
+        assert_eq!(table.len(), 1);
+    }
+}
+
 #[test]
 fn a_version_counts_for_as_long_as_a_stream_that_it_began_can_last() {
     let mut history = VersionHistory::default();
