An engine that may have started again takes part in no resumes

Callers got streams of two software versions: an engine that started again under its id and address with other software got the resumes of the version that its entry still named, and streams that began there were taken for that version.

The cause: the version of a stream came from the registry entry alone, as it was when the send was chosen. Now two connections that break together, or a new one that fails, raise a doubt about the process; the engine gets no resumes, and streams that begin there have no certain version, until bytes on an older connection or an entry that stands for four heartbeats disprove it. An entry of another version at the same address takes back the version of streams that run there.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -322,11 +322,9 @@
         if member.state.is_closed(now) || (is_full && !self.input.accepts_full) {
             return false;
         }
-        if self
-            .input
-            .version
-            .is_some_and(|version| version != member.version)
-        {
+        let is_bound_elsewhere =
+            |version| version != member.version || member.state.process.is_raised();
+        if self.input.version.is_some_and(is_bound_elsewhere) {
             return false;
         }
         let is_lapsed = member.lapsed_at.is_some();
--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -342,6 +342,22 @@
         ejected
     }
 
+    /// Returns whether a process of another software version is registered at the address of an earlier one with the
+    /// same id.
+    pub fn is_superseded(&self, id: &str, address: SocketAddr, version: VersionId) -> bool {
+        let key = self.by_id.get(id);
+        let member = key.and_then(|key| self.members.get(key));
+        member.is_some_and(|member| member.entry.address == address && member.version != version)
+    }
+
+    /// Notes that each entry, unless it lapsed, is of a process that still ran at a time.
+    pub fn confirm_processes(&mut self, ran_at: MonoTime) {
+        let members = self.members.values_mut();
+        for member in members.filter(|member| member.lapsed_at.is_none()) {
+            member.state.process.on_entry(ran_at);
+        }
+    }
+
     /// Forgets the failures of all backend servers.
     pub fn reopen_all(&mut self) {
         for member in self.members.values_mut() {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -34,6 +34,7 @@
 use crate::prelude::*;
 use crate::quarantine::CrashQuarantine;
 use crate::read_ahead::ReadAheadTable;
+use crate::registry_contact::RegistryContact;
 use crate::relay_targets::RelayTargets;
 use crate::shutdown::ShutdownState;
 use crate::slots::{SlotExchange, SlotLease};
@@ -67,6 +68,7 @@
     pub(crate) peers: PeerSocket,
     pub(crate) origins: OriginExchange,
     pub(crate) origin_log: OriginLog,
+    pub(crate) registry_contact: RegistryContact,
     pub(crate) quarantine: CrashQuarantine,
     pub(crate) reach: BackendReach,
     pub(crate) relays: RelayTargets,
@@ -126,6 +128,7 @@
             peers: PeerSocket::new(Rc::clone(&metrics)),
             origins: OriginExchange::default(),
             origin_log: OriginLog::default(),
+            registry_contact: RegistryContact::default(),
             quarantine,
             reach: BackendReach::default(),
             relays: RelayTargets::default(),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -161,6 +161,16 @@
         self.evidence
     }
 
+    /// Returns when the connection was made.
+    pub(crate) fn made_at(&self) -> MonoTime {
+        self.conn.made_at
+    }
+
+    /// Returns when bytes last arrived that the gateway had waited for.
+    pub(crate) fn arrived_at(&self) -> MonoTime {
+        self.arrived_at
+    }
+
     /// Returns the next piece of the body, waiting for more bytes instead of returning `NeedsMore`.
     pub(crate) async fn next(&mut self) -> Result<BodyPiece, ConnError> {
         loop {
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use oleander_base::monotonic_now;
 use oleander_base::prelude::*;
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
@@ -111,6 +112,8 @@
     stream: TcpStream,
     /// Bytes that were read and not yet consumed.
     pub buffer: BytesMut,
+    /// When the connection was made.
+    pub made_at: MonoTime,
     /// The user timeout before it was raised.
     raised_from: Option<Duration>,
 }
@@ -122,6 +125,7 @@
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
+            made_at: monotonic_now(),
             raised_from: None,
         })
     }
@@ -134,6 +138,7 @@
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
+            made_at: monotonic_now(),
             raised_from: None,
         })
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod process;
 mod quarantine;
 mod read_ahead;
+mod registry_contact;
 mod relay_targets;
 mod request;
 mod settings;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -303,6 +303,7 @@
         view.drop_unconfirmed(RECOVERY_WINDOW, context);
     });
     expire_lapsed(core, now);
+    core.registry_contact.confirm_processes(core, now);
     core.log.flush();
     if !core.shutdown.is_stopping() {
         return false;
--- a/crates/gateway/src/request/evidence.rs
+++ b/crates/gateway/src/request/evidence.rs
@@ -6,6 +6,7 @@
 
 use super::RequestRun;
 use super::attempt::SendTarget;
+use crate::exchange::Exchange;
 use crate::prelude::*;
 
 #[derive(Debug, Serialize)]
@@ -29,6 +30,7 @@
         };
         let now = monotonic_now();
         let settings = self.core.settings();
+        self.with_target(target, |state| state.process.raise(now));
         let mut fleet = self.core.fleet.borrow_mut();
         let ejected = fleet.mark_unreachable(key, &settings.centre, now);
         drop(fleet);
@@ -67,6 +69,7 @@
         let Some(key) = target.key else {
             return;
         };
+        self.with_target(target, |state| state.process.on_break(monotonic_now()));
         let suspects = match has_begun {
             true => self.suspects.request(),
             false => self.suspects.all(),
@@ -74,4 +77,13 @@
         let quarantine = &self.core.quarantine;
         quarantine.on_broken(self.core, key, suspects, sent_at);
     }
+
+    /// Notes that bytes of an answer arrived, which may show that the backend server's process still runs.
+    pub(super) fn record_bytes(&self, target: &SendTarget, answer: &Exchange) {
+        self.with_target(target, |state| {
+            state
+                .process
+                .on_bytes(answer.made_at(), answer.arrived_at());
+        });
+    }
 }
--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -1,11 +1,12 @@
 //! Binds a stream to the software version that began it.
 
-use oleander_balance::{StreamId, StreamOrigin};
+use oleander_balance::{StreamId, StreamOrigin, VersionId};
 use oleander_base::monotonic_now;
 
 use super::RequestRun;
 use super::attempt::{SendTarget, Step};
 use super::wait::{WaitOutcome, wait_or_stop};
+use crate::exchange::Exchange;
 use crate::prelude::*;
 
 impl RequestRun<'_> {
@@ -34,13 +35,60 @@
     }
 
     /// Binds the stream to the version of its first event, and records that for the caller's next
-    /// attempt.
-    pub(super) fn record_origin(&mut self, target: &SendTarget) {
+    /// attempt. Returns why the events of this attempt must not be passed on, if they must not.
+    pub(super) fn bind_version(
+        &mut self,
+        target: &SendTarget,
+        answer: &Exchange,
+    ) -> Result<(), &'static str> {
         // The gateway that the stream began through records its origin.
-        if self.is_head_sent || target.key.is_none() {
-            return;
+        if target.key.is_none() {
+            return Ok(());
         }
-        let version = *self.origin.get_or_insert(target.version);
+        let version = self.version_at(target, answer);
+        if self.origin.is_some_and(|bound| bound != version) {
+            return Err("its backend server may have started again with other software");
+        }
+        self.origin = Some(version);
+        if !self.is_head_sent {
+            self.share_origin(version);
+        }
+        Ok(())
+    }
+
+    /// Takes back the version of a stream whose backend server turns out to have started again with other software.
+    pub(super) fn check_origin(&mut self, target: &SendTarget) {
+        let is_bound = self
+            .origin
+            .is_some_and(|known| known != VersionId::UNCERTAIN);
+        if is_bound && self.is_superseded(target) {
+            self.origin = Some(VersionId::UNCERTAIN);
+            self.share_origin(VersionId::UNCERTAIN);
+        }
+    }
+
+    /// Returns the version of the process that writes an answer, as far as it is certain.
+    fn version_at(&self, target: &SendTarget, answer: &Exchange) -> VersionId {
+        let made_at = answer.made_at();
+        let may_be_another = self.with_target(target, |state| state.process.covers(made_at));
+        match may_be_another == Some(true) || self.is_superseded(target) {
+            true => VersionId::UNCERTAIN,
+            false => target.version,
+        }
+    }
+
+    /// Returns whether a process of another version is registered at the address that the attempt was sent to. The
+    /// connections of the process before it ended with that one, so those that are open are its own.
+    fn is_superseded(&self, target: &SendTarget) -> bool {
+        let Some(key) = target.key else {
+            return false;
+        };
+        let fleet = self.core.fleet.borrow();
+        fleet.get(key).is_none() && fleet.is_superseded(&target.id, target.address, target.version)
+    }
+
+    /// Records the origin of the stream for the caller's next attempt.
+    fn share_origin(&self, version: VersionId) {
         if self.job.routed.route.repeat == RepeatKind::ResumableStream {
             let own = StreamId::of(self.attempt_id);
             let stream = self.resumed_stream().unwrap_or(own);
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -146,6 +146,9 @@
                 RelayEvent::TimedOut => Err(ConnError::Silent),
             };
             self.record_unframed_end(target, &answer);
+            if state.timing.events > 0 {
+                self.check_origin(target);
+            }
             match piece {
                 Ok(BodyPiece::Data(data)) => {
                     let batch = match state.push(&data, &mut held) {
@@ -161,7 +164,12 @@
                         self.record_failure(target, Verdict::Ran, reason, sent_at);
                         return self.handle_broken_stream(reason);
                     }
-                    self.record_origin(target);
+                    self.record_bytes(target, &answer);
+                    if state.timing.events == 0
+                        && let Err(reason) = self.bind_version(target, &answer)
+                    {
+                        return self.break_off(answer, &state, target, reason, sent_at);
+                    }
                     if state.timing.first.is_none() {
                         self.record_wait(target, sent_at);
                     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,6 +35,8 @@
     pub apply_time: Span,
     /// The time between the stop signal and the kill.
     pub grace_time: Span,
+    /// The longest time for which the registry keeps the entry of a backend server that has ended.
+    pub entry_lifetime: Span,
     /// The limits of the retry budget.
     pub retry: RetryLimits,
     /// The memory that this process may use, in bytes, if that is limited.
