--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -150,6 +150,9 @@
                 RelayEvent::TimedOut => Err(ConnError::Silent),
             };
             self.record_unframed_end(target, &answer);
+            if state.timing.events > 0 {
+                self.check_origin(target);
+            }
             match piece {
                 Ok(BodyPiece::Data(data)) => {
                     let batch = match state.push(&data, &mut held) {
@@ -163,7 +166,12 @@
                     if self.is_out_of_order(&batch, state.timing.events == 0) {
                         return self.break_off(answer, &state, target, OUT_OF_ORDER, sent_at);
                     }
-                    self.record_origin(target);
+                    self.record_bytes(target, &answer);
+                    if state.timing.events == 0
+                        && let Err(reason) = self.bind_version(target, &answer)
+                    {
+                        return self.break_off(answer, &state, target, reason, sent_at);
+                    }
                     if state.timing.first.is_none() {
                         self.record_wait(target, sent_at);
                     }
