Only a reset of a new watched connection is a refusal

The watched connection had been closed within 20 ms of its opening and counted as refused.

Change: an engine at its connection limit resets connections, as the users' page says, and the kernel of a process that ends closes an idle one in order. So only a reset counts as a refusal, within 50 ms. Bytes that belong to no request say nothing, as before.

The test of the connection limit closed the connections beyond it in order; it resets them now, as the page says, and is as strict. Late answers stand in a module of their own.

--- a/crates/entry/tests/gateway_unframed_review.rs
+++ b/crates/entry/tests/gateway_unframed_review.rs
@@ -58,7 +58,7 @@
 /// What an engine does with connections on which there is no request.
 #[derive(Debug, Clone, Copy)]
 struct IdleRules {
-    /// How many connections it accepts at the same time; it closes those beyond.
+    /// How many connections it accepts at the same time; it resets those beyond.
     limit: usize,
     /// How long it waits for the first request on one.
     timeout: Duration,
@@ -85,6 +85,9 @@
                 return;
             }
             if used.load(Ordering::SeqCst) >= rules.limit {
+                let socket = socket2::SockRef::from(&stream);
+                let linger = socket.set_linger(Some(Duration::ZERO));
+                linger.expect("a socket takes a linger time");
                 continue;
             }
             used.fetch_add(1, Ordering::SeqCst);
@@ -161,7 +164,7 @@
 }
 
 // Guards against a whole answer that fails, and an engine that counts as broken, because the engine is at its connection limit and
-// closes the connection that would be watched.
+// resets the connection that would be watched.
 #[test]
 fn an_unframed_answer_of_an_engine_at_its_connection_limit_is_whole() {
     let store = store_with_manifest();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -18,9 +18,9 @@
 use crate::core::GatewayCore;
 use crate::http::{
     AnswerHead, BodyError, BodyFraming, BodyPiece, BodyReader, ByteBound, ConnError, HeadError,
-    HeadLimits, HttpConn, MAX_ANSWER_HEAD_BYTES, MAX_INTERIM_ANSWERS, MAX_LATE_ANSWERS,
-    MAX_LATE_BYTES, TcpTimeouts,
+    HeadLimits, HttpConn, MAX_ANSWER_HEAD_BYTES, MAX_INTERIM_ANSWERS, TcpTimeouts,
 };
+use crate::late_answers::SkippedAnswers;
 use crate::liveness::{ConnectionEnd, EndEvidence, ProcessWatch};
 use crate::prelude::*;
 
@@ -245,11 +245,11 @@
     }
 }
 
-fn unanswered(error: &dyn std::fmt::Display) -> SendError {
+pub(crate) fn unanswered(error: &dyn std::fmt::Display) -> SendError {
     SendError::Unanswered(error.to_string())
 }
 
-fn over_bound(core: &GatewayCore, bound: ByteBound) -> SendError {
+pub(crate) fn over_bound(core: &GatewayCore, bound: ByteBound) -> SendError {
     core.metrics.record_bound(bound);
     unanswered(&bound)
 }
@@ -368,37 +368,3 @@
     }
     Err(over_bound(core, ByteBound::InterimAnswers))
 }
-
-/// The late answers that came before the expected one.
-#[derive(Debug, Default)]
-struct SkippedAnswers {
-    count: usize,
-    bytes: usize,
-}
-
-impl SkippedAnswers {
-    fn is_empty(&self) -> bool {
-        self.count == 0
-    }
-
-    /// Reads one more late answer and drops it.
-    async fn skip(
-        &mut self,
-        core: &GatewayCore,
-        conn: &mut HttpConn,
-        mut reader: BodyReader,
-    ) -> Result<(), SendError> {
-        self.count += 1;
-        loop {
-            if self.count > MAX_LATE_ANSWERS || self.bytes > MAX_LATE_BYTES {
-                return Err(over_bound(core, ByteBound::LateAnswers));
-            }
-            let piece = reader.next(&mut conn.buffer);
-            match piece.map_err(|error| unanswered(&error))? {
-                BodyPiece::Data(data) => self.bytes += data.len(),
-                BodyPiece::End => return Ok(()),
-                BodyPiece::NeedsMore => conn.fill().await.map_err(|error| unanswered(&error))?,
-            }
-        }
-    }
-}
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -106,6 +106,19 @@
     OverBound(ByteBound),
 }
 
+/// The state of a connection on which nothing is due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IdleState {
+    /// It is open and has no unread bytes.
+    Open,
+    /// Bytes have come that belong to no message that is due.
+    Unread,
+    /// The other side closed it in an orderly way.
+    Closed,
+    /// It was reset or failed.
+    Reset,
+}
+
 /// A connection with its read buffer.
 #[derive(Debug)]
 pub struct HttpConn {
@@ -299,11 +312,21 @@
 
     /// Returns whether the connection is open and has no unread bytes.
     pub fn is_idle(&self) -> bool {
+        self.idle_state() == IdleState::Open
+    }
+
+    /// Returns what has come on a connection on which nothing is due. An unread byte is dropped.
+    pub fn idle_state(&self) -> IdleState {
         if !self.buffer.is_empty() {
-            return false;
+            return IdleState::Unread;
         }
         let mut byte = [0];
-        matches!(self.stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+        match self.stream.try_read(&mut byte) {
+            Ok(0) => IdleState::Closed,
+            Ok(_) => IdleState::Unread,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => IdleState::Open,
+            Err(_) => IdleState::Reset,
+        }
     }
 
     /// Closes the write side, so that the other side sees the end of the stream.
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -17,5 +17,7 @@
     MAX_EVENT_BYTES, MAX_INTERIM_ANSWERS, MAX_LATE_ANSWERS, MAX_LATE_BYTES, MAX_SHORT_ANSWER_BYTES,
     MAX_USAGE_ANSWER_BYTES, MAX_VALUE_ANSWER_BYTES,
 };
-pub use conn::{ConnError, HeadLimits, HttpConn, SocketBuffers, TcpTimeouts, open_socket};
+pub use conn::{
+    ConnError, HeadLimits, HttpConn, IdleState, SocketBuffers, TcpTimeouts, open_socket,
+};
 pub use head::{AnswerHead, HeadError, HeadScan, HeaderBlock, HeaderView, RequestHead};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod held_bytes;
 pub mod http;
 mod internal_server;
+mod late_answers;
 mod lease;
 mod limit_news;
 mod liveness;
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -23,6 +23,7 @@
 use crate::conn_pool::IdleConn;
 use crate::core::GatewayCore;
 use crate::exchange::connect_backend;
+use crate::http::IdleState;
 use crate::prelude::*;
 
 /// How far apart the closes of one process's connections may be seen.
@@ -31,8 +32,8 @@
 /// The pause before another connection is opened after one that failed.
 const REOPEN_DELAY: Span = Span::from_millis(500);
 
-/// How soon after it was opened a connection is closed by a backend server that has too many.
-const MAX_REFUSAL_TIME: Span = Span::from_millis(20);
+/// How soon after it was opened a connection is reset by a backend server that has too many.
+const MAX_REFUSAL_TIME: Span = Span::from_millis(50);
 
 /// The shortest time for which one idle connection is watched, however short the backend server's idle time is.
 const MIN_WATCH_TIME: Span = Span::from_millis(800);
@@ -93,7 +94,7 @@
     Released(IdleConn),
     /// It is replaced by another one, because it was closed or is about to be closed for having been idle.
     Replaced,
-    /// It was closed soon after it was opened, as by a backend server that has too many.
+    /// It could not be opened, or was reset soon after, as by a backend server that has too many.
     Failed,
 }
 
@@ -161,7 +162,8 @@
         self.watch(idle, now + MAX_REFUSAL_TIME).await
     }
 
-    /// Watches one connection until it ends, expires or is needed no more. A close before `accepted_at` is a refusal.
+    /// Watches one connection until it ends, expires or is needed no more. A reset before `accepted_at` is a
+    /// refusal; the kernel of a process that ends closes its connections in order.
     async fn watch(&self, idle: IdleConn, accepted_at: MonoTime) -> WatchEnd {
         let opened_at = monotonic_now();
         self.set(MonitorState::Open(opened_at));
@@ -174,15 +176,17 @@
                 () = self.wait_released() => return WatchEnd::Released(idle),
                 () = &mut expiry => return WatchEnd::Replaced,
             }
-            if idle.conn.is_idle() {
-                continue;
-            }
             let now = monotonic_now();
-            if now < accepted_at {
-                return WatchEnd::Failed;
+            match idle.conn.idle_state() {
+                IdleState::Open => {}
+                // Bytes that belong to no request say nothing of the process.
+                IdleState::Unread => return WatchEnd::Replaced,
+                IdleState::Reset if now < accepted_at => return WatchEnd::Failed,
+                IdleState::Closed | IdleState::Reset => {
+                    self.closed_at.set(Some(now));
+                    return WatchEnd::Replaced;
+                }
             }
-            self.closed_at.set(Some(now));
-            return WatchEnd::Replaced;
         }
     }
 
