--- a/crates/attempt/src/body.rs
+++ b/crates/attempt/src/body.rs
@@ -14,7 +14,7 @@
 use crate::error::{AttemptError, AttemptFailure, Result};
 use crate::process_watch::ProcessWatch;
 
-/// What the HTTP client leaves to be checked at the end of a body.
+/// The check at the end of a body that the HTTP client leaves to its user.
 pub(crate) enum BodyEnd {
     /// Nothing is left.
     Checked,
--- a/crates/entry/tests/gateway_unframed_review.rs
+++ b/crates/entry/tests/gateway_unframed_review.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// What an engine does with connections on which there is no request.
+/// The limits of an engine on connections without a request.
 #[derive(Debug, Clone, Copy)]
 struct IdleRules {
     /// How many connections it accepts at the same time; it resets those beyond.
--- a/crates/entry/tests/order_soak/caller.rs
+++ b/crates/entry/tests/order_soak/caller.rs
@@ -33,7 +33,7 @@
     traces: Vec<Trace>,
 }
 
-/// What the next attempt has to tell about the ones before.
+/// The facts about earlier attempts that the next one states.
 #[derive(Debug, Default)]
 struct ResumePoint {
     /// The id of the last event received.
--- a/crates/entry/tests/order_soak/engine.rs
+++ b/crates/entry/tests/order_soak/engine.rs
@@ -79,7 +79,7 @@
 }
 
 fn report(text: &str) {
-    // One write call per line keeps lines of several threads apart; nobody reads when the test has ended.
+    // One write call per line keeps lines of several threads apart; the reader is gone when the test has ended.
     let line = format!("\n{REPORT_MARK}{text}\n");
     let mut output = io::stdout().lock();
     let _ = output.write_all(line.as_bytes());
--- a/crates/entry/tests/order_soak/engine_slot.rs
+++ b/crates/entry/tests/order_soak/engine_slot.rs
@@ -24,7 +24,7 @@
 /// The longest time that the start of a process takes.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
-/// What the engines have reported.
+/// The reports of the engines.
 #[derive(Debug, Default)]
 pub struct Reports {
     /// The runs of each request.
@@ -210,7 +210,7 @@
     let (listening, listens): (Sender<()>, Receiver<()>) = channel();
     let reports = Arc::clone(reports);
     thread::spawn(move || read_reports(output, &listening, &reports));
-    // An engine that does not listen is one that nobody reaches; the gateways have to bear it.
+    // An engine that does not listen is out of reach; the gateways have to bear it.
     let _ = listens.recv_timeout(START_LIMIT);
     EngineProcess { child, commands }
 }
--- a/crates/gateway/src/event_split.rs
+++ b/crates/gateway/src/event_split.rs
@@ -82,7 +82,7 @@
     last.checked_add(1) == Some(id)
 }
 
-/// What is known of the lines of one event.
+/// The fields of one event that matter for its order.
 #[derive(Debug, Default)]
 struct EventFields {
     /// Whether it has any line but comments.
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -38,7 +38,7 @@
 /// The shortest time for which one idle connection is watched, however short the backend server's idle time is.
 const MIN_WATCH_TIME: Span = Span::from_millis(800);
 
-/// What the connections to a backend server tell about its process at the end of an answer.
+/// The evidence of a backend server's process that its connections give at the end of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum EndEvidence {
     /// An idle connection was open before the end and stayed open.
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -146,7 +146,7 @@
 struct UnframedEndFields<'a> {
     id: &'a str,
     backend: &'a str,
-    /// What the connections to the backend server told of its process.
+    /// The name of the [`crate::liveness::EndEvidence`].
     evidence: &'static str,
     last_event: Option<u64>,
 }
