Processes behind connections are asked when they started, and lines tell which one was met

Callers saw streams of two software versions, and no line told the two forms of it apart: a send line names the process that the registry entry describes, not the one that answered. An engine's report has the start of its process, as its entry does. It is asked on the connection of a resume, and of a first send while the service may have several versions; process-asked has both times, gateway.process.queries counts. The scripted engines of the tests answer the query themselves, with the time that a test sets or with 400.

--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -59,6 +59,12 @@
 }
 
 impl BackendEntry {
+    /// Returns the start time of its process, in milliseconds since the Unix epoch by its own clock; `None` if the
+    /// backend server names none.
+    pub fn start(&self) -> Option<u64> {
+        Some(self.started_ms).filter(|started_ms| *started_ms > 0)
+    }
+
     /// Returns whether both entries are of one incarnation of a backend server.
     pub fn is_same_process(&self, other: &Self) -> bool {
         self.id == other.id
--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -619,6 +619,19 @@
     store.put(&format!("servers/{id}"), entry.to_string());
 }
 
+/// Registers an engine of a software version in the store whose process started at a time, in milliseconds.
+pub fn announce_process(
+    store: &UsersStore,
+    id: &str,
+    engine: &ScriptedEngine,
+    version: &str,
+    started_ms: u64,
+) {
+    let mut entry = registry_entry("engines", engine.address(), "available", version);
+    entry["born"] = json!(started_ms);
+    store.put(&format!("servers/{id}"), entry.to_string());
+}
+
 fn registry_entry(service: &str, address: SocketAddr, phase: &str, version: &str) -> Value {
     json!({
         "backend": service, "address": address, "zone": "north-a", "version": version,
--- a/crates/entry/tests/order_soak/engine.rs
+++ b/crates/entry/tests/order_soak/engine.rs
@@ -31,6 +31,8 @@
     pub id: String,
     pub version: String,
     pub address: SocketAddr,
+    /// When the process started, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
 }
 
 struct Engine {
@@ -117,6 +119,7 @@
         let mut parts = path.trim_start_matches('/').split('/');
         let name = |mut parts: std::str::Split<'_, char>| parts.next().unwrap_or("").to_owned();
         match parts.next() {
+            Some("report") => self.answer_report(stream),
             Some("healthz") if self.leaves() => self.answer_empty(stream, 503, ""),
             Some("healthz") => self.answer_empty(stream, 200, ""),
             Some("digest" | "draft") => self.answer_stream(stream, request, &name(parts)),
@@ -147,6 +150,15 @@
         Ok(Next::Keep)
     }
 
+    fn answer_report(&self, stream: &TcpStream) -> io::Result<Next> {
+        let born_ms = self.settings.born_ms;
+        let body = format!("{{\"phase\":\"available\",\"born\":{born_ms}}}");
+        let length = body.len();
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
+        write(stream, answer.as_bytes())?;
+        Ok(Next::Keep)
+    }
+
     fn answer_stream(
         &self,
         stream: &TcpStream,
--- a/crates/entry/tests/order_soak/engine_slot.rs
+++ b/crates/entry/tests/order_soak/engine_slot.rs
@@ -117,14 +117,14 @@
             id: id.to_owned(),
             version: version.to_owned(),
             address: self.engine_address,
+            born_ms: unix_ms(),
         };
-        let born_ms = unix_ms();
         let process = spawn_process(&settings, reports);
         *self.tenant.lock() = Some(EngineTenant {
             process,
             id: settings.id,
             version: settings.version,
-            born_ms,
+            born_ms: settings.born_ms,
             seq: 0,
             phase: "available",
         });
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,6 +23,7 @@
 use crate::late_answers::SkippedAnswers;
 use crate::liveness::{ConnectionEnd, EndEvidence, ProcessWatch};
 use crate::prelude::*;
+use crate::process_query::{ExpectedProcess, MetProcess, query_process};
 
 /// The timeout of connecting to a backend server or another gateway.
 const CONNECT_TIMEOUT: Span = Span::from_millis(300);
@@ -91,6 +92,8 @@
     pub(crate) attempt_id: &'a str,
     pub(crate) head: &'a [u8],
     pub(crate) body: &'a [u8],
+    /// The process that is asked who it is before the request is sent; absent if none is asked.
+    pub(crate) asked: Option<ExpectedProcess<'a>>,
     /// Is set when the request has left this process.
     pub(crate) is_written: &'a Cell<bool>,
 }
@@ -101,7 +104,7 @@
         core: &Rc<GatewayCore>,
         plan: &SendPlan<'_>,
     ) -> Result<Self, SendError> {
-        let OpenedConn { mut conn, is_kept } = open_conn(core, plan).await?;
+        let OpenedConn { mut conn, is_kept } = open_asked(core, plan).await?;
         if plan.key.is_some_and(|key| core.refuses_sends(key)) {
             let reason = "the backend server has asked for no requests meanwhile";
             return Err(SendError::NotSent(reason.to_owned()));
@@ -262,6 +265,18 @@
     is_kept: bool,
 }
 
+/// Opens a connection and asks the process that it leads to, if the plan says so.
+async fn open_asked(core: &GatewayCore, plan: &SendPlan<'_>) -> Result<OpenedConn, SendError> {
+    let mut opened = open_conn(core, plan).await?;
+    if let Some(expected) = plan.asked
+        && query_process(core, &mut opened.conn, expected, plan.attempt_id).await
+            == MetProcess::Silent
+    {
+        return open_conn(core, plan).await;
+    }
+    Ok(opened)
+}
+
 async fn open_conn(core: &GatewayCore, plan: &SendPlan<'_>) -> Result<OpenedConn, SendError> {
     if let Some(suspended) = core.suspend.detect() {
         core.log.change("suspended", SuspendFields::new(suspended));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -94,6 +94,7 @@
     connections: Counter<u64>,
     streams: Counter<u64>,
     unframed_ends: Counter<u64>,
+    process_queries: Counter<u64>,
     resumes: Counter<u64>,
     backpressure: Counter<u64>,
     quarantine: Counter<u64>,
@@ -249,6 +250,11 @@
                 "gateway.unframed.ends",
                 "Ends of answers without length or chunks, by what was known of the backend server's process",
             ),
+            process_queries: counter(
+                &meter,
+                "gateway.process.queries",
+                "Queries for the process behind a connection, by the process that was met",
+            ),
             first_time: histogram(
                 &meter,
                 "gateway.first.time",
@@ -286,6 +292,11 @@
         self.unframed_ends.add(1, &labels);
     }
 
+    pub(crate) fn record_process_query(&self, met: &'static str) {
+        let labels = [KeyValue::new("met", met)];
+        self.process_queries.add(1, &labels);
+    }
+
     pub(crate) fn record_resume(&self, source: &'static str) {
         self.resumes.add(1, &[KeyValue::new("source", source)]);
     }
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -355,6 +355,11 @@
     fn encode_send(&self, head: &RequestHead, headers: &SendHeaders<'_>, out: &mut Vec<u8>);
     /// Writes the head of a request to another gateway, which finds out customer and route itself.
     fn encode_relay(&self, head: &RequestHead, headers: &RelayHeaders<'_>, out: &mut Vec<u8>);
+    /// Writes the query by which the process at an address tells its start time.
+    fn encode_process_query(&self, address: SocketAddr, out: &mut Vec<u8>);
+    /// Decodes the start time that a process told, in milliseconds since the Unix epoch by its own clock; `None` if the
+    /// answer names none.
+    fn decode_process_start(&self, head: &AnswerHead, body: &[u8]) -> Option<u64>;
     /// Decodes the head of a backend server's answer, or of another gateway's.
     fn decode_answer(&self, head: &AnswerHead) -> AnswerFacts;
     /// Writes the head of a backend server's answer as it is sent to the caller.
--- /dev/null
+++ b/crates/gateway/src/process_query.rs
@@ -0,0 +1,162 @@
+//! Asks the process at the other end of a connection when it started.
+//!
+//! A connection leads to one process for its whole life, but a registry entry may still describe an earlier process at
+//! the same address. The start time tells them apart. It is a time of the backend server's own clock, so it is only
+//! compared for equality (docs/PLATFORM.md, "Software versions").
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oleander_base::monotonic_now;
+use serde::Serialize;
+use thiserror::Error;
+use tokio::time::timeout;
+
+use crate::core::GatewayCore;
+use crate::http::{
+    AnswerHead, ConnError, HeadError, HeadLimits, HttpConn, MAX_ANSWER_HEAD_BYTES,
+    MAX_SHORT_ANSWER_BYTES,
+};
+use crate::log_line::LineKind;
+use crate::prelude::*;
+use crate::store_client::{StoreError, read_body};
+
+/// How long a process may take to tell its start time.
+const QUERY_TIMEOUT: Span = Span::from_millis(500);
+
+/// The process that a registry entry describes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ExpectedProcess<'a> {
+    /// The id of the backend server.
+    pub(crate) id: &'a str,
+    pub(crate) address: SocketAddr,
+    /// Its start time by the entry; `None` if the entry names none.
+    pub(crate) started_ms: Option<u64>,
+}
+
+/// The process that a connection leads to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum MetProcess {
+    /// The expected one.
+    Expected,
+    /// Another one, at the same address.
+    Other,
+    /// The backend server does not tell start times, in its answers or in its entry.
+    Untold,
+    /// No answer came, or none that belongs to the query. The connection cannot be used any more.
+    Silent,
+}
+
+impl MetProcess {
+    /// Returns the name for logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Expected => "expected",
+            Self::Other => "other",
+            Self::Untold => "untold",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct QueryFields<'a> {
+    /// The attempt for which the process was asked.
+    id: &'a str,
+    backend: &'a str,
+    expected_ms: Option<u64>,
+    met_ms: Option<u64>,
+    met: &'static str,
+    /// Why the answer is of no use, if it is not.
+    reason: Option<String>,
+    /// The age of the connection.
+    connected_ms: f64,
+    took_ms: f64,
+}
+
+/// Asks the process that a connection leads to for an attempt. The call needs no slot at the
+/// backend server.
+pub(crate) async fn query_process(
+    core: &GatewayCore,
+    conn: &mut HttpConn,
+    expected: ExpectedProcess<'_>,
+    attempt_id: &str,
+) -> MetProcess {
+    let asked_at = monotonic_now();
+    let told = match expected.started_ms {
+        Some(_) => ask(core, conn, expected.address).await,
+        None => Ok(None),
+    };
+    let met = match &told {
+        Ok(Some(started_ms)) if Some(*started_ms) == expected.started_ms => MetProcess::Expected,
+        Ok(Some(_)) => MetProcess::Other,
+        Ok(None) => MetProcess::Untold,
+        Err(_) => MetProcess::Silent,
+    };
+    core.metrics.record_process_query(met.as_str());
+    let fields = QueryFields {
+        id: attempt_id,
+        backend: expected.id,
+        expected_ms: expected.started_ms,
+        met_ms: told.as_ref().ok().copied().flatten(),
+        met: met.as_str(),
+        reason: told.err().map(|error| error.to_string()),
+        connected_ms: asked_at.since(conn.made_at).as_millis_f64(),
+        took_ms: monotonic_now().since(asked_at).as_millis_f64(),
+    };
+    let kind = match met {
+        MetProcess::Expected => LineKind::Normal,
+        _ => LineKind::Failure,
+    };
+    core.log.request("process-asked", kind, attempt_id, fields);
+    met
+}
+
+/// Returns the start time that the process tells, if it tells one.
+async fn ask(
+    core: &GatewayCore,
+    conn: &mut HttpConn,
+    address: SocketAddr,
+) -> Result<Option<u64>, QueryError> {
+    match timeout(Duration::from(QUERY_TIMEOUT), exchange(core, conn, address)).await {
+        Ok(told) => told,
+        Err(_) => Err(ConnError::Silent.into()),
+    }
+}
+
+async fn exchange(
+    core: &GatewayCore,
+    conn: &mut HttpConn,
+    address: SocketAddr,
+) -> Result<Option<u64>, QueryError> {
+    let mut request = Vec::with_capacity(128);
+    core.port.encode_process_query(address, &mut request);
+    conn.write_all(&request).await.map_err(ConnError::Broken)?;
+    let limits = HeadLimits {
+        head_bytes: MAX_ANSWER_HEAD_BYTES,
+    };
+    let bytes = conn.read_head(&limits).await?;
+    let head = AnswerHead::parse(bytes, "GET")?;
+    let body = read_body(conn, &head, MAX_SHORT_ANSWER_BYTES).await?;
+    if core.port.decode_answer(&head).attempt_id.is_some() {
+        return Err(QueryError::LateAnswer);
+    }
+    if !head.keeps_alive {
+        return Err(ConnError::Closed.into());
+    }
+    Ok(core.port.decode_process_start(&head, &body))
+}
+
+/// Why a query brought no answer, or none after which its connection can be used.
+#[derive(Debug, Error)]
+enum QueryError {
+    #[error(transparent)]
+    Connection(#[from] ConnError),
+    #[error(transparent)]
+    Head(#[from] HeadError),
+    #[error(transparent)]
+    Body(#[from] StoreError),
+    /// Another request's answer came instead.
+    #[error("an answer to an earlier request came")]
+    LateAnswer,
+}
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -51,6 +51,8 @@
     /// The id of the backend server, or the name of the gateway.
     pub(super) id: Arc<str>,
     pub(super) address: SocketAddr,
+    /// The start time of its process by its entry; `None` if the entry names none.
+    pub(super) started_ms: Option<u64>,
     pub(super) software: Arc<str>,
     pub(super) version: VersionId,
     pub(super) slots: u32,
@@ -71,6 +73,7 @@
             key: None,
             id: Arc::clone(&gateway.name),
             address: gateway.frontend,
+            started_ms: None,
             software: Arc::default(),
             version: VersionId::of(""),
             slots: 0,
@@ -123,6 +126,7 @@
             attempt_id: self.attempt_id,
             head: &head,
             body: &self.job.body,
+            asked: self.asked_process(&target),
             is_written: &is_written,
         };
         let sent_at = monotonic_now();
@@ -202,6 +206,7 @@
             key: Some(choice.key),
             id: Arc::clone(&member.entry.id),
             address: member.entry.address,
+            started_ms: member.entry.start(),
             software: Arc::clone(&member.entry.software),
             version: member.version,
             slots: member.entry.slots,
--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -8,6 +8,7 @@
 use super::wait::WaitOutcome;
 use crate::exchange::Exchange;
 use crate::prelude::*;
+use crate::process_query::ExpectedProcess;
 
 impl RequestRun<'_> {
     /// Finds the version of a stream that the caller resumes. The stream is not sent anywhere while its
@@ -87,6 +88,21 @@
         fleet.get(key).is_none() && fleet.is_superseded(&target.id, target.address, target.version)
     }
 
+    /// Returns the process that is asked who it is before the request is sent to it: one that goes on with a stream, or
+    /// that begins one which may have to go on while its service may have several software versions.
+    pub(super) fn asked_process<'t>(&self, target: &'t SendTarget) -> Option<ExpectedProcess<'t>> {
+        target.key?;
+        let routed = &self.job.routed;
+        let goes_on = self.origin.is_some();
+        let may_go_on = routed.route.repeat == RepeatKind::ResumableStream
+            && self.core.origins.is_mixed(&routed.service);
+        (goes_on || may_go_on).then_some(ExpectedProcess {
+            id: &target.id,
+            address: target.address,
+            started_ms: target.started_ms,
+        })
+    }
+
     /// Records the origin of the stream for the caller's next attempt.
     fn share_origin(&self, version: VersionId) {
         if self.job.routed.route.repeat == RepeatKind::ResumableStream {
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -22,6 +22,8 @@
     backend: &'a str,
     service: &'a str,
     software: &'a str,
+    /// The start time of its process by its entry.
+    started_ms: Option<u64>,
     urgency: u8,
     unread: f64,
     part: Option<String>,
@@ -349,6 +351,7 @@
                 backend: &target.id,
                 service: &self.job.routed.service,
                 software: &target.software,
+                started_ms: target.started_ms,
                 urgency: self.job.routed.urgency,
                 unread: choice.prefill.total().round(),
                 part: choice.part.map(|part| part.to_string()),
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -107,6 +107,7 @@
             attempt_id: self.attempt_id,
             head: &head,
             body: &self.job.body,
+            asked: None,
             is_written: &Cell::new(false),
         };
         let limit = self.time_left();
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -10,6 +10,9 @@
 
 use super::wire_reader::{WireMessage, read_message};
 
+/// The start of a query for the engine's report on itself.
+const REPORT_QUERY: &str = "GET /report ";
+
 /// A request that the engine received.
 #[derive(Debug, Clone)]
 pub struct SeenRequest {
@@ -153,13 +156,24 @@
                 thread::spawn(move || match serve(&stream, &*script, &state) {
                     ServeEnd::Connection => {}
                     ServeEnd::Crash => state.connections.crash(address),
-                    ServeEnd::Restart => state.connections.close_all(),
+                    ServeEnd::Restart => state.restart(),
                 });
             }
         });
         Self { address, state }
     }
 
+    /// Has the engine report that its process started at a time, in milliseconds; a process that takes its place
+    /// reports a later one. Without this it does not report on itself.
+    pub fn set_start(&self, started_ms: u64) {
+        *self.state.started_ms.lock() = Some(started_ms);
+    }
+
+    /// Returns how often the engine was asked for its report.
+    pub fn report_queries(&self) -> usize {
+        *self.state.report_queries.lock()
+    }
+
     /// Returns the address that the engine listens on.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -221,9 +235,33 @@
     seen: Arc<Mutex<Vec<SeenRequest>>>,
     closed_early: Arc<Mutex<usize>>,
     resets: Arc<Mutex<usize>>,
+    started_ms: Arc<Mutex<Option<u64>>>,
+    report_queries: Arc<Mutex<usize>>,
     connections: Arc<OpenConnections>,
 }
 
+impl EngineState {
+    /// Lets another process take the engine's place.
+    fn restart(&self) {
+        if let Some(started_ms) = self.started_ms.lock().as_mut() {
+            *started_ms += 1;
+        }
+        self.connections.close_all();
+    }
+
+    /// Returns the engine's report on itself, or the refusal of one that makes none.
+    fn report(&self) -> Vec<u8> {
+        *self.report_queries.lock() += 1;
+        let Some(started_ms) = *self.started_ms.lock() else {
+            return b"HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                .to_vec();
+        };
+        let body = format!("{{\"phase\":\"available\",\"born\":{started_ms}}}");
+        let length = body.len();
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}").into_bytes()
+    }
+}
+
 /// The connections of an engine that a crash closes.
 #[derive(Default)]
 struct OpenConnections(Mutex<ConnectionList>);
@@ -289,6 +327,12 @@
     let mut reader = BufReader::new(stream);
     let mut nth_on_connection = 0;
     while let Ok(Some(message)) = read_message(&mut reader) {
+        if message.start.starts_with(REPORT_QUERY) {
+            if write(stream, &state.report()).is_err() {
+                return ServeEnd::Connection;
+            }
+            continue;
+        }
         let request = {
             let mut seen = state.seen.lock();
             let request = SeenRequest {
