--- /dev/null
+++ b/crates/entry/tests/gateway_process_identity.rs
@@ -0,0 +1,217 @@
+//! Streams at engines that have started again, with other software, under an id and an address whose registry entry still
+//! describes the process before. The gateway has no connection that would show it.
+
+mod gateway;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use gateway::{
+    Call, TestGateway, announce_process, announce_version, store_with_manifest, wait_for,
+};
+use oleander_standin::users::{
+    EngineReply, PacedEnd, ScriptedEngine, SeenRequest, UsersStore, WireMessage,
+};
+
+/// The id of the last event of a whole stream.
+const LAST_EVENT: u64 = 4;
+/// The id of the last event before a stream breaks or halts.
+const BREAK_EVENT: u64 = 2;
+/// The pause between two pieces of a paced answer.
+const PACE: Duration = Duration::from_millis(300);
+/// The start time of the process that an entry describes.
+const REGISTERED: u64 = 1_000;
+/// The start time of a later process under the same id.
+const RESTARTED: u64 = 2_000;
+
+fn resume_point(request: &SeenRequest) -> u64 {
+    let id = request.message.header("last-event-id");
+    id.map_or(0, |id| id.parse().expect("an event id is a number"))
+}
+
+/// Returns the head of a stream and its events after the resume point, up to and including `to`.
+fn pieces(request: &SeenRequest, to: u64) -> Vec<Vec<u8>> {
+    let events = (resume_point(request) + 1..=to).map(SeenRequest::event);
+    std::iter::once(request.stream_head())
+        .chain(events)
+        .collect()
+}
+
+fn held(request: &SeenRequest) -> EngineReply {
+    EngineReply::BytesThenSilence(pieces(request, BREAK_EVENT).concat())
+}
+
+fn broken(request: &SeenRequest) -> EngineReply {
+    EngineReply::Paced {
+        pieces: pieces(request, BREAK_EVENT),
+        interval: PACE,
+        end: PacedEnd::Close,
+    }
+}
+
+fn whole(request: &SeenRequest) -> EngineReply {
+    let mut bytes = pieces(request, LAST_EVENT).concat();
+    bytes.extend(b"0\r\n\r\n");
+    EngineReply::Bytes(bytes)
+}
+
+/// Returns the answer of an engine that did not run a request.
+fn full(request: &SeenRequest) -> EngineReply {
+    let id = request.message.header("attempt-id").unwrap_or("");
+    let answer = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    );
+    EngineReply::Bytes(answer.into_bytes())
+}
+
+/// Returns the number of resumes that an engine got.
+fn resumes(engine: &ScriptedEngine) -> usize {
+    let seen = engine.seen();
+    seen.iter()
+        .filter(|request| resume_point(request) > 0)
+        .count()
+}
+
+/// Which software versions the registry names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Versions {
+    One,
+    /// A second one leaves the service.
+    Two,
+}
+
+/// A gateway and the engine `i-1` of version v1, at which streams begin until it is full.
+struct IdentityPlay {
+    store: UsersStore,
+    first: ScriptedEngine,
+    is_full: Arc<AtomicBool>,
+    gateway: TestGateway,
+    /// Engines that take no part.
+    _others: Vec<ScriptedEngine>,
+}
+
+impl IdentityPlay {
+    /// Starts `i-1`, whose entry is of the process that started at [`REGISTERED`].
+    fn start(versions: Versions, started_ms: u64, script: fn(&SeenRequest) -> EngineReply) -> Self {
+        let store = store_with_manifest();
+        let is_full = Arc::new(AtomicBool::new(false));
+        let refuses = Arc::clone(&is_full);
+        let first = ScriptedEngine::spawn(move |request| match refuses.load(Ordering::SeqCst) {
+            true => full(request),
+            false => script(request),
+        });
+        first.set_start(started_ms);
+        announce_process(&store, "i-1", &first, "v1", REGISTERED);
+        let mut others = Vec::new();
+        if versions == Versions::Two {
+            let leaving = ScriptedEngine::spawn(whole);
+            announce_version(&store, "i-9", "engines", &leaving, "draining", "v2");
+            others.push(leaving);
+        }
+        Self {
+            gateway: TestGateway::start(&store),
+            store,
+            first,
+            is_full,
+            _others: others,
+        }
+    }
+
+    /// Begins the stream `a1` and leaves it after the event at which it halts.
+    fn begin(&self) {
+        let mut caller = self.gateway.caller();
+        caller.send(&Call::stream("a1").text());
+        let text = format!("piece {BREAK_EVENT}\n\n");
+        assert!(caller.read_until(&text).contains(&text));
+    }
+
+    /// Starts `i-2`, whose entry is of the process that started at [`REGISTERED`], and has `i-1` refuse all.
+    fn add_second(&self, started_ms: u64) -> ScriptedEngine {
+        let second = ScriptedEngine::spawn(whole);
+        second.set_start(started_ms);
+        announce_process(&self.store, "i-2", &second, "v1", REGISTERED);
+        self.gateway.wait_log("belief", |line| {
+            line["change"] == "backend-joined" && line["backend"] == "i-2"
+        });
+        self.is_full.store(true, Ordering::SeqCst);
+        second
+    }
+
+    /// Resumes the stream `a1`.
+    fn resume(&self) -> WireMessage {
+        let call = Call::stream("b1");
+        let headers = format!(
+            "{}Last-Event-Id: {BREAK_EVENT}\r\nResumes: a1\r\n",
+            call.headers
+        );
+        self.gateway.caller().call(&Call {
+            headers: &headers,
+            ..call
+        })
+    }
+}
+
+// Guards against a stream that goes on at another software version: the engine that is chosen for a resume has started again,
+// and the registry does not tell yet.
+#[test]
+fn a_stream_does_not_go_on_at_a_process_that_its_entry_does_not_describe() {
+    for versions in [Versions::One, Versions::Two] {
+        let play = IdentityPlay::start(versions, REGISTERED, held);
+        play.begin();
+        let second = play.add_second(RESTARTED);
+        let answer = play.resume();
+        assert_eq!(
+            (answer.status(), resumes(&second)),
+            (503, 0),
+            "{versions:?}"
+        );
+        assert!(answer.header("retry-after").is_some());
+    }
+}
+
+// Guards against a stream that goes on at another software version: the engine at which it began had started again, so that its
+// entry names another version than the one that began the stream.
+#[test]
+fn a_stream_that_began_at_a_process_that_its_entry_does_not_describe_has_no_certain_version() {
+    let play = IdentityPlay::start(Versions::Two, RESTARTED, held);
+    play.begin();
+    let second = play.add_second(REGISTERED);
+    let answer = play.resume();
+    assert_eq!((answer.status(), resumes(&second)), (503, 0));
+}
+
+// Guards against the same where the gateway itself resumes the stream.
+#[test]
+fn a_stream_of_such_a_process_is_not_resumed_within_its_answer() {
+    let play = IdentityPlay::start(Versions::Two, RESTARTED, broken);
+    let mut caller = play.gateway.caller();
+    caller.send(&Call::stream("a1").text());
+    wait_for("it is sent", || !play.first.seen().is_empty());
+    let second = play.add_second(REGISTERED);
+    let answer = caller.read().expect("an answer");
+    assert_eq!((answer.is_whole, resumes(&second)), (false, 0));
+}
+
+// Guards against streams that are lost although the processes at which they began and would go on are those of the registry.
+#[test]
+fn a_stream_goes_on_between_processes_that_their_entries_describe() {
+    let play = IdentityPlay::start(Versions::Two, REGISTERED, held);
+    play.begin();
+    let second = play.add_second(REGISTERED);
+    let answer = play.resume();
+    assert_eq!((answer.status(), answer.is_whole), (200, true));
+    assert_eq!((resumes(&second), second.report_queries()), (1, 1));
+}
+
+// Guards against processes that are asked who they are without need: none is while a service has one version and no stream
+// is resumed.
+#[test]
+fn no_process_is_asked_while_streams_begin_at_a_single_version() {
+    let play = IdentityPlay::start(Versions::One, REGISTERED, whole);
+    for nth in 0..4 {
+        let id = format!("a{nth}");
+        assert!(play.gateway.caller().call(&Call::stream(&id)).is_whole);
+    }
+    assert_eq!(play.first.report_queries(), 0);
+}
