Streams go on only at the process that the registry's entry describes

An engine starts again under its id and address with other software, and until its new entry is read a gateway takes it for the process before. ProcessDoubt needed a sign of the end, and a gateway without a connection there has none. 20 of 29 traced cases were resumes sent to such a process, 10 had begun at one.

The process is now known and not inferred: a connection leads to one process, an address to one at a time, so a process that ran at a time is behind each connection made until then. Its report shows that, as do answers on connections known to be its own and an entry that stands. A resume whose connection is not known to lead to the entry's process asks first and goes elsewhere otherwise; while a service has several versions, streams that may be resumed ask before they begin.

ProcessDoubt stays for engines that do not tell their start.

--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -12,7 +12,7 @@
 use crate::latency::LatencyModel;
 use crate::memory_guard::MemoryGuard;
 use crate::pace::BackendPace;
-use crate::process_doubt::ProcessDoubt;
+use crate::process_identity::ProcessIdentity;
 use crate::rate_limit::RateLimit;
 use crate::rejection_limit::{RejectionLimit, RoomBelief};
 use crate::wait_error::{PendingSends, WaitError};
@@ -85,8 +85,8 @@
     pub rejection_limit: RejectionLimit,
     /// The state that decides whether requests need leases on its memory.
     pub memory: MemoryGuard,
-    /// Whether the process that its registry entry describes may have ended.
-    pub process: ProcessDoubt,
+    /// What is known of the process that its registry entry describes.
+    pub process: ProcessIdentity,
     /// The number of its slots, by its registry entry.
     pub slots: u32,
     /// The number of its slots by its own answers.
@@ -121,7 +121,7 @@
             rate_limit: RateLimit::default(),
             rejection_limit: RejectionLimit::default(),
             memory: MemoryGuard::default(),
-            process: ProcessDoubt::default(),
+            process: ProcessIdentity::default(),
             slots,
             reported_slots: None,
             own_pending: 0,
@@ -328,7 +328,7 @@
     pub fn reopen(&mut self) {
         self.health = BackendHealth::open(MIN_EJECTION, MAX_EJECTION);
         self.down_at = None;
-        self.process = ProcessDoubt::default();
+        self.process.forget_signs();
     }
 
     /// Stops sends for a while; afterwards one request at a time probes the backend server, until a
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -323,7 +323,7 @@
             return false;
         }
         let is_bound_elsewhere =
-            |version| version != member.version || member.state.process.is_raised();
+            |version| version != member.version || !member.state.process.takes_resumes();
         if self.input.version.is_some_and(is_bound_elsewhere) {
             return false;
         }
--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -360,7 +360,7 @@
     pub fn confirm_processes(&mut self, ran_at: MonoTime) {
         let members = self.members.values_mut();
         for member in members.filter(|member| member.lapsed_at.is_none()) {
-            member.state.process.on_entry(ran_at);
+            member.state.process.confirm(ran_at);
         }
     }
 
@@ -374,6 +374,7 @@
     /// Ejects a backend server whose address another process has taken, so that it must be down.
     pub fn mark_replaced(&mut self, key: BackendKey, now: MonoTime) {
         if let Some(member) = self.members.get_mut(&key) {
+            member.state.process.mark_replaced(now);
             member.state.eject(now);
             member.state.mark_down(now);
         }
--- a/crates/balance/src/process_doubt.rs
+++ b/crates/balance/src/process_doubt.rs
@@ -13,7 +13,7 @@
 
 /// The last sign that a backend server's process has ended, unless it was disproved.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct ProcessDoubt {
+pub(crate) struct ProcessDoubt {
     raised_at: Option<MonoTime>,
     /// When a connection to it last broke.
     broken_at: Option<MonoTime>,
@@ -21,12 +21,12 @@
 
 impl ProcessDoubt {
     /// Notes a sign that the process has ended.
-    pub fn raise(&mut self, now: MonoTime) {
+    pub(crate) fn raise(&mut self, now: MonoTime) {
         self.raised_at = self.raised_at.max(Some(now));
     }
 
     /// Notes that a connection to the process broke.
-    pub fn on_break(&mut self, now: MonoTime) {
+    pub(crate) fn on_break(&mut self, now: MonoTime) {
         let last = self.broken_at.replace(now);
         if last.is_some_and(|last| now.since(last) < CLOSE_SPREAD) {
             self.raise(now);
@@ -34,23 +34,23 @@
     }
 
     /// Notes that bytes arrived on a connection that was made at `connected_at`.
-    pub fn on_bytes(&mut self, connected_at: MonoTime, arrived_at: MonoTime) {
+    pub(crate) fn on_bytes(&mut self, connected_at: MonoTime, arrived_at: MonoTime) {
         self.raised_at
             .take_if(|raised| connected_at < *raised && *raised < arrived_at);
     }
 
     /// Notes that the entry is of a process that still ran at a time.
-    pub fn on_entry(&mut self, ran_at: MonoTime) {
+    pub(crate) fn on_entry(&mut self, ran_at: MonoTime) {
         self.raised_at.take_if(|raised| *raised < ran_at);
     }
 
     /// Returns whether a connection may lead to another process than the entry's, because it was made after a sign.
-    pub fn covers(&self, connected_at: MonoTime) -> bool {
+    pub(crate) fn covers(&self, connected_at: MonoTime) -> bool {
         self.raised_at.is_some_and(|raised| raised <= connected_at)
     }
 
     /// Returns whether the process may have ended.
-    pub fn is_raised(&self) -> bool {
+    pub(crate) fn is_raised(&self) -> bool {
         self.raised_at.is_some()
     }
 }
--- /dev/null
+++ b/crates/balance/src/process_identity.rs
@@ -0,0 +1,156 @@
+//! What is known of the process that a registry entry describes.
+//!
+//! A backend server may start again under its id, at its address and with other software, before its entry says so.
+//! Streams are bound to the software version that an entry names, so they need to know whether a connection leads to the
+//! process that the entry describes. A connection leads to one process for its whole life, and an address to one process
+//! at a time. So if the process is known to have run at a time, each connection that was made until then leads to it. The
+//! process itself shows that it runs: by telling its start time, by an answer on a connection that is known to lead to
+//! it, and by writing its entry.
+//!
+//! Some backend servers do not tell their start times. There, signs that the process has ended decide
+//! ([`ProcessDoubt`]).
+
+use oleander_base::prelude::*;
+
+use crate::process_doubt::ProcessDoubt;
+
+/// The relation of a connection's process to the one that the registry entry describes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProcessLink {
+    /// The connection leads to the process.
+    Proven,
+    /// Nothing shows that it leads to another one.
+    Presumed,
+    /// It may lead to another one.
+    Doubtful,
+}
+
+/// What is known of the process that a registry entry describes.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ProcessIdentity {
+    /// The latest time at which it is known to have run.
+    ran_at: Option<MonoTime>,
+    /// When another process was met at its address.
+    replaced_at: Option<MonoTime>,
+    /// Whether the backend server does not tell its start time.
+    is_untold: bool,
+    doubt: ProcessDoubt,
+}
+
+impl ProcessIdentity {
+    /// Notes that the process ran at a time.
+    pub fn confirm(&mut self, ran_at: MonoTime) {
+        self.ran_at = self.ran_at.max(Some(ran_at));
+        self.replaced_at.take_if(|replaced| *replaced < ran_at);
+        self.doubt.on_entry(ran_at);
+    }
+
+    /// Notes that another process was met at its address.
+    pub fn mark_replaced(&mut self, now: MonoTime) {
+        self.replaced_at = self.replaced_at.max(Some(now));
+    }
+
+    /// Notes that the backend server does not tell its start time.
+    pub fn mark_untold(&mut self) {
+        self.is_untold = true;
+    }
+
+    /// Notes a sign that the process has ended.
+    pub fn raise_doubt(&mut self, now: MonoTime) {
+        self.doubt.raise(now);
+    }
+
+    /// Notes that a connection to the process broke.
+    pub fn on_break(&mut self, now: MonoTime) {
+        self.doubt.on_break(now);
+    }
+
+    /// Notes that bytes arrived on a connection that was made at `connected_at`.
+    pub fn on_bytes(&mut self, connected_at: MonoTime, arrived_at: MonoTime) {
+        self.doubt.on_bytes(connected_at, arrived_at);
+    }
+
+    /// Forgets the signs that the process has ended, of which it was not the cause.
+    pub fn forget_signs(&mut self) {
+        self.doubt = ProcessDoubt::default();
+    }
+
+    /// Returns whether a connection that was made at a time leads to the process.
+    pub fn link(&self, connected_at: MonoTime) -> ProcessLink {
+        if self.ran_at.is_some_and(|ran_at| connected_at <= ran_at) {
+            ProcessLink::Proven
+        } else if self.replaced_at.is_some() || self.doubt.covers(connected_at) {
+            ProcessLink::Doubtful
+        } else {
+            ProcessLink::Presumed
+        }
+    }
+
+    /// Returns whether the backend server may tell its start time when it is asked.
+    pub fn can_be_asked(&self) -> bool {
+        !self.is_untold
+    }
+
+    /// Returns whether streams may go on at the backend server, if it proves to be the process where it can.
+    pub fn takes_resumes(&self) -> bool {
+        let is_doubtful = self.is_untold && self.doubt.is_raised();
+        self.replaced_at.is_none() && !is_doubtful
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const EARLY: MonoTime = MonoTime(1_000);
+    const MIDDLE: MonoTime = MonoTime(2_000);
+    const LATE: MonoTime = MonoTime(3_000);
+
+    #[test]
+    fn connections_until_the_last_proof_lead_to_the_process() {
+        let mut identity = ProcessIdentity::default();
+        assert_eq!(identity.link(EARLY), ProcessLink::Presumed);
+        identity.confirm(MIDDLE);
+        identity.confirm(EARLY);
+        assert_eq!(identity.link(EARLY), ProcessLink::Proven);
+        assert_eq!(identity.link(MIDDLE), ProcessLink::Proven);
+        assert_eq!(identity.link(LATE), ProcessLink::Presumed);
+    }
+
+    #[test]
+    fn a_process_that_was_replaced_keeps_its_connections_and_gets_no_resumes() {
+        let mut identity = ProcessIdentity::default();
+        identity.confirm(EARLY);
+        identity.mark_replaced(MIDDLE);
+        assert_eq!(identity.link(EARLY), ProcessLink::Proven);
+        assert_eq!(identity.link(MIDDLE), ProcessLink::Doubtful);
+        assert!(!identity.takes_resumes());
+        identity.confirm(EARLY);
+        assert!(!identity.takes_resumes(), "the proof is older");
+        identity.confirm(LATE);
+        assert!(identity.takes_resumes());
+    }
+
+    #[test]
+    fn signs_keep_resumes_only_from_backend_servers_that_cannot_be_asked() {
+        let mut identity = ProcessIdentity::default();
+        identity.raise_doubt(MIDDLE);
+        assert!(identity.takes_resumes() && identity.can_be_asked());
+        assert_eq!(identity.link(LATE), ProcessLink::Doubtful);
+        identity.mark_untold();
+        assert!(!identity.takes_resumes() && !identity.can_be_asked());
+        identity.confirm(LATE);
+        assert!(identity.takes_resumes());
+        assert_eq!(identity.link(LATE), ProcessLink::Proven);
+    }
+
+    #[test]
+    fn signs_of_another_cause_are_forgotten_and_proofs_are_not() {
+        let mut identity = ProcessIdentity::default();
+        identity.confirm(EARLY);
+        identity.raise_doubt(MIDDLE);
+        identity.forget_signs();
+        assert_eq!(identity.link(EARLY), ProcessLink::Proven);
+        assert_eq!(identity.link(LATE), ProcessLink::Presumed);
+    }
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -9,8 +9,8 @@
 
 use oleander_balance::{
     BackendKey, BackendState, Choice, ChoiceInput, FleetTable, InFlightSend, LatencyModel,
-    LeaseEnd, LoadReport, NeedModel, PacedRequest, ReadMeter, RetryWindow, ServicePace,
-    ServiceTraffic, StreamId, VersionId, choose_backend,
+    LeaseEnd, LoadReport, NeedModel, PacedRequest, ProcessLink, ReadMeter, RetryWindow,
+    ServicePace, ServiceTraffic, StreamId, VersionId, choose_backend,
 };
 use oleander_base::{FastMap, monotonic_now};
 use rand::rngs::SmallRng;
@@ -289,6 +289,23 @@
         fleet.get_mut(key).map(|member| work(&mut member.state))
     }
 
+    /// Returns the relation of a connection's process to the one that the registry's entry describes; a gateway has no
+    /// entry.
+    pub(crate) fn process_link(
+        &self,
+        key: Option<BackendKey>,
+        connected_at: MonoTime,
+    ) -> ProcessLink {
+        let link =
+            key.and_then(|key| self.with_backend(key, |state| state.process.link(connected_at)));
+        link.unwrap_or(ProcessLink::Presumed)
+    }
+
+    /// Returns whether streams may go on at a backend server, as far as its process is concerned.
+    pub(crate) fn takes_resumes(&self, key: BackendKey) -> bool {
+        self.with_backend(key, |state| state.process.takes_resumes()) == Some(true)
+    }
+
     /// Returns the address of a backend server, if it still exists.
     pub(crate) fn backend_address(&self, key: BackendKey) -> Option<SocketAddr> {
         let fleet = self.fleet.borrow();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oleander_balance::BackendKey;
+use oleander_balance::{BackendKey, ProcessLink};
 use oleander_base::monotonic_now;
 use thiserror::Error;
 use tokio::time::timeout;
@@ -23,11 +23,20 @@
 use crate::late_answers::SkippedAnswers;
 use crate::liveness::{ConnectionEnd, EndEvidence, ProcessWatch};
 use crate::prelude::*;
-use crate::process_query::{ExpectedProcess, MetProcess, query_process};
+use crate::process_query::{ExpectedProcess, MetProcess, ProcessNeed, query_process};
 
 /// The timeout of connecting to a backend server or another gateway.
 const CONNECT_TIMEOUT: Span = Span::from_millis(300);
 
+/// How many connections' processes are asked for one send. An answer to an earlier request may come on a kept one.
+const MAX_QUERIES: usize = 2;
+
+/// Why a stream does not go on at a backend server that does not tell its start time.
+const DOUBTFUL_PROCESS: &str = "the backend server's process may have ended";
+
+/// Why a request is not sent to a process that may be another one.
+const SILENT_PROCESS: &str = "the backend server's process did not tell its start time";
+
 /// Why a send got no answer.
 #[derive(Debug, Error)]
 pub(crate) enum SendError {
@@ -37,6 +46,10 @@
     /// No byte of the request left this process, because no connection could be made.
     #[error("not reached: {0}")]
     NotReached(String),
+    /// No byte of the request left this process, because the registry's entry describes another process than the one
+    /// at its address.
+    #[error("not sent: another process at its address")]
+    OtherProcess,
     /// The request left this process, and the connection brought no answer to it.
     #[error("no answer: {0}")]
     Unanswered(String),
@@ -48,7 +61,7 @@
 impl SendError {
     pub(crate) fn verdict(&self) -> Verdict {
         match self {
-            Self::NotSent(_) | Self::NotReached(_) => Verdict::NotRun,
+            Self::NotSent(_) | Self::NotReached(_) | Self::OtherProcess => Verdict::NotRun,
             Self::Unanswered(_) | Self::TimedOut => Verdict::MayHaveRun,
         }
     }
@@ -62,6 +75,8 @@
     key: Option<BackendKey>,
     reader: BodyReader,
     is_reusable: bool,
+    /// The relation of its process to the registry's entry when the request was sent.
+    link: ProcessLink,
     end_check: EndCheck,
     /// When the last read ended for which the gateway had to wait.
     waited_until: MonoTime,
@@ -109,6 +124,8 @@
             let reason = "the backend server has asked for no requests meanwhile";
             return Err(SendError::NotSent(reason.to_owned()));
         }
+        let link = core.process_link(plan.key, conn.made_at);
+        let sent_at = monotonic_now();
         let wrote_all = write_request(&conn, plan).await?;
         plan.is_written.set(true);
         let mut skipped = SkippedAnswers::default();
@@ -124,6 +141,9 @@
                 None => skipped.is_empty() && !is_kept,
             };
             if is_ours {
+                if let (Some(key), ProcessLink::Proven) = (plan.key, link) {
+                    core.with_backend(key, |state| state.process.confirm(sent_at));
+                }
                 let has_attempt_id = facts.attempt_id.is_some();
                 return Ok(Self {
                     is_reusable: head.keeps_alive
@@ -133,6 +153,7 @@
                     conn,
                     key: plan.key,
                     reader,
+                    link,
                     end_check: EndCheck::None,
                     waited_until: monotonic_now(),
                     ended: None,
@@ -164,6 +185,15 @@
         self.evidence
     }
 
+    /// Returns the relation of the process that writes the answer to the one that the registry's entry describes.
+    pub(crate) fn process_link(&self, core: &GatewayCore) -> ProcessLink {
+        match self.link {
+            // A connection leads to one process for its whole life.
+            ProcessLink::Proven => ProcessLink::Proven,
+            _ => core.process_link(self.key, self.conn.made_at),
+        }
+    }
+
     /// Returns when the connection was made.
     pub(crate) fn made_at(&self) -> MonoTime {
         self.conn.made_at
@@ -265,16 +295,41 @@
     is_kept: bool,
 }
 
-/// Opens a connection and asks the process that it leads to, if the plan says so.
+/// Opens a connection, and asks the process that it leads to who it is if the plan says so and that is not known.
 async fn open_asked(core: &GatewayCore, plan: &SendPlan<'_>) -> Result<OpenedConn, SendError> {
-    let mut opened = open_conn(core, plan).await?;
-    if let Some(expected) = plan.asked
-        && query_process(core, &mut opened.conn, expected, plan.attempt_id).await
-            == MetProcess::Silent
-    {
+    let Some(expected) = plan.asked else {
         return open_conn(core, plan).await;
+    };
+    for _ in 0..MAX_QUERIES {
+        let mut opened = open_conn(core, plan).await?;
+        match meet_process(core, &mut opened.conn, expected, plan.attempt_id).await {
+            MetProcess::Silent => {}
+            MetProcess::Expected => return Ok(opened),
+            MetProcess::Untold if core.takes_resumes(expected.key) => return Ok(opened),
+            _ if expected.need == ProcessNeed::Wanted => return Ok(opened),
+            MetProcess::Untold => return Err(SendError::NotSent(DOUBTFUL_PROCESS.to_owned())),
+            MetProcess::Other => return Err(SendError::OtherProcess),
+        }
+    }
+    Err(SendError::NotSent(SILENT_PROCESS.to_owned()))
+}
+
+/// Returns the process that a connection leads to, which is asked unless that is known.
+async fn meet_process(
+    core: &GatewayCore,
+    conn: &mut HttpConn,
+    expected: ExpectedProcess<'_>,
+    attempt_id: &str,
+) -> MetProcess {
+    let process = core.with_backend(expected.key, |state| state.process);
+    let process = process.unwrap_or_default();
+    if process.link(conn.made_at) == ProcessLink::Proven {
+        MetProcess::Expected
+    } else if process.can_be_asked() {
+        query_process(core, conn, expected, attempt_id).await
+    } else {
+        MetProcess::Untold
     }
-    Ok(opened)
 }
 
 async fn open_conn(core: &GatewayCore, plan: &SendPlan<'_>) -> Result<OpenedConn, SendError> {
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use oleander_balance::BackendKey;
 use oleander_base::monotonic_now;
 use serde::Serialize;
 use thiserror::Error;
@@ -24,14 +25,25 @@
 /// How long a process may take to tell its start time.
 const QUERY_TIMEOUT: Span = Span::from_millis(500);
 
+/// How much a request needs the process that is expected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ProcessNeed {
+    /// Another one serves it as well, if that is known.
+    Wanted,
+    /// It must not reach another one.
+    Required,
+}
+
 /// The process that a registry entry describes.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ExpectedProcess<'a> {
+    pub(crate) key: BackendKey,
     /// The id of the backend server.
     pub(crate) id: &'a str,
     pub(crate) address: SocketAddr,
     /// Its start time by the entry; `None` if the entry names none.
     pub(crate) started_ms: Option<u64>,
+    pub(crate) need: ProcessNeed,
 }
 
 /// The process that a connection leads to.
@@ -74,8 +86,8 @@
     took_ms: f64,
 }
 
-/// Asks the process that a connection leads to for an attempt. The call needs no slot at the
-/// backend server.
+/// Asks the process that a connection leads to for an attempt, and notes what its answer shows.
+/// The call needs no slot at the backend server.
 pub(crate) async fn query_process(
     core: &GatewayCore,
     conn: &mut HttpConn,
@@ -93,6 +105,7 @@
         Ok(None) => MetProcess::Untold,
         Err(_) => MetProcess::Silent,
     };
+    note_met(core, expected.key, met, asked_at);
     core.metrics.record_process_query(met.as_str());
     let fields = QueryFields {
         id: attempt_id,
@@ -112,6 +125,19 @@
     met
 }
 
+fn note_met(core: &GatewayCore, key: BackendKey, met: MetProcess, asked_at: MonoTime) {
+    match met {
+        MetProcess::Expected => {
+            core.with_backend(key, |state| state.process.confirm(asked_at));
+        }
+        MetProcess::Other => core.fleet.borrow_mut().mark_replaced(key, monotonic_now()),
+        MetProcess::Untold => {
+            core.with_backend(key, |state| state.process.mark_untold());
+        }
+        MetProcess::Silent => {}
+    }
+}
+
 /// Returns the start time that the process tells, if it tells one.
 async fn ask(
     core: &GatewayCore,
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -261,7 +261,7 @@
             }
             // A crash would have ended the connection.
             SendError::TimedOut => self.record_out_of_reach(target, ReachFailure::Silence),
-            SendError::NotSent(_) => {}
+            SendError::NotSent(_) | SendError::OtherProcess => {}
         }
         if verdict == Verdict::NotRun {
             return Step::TryAgain;
--- a/crates/gateway/src/request/evidence.rs
+++ b/crates/gateway/src/request/evidence.rs
@@ -30,7 +30,7 @@
         };
         let now = monotonic_now();
         let settings = self.core.settings();
-        self.with_target(target, |state| state.process.raise(now));
+        self.with_target(target, |state| state.process.raise_doubt(now));
         let mut fleet = self.core.fleet.borrow_mut();
         let ejected = fleet.mark_unreachable(key, &settings.centre, now);
         drop(fleet);
--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -1,6 +1,6 @@
 //! Binds a stream to the software version that began it.
 
-use oleander_balance::{StreamId, StreamOrigin, VersionId};
+use oleander_balance::{ProcessLink, StreamId, StreamOrigin, VersionId};
 use oleander_base::monotonic_now;
 
 use super::RequestRun;
@@ -8,7 +8,7 @@
 use super::wait::WaitOutcome;
 use crate::exchange::Exchange;
 use crate::prelude::*;
-use crate::process_query::ExpectedProcess;
+use crate::process_query::{ExpectedProcess, ProcessNeed};
 
 impl RequestRun<'_> {
     /// Finds the version of a stream that the caller resumes. The stream is not sent anywhere while its
@@ -58,11 +58,12 @@
     }
 
     /// Takes back the version of a stream whose backend server turns out to have started again with other software.
-    pub(super) fn check_origin(&mut self, target: &SendTarget) {
+    pub(super) fn check_origin(&mut self, target: &SendTarget, answer: &Exchange) {
         let is_bound = self
             .origin
             .is_some_and(|known| known != VersionId::UNCERTAIN);
-        if is_bound && self.is_superseded(target) {
+        let is_proven = answer.process_link(self.core) == ProcessLink::Proven;
+        if is_bound && !is_proven && self.is_superseded(target) {
             self.origin = Some(VersionId::UNCERTAIN);
             self.share_origin(VersionId::UNCERTAIN);
         }
@@ -70,11 +71,10 @@
 
     /// Returns the version of the process that writes an answer, as far as it is certain.
     fn version_at(&self, target: &SendTarget, answer: &Exchange) -> VersionId {
-        let made_at = answer.made_at();
-        let may_be_another = self.with_target(target, |state| state.process.covers(made_at));
-        match may_be_another == Some(true) || self.is_superseded(target) {
-            true => VersionId::UNCERTAIN,
-            false => target.version,
+        match answer.process_link(self.core) {
+            ProcessLink::Proven => target.version,
+            ProcessLink::Presumed if !self.is_superseded(target) => target.version,
+            ProcessLink::Presumed | ProcessLink::Doubtful => VersionId::UNCERTAIN,
         }
     }
 
@@ -91,15 +91,22 @@
     /// Returns the process that is asked who it is before the request is sent to it: one that goes on with a stream, or
     /// that begins one which may have to go on while its service may have several software versions.
     pub(super) fn asked_process<'t>(&self, target: &'t SendTarget) -> Option<ExpectedProcess<'t>> {
-        target.key?;
+        let key = target.key?;
         let routed = &self.job.routed;
         let goes_on = self.origin.is_some();
         let may_go_on = routed.route.repeat == RepeatKind::ResumableStream
             && self.core.origins.is_mixed(&routed.service);
-        (goes_on || may_go_on).then_some(ExpectedProcess {
+        let need = match (goes_on, may_go_on) {
+            (true, _) => ProcessNeed::Required,
+            (false, true) => ProcessNeed::Wanted,
+            (false, false) => return None,
+        };
+        Some(ExpectedProcess {
+            key,
             id: &target.id,
             address: target.address,
             started_ms: target.started_ms,
+            need,
         })
     }
 
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -151,7 +151,7 @@
             };
             self.record_unframed_end(target, &answer);
             if state.timing.events > 0 {
-                self.check_origin(target);
+                self.check_origin(target, &answer);
             }
             match piece {
                 Ok(BodyPiece::Data(data)) => {
