The process that wrote an answer without a frame is asked after its end

Callers got streams that broke off as whole ones, and lost whole ones: closes of connections were taken for the end of the process by their timing (a FIN that comes 200 ms late, an idle timeout at the stream's end, a process that is replaced at once). The process is asked on the watched connection after the end: the one that the entry describes ran before the answer and after, so the answer is whole; another one, or none on three connections, breaks it off. Engines that do not tell their start are judged by their connections as before. explain, the log and the metrics name the new evidence.

--- a/crates/entry/tests/gateway_explain.rs
+++ b/crates/entry/tests/gateway_explain.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use gateway::{Call, TestGateway, announce, start_engine, store_with_manifest, wait_for};
+use gateway::{
+    Call, TestGateway, announce, announce_process, start_engine, store_with_manifest, wait_for,
+};
 use oleander_operator::GatewayLogs;
 use oleander_standin::users::{EngineReply, PacedEnd, ScriptedEngine, SeenRequest, StoreMode};
 
@@ -65,15 +67,19 @@
 }
 
 /// Explains a stream of one event without a frame that may run once.
-fn explain_unframed(text: &'static str, end: PacedEnd) -> String {
+fn explain_unframed(text: &'static str, end: PacedEnd, started_ms: Option<u64>) -> String {
     let store = store_with_manifest();
-    let _engine = start_engine(&store, "i-1", "engines", move |request| {
+    let engine = start_engine(&store, "i-1", "engines", move |request| {
         EngineReply::Paced {
             pieces: vec![request.unframed_stream_head(), text.into()],
             interval: PACE,
             end,
         }
     });
+    if let Some(started_ms) = started_ms {
+        engine.set_start(started_ms);
+        announce_process(&store, "i-1", &engine, "v1", started_ms);
+    }
     let gateway = TestGateway::start(&store);
     let call = Call {
         path: "/draft/x",
@@ -105,7 +111,21 @@
         ),
     ];
     for (text, end, expected) in cases {
-        let explained = explain_unframed(text, end);
+        let explained = explain_unframed(text, end, None);
+        assert!(explained.contains(expected), "{explained}");
+    }
+    let told = [
+        (
+            PacedEnd::Close,
+            "counted as whole, because its process told that it still ran",
+        ),
+        (
+            PacedEnd::Restart,
+            "did not count as whole, because another process had its address",
+        ),
+    ];
+    for (end, expected) in told {
+        let explained = explain_unframed("id: 1\ndata: x\n\n", end, Some(1_000));
         assert!(explained.contains(expected), "{explained}");
     }
 }
--- a/crates/entry/tests/gateway_process_identity.rs
+++ b/crates/entry/tests/gateway_process_identity.rs
@@ -215,3 +215,47 @@
     }
     assert_eq!(play.first.report_queries(), 0);
 }
+
+/// Returns the head of a stream that ends with its connection, and its first events.
+fn unframed(request: &SeenRequest) -> Vec<Vec<u8>> {
+    let events = (1..=BREAK_EVENT).map(|id| SeenRequest::event_text(id).into_bytes());
+    std::iter::once(request.unframed_stream_head())
+        .chain(events)
+        .collect()
+}
+
+/// Returns an unframed stream whose engine ends as `end` says.
+fn unframed_stream(end: PacedEnd) -> (WireMessage, String, usize) {
+    let store = store_with_manifest();
+    let engine = ScriptedEngine::spawn(move |request| EngineReply::Paced {
+        pieces: unframed(request),
+        interval: Duration::from_millis(20),
+        end,
+    });
+    engine.set_start(REGISTERED);
+    announce_process(&store, "i-1", &engine, "v1", REGISTERED);
+    let gateway = TestGateway::start(&store);
+    let answer = gateway.caller().call(&Call {
+        path: "/draft/x",
+        ..Call::stream("a1")
+    });
+    let end = gateway.wait_log("unframed-end", |line| line["id"] == "a1");
+    let evidence = end["evidence"].as_str().unwrap_or_default().to_owned();
+    (answer, evidence, engine.report_queries())
+}
+
+// Guards against whole unframed streams that are cut: the process that the registry describes says that it outlived the end, on
+// the connection that was watched.
+#[test]
+fn an_unframed_stream_is_whole_if_its_process_tells_so_after_the_end() {
+    let (answer, evidence, queries) = unframed_stream(PacedEnd::Close);
+    assert_eq!((answer.is_whole, &*evidence, queries), (true, "told", 1));
+}
+
+// Guards against a broken unframed stream that ends as whole because another process accepts connections at once.
+#[test]
+fn an_unframed_stream_is_not_whole_if_another_process_answers_after_the_end() {
+    let (answer, evidence, queries) = unframed_stream(PacedEnd::Restart);
+    assert_eq!((answer.is_whole, &*evidence), (false, "replaced"));
+    assert!(queries <= 2, "{queries}");
+}
--- a/crates/entry/tests/gateway_unframed_review.rs
+++ b/crates/entry/tests/gateway_unframed_review.rs
@@ -6,7 +6,7 @@
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -27,11 +27,20 @@
 /// The body of an answer that is no stream.
 const BODY: &str = "a body";
 
+/// The start time of the process that the registry describes.
+const REGISTERED: u8 = 1;
+/// The start time of the process after it; both have one digit.
+const RESTARTED: u8 = 2;
+
 /// The connections of one engine.
 #[derive(Debug, Default)]
 struct Connections {
     /// Whether new connections are refused.
     refuses: AtomicBool,
+    /// Whether the process has ended, although its connections are not all seen to close.
+    has_ended: AtomicBool,
+    /// When the process started that is there now.
+    started_ms: AtomicU8,
     open: Mutex<Vec<Arc<TcpStream>>>,
 }
 
@@ -78,6 +87,7 @@
         .expect("a bound socket has an address");
     let script: Arc<Script> = Arc::new(script);
     let connections = Arc::new(Connections::default());
+    connections.started_ms.store(REGISTERED, Ordering::SeqCst);
     let used = Arc::new(AtomicUsize::new(0));
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -112,14 +122,24 @@
         .set_read_timeout(Some(rules.timeout))
         .expect("a socket takes a timeout");
     let mut reader = BufReader::new(stream);
-    if let Ok(Some(message)) = read_message(&mut reader) {
+    while let Ok(Some(message)) = read_message(&mut reader) {
+        if connections.has_ended.load(Ordering::SeqCst) {
+            return;
+        }
+        if message.start.starts_with("GET /report ") {
+            let started_ms = connections.started_ms.load(Ordering::SeqCst);
+            let report =
+                format!("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{{\"born\":{started_ms}}}");
+            write(stream, report.as_bytes());
+            continue;
+        }
         let request = SeenRequest {
             message,
             nth_on_connection: 0,
             nth: 0,
             at: Instant::now(),
         };
-        script(&request, stream, connections);
+        return script(&request, stream, connections);
     }
 }
 
@@ -238,6 +258,7 @@
     let (answer, evidence) = stream_once(rules, |request, stream, connections| {
         write(stream, &request.unframed_stream_head());
         write_events(stream, 1, BREAK_EVENT);
+        connections.has_ended.store(true, Ordering::SeqCst);
         connections.refuse(stream.local_addr().expect("it is connected"));
         let _ = stream.shutdown(Shutdown::Both);
         thread::sleep(RETRANSMISSION);
@@ -259,6 +280,7 @@
         write(stream, &request.unframed_stream_head());
         thread::sleep(8 * PACE);
         write_events(stream, 1, BREAK_EVENT);
+        connections.started_ms.store(RESTARTED, Ordering::SeqCst);
         connections.close_others(stream);
     });
     assert_eq!(answer.text(), events(1, BREAK_EVENT));
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,7 +21,7 @@
     HeadLimits, HttpConn, MAX_ANSWER_HEAD_BYTES, MAX_INTERIM_ANSWERS, TcpTimeouts,
 };
 use crate::late_answers::SkippedAnswers;
-use crate::liveness::{ConnectionEnd, EndEvidence, ProcessWatch};
+use crate::liveness::{ConnectionEnd, EndEvidence, ProcessWatch, WatchedProcess};
 use crate::prelude::*;
 use crate::process_query::{ExpectedProcess, MetProcess, ProcessNeed, query_process};
 
@@ -171,10 +171,14 @@
     /// Begins to watch the process that writes the answer, if nothing but the end of the connection will end it.
     ///
     /// This is for answers that are delivered. The end of a body that is dropped needs no evidence.
-    pub(crate) fn watch_process(&mut self, core: &Rc<GatewayCore>, address: SocketAddr) {
+    pub(crate) fn watch_process(
+        &mut self,
+        core: &Rc<GatewayCore>,
+        process: Option<WatchedProcess>,
+    ) {
         if self.head.framing == BodyFraming::UntilClose {
-            self.end_check = match self.key {
-                Some(key) => EndCheck::Process(ProcessWatch::open(core, key, address)),
+            self.end_check = match process {
+                Some(process) => EndCheck::Process(ProcessWatch::open(core, process)),
                 None => EndCheck::AlwaysBroken,
             };
         }
@@ -303,7 +307,7 @@
     for _ in 0..MAX_QUERIES {
         let mut opened = open_conn(core, plan).await?;
         match meet_process(core, &mut opened.conn, expected, plan.attempt_id).await {
-            MetProcess::Silent => {}
+            MetProcess::Silent | MetProcess::Lost => {}
             MetProcess::Expected => return Ok(opened),
             MetProcess::Untold if core.takes_resumes(expected.key) => return Ok(opened),
             _ if expected.need == ProcessNeed::Wanted => return Ok(opened),
@@ -326,7 +330,7 @@
     if process.link(conn.made_at) == ProcessLink::Proven {
         MetProcess::Expected
     } else if process.can_be_asked() {
-        query_process(core, conn, expected, attempt_id).await
+        query_process(core, conn, expected, Some(attempt_id)).await
     } else {
         MetProcess::Untold
     }
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -55,8 +55,10 @@
     Other,
     /// The backend server does not tell start times, in its answers or in its entry.
     Untold,
-    /// No answer came, or none that belongs to the query. The connection cannot be used any more.
+    /// Nothing came in time. The connection cannot be used any more.
     Silent,
+    /// The connection ended, or brought what does not belong to the query.
+    Lost,
 }
 
 impl MetProcess {
@@ -67,14 +69,15 @@
             Self::Other => "other",
             Self::Untold => "untold",
             Self::Silent => "silent",
+            Self::Lost => "lost",
         }
     }
 }
 
 #[derive(Debug, Serialize)]
 struct QueryFields<'a> {
-    /// The attempt for which the process was asked.
-    id: &'a str,
+    /// The attempt for which the process was asked; absent after the end of answers.
+    id: Option<&'a str>,
     backend: &'a str,
     expected_ms: Option<u64>,
     met_ms: Option<u64>,
@@ -86,13 +89,13 @@
     took_ms: f64,
 }
 
-/// Asks the process that a connection leads to for an attempt, and notes what its answer shows.
+/// Asks the process that a connection leads to, for an attempt if one needs it, and notes what its answer shows.
 /// The call needs no slot at the backend server.
 pub(crate) async fn query_process(
     core: &GatewayCore,
     conn: &mut HttpConn,
     expected: ExpectedProcess<'_>,
-    attempt_id: &str,
+    attempt_id: Option<&str>,
 ) -> MetProcess {
     let asked_at = monotonic_now();
     let told = match expected.started_ms {
@@ -103,7 +106,8 @@
         Ok(Some(started_ms)) if Some(*started_ms) == expected.started_ms => MetProcess::Expected,
         Ok(Some(_)) => MetProcess::Other,
         Ok(None) => MetProcess::Untold,
-        Err(_) => MetProcess::Silent,
+        Err(QueryError::Connection(ConnError::Silent)) => MetProcess::Silent,
+        Err(_) => MetProcess::Lost,
     };
     note_met(core, expected.key, met, asked_at);
     core.metrics.record_process_query(met.as_str());
@@ -121,7 +125,12 @@
         MetProcess::Expected => LineKind::Normal,
         _ => LineKind::Failure,
     };
-    core.log.request("process-asked", kind, attempt_id, fields);
+    core.log.request(
+        "process-asked",
+        kind,
+        attempt_id.unwrap_or_default(),
+        fields,
+    );
     met
 }
 
@@ -134,7 +143,7 @@
         MetProcess::Untold => {
             core.with_backend(key, |state| state.process.mark_untold());
         }
-        MetProcess::Silent => {}
+        MetProcess::Silent | MetProcess::Lost => {}
     }
 }
 
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -18,6 +18,7 @@
 use crate::brittle_news::on_rejected;
 use crate::core::SendGuard;
 use crate::exchange::{Exchange, SendError, SendPlan};
+use crate::liveness::WatchedProcess;
 use crate::port::SendHeaders;
 use crate::prelude::*;
 use crate::relay_targets::RelayTarget;
@@ -68,6 +69,16 @@
 }
 
 impl SendTarget {
+    /// Returns the process that writes the answer; absent at another gateway.
+    fn watched_process(&self) -> Option<WatchedProcess> {
+        Some(WatchedProcess {
+            key: self.key?,
+            id: Arc::clone(&self.id),
+            address: self.address,
+            started_ms: self.started_ms,
+        })
+    }
+
     pub(super) fn relay(gateway: &RelayTarget) -> Self {
         Self {
             key: None,
@@ -307,7 +318,7 @@
             self.record_failure(target, Verdict::Ran, &outcome, sent_at);
             return self.after_failed_run("the stream could not go on");
         }
-        answer.watch_process(self.core, target.address);
+        answer.watch_process(self.core, target.watched_process());
         if is_good && self.job.routed.route.repeat.is_stream() {
             return self.relay_stream(answer, guard, target, sent_at).await;
         }
