Processes are asked before each stream that may be resumed begins

Connections that are known to lead to the process are not asked again. An engine that has told its start and gives another answer once is not taken for one that never tells it; a process that says nothing for 0.5 s is left at once and counts as silence, as an attempt that timed out does.

--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -356,6 +356,15 @@
         member.is_some_and(|member| member.entry.address == address && member.version != version)
     }
 
+    /// Returns whether a process is known at the address of one of a service's backend servers that no entry describes,
+    /// so that its software version is not known.
+    pub fn has_unregistered_process(&self, service: &str) -> bool {
+        let members = self.service_keys(service).iter();
+        members
+            .filter_map(|key| self.members.get(key))
+            .any(|member| member.state.process.is_replaced())
+    }
+
     /// Notes that each entry, unless it lapsed, is of a process that still ran at a time.
     pub fn confirm_processes(&mut self, ran_at: MonoTime) {
         let members = self.members.values_mut();
--- a/crates/balance/src/process_identity.rs
+++ b/crates/balance/src/process_identity.rs
@@ -32,8 +32,8 @@
     ran_at: Option<MonoTime>,
     /// When another process was met at its address.
     replaced_at: Option<MonoTime>,
-    /// Whether the backend server does not tell its start time.
-    is_untold: bool,
+    /// Whether the backend server has told its start time, or does not tell it; `None` before it was asked.
+    tells_start: Option<bool>,
     doubt: ProcessDoubt,
 }
 
@@ -45,16 +45,23 @@
         self.doubt.on_entry(ran_at);
     }
 
+    /// Notes that the process told its start time when it was asked at a time.
+    pub fn on_told(&mut self, asked_at: MonoTime) {
+        self.tells_start = Some(true);
+        self.confirm(asked_at);
+    }
+
+    /// Notes that the backend server did not tell its start time; returns whether it counts as one that never does. One
+    /// that has told it before gave a bad answer.
+    pub fn on_untold(&mut self) -> bool {
+        !*self.tells_start.get_or_insert(false)
+    }
+
     /// Notes that another process was met at its address.
     pub fn mark_replaced(&mut self, now: MonoTime) {
         self.replaced_at = self.replaced_at.max(Some(now));
     }
 
-    /// Notes that the backend server does not tell its start time.
-    pub fn mark_untold(&mut self) {
-        self.is_untold = true;
-    }
-
     /// Notes a sign that the process has ended.
     pub fn raise_doubt(&mut self, now: MonoTime) {
         self.doubt.raise(now);
@@ -75,11 +82,16 @@
         self.doubt = ProcessDoubt::default();
     }
 
+    /// Returns whether another process was met at its address, which no entry describes yet.
+    pub fn is_replaced(&self) -> bool {
+        self.replaced_at.is_some()
+    }
+
     /// Returns whether a connection that was made at a time leads to the process.
     pub fn link(&self, connected_at: MonoTime) -> ProcessLink {
         if self.ran_at.is_some_and(|ran_at| connected_at <= ran_at) {
             ProcessLink::Proven
-        } else if self.replaced_at.is_some() || self.doubt.covers(connected_at) {
+        } else if self.is_replaced() || self.doubt.covers(connected_at) {
             ProcessLink::Doubtful
         } else {
             ProcessLink::Presumed
@@ -88,13 +100,13 @@
 
     /// Returns whether the backend server may tell its start time when it is asked.
     pub fn can_be_asked(&self) -> bool {
-        !self.is_untold
+        self.tells_start != Some(false)
     }
 
     /// Returns whether streams may go on at the backend server, if it proves to be the process where it can.
     pub fn takes_resumes(&self) -> bool {
-        let is_doubtful = self.is_untold && self.doubt.is_raised();
-        self.replaced_at.is_none() && !is_doubtful
+        let is_doubtful = !self.can_be_asked() && self.doubt.is_raised();
+        !self.is_replaced() && !is_doubtful
     }
 }
 
@@ -137,13 +149,22 @@
         identity.raise_doubt(MIDDLE);
         assert!(identity.takes_resumes() && identity.can_be_asked());
         assert_eq!(identity.link(LATE), ProcessLink::Doubtful);
-        identity.mark_untold();
+        assert!(identity.on_untold());
         assert!(!identity.takes_resumes() && !identity.can_be_asked());
         identity.confirm(LATE);
         assert!(identity.takes_resumes());
         assert_eq!(identity.link(LATE), ProcessLink::Proven);
     }
 
+    #[test]
+    fn a_backend_server_that_has_told_its_start_can_be_asked_again_after_a_bad_answer() {
+        let mut identity = ProcessIdentity::default();
+        identity.on_told(MIDDLE);
+        assert!(!identity.on_untold());
+        assert!(identity.can_be_asked());
+        assert_eq!(identity.link(MIDDLE), ProcessLink::Proven);
+    }
+
     #[test]
     fn signs_of_another_cause_are_forgotten_and_proofs_are_not() {
         let mut identity = ProcessIdentity::default();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -35,7 +35,7 @@
 const DOUBTFUL_PROCESS: &str = "the backend server's process may have ended";
 
 /// Why a request is not sent to a process that may be another one.
-const SILENT_PROCESS: &str = "the backend server's process did not tell its start time";
+const LOST_QUERIES: &str = "connections ended before the process told its start time";
 
 /// Why a send got no answer.
 #[derive(Debug, Error)]
@@ -50,6 +50,9 @@
     /// at its address.
     #[error("not sent: another process at its address")]
     OtherProcess,
+    /// No byte of the request left this process, because the process at the address did not tell its start time.
+    #[error("not sent: the process at its address says nothing")]
+    SilentProcess,
     /// The request left this process, and the connection brought no answer to it.
     #[error("no answer: {0}")]
     Unanswered(String),
@@ -61,7 +64,9 @@
 impl SendError {
     pub(crate) fn verdict(&self) -> Verdict {
         match self {
-            Self::NotSent(_) | Self::NotReached(_) | Self::OtherProcess => Verdict::NotRun,
+            Self::NotSent(_) | Self::NotReached(_) | Self::OtherProcess | Self::SilentProcess => {
+                Verdict::NotRun
+            }
             Self::Unanswered(_) | Self::TimedOut => Verdict::MayHaveRun,
         }
     }
@@ -307,7 +312,8 @@
     for _ in 0..MAX_QUERIES {
         let mut opened = open_conn(core, plan).await?;
         match meet_process(core, &mut opened.conn, expected, plan.attempt_id).await {
-            MetProcess::Silent | MetProcess::Lost => {}
+            MetProcess::Lost => {}
+            MetProcess::Silent => return Err(SendError::SilentProcess),
             MetProcess::Expected => return Ok(opened),
             MetProcess::Untold if core.takes_resumes(expected.key) => return Ok(opened),
             _ if expected.need == ProcessNeed::Wanted => return Ok(opened),
@@ -315,7 +321,7 @@
             MetProcess::Other => return Err(SendError::OtherProcess),
         }
     }
-    Err(SendError::NotSent(SILENT_PROCESS.to_owned()))
+    Err(SendError::NotSent(LOST_QUERIES.to_owned()))
 }
 
 /// Returns the process that a connection leads to, which is asked unless that is known.
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -103,13 +103,23 @@
         None => Ok(None),
     };
     let met = match &told {
+        Ok(None) if !counts_as_untold(core, expected.key) => MetProcess::Lost,
         Ok(Some(started_ms)) if Some(*started_ms) == expected.started_ms => MetProcess::Expected,
         Ok(Some(_)) => MetProcess::Other,
         Ok(None) => MetProcess::Untold,
         Err(QueryError::Connection(ConnError::Silent)) => MetProcess::Silent,
         Err(_) => MetProcess::Lost,
     };
-    note_met(core, expected.key, met, asked_at);
+    match met {
+        MetProcess::Expected => {
+            core.with_backend(expected.key, |state| state.process.on_told(asked_at));
+        }
+        MetProcess::Other => {
+            let mut fleet = core.fleet.borrow_mut();
+            fleet.mark_replaced(expected.key, monotonic_now());
+        }
+        MetProcess::Untold | MetProcess::Silent | MetProcess::Lost => {}
+    }
     core.metrics.record_process_query(met.as_str());
     let fields = QueryFields {
         id: attempt_id,
@@ -134,17 +144,10 @@
     met
 }
 
-fn note_met(core: &GatewayCore, key: BackendKey, met: MetProcess, asked_at: MonoTime) {
-    match met {
-        MetProcess::Expected => {
-            core.with_backend(key, |state| state.process.confirm(asked_at));
-        }
-        MetProcess::Other => core.fleet.borrow_mut().mark_replaced(key, monotonic_now()),
-        MetProcess::Untold => {
-            core.with_backend(key, |state| state.process.mark_untold());
-        }
-        MetProcess::Silent | MetProcess::Lost => {}
-    }
+/// Notes that a backend server did not tell its start time; returns whether it counts as one that never does.
+fn counts_as_untold(core: &GatewayCore, key: BackendKey) -> bool {
+    let is_untold = core.with_backend(key, |state| state.process.on_untold());
+    is_untold.unwrap_or(true)
 }
 
 /// Returns the start time that the process tells, if it tells one.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -271,7 +271,9 @@
                 self.record_broken(target, false, sent_at);
             }
             // A crash would have ended the connection.
-            SendError::TimedOut => self.record_out_of_reach(target, ReachFailure::Silence),
+            SendError::TimedOut | SendError::SilentProcess => {
+                self.record_out_of_reach(target, ReachFailure::Silence);
+            }
             SendError::NotSent(_) | SendError::OtherProcess => {}
         }
         if verdict == Verdict::NotRun {
--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -89,13 +89,11 @@
     }
 
     /// Returns the process that is asked who it is before the request is sent to it: one that goes on with a stream, or
-    /// that begins one which may have to go on while its service may have several software versions.
+    /// that begins one which may have to go on.
     pub(super) fn asked_process<'t>(&self, target: &'t SendTarget) -> Option<ExpectedProcess<'t>> {
         let key = target.key?;
-        let routed = &self.job.routed;
         let goes_on = self.origin.is_some();
-        let may_go_on = routed.route.repeat == RepeatKind::ResumableStream
-            && self.core.origins.is_mixed(&routed.service);
+        let may_go_on = self.job.routed.route.repeat == RepeatKind::ResumableStream;
         let need = match (goes_on, may_go_on) {
             (true, _) => ProcessNeed::Required,
             (false, true) => ProcessNeed::Wanted,
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -169,6 +169,11 @@
         *self.state.started_ms.lock() = Some(started_ms);
     }
 
+    /// Has the engine say nothing when it is asked for its report.
+    pub fn silence_reports(&self) {
+        *self.state.is_silent.lock() = true;
+    }
+
     /// Returns how often the engine was asked for its report.
     pub fn report_queries(&self) -> usize {
         *self.state.report_queries.lock()
@@ -237,6 +242,7 @@
     resets: Arc<Mutex<usize>>,
     started_ms: Arc<Mutex<Option<u64>>>,
     report_queries: Arc<Mutex<usize>>,
+    is_silent: Arc<Mutex<bool>>,
     connections: Arc<OpenConnections>,
 }
 
@@ -328,7 +334,8 @@
     let mut nth_on_connection = 0;
     while let Ok(Some(message)) = read_message(&mut reader) {
         if message.start.starts_with(REPORT_QUERY) {
-            if write(stream, &state.report()).is_err() {
+            let report = state.report();
+            if !*state.is_silent.lock() && write(stream, &report).is_err() {
                 return ServeEnd::Connection;
             }
             continue;
