A service with a process that no entry describes has no single version

A service counts as one of several versions while such a process is known. The test fails with the program of the commit before (200 where 503 is true) and passes.

--- a/crates/entry/tests/gateway_process_identity.rs
+++ b/crates/entry/tests/gateway_process_identity.rs
@@ -186,6 +186,17 @@
     assert_eq!((answer.status(), resumes(&second)), (503, 0));
 }
 
+// Guards against a stream of unknown origin that goes on at the only registered version although a process is known that no
+// entry describes.
+#[test]
+fn a_stream_of_unknown_origin_does_not_go_on_while_a_process_is_not_registered() {
+    let play = IdentityPlay::start(Versions::One, RESTARTED, held);
+    play.begin();
+    let second = play.add_second(REGISTERED);
+    let answer = play.resume_of("unknown");
+    assert_eq!((answer.status(), resumes(&second)), (503, 0));
+}
+
 // Guards against the same where the gateway itself resumes the stream.
 #[test]
 fn a_stream_of_such_a_process_is_not_resumed_within_its_answer() {
--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -256,6 +256,9 @@
         let now = monotonic_now();
         match self.history.borrow().span(service, now) {
             VersionSpan::Single(_) if !is_current(core, now) => VersionSpan::Unknown,
+            VersionSpan::Single(_) if core.fleet.borrow().has_unregistered_process(service) => {
+                VersionSpan::Mixed
+            }
             span => span,
         }
     }
