A query for the process that wrote an answer shows nothing of later ends

Found by reading: an answer that ended while the process was being asked for another one took over that result, although the process may have ended after it had told its start. No test: the two ends and the restart fall within one query.

--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -134,7 +134,7 @@
 #[derive(Debug, Clone, Copy)]
 struct QueryResult {
     met: MetProcess,
-    /// The end of an answer after which it was asked.
+    /// The last end of an answer before it was asked.
     due_at: MonoTime,
     /// Since when the connection is known on which it was asked; absent if there was none.
     opened_at: Option<MonoTime>,
@@ -223,14 +223,15 @@
             started_ms: process.started_ms,
             need: ProcessNeed::Wanted,
         };
+        let Some(due_at) = self.due_at.get() else {
+            return Some(idle);
+        };
         let met = query_process(core, &mut idle.conn, expected, None).await;
-        match met {
-            MetProcess::Lost => {
-                self.lose_query().await;
-                return None;
-            }
-            _ => self.end_query(met),
+        if met == MetProcess::Lost {
+            self.lose_query().await;
+            return None;
         }
+        self.end_query(met, due_at);
         (met != MetProcess::Silent).then_some(idle)
     }
 
@@ -241,26 +242,28 @@
             sleep(Duration::from(QUERY_RETRY_DELAY)).await;
         } else {
             self.set(MonitorState::Failed);
-            self.end_query(MetProcess::Lost);
+            let due_at = self.due_at.get().unwrap_or_default();
+            self.end_query(MetProcess::Lost, due_at);
         }
     }
 
-    /// Ends the query that is due.
-    fn end_query(&self, met: MetProcess) {
+    /// Ends the query that was due for the ends of answers up to a time. It shows nothing of later ends, for which
+    /// another query is due.
+    fn end_query(&self, met: MetProcess, due_at: MonoTime) {
         self.lost_queries.set(0);
         let opened_at = match self.state.get() {
             MonitorState::Open(opened_at) => Some(opened_at),
             MonitorState::Opening | MonitorState::Failed => None,
         };
-        if let Some(due_at) = self.due_at.take() {
-            let result = QueryResult {
-                met,
-                due_at,
-                opened_at,
-            };
-            self.result.set(Some(result));
-            self.changed.notify_waiters();
+        self.result.set(Some(QueryResult {
+            met,
+            due_at,
+            opened_at,
+        }));
+        if self.due_at.get() == Some(due_at) {
+            self.due_at.set(None);
         }
+        self.changed.notify_waiters();
     }
 
     /// Returns what comes of asking the process after an answer has ended.
