--- a/crates/entry/tests/gateway_process_identity.rs
+++ b/crates/entry/tests/gateway_process_identity.rs
@@ -25,14 +25,9 @@
 /// The start time of a later process under the same id.
 const RESTARTED: u64 = 2_000;
 
-fn resume_point(request: &SeenRequest) -> u64 {
-    let id = request.message.header("last-event-id");
-    id.map_or(0, |id| id.parse().expect("an event id is a number"))
-}
-
 /// Returns the head of a stream and its events after the resume point, up to and including `to`.
 fn pieces(request: &SeenRequest, to: u64) -> Vec<Vec<u8>> {
-    let events = (resume_point(request) + 1..=to).map(SeenRequest::event);
+    let events = (request.resume_point() + 1..=to).map(SeenRequest::event);
     std::iter::once(request.stream_head())
         .chain(events)
         .collect()
@@ -69,7 +64,7 @@
 fn resumes(engine: &ScriptedEngine) -> usize {
     let seen = engine.seen();
     seen.iter()
-        .filter(|request| resume_point(request) > 0)
+        .filter(|request| request.resume_point() > 0)
         .count()
 }
 
--- a/crates/entry/tests/gateway_streams.rs
+++ b/crates/entry/tests/gateway_streams.rs
@@ -28,11 +28,6 @@
     EngineReply::Bytes(bytes)
 }
 
-fn resume_point(request: &SeenRequest) -> u64 {
-    let id = request.message.header("last-event-id");
-    id.map_or(0, |id| id.parse().expect("an event id is a number"))
-}
-
 fn call_once(gateway: &TestGateway, id: &str) -> WireMessage {
     gateway.caller().call(&Call {
         path: ONCE_PATH,
@@ -98,7 +93,7 @@
 #[test]
 fn an_unframed_stream_that_ends_inside_an_event_goes_on_at_another_engine() {
     let store = store_with_manifest();
-    let script = |request: &SeenRequest| match resume_point(request) {
+    let script = |request: &SeenRequest| match request.resume_point() {
         0 => unframed(request, &format!("{}id: 3\ndata: pie", events(1, 2))),
         last => unframed(request, &events(last + 1, 4)),
     };
--- a/crates/entry/tests/gateway_unframed_ends.rs
+++ b/crates/entry/tests/gateway_unframed_ends.rs
@@ -21,11 +21,6 @@
 /// The pieces of an answer that is no stream.
 const BODY: [&str; 3] = ["a body ", "in three ", "pieces"];
 
-fn resume_point(request: &SeenRequest) -> u64 {
-    let id = request.message.header("last-event-id");
-    id.map_or(0, |id| id.parse().expect("an event id is a number"))
-}
-
 /// Returns the text of the events from `from` up to and including `to`.
 fn events(from: u64, to: u64) -> String {
     (from..=to).map(SeenRequest::event_text).collect()
@@ -33,7 +28,7 @@
 
 /// Returns a stream up to the event `to` that ends with its connection.
 fn stream_up_to(request: &SeenRequest, to: u64, end: PacedEnd) -> EngineReply {
-    let events = (resume_point(request) + 1..=to).map(|id| SeenRequest::event_text(id).into());
+    let events = (request.resume_point() + 1..=to).map(|id| SeenRequest::event_text(id).into());
     EngineReply::Paced {
         pieces: std::iter::once(request.unframed_stream_head())
             .chain(events)
@@ -79,7 +74,7 @@
 fn first_breaks(
     end: PacedEnd,
 ) -> impl Fn(&SeenRequest) -> EngineReply + Send + Sync + Clone + 'static {
-    move |request| match resume_point(request) {
+    move |request| match request.resume_point() {
         0 => stream_up_to(request, BREAK_EVENT, end),
         _ => stream_up_to(request, LAST_EVENT, PacedEnd::Close),
     }
@@ -214,7 +209,7 @@
 #[test]
 fn an_unframed_stream_whose_engine_leaves_after_the_last_event_is_whole() {
     let store = store_with_manifest();
-    let script = |request: &SeenRequest| match resume_point(request) {
+    let script = |request: &SeenRequest| match request.resume_point() {
         0 => stream_up_to(request, LAST_EVENT, PacedEnd::Crash),
         _ => stream_up_to(request, LAST_EVENT, PacedEnd::Close),
     };
--- a/crates/entry/tests/gateway_unframed_review.rs
+++ b/crates/entry/tests/gateway_unframed_review.rs
@@ -161,11 +161,6 @@
     (from..=to).map(SeenRequest::event_text).collect()
 }
 
-fn resume_point(request: &SeenRequest) -> u64 {
-    let id = request.message.header("last-event-id");
-    id.map_or(0, |id| id.parse().expect("an event id is a number"))
-}
-
 /// Sends a stream that must not go on elsewhere to one engine, and returns what its caller receives with the
 /// evidence.
 fn stream_once(
@@ -300,7 +295,7 @@
 #[test]
 fn a_stream_that_broke_inside_an_event_is_not_whole_after_an_answer_without_events() {
     let store = store_with_manifest();
-    let script = |request: &SeenRequest| match resume_point(request) {
+    let script = |request: &SeenRequest| match request.resume_point() {
         0 => unframed(request, &format!("{}id: 4\nda", events(1, BREAK_EVENT))),
         _ => unframed(request, ""),
     };
--- a/crates/entry/tests/gateway_version_ends.rs
+++ b/crates/entry/tests/gateway_version_ends.rs
@@ -23,14 +23,9 @@
 /// The pause between two pieces in which the registry is changed and read.
 const LONG_PACE: Duration = Duration::from_millis(400);
 
-fn resume_point(request: &SeenRequest) -> u64 {
-    let id = request.message.header("last-event-id");
-    id.map_or(0, |id| id.parse().expect("an event id is a number"))
-}
-
 /// Returns the head of a stream and its events after the resume point, up to and including `to`.
 fn pieces(request: &SeenRequest, to: u64) -> Vec<Vec<u8>> {
-    let events = (resume_point(request) + 1..=to).map(SeenRequest::event);
+    let events = (request.resume_point() + 1..=to).map(SeenRequest::event);
     std::iter::once(request.stream_head())
         .chain(events)
         .collect()
@@ -67,7 +62,7 @@
 fn resumes(engine: &ScriptedEngine) -> usize {
     let seen = engine.seen();
     seen.iter()
-        .filter(|request| resume_point(request) > 0)
+        .filter(|request| request.resume_point() > 0)
         .count()
 }
 
@@ -206,7 +201,7 @@
 // Guards against an engine that takes part in no resume although another stream of its process goes on.
 #[test]
 fn a_stream_goes_on_at_an_engine_one_of_whose_connections_broke() {
-    let play = VersionPlay::start(|request| match (resume_point(request), request.nth) {
+    let play = VersionPlay::start(|request| match (request.resume_point(), request.nth) {
         (0, 0) => EngineReply::Steady {
             first: request.stream_head(),
             next_event: 1,
@@ -228,7 +223,7 @@
 // version that the registry still names.
 #[test]
 fn a_stream_that_begins_after_its_engines_process_has_ended_has_no_certain_version() {
-    let play = VersionPlay::start(restarts(|request| match resume_point(request) {
+    let play = VersionPlay::start(restarts(|request| match request.resume_point() {
         0 => held(request),
         _ => full(request),
     }));
--- a/crates/entry/tests/gateway_versions.rs
+++ b/crates/entry/tests/gateway_versions.rs
@@ -33,7 +33,7 @@
             for number in 1..=2 {
                 let begun = Mutex::new(BTreeSet::new());
                 let engine = ScriptedEngine::spawn(move |request| {
-                    if resume_point(request) == 0 {
+                    if request.resume_point() == 0 {
                         begun.lock().unwrap().insert(header(request, "attempt-id"));
                     } else if begun.lock().unwrap().contains(&header(request, "resumes")) {
                         return EngineReply::Bytes(FULL.to_vec());
@@ -80,11 +80,6 @@
     format!("Model: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: {part:x}:1400,{part:x}0:60\r\n")
 }
 
-fn resume_point(request: &SeenRequest) -> u64 {
-    let id = request.message.header("last-event-id");
-    id.map_or(0, |id| id.parse().expect("an event id is a number"))
-}
-
 /// Returns the events from `from` up to and including `to`, without the end of the stream.
 fn part_of_stream(request: &SeenRequest, from: u64, to: u64) -> Vec<u8> {
     let mut bytes = request.stream_head();
@@ -95,14 +90,14 @@
 }
 
 fn rest_of_stream(request: &SeenRequest) -> EngineReply {
-    let mut bytes = part_of_stream(request, resume_point(request) + 1, LAST_EVENT);
+    let mut bytes = part_of_stream(request, request.resume_point() + 1, LAST_EVENT);
     bytes.extend(b"0\r\n\r\n");
     EngineReply::Bytes(bytes)
 }
 
 /// Breaks each new stream after its second event, and completes those that go on.
 fn break_new(request: &SeenRequest) -> EngineReply {
-    match resume_point(request) {
+    match request.resume_point() {
         0 => EngineReply::BytesThenReset(part_of_stream(request, 1, 2)),
         _ => rest_of_stream(request),
     }
@@ -110,7 +105,7 @@
 
 /// Falls silent after the second event of each new stream, and completes those that go on.
 fn hold_new(request: &SeenRequest) -> EngineReply {
-    match resume_point(request) {
+    match request.resume_point() {
         0 => EngineReply::BytesThenSilence(part_of_stream(request, 1, 2)),
         _ => rest_of_stream(request),
     }
@@ -118,7 +113,7 @@
 
 /// Falls silent after one event, whether the stream is new or goes on.
 fn hold_all(request: &SeenRequest) -> EngineReply {
-    let next = resume_point(request) + 1;
+    let next = request.resume_point() + 1;
     EngineReply::BytesThenSilence(part_of_stream(request, next, next))
 }
 
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -27,6 +27,12 @@
 }
 
 impl SeenRequest {
+    /// Returns the id of the last event that the caller has; 0 if the request begins a stream.
+    pub fn resume_point(&self) -> u64 {
+        let id = self.message.header("last-event-id");
+        id.map_or(0, |id| id.parse().expect("an event id is a number"))
+    }
+
     /// Returns a complete answer with the request's attempt id and the engine's signature.
     pub fn answer(&self, body: &str) -> Vec<u8> {
         let id = self.message.header("attempt-id").unwrap_or("");
