--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,8 +21,9 @@
     HeadLimits, HttpConn, MAX_ANSWER_HEAD_BYTES, MAX_INTERIM_ANSWERS, TcpTimeouts,
 };
 use crate::late_answers::SkippedAnswers;
-use crate::liveness::{ConnectionEnd, EndEvidence, ProcessWatch, WatchedProcess};
+use crate::liveness::{ConnectionEnd, EndEvidence, ProcessWatch};
 use crate::prelude::*;
+use crate::process_monitor::WatchedProcess;
 use crate::process_query::{ExpectedProcess, MetProcess, ProcessNeed, query_process};
 
 /// The timeout of connecting to a backend server or another gateway.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod platform_view;
 pub mod port;
 mod process;
+mod process_monitor;
 mod process_query;
 mod quarantine;
 mod read_ahead;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -18,9 +18,9 @@
 use crate::brittle_news::on_rejected;
 use crate::core::SendGuard;
 use crate::exchange::{Exchange, SendError, SendPlan};
-use crate::liveness::WatchedProcess;
 use crate::port::SendHeaders;
 use crate::prelude::*;
+use crate::process_monitor::WatchedProcess;
 use crate::relay_targets::RelayTarget;
 use crate::slots::count_rejection;
 
