The origin of a stream at a doubtful process is told before its first event

The record is made when the answer's head has come. No test of its own: it needs a gateway that asks neither the first one nor a replica in time.

One that can be asked has to prove its process anyway, so it stays eligible.

--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -57,6 +57,15 @@
         Ok(())
     }
 
+    /// Records that the stream will have no certain version if it begins at a process that may be another one. Its
+    /// caller may come to another gateway as soon as it has the first event, before a record made then is there.
+    pub(super) fn record_doubtful_origin(&self, target: &SendTarget, answer: &Exchange) {
+        let is_doubtful = answer.process_link(self.core) == ProcessLink::Doubtful;
+        if is_doubtful && target.key.is_some() && !self.is_head_sent {
+            self.share_origin(VersionId::UNCERTAIN);
+        }
+    }
+
     /// Takes back the version of a stream whose backend server turns out to have started again with other software.
     pub(super) fn check_origin(&mut self, target: &SendTarget, answer: &Exchange) {
         let is_bound = self
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -137,6 +137,7 @@
         let mut held = HeldBytes::open(self.core);
         let may_be_empty = std::mem::take(&mut self.may_be_complete);
         self.open_outlet();
+        self.record_doubtful_origin(target, &answer);
         loop {
             let limit = self.stream_timeout(target).min(self.time_left());
             let piece = match self.next_piece(limit, &mut answer).await {
