Engines that know no report serve streams

An engine that answers with a stream, or that has told its start never and lets three queries pass, counts as one that does not tell it, and its signs decide.

--- a/crates/balance/src/process_identity.rs
+++ b/crates/balance/src/process_identity.rs
@@ -14,6 +14,10 @@
 
 use crate::process_doubt::ProcessDoubt;
 
+/// After how many queries without an answer in time a backend server that has told its start to no one here counts as one
+/// that does not tell it.
+const MAX_SILENCES: u8 = 3;
+
 /// The relation of a connection's process to the one that the registry entry describes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProcessLink {
@@ -34,6 +38,8 @@
     replaced_at: Option<MonoTime>,
     /// Whether the backend server has told its start time, or does not tell it; `None` before it was asked.
     tells_start: Option<bool>,
+    /// The number of queries without an answer in time.
+    silences: u8,
     doubt: ProcessDoubt,
 }
 
@@ -57,6 +63,14 @@
         !*self.tells_start.get_or_insert(false)
     }
 
+    /// Notes that no answer came in time when the backend server was asked.
+    pub fn on_silence(&mut self) {
+        self.silences = self.silences.saturating_add(1);
+        if self.silences >= MAX_SILENCES {
+            self.on_untold();
+        }
+    }
+
     /// Notes that another process was met at its address.
     pub fn mark_replaced(&mut self, now: MonoTime) {
         self.replaced_at = self.replaced_at.max(Some(now));
@@ -165,6 +179,17 @@
         assert_eq!(identity.link(MIDDLE), ProcessLink::Proven);
     }
 
+    #[test]
+    fn a_backend_server_that_never_answers_queries_is_asked_a_few_times() {
+        let mut identity = ProcessIdentity::default();
+        for _ in 1..MAX_SILENCES {
+            identity.on_silence();
+            assert!(identity.can_be_asked());
+        }
+        identity.on_silence();
+        assert!(!identity.can_be_asked() && identity.takes_resumes());
+    }
+
     #[test]
     fn signs_of_another_cause_are_forgotten_and_proofs_are_not() {
         let mut identity = ProcessIdentity::default();
--- a/crates/entry/tests/gateway_process_identity.rs
+++ b/crates/entry/tests/gateway_process_identity.rs
@@ -246,6 +246,31 @@
     assert_eq!(play.first.report_queries(), 1);
 }
 
+// Guards against engines that serve no stream because they take the query for a request, or never answer it.
+#[test]
+fn streams_begin_at_engines_that_know_no_report() {
+    let never_tells: [fn(&ScriptedEngine); 2] = [
+        ScriptedEngine::script_reports,
+        ScriptedEngine::silence_reports,
+    ];
+    for set in never_tells {
+        let play = IdentityPlay::start(Versions::One, REGISTERED, whole);
+        set(&play.first);
+        let mut tries = 0;
+        wait_for("a stream begins", || {
+            tries += 1;
+            let id = format!("a{tries}");
+            play.gateway.caller().call(&Call::stream(&id)).status() == 200
+        });
+        let asked = play.first.report_queries();
+        assert_eq!(
+            play.gateway.caller().call(&Call::stream("b1")).status(),
+            200
+        );
+        assert_eq!(play.first.report_queries(), asked);
+    }
+}
+
 /// Returns the head of a stream that ends with its connection, and its first events.
 fn unframed(request: &SeenRequest) -> Vec<Vec<u8>> {
     let events = (1..=BREAK_EVENT).map(|id| SeenRequest::event_text(id).into_bytes());
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -25,6 +25,12 @@
 /// How long a process may take to tell its start time.
 const QUERY_TIMEOUT: Span = Span::from_millis(500);
 
+/// The header that names the form of a body.
+const CONTENT_TYPE: &str = "Content-Type";
+
+/// The form of a stream of events, which is no report.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// How much a request needs the process that is expected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ProcessNeed {
@@ -108,6 +114,10 @@
         Ok(Some(_)) => MetProcess::Other,
         Ok(None) => MetProcess::Untold,
         Err(QueryError::Connection(ConnError::Silent)) => MetProcess::Silent,
+        Err(QueryError::Stream) => {
+            counts_as_untold(core, expected.key);
+            MetProcess::Lost
+        }
         Err(_) => MetProcess::Lost,
     };
     match met {
@@ -118,7 +128,10 @@
             let mut fleet = core.fleet.borrow_mut();
             fleet.mark_replaced(expected.key, monotonic_now());
         }
-        MetProcess::Untold | MetProcess::Silent | MetProcess::Lost => {}
+        MetProcess::Silent => {
+            core.with_backend(expected.key, |state| state.process.on_silence());
+        }
+        MetProcess::Untold | MetProcess::Lost => {}
     }
     core.metrics.record_process_query(met.as_str());
     let fields = QueryFields {
@@ -175,6 +188,9 @@
     };
     let bytes = conn.read_head(&limits).await?;
     let head = AnswerHead::parse(bytes, "GET")?;
+    if head.headers.text(CONTENT_TYPE) == Some(EVENT_STREAM) {
+        return Err(QueryError::Stream);
+    }
     let body = read_body(conn, &head, MAX_SHORT_ANSWER_BYTES).await?;
     if core.port.decode_answer(&head).attempt_id.is_some() {
         return Err(QueryError::LateAnswer);
@@ -194,6 +210,9 @@
     Head(#[from] HeadError),
     #[error(transparent)]
     Body(#[from] StoreError),
+    /// The backend server took the query for a request.
+    #[error("a stream of events came instead of a report")]
+    Stream,
     /// Another request's answer came instead.
     #[error("an answer to an earlier request came")]
     LateAnswer,
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -175,6 +175,11 @@
         *self.state.started_ms.lock() = Some(started_ms);
     }
 
+    /// Has the engine take a query for its report as any other request.
+    pub fn script_reports(&self) {
+        *self.state.scripts_reports.lock() = true;
+    }
+
     /// Has the engine say nothing when it is asked for its report.
     pub fn silence_reports(&self) {
         *self.state.is_silent.lock() = true;
@@ -249,6 +254,7 @@
     started_ms: Arc<Mutex<Option<u64>>>,
     report_queries: Arc<Mutex<usize>>,
     is_silent: Arc<Mutex<bool>>,
+    scripts_reports: Arc<Mutex<bool>>,
     connections: Arc<OpenConnections>,
 }
 
@@ -339,7 +345,7 @@
     let mut reader = BufReader::new(stream);
     let mut nth_on_connection = 0;
     while let Ok(Some(message)) = read_message(&mut reader) {
-        if message.start.starts_with(REPORT_QUERY) {
+        if message.start.starts_with(REPORT_QUERY) && !*state.scripts_reports.lock() {
             let report = state.report();
             if !*state.is_silent.lock() && write(stream, &report).is_err() {
                 return ServeEnd::Connection;
