--- a/crates/balance/src/backend_state.rs
+++ b/crates/balance/src/backend_state.rs
@@ -85,7 +85,7 @@
     pub rejection_limit: RejectionLimit,
     /// The state that decides whether requests need leases on its memory.
     pub memory: MemoryGuard,
-    /// What is known of the process that its registry entry describes.
+    /// The identity of the process that its registry entry describes.
     pub process: ProcessIdentity,
     /// The number of its slots, by its registry entry.
     pub slots: u32,
--- a/crates/balance/src/process_identity.rs
+++ b/crates/balance/src/process_identity.rs
@@ -29,7 +29,7 @@
     Doubtful,
 }
 
-/// What is known of the process that a registry entry describes.
+/// The proofs and signs of the process that a registry entry describes.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ProcessIdentity {
     /// The latest time at which it is known to have run.
--- a/crates/gateway/src/process_monitor.rs
+++ b/crates/gateway/src/process_monitor.rs
@@ -74,7 +74,7 @@
     pub(crate) started_ms: Option<u64>,
 }
 
-/// What came of asking the process.
+/// The result of asking the process.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct QueryResult {
     pub(crate) met: MetProcess,
