Logs tell a silent process from one whose connection stayed open, and a query that was not made

Cause: an end of an unframed answer that counts as whole after a query without an answer was logged like one that the connections showed, and a stream that is sent without a query left no line. Change: evidence 'silent' in unframed-end, line process-unasked and label 'unasked' of gateway.process.queries. No decision changes. Measured: clippy clean; the tests of this area are unchanged by it.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -24,7 +24,7 @@
 use crate::liveness::{ConnectionEnd, EndEvidence, ProcessWatch};
 use crate::prelude::*;
 use crate::process_monitor::WatchedProcess;
-use crate::process_query::{ExpectedProcess, MetProcess, ProcessNeed, query_process};
+use crate::process_query::{ExpectedProcess, MetProcess, ProcessNeed, query_process, skip_query};
 
 /// The timeout of connecting to a backend server or another gateway.
 const CONNECT_TIMEOUT: Span = Span::from_millis(300);
@@ -339,6 +339,7 @@
     } else if process.can_be_asked() {
         query_process(core, conn, expected, Some(attempt_id)).await
     } else {
+        skip_query(core, expected, attempt_id);
         MetProcess::Untold
     }
 }
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -35,6 +35,8 @@
     Replaced,
     /// An idle connection was open before the end and stayed open.
     StayedOpen,
+    /// Nothing came in time on a connection that was open before the end.
+    Silent,
     /// There was no idle connection before the end, and a new one was accepted.
     Accepted,
     /// An idle connection was closed together with the answer's.
@@ -46,7 +48,10 @@
 impl EndEvidence {
     /// Returns whether the process counts as still running after the end, so that it ended the answer itself.
     pub(crate) fn is_alive(self) -> bool {
-        matches!(self, Self::Told | Self::StayedOpen | Self::Accepted)
+        matches!(
+            self,
+            Self::Told | Self::StayedOpen | Self::Silent | Self::Accepted
+        )
     }
 
     /// Returns the name for logs and metrics.
@@ -55,6 +60,7 @@
             Self::Told => "told",
             Self::Replaced => "replaced",
             Self::StayedOpen => "stayed-open",
+            Self::Silent => "silent",
             Self::Accepted => "accepted",
             Self::ClosedTogether => "closed-together",
             Self::Unreachable => "unreachable",
@@ -99,7 +105,7 @@
                 MetProcess::Untold => {}
                 // The connections of a process that stands still stay open.
                 MetProcess::Silent if result.was_open_before(end) => {
-                    return EndEvidence::StayedOpen;
+                    return EndEvidence::Silent;
                 }
                 MetProcess::Silent | MetProcess::Lost => {
                     return match self.monitor.closed_with(end) {
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -95,6 +95,14 @@
     took_ms: f64,
 }
 
+#[derive(Debug, Serialize)]
+struct SkipFields<'a> {
+    /// The attempt for which the process is not asked.
+    id: &'a str,
+    backend: &'a str,
+    expected_ms: Option<u64>,
+}
+
 /// Asks the process that a connection leads to, for an attempt if one needs it, and notes what its answer shows.
 /// The call needs no slot at the backend server.
 pub(crate) async fn query_process(
@@ -157,6 +165,20 @@
     met
 }
 
+/// Notes that a process is not asked for an attempt because its backend server counts as one that does not tell its
+/// start time.
+pub(crate) fn skip_query(core: &GatewayCore, expected: ExpectedProcess<'_>, attempt_id: &str) {
+    core.metrics.record_process_query("unasked");
+    let fields = SkipFields {
+        id: attempt_id,
+        backend: expected.id,
+        expected_ms: expected.started_ms,
+    };
+    let kind = LineKind::Normal;
+    core.log
+        .request("process-unasked", kind, attempt_id, fields);
+}
+
 /// Notes that a backend server did not tell its start time; returns whether it counts as one that never does.
 fn counts_as_untold(core: &GatewayCore, key: BackendKey) -> bool {
     let is_untold = core.with_backend(key, |state| state.process.on_untold());
--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -289,6 +289,10 @@
             (_, Some(broken_by)) => ("did not count", broken_by),
             (Some("told"), None) => ("counted", "its process told that it still ran"),
             (Some("stayed-open"), None) => ("counted", "another connection to it stayed open"),
+            (Some("silent"), None) => (
+                "counted",
+                "another connection to it stayed open, on which it said nothing",
+            ),
             (Some("accepted"), None) => ("counted", "it took a new connection"),
             _ => ("counted", "of no stated evidence"),
         };
