Failing tests: processes that cannot be heard

Three queries without an answer, and an end after which the process says nothing, are taken for answers. The soak has engines that end and start again behind a silent link, runs with all engines behind links, and takes the number of callers from the environment. The scripted engine can delay its reports and report again after a silence.

--- a/crates/entry/tests/gateway_order_soak.rs
+++ b/crates/entry/tests/gateway_order_soak.rs
@@ -1,8 +1,9 @@
 //! A soak of real processes: gateways and engines that are killed, paused and replaced, callers that resume their
 //! streams, and a checker of what they receive.
 //!
-//! `OLEANDERPLANK_SOAK_SEED`, `OLEANDERPLANK_SOAK_COUNT` and `OLEANDERPLANK_SOAK_SECONDS` choose the first seed, the
-//! number of seeds and the length of a run. `OLEANDERPLANK_PROGRAM` names another gateway program.
+//! `OLEANDERPLANK_SOAK_SEED`, `OLEANDERPLANK_SOAK_COUNT`, `OLEANDERPLANK_SOAK_SECONDS` and `OLEANDERPLANK_SOAK_CALLERS`
+//! choose the first seed, the number of seeds, the length of a run and the number of callers. `OLEANDERPLANK_PROGRAM`
+//! names another gateway program.
 
 mod gateway;
 mod order_soak;
@@ -14,7 +15,7 @@
 use order_soak::caller::{SoakCaller, stagger};
 use order_soak::checker::{self, Fault, Runs};
 use order_soak::engine;
-use order_soak::fleet::Fleet;
+use order_soak::fleet::{Fleet, Links};
 use order_soak::outcome::Outcome;
 use order_soak::shape::{self, Framing};
 use order_soak::trace::{Attempt, End, Event, Kind, Trace};
@@ -24,6 +25,28 @@
 /// The number of callers.
 const CALLERS: u64 = 24;
 
+/// What a soak plays unless the environment says otherwise.
+#[derive(Debug, Clone, Copy)]
+struct SoakPlan {
+    seed: u64,
+    run_seconds: u64,
+    callers: u64,
+    choices: &'static [Trouble],
+    links: Links,
+}
+
+impl SoakPlan {
+    /// Returns the plan as the environment changes it.
+    fn adjusted(self) -> Self {
+        Self {
+            seed: from_environment("OLEANDERPLANK_SOAK_SEED", self.seed),
+            run_seconds: from_environment("OLEANDERPLANK_SOAK_SECONDS", self.run_seconds),
+            callers: from_environment("OLEANDERPLANK_SOAK_CALLERS", self.callers),
+            ..self
+        }
+    }
+}
+
 fn from_environment(name: &str, otherwise: u64) -> u64 {
     let text = std::env::var(name).ok();
     text.map_or(otherwise, |text| text.parse().expect("a whole number"))
@@ -35,11 +58,12 @@
     engine::serve_if_asked();
 }
 
-/// Plays the faults of a seed and returns what callers received.
-fn play(seed: u64, length: Duration, choices: &'static [Trouble]) -> Outcome {
+/// Plays the faults of a plan's seed and returns what callers received.
+fn play(plan: SoakPlan) -> Outcome {
     gateway::reuse_ports();
-    let fleet = Fleet::start();
-    let troubles = TroubleMaker::new(&fleet, seed, choices);
+    let fleet = Fleet::start(plan.links);
+    let (seed, length) = (plan.seed, Duration::from_secs(plan.run_seconds));
+    let troubles = TroubleMaker::new(&fleet, seed, plan.choices);
     let traces: Vec<Trace> = thread::scope(|scope| {
         let (fleet, troubles) = (&fleet, &troubles);
         scope.spawn(|| fleet.keep_registry());
@@ -52,7 +76,7 @@
                 SoakCaller::new(fleet, seed, number).run()
             })
         };
-        let callers: Vec<_> = (0..CALLERS).map(spawn).collect();
+        let callers: Vec<_> = (0..plan.callers).map(spawn).collect();
         let traces = callers
             .into_iter()
             .map(|caller| caller.join().expect("a caller ends"));
@@ -65,15 +89,14 @@
 }
 
 /// Plays as many seeds as the environment names and fails if one of them breaks a rule.
-fn play_all(first_seed: u64, run_seconds: u64, choices: &'static [Trouble]) {
+fn play_all(plan: SoakPlan) {
     /// Runs share the ports of this process.
     static ONE_RUN: Mutex<()> = Mutex::new(());
     let _one_run = ONE_RUN.lock();
-    let first = from_environment("OLEANDERPLANK_SOAK_SEED", first_seed);
     let count = from_environment("OLEANDERPLANK_SOAK_COUNT", 1);
-    let seconds = from_environment("OLEANDERPLANK_SOAK_SECONDS", run_seconds);
-    let length = Duration::from_secs(seconds);
-    let outcomes = (first..first + count).map(|seed| play(seed, length, choices));
+    let plan = plan.adjusted();
+    let seeds = plan.seed..plan.seed + count;
+    let outcomes = seeds.map(|seed| play(SoakPlan { seed, ..plan }));
     let broken: Vec<String> = outcomes
         .filter(|outcome| outcome.breaks_rules() || !outcome.has_delivered())
         .map(|outcome| outcome.to_string())
@@ -89,18 +112,40 @@
 // paused and replaced and connections fail.
 #[test]
 fn what_callers_receive_is_in_order_and_whole_while_processes_are_killed() {
-    const SEED: u64 = 51;
-    const RUN_SECONDS: u64 = 35;
-    play_all(SEED, RUN_SECONDS, &trouble::FAULTS);
+    play_all(SoakPlan {
+        seed: 51,
+        run_seconds: 35,
+        callers: CALLERS,
+        choices: &trouble::FAULTS,
+        links: Links::Half,
+    });
 }
 
 // Guards against streams that go on at another software version because the engine at a known id and address has started
 // again with it, which gateways learn from the registry later.
 #[test]
 fn streams_stay_at_their_version_while_engines_start_again_at_another() {
-    const SEED: u64 = 52;
-    const RUN_SECONDS: u64 = 15;
-    play_all(SEED, RUN_SECONDS, &trouble::UPGRADES);
+    play_all(SoakPlan {
+        seed: 52,
+        run_seconds: 15,
+        callers: CALLERS,
+        choices: &trouble::UPGRADES,
+        links: Links::Half,
+    });
+}
+
+// Guards against short answers that end as whole, and streams of two versions, because an engine that cannot be heard is taken
+// for one that stands still or that never tells its start.
+#[test]
+fn answers_are_whole_and_of_one_version_while_engines_start_again_behind_silent_links() {
+    const MANY_CALLERS: u64 = 60;
+    play_all(SoakPlan {
+        seed: 53,
+        run_seconds: 20,
+        callers: MANY_CALLERS,
+        choices: &trouble::SILENT_UPGRADES,
+        links: Links::All,
+    });
 }
 
 /// Returns a name of a stream of at least ten events whose first attempt has the framing.
--- a/crates/entry/tests/gateway_process_identity.rs
+++ b/crates/entry/tests/gateway_process_identity.rs
@@ -14,6 +14,8 @@
     EngineReply, PacedEnd, ScriptedEngine, SeenRequest, UsersStore, WireMessage,
 };
 
+/// The number of queries without an answer after which a gateway may count on none.
+const QUERIES: usize = 3;
 /// The id of the last event of a whole stream.
 const LAST_EVENT: u64 = 4;
 /// The id of the last event before a stream breaks or halts.
@@ -133,6 +135,18 @@
         second
     }
 
+    /// Has streams be refused at `i-1` until it has been silent as often as a gateway asks in a row.
+    fn ask_silent_first(&self) {
+        self.first.silence_reports();
+        let mut tries = 0;
+        wait_for("it is asked", || {
+            tries += 1;
+            let id = format!("s{tries}");
+            self.gateway.caller().call(&Call::stream(&id));
+            self.first.report_queries() >= QUERIES
+        });
+    }
+
     /// Resumes the stream `a1`.
     fn resume(&self) -> WireMessage {
         self.resume_of("a1")
@@ -140,7 +154,12 @@
 
     /// Resumes a stream.
     fn resume_of(&self, first: &str) -> WireMessage {
-        let call = Call::stream("b1");
+        self.resume_as("b1", first)
+    }
+
+    /// Resumes a stream with an attempt of its own.
+    fn resume_as(&self, id: &str, first: &str) -> WireMessage {
+        let call = Call::stream(id);
         let headers = format!(
             "{}Last-Event-Id: {BREAK_EVENT}\r\nResumes: {first}\r\n",
             call.headers
@@ -223,6 +242,38 @@
     assert_eq!((resumes(&silent), resumes(&third)), (0, 1));
 }
 
+// Guards against a stream that goes on at another software version: the engine at which it began had started again, and could not
+// be heard when it was asked before.
+#[test]
+fn a_stream_that_began_at_a_process_that_was_silent_before_has_no_certain_version() {
+    let play = IdentityPlay::start(Versions::Two, RESTARTED, held);
+    play.ask_silent_first();
+    play.first.answer_reports();
+    play.begin();
+    let second = play.add_second(REGISTERED);
+    let answer = play.resume();
+    assert_eq!((answer.status(), resumes(&second)), (503, 0));
+}
+
+// Guards against a stream that goes on, unasked, at an engine that has started again and could not be heard when it was asked before.
+#[test]
+fn a_stream_does_not_go_on_unasked_at_a_process_that_was_silent_before() {
+    let play = IdentityPlay::start(Versions::Two, REGISTERED, held);
+    play.begin();
+    let second = play.add_second(RESTARTED);
+    second.silence_reports();
+    let mut tries = 0;
+    wait_for("it is asked", || {
+        tries += 1;
+        play.resume_as(&format!("s{tries}"), "a1");
+        second.report_queries() >= QUERIES
+    });
+    second.answer_reports();
+    let statuses = (0..5).map(|nth| play.resume_as(&format!("b{nth}"), "a1").status());
+    assert!(statuses.into_iter().all(|status| status == 503));
+    assert_eq!(resumes(&second), 0);
+}
+
 // Guards against streams that are lost although the processes at which they began and would go on are those of the registry.
 #[test]
 fn a_stream_goes_on_between_processes_that_their_entries_describe() {
@@ -281,6 +332,14 @@
 
 /// Returns an unframed stream whose engine ends as `end` says.
 fn unframed_stream(end: PacedEnd) -> (WireMessage, String, usize) {
+    unframed_stream_at(end, |_| {})
+}
+
+/// Returns an unframed stream of an engine that was changed before, and ends as `end` says.
+fn unframed_stream_at(
+    end: PacedEnd,
+    change: impl FnOnce(&ScriptedEngine),
+) -> (WireMessage, String, usize) {
     let store = store_with_manifest();
     let engine = ScriptedEngine::spawn(move |request| EngineReply::Paced {
         pieces: unframed(request),
@@ -288,6 +347,7 @@
         end,
     });
     engine.set_start(REGISTERED);
+    change(&engine);
     announce_process(&store, "i-1", &engine, "v1", REGISTERED);
     let gateway = TestGateway::start(&store);
     let answer = gateway.caller().call(&Call {
@@ -314,3 +374,22 @@
     assert_eq!((answer.is_whole, &*evidence), (false, "replaced"));
     assert!(queries <= 2, "{queries}");
 }
+
+// Guards against a broken unframed stream that ends as whole because its process cannot be heard after the end, which looks like one
+// that stands still.
+#[test]
+fn an_unframed_stream_is_not_whole_if_its_process_is_silent_after_the_end() {
+    let (answer, evidence, _) =
+        unframed_stream_at(PacedEnd::Close, ScriptedEngine::silence_reports);
+    assert_eq!((answer.is_whole, &*evidence), (false, "silent"));
+}
+
+// Guards against whole unframed streams that are cut because their engine falls silent for a second at their end.
+#[test]
+fn an_unframed_stream_is_whole_if_its_process_tells_so_a_second_after_the_end() {
+    const SILENCE: Duration = Duration::from_secs(1);
+    let (answer, evidence, _) = unframed_stream_at(PacedEnd::Close, |engine| {
+        engine.delay_reports(SILENCE);
+    });
+    assert_eq!((answer.is_whole, &*evidence), (true, "told"));
+}
--- a/crates/entry/tests/order_soak/fleet.rs
+++ b/crates/entry/tests/order_soak/fleet.rs
@@ -29,6 +29,14 @@
 /// The time after which the entry of an engine that writes no more is removed.
 const ENTRY_LIFE: Duration = Duration::from_millis(3_600);
 
+/// Which engines gateways reach through links that can fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Links {
+    /// Each second one.
+    Half,
+    All,
+}
+
 /// All processes of a soak.
 pub struct Fleet {
     pub store: UsersStore,
@@ -45,9 +53,9 @@
 
 impl Fleet {
     /// Starts all processes and waits until the gateways are ready.
-    pub fn start() -> Self {
+    pub fn start(links: Links) -> Self {
         let store = store_with_manifest();
-        let slots = slots();
+        let slots = slots(links);
         let gateways: Vec<TestGateway> = (0..GATEWAY_CENTRES.len())
             .map(|nth| spawn_gateway(nth, &store))
             .collect();
@@ -143,10 +151,10 @@
     }
 }
 
-fn slots() -> Vec<EngineSlot> {
+fn slots(links: Links) -> Vec<EngineSlot> {
     let slot = |service: &'static str, nth: usize| {
         let centre = format!("north-{}", CENTRES[nth % CENTRES.len()]);
-        EngineSlot::new(service, &centre, nth % 2 == 1)
+        EngineSlot::new(service, &centre, links == Links::All || nth % 2 == 1)
     };
     let streams = (0..STREAM_PLACES).map(|nth| slot("engines", nth));
     let desk = (0..DESK_ENGINES).map(|nth| slot("desk", nth));
--- a/crates/entry/tests/order_soak/trouble.rs
+++ b/crates/entry/tests/order_soak/trouble.rs
@@ -39,6 +39,9 @@
     LinkDelay,
     /// Nothing passes between the gateways and an engine for a second.
     LinkCut,
+    /// An engine is killed, and its link falls silent at once. Behind that it starts again under its id at the other
+    /// software version, is killed and starts again at its own.
+    SilentUpgrade,
 }
 
 /// Faults of all kinds at which engines keep their software version, as often as they are chosen.
@@ -68,6 +71,9 @@
     Trouble::EngineRestart,
 ];
 
+/// Engines that are killed while nothing passes between them and the gateways.
+pub const SILENT_UPGRADES: [Trouble; 1] = [Trouble::SilentUpgrade];
+
 /// The software versions of engines.
 pub const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// The time for which a paused process stands still.
@@ -141,6 +147,7 @@
             Trouble::LinkReset | Trouble::LinkDelay | Trouble::LinkCut => {
                 self.harm_link(trouble, &mut random)
             }
+            Trouble::SilentUpgrade => self.upgrade_silently(&mut random),
         };
         if is_made {
             *self.counts.lock().entry(trouble).or_default() += 1;
@@ -158,7 +165,7 @@
         let Some(_busy) = slot.busy.try_lock() else {
             return false;
         };
-        if !slot.is_available() || self.fleet.available(slot.service) <= LEAST_ENGINES {
+        if !self.may_be_killed(slot) {
             return false;
         }
         let Some((id, version)) = self.fleet.kill_engine(slot) else {
@@ -173,15 +180,45 @@
         match trouble {
             Trouble::EngineReboot => self.fleet.start_engine_as(slot, &id, &version),
             Trouble::EngineUpgrade => {
-                let other = VERSIONS.iter().find(|other| **other != version);
-                let other = other.expect("there are two versions");
-                self.fleet.start_engine_as(slot, &id, other);
+                self.fleet
+                    .start_engine_as(slot, &id, other_version(&version));
             }
             _ => self.fleet.start_engine(slot, &version),
         }
         true
     }
 
+    /// Returns whether enough engines of its service are left when an engine is killed.
+    fn may_be_killed(&self, slot: &EngineSlot) -> bool {
+        slot.is_available() && self.fleet.available(slot.service) > LEAST_ENGINES
+    }
+
+    /// Kills an engine and has its link fall silent at once, so that some of its connections are heard to end and others
+    /// are not. The one that starts in its place ends behind the silence too.
+    fn upgrade_silently(&self, random: &mut ChaCha8Rng) -> bool {
+        const SHORTEST_MS: u64 = 450;
+        const SPREAD_MS: u64 = 450;
+        let slot = self.choose_slot(random);
+        let (Some(_busy), Some(link)) = (slot.busy.try_lock(), slot.link()) else {
+            return false;
+        };
+        if !self.may_be_killed(slot) {
+            return false;
+        }
+        let Some((id, version)) = self.fleet.kill_engine(slot) else {
+            return false;
+        };
+        link.hold(true);
+        for version in [other_version(&version), &version] {
+            self.fleet.kill_engine(slot);
+            self.fleet.start_engine_as(slot, &id, version);
+            let pause_ms = SHORTEST_MS + random.next_u64() % SPREAD_MS;
+            self.fleet.goes_on_for(Duration::from_millis(pause_ms));
+        }
+        link.hold(false);
+        true
+    }
+
     fn pause_engine(&self, random: &mut ChaCha8Rng) -> bool {
         let slot = self.choose_slot(random);
         let Some(_busy) = slot.busy.try_lock() else {
@@ -302,6 +339,11 @@
     }
 }
 
+fn other_version(version: &str) -> &'static str {
+    let other = VERSIONS.iter().find(|other| **other != version);
+    other.expect("there are two versions")
+}
+
 fn below(random: &mut ChaCha8Rng, bound: usize) -> usize {
     let bound = u64::try_from(bound).expect("the number is small");
     usize::try_from(random.next_u64() % bound).expect("the number is small")
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -125,6 +125,20 @@
     Restart,
 }
 
+/// What the engine does when it is asked for its report on itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum ReportMode {
+    /// Reports after a delay.
+    Delayed(Duration),
+    /// Reports at once.
+    #[default]
+    Prompt,
+    /// Takes the query for any other request.
+    Scripted,
+    /// Says nothing.
+    Silent,
+}
+
 type Script = dyn Fn(&SeenRequest) -> EngineReply + Send + Sync;
 
 /// A running scripted engine.
@@ -177,12 +191,26 @@
 
     /// Has the engine take a query for its report as any other request.
     pub fn script_reports(&self) {
-        *self.state.scripts_reports.lock() = true;
+        self.set_reports(ReportMode::Scripted);
     }
 
     /// Has the engine say nothing when it is asked for its report.
     pub fn silence_reports(&self) {
-        *self.state.is_silent.lock() = true;
+        self.set_reports(ReportMode::Silent);
+    }
+
+    /// Has the engine report at once when it is asked, as at the start.
+    pub fn answer_reports(&self) {
+        self.set_reports(ReportMode::Prompt);
+    }
+
+    /// Has the engine report a while after it is asked, as one that stands still meanwhile.
+    pub fn delay_reports(&self, delay: Duration) {
+        self.set_reports(ReportMode::Delayed(delay));
+    }
+
+    fn set_reports(&self, mode: ReportMode) {
+        *self.state.report_mode.lock() = mode;
     }
 
     /// Returns how often the engine was asked for its report.
@@ -253,8 +281,7 @@
     resets: Arc<Mutex<usize>>,
     started_ms: Arc<Mutex<Option<u64>>>,
     report_queries: Arc<Mutex<usize>>,
-    is_silent: Arc<Mutex<bool>>,
-    scripts_reports: Arc<Mutex<bool>>,
+    report_mode: Arc<Mutex<ReportMode>>,
     connections: Arc<OpenConnections>,
 }
 
@@ -345,9 +372,13 @@
     let mut reader = BufReader::new(stream);
     let mut nth_on_connection = 0;
     while let Ok(Some(message)) = read_message(&mut reader) {
-        if message.start.starts_with(REPORT_QUERY) && !*state.scripts_reports.lock() {
+        let mode = *state.report_mode.lock();
+        if message.start.starts_with(REPORT_QUERY) && mode != ReportMode::Scripted {
             let report = state.report();
-            if !*state.is_silent.lock() && write(stream, &report).is_err() {
+            if let ReportMode::Delayed(delay) = mode {
+                thread::sleep(delay);
+            }
+            if mode != ReportMode::Silent && write(stream, &report).is_err() {
                 return ServeEnd::Connection;
             }
             continue;
