The end of an answer without a frame is not confirmed by silence

Callers saw short answers that ended as whole: streams without their last events, and other answers without their rest. Cause: an answer with neither a length nor chunks ends with its connection, so its process is asked afterwards whether it still runs. No reply within 0.5 s counted as a process that stands still if an idle connection had stayed open. Behind a link that carries nothing the process may have ended as well: the close of that connection is what cannot be heard. Change: no reply is no evidence. The process has 2 s to reply, since a sound one may stand still for a second or so; then the end counts as unconfirmed, a stream that may be resumed goes on elsewhere after its last event, and any other answer is not framed as whole. Such an end is a silence of the backend server, no crash. An idle connection that closed with the answer's counts whatever the query brought.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -29,6 +29,9 @@
 /// The timeout of connecting to a backend server or another gateway.
 const CONNECT_TIMEOUT: Span = Span::from_millis(300);
 
+/// How long a process may take to tell its start time before a request is sent elsewhere.
+const QUERY_TIMEOUT: Span = Span::from_millis(500);
+
 /// How many connections' processes are asked for one send. An answer to an earlier request may come on a kept one.
 const MAX_QUERIES: usize = 2;
 
@@ -256,10 +259,20 @@
         });
         let evidence = watch.evidence(end).await;
         self.evidence = Some(evidence);
-        match evidence.is_alive() {
-            true => Ok(()),
-            false => Err(ConnError::ProcessEnded),
+        match evidence {
+            _ if evidence.is_alive() => Ok(()),
+            EndEvidence::Silent => Err(ConnError::UnconfirmedEnd),
+            _ => Err(ConnError::ProcessEnded),
+        }
+    }
+
+    /// Returns why the body is given up if nothing more of it came in time.
+    pub(crate) fn on_silence(&mut self) -> ConnError {
+        if self.ended.is_none() {
+            return ConnError::Silent;
         }
+        self.evidence = Some(EndEvidence::Silent);
+        ConnError::UnconfirmedEnd
     }
 
     /// Keeps the connection for reuse if the answer was read completely and nothing follows it.
@@ -337,7 +350,7 @@
     if process.link(conn.made_at) == ProcessLink::Proven {
         MetProcess::Expected
     } else if process.can_be_asked() {
-        query_process(core, conn, expected, Some(attempt_id)).await
+        query_process(core, conn, expected, Some(attempt_id), QUERY_TIMEOUT).await
     } else {
         skip_query(core, expected, attempt_id);
         MetProcess::Untold
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -92,6 +92,9 @@
     /// The process at the other side ended, or may have ended, before it had written all.
     #[error("the backend server's process may have ended with the connection")]
     ProcessEnded,
+    /// The other side closed the connection, and nothing tells whether it had written all.
+    #[error("the end of the answer was not confirmed in time")]
+    UnconfirmedEnd,
     /// Nothing came for too long.
     #[error("the connection was silent")]
     Silent,
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -4,7 +4,8 @@
 //! the close alone does not tell a complete answer from a broken one. While such an answer is read, the gateway
 //! therefore keeps an idle connection to the same backend server open, one for all such answers there, and watches it.
 //! At the end of the answer the process is asked on that connection when it started: the one that the registry's entry
-//! describes has outlived the answer if it replies.
+//! describes has outlived the answer if it replies. No reply is no evidence: a process that stands still for a moment
+//! replies later, and one that has ended behind a link that carries nothing never does.
 //!
 //! Some backend servers do not tell their start times. There the connections decide: those of a process that ends are
 //! closed together, so that one that stays open shows that the process still runs. Where there was none, a new one that
@@ -35,7 +36,8 @@
     Replaced,
     /// An idle connection was open before the end and stayed open.
     StayedOpen,
-    /// Nothing came in time on a connection that was open before the end.
+    /// Nothing came in time when the process was asked. One that stands still and one that has ended behind a link that
+    /// carries nothing look the same.
     Silent,
     /// There was no idle connection before the end, and a new one was accepted.
     Accepted,
@@ -48,10 +50,7 @@
 impl EndEvidence {
     /// Returns whether the process counts as still running after the end, so that it ended the answer itself.
     pub(crate) fn is_alive(self) -> bool {
-        matches!(
-            self,
-            Self::Told | Self::StayedOpen | Self::Silent | Self::Accepted
-        )
+        matches!(self, Self::Told | Self::StayedOpen | Self::Accepted)
     }
 
     /// Returns the name for logs and metrics.
@@ -103,16 +102,9 @@
                 MetProcess::Expected => return EndEvidence::Told,
                 MetProcess::Other => return EndEvidence::Replaced,
                 MetProcess::Untold => {}
-                // The connections of a process that stands still stay open.
-                MetProcess::Silent if result.was_open_before(end) => {
-                    return EndEvidence::Silent;
-                }
-                MetProcess::Silent | MetProcess::Lost => {
-                    return match self.monitor.closed_with(end) {
-                        true => EndEvidence::ClosedTogether,
-                        false => EndEvidence::Unreachable,
-                    };
-                }
+                _ if self.monitor.closed_with(end) => return EndEvidence::ClosedTogether,
+                MetProcess::Silent => return EndEvidence::Silent,
+                MetProcess::Lost => return EndEvidence::Unreachable,
             }
         }
         self.connection_evidence(end).await
--- a/crates/gateway/src/process_monitor.rs
+++ b/crates/gateway/src/process_monitor.rs
@@ -34,6 +34,10 @@
 /// The shortest time for which one idle connection is watched, however short the backend server's idle time is.
 const MIN_WATCH_TIME: Span = Span::from_millis(800);
 
+/// How long a process may take to tell its start time after the end of an answer. A sound one may stand still for a second
+/// or so.
+const QUERY_TIMEOUT: Span = Span::from_secs(2);
+
 /// How many connections are tried to ask a process.
 const MAX_LOST_QUERIES: usize = 3;
 
@@ -80,16 +84,6 @@
     pub(crate) met: MetProcess,
     /// The last end of an answer before it was asked.
     due_at: MonoTime,
-    /// Since when the connection is known on which it was asked; absent if there was none.
-    opened_at: Option<MonoTime>,
-}
-
-impl QueryResult {
-    /// Returns whether the connection on which the process was asked was open before an answer's end.
-    pub(crate) fn was_open_before(self, end: ConnectionEnd) -> bool {
-        self.opened_at
-            .is_some_and(|opened_at| opened_at <= end.earliest)
-    }
 }
 
 /// Watches the process of one backend server, for as long as any answer needs that.
@@ -170,7 +164,7 @@
         let Some(due_at) = self.due_at.get() else {
             return Some(idle);
         };
-        let met = query_process(core, &mut idle.conn, expected, None).await;
+        let met = query_process(core, &mut idle.conn, expected, None, QUERY_TIMEOUT).await;
         if met == MetProcess::Lost {
             self.lose_query().await;
             return None;
@@ -195,15 +189,7 @@
     /// another query is due.
     fn end_query(&self, met: MetProcess, due_at: MonoTime) {
         self.lost_queries.set(0);
-        let opened_at = match self.state.get() {
-            MonitorState::Open(opened_at) => Some(opened_at),
-            MonitorState::Opening | MonitorState::Failed => None,
-        };
-        self.result.set(Some(QueryResult {
-            met,
-            due_at,
-            opened_at,
-        }));
+        self.result.set(Some(QueryResult { met, due_at }));
         if self.due_at.get() == Some(due_at) {
             self.due_at.set(None);
         }
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -22,9 +22,6 @@
 use crate::prelude::*;
 use crate::store_client::{StoreError, read_body};
 
-/// How long a process may take to tell its start time.
-const QUERY_TIMEOUT: Span = Span::from_millis(500);
-
 /// The header that names the form of a body.
 const CONTENT_TYPE: &str = "Content-Type";
 
@@ -103,17 +100,18 @@
     expected_ms: Option<u64>,
 }
 
-/// Asks the process that a connection leads to, for an attempt if one needs it, and notes what its answer shows.
-/// The call needs no slot at the backend server.
+/// Asks the process that a connection leads to, for an attempt if one needs it, and notes what its answer shows. The
+/// query ends without one after `limit`, and needs no slot at the backend server.
 pub(crate) async fn query_process(
     core: &GatewayCore,
     conn: &mut HttpConn,
     expected: ExpectedProcess<'_>,
     attempt_id: Option<&str>,
+    limit: Span,
 ) -> MetProcess {
     let asked_at = monotonic_now();
     let told = match expected.started_ms {
-        Some(_) => ask(core, conn, expected.address).await,
+        Some(_) => ask(core, conn, expected.address, limit).await,
         None => Ok(None),
     };
     let met = match &told {
@@ -190,8 +188,9 @@
     core: &GatewayCore,
     conn: &mut HttpConn,
     address: SocketAddr,
+    limit: Span,
 ) -> Result<Option<u64>, QueryError> {
-    match timeout(Duration::from(QUERY_TIMEOUT), exchange(core, conn, address)).await {
+    match timeout(Duration::from(limit), exchange(core, conn, address)).await {
         Ok(told) => told,
         Err(_) => Err(ConnError::Silent.into()),
     }
--- a/crates/gateway/src/request/buffered.rs
+++ b/crates/gateway/src/request/buffered.rs
@@ -10,7 +10,7 @@
 use crate::client_io::write_message;
 use crate::core::SendGuard;
 use crate::exchange::Exchange;
-use crate::http::AnswerHead;
+use crate::http::{AnswerHead, ConnError};
 use crate::metrics::RequestEnd;
 use crate::port::AnswerFraming;
 use crate::prelude::*;
@@ -37,8 +37,12 @@
             WaitOutcome::Completed(Ok(body)) => body,
             WaitOutcome::CallerLeft => return Step::Done(self.caller_left()),
             WaitOutcome::Completed(Err(error)) => {
-                self.record_out_of_reach(target, ReachFailure::Connection);
-                self.record_broken(target, false, sent_at);
+                if matches!(error, ConnError::UnconfirmedEnd) {
+                    self.record_out_of_reach(target, ReachFailure::Silence);
+                } else {
+                    self.record_out_of_reach(target, ReachFailure::Connection);
+                    self.record_broken(target, false, sent_at);
+                }
                 let reason = self.broken_by(&error);
                 self.record_failure(target, Verdict::MayHaveRun, &reason, sent_at);
                 return self.after_failed_run("the backend server's answer was cut");
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -148,7 +148,7 @@
                     self.last_problem = "the stream was not whole in time".to_owned();
                     return Step::GiveUp("the stream was not whole in time");
                 }
-                RelayEvent::TimedOut => Err(ConnError::Silent),
+                RelayEvent::TimedOut => Err(answer.on_silence()),
             };
             self.record_unframed_end(target, &answer);
             if state.timing.events > 0 {
@@ -200,14 +200,15 @@
                     };
                 }
                 Err(error) => {
-                    self.may_be_complete = matches!(error, ConnError::ProcessEnded)
-                        && !state.splitter.is_inside_event();
+                    let is_end =
+                        matches!(error, ConnError::ProcessEnded | ConnError::UnconfirmedEnd);
+                    self.may_be_complete = is_end && !state.splitter.is_inside_event();
                     match error {
                         ConnError::Closed | ConnError::Broken(_) | ConnError::ProcessEnded => {
                             self.record_out_of_reach(target, ReachFailure::Connection);
                             self.record_broken(target, state.timing.events > 0, sent_at);
                         }
-                        ConnError::Silent => {
+                        ConnError::Silent | ConnError::UnconfirmedEnd => {
                             self.record_out_of_reach(target, ReachFailure::Silence);
                         }
                         ConnError::HeadTooLong
