A process that does not reply when asked is not one that never tells its start

Callers saw streams whose events were of two software versions. Cause: three queries without a reply, from a process that had told its start to no one here, counted as a backend server that never tells it. Many streams ask in the same half second, so a link that carries nothing for that long was enough, and each new entry began the count anew. From then on nothing was asked until the entry changed, and streams began and went on there by signs. Change: what a backend server has replied is a state of its own (unknown, told, untold); a query without a reply changes none of them. Streams do not go on at a process that was not heard. Where it has replied to nothing, streams begin after three such queries, one after the other (queries that overlap are one), for a second before it is asked again, and are of no certain version. The line process-unasked says why.

--- a/crates/balance/src/process_identity.rs
+++ b/crates/balance/src/process_identity.rs
@@ -8,15 +8,19 @@
 //! it, and by writing its entry.
 //!
 //! Some backend servers do not tell their start times. There, signs that the process has ended decide
-//! ([`ProcessDoubt`]).
+//! ([`ProcessDoubt`]). One that does not reply to a query is not one of these: it may not have heard the query, or may not
+//! be heard. Streams do not go on there; they begin there after some queries without a reply, and their version is then
+//! not certain.
 
 use oleander_base::prelude::*;
 
 use crate::process_doubt::ProcessDoubt;
 
-/// After how many queries without an answer in time a backend server that has told its start to no one here counts as one
-/// that does not tell it.
-const MAX_SILENCES: u8 = 3;
+/// After how many queries without a reply streams begin unasked at a backend server that has replied to none.
+const MAX_UNHEARD: u8 = 3;
+
+/// How long streams then begin there before it is asked once more.
+const UNASKED_TIME: Span = Span::from_secs(1);
 
 /// The relation of a connection's process to the one that the registry entry describes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,6 +33,36 @@
     Doubtful,
 }
 
+/// What is known of whether a backend server tells when its process started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum StartReport {
+    /// It was not asked, or has not replied.
+    #[default]
+    Unknown,
+    /// It has told the start of this process.
+    Told,
+    /// It replies, and does not tell.
+    Untold,
+}
+
+/// The queries without a reply since the last one that brought one.
+#[derive(Debug, Clone, Copy, Default)]
+struct UnheardQueries {
+    count: u8,
+    /// When the last one that was counted ended.
+    ended_at: MonoTime,
+}
+
+impl UnheardQueries {
+    /// Counts a query. Queries that overlap are one: what keeps one of them from being heard keeps the others.
+    fn record(&mut self, asked_at: MonoTime, now: MonoTime) {
+        if self.count == 0 || self.ended_at <= asked_at {
+            self.count = self.count.saturating_add(1);
+            self.ended_at = now;
+        }
+    }
+}
+
 /// The proofs and signs of the process that a registry entry describes.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ProcessIdentity {
@@ -36,10 +70,8 @@
     ran_at: Option<MonoTime>,
     /// When another process was met at its address.
     replaced_at: Option<MonoTime>,
-    /// Whether the backend server has told its start time, or does not tell it; `None` before it was asked.
-    tells_start: Option<bool>,
-    /// The number of queries without an answer in time.
-    silences: u8,
+    report: StartReport,
+    unheard: UnheardQueries,
     doubt: ProcessDoubt,
 }
 
@@ -53,22 +85,23 @@
 
     /// Notes that the process told its start time when it was asked at a time.
     pub fn on_told(&mut self, asked_at: MonoTime) {
-        self.tells_start = Some(true);
+        self.report = StartReport::Told;
+        self.unheard = UnheardQueries::default();
         self.confirm(asked_at);
     }
 
     /// Notes that the backend server did not tell its start time; returns whether it counts as one that never does. One
     /// that has told it before gave a bad answer.
     pub fn on_untold(&mut self) -> bool {
-        !*self.tells_start.get_or_insert(false)
+        if self.report == StartReport::Unknown {
+            self.report = StartReport::Untold;
+        }
+        self.report == StartReport::Untold
     }
 
-    /// Notes that no answer came in time when the backend server was asked.
-    pub fn on_silence(&mut self) {
-        self.silences = self.silences.saturating_add(1);
-        if self.silences >= MAX_SILENCES {
-            self.on_untold();
-        }
+    /// Notes that a query that was sent at a time has brought no reply.
+    pub fn on_unheard(&mut self, asked_at: MonoTime, now: MonoTime) {
+        self.unheard.record(asked_at, now);
     }
 
     /// Notes that another process was met at its address.
@@ -105,7 +138,7 @@
     pub fn link(&self, connected_at: MonoTime) -> ProcessLink {
         if self.ran_at.is_some_and(|ran_at| connected_at <= ran_at) {
             ProcessLink::Proven
-        } else if self.is_replaced() || self.doubt.covers(connected_at) {
+        } else if self.is_replaced() || self.is_unheard() || self.doubt.covers(connected_at) {
             ProcessLink::Doubtful
         } else {
             ProcessLink::Presumed
@@ -114,7 +147,20 @@
 
     /// Returns whether the backend server may tell its start time when it is asked.
     pub fn can_be_asked(&self) -> bool {
-        self.tells_start != Some(false)
+        self.report != StartReport::Untold
+    }
+
+    /// Returns whether the last query to a backend server that can be asked brought no reply.
+    fn is_unheard(&self) -> bool {
+        self.can_be_asked() && self.unheard.count > 0
+    }
+
+    /// Returns whether streams begin at the backend server although it has not replied to a query. It may serve them
+    /// without ever replying to one.
+    pub fn begins_unasked(&self, now: MonoTime) -> bool {
+        self.report == StartReport::Unknown
+            && self.unheard.count >= MAX_UNHEARD
+            && now < self.unheard.ended_at + UNASKED_TIME
     }
 
     /// Returns whether streams may go on at the backend server. One that can be asked has to prove then that it is the
@@ -180,14 +226,42 @@
     }
 
     #[test]
-    fn a_backend_server_that_never_answers_queries_is_asked_a_few_times() {
+    fn streams_begin_at_a_backend_server_that_never_replies_and_are_of_no_certain_version() {
+        const TIMEOUT: Span = Span::from_millis(500);
+        let mut identity = ProcessIdentity::default();
+        let mut now = EARLY;
+        for _ in 0..MAX_UNHEARD {
+            assert!(!identity.begins_unasked(now));
+            identity.on_unheard(now, now + TIMEOUT);
+            now = now + TIMEOUT;
+        }
+        assert!(identity.begins_unasked(now) && identity.can_be_asked());
+        assert_eq!(identity.link(now), ProcessLink::Doubtful);
+        assert!(!identity.begins_unasked(now + UNASKED_TIME), "it is asked");
+        identity.on_told(now);
+        assert!(!identity.begins_unasked(now));
+        assert_eq!(identity.link(now), ProcessLink::Proven);
+    }
+
+    #[test]
+    fn queries_that_overlap_show_one_silence() {
         let mut identity = ProcessIdentity::default();
-        for _ in 1..MAX_SILENCES {
-            identity.on_silence();
-            assert!(identity.can_be_asked());
+        for _ in 0..MAX_UNHEARD {
+            identity.on_unheard(EARLY, MIDDLE);
         }
-        identity.on_silence();
-        assert!(!identity.can_be_asked() && identity.takes_resumes());
+        assert!(!identity.begins_unasked(MIDDLE));
+    }
+
+    #[test]
+    fn streams_begin_unasked_at_no_backend_server_that_has_told_its_start() {
+        let mut identity = ProcessIdentity::default();
+        identity.on_told(EARLY);
+        for _ in 0..=MAX_UNHEARD {
+            identity.on_unheard(MIDDLE, MIDDLE);
+        }
+        assert!(!identity.begins_unasked(MIDDLE));
+        assert_eq!(identity.link(EARLY), ProcessLink::Proven);
+        assert_eq!(identity.link(LATE), ProcessLink::Doubtful);
     }
 
     #[test]
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -24,7 +24,9 @@
 use crate::liveness::{ConnectionEnd, EndEvidence, ProcessWatch};
 use crate::prelude::*;
 use crate::process_monitor::WatchedProcess;
-use crate::process_query::{ExpectedProcess, MetProcess, ProcessNeed, query_process, skip_query};
+use crate::process_query::{
+    ExpectedProcess, MetProcess, ProcessNeed, SkipReason, query_process, skip_query,
+};
 
 /// The timeout of connecting to a backend server or another gateway.
 const CONNECT_TIMEOUT: Span = Span::from_millis(300);
@@ -325,7 +327,11 @@
     };
     for _ in 0..MAX_QUERIES {
         let mut opened = open_conn(core, plan).await?;
-        match meet_process(core, &mut opened.conn, expected, plan.attempt_id).await {
+        let met = meet_process(core, &mut opened.conn, expected, plan.attempt_id).await;
+        let Some(met) = met else {
+            return Ok(opened);
+        };
+        match met {
             MetProcess::Lost => {}
             MetProcess::Silent => return Err(SendError::SilentProcess),
             MetProcess::Expected => return Ok(opened),
@@ -338,23 +344,28 @@
     Err(SendError::NotSent(LOST_QUERIES.to_owned()))
 }
 
-/// Returns the process that a connection leads to, which is asked unless that is known.
+/// Returns the process that a connection leads to, which is asked unless that is known. It is absent if nothing tells and
+/// the request may reach any process.
 async fn meet_process(
     core: &GatewayCore,
     conn: &mut HttpConn,
     expected: ExpectedProcess<'_>,
     attempt_id: &str,
-) -> MetProcess {
+) -> Option<MetProcess> {
     let process = core.with_backend(expected.key, |state| state.process);
     let process = process.unwrap_or_default();
     if process.link(conn.made_at) == ProcessLink::Proven {
-        MetProcess::Expected
-    } else if process.can_be_asked() {
-        query_process(core, conn, expected, Some(attempt_id), QUERY_TIMEOUT).await
-    } else {
-        skip_query(core, expected, attempt_id);
-        MetProcess::Untold
+        return Some(MetProcess::Expected);
+    }
+    if !process.can_be_asked() {
+        skip_query(core, expected, attempt_id, SkipReason::Untold);
+        return Some(MetProcess::Untold);
+    }
+    if expected.need == ProcessNeed::Wanted && process.begins_unasked(monotonic_now()) {
+        skip_query(core, expected, attempt_id, SkipReason::Unheard);
+        return None;
     }
+    Some(query_process(core, conn, expected, Some(attempt_id), QUERY_TIMEOUT).await)
 }
 
 async fn open_conn(core: &GatewayCore, plan: &SendPlan<'_>) -> Result<OpenedConn, SendError> {
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -92,12 +92,32 @@
     took_ms: f64,
 }
 
+/// Why a process is not asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SkipReason {
+    /// Its backend server replies to queries without a start time.
+    Untold,
+    /// Its backend server has not replied to queries lately.
+    Unheard,
+}
+
+impl SkipReason {
+    /// Returns the text for logs.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Untold => "it does not tell its start",
+            Self::Unheard => "it has not replied to queries",
+        }
+    }
+}
+
 #[derive(Debug, Serialize)]
 struct SkipFields<'a> {
     /// The attempt for which the process is not asked.
     id: &'a str,
     backend: &'a str,
     expected_ms: Option<u64>,
+    reason: &'static str,
 }
 
 /// Asks the process that a connection leads to, for an attempt if one needs it, and notes what its answer shows. The
@@ -135,7 +155,10 @@
             fleet.mark_replaced(expected.key, monotonic_now());
         }
         MetProcess::Silent => {
-            core.with_backend(expected.key, |state| state.process.on_silence());
+            let now = monotonic_now();
+            core.with_backend(expected.key, |state| {
+                state.process.on_unheard(asked_at, now);
+            });
         }
         MetProcess::Untold | MetProcess::Lost => {}
     }
@@ -163,14 +186,19 @@
     met
 }
 
-/// Notes that a process is not asked for an attempt because its backend server counts as one that does not tell its
-/// start time.
-pub(crate) fn skip_query(core: &GatewayCore, expected: ExpectedProcess<'_>, attempt_id: &str) {
+/// Notes that a process is not asked for an attempt.
+pub(crate) fn skip_query(
+    core: &GatewayCore,
+    expected: ExpectedProcess<'_>,
+    attempt_id: &str,
+    reason: SkipReason,
+) {
     core.metrics.record_process_query("unasked");
     let fields = SkipFields {
         id: attempt_id,
         backend: expected.id,
         expected_ms: expected.started_ms,
+        reason: reason.as_str(),
     };
     let kind = LineKind::Normal;
     core.log
