A refusal for a moment is not that of a backend server that never tells its start

Callers may have seen streams whose events were of two software versions. Cause: one reply without a start time, such as 503 or 404 from an engine that has just started, counted as a backend server that never tells it, until its entry changed; streams then began and went on there by signs. Change: whether processes tell their start is a fact about their service. Where one has told it, another's reply without it is a refusal for the moment, and so are the statuses 408, 429 and 5xx anywhere: no stream goes on there, and streams begin as after a query without a reply. Backend servers that were taken for ones that never tell are asked again when another of their service has told. After an unframed answer such a refusal on a connection that was open before shows that the process still runs.

--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -119,6 +119,9 @@
     threshold: Option<u32>,
     /// When the answer came that says so.
     brittleness_at: MonoTime,
+    /// Whether any of its processes has told its start time. Then all of them do, so that one that replies without it
+    /// refuses for a moment.
+    tells_starts: bool,
 }
 
 impl ServiceIndex {
@@ -286,6 +289,35 @@
         is_change
     }
 
+    /// Notes that the process of a backend server told its start time when it was asked at a time.
+    pub fn note_start_told(&mut self, key: BackendKey, asked_at: MonoTime) {
+        let Some(member) = self.members.get_mut(&key) else {
+            return;
+        };
+        member.state.process.on_told(asked_at);
+        let index = self.by_service.get_mut(&member.entry.service);
+        let index = index.expect("members have one");
+        if std::mem::replace(&mut index.tells_starts, true) {
+            return;
+        }
+        for key in &index.keys {
+            if let Some(member) = self.members.get_mut(key) {
+                member.state.process.forget_untold();
+            }
+        }
+    }
+
+    /// Notes that a backend server replied without the start time of its process; returns whether it counts as one that
+    /// never tells it.
+    pub fn note_start_untold(&mut self, key: BackendKey) -> bool {
+        let Some(member) = self.members.get_mut(&key) else {
+            return true;
+        };
+        let index = self.by_service.get(&member.entry.service);
+        let tells_starts = index.is_some_and(|index| index.tells_starts);
+        !tells_starts && member.state.process.on_untold()
+    }
+
     /// Returns when the first of a service's backend servers that back off or are at their limits takes
     /// requests again.
     pub fn first_opening(&self, service: &str, now: MonoTime) -> Option<MonoTime> {
--- a/crates/balance/src/process_identity.rs
+++ b/crates/balance/src/process_identity.rs
@@ -9,8 +9,8 @@
 //!
 //! Some backend servers do not tell their start times. There, signs that the process has ended decide
 //! ([`ProcessDoubt`]). One that does not reply to a query is not one of these: it may not have heard the query, or may not
-//! be heard. Streams do not go on there; they begin there after some queries without a reply, and their version is then
-//! not certain.
+//! be heard. Nor is one that refuses the query for a moment. Streams do not go on there; they begin there after some
+//! queries without a report, and their version is then not certain.
 
 use oleander_base::prelude::*;
 
@@ -90,8 +90,8 @@
         self.confirm(asked_at);
     }
 
-    /// Notes that the backend server did not tell its start time; returns whether it counts as one that never does. One
-    /// that has told it before gave a bad answer.
+    /// Notes that the backend server replied and did not tell its start time; returns whether it counts as one that never
+    /// does. One that has told it before gave a bad answer.
     pub fn on_untold(&mut self) -> bool {
         if self.report == StartReport::Unknown {
             self.report = StartReport::Untold;
@@ -99,7 +99,14 @@
         self.report == StartReport::Untold
     }
 
-    /// Notes that a query that was sent at a time has brought no reply.
+    /// Notes that the backend server may tell its start time after all, as others of its service do.
+    pub fn forget_untold(&mut self) {
+        if self.report == StartReport::Untold {
+            self.report = StartReport::Unknown;
+        }
+    }
+
+    /// Notes that a query that was sent at a time has brought no reply, or a refusal for the moment.
     pub fn on_unheard(&mut self, asked_at: MonoTime, now: MonoTime) {
         self.unheard.record(asked_at, now);
     }
--- a/crates/entry/tests/gateway_process_identity.rs
+++ b/crates/entry/tests/gateway_process_identity.rs
@@ -274,6 +274,58 @@
     assert_eq!(resumes(&second), 0);
 }
 
+/// Starts the gateway of a service whose engine `i-0` has told its start and then left, and the engine `i-1`, which refuses
+/// to tell its own with a status and is another process than its entry's.
+fn start_refusing(status: u16) -> (IdentityPlay, ScriptedEngine) {
+    let store = store_with_manifest();
+    let left = ScriptedEngine::spawn(whole);
+    left.set_start(REGISTERED);
+    announce_process(&store, "i-0", &left, "v1", REGISTERED);
+    let gateway = TestGateway::start(&store);
+    assert!(gateway.caller().call(&Call::stream("w1")).is_whole);
+    store.delete("servers/i-0");
+    gateway.wait_log("belief", |line| line["change"] == "backend-gone");
+    let is_full = Arc::new(AtomicBool::new(false));
+    let refuses = Arc::clone(&is_full);
+    let first = ScriptedEngine::spawn(move |request| match refuses.load(Ordering::SeqCst) {
+        true => full(request),
+        false => held(request),
+    });
+    first.set_start(RESTARTED);
+    first.refuse_reports(status);
+    announce_process(&store, "i-1", &first, "v1", REGISTERED);
+    gateway.wait_log("belief", |line| line["backend"] == "i-1");
+    let play = IdentityPlay {
+        store,
+        first,
+        is_full,
+        gateway,
+        _others: Vec::new(),
+    };
+    (play, left)
+}
+
+// Guards against a stream that goes on at another software version: the engine at which it began had started again, and refused
+// for a moment to tell its start, like one that never tells it.
+#[test]
+fn a_stream_that_began_at_a_process_that_refused_to_tell_its_start_has_no_certain_version() {
+    for status in [404, 503] {
+        let (play, _left) = start_refusing(status);
+        let mut tries = 0;
+        let mut caller = play.gateway.caller();
+        wait_for("a stream begins", || {
+            tries += 1;
+            caller = play.gateway.caller();
+            caller.send(&Call::stream(&format!("a{tries}")).text());
+            caller.read_until("\r\n").contains(" 200 ")
+        });
+        caller.read_until(&format!("piece {BREAK_EVENT}\n\n"));
+        let second = play.add_second(REGISTERED);
+        let answer = play.resume_of(&format!("a{tries}"));
+        assert_eq!((answer.status(), resumes(&second)), (503, 0), "{status}");
+    }
+}
+
 // Guards against streams that are lost although the processes at which they began and would go on are those of the registry.
 #[test]
 fn a_stream_goes_on_between_processes_that_their_entries_describe() {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -40,6 +40,9 @@
 /// Why a stream does not go on at a backend server that does not tell its start time.
 const DOUBTFUL_PROCESS: &str = "the backend server's process may have ended";
 
+/// Why a request is not sent to a process that did not tell its start time for the moment.
+const REFUSED_QUERY: &str = "the backend server refused to tell when its process started";
+
 /// Why a request is not sent to a process that may be another one.
 const LOST_QUERIES: &str = "connections ended before the process told its start time";
 
@@ -334,6 +337,7 @@
         match met {
             MetProcess::Lost => {}
             MetProcess::Silent => return Err(SendError::SilentProcess),
+            MetProcess::Refused => return Err(SendError::NotSent(REFUSED_QUERY.to_owned())),
             MetProcess::Expected => return Ok(opened),
             MetProcess::Untold if core.takes_resumes(expected.key) => return Ok(opened),
             _ if expected.need == ProcessNeed::Wanted => return Ok(opened),
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -101,10 +101,14 @@
             match result.met {
                 MetProcess::Expected => return EndEvidence::Told,
                 MetProcess::Other => return EndEvidence::Replaced,
+                // It replied on a connection that was made while the answer was read.
+                MetProcess::Refused if result.was_open_before(end) => {
+                    return EndEvidence::StayedOpen;
+                }
                 MetProcess::Untold => {}
                 _ if self.monitor.closed_with(end) => return EndEvidence::ClosedTogether,
                 MetProcess::Silent => return EndEvidence::Silent,
-                MetProcess::Lost => return EndEvidence::Unreachable,
+                MetProcess::Refused | MetProcess::Lost => return EndEvidence::Unreachable,
             }
         }
         self.connection_evidence(end).await
--- a/crates/gateway/src/process_monitor.rs
+++ b/crates/gateway/src/process_monitor.rs
@@ -84,6 +84,16 @@
     pub(crate) met: MetProcess,
     /// The last end of an answer before it was asked.
     due_at: MonoTime,
+    /// Since when the connection is known on which it was asked; absent if there was none.
+    opened_at: Option<MonoTime>,
+}
+
+impl QueryResult {
+    /// Returns whether the connection on which the process was asked was open before an answer's end.
+    pub(crate) fn was_open_before(self, end: ConnectionEnd) -> bool {
+        self.opened_at
+            .is_some_and(|opened_at| opened_at <= end.earliest)
+    }
 }
 
 /// Watches the process of one backend server, for as long as any answer needs that.
@@ -189,7 +199,15 @@
     /// another query is due.
     fn end_query(&self, met: MetProcess, due_at: MonoTime) {
         self.lost_queries.set(0);
-        self.result.set(Some(QueryResult { met, due_at }));
+        let opened_at = match self.state.get() {
+            MonitorState::Open(opened_at) => Some(opened_at),
+            MonitorState::Opening | MonitorState::Failed => None,
+        };
+        self.result.set(Some(QueryResult {
+            met,
+            due_at,
+            opened_at,
+        }));
         if self.due_at.get() == Some(due_at) {
             self.due_at.set(None);
         }
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -58,6 +58,9 @@
     Other,
     /// The backend server does not tell start times, in its answers or in its entry.
     Untold,
+    /// The backend server replied without the start time, although processes of its service tell theirs, or refused the
+    /// query for the moment.
+    Refused,
     /// Nothing came in time. The connection cannot be used any more.
     Silent,
     /// The connection ended, or brought what does not belong to the query.
@@ -71,6 +74,7 @@
             Self::Expected => "expected",
             Self::Other => "other",
             Self::Untold => "untold",
+            Self::Refused => "refused",
             Self::Silent => "silent",
             Self::Lost => "lost",
         }
@@ -135,10 +139,10 @@
         None => Ok(None),
     };
     let met = match &told {
-        Ok(None) if !counts_as_untold(core, expected.key) => MetProcess::Lost,
         Ok(Some(started_ms)) if Some(*started_ms) == expected.started_ms => MetProcess::Expected,
         Ok(Some(_)) => MetProcess::Other,
-        Ok(None) => MetProcess::Untold,
+        Ok(None) if counts_as_untold(core, expected.key) => MetProcess::Untold,
+        Ok(None) | Err(QueryError::Refused(_)) => MetProcess::Refused,
         Err(QueryError::Connection(ConnError::Silent)) => MetProcess::Silent,
         Err(QueryError::Stream) => {
             counts_as_untold(core, expected.key);
@@ -148,13 +152,14 @@
     };
     match met {
         MetProcess::Expected => {
-            core.with_backend(expected.key, |state| state.process.on_told(asked_at));
+            let mut fleet = core.fleet.borrow_mut();
+            fleet.note_start_told(expected.key, asked_at);
         }
         MetProcess::Other => {
             let mut fleet = core.fleet.borrow_mut();
             fleet.mark_replaced(expected.key, monotonic_now());
         }
-        MetProcess::Silent => {
+        MetProcess::Silent | MetProcess::Refused => {
             let now = monotonic_now();
             core.with_backend(expected.key, |state| {
                 state.process.on_unheard(asked_at, now);
@@ -205,10 +210,14 @@
         .request("process-unasked", kind, attempt_id, fields);
 }
 
-/// Notes that a backend server did not tell its start time; returns whether it counts as one that never does.
+/// Notes that a backend server replied without its start time; returns whether it counts as one that never tells it.
 fn counts_as_untold(core: &GatewayCore, key: BackendKey) -> bool {
-    let is_untold = core.with_backend(key, |state| state.process.on_untold());
-    is_untold.unwrap_or(true)
+    core.fleet.borrow_mut().note_start_untold(key)
+}
+
+/// Returns whether a status refuses a query for the moment only.
+fn is_momentary(status: u16) -> bool {
+    matches!(status, 408 | 429 | 500..)
 }
 
 /// Returns the start time that the process tells, if it tells one.
@@ -247,6 +256,9 @@
     if !head.keeps_alive {
         return Err(ConnError::Closed.into());
     }
+    if is_momentary(head.status) {
+        return Err(QueryError::Refused(head.status));
+    }
     Ok(core.port.decode_process_start(&head, &body))
 }
 
@@ -262,6 +274,9 @@
     /// The backend server took the query for a request.
     #[error("a stream of events came instead of a report")]
     Stream,
+    /// The backend server refused the query for the moment.
+    #[error("the query was refused with {0}")]
+    Refused(u16),
     /// Another request's answer came instead.
     #[error("an answer to an earlier request came")]
     LateAnswer,
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -133,6 +133,8 @@
     /// Reports at once.
     #[default]
     Prompt,
+    /// Refuses the query with a status.
+    Refused(u16),
     /// Takes the query for any other request.
     Scripted,
     /// Says nothing.
@@ -204,6 +206,11 @@
         self.set_reports(ReportMode::Prompt);
     }
 
+    /// Has the engine refuse queries for its report with a status.
+    pub fn refuse_reports(&self, status: u16) {
+        self.set_reports(ReportMode::Refused(status));
+    }
+
     /// Has the engine report a while after it is asked, as one that stands still meanwhile.
     pub fn delay_reports(&self, delay: Duration) {
         self.set_reports(ReportMode::Delayed(delay));
@@ -297,9 +304,15 @@
     /// Returns the engine's report on itself, or the refusal of one that makes none.
     fn report(&self) -> Vec<u8> {
         *self.report_queries.lock() += 1;
-        let Some(started_ms) = *self.started_ms.lock() else {
-            return b"HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-                .to_vec();
+        const BAD_REQUEST: u16 = 400;
+        let status = match *self.report_mode.lock() {
+            ReportMode::Refused(status) => status,
+            _ => BAD_REQUEST,
+        };
+        let started_ms = self.started_ms.lock().filter(|_| status == BAD_REQUEST);
+        let Some(started_ms) = started_ms else {
+            let head = format!("HTTP/1.1 {status} X\r\nNot-Executed: 1\r\n");
+            return format!("{head}Content-Length: 0\r\n\r\n").into_bytes();
         };
         let body = format!("{{\"phase\":\"available\",\"born\":{started_ms}}}");
         let length = body.len();
