Engines that do not tell their start are asked after unframed answers too

Callers may have seen short answers that ended as whole, from engines that reply to a query without their start. Cause: such an engine was not asked at the end of an answer without a frame; an idle connection that stayed open for 40 ms decided. Change: an engine that replies is asked, whatever it replies: any reply on a connection that was open before the end shows that the process still runs, and no reply is no evidence. Only one that takes queries for requests is not asked. The metric and the line tell a connection that ended from one that brought something else. Evidence: an_unframed_stream_is_not_whole_if_an_engine_without_a_start_is_ silent_after_the_end failed before. The two guards beside it passed before.

--- a/crates/balance/src/process_identity.rs
+++ b/crates/balance/src/process_identity.rs
@@ -43,6 +43,8 @@
     Told,
     /// It replies, and does not tell.
     Untold,
+    /// It takes a query for a request.
+    Misread,
 }
 
 /// The queries without a reply since the last one that brought one.
@@ -99,6 +101,13 @@
         self.report == StartReport::Untold
     }
 
+    /// Notes that the backend server took a query for a request.
+    pub fn on_misread(&mut self) {
+        if self.report != StartReport::Told {
+            self.report = StartReport::Misread;
+        }
+    }
+
     /// Notes that the backend server may tell its start time after all, as others of its service do.
     pub fn forget_untold(&mut self) {
         if self.report == StartReport::Untold {
@@ -154,7 +163,12 @@
 
     /// Returns whether the backend server may tell its start time when it is asked.
     pub fn can_be_asked(&self) -> bool {
-        self.report != StartReport::Untold
+        !matches!(self.report, StartReport::Untold | StartReport::Misread)
+    }
+
+    /// Returns whether the backend server may reply to a query, with its start time or without.
+    pub fn may_reply(&self) -> bool {
+        self.report != StartReport::Misread
     }
 
     /// Returns whether the last query to a backend server that can be asked brought no reply.
--- a/crates/entry/tests/gateway_process_identity.rs
+++ b/crates/entry/tests/gateway_process_identity.rs
@@ -436,6 +436,52 @@
     assert_eq!((answer.is_whole, &*evidence), (false, "silent"));
 }
 
+/// Returns the second of two unframed streams of an engine that does not tell its start, which was changed before it.
+fn second_unframed_stream(change: impl FnOnce(&ScriptedEngine)) -> (WireMessage, String) {
+    let store = store_with_manifest();
+    let engine = ScriptedEngine::spawn(|request| EngineReply::Paced {
+        pieces: unframed(request),
+        interval: Duration::from_millis(20),
+        end: PacedEnd::Close,
+    });
+    announce_process(&store, "i-1", &engine, "v1", REGISTERED);
+    let gateway = TestGateway::start(&store);
+    let call = |id| {
+        gateway.caller().call(&Call {
+            path: "/draft/x",
+            ..Call::stream(id)
+        })
+    };
+    assert!(call("a1").is_whole);
+    change(&engine);
+    let answer = call("a2");
+    let end = gateway.wait_log("unframed-end", |line| line["id"] == "a2");
+    let evidence = end["evidence"].as_str().unwrap_or_default().to_owned();
+    (answer, evidence)
+}
+
+// Guards against a broken unframed stream that ends as whole because its engine, which does not tell its start, cannot be heard
+// after the end.
+#[test]
+fn an_unframed_stream_is_not_whole_if_an_engine_without_a_start_is_silent_after_the_end() {
+    let (answer, evidence) = second_unframed_stream(ScriptedEngine::silence_reports);
+    assert_eq!((answer.is_whole, &*evidence), (false, "silent"));
+}
+
+// Guards against whole unframed streams that are cut because their engine replies to no query with its start.
+#[test]
+fn an_unframed_stream_is_whole_if_an_engine_without_a_start_replies_after_the_end() {
+    let (answer, evidence) = second_unframed_stream(|_| {});
+    assert_eq!((answer.is_whole, &*evidence), (true, "stayed-open"));
+}
+
+// Guards against whole unframed streams that are cut because their engine takes a query for a request.
+#[test]
+fn an_unframed_stream_is_whole_if_its_engine_takes_queries_for_requests() {
+    let (answer, _) = second_unframed_stream(ScriptedEngine::script_reports);
+    assert!(answer.is_whole);
+}
+
 // Guards against whole unframed streams that are cut because their engine falls silent for a second at their end.
 #[test]
 fn an_unframed_stream_is_whole_if_its_process_tells_so_a_second_after_the_end() {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -335,7 +335,7 @@
             return Ok(opened);
         };
         match met {
-            MetProcess::Lost => {}
+            MetProcess::Ended | MetProcess::Lost => {}
             MetProcess::Silent => return Err(SendError::SilentProcess),
             MetProcess::Refused => return Err(SendError::NotSent(REFUSED_QUERY.to_owned())),
             MetProcess::Expected => return Ok(opened),
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -7,21 +7,24 @@
 //! describes has outlived the answer if it replies. No reply is no evidence: a process that stands still for a moment
 //! replies later, and one that has ended behind a link that carries nothing never does.
 //!
-//! Some backend servers do not tell their start times. There the connections decide: those of a process that ends are
-//! closed together, so that one that stays open shows that the process still runs. Where there was none, a new one that
-//! is accepted is weaker evidence: another process may have taken the address (docs/PLATFORM.md, "Answers without a
-//! frame").
+//! Some backend servers reply without their start times. A reply on a connection that was open before the end shows as
+//! much. Where there was none, or they take queries for requests, the connections decide: those of a process that ends
+//! are closed together, so that one that stays open shows that the process still runs. A new one that is accepted is
+//! weaker evidence: another process may have taken the address (docs/PLATFORM.md, "Answers without a frame").
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use oleander_balance::ProcessIdentity;
 use oleander_base::monotonic_now;
 use tokio::time::sleep;
 
 use crate::core::GatewayCore;
 use crate::exchange::connect_backend;
 use crate::prelude::*;
-use crate::process_monitor::{MonitorState, ProcessMonitor, WatchedProcess, keep_idle};
+use crate::process_monitor::{
+    MonitorState, ProcessMonitor, QueryResult, WatchedProcess, keep_idle,
+};
 use crate::process_query::MetProcess;
 
 /// How far apart the closes of one process's connections may be seen.
@@ -96,31 +99,40 @@
 
     /// Finds out whether the process outlived the end of its answer. The call is cancel-safe.
     pub(crate) async fn evidence(&self, end: ConnectionEnd) -> EndEvidence {
-        if self.can_be_asked() {
+        let process = &self.monitor.process;
+        if process.started_ms.is_some() && self.identity().may_reply() {
             let result = self.monitor.ask().await;
-            match result.met {
-                MetProcess::Expected => return EndEvidence::Told,
-                MetProcess::Other => return EndEvidence::Replaced,
-                // It replied on a connection that was made while the answer was read.
-                MetProcess::Refused if result.was_open_before(end) => {
-                    return EndEvidence::StayedOpen;
-                }
-                MetProcess::Untold => {}
-                _ if self.monitor.closed_with(end) => return EndEvidence::ClosedTogether,
-                MetProcess::Silent => return EndEvidence::Silent,
-                MetProcess::Refused | MetProcess::Lost => return EndEvidence::Unreachable,
+            if let Some(evidence) = self.evidence_of(result, end) {
+                return evidence;
             }
         }
         self.connection_evidence(end).await
     }
 
-    /// Returns whether the process may tell its start time.
-    fn can_be_asked(&self) -> bool {
-        let process = &self.monitor.process;
-        let can_be_asked = self
-            .core
-            .with_backend(process.key, |state| state.process.can_be_asked());
-        process.started_ms.is_some() && can_be_asked != Some(false)
+    /// Returns what the result of asking the process shows, unless the connections have to decide.
+    fn evidence_of(&self, result: QueryResult, end: ConnectionEnd) -> Option<EndEvidence> {
+        Some(match result.met {
+            MetProcess::Expected => EndEvidence::Told,
+            MetProcess::Other => EndEvidence::Replaced,
+            // It replied on a connection that was made while the answer was read.
+            MetProcess::Untold | MetProcess::Refused if result.was_open_before(end) => {
+                EndEvidence::StayedOpen
+            }
+            MetProcess::Untold => return None,
+            MetProcess::Ended | MetProcess::Lost if !self.identity().can_be_asked() => {
+                return None;
+            }
+            _ if self.monitor.closed_with(end) => EndEvidence::ClosedTogether,
+            MetProcess::Silent => EndEvidence::Silent,
+            MetProcess::Refused | MetProcess::Ended | MetProcess::Lost => EndEvidence::Unreachable,
+        })
+    }
+
+    /// Returns what is known of the process.
+    fn identity(&self) -> ProcessIdentity {
+        let key = self.monitor.process.key;
+        let known = self.core.with_backend(key, |state| state.process);
+        known.unwrap_or_default()
     }
 
     /// Finds out by the connections alone whether the process outlived the end of its answer.
--- a/crates/gateway/src/process_monitor.rs
+++ b/crates/gateway/src/process_monitor.rs
@@ -103,6 +103,8 @@
     /// The number of answers that need it.
     users: Cell<usize>,
     state: Cell<MonitorState>,
+    /// Until when a reset of the watched connection is a refusal.
+    accepted_at: Cell<MonoTime>,
     /// When an idle connection was last closed by the backend server.
     closed_at: Cell<Option<MonoTime>>,
     /// The last end of an answer after which the process is to be asked.
@@ -120,6 +122,7 @@
             process,
             users: Cell::new(1),
             state: Cell::new(MonitorState::Opening),
+            accepted_at: Cell::new(MonoTime::default()),
             closed_at: Cell::new(None),
             due_at: Cell::new(None),
             lost_queries: Cell::new(0),
@@ -174,13 +177,29 @@
         let Some(due_at) = self.due_at.get() else {
             return Some(idle);
         };
+        let may_reply = core.with_backend(process.key, |state| state.process.may_reply());
+        if may_reply == Some(false) {
+            self.end_query(MetProcess::Lost, due_at);
+            return Some(idle);
+        }
         let met = query_process(core, &mut idle.conn, expected, None, QUERY_TIMEOUT).await;
-        if met == MetProcess::Lost {
-            self.lose_query().await;
-            return None;
+        match met {
+            MetProcess::Ended => self.note_close(monotonic_now()),
+            MetProcess::Lost => {}
+            _ => {
+                self.end_query(met, due_at);
+                return (met != MetProcess::Silent).then_some(idle);
+            }
+        }
+        self.lose_query().await;
+        None
+    }
+
+    /// Notes that the watched connection was closed or reset, unless that was a refusal.
+    fn note_close(&self, now: MonoTime) {
+        if now >= self.accepted_at.get() {
+            self.closed_at.set(Some(now));
         }
-        self.end_query(met, due_at);
-        (met != MetProcess::Silent).then_some(idle)
     }
 
     /// Notes that a connection was lost, or could not be made, while a query is due.
@@ -252,6 +271,7 @@
     /// refusal; the kernel of a process that ends closes its connections in order.
     async fn watch(&self, idle: IdleConn, accepted_at: MonoTime) -> WatchEnd {
         let began_at = monotonic_now();
+        self.accepted_at.set(accepted_at);
         // The watch of a connection goes on after a query.
         if !matches!(self.state.get(), MonitorState::Open(_)) {
             self.set(MonitorState::Open(began_at));
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -63,7 +63,9 @@
     Refused,
     /// Nothing came in time. The connection cannot be used any more.
     Silent,
-    /// The connection ended, or brought what does not belong to the query.
+    /// The connection was closed or reset.
+    Ended,
+    /// The connection brought what does not belong to the query, or cannot be used after the reply.
     Lost,
 }
 
@@ -76,6 +78,7 @@
             Self::Untold => "untold",
             Self::Refused => "refused",
             Self::Silent => "silent",
+            Self::Ended => "ended",
             Self::Lost => "lost",
         }
     }
@@ -144,8 +147,9 @@
         Ok(None) if counts_as_untold(core, expected.key) => MetProcess::Untold,
         Ok(None) | Err(QueryError::Refused(_)) => MetProcess::Refused,
         Err(QueryError::Connection(ConnError::Silent)) => MetProcess::Silent,
+        Err(QueryError::Connection(ConnError::Closed | ConnError::Broken(_))) => MetProcess::Ended,
         Err(QueryError::Stream) => {
-            counts_as_untold(core, expected.key);
+            core.with_backend(expected.key, |state| state.process.on_misread());
             MetProcess::Lost
         }
         Err(_) => MetProcess::Lost,
@@ -165,7 +169,7 @@
                 state.process.on_unheard(asked_at, now);
             });
         }
-        MetProcess::Untold | MetProcess::Lost => {}
+        MetProcess::Untold | MetProcess::Ended | MetProcess::Lost => {}
     }
     core.metrics.record_process_query(met.as_str());
     let fields = QueryFields {
@@ -254,7 +258,7 @@
         return Err(QueryError::LateAnswer);
     }
     if !head.keeps_alive {
-        return Err(ConnError::Closed.into());
+        return Err(QueryError::LastReply);
     }
     if is_momentary(head.status) {
         return Err(QueryError::Refused(head.status));
@@ -274,6 +278,9 @@
     /// The backend server took the query for a request.
     #[error("a stream of events came instead of a report")]
     Stream,
+    /// The backend server closes the connection after its reply.
+    #[error("the reply is the last one on its connection")]
+    LastReply,
     /// The backend server refused the query for the moment.
     #[error("the query was refused with {0}")]
     Refused(u16),
