explain tells which process was asked before a send, and why one was not

Cause: explain showed process-asked lines without their result, and nothing of process-unasked; silence, refusals and another process looked the same. Change: each query of a request is a note after the cause, with what it showed and whether the request was then sent there; so is a send without a query. Queries after the end of answers without a frame stand in the timeline unless they met the expected process. An end with the evidence silent is told as one that did not count as whole, which fits its meaning once liveness.rs takes it so; until then explain is ahead of the gateway there. The value refused of met is worded as well; no gateway writes it yet.

--- a/crates/entry/tests/gateway_explain.rs
+++ b/crates/entry/tests/gateway_explain.rs
@@ -130,6 +130,48 @@
     }
 }
 
+/// Explains a stream that may be resumed, at an engine whose entry is of the process that started at 1,000.
+fn explain_begun(change: impl FnOnce(&ScriptedEngine)) -> String {
+    let store = store_with_manifest();
+    let engine = ScriptedEngine::spawn(|request| {
+        let mut bytes = request.stream_head();
+        bytes.extend(SeenRequest::event(1));
+        bytes.extend(b"0\r\n\r\n");
+        EngineReply::Bytes(bytes)
+    });
+    change(&engine);
+    announce_process(&store, "i-1", &engine, "v1", 1_000);
+    let gateway = TestGateway::start(&store);
+    gateway.caller().call(&Call::stream("begun-1"));
+    gateway.wait_log("end", |line| line["id"] == "begun-1");
+    TestGateway::explain(&[&gateway], "begun-1")
+}
+
+// Guards against explanations that do not say which process was asked before a stream began, and what it said.
+#[test]
+fn the_query_for_a_process_is_explained() {
+    let expected = explain_begun(|engine| engine.set_start(1_000));
+    let other = explain_begun(|engine| engine.set_start(2_000));
+    let silent = explain_begun(ScriptedEngine::silence_reports);
+    let cases = [
+        (
+            expected,
+            "; the process of i-1 was asked, and is the one that its entry describes: the request was sent there",
+        ),
+        (
+            other,
+            "; the process of i-1 was asked, and is another one than its entry describes",
+        ),
+        (
+            silent,
+            "; the process of i-1 was asked, and said nothing in time",
+        ),
+    ];
+    for (text, note) in cases {
+        assert!(text.contains(note), "{text}");
+    }
+}
+
 #[test]
 fn a_request_whose_gateway_died_is_explained() {
     let store = store_with_manifest();
--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -13,7 +13,7 @@
 
 mod processes;
 
-use processes::unframed_ends;
+use processes::{process_queries, unframed_ends};
 
 /// The time before and after a request within which state changes are shown, in milliseconds.
 const VIEW_CHANGE_WINDOW_MS: u64 = 3_000;
@@ -65,6 +65,11 @@
     evidence: Option<String>,
     last_event: Option<u64>,
     lines: Option<u64>,
+    resume_from: Option<u64>,
+    started_ms: Option<u64>,
+    expected_ms: Option<u64>,
+    met_ms: Option<u64>,
+    met: Option<String>,
 }
 
 /// Holds the parsed lines of the gateways' logs.
@@ -133,8 +138,9 @@
         let mut out = String::new();
         self.write_timeline(&mut out, &own, first, last);
         self.write_platform_views(&mut out, &own, first);
+        let queries = process_queries(&own);
         let ends = unframed_ends(&own);
-        let _ = writeln!(out, "cause: {}{ends}", self.cause(&own, last));
+        let _ = writeln!(out, "cause: {}{queries}{ends}", self.cause(&own, last));
         if self.damaged + self.left_out > 0 {
             let _ = writeln!(
                 out,
@@ -282,6 +288,11 @@
 /// Returns whether a state change may affect a request that was sent to these backend servers.
 fn is_relevant(line: &LogLine, backends: &[&str]) -> bool {
     match line.event.as_str() {
+        // A query for no request of its own follows the end of answers without a frame.
+        "process-asked" => {
+            let backend = line.backend.as_deref().unwrap_or("");
+            backends.contains(&backend) && line.met.as_deref() != Some("expected")
+        }
         "belief" | "backend-ejected" | "backend-told-down" => match &line.backend {
             Some(backend) => backends.contains(&backend.as_str()),
             None => line.change.as_deref() == Some("manifest"),
@@ -354,6 +365,12 @@
         "partial_bytes",
         line.partial_bytes.map(|count| count.to_string()),
     );
+    add("met", line.met.clone());
+    add(
+        "expected_ms",
+        line.expected_ms.map(|start| start.to_string()),
+    );
+    add("met_ms", line.met_ms.map(|start| start.to_string()));
     add("evidence", line.evidence.clone());
     add("last_event", line.last_event.map(|id| id.to_string()));
     let reason = line.reason.as_ref().filter(|reason| !reason.is_empty());
