--- a/crates/operator/src/explain/processes.rs
+++ b/crates/operator/src/explain/processes.rs
@@ -2,9 +2,8 @@
 
 use super::LogLine;
 
-/// Why a process is not asked at a backend server that does not tell its start time.
-const UNASKED: &str =
-    "was not asked, because its backend server counts as one that does not tell its start";
+/// Why a process is not asked, where the line gives no reason.
+const UNASKED: &str = "its backend server counts as one that does not tell its start";
 
 /// Why a process is not asked before a stream goes on there.
 const PROVEN: &str = "was not asked, because its connection was known to lead to it";
@@ -53,7 +52,7 @@
         let later = of_gateway(line, &own[index + 1..]);
         match line.event.as_str() {
             "process-asked" => Some(note(line, &asked(line), sent(line, &later))),
-            "process-unasked" => Some(note(line, UNASKED, sent(line, &later))),
+            "process-unasked" => Some(note(line, &unasked(line), sent(line, &later))),
             "send" if is_proven_resume(line, &of_gateway(line, &own[..index]), &later) => {
                 Some(note(line, PROVEN, ""))
             }
@@ -74,6 +73,12 @@
     written.copied().collect()
 }
 
+/// Returns why a process was not asked.
+fn unasked(line: &LogLine) -> String {
+    let reason = line.reason.as_deref().unwrap_or(UNASKED);
+    format!("was not asked, because {reason}")
+}
+
 /// Returns what a process showed when it was asked.
 fn asked(line: &LogLine) -> String {
     if line.met.as_deref() == Some("untold") && line.expected_ms.is_none() {
@@ -85,6 +90,7 @@
         Some("untold") => "does not tell its start",
         Some("silent") => "said nothing in time",
         Some("refused") => "answered, but refused to tell its start then",
+        Some("ended") => "could not answer, because its connection ended",
         Some("lost") => "gave no answer of use",
         _ => "showed nothing that is known here",
     };
