A process that no entry describes is known without the store, and after the entry before it has gone

Callers would see a resumed stream joined with another software version: a stream of unknown origin goes on at the only registered version unless a gateway that is asked has met a process that no entry describes. Two folds hid such a process:

- A gateway without recent contact with the store replied that it knows nothing ("unknown"), although it had met the process.
- When the entry of the process before went (its lease ended before the new process had written), the process was forgotten with it.

Both are seen in tests and by reading, not in a soak.

--- a/crates/balance/tests/stream_origin.rs
+++ b/crates/balance/tests/stream_origin.rs
@@ -7,8 +7,8 @@
 use common::{NoIdleConnections, entry};
 use oleander_balance::{
     BackendEntry, ChoiceInput, FleetTable, LatencyModel, ORIGIN_RETENTION, OriginTable,
-    ServiceTraffic, StreamId, VersionHistory, VersionId, VersionRecord, VersionSpan,
-    choose_backend, sole_version,
+    ServiceTraffic, StreamId, UnregisteredProcesses, VersionHistory, VersionId, VersionRecord,
+    VersionSpan, choose_backend, sole_version,
 };
 use oleander_base::prelude::*;
 use proptest::prelude::*;
@@ -213,6 +213,29 @@
     assert_ne!(fleet.key_of("i-1"), first);
 }
 
+// Guards against a process that is forgotten, with the streams that it began, when the entry of the one before it goes.
+#[test]
+fn an_unregistered_process_is_remembered_after_the_entry_before_it_has_gone() {
+    let mut processes = UnregisteredProcesses::default();
+    let mut fleet = FleetTable::default();
+    for id in ["i-1", "i-2"] {
+        fleet.upsert(entry(id, SERVICE, 8));
+        let key = fleet.key_of(id).expect("it is there");
+        fleet.mark_replaced(key, START);
+    }
+    processes.observe(&fleet, START);
+    fleet.upsert(BackendEntry {
+        started_ms: 2,
+        ..entry("i-1", SERVICE, 8)
+    });
+    processes.observe(&fleet, START);
+    assert!(!processes.has_gone(SERVICE, START), "it is registered now");
+    fleet.remove("i-2");
+    processes.observe(&fleet, START);
+    assert!(processes.has_gone(SERVICE, START));
+    assert!(!processes.has_gone(SERVICE, START + ORIGIN_RETENTION));
+}
+
 proptest! {
     // Guards against a choice at another version when the engines of the right one are full,
     // ejected, lapsed or tried.
--- /dev/null
+++ b/crates/entry/tests/gateway_origin_silence.rs
@@ -0,0 +1,255 @@
+//! Streams whose replicas are silent, contradict each other or cannot have heard, and records that cannot be read.
+
+mod gateway;
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use gateway::{Call, TestGateway, announce_process, store_with_manifest, wait_for};
+use oleander_balance::{StreamId, StreamOrigin, VersionId, VersionSpan};
+use oleander_standin::users::{
+    EngineReply, ScriptedEngine, SeenRequest, StoreMode, UsersStore, WireMessage,
+};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+/// The format of datagrams between gateways.
+const FORMAT: u8 = 6;
+/// The id of the last event of a whole stream.
+const LAST_EVENT: u64 = 4;
+/// The id of the last event before a stream halts.
+const HALT_EVENT: u64 = 2;
+/// The start time of the process that an entry describes.
+const REGISTERED: u64 = 1_000;
+/// The start time of a later process under the same id.
+const RESTARTED: u64 = 2_000;
+/// The age from which a view of the store does not count as recent, and some time for the work of the machine.
+const STORE_CONTACT_AGE: Duration = Duration::from_millis(3_500);
+
+/// The messages about streams, in the order of their kinds.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+enum Message {
+    Load,
+    Origins(Vec<StreamOrigin>),
+    OriginQuery {
+        nonce: u64,
+        stream: StreamId,
+        service: String,
+    },
+    OriginReply {
+        nonce: u64,
+        origin: Option<VersionId>,
+        versions: VersionSpan,
+    },
+}
+
+/// What a scripted gateway replies to a query, and after which time.
+#[derive(Debug, Clone, Copy)]
+struct Reply {
+    delay: Duration,
+    origin: Option<VersionId>,
+    versions: VersionSpan,
+    /// A record of the stream that it sends as soon as it is asked.
+    recorded: Option<VersionId>,
+}
+
+/// A gateway that takes part in the exchange of origins only, as its script says.
+struct ScriptedReplica {
+    socket: UdpSocket,
+    seen: Arc<Mutex<Vec<Message>>>,
+}
+
+impl ScriptedReplica {
+    /// Starts one and announces it. Without a reply it is silent.
+    fn start(store: &UsersStore, name: &str, reply: Option<Reply>) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a test may bind a port");
+        let nowhere = "127.0.0.1:1";
+        let entry = json!({
+            "control": nowhere, "gossip": socket.local_addr().expect("it is bound"),
+            "frontend": nowhere, "zone": "north-a",
+        });
+        store.put(&format!("gateways/{name}"), entry.to_string());
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let replica = Self {
+            socket: socket.try_clone().expect("a socket can be shared"),
+            seen: Arc::clone(&seen),
+        };
+        std::thread::spawn(move || serve(&socket, reply, &seen));
+        replica
+    }
+
+    /// Asks a gateway what it knows of the versions of the service.
+    fn ask_versions(&self, gateway: &TestGateway, nonce: u64) -> VersionSpan {
+        let query = Message::OriginQuery {
+            nonce,
+            stream: StreamId::of("unknown"),
+            service: "engines".to_owned(),
+        };
+        send(&self.socket, &query, gateway.gossip);
+        let mut found = None;
+        wait_for("a reply", || {
+            found = self.seen.lock().iter().find_map(|message| match message {
+                Message::OriginReply {
+                    nonce: known,
+                    versions,
+                    ..
+                } if *known == nonce => Some(*versions),
+                _ => None,
+            });
+            found.is_some()
+        });
+        found.expect("the wait ends with a reply")
+    }
+}
+
+fn send(socket: &UdpSocket, message: &Message, to: SocketAddr) {
+    let bytes = postcard::to_allocvec(&(FORMAT, message)).expect("messages serialize");
+    // A datagram may be lost.
+    let _ = socket.send_to(&bytes, to);
+}
+
+/// Replies to queries and collects what comes, until the test's process ends.
+fn serve(socket: &UdpSocket, reply: Option<Reply>, seen: &Mutex<Vec<Message>>) {
+    let mut buffer = [0; 1_500];
+    loop {
+        // A gateway that has ended shows up as an error.
+        let Ok((length, from)) = socket.recv_from(&mut buffer) else {
+            continue;
+        };
+        let Ok((FORMAT, message)) = postcard::from_bytes::<(u8, Message)>(&buffer[..length]) else {
+            continue;
+        };
+        if let (Message::OriginQuery { nonce, stream, .. }, Some(reply)) = (&message, reply) {
+            if let Some(version) = reply.recorded {
+                let stream = *stream;
+                let record = Message::Origins(vec![StreamOrigin { stream, version }]);
+                send(socket, &record, from);
+            }
+            std::thread::sleep(reply.delay);
+            let answer = Message::OriginReply {
+                nonce: *nonce,
+                origin: reply.origin,
+                versions: reply.versions,
+            };
+            send(socket, &answer, from);
+        }
+        seen.lock().push(message);
+    }
+}
+
+/// Returns the reply of a gateway that knows only the version v1 of the service.
+fn reply(delay_ms: u64, origin: Option<VersionId>) -> Option<Reply> {
+    Some(Reply {
+        delay: Duration::from_millis(delay_ms),
+        origin,
+        versions: VersionSpan::Single(VersionId::of("v1")),
+        recorded: None,
+    })
+}
+
+fn whole(request: &SeenRequest) -> EngineReply {
+    let mut bytes = events(request, LAST_EVENT);
+    bytes.extend(b"0\r\n\r\n");
+    EngineReply::Bytes(bytes)
+}
+
+fn held(request: &SeenRequest) -> EngineReply {
+    EngineReply::BytesThenSilence(events(request, HALT_EVENT))
+}
+
+fn events(request: &SeenRequest, to: u64) -> Vec<u8> {
+    let mut bytes = request.stream_head();
+    for id in request.resume_point() + 1..=to {
+        bytes.extend(SeenRequest::event(id));
+    }
+    bytes
+}
+
+/// A gateway before one engine of version v1, and two scripted gateways.
+struct SilencePlay {
+    store: UsersStore,
+    engine: ScriptedEngine,
+    gateway: TestGateway,
+    replicas: [ScriptedReplica; 2],
+}
+
+impl SilencePlay {
+    fn start(
+        started_ms: u64,
+        script: fn(&SeenRequest) -> EngineReply,
+        replies: [Option<Reply>; 2],
+    ) -> Self {
+        let store = store_with_manifest();
+        let engine = ScriptedEngine::spawn(script);
+        engine.set_start(started_ms);
+        announce_process(&store, "i-1", &engine, "v1", REGISTERED);
+        let [second, third] = replies;
+        let replicas = [
+            ScriptedReplica::start(&store, "edge-2", second),
+            ScriptedReplica::start(&store, "edge-3", third),
+        ];
+        let gateway = TestGateway::start(&store);
+        Self {
+            store,
+            engine,
+            gateway,
+            replicas,
+        }
+    }
+
+    /// Begins the stream `a1` and leaves it after the event at which it halts.
+    fn begin(&self) {
+        let mut caller = self.gateway.caller();
+        caller.send(&Call::stream("a1").text());
+        let text = format!("piece {HALT_EVENT}\n\n");
+        assert!(caller.read_until(&text).contains(&text));
+    }
+
+    /// Resumes a stream that this gateway does not know.
+    fn resume(&self) -> WireMessage {
+        let call = Call::stream("b1");
+        let headers = format!(
+            "{}Last-Event-Id: {HALT_EVENT}\r\nResumes: unknown\r\n",
+            call.headers
+        );
+        self.gateway.caller().call(&Call {
+            headers: &headers,
+            ..call
+        })
+    }
+}
+
+// Guards against a gateway that no longer tells of a process which no entry describes once it has lost the store.
+#[test]
+fn a_process_that_is_not_registered_is_known_without_the_store() {
+    let play = SilencePlay::start(RESTARTED, held, [None, None]);
+    play.begin();
+    let [asker, _] = &play.replicas;
+    assert_eq!(asker.ask_versions(&play.gateway, 1), VersionSpan::Mixed);
+    play.store.set_mode(StoreMode::Silent);
+    std::thread::sleep(STORE_CONTACT_AGE);
+    assert_eq!(asker.ask_versions(&play.gateway, 2), VersionSpan::Mixed);
+}
+
+// Guards against a stream of unknown origin that goes on at the only registered version because the entry of an engine is gone at
+// whose address a process was met that no entry ever described.
+#[test]
+fn a_process_that_is_not_registered_is_known_after_the_entry_before_it_has_gone() {
+    let play = SilencePlay::start(RESTARTED, held, [reply(0, None), reply(0, None)]);
+    play.begin();
+    let second = ScriptedEngine::spawn(whole);
+    second.set_start(REGISTERED);
+    announce_process(&play.store, "i-2", &second, "v1", REGISTERED);
+    play.gateway.wait_log("belief", |line| {
+        line["change"] == "backend-joined" && line["backend"] == "i-2"
+    });
+    play.store.delete("servers/i-1");
+    play.gateway.wait_log("belief", |line| {
+        line["change"] == "backend-gone" && line["backend"] == "i-1"
+    });
+    let answer = play.resume();
+    let seen = [&play.engine, &second].map(|engine| engine.seen().len());
+    assert_eq!((answer.status(), seen), (503, [1, 0]), "one began");
+}
--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -14,8 +14,8 @@
 use std::time::Duration;
 
 use oleander_balance::{
-    OriginTable, StreamId, StreamOrigin, VersionHistory, VersionId, VersionRecord, VersionSpan,
-    sole_version,
+    OriginTable, StreamId, StreamOrigin, UnregisteredProcesses, VersionHistory, VersionId,
+    VersionRecord, VersionSpan, sole_version,
 };
 use oleander_base::{FastMap, FastSet, monotonic_now};
 use tokio::sync::Notify;
@@ -145,6 +145,7 @@
 pub(crate) struct OriginExchange {
     table: RefCell<OriginTable>,
     history: RefCell<VersionHistory>,
+    unregistered: RefCell<UnregisteredProcesses>,
     adopted: RefCell<AdoptedRecord>,
     record_outdated: Notify,
     unsent: RefCell<Vec<StreamOrigin>>,
@@ -200,6 +201,9 @@
     pub(crate) fn observe(&self, core: &GatewayCore) {
         let now = monotonic_now();
         self.adopt_record(core, now);
+        self.unregistered
+            .borrow_mut()
+            .observe(&core.fleet.borrow(), now);
         if !is_current(core, now) {
             return;
         }
@@ -251,14 +255,16 @@
     }
 
     /// Returns what this gateway knows of a service's versions. Without recent contact with the store
-    /// there may be another version that it does not know of.
+    /// there may be another version that it does not know of. A process that no entry describes was met, whether or not
+    /// the store is there.
     fn versions(&self, core: &GatewayCore, service: &str) -> VersionSpan {
         let now = monotonic_now();
+        let is_met = core.fleet.borrow().has_unregistered_process(service);
+        if is_met || self.unregistered.borrow().has_gone(service, now) {
+            return VersionSpan::Mixed;
+        }
         match self.history.borrow().span(service, now) {
             VersionSpan::Single(_) if !is_current(core, now) => VersionSpan::Unknown,
-            VersionSpan::Single(_) if core.fleet.borrow().has_unregistered_process(service) => {
-                VersionSpan::Mixed
-            }
             span => span,
         }
     }
