The record of a stream without a certain version is sent at once, and three times

Callers would see a resumed stream joined with another software version: a stream that began at a process which the registry does not describe is recorded as uncertain, in one datagram to each replica, 20 ms later. If that was lost, or came after the caller's next attempt, the replicas had the earlier record with a version, or none, and either counts as agreement.

The record now goes out without the 20 ms, and again with the next two rounds. Only these records do, which are few: a stream that begins at an engine between its restart and its new entry. Cost: two more datagrams to each of three replicas for each of them.

--- a/crates/entry/tests/gateway_origin_silence.rs
+++ b/crates/entry/tests/gateway_origin_silence.rs
@@ -25,6 +25,8 @@
 const REGISTERED: u64 = 1_000;
 /// The start time of a later process under the same id.
 const RESTARTED: u64 = 2_000;
+/// The number of datagrams of which one may be lost without harm, and more.
+const REPEATS: usize = 3;
 /// The age from which a view of the store does not count as recent, and some time for the work of the machine.
 const STORE_CONTACT_AGE: Duration = Duration::from_millis(3_500);
 
@@ -102,6 +104,13 @@
         });
         found.expect("the wait ends with a reply")
     }
+
+    /// Returns the number of datagrams that held a record.
+    fn records(&self, record: StreamOrigin) -> usize {
+        let seen = self.seen.lock();
+        let holds = |message: &&Message| matches!(message, Message::Origins(records) if records.contains(&record));
+        seen.iter().filter(holds).count()
+    }
 }
 
 fn send(socket: &UdpSocket, message: &Message, to: SocketAddr) {
@@ -221,6 +230,23 @@
     }
 }
 
+// Guards against a stream that goes on at another software version because the only datagram that says that its version is
+// uncertain was lost.
+#[test]
+fn the_record_of_an_uncertain_version_is_sent_again() {
+    let play = SilencePlay::start(RESTARTED, held, [None, None]);
+    play.begin();
+    let record = StreamOrigin {
+        stream: StreamId::of("a1"),
+        version: VersionId::UNCERTAIN,
+    };
+    for replica in &play.replicas {
+        wait_for("the record comes again", || {
+            replica.records(record) >= REPEATS
+        });
+    }
+}
+
 // Guards against a gateway that no longer tells of a process which no entry describes once it has lost the store.
 #[test]
 fn a_process_that_is_not_registered_is_known_without_the_store() {
--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -19,7 +19,7 @@
 };
 use oleander_base::{FastMap, FastSet, monotonic_now};
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::core::GatewayCore;
 use crate::peer_message::{OriginQuery, OriginReply, PeerMessage};
@@ -37,6 +37,10 @@
 /// The time between two sends of a query.
 const QUERY_INTERVAL: Span = Span::from_millis(50);
 
+/// How many times the record of a stream without a certain version is sent. It takes back one with a version, or the
+/// inference from the only version of the service, so that its loss would not be noticed.
+const DOUBTFUL_SENDS: u32 = 3;
+
 /// The replicas that are told of a stream.
 pub(crate) const TOLD_REPLICAS: ReplicaCounts = ReplicaCounts { near: 1, any: 2 };
 
@@ -125,6 +129,13 @@
     changed: Notify,
 }
 
+/// A record that replicas are to be told.
+#[derive(Debug, Clone, Copy)]
+struct UnsentRecord {
+    record: StreamOrigin,
+    sends_left: u32,
+}
+
 /// A record of software versions that should take the place of another one.
 #[derive(Debug)]
 pub(crate) struct RecordChange {
@@ -148,8 +159,9 @@
     unregistered: RefCell<UnregisteredProcesses>,
     adopted: RefCell<AdoptedRecord>,
     record_outdated: Notify,
-    unsent: RefCell<Vec<StreamOrigin>>,
+    unsent: RefCell<Vec<UnsentRecord>>,
     has_unsent: Notify,
+    has_urgent: Notify,
     queries: RefCell<FastMap<u64, Rc<OpenQuery>>>,
 }
 
@@ -158,9 +170,16 @@
     pub(crate) fn record(&self, stream: StreamId, version: VersionId) {
         let now = monotonic_now();
         self.table.borrow_mut().record(stream, version, now);
-        let record = StreamOrigin { stream, version };
-        self.unsent.borrow_mut().push(record);
+        let is_doubtful = version == VersionId::UNCERTAIN;
+        let sends_left = if is_doubtful { DOUBTFUL_SENDS } else { 1 };
+        self.unsent.borrow_mut().push(UnsentRecord {
+            record: StreamOrigin { stream, version },
+            sends_left,
+        });
         self.has_unsent.notify_one();
+        if is_doubtful {
+            self.has_urgent.notify_one();
+        }
     }
 
     /// Takes over what another gateway recorded.
@@ -358,11 +377,19 @@
         query
     }
 
-    /// Sends the records that are waiting, one datagram for each replica.
+    /// Sends the records that are waiting, one datagram for each replica. Those that are sent again wait for the next
+    /// time.
     fn flush(&self, core: &GatewayCore) {
-        let unsent = std::mem::take(&mut *self.unsent.borrow_mut());
+        let unsent = self.unsent.take();
         let mut by_replica: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
-        for record in unsent {
+        for UnsentRecord { record, sends_left } in unsent {
+            if sends_left > 1 {
+                self.unsent.borrow_mut().push(UnsentRecord {
+                    record,
+                    sends_left: sends_left - 1,
+                });
+                self.has_unsent.notify_one();
+            }
             for replica in core.origin_replicas(record.stream, TOLD_REPLICAS) {
                 by_replica.entry(replica).or_default().push(record);
             }
@@ -399,7 +426,9 @@
 pub(crate) async fn run_origin_exchange(core: Rc<GatewayCore>) {
     loop {
         core.origins.has_unsent.notified().await;
-        sleep(Duration::from(RECORD_DELAY)).await;
+        let urgent = core.origins.has_urgent.notified();
+        // Both ends of the wait are followed by the same.
+        let _ = timeout(Duration::from(RECORD_DELAY), urgent).await;
         core.origins.flush(&core);
     }
 }
