Replicas that contradict each other make a stream's version uncertain

Callers would see a resumed stream joined with another software version: the first reply that names a version ended the query for a stream's origin, although another replica had a record that takes it back, and of two replies the later one counted. A datagram of the second record that was lost, or was later, was so taken for agreement. The same held for a record that came to the asking gateway itself while it asked: it was passed over for the inference from the only version.

`a_stream_does_not_go_on_if_one_of_its_replicas...` and `...comes_during_the_query` failed on (200 instead of 503).

Replies are joined as records in one table are: what differs is uncertain. The others are heard until the end of the round in which one names a version, 50 ms at most; a reply of "uncertain" ends the query at once. The own view of the versions is taken after the query, not before. Cost: no message; a resume waits for the slowest reply of its replicas, up to 50 ms if one of them is dead. `a_stream_goes_on_soon...` guards the bound.

--- a/crates/balance/src/stream_origin.rs
+++ b/crates/balance/src/stream_origin.rs
@@ -45,6 +45,11 @@
     /// nowhere.
     pub const UNCERTAIN: Self = Self(0);
 
+    /// Returns what two records of one stream tell together: none is certain if they differ.
+    pub fn joined_with(self, other: Self) -> Self {
+        if self == other { self } else { Self::UNCERTAIN }
+    }
+
     /// Returns the id of the version with this name.
     pub fn of(name: &str) -> Self {
         Self(xxh3_64(name.as_bytes()))
@@ -86,8 +91,7 @@
     pub fn record(&mut self, stream: StreamId, version: VersionId, now: MonoTime) {
         self.prune(now);
         match self.origins.get_mut(&stream) {
-            Some(known) if known.version == version => {}
-            Some(known) => known.version = VersionId::UNCERTAIN,
+            Some(known) => known.version = known.version.joined_with(version),
             None => {
                 let origin = KnownOrigin {
                     version,
--- a/crates/balance/tests/stream_origin.rs
+++ b/crates/balance/tests/stream_origin.rs
@@ -48,6 +48,18 @@
     }
 }
 
+#[test]
+fn records_that_differ_name_no_certain_version() {
+    assert_eq!(version("v1").joined_with(version("v1")), version("v1"));
+    for other in [version("v2"), VersionId::UNCERTAIN] {
+        let joined = [
+            version("v1").joined_with(other),
+            other.joined_with(version("v1")),
+        ];
+        assert_eq!(joined, [VersionId::UNCERTAIN; 2]);
+    }
+}
+
 #[test]
 fn a_version_counts_for_as_long_as_a_stream_that_it_began_can_last() {
     let mut history = VersionHistory::default();
--- a/crates/entry/tests/gateway_origin_silence.rs
+++ b/crates/entry/tests/gateway_origin_silence.rs
@@ -230,6 +230,45 @@
     }
 }
 
+// Guards against a stream that goes on at another software version: one replica has got the record of its first version, and not
+// the later one that takes it back, which another replica has.
+#[test]
+fn a_stream_does_not_go_on_if_one_of_its_replicas_knows_that_its_version_is_uncertain() {
+    let certain = reply(0, Some(VersionId::of("v1")));
+    let uncertain = reply(10, Some(VersionId::UNCERTAIN));
+    for replies in [[certain, uncertain], [uncertain, certain]] {
+        let play = SilencePlay::start(REGISTERED, whole, replies);
+        let answer = play.resume();
+        assert_eq!((answer.status(), play.engine.seen().len()), (503, 0));
+    }
+}
+
+// Guards against a stream that goes on at the only registered version although a record comes, while its replicas are asked, that
+// says that its version is uncertain.
+#[test]
+fn a_stream_does_not_go_on_if_the_record_of_an_uncertain_version_comes_during_the_query() {
+    let none = reply(30, None).map(|none| Reply {
+        recorded: Some(VersionId::UNCERTAIN),
+        ..none
+    });
+    let play = SilencePlay::start(REGISTERED, whole, [none, none]);
+    let answer = play.resume();
+    assert_eq!((answer.status(), play.engine.seen().len()), (503, 0));
+}
+
+// Guards against streams that wait for a dead replica although another one knows where they began, or that none knows.
+#[test]
+fn a_stream_goes_on_soon_if_one_of_its_replicas_is_dead() {
+    const SOON: Duration = Duration::from_millis(500);
+    for origin in [Some(VersionId::of("v1")), None] {
+        let play = SilencePlay::start(REGISTERED, whole, [reply(0, origin), None]);
+        let started = std::time::Instant::now();
+        let answer = play.resume();
+        assert_eq!((answer.status(), answer.is_whole), (200, true));
+        assert!(started.elapsed() < SOON, "{:?}", started.elapsed());
+    }
+}
+
 // Guards against a stream that goes on at another software version because the only datagram that says that its version is
 // uncertain was lost.
 #[test]
--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -123,12 +123,34 @@
 /// What the replicas replied to one query.
 #[derive(Debug, Default)]
 struct OpenQuery {
+    /// The replicas that have replied.
     replied: RefCell<FastSet<SocketAddr>>,
+    /// The origin, by all replies that name one.
     origin: Cell<Option<VersionId>>,
     versions: RefCell<Vec<VersionSpan>>,
     changed: Notify,
 }
 
+impl OpenQuery {
+    /// Takes over the origin that a replica knows.
+    fn add_origin(&self, version: VersionId) {
+        let known = self.origin.get();
+        let joined = known.map_or(version, |known| known.joined_with(version));
+        self.origin.set(Some(joined));
+    }
+
+    /// Returns whether no further reply can change the origin.
+    fn is_decided(&self, replicas: &[SocketAddr]) -> bool {
+        let is_uncertain = self.origin.get() == Some(VersionId::UNCERTAIN);
+        is_uncertain || self.replied.borrow().len() >= replicas.len()
+    }
+
+    /// Returns whether the query ends after it was sent a number of times, although a replica has not replied.
+    fn is_over(&self, sends: u32) -> bool {
+        self.origin.get().is_some() || sends >= QUERY_SENDS
+    }
+}
+
 /// A record that replicas are to be told.
 #[derive(Debug, Clone, Copy)]
 struct UnsentRecord {
@@ -209,8 +231,8 @@
         if !query.replied.borrow_mut().insert(from) {
             return;
         }
-        if reply.origin.is_some() {
-            query.origin.set(reply.origin);
+        if let Some(version) = reply.origin {
+            query.add_origin(version);
         }
         query.versions.borrow_mut().push(reply.versions);
         query.changed.notify_one();
@@ -311,13 +333,17 @@
         if let Some(version) = own {
             return ResolvedOrigin::known(version, OriginSource::Own);
         }
-        let mut spans = vec![self.versions(core, service)];
         let Some(stream) = stream else {
-            return ResolvedOrigin::inferred(&spans);
+            return ResolvedOrigin::inferred(&[self.versions(core, service)]);
         };
         let replicas = core.origin_replicas(stream, ASKED_REPLICAS);
         let query = self.ask(core, stream, service, &replicas).await;
-        spans.append(&mut query.versions.borrow_mut());
+        if let Some(version) = self.table.borrow().get(stream, monotonic_now()) {
+            // The record came here meanwhile.
+            query.add_origin(version);
+        }
+        let mut spans = query.versions.take();
+        spans.push(self.versions(core, service));
         let mut found = match query.origin.get() {
             Some(version) => ResolvedOrigin::known(version, OriginSource::Replica),
             None => ResolvedOrigin::inferred(&spans),
@@ -336,7 +362,8 @@
         }
     }
 
-    /// Asks replicas until one has the origin, all have replied or the time is over.
+    /// Asks replicas until all have replied or the time is over. One that has the origin does not end the query at once:
+    /// another one may know that the version is not certain.
     async fn ask(
         &self,
         core: &GatewayCore,
@@ -351,7 +378,8 @@
             exchange: self,
             nonce,
         };
-        for _ in 0..QUERY_SENDS {
+        let mut sends = 0;
+        while !query.is_decided(replicas) && !query.is_over(sends) {
             let message = PeerMessage::OriginQuery(OriginQuery {
                 nonce,
                 stream,
@@ -363,16 +391,14 @@
                 .filter(|replica| !replied.contains(*replica));
             let silent: Vec<SocketAddr> = silent.copied().collect();
             core.peers.send(message, &silent);
-            let is_decided =
-                || query.origin.get().is_some() || query.replied.borrow().len() >= replicas.len();
-            let wait = async {
-                while !is_decided() {
+            sends += 1;
+            let decided = async {
+                while !query.is_decided(replicas) {
                     query.changed.notified().await;
                 }
             };
-            if timeout(Duration::from(QUERY_INTERVAL), wait).await.is_ok() {
-                break;
-            }
+            // The loop looks again what has come in this time.
+            let _ = timeout(Duration::from(QUERY_INTERVAL), decided).await;
         }
         query
     }
