The silence of all replicas is no reply: they are asked for a second

Callers would see a resumed stream joined with another software version: if none of a stream's replicas replied within 150 ms, because they stood still or datagrams got lost, the origin was inferred from this gateway's view alone. The view names one version although a process that no entry describes may have begun the stream, which just these replicas were told.

In a test with replicas that reply after 0.5 s; not seen in a soak. `a_stream_does_not_go_on_before_replicas...` failed on (200 instead of 503).

Then the inference stands: to refuse it would lose each stream of a service with one version when all gateways were down, which the rule LOST and gateway_versions guard. One reply without an origin is enough, since each of the first replicas would have been told. Cost: a resume whose replicas are all dead, or that comes to a gateway cut off from all others, goes on a second later, with up to 17 more datagrams to each of them. No resume is refused for it.

Open: one replica replies that it has no record, since it has started again or lost three datagrams, and the others are silent.

--- a/crates/entry/tests/gateway_origin_silence.rs
+++ b/crates/entry/tests/gateway_origin_silence.rs
@@ -256,6 +256,24 @@
     assert_eq!((answer.status(), play.engine.seen().len()), (503, 0));
 }
 
+// Guards against a stream that goes on at the only registered version while all gateways stand still that were told that its
+// version is uncertain.
+#[test]
+fn a_stream_does_not_go_on_before_replicas_that_stand_still_can_reply() {
+    let late = reply(500, Some(VersionId::UNCERTAIN));
+    let play = SilencePlay::start(REGISTERED, whole, [late, late]);
+    let answer = play.resume();
+    assert_eq!((answer.status(), play.engine.seen().len()), (503, 0));
+}
+
+// Guards against streams of a service with one version that are lost because the gateways that were told of them are dead.
+#[test]
+fn a_stream_goes_on_if_all_of_its_replicas_are_dead() {
+    let play = SilencePlay::start(REGISTERED, whole, [None, None]);
+    let answer = play.resume();
+    assert_eq!((answer.status(), answer.is_whole), (200, true));
+}
+
 // Guards against streams that wait for a dead replica although another one knows where they began, or that none knows.
 #[test]
 fn a_stream_goes_on_soon_if_one_of_its_replicas_is_dead() {
--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -34,6 +34,10 @@
 /// How many times a query is sent to a replica that does not reply.
 const QUERY_SENDS: u32 = 3;
 
+/// How many times a query is sent while no replica has replied. Replicas that stand still for a moment reply later, and
+/// meanwhile the registry has the time to name a process that began the stream.
+const SILENT_SENDS: u32 = 20;
+
 /// The time between two sends of a query.
 const QUERY_INTERVAL: Span = Span::from_millis(50);
 
@@ -147,7 +151,13 @@
 
     /// Returns whether the query ends after it was sent a number of times, although a replica has not replied.
     fn is_over(&self, sends: u32) -> bool {
-        self.origin.get().is_some() || sends >= QUERY_SENDS
+        if self.origin.get().is_some() {
+            return true;
+        }
+        match self.replied.borrow().is_empty() {
+            true => sends >= SILENT_SENDS,
+            false => sends >= QUERY_SENDS,
+        }
     }
 }
 
