A record of versions that cannot be read is not an empty one

Callers would see a resumed stream joined with another software version after a loss of all gateways: a gateway that starts and cannot read the record of software versions (spoiled, or of a form that another version of the gateway writes) took it for an empty one, and replaced it by what was left in the registry. Streams of a version that had just left then went on at the only one.

A gateway that had read a record before, or has found none, goes on by its own history, and the record is replaced as before.

Open: gateways that start after the record was replaced trust it; a record that is missing, as after a store's restore beside a loss of all gateways, looks like that of a new fleet.

--- a/crates/balance/src/stream_origin.rs
+++ b/crates/balance/src/stream_origin.rs
@@ -178,9 +178,17 @@
 #[derive(Debug, Default)]
 pub struct VersionHistory {
     services: FastMap<Arc<str>, FastMap<VersionId, SeenVersion>>,
+    /// When it turned out that the versions of the time before are not known.
+    distrusted_at: Option<MonoTime>,
 }
 
 impl VersionHistory {
+    /// Notes that the record of the time before this process could not be read, so that each service may have had other
+    /// versions then.
+    pub fn distrust_past(&mut self, now: MonoTime) {
+        self.distrusted_at = Some(now);
+    }
+
     /// Records that a backend server of this version belongs to a service.
     pub fn observe(&mut self, service: &Arc<str>, version: VersionId, now: MonoTime) {
         let versions = self.services.entry(Arc::clone(service)).or_default();
@@ -251,10 +259,17 @@
             .map(|(version, _)| *version);
         match (recent.next(), recent.next()) {
             (None, _) => VersionSpan::Unknown,
+            (Some(_), None) if self.is_past_distrusted(now) => VersionSpan::Mixed,
             (Some(only), None) => VersionSpan::Single(only),
             (Some(_), Some(_)) => VersionSpan::Mixed,
         }
     }
+
+    /// Returns whether a stream in progress may have begun at a time whose versions are not known.
+    fn is_past_distrusted(&self, now: MonoTime) -> bool {
+        let distrusted = self.distrusted_at;
+        distrusted.is_some_and(|distrusted| now.since(distrusted) < ORIGIN_RETENTION)
+    }
 }
 
 /// Returns the only version in the views of several gateways, if they agree on one.
--- a/crates/balance/tests/stream_origin.rs
+++ b/crates/balance/tests/stream_origin.rs
@@ -179,6 +179,24 @@
 }
 
 // Guards against gateways that write the record by turns, one back what the other has removed.
+// Guards against a stream that goes on at the only version that is left, because the record of those before could not be read
+// and counts as an empty one.
+#[test]
+fn versions_before_an_unreadable_record_count_as_several_until_no_stream_is_left() {
+    let mut history = VersionHistory::default();
+    history.distrust_past(START);
+    assert_eq!(history.span(SERVICE, START), VersionSpan::Unknown);
+    history.observe(&Arc::from(SERVICE), version("v1"), START);
+    assert_eq!(history.span(SERVICE, START), VersionSpan::Mixed);
+    assert!(history.is_any_mixed(START));
+    let later = START + ORIGIN_RETENTION;
+    history.observe(&Arc::from(SERVICE), version("v1"), later);
+    assert_eq!(
+        history.span(SERVICE, later),
+        VersionSpan::Single(version("v1"))
+    );
+}
+
 #[test]
 fn a_record_is_written_once_for_each_version_that_comes_or_goes() {
     let second = |number: u64| START + Span::from_secs(number);
--- a/crates/entry/tests/gateway_origin_silence.rs
+++ b/crates/entry/tests/gateway_origin_silence.rs
@@ -316,6 +316,34 @@
     assert_eq!(asker.ask_versions(&play.gateway, 2), VersionSpan::Mixed);
 }
 
+// Guards against a stream that goes on at another software version, after a loss of all gateways, because the record of the
+// versions that served before cannot be read.
+#[test]
+fn a_stream_of_unknown_origin_does_not_go_on_if_the_record_of_versions_cannot_be_read() {
+    let store = store_with_manifest();
+    let engine = ScriptedEngine::spawn(whole);
+    engine.set_start(REGISTERED);
+    announce_process(&store, "i-1", &engine, "v1", REGISTERED);
+    store.put("software-versions", "no record");
+    let gateway = TestGateway::start(&store);
+    wait_for("the record is replaced", || {
+        store.value("software-versions").as_deref() != Some("no record")
+    });
+    let call = Call::stream("b1");
+    let headers = format!(
+        "{}Last-Event-Id: {HALT_EVENT}\r\nResumes: unknown\r\n",
+        call.headers
+    );
+    let answer = gateway.caller().call(&Call {
+        headers: &headers,
+        ..call
+    });
+    assert_eq!((answer.status(), engine.seen().len()), (503, 0));
+    assert!(answer.header("retry-after").is_some());
+    let new = gateway.caller().call(&Call::stream("new"));
+    assert_eq!((new.status(), new.is_whole), (200, true));
+}
+
 // Guards against a stream of unknown origin that goes on at the only registered version because the entry of an engine is gone at
 // whose address a process was met that no entry ever described.
 #[test]
--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -278,9 +278,13 @@
             return;
         }
         let record = view.version_record().clone();
-        self.history
-            .borrow_mut()
-            .adopt(&record, &adopted.record, now);
+        let mut history = self.history.borrow_mut();
+        let is_first = adopted.at == StoreVersion::default();
+        if is_first && view.is_version_record_spoiled() {
+            history.distrust_past(now);
+        }
+        history.adopt(&record, &adopted.record, now);
+        drop(history);
         *adopted = AdoptedRecord { at, record };
     }
 
--- a/crates/gateway/src/platform_view/versions.rs
+++ b/crates/gateway/src/platform_view/versions.rs
@@ -15,6 +15,8 @@
     value: Option<Bytes>,
     /// The record; empty if there is none, or none that could be decoded.
     record: VersionRecord,
+    /// Whether there is a record that could not be decoded.
+    is_spoiled: bool,
 }
 
 impl PlatformView {
@@ -29,6 +31,7 @@
             .map_or(Ok(VersionRecord::default()), |value| {
                 context.port.decode_versions(value)
             });
+        let is_spoiled = decoded.is_err();
         let (record, change) = match decoded {
             Ok(record) => {
                 let versions = record.iter().count();
@@ -46,6 +49,7 @@
             version,
             value,
             record,
+            is_spoiled,
         };
     }
 
@@ -65,6 +69,11 @@
         &self.version_fact.record
     }
 
+    /// Returns whether there is a record that could not be decoded.
+    pub(crate) fn is_version_record_spoiled(&self) -> bool {
+        self.version_fact.is_spoiled
+    }
+
     /// Returns the version at which the record was last changed or found missing.
     pub(crate) fn version_record_at(&self) -> StoreVersion {
         self.version_fact.version
