One write of an entry without a start time does not make its engine one that never tells it

Callers would see a stream joined with another software version: an entry that named the start of its process in one write and not in the next became another incarnation, whose engine counted as one that does not tell its start. A process that had started again there with other software was then not asked, and a stream that it began counted as certainly of the entry's version.

The protocol says that the start is always named, so no engine should do so; that it is missing was still taken for an answer.

An entry without a start keeps the known one if id, address, service and software are the same. If another process of that version wrote it, the query finds another start there, and the engine gets nothing that must not reach another process until an entry names its start, or the entry ends. Entries that never named one are as before. Cost: none for engines that keep to the protocol.

--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -65,6 +65,18 @@
         Some(self.started_ms).filter(|started_ms| *started_ms > 0)
     }
 
+    /// Keeps the known start time of its process if this entry does not name one. That it is missing tells nothing: the
+    /// same process may have written the entry, and another one tells another start time when it is asked.
+    fn keep_start(&mut self, known: &Self) {
+        let without_start = Self {
+            started_ms: self.started_ms,
+            ..known.clone()
+        };
+        if self.start().is_none() && self.is_same_process(&without_start) {
+            self.started_ms = known.started_ms;
+        }
+    }
+
     /// Returns whether both entries are of one incarnation of a backend server.
     pub fn is_same_process(&self, other: &Self) -> bool {
         self.id == other.id
@@ -158,12 +170,13 @@
 
 impl FleetTable {
     /// Inserts or updates the registry entry of one backend server.
-    pub fn upsert(&mut self, entry: BackendEntry) -> EntryChange {
+    pub fn upsert(&mut self, mut entry: BackendEntry) -> EntryChange {
         let Some(&key) = self.by_id.get(&entry.id) else {
             return EntryChange::Joined(self.insert(entry));
         };
         let member = self.members.get_mut(&key).expect("ids name members");
         let old = &member.entry;
+        entry.keep_start(old);
         if !old.is_same_process(&entry) {
             self.remove_key(key);
             return EntryChange::Joined(self.insert(entry));
--- a/crates/balance/tests/stream_origin.rs
+++ b/crates/balance/tests/stream_origin.rs
@@ -243,6 +243,30 @@
     assert_ne!(fleet.key_of("i-1"), first);
 }
 
+// Guards against an engine whose process counts as one that never tells its start, and its versions as certain, because one
+// write of its entry does not name the start.
+#[test]
+fn an_entry_without_a_start_keeps_the_known_one() {
+    let mut fleet = FleetTable::default();
+    fleet.upsert(entry("i-1", SERVICE, 8));
+    let first = fleet.key_of("i-1").expect("it is there");
+    let without_start = |slots| BackendEntry {
+        started_ms: 0,
+        ..entry("i-1", SERVICE, slots)
+    };
+    fleet.upsert(without_start(9));
+    let member = fleet.get(first).expect("it is the same process");
+    assert_eq!((member.entry.start(), member.entry.slots), (Some(1), 9));
+    fleet.upsert(BackendEntry {
+        software: Arc::from("v2"),
+        ..without_start(9)
+    });
+    let second = fleet.key_of("i-1").expect("it is there");
+    let member = fleet.get(second).expect("it is there");
+    assert_ne!(first, second);
+    assert_eq!(member.entry.start(), None, "of another process");
+}
+
 // Guards against a process that is forgotten, with the streams that it began, when the entry of the one before it goes.
 #[test]
 fn an_unregistered_process_is_remembered_after_the_entry_before_it_has_gone() {
--- a/crates/entry/tests/gateway_origin_silence.rs
+++ b/crates/entry/tests/gateway_origin_silence.rs
@@ -29,6 +29,8 @@
 const REPEATS: usize = 3;
 /// The age from which a view of the store does not count as recent, and some time for the work of the machine.
 const STORE_CONTACT_AGE: Duration = Duration::from_millis(3_500);
+/// The time in which a gateway reads an entry, and more.
+const ENTRY_TIME: Duration = Duration::from_secs(2);
 
 /// The messages about streams, in the order of their kinds.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -344,6 +346,30 @@
     assert_eq!((new.status(), new.is_whole), (200, true));
 }
 
+// Guards against a stream that goes on at another software version: the engine at which it began had started again, and one write
+// of its entry, by the process before, did not name that process's start.
+#[test]
+fn a_stream_has_no_certain_version_although_one_write_of_the_entry_named_no_start() {
+    let play = SilencePlay::start(RESTARTED, held, [None, None]);
+    let entry = json!({
+        "backend": "engines", "address": play.engine.address(), "zone": "north-a", "version": "v1",
+        "max_concurrency": 9, "phase": "available", "warmup_left_ms": 0, "seq": 2
+    });
+    play.store.put("servers/i-1", entry.to_string());
+    // A watch of the store brings the entry, which makes no other change that a log tells.
+    std::thread::sleep(ENTRY_TIME);
+    play.begin();
+    let record = StreamOrigin {
+        stream: StreamId::of("a1"),
+        version: VersionId::UNCERTAIN,
+    };
+    wait_for("the record of the stream", || {
+        play.replicas
+            .iter()
+            .any(|replica| replica.records(record) > 0)
+    });
+}
+
 // Guards against a stream of unknown origin that goes on at the only registered version because the entry of an engine is gone at
 // whose address a process was met that no entry ever described.
 #[test]
