--- a/crates/balance/src/stream_origin.rs
+++ b/crates/balance/src/stream_origin.rs
@@ -45,6 +45,11 @@
     /// nowhere.
     pub const UNCERTAIN: Self = Self(0);
 
+    /// Returns what two records of one stream tell together: none is certain if they differ.
+    pub fn joined_with(self, other: Self) -> Self {
+        if self == other { self } else { Self::UNCERTAIN }
+    }
+
     /// Returns the id of the version with this name.
     pub fn of(name: &str) -> Self {
         Self(xxh3_64(name.as_bytes()))
@@ -86,8 +91,7 @@
     pub fn record(&mut self, stream: StreamId, version: VersionId, now: MonoTime) {
         self.prune(now);
         match self.origins.get_mut(&stream) {
-            Some(known) if known.version == version => {}
-            Some(known) => known.version = VersionId::UNCERTAIN,
+            Some(known) => known.version = known.version.joined_with(version),
             None => {
                 let origin = KnownOrigin {
                     version,
@@ -174,9 +178,17 @@
 #[derive(Debug, Default)]
 pub struct VersionHistory {
     services: FastMap<Arc<str>, FastMap<VersionId, SeenVersion>>,
+    /// When it turned out that the versions of the time before are not known.
+    distrusted_at: Option<MonoTime>,
 }
 
 impl VersionHistory {
+    /// Notes that the record of the time before this process could not be read, so that each service may have had other
+    /// versions then.
+    pub fn distrust_past(&mut self, now: MonoTime) {
+        self.distrusted_at = Some(now);
+    }
+
     /// Records that a backend server of this version belongs to a service.
     pub fn observe(&mut self, service: &Arc<str>, version: VersionId, now: MonoTime) {
         let versions = self.services.entry(Arc::clone(service)).or_default();
@@ -247,10 +259,17 @@
             .map(|(version, _)| *version);
         match (recent.next(), recent.next()) {
             (None, _) => VersionSpan::Unknown,
+            (Some(_), None) if self.is_past_distrusted(now) => VersionSpan::Mixed,
             (Some(only), None) => VersionSpan::Single(only),
             (Some(_), Some(_)) => VersionSpan::Mixed,
         }
     }
+
+    /// Returns whether a stream in progress may have begun at a time whose versions are not known.
+    fn is_past_distrusted(&self, now: MonoTime) -> bool {
+        let distrusted = self.distrusted_at;
+        distrusted.is_some_and(|distrusted| now.since(distrusted) < ORIGIN_RETENTION)
+    }
 }
 
 /// Returns the only version in the views of several gateways, if they agree on one.
--- a/crates/balance/tests/stream_origin.rs
+++ b/crates/balance/tests/stream_origin.rs
@@ -7,8 +7,8 @@
 use common::{NoIdleConnections, entry};
 use oleander_balance::{
     BackendEntry, ChoiceInput, FleetTable, LatencyModel, ORIGIN_RETENTION, OriginTable,
-    ServiceTraffic, StreamId, VersionHistory, VersionId, VersionRecord, VersionSpan,
-    choose_backend, sole_version,
+    ServiceTraffic, StreamId, UnregisteredProcesses, VersionHistory, VersionId, VersionRecord,
+    VersionSpan, choose_backend, sole_version,
 };
 use oleander_base::prelude::*;
 use proptest::prelude::*;
@@ -48,6 +48,18 @@
     }
 }
 
+#[test]
+fn records_that_differ_name_no_certain_version() {
+    assert_eq!(version("v1").joined_with(version("v1")), version("v1"));
+    for other in [version("v2"), VersionId::UNCERTAIN] {
+        let joined = [
+            version("v1").joined_with(other),
+            other.joined_with(version("v1")),
+        ];
+        assert_eq!(joined, [VersionId::UNCERTAIN; 2]);
+    }
+}
+
 #[test]
 fn a_version_counts_for_as_long_as_a_stream_that_it_began_can_last() {
     let mut history = VersionHistory::default();
@@ -167,6 +179,24 @@
 }
 
 // Guards against gateways that write the record by turns, one back what the other has removed.
+// Guards against a stream that goes on at the only version that is left, because the record of those before could not be read
+// and counts as an empty one.
+#[test]
+fn versions_before_an_unreadable_record_count_as_several_until_no_stream_is_left() {
+    let mut history = VersionHistory::default();
+    history.distrust_past(START);
+    assert_eq!(history.span(SERVICE, START), VersionSpan::Unknown);
+    history.observe(&Arc::from(SERVICE), version("v1"), START);
+    assert_eq!(history.span(SERVICE, START), VersionSpan::Mixed);
+    assert!(history.is_any_mixed(START));
+    let later = START + ORIGIN_RETENTION;
+    history.observe(&Arc::from(SERVICE), version("v1"), later);
+    assert_eq!(
+        history.span(SERVICE, later),
+        VersionSpan::Single(version("v1"))
+    );
+}
+
 #[test]
 fn a_record_is_written_once_for_each_version_that_comes_or_goes() {
     let second = |number: u64| START + Span::from_secs(number);
@@ -213,6 +243,53 @@
     assert_ne!(fleet.key_of("i-1"), first);
 }
 
+// Guards against an engine whose process counts as one that never tells its start, and its versions as certain, because one
+// write of its entry does not name the start.
+#[test]
+fn an_entry_without_a_start_keeps_the_known_one() {
+    let mut fleet = FleetTable::default();
+    fleet.upsert(entry("i-1", SERVICE, 8));
+    let first = fleet.key_of("i-1").expect("it is there");
+    let without_start = |slots| BackendEntry {
+        started_ms: 0,
+        ..entry("i-1", SERVICE, slots)
+    };
+    fleet.upsert(without_start(9));
+    let member = fleet.get(first).expect("it is the same process");
+    assert_eq!((member.entry.start(), member.entry.slots), (Some(1), 9));
+    fleet.upsert(BackendEntry {
+        software: Arc::from("v2"),
+        ..without_start(9)
+    });
+    let second = fleet.key_of("i-1").expect("it is there");
+    let member = fleet.get(second).expect("it is there");
+    assert_ne!(first, second);
+    assert_eq!(member.entry.start(), None, "of another process");
+}
+
+// Guards against a process that is forgotten, with the streams that it began, when the entry of the one before it goes.
+#[test]
+fn an_unregistered_process_is_remembered_after_the_entry_before_it_has_gone() {
+    let mut processes = UnregisteredProcesses::default();
+    let mut fleet = FleetTable::default();
+    for id in ["i-1", "i-2"] {
+        fleet.upsert(entry(id, SERVICE, 8));
+        let key = fleet.key_of(id).expect("it is there");
+        fleet.mark_replaced(key, START);
+    }
+    processes.observe(&fleet, START);
+    fleet.upsert(BackendEntry {
+        started_ms: 2,
+        ..entry("i-1", SERVICE, 8)
+    });
+    processes.observe(&fleet, START);
+    assert!(!processes.has_gone(SERVICE, START), "it is registered now");
+    fleet.remove("i-2");
+    processes.observe(&fleet, START);
+    assert!(processes.has_gone(SERVICE, START));
+    assert!(!processes.has_gone(SERVICE, START + ORIGIN_RETENTION));
+}
+
 proptest! {
     // Guards against a choice at another version when the engines of the right one are full,
     // ejected, lapsed or tried.
--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -14,12 +14,12 @@
 use std::time::Duration;
 
 use oleander_balance::{
-    OriginTable, StreamId, StreamOrigin, VersionHistory, VersionId, VersionRecord, VersionSpan,
-    sole_version,
+    OriginTable, StreamId, StreamOrigin, UnregisteredProcesses, VersionHistory, VersionId,
+    VersionRecord, VersionSpan, sole_version,
 };
 use oleander_base::{FastMap, FastSet, monotonic_now};
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::core::GatewayCore;
 use crate::peer_message::{OriginQuery, OriginReply, PeerMessage};
@@ -34,9 +34,17 @@
 /// How many times a query is sent to a replica that does not reply.
 const QUERY_SENDS: u32 = 3;
 
+/// How many times a query is sent while no replica has replied. Replicas that stand still for a moment reply later, and
+/// meanwhile the registry has the time to name a process that began the stream.
+const SILENT_SENDS: u32 = 20;
+
 /// The time between two sends of a query.
 const QUERY_INTERVAL: Span = Span::from_millis(50);
 
+/// How many times the record of a stream without a certain version is sent. It takes back one with a version, or the
+/// inference from the only version of the service, so that its loss would not be noticed.
+const DOUBTFUL_SENDS: u32 = 3;
+
 /// The replicas that are told of a stream.
 pub(crate) const TOLD_REPLICAS: ReplicaCounts = ReplicaCounts { near: 1, any: 2 };
 
@@ -119,12 +127,47 @@
 /// What the replicas replied to one query.
 #[derive(Debug, Default)]
 struct OpenQuery {
+    /// The replicas that have replied.
     replied: RefCell<FastSet<SocketAddr>>,
+    /// The origin, by all replies that name one.
     origin: Cell<Option<VersionId>>,
     versions: RefCell<Vec<VersionSpan>>,
     changed: Notify,
 }
 
+impl OpenQuery {
+    /// Takes over the origin that a replica knows.
+    fn add_origin(&self, version: VersionId) {
+        let known = self.origin.get();
+        let joined = known.map_or(version, |known| known.joined_with(version));
+        self.origin.set(Some(joined));
+    }
+
+    /// Returns whether no further reply can change the origin.
+    fn is_decided(&self, replicas: &[SocketAddr]) -> bool {
+        let is_uncertain = self.origin.get() == Some(VersionId::UNCERTAIN);
+        is_uncertain || self.replied.borrow().len() >= replicas.len()
+    }
+
+    /// Returns whether the query ends after it was sent a number of times, although a replica has not replied.
+    fn is_over(&self, sends: u32) -> bool {
+        if self.origin.get().is_some() {
+            return true;
+        }
+        match self.replied.borrow().is_empty() {
+            true => sends >= SILENT_SENDS,
+            false => sends >= QUERY_SENDS,
+        }
+    }
+}
+
+/// A record that replicas are to be told.
+#[derive(Debug, Clone, Copy)]
+struct UnsentRecord {
+    record: StreamOrigin,
+    sends_left: u32,
+}
+
 /// A record of software versions that should take the place of another one.
 #[derive(Debug)]
 pub(crate) struct RecordChange {
@@ -145,10 +188,12 @@
 pub(crate) struct OriginExchange {
     table: RefCell<OriginTable>,
     history: RefCell<VersionHistory>,
+    unregistered: RefCell<UnregisteredProcesses>,
     adopted: RefCell<AdoptedRecord>,
     record_outdated: Notify,
-    unsent: RefCell<Vec<StreamOrigin>>,
+    unsent: RefCell<Vec<UnsentRecord>>,
     has_unsent: Notify,
+    has_urgent: Notify,
     queries: RefCell<FastMap<u64, Rc<OpenQuery>>>,
 }
 
@@ -157,9 +202,16 @@
     pub(crate) fn record(&self, stream: StreamId, version: VersionId) {
         let now = monotonic_now();
         self.table.borrow_mut().record(stream, version, now);
-        let record = StreamOrigin { stream, version };
-        self.unsent.borrow_mut().push(record);
+        let is_doubtful = version == VersionId::UNCERTAIN;
+        let sends_left = if is_doubtful { DOUBTFUL_SENDS } else { 1 };
+        self.unsent.borrow_mut().push(UnsentRecord {
+            record: StreamOrigin { stream, version },
+            sends_left,
+        });
         self.has_unsent.notify_one();
+        if is_doubtful {
+            self.has_urgent.notify_one();
+        }
     }
 
     /// Takes over what another gateway recorded.
@@ -189,8 +241,8 @@
         if !query.replied.borrow_mut().insert(from) {
             return;
         }
-        if reply.origin.is_some() {
-            query.origin.set(reply.origin);
+        if let Some(version) = reply.origin {
+            query.add_origin(version);
         }
         query.versions.borrow_mut().push(reply.versions);
         query.changed.notify_one();
@@ -200,6 +252,9 @@
     pub(crate) fn observe(&self, core: &GatewayCore) {
         let now = monotonic_now();
         self.adopt_record(core, now);
+        self.unregistered
+            .borrow_mut()
+            .observe(&core.fleet.borrow(), now);
         if !is_current(core, now) {
             return;
         }
@@ -223,9 +278,13 @@
             return;
         }
         let record = view.version_record().clone();
-        self.history
-            .borrow_mut()
-            .adopt(&record, &adopted.record, now);
+        let mut history = self.history.borrow_mut();
+        let is_first = adopted.at == StoreVersion::default();
+        if is_first && view.is_version_record_spoiled() {
+            history.distrust_past(now);
+        }
+        history.adopt(&record, &adopted.record, now);
+        drop(history);
         *adopted = AdoptedRecord { at, record };
     }
 
@@ -251,14 +310,16 @@
     }
 
     /// Returns what this gateway knows of a service's versions. Without recent contact with the store
-    /// there may be another version that it does not know of.
+    /// there may be another version that it does not know of. A process that no entry describes was met, whether or not
+    /// the store is there.
     fn versions(&self, core: &GatewayCore, service: &str) -> VersionSpan {
         let now = monotonic_now();
+        let is_met = core.fleet.borrow().has_unregistered_process(service);
+        if is_met || self.unregistered.borrow().has_gone(service, now) {
+            return VersionSpan::Mixed;
+        }
         match self.history.borrow().span(service, now) {
             VersionSpan::Single(_) if !is_current(core, now) => VersionSpan::Unknown,
-            VersionSpan::Single(_) if core.fleet.borrow().has_unregistered_process(service) => {
-                VersionSpan::Mixed
-            }
             span => span,
         }
     }
@@ -286,13 +347,17 @@
         if let Some(version) = own {
             return ResolvedOrigin::known(version, OriginSource::Own);
         }
-        let mut spans = vec![self.versions(core, service)];
         let Some(stream) = stream else {
-            return ResolvedOrigin::inferred(&spans);
+            return ResolvedOrigin::inferred(&[self.versions(core, service)]);
         };
         let replicas = core.origin_replicas(stream, ASKED_REPLICAS);
         let query = self.ask(core, stream, service, &replicas).await;
-        spans.append(&mut query.versions.borrow_mut());
+        if let Some(version) = self.table.borrow().get(stream, monotonic_now()) {
+            // The record came here meanwhile.
+            query.add_origin(version);
+        }
+        let mut spans = query.versions.take();
+        spans.push(self.versions(core, service));
         let mut found = match query.origin.get() {
             Some(version) => ResolvedOrigin::known(version, OriginSource::Replica),
             None => ResolvedOrigin::inferred(&spans),
@@ -311,7 +376,8 @@
         }
     }
 
-    /// Asks replicas until one has the origin, all have replied or the time is over.
+    /// Asks replicas until all have replied or the time is over. One that has the origin does not end the query at once:
+    /// another one may know that the version is not certain.
     async fn ask(
         &self,
         core: &GatewayCore,
@@ -326,7 +392,8 @@
             exchange: self,
             nonce,
         };
-        for _ in 0..QUERY_SENDS {
+        let mut sends = 0;
+        while !query.is_decided(replicas) && !query.is_over(sends) {
             let message = PeerMessage::OriginQuery(OriginQuery {
                 nonce,
                 stream,
@@ -338,25 +405,31 @@
                 .filter(|replica| !replied.contains(*replica));
             let silent: Vec<SocketAddr> = silent.copied().collect();
             core.peers.send(message, &silent);
-            let is_decided =
-                || query.origin.get().is_some() || query.replied.borrow().len() >= replicas.len();
-            let wait = async {
-                while !is_decided() {
+            sends += 1;
+            let decided = async {
+                while !query.is_decided(replicas) {
                     query.changed.notified().await;
                 }
             };
-            if timeout(Duration::from(QUERY_INTERVAL), wait).await.is_ok() {
-                break;
-            }
+            // The loop looks again what has come in this time.
+            let _ = timeout(Duration::from(QUERY_INTERVAL), decided).await;
         }
         query
     }
 
-    /// Sends the records that are waiting, one datagram for each replica.
+    /// Sends the records that are waiting, one datagram for each replica. Those that are sent again wait for the next
+    /// time.
     fn flush(&self, core: &GatewayCore) {
-        let unsent = std::mem::take(&mut *self.unsent.borrow_mut());
+        let unsent = self.unsent.take();
         let mut by_replica: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
-        for record in unsent {
+        for UnsentRecord { record, sends_left } in unsent {
+            if sends_left > 1 {
+                self.unsent.borrow_mut().push(UnsentRecord {
+                    record,
+                    sends_left: sends_left - 1,
+                });
+                self.has_unsent.notify_one();
+            }
             for replica in core.origin_replicas(record.stream, TOLD_REPLICAS) {
                 by_replica.entry(replica).or_default().push(record);
             }
@@ -393,7 +466,9 @@
 pub(crate) async fn run_origin_exchange(core: Rc<GatewayCore>) {
     loop {
         core.origins.has_unsent.notified().await;
-        sleep(Duration::from(RECORD_DELAY)).await;
+        let urgent = core.origins.has_urgent.notified();
+        // Both ends of the wait are followed by the same.
+        let _ = timeout(Duration::from(RECORD_DELAY), urgent).await;
         core.origins.flush(&core);
     }
 }
