Soak: links that lose segments, engines that fail or refuse their report

Cause: the soak cut links or delayed them as a whole, and its engines either served or were killed. Not played: a piece or an end of one connection that comes late by itself, an engine that lives and spoils an answer, and a report that is refused for a moment.

Change: FaultyLink holds single pieces and ends back by 200 to 1,000 ms, each direction of each connection by itself. Engines take faults as commands (engine_fault.rs). The checker's tests stand in a file of their own, with two new ones: a stream that is complete inside an event, and an answer to an earlier request of the same connection.

--- a/crates/entry/tests/order_soak/engine.rs
+++ b/crates/entry/tests/order_soak/engine.rs
@@ -14,6 +14,7 @@
 use oleander_standin::users::{WireMessage, read_message};
 use serde::{Deserialize, Serialize};
 
+use super::engine_fault::{CurrentFault, EngineFault, REPORT_DELAY};
 use super::shape::{self, Framing};
 
 /// The environment variable that holds the settings of an engine process.
@@ -33,11 +34,14 @@
     pub address: SocketAddr,
     /// When the process started, in milliseconds since the Unix epoch.
     pub born_ms: u64,
+    /// A command that the engine obeys before it accepts connections, or nothing.
+    pub first_command: String,
 }
 
 struct Engine {
     settings: EngineSettings,
     leaves: AtomicBool,
+    fault: CurrentFault,
 }
 
 /// Whether the connection serves another request.
@@ -56,7 +60,9 @@
     let engine = Arc::new(Engine {
         settings,
         leaves: AtomicBool::new(false),
+        fault: CurrentFault::default(),
     });
+    engine.fault.obey(&engine.settings.first_command);
     let listener = bind(engine.settings.address);
     report(LISTENING);
     let commanded = Arc::clone(&engine);
@@ -95,6 +101,7 @@
             if line == LEAVE {
                 self.leaves.store(true, Ordering::SeqCst);
             }
+            self.fault.obey(&line);
         }
         std::process::exit(0);
     }
@@ -151,6 +158,15 @@
     }
 
     fn answer_report(&self, stream: &TcpStream) -> io::Result<Next> {
+        if self.fault.is(EngineFault::ReportBusy) {
+            return self.answer_empty(stream, 503, "");
+        }
+        if self.fault.is(EngineFault::ReportMissing) {
+            return self.answer_empty(stream, 404, "");
+        }
+        if self.fault.is(EngineFault::ReportLate) {
+            thread::sleep(REPORT_DELAY);
+        }
         let born_ms = self.settings.born_ms;
         let body = format!("{{\"phase\":\"available\",\"born\":{born_ms}}}");
         let length = body.len();
@@ -179,10 +195,13 @@
             let to = last.min(next + shape::batch(attempt) - 1);
             let events = (next..=to).map(|id| shape::event(name, id, &self.settings.version));
             let events: String = events.collect();
+            if self.fails_here(stream, framing, &events)? {
+                return Ok(Next::Close);
+            }
             write_piece(stream, framing, &events, shape::is_split(attempt))?;
             next = to + 1;
         }
-        finish(stream, framing, name, attempt)
+        self.finish(stream, framing, name, attempt)
     }
 
     fn answer_body(
@@ -201,7 +220,53 @@
             thread::sleep(shape::pace(name));
             write_piece(stream, framing, piece, false)?;
         }
-        finish(stream, framing, name, attempt)
+        self.finish(stream, framing, name, attempt)
+    }
+
+    /// Fails in the middle of a stream, if the engine has such a fault now. Returns whether it did.
+    fn fails_here(&self, stream: &TcpStream, framing: Framing, events: &str) -> io::Result<bool> {
+        /// The bytes of the last event that are not written; they hold more than its last line break.
+        const MISSING: usize = 5;
+        if self.fault.is(EngineFault::BrokenEvent) {
+            let inside = events.len() - MISSING;
+            write_piece(stream, framing, &events[..inside], false)?;
+            return Ok(true);
+        }
+        if self.fault.is(EngineFault::SpoiledChunk) && framing == Framing::Chunked {
+            write(stream, format!("size\r\n{events}\r\n").as_bytes())?;
+            return Ok(true);
+        }
+        Ok(false)
+    }
+
+    /// Ends an answer and reports it.
+    fn finish(
+        &self,
+        stream: &TcpStream,
+        framing: Framing,
+        name: &str,
+        attempt: &str,
+    ) -> io::Result<Next> {
+        if framing == Framing::Chunked {
+            write(stream, b"0\r\n\r\n")?;
+        }
+        report(&format!("done {name} {attempt}"));
+        if framing == Framing::UntilClose {
+            return Ok(Next::Close);
+        }
+        if self.fault.is(EngineFault::SecondAnswer) {
+            self.answer_again(stream, name, attempt)?;
+        }
+        Ok(Next::Keep)
+    }
+
+    /// Writes a second answer to a request that was answered some time ago.
+    fn answer_again(&self, stream: &TcpStream, name: &str, attempt: &str) -> io::Result<()> {
+        const LATE: Duration = Duration::from_millis(30);
+        thread::sleep(LATE);
+        let body = shape::body_pieces(name, &self.settings.version).concat();
+        self.write_head(stream, attempt, Framing::Length, "", body.len())?;
+        write(stream, body.as_bytes())
     }
 
     fn write_head(
@@ -241,18 +306,6 @@
     write(stream, second)
 }
 
-/// Ends an answer and reports it.
-fn finish(stream: &TcpStream, framing: Framing, name: &str, attempt: &str) -> io::Result<Next> {
-    if framing == Framing::Chunked {
-        write(stream, b"0\r\n\r\n")?;
-    }
-    report(&format!("done {name} {attempt}"));
-    Ok(match framing {
-        Framing::UntilClose => Next::Close,
-        Framing::Chunked | Framing::Length => Next::Keep,
-    })
-}
-
 fn write(mut stream: &TcpStream, bytes: &[u8]) -> io::Result<()> {
     stream.write_all(bytes)?;
     stream.flush()
--- a/crates/entry/tests/order_soak/engine_slot.rs
+++ b/crates/entry/tests/order_soak/engine_slot.rs
@@ -105,11 +105,12 @@
             .map(|tenant| tenant.version.clone())
     }
 
-    /// Starts an engine here and registers it once it accepts connections.
+    /// Starts an engine here, which obeys the command first, and registers it once it accepts connections.
     pub fn start(
         &self,
         id: &str,
         version: &str,
+        first_command: &str,
         store: &UsersStore,
         reports: &Arc<Mutex<Reports>>,
     ) {
@@ -118,6 +119,7 @@
             version: version.to_owned(),
             address: self.engine_address,
             born_ms: unix_ms(),
+            first_command: first_command.to_owned(),
         };
         let process = spawn_process(&settings, reports);
         *self.tenant.lock() = Some(EngineTenant {
@@ -160,6 +162,14 @@
         Some((id, version))
     }
 
+    /// Writes a line on the standard input of the engine.
+    pub fn command(&self, line: &str) {
+        if let Some(tenant) = self.tenant.lock().as_mut() {
+            // An engine that was killed reads no command.
+            let _ = writeln!(tenant.process.commands, "{line}");
+        }
+    }
+
     /// Has the engine say that it leaves.
     pub fn leave(&self, store: &UsersStore) {
         if let Some(tenant) = self.tenant.lock().as_mut() {
--- a/crates/entry/tests/order_soak/fleet.rs
+++ b/crates/entry/tests/order_soak/fleet.rs
@@ -95,8 +95,13 @@
 
     /// Starts an engine under an id that may have been another's.
     pub fn start_engine_as(&self, slot: &EngineSlot, id: &str, version: &str) {
+        self.start_engine_with(slot, id, version, "");
+    }
+
+    /// Starts an engine that obeys a command before it accepts connections.
+    pub fn start_engine_with(&self, slot: &EngineSlot, id: &str, version: &str, command: &str) {
         self.expiring.lock().retain(|(known, _)| known != id);
-        slot.start(id, version, &self.store, &self.reports);
+        slot.start(id, version, command, &self.store, &self.reports);
     }
 
     /// Kills an engine, whose entry expires unless its id starts again. Returns its id and version.
--- a/crates/entry/tests/order_soak/mod.rs
+++ b/crates/entry/tests/order_soak/mod.rs
@@ -5,10 +5,13 @@
 pub mod answer_reader;
 pub mod caller;
 pub mod checker;
+pub mod checker_tests;
 pub mod engine;
+pub mod engine_fault;
 pub mod engine_slot;
 pub mod fleet;
 pub mod outcome;
 pub mod shape;
 pub mod trace;
 pub mod trouble;
+pub mod trouble_doubts;
--- a/crates/entry/tests/order_soak/trouble.rs
+++ b/crates/entry/tests/order_soak/trouble.rs
@@ -7,13 +7,16 @@
 use parking_lot::Mutex;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
+use serde::Deserialize;
 
+use super::engine_fault::EngineFault;
 use super::engine_slot::EngineSlot;
 use super::fleet::Fleet;
 use crate::gateway::TestGateway;
 
-/// A kind of fault.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+/// A kind of fault. A command line names it in kebab case.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Trouble {
     /// An engine is killed and starts again soon at its address under a new id.
     EngineRestart,
@@ -42,6 +45,21 @@
     /// An engine is killed, and its link falls silent at once. Behind that it starts again under its id at the other
     /// software version, is killed and starts again at its own.
     SilentUpgrade,
+    /// Some pieces to and from an engine, and some ends of its connections, come late as after a lost segment.
+    LossyLink,
+    /// As `LossyLink`, while the engine starts again under its id at the other software version.
+    LossyUpgrade,
+    /// Answers of an engine that lives end inside an event, have a spoiled chunk or are followed by a second answer.
+    EngineFailure,
+    /// An engine refuses its report for a moment, or answers it late.
+    ReportFailure,
+    /// An engine starts again under its id at the other software version and refuses its report with status 503 at
+    /// first. Then it starts again at its own.
+    ReportBusyUpgrade,
+    /// The same with status 404.
+    ReportMissingUpgrade,
+    /// The same with a report that comes late.
+    ReportLateUpgrade,
 }
 
 /// Faults of all kinds at which engines keep their software version, as often as they are chosen.
@@ -74,6 +92,18 @@
 /// Engines that are killed while nothing passes between them and the gateways.
 pub const SILENT_UPGRADES: [Trouble; 1] = [Trouble::SilentUpgrade];
 
+/// Links that lose segments, and engines that fail without an end of their process.
+pub const DOUBTS: [Trouble; 8] = [
+    Trouble::LossyLink,
+    Trouble::LossyUpgrade,
+    Trouble::EngineFailure,
+    Trouble::ReportFailure,
+    Trouble::ReportBusyUpgrade,
+    Trouble::ReportMissingUpgrade,
+    Trouble::ReportLateUpgrade,
+    Trouble::EngineUpgrade,
+];
+
 /// The software versions of engines.
 pub const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// The time for which a paused process stands still.
@@ -83,19 +113,19 @@
 
 /// Plays faults against a fleet.
 pub struct TroubleMaker<'a> {
-    fleet: &'a Fleet,
+    pub(super) fleet: &'a Fleet,
     seed: u64,
-    choices: &'static [Trouble],
+    choices: Vec<Trouble>,
     counts: Mutex<FastMap<Trouble, usize>>,
 }
 
 impl<'a> TroubleMaker<'a> {
     /// Creates the faults of a seed, of the given kinds.
-    pub fn new(fleet: &'a Fleet, seed: u64, choices: &'static [Trouble]) -> Self {
+    pub fn new(fleet: &'a Fleet, seed: u64, choices: &[Trouble]) -> Self {
         Self {
             fleet,
             seed,
-            choices,
+            choices: choices.to_vec(),
             counts: Mutex::default(),
         }
     }
@@ -148,13 +178,26 @@
                 self.harm_link(trouble, &mut random)
             }
             Trouble::SilentUpgrade => self.upgrade_silently(&mut random),
+            Trouble::LossyLink => self.lose_segments(&mut random),
+            Trouble::LossyUpgrade => self.upgrade_behind_lossy_link(&mut random),
+            Trouble::EngineFailure => self.fail_engine(&EngineFault::IN_ANSWERS, &mut random),
+            Trouble::ReportFailure => self.fail_engine(&EngineFault::IN_REPORTS, &mut random),
+            Trouble::ReportBusyUpgrade => {
+                self.upgrade_unreported(EngineFault::ReportBusy, &mut random)
+            }
+            Trouble::ReportMissingUpgrade => {
+                self.upgrade_unreported(EngineFault::ReportMissing, &mut random)
+            }
+            Trouble::ReportLateUpgrade => {
+                self.upgrade_unreported(EngineFault::ReportLate, &mut random)
+            }
         };
         if is_made {
             *self.counts.lock().entry(trouble).or_default() += 1;
         }
     }
 
-    fn choose_slot(&self, random: &mut ChaCha8Rng) -> &'a EngineSlot {
+    pub(super) fn choose_slot(&self, random: &mut ChaCha8Rng) -> &'a EngineSlot {
         &self.fleet.slots[below(random, self.fleet.slots.len())]
     }
 
@@ -189,7 +232,7 @@
     }
 
     /// Returns whether enough engines of its service are left when an engine is killed.
-    fn may_be_killed(&self, slot: &EngineSlot) -> bool {
+    pub(super) fn may_be_killed(&self, slot: &EngineSlot) -> bool {
         slot.is_available() && self.fleet.available(slot.service) > LEAST_ENGINES
     }
 
@@ -339,12 +382,12 @@
     }
 }
 
-fn other_version(version: &str) -> &'static str {
+pub(super) fn other_version(version: &str) -> &'static str {
     let other = VERSIONS.iter().find(|other| **other != version);
     other.expect("there are two versions")
 }
 
-fn below(random: &mut ChaCha8Rng, bound: usize) -> usize {
+pub(super) fn below(random: &mut ChaCha8Rng, bound: usize) -> usize {
     let bound = u64::try_from(bound).expect("the number is small");
     usize::try_from(random.next_u64() % bound).expect("the number is small")
 }
--- a/crates/standin/src/users/faulty_link.rs
+++ b/crates/standin/src/users/faulty_link.rs
@@ -1,5 +1,8 @@
-//! A link between the gateways and one engine that a test delays, interrupts or resets. It passes the end of a
-//! connection on as it came: a close as a close and a reset as a reset.
+//! A link between the gateways and one engine, or between a gateway and the store, that a test delays, interrupts or
+//! resets. It passes the end of a connection on as it came: a close as a close and a reset as a reset.
+//!
+//! A link that loses segments holds single pieces, and the ends of connections, back as a retransmission does: each
+//! direction of a connection waits by itself, what follows waits behind it, and nothing is lost or out of order.
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -21,6 +24,10 @@
     /// The delay of each piece that is copied, in milliseconds.
     delay_ms: AtomicU64,
     is_held: AtomicBool,
+    /// The mean number of pieces from one that comes late to the next, or 0 if none does.
+    late_one_in: AtomicU64,
+    /// The number of pieces that passed while some came late.
+    passed: AtomicU64,
     pairs: Mutex<Vec<Weak<Pair>>>,
 }
 
@@ -72,6 +79,11 @@
         self.state.is_held.store(is_held, Ordering::SeqCst);
     }
 
+    /// Has one of `one_in` pieces or ends of connections come 200 to 1,000 ms late, as after a lost segment; 0 ends it.
+    pub fn lose_segments(&self, one_in: u64) {
+        self.state.late_one_in.store(one_in, Ordering::SeqCst);
+    }
+
     /// Resets all open connections, towards both sides.
     pub fn reset_all(&self) {
         for pair in self.state.pairs.lock().drain(..) {
@@ -88,10 +100,36 @@
         if delay_ms > 0 {
             thread::sleep(Duration::from_millis(delay_ms));
         }
+        if let Some(delay) = self.retransmission() {
+            thread::sleep(delay);
+        }
         while self.is_held.load(Ordering::SeqCst) {
             thread::sleep(HELD_PAUSE);
         }
     }
+
+    /// Returns how late this piece comes, if its segment is lost.
+    fn retransmission(&self) -> Option<Duration> {
+        const SHORTEST_MS: u64 = 200;
+        const SPREAD_MS: u64 = 801;
+        let one_in = self.late_one_in.load(Ordering::SeqCst);
+        if one_in == 0 {
+            return None;
+        }
+        let mixed = mix(self.passed.fetch_add(1, Ordering::SeqCst));
+        let delay_ms = SHORTEST_MS + (mixed >> 32) % SPREAD_MS;
+        mixed
+            .is_multiple_of(one_in)
+            .then(|| Duration::from_millis(delay_ms))
+    }
+}
+
+/// Returns a number that looks random and depends on nothing but the argument (the finalizer of SplitMix64).
+fn mix(number: u64) -> u64 {
+    let mut mixed = number.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
 }
 
 fn connect(caller: TcpStream, engine: SocketAddr, state: &Arc<LinkState>) {
