Soak: the store, the registry, gateways and callers fail too

Cause: the store of the soak never failed, entries were always complete and there as long as their engine lived, an address belonged to one service, the manifest never changed, callers read and waited as they should, and all gateways were of one program. None of that was played.

Change: trouble_store.rs and trouble_around.rs hold one small fault each: store-away, store-slow, store-answers-lost, store-compacted, store-restored, store-cut, store-lossy, gateway-stutter, entry-away, entry-without-start, address-reuse, manifest-change, slow-callers and hasty-callers. Each gateway reaches the store over a link of its own. OLEANDERPLANK_OLD_PROGRAM names the program of each second gateway. The checker sees answers of engines of the other service, with a test. Engines that refuse their reports have a test of their own, apart from lossy links and engines that spoil answers.

--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -8,7 +8,7 @@
 pub mod relaying;
 pub mod scaled;
 
-use std::ffi::OsString;
+use std::ffi::{OsStr, OsString};
 use std::fs::File;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -44,6 +44,7 @@
     pub metrics: SocketAddr,
     pub gossip: SocketAddr,
     settings_path: PathBuf,
+    program: OsString,
     log: Arc<Mutex<Vec<String>>>,
     _dir: tempfile::TempDir,
 }
@@ -208,6 +209,18 @@
         seeds: &[SocketAddr],
         is_read: bool,
         change: impl FnOnce(&mut Value),
+    ) -> Self {
+        Self::spawn_program(program(), name, store, seeds, is_read, change)
+    }
+
+    /// Starts a gateway of the given program, with changed settings. It starts again with the same program.
+    pub fn spawn_program(
+        program: OsString,
+        name: &str,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+        is_read: bool,
+        change: impl FnOnce(&mut Value),
     ) -> Self {
         let addresses = [free_address(), free_address(), free_address()];
         let metrics = free_address();
@@ -219,7 +232,7 @@
         let gossip_port = u16::try_from(gossip_port).expect("ports are small");
         std::fs::write(&settings_path, text.to_string()).expect("a test may write a file");
         let log = Arc::new(Mutex::new(Vec::new()));
-        let mut child = spawn_process(&settings_path, metrics);
+        let mut child = spawn_process(&program, &settings_path, metrics);
         if is_read {
             read_log(&mut child, &log);
         }
@@ -231,6 +244,7 @@
             metrics,
             gossip: SocketAddr::from(([127, 0, 0, 1], gossip_port)),
             settings_path,
+            program,
             log,
             _dir: dir,
         }
@@ -317,7 +331,7 @@
 
     /// Starts the process again, with the same settings and addresses, after it has ended.
     pub fn restart(&mut self) {
-        self.child = spawn_process(&self.settings_path, self.metrics);
+        self.child = spawn_process(&self.program, &self.settings_path, self.metrics);
         read_log(&mut self.child, &self.log);
     }
 
@@ -359,8 +373,8 @@
 }
 
 /// Starts the gateway program.
-fn spawn_process(settings_path: &Path, metrics: SocketAddr) -> Child {
-    Command::new(program())
+fn spawn_process(program: &OsStr, settings_path: &Path, metrics: SocketAddr) -> Child {
+    Command::new(program)
         .args(["gateway", "--metrics-port", &metrics.port().to_string()])
         .env("OLEANDERPLANK_BOOT", settings_path)
         .stdout(Stdio::piped())
@@ -369,7 +383,7 @@
 }
 
 /// Returns the gateway program: another build may be named, so that tests show what it does.
-fn program() -> OsString {
+pub fn program() -> OsString {
     let named = std::env::var_os(PROGRAM_VARIABLE);
     named.unwrap_or_else(|| env!("CARGO_BIN_EXE_oleanderplank").into())
 }
--- a/crates/entry/tests/gateway_order_soak.rs
+++ b/crates/entry/tests/gateway_order_soak.rs
@@ -4,7 +4,8 @@
 //! `OLEANDERPLANK_SOAK_SEED`, `OLEANDERPLANK_SOAK_COUNT`, `OLEANDERPLANK_SOAK_SECONDS` and `OLEANDERPLANK_SOAK_CALLERS`
 //! choose the first seed, the number of seeds, the length of a run and the number of callers.
 //! `OLEANDERPLANK_SOAK_KINDS` names the kinds of faults, such as `lossy-link,engine-upgrade`: the variants of `Trouble`
-//! in kebab case, as often as they are to be chosen. `OLEANDERPLANK_PROGRAM` names another gateway program.
+//! in kebab case, as often as they are to be chosen. `OLEANDERPLANK_PROGRAM` names another gateway program,
+//! and `OLEANDERPLANK_OLD_PROGRAM` one for each second gateway.
 
 mod gateway;
 mod order_soak;
@@ -160,15 +161,40 @@
     });
 }
 
-// Guards against streams of two versions, and answers that are short or another's, because an engine that is heard late, that
-// fails, or that does not report itself for a moment is taken for a sound one or for one that never reports itself.
+// Guards against streams of two versions, and answers that are short or another's, because an engine that is heard late or
+// that fails is taken for a sound one.
 #[test]
 fn answers_are_whole_and_of_one_version_while_engines_are_in_doubt() {
     play_all(SoakPlan {
         seed: 54,
-        run_seconds: 20,
+        run_seconds: 12,
         callers: CALLERS,
         choices: trouble::DOUBTS.to_vec(),
         links: Links::All,
     });
 }
+
+// Guards against streams of two versions, and short answers that end as whole, because an engine that refuses its report for a
+// moment is taken for one that never reports itself.
+#[test]
+fn answers_are_whole_and_of_one_version_while_engines_refuse_their_reports() {
+    play_all(SoakPlan {
+        seed: 56,
+        run_seconds: 12,
+        callers: CALLERS,
+        choices: trouble::UNREPORTED.to_vec(),
+        links: Links::All,
+    });
+}
+
+// Guards against faults of answers while the store, the registry, gateways and callers behave as badly as they may.
+#[test]
+fn answers_are_whole_and_of_one_version_while_the_surroundings_fail() {
+    play_all(SoakPlan {
+        seed: 55,
+        run_seconds: 20,
+        callers: CALLERS,
+        choices: trouble::SURROUNDINGS.to_vec(),
+        links: Links::Half,
+    });
+}
--- a/crates/entry/tests/order_soak/caller.rs
+++ b/crates/entry/tests/order_soak/caller.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -115,13 +116,21 @@
             point.advance(&attempt);
             let may_repeat = may_repeat(trace.kind, &attempt);
             trace.attempts.push(attempt);
-            if !may_repeat || !self.fleet.goes_on_for(pause) {
+            if !may_repeat || !self.fleet.goes_on_for(self.pause_after(pause)) {
                 break;
             }
         }
         trace
     }
 
+    /// Returns the time after which the caller repeats a request.
+    fn pause_after(&self, told: Duration) -> Duration {
+        match self.fleet.habits.repeats_at_once.load(Ordering::SeqCst) {
+            true => Duration::ZERO,
+            false => told,
+        }
+    }
+
     /// Returns the number of events after which the caller closes its first connection, for a few requests that may be
     /// resumed.
     fn choose_leave(&mut self, kind: Kind) -> Option<usize> {
@@ -164,7 +173,12 @@
                 .write_all(call_text(trace, &attempt.id, point).as_bytes());
             if let Some(head) = read_head(&mut reader) {
                 pause = pause_of(&head);
-                receive(&mut reader, &head, trace.kind, leaves_at, &mut attempt);
+                let reads_slowly = &self.fleet.habits.reads_slowly;
+                let reading = Reading {
+                    leaves_at,
+                    reads_slowly,
+                };
+                receive(&mut reader, &head, trace.kind, &reading, &mut attempt);
                 if head.keeps_connection() && attempt.end == End::Complete {
                     self.kept = Some((gateway, reader));
                 }
@@ -245,12 +259,29 @@
     Duration::from_secs_f64(seconds.clamp(0.0, MAX_PAUSE_SECONDS))
 }
 
+/// How a caller reads an answer.
+struct Reading<'a> {
+    /// The number of events after which the caller closes the connection.
+    leaves_at: Option<usize>,
+    reads_slowly: &'a AtomicBool,
+}
+
+impl Reading<'_> {
+    /// Waits before the next piece is read, if callers read slowly now.
+    fn wait(&self) {
+        const SLOW_PIECE: Duration = Duration::from_millis(25);
+        if self.reads_slowly.load(Ordering::SeqCst) {
+            thread::sleep(SLOW_PIECE);
+        }
+    }
+}
+
 /// Reads an answer into the attempt.
 fn receive(
     reader: &mut BufReader<TcpStream>,
     head: &Head,
     kind: Kind,
-    leaves_at: Option<usize>,
+    reading: &Reading<'_>,
     attempt: &mut Attempt,
 ) {
     attempt.status = head.status;
@@ -266,8 +297,9 @@
         return;
     }
     let mut collector = EventCollector::default();
-    let until = leaves_at.unwrap_or(usize::MAX);
+    let until = reading.leaves_at.unwrap_or(usize::MAX);
     attempt.end = read_body(reader, head, &mut |bytes| {
+        reading.wait();
         collector.add(bytes);
         collector.events.len() < until
     });
--- a/crates/entry/tests/order_soak/checker.rs
+++ b/crates/entry/tests/order_soak/checker.rs
@@ -28,12 +28,18 @@
     WrongBody,
     /// A success lacks the engine's signature, or bears that of another request.
     WrongSignature,
+    /// An engine of the other service answered.
+    OtherService,
     /// A request that may run once ran more often.
     RanTwice,
     /// A request that was refused with a promise has run.
     RefusedYetRan,
 }
 
+/// The services, and the software versions by which answers of those of their engines are known that serve at an
+/// address of an engine of the other service.
+pub const OTHER_SERVICE: [(&str, &str); 2] = [("desk", "desk-v1"), ("engines", "engines-v1")];
+
 /// The attempt ids with which each request ran at engines, by the request's name.
 pub type Runs = FastMap<String, Vec<String>>;
 
@@ -47,6 +53,7 @@
             false => check_body(&trace.name, attempt, &mut faults),
         }
     }
+    check_service(trace, &mut faults);
     if count_versions(trace) > 1 {
         faults.insert(Fault::TwoVersions);
     }
@@ -56,6 +63,17 @@
     faults
 }
 
+/// Checks that streams come from engines of the streaming service, and other answers from those of the log service.
+fn check_service(trace: &Trace, faults: &mut BTreeSet<Fault>) {
+    let (_, other) = OTHER_SERVICE[usize::from(!trace.kind.is_stream())];
+    for attempt in &trace.attempts {
+        let has_event = attempt.events.iter().any(|event| event.version == other);
+        if has_event || attempt.body.contains(other) {
+            faults.insert(Fault::OtherService);
+        }
+    }
+}
+
 fn check_signature(attempt: &Attempt, faults: &mut BTreeSet<Fault>) {
     if attempt.status != 200 {
         return;
--- a/crates/entry/tests/order_soak/checker_tests.rs
+++ b/crates/entry/tests/order_soak/checker_tests.rs
@@ -214,3 +214,17 @@
     second.attempts[0].signature = Some("proof-n1a1".to_owned());
     assert_eq!(faults(&second), [Fault::WrongBody, Fault::WrongSignature]);
 }
+
+// An address is used again by an engine of the other service.
+#[test]
+fn the_checker_sees_answers_of_engines_of_the_other_service() {
+    let name = stream_name(Framing::Chunked);
+    let mut stream = attempt(&name, 1, 0, &[1, 2], End::Broken);
+    for event in &mut stream.events {
+        event.version = "desk-v1".to_owned();
+    }
+    assert_eq!(faults(&digest(&name, vec![stream])), [Fault::OtherService]);
+    let body = shape::body_pieces("n1", "engines-v1").concat();
+    let seen = faults(&publish("n1", &body, End::Complete));
+    assert_eq!(seen, [Fault::OtherService]);
+}
--- a/crates/entry/tests/order_soak/engine_slot.rs
+++ b/crates/entry/tests/order_soak/engine_slot.rs
@@ -11,7 +11,7 @@
 use oleander_base::{FastMap, FastSet};
 use oleander_standin::users::{FaultyLink, UsersStore};
 use parking_lot::Mutex;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::checker::Runs;
 use super::engine::{self, EngineSettings};
@@ -54,6 +54,8 @@
     born_ms: u64,
     seq: u64,
     phase: &'static str,
+    service: &'static str,
+    is_unlisted: bool,
 }
 
 /// A child process that is killed when it is dropped.
@@ -94,7 +96,7 @@
         let tenant = self.tenant.lock();
         tenant
             .as_ref()
-            .is_some_and(|tenant| tenant.phase == "available")
+            .is_some_and(|tenant| tenant.phase == "available" && tenant.service == self.service)
     }
 
     /// Returns the software version of the engine that is here.
@@ -113,6 +115,19 @@
         first_command: &str,
         store: &UsersStore,
         reports: &Arc<Mutex<Reports>>,
+    ) {
+        self.start_of(self.service, id, version, first_command, store, reports);
+    }
+
+    /// Starts an engine of a service that may be another one than its place is for.
+    pub fn start_of(
+        &self,
+        service: &'static str,
+        id: &str,
+        version: &str,
+        first_command: &str,
+        store: &UsersStore,
+        reports: &Arc<Mutex<Reports>>,
     ) {
         let settings = EngineSettings {
             id: id.to_owned(),
@@ -129,6 +144,8 @@
             born_ms: settings.born_ms,
             seq: 0,
             phase: "available",
+            service,
+            is_unlisted: false,
         });
         self.write_entry(store);
     }
@@ -139,16 +156,52 @@
         let Some(tenant) = tenant.as_mut() else {
             return;
         };
+        if tenant.is_unlisted {
+            return;
+        }
         tenant.seq += 1;
+        let key = format!("servers/{}", tenant.id);
+        store.put(&key, self.entry(tenant).to_string());
+    }
+
+    /// Returns the text of the engine's entry.
+    fn entry(&self, tenant: &EngineTenant) -> Value {
         let link = self.link.as_ref().map(FaultyLink::address);
-        let entry = json!({
-            "backend": self.service, "address": link.unwrap_or(self.engine_address), "zone": self.centre,
+        json!({
+            "backend": tenant.service, "address": link.unwrap_or(self.engine_address), "zone": self.centre,
             "version": tenant.version, "max_concurrency": CONCURRENCY, "phase": tenant.phase,
             "warmup_left_ms": 0, "seq": tenant.seq, "born": tenant.born_ms
-        });
+        })
+    }
+
+    /// Takes the engine's entry out of the registry, or has it written again, while the engine lives.
+    pub fn unlist(&self, is_unlisted: bool, store: &UsersStore) {
+        if let Some(tenant) = self.tenant.lock().as_mut() {
+            tenant.is_unlisted = is_unlisted;
+            if is_unlisted {
+                store.delete(&format!("servers/{}", tenant.id));
+            }
+        }
+        self.write_entry(store);
+    }
+
+    /// Writes the engine's entry once without the time at which its process started.
+    pub fn write_entry_without_start(&self, store: &UsersStore) {
+        let mut tenant = self.tenant.lock();
+        let Some(tenant) = tenant.as_mut() else {
+            return;
+        };
+        tenant.seq += 1;
+        let mut entry = self.entry(tenant);
+        entry.as_object_mut().expect("an object").remove("born");
         store.put(&format!("servers/{}", tenant.id), entry.to_string());
     }
 
+    /// Returns the id of the engine that is here.
+    pub fn id(&self) -> Option<String> {
+        self.tenant.lock().as_ref().map(|tenant| tenant.id.clone())
+    }
+
     /// Kills the engine. Returns its id and version; its entry stays.
     pub fn kill(&self, reports: &Mutex<Reports>) -> Option<(String, String)> {
         let EngineTenant {
--- a/crates/entry/tests/order_soak/fleet.rs
+++ b/crates/entry/tests/order_soak/fleet.rs
@@ -1,19 +1,20 @@
 //! The gateways, engines and the store of a soak, in the shape of a corrections log: six gateways in four data
 //! centres, engines of a streaming service and of a log service.
 
+use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use oleander_standin::users::UsersStore;
+use oleander_standin::users::{FaultyLink, StoreCopy, UsersStore};
 use parking_lot::Mutex;
 use serde_json::json;
 
 use super::engine_slot::{EngineSlot, Reports};
 use super::trouble::VERSIONS;
-use crate::gateway::{TestGateway, store_with_manifest};
+use crate::gateway::{self, TestGateway, store_with_manifest};
 
 /// The data centre of each gateway.
 const GATEWAY_CENTRES: [&str; 6] = ["a", "a", "b", "b", "c", "d"];
@@ -37,6 +38,15 @@
     All,
 }
 
+/// How all callers behave at times.
+#[derive(Debug, Default)]
+pub struct Habits {
+    /// They read slowly.
+    pub reads_slowly: AtomicBool,
+    /// They repeat requests at once, whatever `Retry-After` says.
+    pub repeats_at_once: AtomicBool,
+}
+
 /// All processes of a soak.
 pub struct Fleet {
     pub store: UsersStore,
@@ -44,10 +54,15 @@
     /// The addresses at which callers reach the gateways.
     pub frontends: Vec<SocketAddr>,
     pub slots: Vec<EngineSlot>,
+    /// The link over which each gateway reaches the store.
+    pub store_links: Vec<FaultyLink>,
+    /// How callers behave now.
+    pub habits: Habits,
     pub reports: Arc<Mutex<Reports>>,
     /// Whether the run has ended.
     pub is_over: AtomicBool,
     next_id: AtomicU64,
+    manifest_version: AtomicU64,
     expiring: Mutex<Vec<(String, Instant)>>,
 }
 
@@ -56,17 +71,22 @@
     pub fn start(links: Links) -> Self {
         let store = store_with_manifest();
         let slots = slots(links);
+        let store_link = |_| FaultyLink::spawn(store.address());
+        let store_links: Vec<_> = GATEWAY_CENTRES.iter().map(store_link).collect();
         let gateways: Vec<TestGateway> = (0..GATEWAY_CENTRES.len())
-            .map(|nth| spawn_gateway(nth, &store))
+            .map(|nth| spawn_gateway(nth, store_links[nth].address()))
             .collect();
         let fleet = Self {
             frontends: gateways.iter().map(|gateway| gateway.frontend).collect(),
             gateways: gateways.into_iter().map(Mutex::new).collect(),
             store,
             slots,
+            store_links,
+            habits: Habits::default(),
             reports: Arc::default(),
             is_over: AtomicBool::new(false),
             next_id: AtomicU64::new(1),
+            manifest_version: AtomicU64::new(1),
             expiring: Mutex::default(),
         };
         for slot in fleet.first_slots() {
@@ -93,6 +113,19 @@
         self.start_engine_as(slot, &format!("i-{id}"), version);
     }
 
+    /// Starts an engine of another service under a new id at an engine's place.
+    pub fn start_engine_of(&self, slot: &EngineSlot, service: &'static str, version: &str) {
+        let id = self.next_id.fetch_add(1, Ordering::SeqCst);
+        slot.start_of(
+            service,
+            &format!("i-{id}"),
+            version,
+            "",
+            &self.store,
+            &self.reports,
+        );
+    }
+
     /// Starts an engine under an id that may have been another's.
     pub fn start_engine_as(&self, slot: &EngineSlot, id: &str, version: &str) {
         self.start_engine_with(slot, id, version, "");
@@ -120,6 +153,27 @@
         }
     }
 
+    /// Writes the manifest once more, with the same content under the next version.
+    pub fn write_manifest(&self) {
+        let version = 1 + self.manifest_version.fetch_add(1, Ordering::SeqCst);
+        let manifest = gateway::manifest(version);
+        self.store.put("op/config", manifest.to_string());
+    }
+
+    /// Has the store come back from a copy. The entries in it of engines that are gone expire.
+    pub fn restore_store(&self, copy: StoreCopy) {
+        self.store.restore(copy);
+        let living: Vec<String> = self.slots.iter().filter_map(EngineSlot::id).collect();
+        let mut expiring = self.expiring.lock();
+        for key in self.store.keys("servers/") {
+            let id = key.trim_start_matches("servers/").to_owned();
+            let is_known = living.contains(&id) || expiring.iter().any(|(known, _)| *known == id);
+            if !is_known {
+                expiring.push((id, Instant::now() + ENTRY_LIFE));
+            }
+        }
+    }
+
     /// Returns the number of engines of a service that take requests.
     pub fn available(&self, service: &str) -> usize {
         let slots = self.slots.iter();
@@ -166,10 +220,17 @@
     streams.chain(desk).collect()
 }
 
-fn spawn_gateway(nth: usize, store: &UsersStore) -> TestGateway {
+/// Returns the program of a gateway: each second one is of the old program, if the environment names one.
+fn gateway_program(nth: usize) -> OsString {
+    let old = std::env::var_os("OLEANDERPLANK_OLD_PROGRAM");
+    old.filter(|_| nth % 2 == 1)
+        .unwrap_or_else(gateway::program)
+}
+
+fn spawn_gateway(nth: usize, store: SocketAddr) -> TestGateway {
     const MEMORY_MEGABYTES: u64 = 260;
     let name = format!("edge-{}", nth + 1);
-    TestGateway::spawn_changed(&name, store.address(), &[], true, |text| {
+    TestGateway::spawn_program(gateway_program(nth), &name, store, &[], true, |text| {
         text["zone"] = json!(format!("north-{}", GATEWAY_CENTRES[nth]));
         text["zones"] = CENTRES
             .iter()
--- a/crates/entry/tests/order_soak/mod.rs
+++ b/crates/entry/tests/order_soak/mod.rs
@@ -14,4 +14,6 @@
 pub mod shape;
 pub mod trace;
 pub mod trouble;
+pub mod trouble_around;
 pub mod trouble_doubts;
+pub mod trouble_store;
--- a/crates/entry/tests/order_soak/trouble.rs
+++ b/crates/entry/tests/order_soak/trouble.rs
@@ -60,6 +60,36 @@
     ReportMissingUpgrade,
     /// The same with a report that comes late.
     ReportLateUpgrade,
+    /// The store refuses, drops or holds all calls.
+    StoreAway,
+    /// The store answers slowly.
+    StoreSlow,
+    /// Answers to writes to the store are lost, and they take effect later.
+    StoreAnswersLost,
+    /// The store discards its history.
+    StoreCompacted,
+    /// The store comes back from an older copy, in a new era.
+    StoreRestored,
+    /// Some gateways do not reach the store.
+    StoreCut,
+    /// The links of some gateways to the store lose segments.
+    StoreLossy,
+    /// Several gateways stop and go on in turn, several times.
+    GatewayStutter,
+    /// The entry of an engine that lives goes for a moment. At times the engine starts again meanwhile, at the other
+    /// software version.
+    EntryAway,
+    /// The entry of an engine is written once without the time at which its process started. At times the engine starts
+    /// again soon after, at the other software version.
+    EntryWithoutStart,
+    /// An engine is killed, and one of the other service serves at its address for some time.
+    AddressReuse,
+    /// The manifest is written again under a higher version.
+    ManifestChange,
+    /// All callers read slowly.
+    SlowCallers,
+    /// All callers repeat requests at once.
+    HastyCallers,
 }
 
 /// Faults of all kinds at which engines keep their software version, as often as they are chosen.
@@ -93,10 +123,15 @@
 pub const SILENT_UPGRADES: [Trouble; 1] = [Trouble::SilentUpgrade];
 
 /// Links that lose segments, and engines that fail without an end of their process.
-pub const DOUBTS: [Trouble; 8] = [
+pub const DOUBTS: [Trouble; 4] = [
     Trouble::LossyLink,
     Trouble::LossyUpgrade,
     Trouble::EngineFailure,
+    Trouble::EngineUpgrade,
+];
+
+/// Engines that do not report themselves for a moment.
+pub const UNREPORTED: [Trouble; 5] = [
     Trouble::ReportFailure,
     Trouble::ReportBusyUpgrade,
     Trouble::ReportMissingUpgrade,
@@ -104,6 +139,27 @@
     Trouble::EngineUpgrade,
 ];
 
+/// What happens around the engines: at the store, in the registry, at gateways and callers, while engines start again
+/// at the other software version.
+pub const SURROUNDINGS: [Trouble; 16] = [
+    Trouble::StoreAway,
+    Trouble::StoreSlow,
+    Trouble::StoreAnswersLost,
+    Trouble::StoreCompacted,
+    Trouble::StoreRestored,
+    Trouble::StoreCut,
+    Trouble::StoreLossy,
+    Trouble::GatewayStutter,
+    Trouble::EntryAway,
+    Trouble::EntryWithoutStart,
+    Trouble::AddressReuse,
+    Trouble::ManifestChange,
+    Trouble::SlowCallers,
+    Trouble::HastyCallers,
+    Trouble::EngineUpgrade,
+    Trouble::EngineUpgrade,
+];
+
 /// The software versions of engines.
 pub const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// The time for which a paused process stands still.
@@ -117,6 +173,8 @@
     seed: u64,
     choices: Vec<Trouble>,
     counts: Mutex<FastMap<Trouble, usize>>,
+    /// Held by the one fault that is in progress at the store.
+    pub(super) store_busy: Mutex<()>,
 }
 
 impl<'a> TroubleMaker<'a> {
@@ -127,6 +185,7 @@
             seed,
             choices: choices.to_vec(),
             counts: Mutex::default(),
+            store_busy: Mutex::new(()),
         }
     }
 
@@ -191,6 +250,24 @@
             Trouble::ReportLateUpgrade => {
                 self.upgrade_unreported(EngineFault::ReportLate, &mut random)
             }
+            Trouble::StoreAway
+            | Trouble::StoreSlow
+            | Trouble::StoreAnswersLost
+            | Trouble::StoreCompacted
+            | Trouble::StoreRestored => self.harm_store(trouble, &mut random),
+            Trouble::StoreCut | Trouble::StoreLossy => self.harm_store_links(trouble, &mut random),
+            Trouble::GatewayStutter => self.pause_gateways_in_turn(&mut random),
+            Trouble::EntryAway => self.unlist_engine(&mut random),
+            Trouble::EntryWithoutStart => self.write_entry_without_start(&mut random),
+            Trouble::AddressReuse => self.reuse_address(&mut random),
+            Trouble::ManifestChange => {
+                self.fleet.write_manifest();
+                true
+            }
+            Trouble::SlowCallers => self.change_habit(&self.fleet.habits.reads_slowly, &mut random),
+            Trouble::HastyCallers => {
+                self.change_habit(&self.fleet.habits.repeats_at_once, &mut random)
+            }
         };
         if is_made {
             *self.counts.lock().entry(trouble).or_default() += 1;
@@ -316,7 +393,7 @@
         has_killed
     }
 
-    fn choose_gateway(&self, random: &mut ChaCha8Rng) -> &'a Mutex<TestGateway> {
+    pub(super) fn choose_gateway(&self, random: &mut ChaCha8Rng) -> &'a Mutex<TestGateway> {
         &self.fleet.gateways[below(random, self.fleet.gateways.len())]
     }
 
