Failing tests: a report that is refused once, an entry that lacks its start once

Cause: a process counts as one that never tells its start after one answer that is no report, and where its entry names no start, although engines of its service, or its own entry before, tell theirs. It is asked no more, and signs decide, as for a process that cannot be heard (KNOWN-RED 19), but without any silence.

--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -646,6 +646,21 @@
     store.put(&format!("servers/{id}"), entry.to_string());
 }
 
+/// Registers an engine of a software version once more, without the time at which its process started.
+pub fn announce_without_start(
+    store: &UsersStore,
+    id: &str,
+    engine: &ScriptedEngine,
+    version: &str,
+) {
+    const LATER_WRITE: u64 = 2;
+    let mut entry = registry_entry("engines", engine.address(), "available", version);
+    let fields = entry.as_object_mut().expect("an entry is an object");
+    fields.remove("born");
+    fields.insert("seq".to_owned(), json!(LATER_WRITE));
+    store.put(&format!("servers/{id}"), entry.to_string());
+}
+
 fn registry_entry(service: &str, address: SocketAddr, phase: &str, version: &str) -> Value {
     json!({
         "backend": service, "address": address, "zone": "north-a", "version": version,
--- a/crates/entry/tests/gateway_process_identity.rs
+++ b/crates/entry/tests/gateway_process_identity.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use gateway::{
-    Call, TestGateway, announce_process, announce_version, store_with_manifest, wait_for,
+    Call, TestGateway, announce_process, announce_version, announce_without_start, manifest,
+    store_with_manifest, wait_for,
 };
 use oleander_standin::users::{
     EngineReply, PacedEnd, ScriptedEngine, SeenRequest, UsersStore, WireMessage,
@@ -62,6 +63,24 @@
     EngineReply::Bytes(answer.into_bytes())
 }
 
+/// Refuses reports with status 503, and answers all else.
+fn report_busy(request: &SeenRequest) -> EngineReply {
+    refuse_report(request, 503)
+}
+
+/// Refuses reports with status 404, and answers all else.
+fn report_missing(request: &SeenRequest) -> EngineReply {
+    refuse_report(request, 404)
+}
+
+fn refuse_report(request: &SeenRequest, status: u16) -> EngineReply {
+    if !request.message.start.starts_with("GET /report ") {
+        return whole(request);
+    }
+    let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+    EngineReply::Bytes(answer.into_bytes())
+}
+
 /// Returns the number of resumes that an engine got.
 fn resumes(engine: &ScriptedEngine) -> usize {
     let seen = engine.seen();
@@ -125,7 +144,16 @@
 
     /// Starts `i-2`, whose entry is of the process that started at [`REGISTERED`], and has `i-1` refuse all.
     fn add_second(&self, started_ms: u64) -> ScriptedEngine {
-        let second = ScriptedEngine::spawn(whole);
+        self.add_second_with(started_ms, whole)
+    }
+
+    /// Starts `i-2` likewise, with its own answers.
+    fn add_second_with(
+        &self,
+        started_ms: u64,
+        script: fn(&SeenRequest) -> EngineReply,
+    ) -> ScriptedEngine {
+        let second = ScriptedEngine::spawn(script);
         second.set_start(started_ms);
         announce_process(&self.store, "i-2", &second, "v1", REGISTERED);
         self.gateway.wait_log("belief", |line| {
@@ -274,6 +302,41 @@
     assert_eq!(resumes(&second), 0);
 }
 
+// Guards against a stream that goes on, unasked, at an engine that has started again and refused its report for a moment, although
+// engines of its service tell their starts.
+#[test]
+fn a_stream_does_not_go_on_unasked_at_a_process_that_refused_its_report_once() {
+    let refusals: [fn(&SeenRequest) -> EngineReply; 2] = [report_busy, report_missing];
+    for refusal in refusals {
+        let play = IdentityPlay::start(Versions::Two, REGISTERED, held);
+        play.begin();
+        let second = play.add_second_with(RESTARTED, refusal);
+        second.script_reports();
+        let refused = play.resume_as("b0", "a1").status();
+        second.answer_reports();
+        let later = play.resume_as("b1", "a1").status();
+        assert_eq!((refused, later, resumes(&second)), (503, 503, 0));
+    }
+}
+
+// Guards against a stream that goes on, unasked, at an engine that has started again, because its entry was written once without
+// the start of its process, which it had named before.
+#[test]
+fn a_stream_does_not_go_on_unasked_at_a_process_whose_entry_lost_its_start() {
+    let play = IdentityPlay::start(Versions::Two, REGISTERED, held);
+    play.begin();
+    let second = play.add_second(RESTARTED);
+    announce_without_start(&play.store, "i-2", &second, "v1");
+    play.store.put("op/config", manifest(2).to_string());
+    play.gateway.wait_log("belief", |line| {
+        line["change"] == "manifest" && line["version"] == 2
+    });
+    // Entries and the manifest may come by different watches.
+    std::thread::sleep(PACE);
+    let answer = play.resume();
+    assert_eq!((answer.status(), resumes(&second)), (503, 0));
+}
+
 // Guards against streams that are lost although the processes at which they began and would go on are those of the registry.
 #[test]
 fn a_stream_goes_on_between_processes_that_their_entries_describe() {
