--- a/crates/entry/tests/gateway_order_soak.rs
+++ b/crates/entry/tests/gateway_order_soak.rs
@@ -18,7 +18,8 @@
 use order_soak::fleet::{Fleet, Links};
 use order_soak::outcome::Outcome;
 use order_soak::trace::Trace;
-use order_soak::trouble::{self, Trouble, TroubleMaker, end_after};
+use order_soak::trouble::{TroubleMaker, end_after};
+use order_soak::trouble_kind::{self, Trouble};
 use parking_lot::Mutex;
 
 /// The number of callers.
@@ -129,7 +130,7 @@
         seed: 51,
         run_seconds: 35,
         callers: CALLERS,
-        choices: trouble::FAULTS.to_vec(),
+        choices: trouble_kind::FAULTS.to_vec(),
         links: Links::Half,
     });
 }
@@ -142,7 +143,7 @@
         seed: 52,
         run_seconds: 15,
         callers: CALLERS,
-        choices: trouble::UPGRADES.to_vec(),
+        choices: trouble_kind::UPGRADES.to_vec(),
         links: Links::Half,
     });
 }
@@ -156,7 +157,7 @@
         seed: 53,
         run_seconds: 20,
         callers: MANY_CALLERS,
-        choices: trouble::SILENT_UPGRADES.to_vec(),
+        choices: trouble_kind::SILENT_UPGRADES.to_vec(),
         links: Links::All,
     });
 }
@@ -169,7 +170,7 @@
         seed: 54,
         run_seconds: 12,
         callers: CALLERS,
-        choices: trouble::DOUBTS.to_vec(),
+        choices: trouble_kind::DOUBTS.to_vec(),
         links: Links::All,
     });
 }
@@ -182,7 +183,7 @@
         seed: 56,
         run_seconds: 12,
         callers: CALLERS,
-        choices: trouble::UNREPORTED.to_vec(),
+        choices: trouble_kind::UNREPORTED.to_vec(),
         links: Links::All,
     });
 }
@@ -194,7 +195,7 @@
         seed: 55,
         run_seconds: 20,
         callers: CALLERS,
-        choices: trouble::SURROUNDINGS.to_vec(),
+        choices: trouble_kind::SURROUNDINGS.to_vec(),
         links: Links::Half,
     });
 }
--- a/crates/entry/tests/order_soak/mod.rs
+++ b/crates/entry/tests/order_soak/mod.rs
@@ -16,4 +16,5 @@
 pub mod trouble;
 pub mod trouble_around;
 pub mod trouble_doubts;
+pub mod trouble_kind;
 pub mod trouble_store;
--- a/crates/entry/tests/order_soak/outcome.rs
+++ b/crates/entry/tests/order_soak/outcome.rs
@@ -7,7 +7,7 @@
 use super::fleet::Fleet;
 use super::shape::{self, Framing};
 use super::trace::{End, Kind, Trace};
-use super::trouble::Trouble;
+use super::trouble_kind::Trouble;
 
 /// The number of streams of two software versions that the rule ORDER allows.
 const TWO_VERSIONS_BOUND: usize = 2;
--- a/crates/entry/tests/order_soak/trouble_store.rs
+++ b/crates/entry/tests/order_soak/trouble_store.rs
@@ -5,8 +5,9 @@
 use oleander_standin::users::StoreMode;
 use rand_chacha::ChaCha8Rng;
 
-use super::trouble::{Trouble, TroubleMaker, below};
+use super::trouble::{TroubleMaker, below};
 use super::trouble_doubts::time_from;
+use super::trouble_kind::Trouble;
 
 impl TroubleMaker<'_> {
     /// Harms the store, unless another fault does so.
