--- a/crates/entry/tests/order_soak/trouble.rs
+++ b/crates/entry/tests/order_soak/trouble.rs
@@ -8,72 +8,12 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 
+use super::engine_fault::EngineFault;
 use super::engine_slot::EngineSlot;
 use super::fleet::Fleet;
+use super::trouble_kind::Trouble;
 use crate::gateway::TestGateway;
 
-/// A kind of fault.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Trouble {
-    /// An engine is killed and starts again soon at its address under a new id.
-    EngineRestart,
-    /// An engine is killed and starts again soon under its id, as another boot.
-    EngineReboot,
-    /// An engine is killed and starts again soon under its id, at the other software version.
-    EngineUpgrade,
-    /// An engine is killed and stays away for some seconds.
-    EngineLoss,
-    /// An engine stops for a second and goes on.
-    EnginePause,
-    /// A gateway is killed and starts again.
-    GatewayKill,
-    /// A gateway stops for a second and goes on.
-    GatewayPause,
-    /// A gateway is told to end and starts again.
-    GatewayStop,
-    /// Several gateways, at times all, are killed at the same moment.
-    GatewayHerd,
-    /// All connections to an engine are reset.
-    LinkReset,
-    /// All bytes to and from an engine are delayed.
-    LinkDelay,
-    /// Nothing passes between the gateways and an engine for a second.
-    LinkCut,
-    /// An engine is killed, and its link falls silent at once. Behind that it starts again under its id at the other
-    /// software version, is killed and starts again at its own.
-    SilentUpgrade,
-}
-
-/// Faults of all kinds at which engines keep their software version, as often as they are chosen.
-pub const FAULTS: [Trouble; 16] = [
-    Trouble::EngineRestart,
-    Trouble::EngineRestart,
-    Trouble::EngineRestart,
-    Trouble::EngineReboot,
-    Trouble::EngineReboot,
-    Trouble::EngineReboot,
-    Trouble::EngineLoss,
-    Trouble::EngineLoss,
-    Trouble::EnginePause,
-    Trouble::GatewayKill,
-    Trouble::GatewayPause,
-    Trouble::GatewayStop,
-    Trouble::GatewayHerd,
-    Trouble::LinkReset,
-    Trouble::LinkDelay,
-    Trouble::LinkCut,
-];
-
-/// Engines that start again, mostly at the other software version, as often as they are chosen.
-pub const UPGRADES: [Trouble; 3] = [
-    Trouble::EngineUpgrade,
-    Trouble::EngineUpgrade,
-    Trouble::EngineRestart,
-];
-
-/// Engines that are killed while nothing passes between them and the gateways.
-pub const SILENT_UPGRADES: [Trouble; 1] = [Trouble::SilentUpgrade];
-
 /// The software versions of engines.
 pub const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// The time for which a paused process stands still.
@@ -83,20 +23,23 @@
 
 /// Plays faults against a fleet.
 pub struct TroubleMaker<'a> {
-    fleet: &'a Fleet,
+    pub(super) fleet: &'a Fleet,
     seed: u64,
-    choices: &'static [Trouble],
+    choices: Vec<Trouble>,
     counts: Mutex<FastMap<Trouble, usize>>,
+    /// Held by the one fault that is in progress at the store.
+    pub(super) store_busy: Mutex<()>,
 }
 
 impl<'a> TroubleMaker<'a> {
     /// Creates the faults of a seed, of the given kinds.
-    pub fn new(fleet: &'a Fleet, seed: u64, choices: &'static [Trouble]) -> Self {
+    pub fn new(fleet: &'a Fleet, seed: u64, choices: &[Trouble]) -> Self {
         Self {
             fleet,
             seed,
-            choices,
+            choices: choices.to_vec(),
             counts: Mutex::default(),
+            store_busy: Mutex::new(()),
         }
     }
 
@@ -148,13 +91,44 @@
                 self.harm_link(trouble, &mut random)
             }
             Trouble::SilentUpgrade => self.upgrade_silently(&mut random),
+            Trouble::LossyLink => self.lose_segments(&mut random),
+            Trouble::LossyUpgrade => self.upgrade_behind_lossy_link(&mut random),
+            Trouble::EngineFailure => self.fail_engine(&EngineFault::IN_ANSWERS, &mut random),
+            Trouble::ReportFailure => self.fail_engine(&EngineFault::IN_REPORTS, &mut random),
+            Trouble::ReportBusyUpgrade => {
+                self.upgrade_unreported(EngineFault::ReportBusy, &mut random)
+            }
+            Trouble::ReportMissingUpgrade => {
+                self.upgrade_unreported(EngineFault::ReportMissing, &mut random)
+            }
+            Trouble::ReportLateUpgrade => {
+                self.upgrade_unreported(EngineFault::ReportLate, &mut random)
+            }
+            Trouble::StoreAway
+            | Trouble::StoreSlow
+            | Trouble::StoreAnswersLost
+            | Trouble::StoreCompacted
+            | Trouble::StoreRestored => self.harm_store(trouble, &mut random),
+            Trouble::StoreCut | Trouble::StoreLossy => self.harm_store_links(trouble, &mut random),
+            Trouble::GatewayStutter => self.pause_gateways_in_turn(&mut random),
+            Trouble::EntryAway => self.unlist_engine(&mut random),
+            Trouble::EntryWithoutStart => self.write_entry_without_start(&mut random),
+            Trouble::AddressReuse => self.reuse_address(&mut random),
+            Trouble::ManifestChange => {
+                self.fleet.write_manifest();
+                true
+            }
+            Trouble::SlowCallers => self.change_habit(&self.fleet.habits.reads_slowly, &mut random),
+            Trouble::HastyCallers => {
+                self.change_habit(&self.fleet.habits.repeats_at_once, &mut random)
+            }
         };
         if is_made {
             *self.counts.lock().entry(trouble).or_default() += 1;
         }
     }
 
-    fn choose_slot(&self, random: &mut ChaCha8Rng) -> &'a EngineSlot {
+    pub(super) fn choose_slot(&self, random: &mut ChaCha8Rng) -> &'a EngineSlot {
         &self.fleet.slots[below(random, self.fleet.slots.len())]
     }
 
@@ -189,7 +163,7 @@
     }
 
     /// Returns whether enough engines of its service are left when an engine is killed.
-    fn may_be_killed(&self, slot: &EngineSlot) -> bool {
+    pub(super) fn may_be_killed(&self, slot: &EngineSlot) -> bool {
         slot.is_available() && self.fleet.available(slot.service) > LEAST_ENGINES
     }
 
@@ -273,7 +247,7 @@
         has_killed
     }
 
-    fn choose_gateway(&self, random: &mut ChaCha8Rng) -> &'a Mutex<TestGateway> {
+    pub(super) fn choose_gateway(&self, random: &mut ChaCha8Rng) -> &'a Mutex<TestGateway> {
         &self.fleet.gateways[below(random, self.fleet.gateways.len())]
     }
 
@@ -339,12 +313,12 @@
     }
 }
 
-fn other_version(version: &str) -> &'static str {
+pub(super) fn other_version(version: &str) -> &'static str {
     let other = VERSIONS.iter().find(|other| **other != version);
     other.expect("there are two versions")
 }
 
-fn below(random: &mut ChaCha8Rng, bound: usize) -> usize {
+pub(super) fn below(random: &mut ChaCha8Rng, bound: usize) -> usize {
     let bound = u64::try_from(bound).expect("the number is small");
     usize::try_from(random.next_u64() % bound).expect("the number is small")
 }
