A connection is proven by what its own process tells, not by its age

What callers saw: behind a link, proxy or balancer that accepts connections first and connects them to the engine later, a stream went on, or began with a certain version, at a process that its entry does not describe. Nothing was asked.

Cause: a connection counted as proven if it was made before its process was last known to run. That rests on what accepts a connection being the process. A connection that was accepted at t may be connected to a process that started after t.

Change: a connection keeps what was told on it (ProcessProof), through the pool and the watch of idle connections. One on which the expected process told its start time is proven for its life; another one's is doubtful. For a process that can be asked, the age of a connection proves nothing any more: an answer on a proven connection, another connection's query and an entry that still stands only end doubts. Engines that do not tell their start times keep the rule by time, as nothing better is known of them.

FaultyLink can hold accepted connections before they are connected. Unit tests of the rule by time now say that they are of a process that does not tell its start, which is where the rule still holds; the test of a bad answer asks with the proof that the query left. A new unit test has the other case. No other test changed.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -94,7 +94,7 @@
 pub use memory_need::{HeldCount, NeedModel, NeedQuery};
 pub use outlook::PacedOutlook;
 pub use pace::{BackendPace, WorkReport};
-pub use process_identity::{ProcessIdentity, ProcessLink};
+pub use process_identity::{ProcessIdentity, ProcessLink, ProcessProof};
 pub use rate_limit::{GatewayRank, NamedRate, RateLimit};
 pub use reach_probes::{ProbeCandidate, pick_probes};
 pub use reach_tracker::{ProbeRound, ReachFailure, ReachTracker};
--- a/crates/balance/src/process_identity.rs
+++ b/crates/balance/src/process_identity.rs
@@ -2,13 +2,14 @@
 //!
 //! A backend server may start again under its id, at its address and with other software, before its entry says so.
 //! Streams are bound to the software version that an entry names, so they need to know whether a connection leads to the
-//! process that the entry describes. A connection leads to one process for its whole life, and an address to one process
-//! at a time. So if the process is known to have run at a time, each connection that was made until then leads to it. The
-//! process itself shows that it runs: by telling its start time, by an answer on a connection that is known to lead to
-//! it, and by writing its entry.
+//! process that the entry describes. A connection leads to one process for its whole life. So a connection on which the
+//! process has told its start time is proven once for all, and nothing else proves one: what accepts a connection may be
+//! something between, which connects it to the process later. The process itself shows that it runs: by telling its start
+//! time, by an answer on a connection that is known to lead to it, and by writing its entry.
 //!
-//! Some backend servers do not tell their start times. There, signs that the process has ended decide
-//! ([`ProcessDoubt`]).
+//! Some backend servers do not tell their start times. There, an address counts as that of one process at a time, so that
+//! each connection that was made until the process was last known to run leads to it; otherwise signs that the process
+//! has ended decide ([`ProcessDoubt`]).
 
 use oleander_base::prelude::*;
 
@@ -29,6 +30,18 @@
     Doubtful,
 }
 
+/// What the process that a connection leads to has told of itself on the connection.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ProcessProof {
+    /// Nothing.
+    #[default]
+    None,
+    /// It is the one that the registry entry describes.
+    Expected,
+    /// It is another one.
+    Other,
+}
+
 /// The proofs and signs of the process that a registry entry describes.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ProcessIdentity {
@@ -101,11 +114,27 @@
         self.replaced_at.is_some()
     }
 
-    /// Returns whether a connection that was made at a time leads to the process.
-    pub fn link(&self, connected_at: MonoTime) -> ProcessLink {
+    /// Returns whether a connection that was made at a time leads to the process, by what was told on it and by when it
+    /// was made. The time proves nothing if the process can be asked.
+    pub fn link(&self, proof: ProcessProof, connected_at: MonoTime) -> ProcessLink {
+        match proof {
+            ProcessProof::Expected => ProcessLink::Proven,
+            ProcessProof::Other => ProcessLink::Doubtful,
+            ProcessProof::None if self.can_be_asked() => self.unproven_link(connected_at),
+            ProcessProof::None => self.link_by_time(connected_at),
+        }
+    }
+
+    fn link_by_time(&self, connected_at: MonoTime) -> ProcessLink {
         if self.ran_at.is_some_and(|ran_at| connected_at <= ran_at) {
             ProcessLink::Proven
-        } else if self.is_replaced() || self.doubt.covers(connected_at) {
+        } else {
+            self.unproven_link(connected_at)
+        }
+    }
+
+    fn unproven_link(&self, connected_at: MonoTime) -> ProcessLink {
+        if self.is_replaced() || self.doubt.covers(connected_at) {
             ProcessLink::Doubtful
         } else {
             ProcessLink::Presumed
@@ -132,29 +161,60 @@
     const MIDDLE: MonoTime = MonoTime(2_000);
     const LATE: MonoTime = MonoTime(3_000);
 
+    fn unasked(identity: &ProcessIdentity, connected_at: MonoTime) -> ProcessLink {
+        identity.link(ProcessProof::None, connected_at)
+    }
+
+    /// Returns what is known of a process that does not tell its start time.
+    fn untold() -> ProcessIdentity {
+        let mut identity = ProcessIdentity::default();
+        identity.on_untold();
+        identity
+    }
+
     #[test]
     fn connections_until_the_last_proof_lead_to_the_process() {
-        let mut identity = ProcessIdentity::default();
-        assert_eq!(identity.link(EARLY), ProcessLink::Presumed);
+        let mut identity = untold();
+        assert_eq!(unasked(&identity, EARLY), ProcessLink::Presumed);
         identity.confirm(MIDDLE);
         identity.confirm(EARLY);
-        assert_eq!(identity.link(EARLY), ProcessLink::Proven);
-        assert_eq!(identity.link(MIDDLE), ProcessLink::Proven);
-        assert_eq!(identity.link(LATE), ProcessLink::Presumed);
+        assert_eq!(unasked(&identity, EARLY), ProcessLink::Proven);
+        assert_eq!(unasked(&identity, MIDDLE), ProcessLink::Proven);
+        assert_eq!(unasked(&identity, LATE), ProcessLink::Presumed);
     }
 
+    // Guards against a connection that counts as proven although something between accepted it before the process started.
     #[test]
-    fn a_process_that_was_replaced_keeps_its_connections_until_it_is_met_again() {
+    fn only_its_own_proof_counts_for_a_connection_to_a_process_that_tells_its_start() {
         let mut identity = ProcessIdentity::default();
+        identity.on_told(MIDDLE);
+        for (proof, link) in [
+            (ProcessProof::None, ProcessLink::Presumed),
+            (ProcessProof::Expected, ProcessLink::Proven),
+            (ProcessProof::Other, ProcessLink::Doubtful),
+        ] {
+            assert_eq!(identity.link(proof, EARLY), link);
+        }
+        identity.mark_replaced(LATE);
+        assert_eq!(unasked(&identity, EARLY), ProcessLink::Doubtful);
+        assert_eq!(
+            identity.link(ProcessProof::Expected, LATE),
+            ProcessLink::Proven
+        );
+    }
+
+    #[test]
+    fn a_process_that_was_replaced_keeps_its_connections_until_it_is_met_again() {
+        let mut identity = untold();
         identity.confirm(EARLY);
         identity.mark_replaced(MIDDLE);
-        assert_eq!(identity.link(EARLY), ProcessLink::Proven);
-        assert_eq!(identity.link(MIDDLE), ProcessLink::Doubtful);
+        assert_eq!(unasked(&identity, EARLY), ProcessLink::Proven);
+        assert_eq!(unasked(&identity, MIDDLE), ProcessLink::Doubtful);
         identity.confirm(EARLY);
         assert!(identity.is_replaced(), "the proof is older");
         identity.confirm(LATE);
         assert!(!identity.is_replaced());
-        assert_eq!(identity.link(LATE), ProcessLink::Proven);
+        assert_eq!(unasked(&identity, LATE), ProcessLink::Proven);
     }
 
     #[test]
@@ -162,12 +222,12 @@
         let mut identity = ProcessIdentity::default();
         identity.raise_doubt(MIDDLE);
         assert!(identity.takes_resumes() && identity.can_be_asked());
-        assert_eq!(identity.link(LATE), ProcessLink::Doubtful);
+        assert_eq!(unasked(&identity, LATE), ProcessLink::Doubtful);
         assert!(identity.on_untold());
         assert!(!identity.takes_resumes() && !identity.can_be_asked());
         identity.confirm(LATE);
         assert!(identity.takes_resumes());
-        assert_eq!(identity.link(LATE), ProcessLink::Proven);
+        assert_eq!(unasked(&identity, LATE), ProcessLink::Proven);
     }
 
     #[test]
@@ -176,7 +236,10 @@
         identity.on_told(MIDDLE);
         assert!(!identity.on_untold());
         assert!(identity.can_be_asked());
-        assert_eq!(identity.link(MIDDLE), ProcessLink::Proven);
+        assert_eq!(
+            identity.link(ProcessProof::Expected, MIDDLE),
+            ProcessLink::Proven
+        );
     }
 
     #[test]
@@ -192,11 +255,11 @@
 
     #[test]
     fn signs_of_another_cause_are_forgotten_and_proofs_are_not() {
-        let mut identity = ProcessIdentity::default();
+        let mut identity = untold();
         identity.confirm(EARLY);
         identity.raise_doubt(MIDDLE);
         identity.forget_signs();
-        assert_eq!(identity.link(EARLY), ProcessLink::Proven);
-        assert_eq!(identity.link(LATE), ProcessLink::Presumed);
+        assert_eq!(unasked(&identity, EARLY), ProcessLink::Proven);
+        assert_eq!(unasked(&identity, LATE), ProcessLink::Presumed);
     }
 }
--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -627,7 +627,18 @@
     version: &str,
     started_ms: u64,
 ) {
-    let mut entry = registry_entry("engines", engine.address(), "available", version);
+    announce_process_at(store, id, engine.address(), version, started_ms);
+}
+
+/// Registers such an engine in the store under an address of its own.
+pub fn announce_process_at(
+    store: &UsersStore,
+    id: &str,
+    address: SocketAddr,
+    version: &str,
+    started_ms: u64,
+) {
+    let mut entry = registry_entry("engines", address, "available", version);
     entry["born"] = json!(started_ms);
     store.put(&format!("servers/{id}"), entry.to_string());
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -22,6 +22,7 @@
 use crate::client_turn::{BulkRate, SlowedClients};
 use crate::conn_pool::ConnPool;
 use crate::duty::DutyState;
+use crate::http::HttpConn;
 use crate::internal_server::PagePace;
 use crate::log_line::LogWriter;
 use crate::memory::{MemoryExchange, MemoryHold};
@@ -291,13 +292,10 @@
 
     /// Returns the relation of a connection's process to the one that the registry's entry describes; a gateway has no
     /// entry.
-    pub(crate) fn process_link(
-        &self,
-        key: Option<BackendKey>,
-        connected_at: MonoTime,
-    ) -> ProcessLink {
-        let link =
-            key.and_then(|key| self.with_backend(key, |state| state.process.link(connected_at)));
+    pub(crate) fn process_link(&self, key: Option<BackendKey>, conn: &HttpConn) -> ProcessLink {
+        let link_to =
+            |key| self.with_backend(key, |state| state.process.link(conn.proof, conn.made_at));
+        let link = key.and_then(link_to);
         link.unwrap_or(ProcessLink::Presumed)
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -130,7 +130,7 @@
             let reason = "the backend server has asked for no requests meanwhile";
             return Err(SendError::NotSent(reason.to_owned()));
         }
-        let link = core.process_link(plan.key, conn.made_at);
+        let link = core.process_link(plan.key, &conn);
         let sent_at = monotonic_now();
         let wrote_all = write_request(&conn, plan).await?;
         plan.is_written.set(true);
@@ -200,7 +200,7 @@
         match self.link {
             // A connection leads to one process for its whole life.
             ProcessLink::Proven => ProcessLink::Proven,
-            _ => core.process_link(self.key, self.conn.made_at),
+            _ => core.process_link(self.key, &self.conn),
         }
     }
 
@@ -334,7 +334,7 @@
 ) -> MetProcess {
     let process = core.with_backend(expected.key, |state| state.process);
     let process = process.unwrap_or_default();
-    if process.link(conn.made_at) == ProcessLink::Proven {
+    if process.link(conn.proof, conn.made_at) == ProcessLink::Proven {
         MetProcess::Expected
     } else if process.can_be_asked() {
         query_process(core, conn, expected, Some(attempt_id)).await
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use oleander_balance::ProcessProof;
 use oleander_base::monotonic_now;
 use oleander_base::prelude::*;
 use socket2::{SockRef, TcpKeepalive};
@@ -127,6 +128,8 @@
     pub buffer: BytesMut,
     /// When the connection was made.
     pub made_at: MonoTime,
+    /// What the process at the other end has told of itself.
+    pub proof: ProcessProof,
     /// The user timeout before it was raised.
     raised_from: Option<Duration>,
 }
@@ -139,6 +142,7 @@
             stream,
             buffer: BytesMut::new(),
             made_at: monotonic_now(),
+            proof: ProcessProof::None,
             raised_from: None,
         })
     }
@@ -152,6 +156,7 @@
             stream,
             buffer: BytesMut::new(),
             made_at: monotonic_now(),
+            proof: ProcessProof::None,
             raised_from: None,
         })
     }
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oleander_balance::BackendKey;
+use oleander_balance::{BackendKey, ProcessProof};
 use oleander_base::monotonic_now;
 use serde::Serialize;
 use thiserror::Error;
@@ -130,9 +130,11 @@
     };
     match met {
         MetProcess::Expected => {
+            conn.proof = ProcessProof::Expected;
             core.with_backend(expected.key, |state| state.process.on_told(asked_at));
         }
         MetProcess::Other => {
+            conn.proof = ProcessProof::Other;
             let mut fleet = core.fleet.borrow_mut();
             fleet.mark_replaced(expected.key, monotonic_now());
         }
--- a/crates/standin/src/users/faulty_link.rs
+++ b/crates/standin/src/users/faulty_link.rs
@@ -3,7 +3,7 @@
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
 use std::thread;
 use std::time::Duration;
@@ -21,6 +21,10 @@
     /// The delay of each piece that is copied, in milliseconds.
     delay_ms: AtomicU64,
     is_held: AtomicBool,
+    /// Whether accepted connections are held that are not connected to the engine yet.
+    holds_new: AtomicBool,
+    /// The number of accepted connections that are not connected to the engine yet.
+    waiting: AtomicUsize,
     pairs: Mutex<Vec<Weak<Pair>>>,
 }
 
@@ -72,6 +76,16 @@
         self.state.is_held.store(is_held, Ordering::SeqCst);
     }
 
+    /// Holds connections that are accepted from now on before they are connected to the engine, or lets them go on.
+    pub fn hold_new(&self, is_held: bool) {
+        self.state.holds_new.store(is_held, Ordering::SeqCst);
+    }
+
+    /// Returns the number of accepted connections that are not connected to the engine yet.
+    pub fn waiting(&self) -> usize {
+        self.state.waiting.load(Ordering::SeqCst)
+    }
+
     /// Resets all open connections, towards both sides.
     pub fn reset_all(&self) {
         for pair in self.state.pairs.lock().drain(..) {
@@ -92,11 +106,22 @@
             thread::sleep(HELD_PAUSE);
         }
     }
+
+    /// Connects to the engine once new connections are not held.
+    fn reach(&self, engine: SocketAddr) -> io::Result<TcpStream> {
+        self.waiting.fetch_add(1, Ordering::SeqCst);
+        while self.holds_new.load(Ordering::SeqCst) {
+            thread::sleep(HELD_PAUSE);
+        }
+        self.pass();
+        let server = TcpStream::connect(engine);
+        self.waiting.fetch_sub(1, Ordering::SeqCst);
+        server
+    }
 }
 
 fn connect(caller: TcpStream, engine: SocketAddr, state: &Arc<LinkState>) {
-    state.pass();
-    let Ok(server) = TcpStream::connect(engine) else {
+    let Ok(server) = state.reach(engine) else {
         // The close of a socket that does not linger is a reset.
         let _ = SockRef::from(&caller).set_linger(Some(Duration::ZERO));
         return;
