An entry outlasts a sign only if the store was asked after it

What callers saw: after the end of an engine's process, a stream went on at the engine although no entry written since had been read, if the gateway stood still while the store's answer waited for it. This is about engines that do not tell their start times, where the registry decides when a sign that the process has ended is void.

Cause: the contact with the store was stamped when its answer was read. RegistryContact subtracts an entry's lifetime from that, which is the very time for which an entry stands after its last write, so nothing is left for the time between the store's answer and the reading of it.

Change: the view also keeps when the store was asked for what it has (complete_at), for a listing when its first page was; facts between gateways carry its age (complete_age_ms), which counts back from the query. Facts of an older gateway name none and confirm nothing; an older gateway ignores the field. The age of the contact is as before for all else.

--- a/crates/entry/tests/gateway_version_ends.rs
+++ b/crates/entry/tests/gateway_version_ends.rs
@@ -7,11 +7,11 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gateway::{Call, TestGateway, announce_version, start_engine, store_with_manifest, wait_for};
 use oleander_standin::users::{
-    EngineReply, PacedEnd, ScriptedEngine, SeenRequest, UsersStore, WireMessage,
+    EngineReply, PacedEnd, ScriptedEngine, SeenRequest, StoreMode, UsersStore, WireMessage,
 };
 
 /// The id of the last event of a whole stream.
@@ -23,6 +23,11 @@
 /// The pause between two pieces in which the registry is changed and read.
 const LONG_PACE: Duration = Duration::from_millis(400);
 
+/// How long the registry keeps the entry of an engine that has ended, by the gateways' settings.
+const ENTRY_LIFETIME: Duration = Duration::from_millis(4_800);
+/// How long the gateway stands still: less than an answer to a held watch may take.
+const PAUSE: Duration = Duration::from_millis(600);
+
 /// Returns the head of a stream and its events after the resume point, up to and including `to`.
 fn pieces(request: &SeenRequest, to: u64) -> Vec<Vec<u8>> {
     let events = (request.resume_point() + 1..=to).map(SeenRequest::event);
@@ -140,6 +145,10 @@
     }
 }
 
+fn sleep_until(moment: Instant) {
+    std::thread::sleep(moment.saturating_duration_since(Instant::now()));
+}
+
 fn wait_joined(gateway: &TestGateway, id: &str) {
     gateway.wait_log("belief", |line| {
         line["change"] == "backend-joined" && line["backend"] == id
@@ -198,6 +207,27 @@
     assert!(tries > 1, "the registry had not told anything");
 }
 
+// Guards against an entry that counts as written after its engine's process ended, because the store's answer was read late: the
+// gateway stood still, and the store has told nothing since.
+#[test]
+fn an_entry_that_was_read_after_a_pause_does_not_outlast_the_end_of_its_process() {
+    let play = VersionPlay::start(restarts(whole));
+    play.end_process();
+    let resumed_at = Instant::now() + ENTRY_LIFETIME + PAUSE / 4;
+    sleep_until(resumed_at - PAUSE);
+    play.gateway.signal(libc::SIGSTOP);
+    // The change has the store answer the watch that it holds.
+    let _third = start_engine(&play.store, "i-3", "desk", full);
+    sleep_until(resumed_at - PAUSE / 2);
+    play.store.set_mode(StoreMode::Silent);
+    sleep_until(resumed_at);
+    play.gateway.signal(libc::SIGCONT);
+    wait_joined(&play.gateway, "i-3");
+    sleep_until(resumed_at + PAUSE / 2);
+    let answer = play.resume("b1", "a1");
+    assert_eq!((answer.status(), resumes(&play.second)), (503, 0));
+}
+
 // Guards against an engine that takes part in no resume although another stream of its process goes on.
 #[test]
 fn a_stream_goes_on_at_an_engine_one_of_whose_connections_broke() {
--- a/crates/gateway/src/facts_message.rs
+++ b/crates/gateway/src/facts_message.rs
@@ -34,6 +34,9 @@
     pub(crate) at: u64,
     /// The time since the gateway's last contact with the store, in milliseconds.
     pub(crate) contact_age_ms: u64,
+    /// The time since the store held nothing that the gateway does not have, in milliseconds; older gateways name none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) complete_age_ms: Option<u64>,
     pub(crate) facts: Vec<FactRow>,
     /// The record of software versions, if it is newer. It is no row of `facts`, because older gateways can read no
     /// message with a row of a subject that they do not know.
--- a/crates/gateway/src/peer_facts.rs
+++ b/crates/gateway/src/peer_facts.rs
@@ -149,6 +149,7 @@
     let now = monotonic_now();
     let contact = view.store_contact.filter(|_| !core.is_store_lost.get());
     let age = contact.map_or(u64::MAX, |contact| now.since(contact).0 / 1_000);
+    let complete_age = view.complete_at.map(|at| now.since(at).0.div_ceil(1_000));
     let facts = view.facts_after(query.after, query.manifest, query.reads_packed);
     let versions = facts.iter().find_map(VersionsRow::of);
     let facts = facts.into_iter().filter_map(FactRow::of);
@@ -156,6 +157,7 @@
         era: view.version.era,
         at: view.version.revision.0,
         contact_age_ms: age,
+        complete_age_ms: complete_age,
         facts: facts.collect(),
         versions,
     };
@@ -221,7 +223,7 @@
         if is_stale && core.manifest().is_some() {
             return Err(FactsError::Stale(contact_age_ms));
         }
-        let facts = apply_message(core, message)?;
+        let facts = apply_message(core, message, started)?;
         if is_stale {
             return Err(FactsError::Stale(contact_age_ms));
         }
@@ -264,7 +266,12 @@
     addresses.get(index).copied()
 }
 
-fn apply_message(core: &GatewayCore, message: FactsMessage) -> Result<usize, FactsError> {
+/// Applies a message that was asked for at a time.
+fn apply_message(
+    core: &GatewayCore,
+    message: FactsMessage,
+    asked_at: MonoTime,
+) -> Result<usize, FactsError> {
     let facts = message.facts.into_iter().map(FactRow::into_fact);
     let mut facts: Vec<KnownFact> = facts.collect::<Result<_, _>>()?;
     facts.extend(message.versions.map(VersionsRow::into_fact));
@@ -273,6 +280,12 @@
     let store_contact = MonoTime(now.0.saturating_sub(contact_age));
     let known = core.view.borrow().store_contact;
     core.view.borrow_mut().store_contact = known.max(Some(store_contact));
+    if let Some(complete_age) = message.complete_age_ms {
+        let complete_age = complete_age.saturating_mul(1_000);
+        let complete_at = MonoTime(asked_at.0.saturating_sub(complete_age));
+        let known = core.view.borrow().complete_at;
+        core.view.borrow_mut().complete_at = known.max(Some(complete_at));
+    }
     let count = facts.len();
     core.raise_era(message.era, "gateway");
     let at = StoreVersion {
--- a/crates/gateway/src/platform_view/mod.rs
+++ b/crates/gateway/src/platform_view/mod.rs
@@ -108,6 +108,9 @@
     era_since: MonoTime,
     /// The last contact with the store, directly or through a gateway that had read it.
     pub(crate) store_contact: Option<MonoTime>,
+    /// A time at which the store held nothing that the view does not have, as far as that is known. It is when the answer was
+    /// asked for: the answer may have been read long after it was written, because this process stood still.
+    pub(crate) complete_at: Option<MonoTime>,
     manifest_fact: Option<ManifestFact>,
     backends: FastMap<Arc<str>, BackendFact>,
     gateways: FastMap<Arc<str>, GatewayFact>,
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -133,6 +133,7 @@
         }
         let wait = self.poll_interval();
         let request = self.core.port.watch_request(after.revision, wait);
+        let asked_at = monotonic_now();
         let call = self
             .client
             .call(StorePurpose::Watch, &request, wait + WATCH_GRACE);
@@ -146,13 +147,14 @@
             .port
             .decode_changes(&reply.body)
             .map_err(|error| StoreError::Answer(error.to_string()))?;
-        self.on_store_response();
+        self.on_store_response(asked_at);
         self.apply(reply.era, changes.items, changes.revision);
         Ok(())
     }
 
     async fn list(&mut self) -> Result<(), StoreError> {
         self.needs_list = true;
+        let asked_at = monotonic_now();
         let mut after: Option<String> = None;
         let mut first: Option<StoreVersion> = None;
         let mut listed = ListedKeys::default();
@@ -185,7 +187,7 @@
             }
         }
         let at = first.unwrap_or_default();
-        self.on_store_response();
+        self.on_store_response(asked_at);
         let known = self.core.view.borrow().version;
         if known.era < at.era && known != StoreVersion::default() {
             // What the copy lacks is written again by those who live.
@@ -204,10 +206,12 @@
         });
     }
 
-    /// Records an answer of the store itself.
-    fn on_store_response(&mut self) {
+    /// Records an answer of the store itself to what it was asked at a time.
+    fn on_store_response(&mut self, asked_at: MonoTime) {
         self.on_contact();
-        self.core.view.borrow_mut().store_contact = Some(monotonic_now());
+        let mut view = self.core.view.borrow_mut();
+        view.store_contact = Some(monotonic_now());
+        view.complete_at = Some(asked_at);
     }
 
     /// Records that current data arrived, from the store or from a reader.
