--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -138,7 +138,7 @@
             let reason = "the backend server has asked for no requests meanwhile";
             return Err(SendError::NotSent(reason.to_owned()));
         }
-        let link = core.process_link(plan.key, conn.made_at);
+        let link = core.process_link(plan.key, &conn);
         let sent_at = monotonic_now();
         let wrote_all = write_request(&conn, plan).await?;
         plan.is_written.set(true);
@@ -208,7 +208,7 @@
         match self.link {
             // A connection leads to one process for its whole life.
             ProcessLink::Proven => ProcessLink::Proven,
-            _ => core.process_link(self.key, self.conn.made_at),
+            _ => core.process_link(self.key, &self.conn),
         }
     }
 
@@ -358,7 +358,7 @@
 ) -> Option<MetProcess> {
     let process = core.with_backend(expected.key, |state| state.process);
     let process = process.unwrap_or_default();
-    if process.link(conn.made_at) == ProcessLink::Proven {
+    if process.link(conn.proof, conn.made_at) == ProcessLink::Proven {
         return Some(MetProcess::Expected);
     }
     if !process.can_be_asked() {
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use oleander_balance::ProcessProof;
 use oleander_base::monotonic_now;
 use oleander_base::prelude::*;
 use socket2::{SockRef, TcpKeepalive};
@@ -130,6 +131,8 @@
     pub buffer: BytesMut,
     /// When the connection was made.
     pub made_at: MonoTime,
+    /// What the process at the other end has told of itself.
+    pub proof: ProcessProof,
     /// The user timeout before it was raised.
     raised_from: Option<Duration>,
 }
@@ -142,6 +145,7 @@
             stream,
             buffer: BytesMut::new(),
             made_at: monotonic_now(),
+            proof: ProcessProof::None,
             raised_from: None,
         })
     }
@@ -155,6 +159,7 @@
             stream,
             buffer: BytesMut::new(),
             made_at: monotonic_now(),
+            proof: ProcessProof::None,
             raised_from: None,
         })
     }
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oleander_balance::BackendKey;
+use oleander_balance::{BackendKey, ProcessProof};
 use oleander_base::monotonic_now;
 use serde::Serialize;
 use thiserror::Error;
@@ -156,10 +156,12 @@
     };
     match met {
         MetProcess::Expected => {
+            conn.proof = ProcessProof::Expected;
             let mut fleet = core.fleet.borrow_mut();
             fleet.note_start_told(expected.key, asked_at);
         }
         MetProcess::Other => {
+            conn.proof = ProcessProof::Other;
             let mut fleet = core.fleet.borrow_mut();
             fleet.mark_replaced(expected.key, monotonic_now());
         }
--- a/crates/standin/src/users/faulty_link.rs
+++ b/crates/standin/src/users/faulty_link.rs
@@ -6,7 +6,7 @@
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
 use std::thread;
 use std::time::Duration;
@@ -28,6 +28,10 @@
     late_one_in: AtomicU64,
     /// The number of pieces that passed while some came late.
     passed: AtomicU64,
+    /// Whether accepted connections are held that are not connected to the engine yet.
+    holds_new: AtomicBool,
+    /// The number of accepted connections that are not connected to the engine yet.
+    waiting: AtomicUsize,
     pairs: Mutex<Vec<Weak<Pair>>>,
 }
 
@@ -84,6 +88,16 @@
         self.state.late_one_in.store(one_in, Ordering::SeqCst);
     }
 
+    /// Holds connections that are accepted from now on before they are connected to the engine, or lets them go on.
+    pub fn hold_new(&self, is_held: bool) {
+        self.state.holds_new.store(is_held, Ordering::SeqCst);
+    }
+
+    /// Returns the number of accepted connections that are not connected to the engine yet.
+    pub fn waiting(&self) -> usize {
+        self.state.waiting.load(Ordering::SeqCst)
+    }
+
     /// Resets all open connections, towards both sides.
     pub fn reset_all(&self) {
         for pair in self.state.pairs.lock().drain(..) {
@@ -108,6 +122,18 @@
         }
     }
 
+    /// Connects to the engine once new connections are not held.
+    fn reach(&self, engine: SocketAddr) -> io::Result<TcpStream> {
+        self.waiting.fetch_add(1, Ordering::SeqCst);
+        while self.holds_new.load(Ordering::SeqCst) {
+            thread::sleep(HELD_PAUSE);
+        }
+        self.pass();
+        let server = TcpStream::connect(engine);
+        self.waiting.fetch_sub(1, Ordering::SeqCst);
+        server
+    }
+
     /// Returns how late this piece comes, if its segment is lost.
     fn retransmission(&self) -> Option<Duration> {
         const SHORTEST_MS: u64 = 200;
@@ -133,8 +159,7 @@
 }
 
 fn connect(caller: TcpStream, engine: SocketAddr, state: &Arc<LinkState>) {
-    state.pass();
-    let Ok(server) = TcpStream::connect(engine) else {
+    let Ok(server) = state.reach(engine) else {
         // The close of a socket that does not linger is a reset.
         let _ = SockRef::from(&caller).set_linger(Some(Duration::ZERO));
         return;
