A reply after an unframed answer counts only if no connection closed with the answer's

Callers saw short answers that ended as whole where an engine started again at once and refused for a moment to tell its start. Cause: the watched connection closes with the process, shortly before the end of the answer is seen, and the next one leads to the process that follows. Change: a connection that closed with the answer's decides first.

--- a/crates/entry/tests/gateway_process_identity.rs
+++ b/crates/entry/tests/gateway_process_identity.rs
@@ -531,6 +531,19 @@
     assert_eq!((answer.is_whole, &*evidence), (false, "silent"));
 }
 
+// Guards against a broken unframed stream that ends as whole because the process after its own replies, without its start, on a
+// connection that was opened just before the end was seen.
+#[test]
+fn an_unframed_stream_is_not_whole_if_another_process_refuses_after_the_end() {
+    const DELAY: Duration = Duration::from_millis(10);
+    for status in [400, 503] {
+        let (answer, evidence, _) = unframed_stream_at(PacedEnd::RestartLast(DELAY), |engine| {
+            engine.refuse_reports(status);
+        });
+        assert_eq!((answer.is_whole, &*evidence), (false, "closed-together"));
+    }
+}
+
 // Guards against whole unframed streams that are cut because their engine replies to no query with its start.
 #[test]
 fn an_unframed_stream_is_whole_if_an_engine_without_a_start_replies_after_the_end() {
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -114,6 +114,8 @@
         Some(match result.met {
             MetProcess::Expected => EndEvidence::Told,
             MetProcess::Other => EndEvidence::Replaced,
+            // What replies next may be the process that has taken the address.
+            _ if self.monitor.closed_with(end) => EndEvidence::ClosedTogether,
             // It replied on a connection that was made while the answer was read.
             MetProcess::Untold | MetProcess::Refused if result.was_open_before(end) => {
                 EndEvidence::StayedOpen
@@ -122,7 +124,6 @@
             MetProcess::Ended | MetProcess::Lost if !self.identity().can_be_asked() => {
                 return None;
             }
-            _ if self.monitor.closed_with(end) => EndEvidence::ClosedTogether,
             MetProcess::Silent => EndEvidence::Silent,
             MetProcess::Refused | MetProcess::Ended | MetProcess::Lost => EndEvidence::Unreachable,
         })
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -123,6 +123,8 @@
     /// The engine ends and another process is at its address at once: all connections close, and new ones are
     /// accepted.
     Restart,
+    /// The same, but that the answer's connection closes a while after the others, as the network may deliver it.
+    RestartLast(Duration),
 }
 
 /// What the engine does when it is asked for its report on itself.
@@ -293,6 +295,16 @@
 }
 
 impl EngineState {
+    /// Lets another process take the engine's place, and closes one connection a while after the others.
+    fn restart_last(&self, last: &TcpStream, delay: Duration) {
+        if let Ok(last) = last.peer_addr() {
+            self.connections.keep(last);
+        }
+        self.restart();
+        thread::sleep(delay);
+        let _ = last.shutdown(Shutdown::Both);
+    }
+
     /// Lets another process take the engine's place.
     fn restart(&self) {
         if let Some(started_ms) = self.started_ms.lock().as_mut() {
@@ -305,12 +317,13 @@
     fn report(&self) -> Vec<u8> {
         *self.report_queries.lock() += 1;
         const BAD_REQUEST: u16 = 400;
-        let status = match *self.report_mode.lock() {
-            ReportMode::Refused(status) => status,
-            _ => BAD_REQUEST,
+        let refused = match *self.report_mode.lock() {
+            ReportMode::Refused(status) => Some(status),
+            _ => None,
         };
-        let started_ms = self.started_ms.lock().filter(|_| status == BAD_REQUEST);
+        let started_ms = self.started_ms.lock().filter(|_| refused.is_none());
         let Some(started_ms) = started_ms else {
+            let status = refused.unwrap_or(BAD_REQUEST);
             let head = format!("HTTP/1.1 {status} X\r\nNot-Executed: 1\r\n");
             return format!("{head}Content-Length: 0\r\n\r\n").into_bytes();
         };
@@ -362,6 +375,15 @@
         self.close_all();
     }
 
+    /// Leaves the connection to a caller out of those that are closed together.
+    fn keep(&self, caller: SocketAddr) {
+        let is_other = |stream: &Weak<TcpStream>| {
+            let peer = stream.upgrade().and_then(|stream| stream.peer_addr().ok());
+            peer != Some(caller)
+        };
+        self.0.lock().streams.retain(is_other);
+    }
+
     /// Closes the open connections.
     fn close_all(&self) {
         for stream in self.0.lock().streams.drain(..) {
@@ -477,6 +499,10 @@
                     }
                     PacedEnd::Crash => ServeEnd::Crash,
                     PacedEnd::Restart => ServeEnd::Restart,
+                    PacedEnd::RestartLast(delay) => {
+                        state.restart_last(stream, delay);
+                        ServeEnd::Connection
+                    }
                 };
             }
         }
