Tests: a process that needs more ports than a group locks another one

Cause: a test program with many gateways went on into the next group of ports, which another test program had locked: 'cannot listen on 127.0.0.1:27805: Address already in use'. Change: ports are assigned group by group, each locked before its first port.

--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -14,8 +14,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use oleander_standin::users::{
@@ -53,43 +52,74 @@
 /// connections.
 const FIRST_PORT: u16 = 12_000;
 const PORT_COUNT: u16 = 16_000;
-/// Number of ports for the tests of one process.
-const PROCESS_PORTS: u32 = 200;
-/// The number of ports that this process has assigned.
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+/// Number of ports in one group, which belongs to the tests of one process.
+const GROUP_PORTS: u16 = 200;
+/// The number of groups.
+const GROUPS: u16 = PORT_COUNT / GROUP_PORTS;
+
+/// The ports that this process has locked and assigned.
+struct ProcessPorts {
+    groups: Vec<PortGroup>,
+    /// The number of ports that are assigned.
+    assigned: u16,
+}
+
+/// Ports that no other test process uses as long as the file is locked.
+struct PortGroup {
+    first: u16,
+    _lock: File,
+}
+
+static PORTS: Mutex<ProcessPorts> = Mutex::new(ProcessPorts {
+    groups: Vec::new(),
+    assigned: 0,
+});
 
 /// Returns an address that no other test uses.
 ///
 /// The address is not probed by binding it: a process that another test starts at that moment would
 /// inherit the probing socket until it runs its program, and the gateway could not listen.
 pub fn free_address() -> SocketAddr {
-    static START: OnceLock<(u16, File)> = OnceLock::new();
-    let (start, _) = START.get_or_init(lock_ports);
-    let offset = start.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
-    SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset))
+    SocketAddr::from(([127, 0, 0, 1], PORTS.lock().assign()))
 }
 
 /// Assigns the ports of this process anew. All processes that used them must have ended.
 pub fn reuse_ports() {
-    NEXT_PORT.store(0, Ordering::Relaxed);
+    PORTS.lock().assigned = 0;
 }
 
-/// Returns the offset of ports that no other test process uses as long as the returned file is locked.
-///
-/// Process ids alone do not keep test processes apart: two whose ids were equal modulo the number of groups
-/// made each other's gateways fail to listen.
-fn lock_ports() -> (u16, File) {
-    let groups = u32::from(PORT_COUNT) / PROCESS_PORTS;
-    for offset in 0..groups {
-        let group = (std::process::id() + offset) % groups;
-        let path = std::env::temp_dir().join(format!("oleanderplank-test-ports-{group}"));
-        let file = File::create(path).expect("a test may write a file");
-        if file.try_lock().is_ok() {
-            let start = u16::try_from(group * PROCESS_PORTS).expect("ports are small");
-            return (start, file);
+impl ProcessPorts {
+    fn assign(&mut self) -> u16 {
+        let group = usize::from(self.assigned / GROUP_PORTS);
+        if self.groups.len() <= group {
+            self.groups.push(PortGroup::lock());
+        }
+        let port = self.groups[group].first + self.assigned % GROUP_PORTS;
+        self.assigned += 1;
+        port
+    }
+}
+
+impl PortGroup {
+    /// Locks a group that no process has locked.
+    ///
+    /// Process ids alone do not keep test processes apart: two whose ids were equal modulo the number of groups
+    /// made each other's gateways fail to listen.
+    fn lock() -> Self {
+        let own = std::process::id() % u32::from(GROUPS);
+        for offset in 0..GROUPS {
+            let group = (own as u16 + offset) % GROUPS;
+            let path = std::env::temp_dir().join(format!("oleanderplank-test-ports-{group}"));
+            let lock = File::create(path).expect("a test may write a file");
+            if lock.try_lock().is_ok() {
+                return Self {
+                    first: FIRST_PORT + group * GROUP_PORTS,
+                    _lock: lock,
+                };
+            }
         }
+        panic!("no free ports: {GROUPS} groups are in use");
     }
-    panic!("no free ports: {groups} test processes are running");
 }
 
 /// Returns the settings in the form in which the platform writes them.
