--- a/crates/entry/tests/gateway_process_identity_review.rs
+++ b/crates/entry/tests/gateway_process_identity_review.rs
@@ -274,7 +274,7 @@
 fn streams_begin_at_engines_that_no_longer_tell_the_start_that_they_told() {
     const TRIES: usize = 8;
     let no_longer_tells: [fn(&ScriptedEngine); 2] = [ScriptedEngine::silence_reports, |engine| {
-        engine.refuse_reports(500)
+        engine.refuse_reports(500);
     }];
     let begun = no_longer_tells.map(|set| {
         let store = store_with_manifest();
