Whether processes tell their start is a fact about a software version

Callers would have seen streams that could not be taken up again at a software version whose engines do not tell their start. Change: the fact is kept for each software version of a service.

--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use oleander_base::FastMap;
 use oleander_base::prelude::*;
+use oleander_base::{FastMap, FastSet};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::PartId;
@@ -131,9 +131,9 @@
     threshold: Option<u32>,
     /// When the answer came that says so.
     brittleness_at: MonoTime,
-    /// Whether any of its processes has told its start time. Then all of them do, so that one that replies without it
-    /// refuses for a moment.
-    tells_starts: bool,
+    /// The software versions of which a process has told its start time. One of them that replies without it counts as
+    /// refusing for a moment.
+    telling: FastSet<VersionId>,
 }
 
 impl ServiceIndex {
@@ -310,11 +310,13 @@
         member.state.process.on_told(asked_at);
         let index = self.by_service.get_mut(&member.entry.service);
         let index = index.expect("members have one");
-        if std::mem::replace(&mut index.tells_starts, true) {
+        let version = member.version;
+        if !index.telling.insert(version) {
             return;
         }
         for key in &index.keys {
-            if let Some(member) = self.members.get_mut(key) {
+            let member = self.members.get_mut(key);
+            if let Some(member) = member.filter(|member| member.version == version) {
                 member.state.process.forget_untold();
             }
         }
@@ -327,8 +329,8 @@
             return true;
         };
         let index = self.by_service.get(&member.entry.service);
-        let tells_starts = index.is_some_and(|index| index.tells_starts);
-        !tells_starts && member.state.process.on_untold()
+        let tells = index.is_some_and(|index| index.telling.contains(&member.version));
+        !tells && member.state.process.on_untold()
     }
 
     /// Returns when the first of a service's backend servers that back off or are at their limits takes
