A late answer to an earlier request is not a query that was taken for a request

Callers saw streams whose events were of two software versions. Cause: a stream that came instead of a report counted as the reply of an engine that takes queries for requests, before it was looked whose answer it was. From then on nothing was asked until the entry changed. Change: an answer that names another attempt is a late one, whatever its form. A query counts as misread only at a software version of which no process has told its start, and no longer than until one does.

--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -333,6 +333,17 @@
         !tells && member.state.process.on_untold()
     }
 
+    /// Notes that a backend server took a query for a request.
+    pub fn note_query_misread(&mut self, key: BackendKey) {
+        let Some(member) = self.members.get_mut(&key) else {
+            return;
+        };
+        let index = self.by_service.get(&member.entry.service);
+        if !index.is_some_and(|index| index.telling.contains(&member.version)) {
+            member.state.process.on_misread();
+        }
+    }
+
     /// Returns when the first of a service's backend servers that back off or are at their limits takes
     /// requests again.
     pub fn first_opening(&self, service: &str, now: MonoTime) -> Option<MonoTime> {
--- a/crates/balance/src/process_identity.rs
+++ b/crates/balance/src/process_identity.rs
@@ -125,7 +125,7 @@
 
     /// Notes that the backend server may tell its start time after all, as others of its service do.
     pub fn forget_untold(&mut self) {
-        if self.report == StartReport::Untold {
+        if !self.can_be_asked() {
             self.report = StartReport::Unknown;
         }
     }
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -149,7 +149,7 @@
         Err(QueryError::Connection(ConnError::Silent)) => MetProcess::Silent,
         Err(QueryError::Connection(ConnError::Closed | ConnError::Broken(_))) => MetProcess::Ended,
         Err(QueryError::Stream) => {
-            core.with_backend(expected.key, |state| state.process.on_misread());
+            core.fleet.borrow_mut().note_query_misread(expected.key);
             MetProcess::Lost
         }
         Err(_) => MetProcess::Lost,
@@ -252,13 +252,14 @@
     };
     let bytes = conn.read_head(&limits).await?;
     let head = AnswerHead::parse(bytes, "GET")?;
+    let attempt_id = core.port.decode_answer(&head).attempt_id;
+    if attempt_id.is_some_and(|id| !id.is_empty()) {
+        return Err(QueryError::LateAnswer);
+    }
     if head.headers.text(CONTENT_TYPE) == Some(EVENT_STREAM) {
         return Err(QueryError::Stream);
     }
     let body = read_body(conn, &head, MAX_SHORT_ANSWER_BYTES).await?;
-    if core.port.decode_answer(&head).attempt_id.is_some() {
-        return Err(QueryError::LateAnswer);
-    }
     if !head.keeps_alive {
         return Err(QueryError::LastReply);
     }
