Statuses that say for good that there is no report are no refusal for the moment

Callers would have seen streams that could not be taken up again at engines that answer a query with 501. Change: only 408, 429 and 502 to 504 do, where no process has told its start.

--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -223,7 +223,7 @@
 
 /// Returns whether a status refuses a query for the moment only.
 fn is_momentary(status: u16) -> bool {
-    matches!(status, 408 | 429 | 500..)
+    matches!(status, 408 | 429 | 502..=504)
 }
 
 /// Returns the start time that the process tells, if it tells one.
