The end of an unframed answer waits for its own time limit only

Callers waited for up to four seconds, and more where connections ended late, for the end of an answer whose process was silent. Cause: each end waited for a query that was sent after it, and began that wait anew each time a slowly reading caller took bytes; a query before it had to run out first. Change: the wait ends 2 s after the end of the answer was seen, whatever queries ran meanwhile, and a query after the end counts however late it is asked for.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -32,7 +32,7 @@
 const CONNECT_TIMEOUT: Span = Span::from_millis(300);
 
 /// How long a process may take to tell its start time before a request is sent elsewhere.
-const QUERY_TIMEOUT: Span = Span::from_millis(500);
+const SEND_QUERY_TIMEOUT: Span = Span::from_millis(500);
 
 /// How many connections' processes are asked for one send. An answer to an earlier request may come on a kept one.
 const MAX_QUERIES: usize = 2;
@@ -369,7 +369,7 @@
         skip_query(core, expected, attempt_id, SkipReason::Unheard);
         return None;
     }
-    Some(query_process(core, conn, expected, Some(attempt_id), QUERY_TIMEOUT).await)
+    Some(query_process(core, conn, expected, Some(attempt_id), SEND_QUERY_TIMEOUT).await)
 }
 
 async fn open_conn(core: &GatewayCore, plan: &SendPlan<'_>) -> Result<OpenedConn, SendError> {
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -17,13 +17,13 @@
 
 use oleander_balance::ProcessIdentity;
 use oleander_base::monotonic_now;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::core::GatewayCore;
 use crate::exchange::connect_backend;
 use crate::prelude::*;
 use crate::process_monitor::{
-    MonitorState, ProcessMonitor, QueryResult, WatchedProcess, keep_idle,
+    END_QUERY_TIMEOUT, MonitorState, ProcessMonitor, QueryResult, WatchedProcess, keep_idle,
 };
 use crate::process_query::MetProcess;
 
@@ -101,8 +101,15 @@
     pub(crate) async fn evidence(&self, end: ConnectionEnd) -> EndEvidence {
         let process = &self.monitor.process;
         if process.started_ms.is_some() && self.identity().may_reply() {
-            let result = self.monitor.ask().await;
-            if let Some(evidence) = self.evidence_of(result, end) {
+            let until = end.seen_at + END_QUERY_TIMEOUT;
+            let left = Duration::from(until.since(monotonic_now()));
+            let asked = timeout(left, self.monitor.ask(end.seen_at)).await;
+            let evidence = match asked {
+                Ok(result) => self.evidence_of(result, end),
+                Err(_) if self.monitor.closed_with(end) => Some(EndEvidence::ClosedTogether),
+                Err(_) => Some(EndEvidence::Silent),
+            };
+            if let Some(evidence) = evidence {
                 return evidence;
             }
         }
@@ -116,7 +123,6 @@
             MetProcess::Other => EndEvidence::Replaced,
             // What replies next may be the process that has taken the address.
             _ if self.monitor.closed_with(end) => EndEvidence::ClosedTogether,
-            // It replied on a connection that was made while the answer was read.
             MetProcess::Untold | MetProcess::Refused if result.was_open_before(end) => {
                 EndEvidence::StayedOpen
             }
--- a/crates/gateway/src/process_monitor.rs
+++ b/crates/gateway/src/process_monitor.rs
@@ -36,7 +36,7 @@
 
 /// How long a process may take to tell its start time after the end of an answer. A sound one may stand still for a second
 /// or so.
-const QUERY_TIMEOUT: Span = Span::from_secs(2);
+pub(crate) const END_QUERY_TIMEOUT: Span = Span::from_secs(2);
 
 /// How many connections are tried to ask a process.
 const MAX_LOST_QUERIES: usize = 3;
@@ -182,7 +182,7 @@
             self.end_query(MetProcess::Lost, due_at);
             return Some(idle);
         }
-        let met = query_process(core, &mut idle.conn, expected, None, QUERY_TIMEOUT).await;
+        let met = query_process(core, &mut idle.conn, expected, None, END_QUERY_TIMEOUT).await;
         match met {
             MetProcess::Ended => self.note_close(monotonic_now()),
             MetProcess::Lost => {}
@@ -233,17 +233,18 @@
         self.changed.notify_waiters();
     }
 
-    /// Returns what comes of asking the process after an answer has ended.
-    pub(crate) async fn ask(&self) -> QueryResult {
-        let ended_at = monotonic_now();
-        self.due_at.set(Some(ended_at));
-        self.woken.notify_one();
+    /// Returns what comes of asking the process after an answer whose end was seen at a time.
+    pub(crate) async fn ask(&self, ended_at: MonoTime) -> QueryResult {
         loop {
             if let Some(result) = self.result.get()
                 && result.due_at >= ended_at
             {
                 return result;
             }
+            if self.due_at.get().is_none_or(|due_at| due_at < ended_at) {
+                self.due_at.set(Some(ended_at));
+                self.woken.notify_one();
+            }
             self.changed.notified().await;
         }
     }
