A reply without a start counts for a process only on one watched connection

Callers would have seen short answers that ended as whole. Cause: a connection that was opened before the end of an answer may have taken the place of one that closed with the process before; pieces of the answer that came late moved the end behind it. Change: a reply without a start is evidence only if no watched connection has closed since the answer began. Evidence: by reading, found by the review; no test shows it.

--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -85,6 +85,7 @@
 pub(crate) struct ProcessWatch {
     core: Rc<GatewayCore>,
     monitor: Rc<ProcessMonitor>,
+    began_at: MonoTime,
 }
 
 impl ProcessWatch {
@@ -94,6 +95,7 @@
         Self {
             core: Rc::clone(core),
             monitor,
+            began_at: monotonic_now(),
         }
     }
 
@@ -123,7 +125,7 @@
             MetProcess::Other => EndEvidence::Replaced,
             // What replies next may be the process that has taken the address.
             _ if self.monitor.closed_with(end) => EndEvidence::ClosedTogether,
-            MetProcess::Untold | MetProcess::Refused if result.was_open_before(end) => {
+            MetProcess::Untold | MetProcess::Refused if self.replied_before(result, end) => {
                 EndEvidence::StayedOpen
             }
             MetProcess::Untold => return None,
@@ -135,6 +137,12 @@
         })
     }
 
+    /// Returns whether a reply came on a connection that was open while the answer was read, and no other one had closed
+    /// meanwhile. After that, the next connection may lead to the next process.
+    fn replied_before(&self, result: QueryResult, end: ConnectionEnd) -> bool {
+        result.was_open_before(end) && !self.monitor.has_closed_since(self.began_at)
+    }
+
     /// Returns what is known of the process.
     fn identity(&self) -> ProcessIdentity {
         let key = self.monitor.process.key;
--- a/crates/gateway/src/process_monitor.rs
+++ b/crates/gateway/src/process_monitor.rs
@@ -325,6 +325,13 @@
         }
     }
 
+    /// Returns whether an idle connection was closed at a time or later.
+    pub(crate) fn has_closed_since(&self, time: MonoTime) -> bool {
+        self.closed_at
+            .get()
+            .is_some_and(|closed_at| closed_at >= time)
+    }
+
     /// Returns whether an idle connection was closed together with an answer's.
     pub(crate) fn closed_with(&self, end: ConnectionEnd) -> bool {
         let closed_at = self.closed_at.get();
