A reply that tells the start counts although its connection closes after it

Callers saw whole streams without their last chunk, at engines that close the connection after each reply. Cause: such a reply was dropped, since no request can follow on its connection; after an unframed answer none has to.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -369,7 +369,13 @@
         skip_query(core, expected, attempt_id, SkipReason::Unheard);
         return None;
     }
-    Some(query_process(core, conn, expected, Some(attempt_id), SEND_QUERY_TIMEOUT).await)
+    let asked = query_process(core, conn, expected, Some(attempt_id), SEND_QUERY_TIMEOUT).await;
+    Some(match asked.met {
+        MetProcess::Expected | MetProcess::Other | MetProcess::Untold if !asked.is_reusable => {
+            MetProcess::Lost
+        }
+        met => met,
+    })
 }
 
 async fn open_conn(core: &GatewayCore, plan: &SendPlan<'_>) -> Result<OpenedConn, SendError> {
--- a/crates/gateway/src/process_monitor.rs
+++ b/crates/gateway/src/process_monitor.rs
@@ -182,13 +182,13 @@
             self.end_query(MetProcess::Lost, due_at);
             return Some(idle);
         }
-        let met = query_process(core, &mut idle.conn, expected, None, END_QUERY_TIMEOUT).await;
-        match met {
+        let asked = query_process(core, &mut idle.conn, expected, None, END_QUERY_TIMEOUT).await;
+        match asked.met {
             MetProcess::Ended => self.note_close(monotonic_now()),
             MetProcess::Lost => {}
-            _ => {
+            met => {
                 self.end_query(met, due_at);
-                return (met != MetProcess::Silent).then_some(idle);
+                return asked.is_reusable.then_some(idle);
             }
         }
         self.lose_query().await;
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -65,7 +65,7 @@
     Silent,
     /// The connection was closed or reset.
     Ended,
-    /// The connection brought what does not belong to the query, or cannot be used after the reply.
+    /// The connection brought what does not belong to the query.
     Lost,
 }
 
@@ -127,6 +127,23 @@
     reason: &'static str,
 }
 
+/// What came of a query.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct QueryOutcome {
+    pub(crate) met: MetProcess,
+    /// Whether requests can be sent on the connection afterwards.
+    pub(crate) is_reusable: bool,
+}
+
+/// A reply to a query.
+#[derive(Debug, Clone, Copy)]
+struct QueryReply {
+    /// The start time of the process, if the reply names one.
+    started_ms: Option<u64>,
+    /// Whether the connection stays open after it.
+    keeps_alive: bool,
+}
+
 /// Asks the process that a connection leads to, for an attempt if one needs it, and notes what its answer shows. The
 /// query ends without one after `limit`, and needs no slot at the backend server.
 pub(crate) async fn query_process(
@@ -135,66 +152,100 @@
     expected: ExpectedProcess<'_>,
     attempt_id: Option<&str>,
     limit: Span,
-) -> MetProcess {
+) -> QueryOutcome {
     let asked_at = monotonic_now();
-    let told = match expected.started_ms {
+    let reply = match expected.started_ms {
         Some(_) => ask(core, conn, expected.address, limit).await,
-        None => Ok(None),
+        None => Ok(QueryReply {
+            started_ms: None,
+            keeps_alive: true,
+        }),
     };
-    let met = match &told {
-        Ok(Some(started_ms)) if Some(*started_ms) == expected.started_ms => MetProcess::Expected,
-        Ok(Some(_)) => MetProcess::Other,
-        Ok(None) if counts_as_untold(core, expected.key) => MetProcess::Untold,
-        Ok(None) | Err(QueryError::Refused(_)) => MetProcess::Refused,
-        Err(QueryError::Connection(ConnError::Silent)) => MetProcess::Silent,
-        Err(QueryError::Connection(ConnError::Closed | ConnError::Broken(_))) => MetProcess::Ended,
-        Err(QueryError::Stream) => {
+    let met = met_process(core, expected, &reply);
+    note_process(core, conn, expected.key, met, asked_at);
+    core.metrics.record_process_query(met.as_str());
+    let fields = QueryFields {
+        id: attempt_id,
+        backend: expected.id,
+        expected_ms: expected.started_ms,
+        met_ms: reply.as_ref().ok().and_then(|reply| reply.started_ms),
+        met: met.as_str(),
+        connected_ms: asked_at.since(conn.made_at).as_millis_f64(),
+        took_ms: monotonic_now().since(asked_at).as_millis_f64(),
+        reason: reply.as_ref().err().map(ToString::to_string),
+    };
+    log_query(core, met, fields);
+    let is_answered = !matches!(
+        met,
+        MetProcess::Silent | MetProcess::Ended | MetProcess::Lost
+    );
+    QueryOutcome {
+        met,
+        is_reusable: is_answered && reply.is_ok_and(|reply| reply.keeps_alive),
+    }
+}
+
+/// Returns the process that replied, or why that is not known.
+fn met_process(
+    core: &GatewayCore,
+    expected: ExpectedProcess<'_>,
+    reply: &Result<QueryReply, QueryError>,
+) -> MetProcess {
+    let error = match reply {
+        Ok(reply) => {
+            return match reply.started_ms {
+                Some(_) if reply.started_ms == expected.started_ms => MetProcess::Expected,
+                Some(_) => MetProcess::Other,
+                None if counts_as_untold(core, expected.key) => MetProcess::Untold,
+                None => MetProcess::Refused,
+            };
+        }
+        Err(error) => error,
+    };
+    match error {
+        QueryError::Refused(_) => MetProcess::Refused,
+        QueryError::Connection(ConnError::Silent) => MetProcess::Silent,
+        QueryError::Connection(ConnError::Closed | ConnError::Broken(_)) => MetProcess::Ended,
+        QueryError::Stream => {
             core.fleet.borrow_mut().note_query_misread(expected.key);
             MetProcess::Lost
         }
-        Err(_) => MetProcess::Lost,
-    };
+        _ => MetProcess::Lost,
+    }
+}
+
+/// Notes what a query showed of a backend server's process and of the connection.
+fn note_process(
+    core: &GatewayCore,
+    conn: &mut HttpConn,
+    key: BackendKey,
+    met: MetProcess,
+    asked_at: MonoTime,
+) {
+    let now = monotonic_now();
     match met {
         MetProcess::Expected => {
             conn.proof = ProcessProof::Expected;
-            let mut fleet = core.fleet.borrow_mut();
-            fleet.note_start_told(expected.key, asked_at);
+            core.fleet.borrow_mut().note_start_told(key, asked_at);
         }
         MetProcess::Other => {
             conn.proof = ProcessProof::Other;
-            let mut fleet = core.fleet.borrow_mut();
-            fleet.mark_replaced(expected.key, monotonic_now());
+            core.fleet.borrow_mut().mark_replaced(key, now);
         }
         MetProcess::Silent | MetProcess::Refused => {
-            let now = monotonic_now();
-            core.with_backend(expected.key, |state| {
-                state.process.on_unheard(asked_at, now);
-            });
+            core.with_backend(key, |state| state.process.on_unheard(asked_at, now));
         }
         MetProcess::Untold | MetProcess::Ended | MetProcess::Lost => {}
     }
-    core.metrics.record_process_query(met.as_str());
-    let fields = QueryFields {
-        id: attempt_id,
-        backend: expected.id,
-        expected_ms: expected.started_ms,
-        met_ms: told.as_ref().ok().copied().flatten(),
-        met: met.as_str(),
-        reason: told.err().map(|error| error.to_string()),
-        connected_ms: asked_at.since(conn.made_at).as_millis_f64(),
-        took_ms: monotonic_now().since(asked_at).as_millis_f64(),
-    };
+}
+
+fn log_query(core: &GatewayCore, met: MetProcess, fields: QueryFields<'_>) {
     let kind = match met {
         MetProcess::Expected => LineKind::Normal,
         _ => LineKind::Failure,
     };
-    core.log.request(
-        "process-asked",
-        kind,
-        attempt_id.unwrap_or_default(),
-        fields,
-    );
-    met
+    let attempt_id = fields.id.unwrap_or_default();
+    core.log.request("process-asked", kind, attempt_id, fields);
 }
 
 /// Notes that a process is not asked for an attempt.
@@ -226,13 +277,13 @@
     matches!(status, 408 | 429 | 502..=504)
 }
 
-/// Returns the start time that the process tells, if it tells one.
+/// Returns the reply of the process.
 async fn ask(
     core: &GatewayCore,
     conn: &mut HttpConn,
     address: SocketAddr,
     limit: Span,
-) -> Result<Option<u64>, QueryError> {
+) -> Result<QueryReply, QueryError> {
     match timeout(Duration::from(limit), exchange(core, conn, address)).await {
         Ok(told) => told,
         Err(_) => Err(ConnError::Silent.into()),
@@ -243,7 +294,7 @@
     core: &GatewayCore,
     conn: &mut HttpConn,
     address: SocketAddr,
-) -> Result<Option<u64>, QueryError> {
+) -> Result<QueryReply, QueryError> {
     let mut request = Vec::with_capacity(128);
     core.port.encode_process_query(address, &mut request);
     conn.write_all(&request).await.map_err(ConnError::Broken)?;
@@ -260,13 +311,13 @@
         return Err(QueryError::Stream);
     }
     let body = read_body(conn, &head, MAX_SHORT_ANSWER_BYTES).await?;
-    if !head.keeps_alive {
-        return Err(QueryError::LastReply);
-    }
     if is_momentary(head.status) {
         return Err(QueryError::Refused(head.status));
     }
-    Ok(core.port.decode_process_start(&head, &body))
+    Ok(QueryReply {
+        started_ms: core.port.decode_process_start(&head, &body),
+        keeps_alive: head.keeps_alive,
+    })
 }
 
 /// Why a query brought no answer, or none after which its connection can be used.
@@ -281,9 +332,6 @@
     /// The backend server took the query for a request.
     #[error("a stream of events came instead of a report")]
     Stream,
-    /// The backend server closes the connection after its reply.
-    #[error("the reply is the last one on its connection")]
-    LastReply,
     /// The backend server refused the query for the moment.
     #[error("the query was refused with {0}")]
     Refused(u16),
