--- a/crates/balance/src/process_identity.rs
+++ b/crates/balance/src/process_identity.rs
@@ -19,7 +19,7 @@
 
 use crate::process_doubt::ProcessDoubt;
 
-/// After how many queries without a reply streams begin unasked at a backend server that has replied to none.
+/// After how many queries without a report streams begin unasked at a backend server that has made none.
 const MAX_UNHEARD: u8 = 3;
 
 /// How long streams then begin there before it is asked once more.
@@ -123,7 +123,7 @@
         }
     }
 
-    /// Notes that the backend server may tell its start time after all, as others of its service do.
+    /// Notes that the backend server may tell its start time after all, as others of its software version do.
     pub fn forget_untold(&mut self) {
         if !self.can_be_asked() {
             self.report = StartReport::Unknown;
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -58,8 +58,8 @@
     Other,
     /// The backend server does not tell start times, in its answers or in its entry.
     Untold,
-    /// The backend server replied without the start time, although processes of its service tell theirs, or refused the
-    /// query for the moment.
+    /// The backend server replied without the start time, although processes of its software version tell
+    /// theirs, or refused the query for the moment.
     Refused,
     /// Nothing came in time. The connection cannot be used any more.
     Silent,
@@ -104,7 +104,7 @@
 pub(crate) enum SkipReason {
     /// Its backend server replies to queries without a start time.
     Untold,
-    /// Its backend server has not replied to queries lately.
+    /// Its backend server has not replied to the last queries, or has refused them for the moment.
     Unheard,
 }
 
@@ -113,7 +113,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::Untold => "it does not tell its start",
-            Self::Unheard => "it has not replied to queries",
+            Self::Unheard => "it has not answered the last queries",
         }
     }
 }
@@ -175,13 +175,9 @@
         reason: reply.as_ref().err().map(ToString::to_string),
     };
     log_query(core, met, fields);
-    let is_answered = !matches!(
-        met,
-        MetProcess::Silent | MetProcess::Ended | MetProcess::Lost
-    );
     QueryOutcome {
         met,
-        is_reusable: is_answered && reply.is_ok_and(|reply| reply.keeps_alive),
+        is_reusable: reply.is_ok_and(|reply| reply.keeps_alive),
     }
 }
 
--- a/crates/operator/src/explain/processes.rs
+++ b/crates/operator/src/explain/processes.rs
@@ -30,7 +30,7 @@
                 "did not count",
                 "another connection to it closed at the same time",
             ),
-            (Some("unreachable"), _) => ("did not count", "it took no new connection"),
+            (Some("unreachable"), _) => ("did not count", "its process was not reached"),
             (Some("replaced"), _) => ("did not count", "another process had its address"),
             (Some("silent"), _) => ("did not count", "its process said nothing in time"),
             (_, Some(broken_by)) => ("did not count", broken_by),
