--- a/crates/balance/src/process_identity.rs
+++ b/crates/balance/src/process_identity.rs
@@ -36,7 +36,7 @@
     Doubtful,
 }
 
-/// What is known of whether a backend server tells when its process started.
+/// Whether a backend server tells when its process started, as far as it has replied.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum StartReport {
     /// It was not asked, or has not replied.
@@ -68,7 +68,7 @@
     }
 }
 
-/// What the process that a connection leads to has told of itself on the connection.
+/// The start that the process at the other end of a connection has told on it, against the registry entry's.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum ProcessProof {
     /// Nothing.
--- a/crates/entry/tests/gateway_old_peers.rs
+++ b/crates/entry/tests/gateway_old_peers.rs
@@ -30,7 +30,7 @@
 /// The number that names a query of these tests.
 const NONCE: u64 = 300;
 
-/// What a gateway says of a service's versions.
+/// A gateway's view of a service's versions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Span {
     Unknown,
--- a/crates/entry/tests/gateway_order_soak.rs
+++ b/crates/entry/tests/gateway_order_soak.rs
@@ -25,7 +25,7 @@
 /// The number of callers.
 const CALLERS: u64 = 24;
 
-/// What a soak plays unless the environment says otherwise.
+/// The parameters of a soak, which the environment may change.
 #[derive(Debug, Clone)]
 struct SoakPlan {
     seed: u64,
--- a/crates/entry/tests/gateway_origin_silence.rs
+++ b/crates/entry/tests/gateway_origin_silence.rs
@@ -49,7 +49,7 @@
     },
 }
 
-/// What a scripted gateway replies to a query, and after which time.
+/// The reply of a scripted gateway to a query, and the time after which it comes.
 #[derive(Debug, Clone, Copy)]
 struct Reply {
     delay: Duration,
--- a/crates/entry/tests/order_soak/trouble_kind.rs
+++ b/crates/entry/tests/order_soak/trouble_kind.rs
@@ -127,7 +127,7 @@
     Trouble::EngineUpgrade,
 ];
 
-/// What happens around the engines: at the store, in the registry, at gateways and callers, while engines start again
+/// Faults around the engines: at the store, in the registry, at gateways and callers, while engines start again
 /// at the other software version.
 pub const SURROUNDINGS: [Trouble; 16] = [
     Trouble::StoreAway,
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -131,7 +131,7 @@
     pub buffer: BytesMut,
     /// When the connection was made.
     pub made_at: MonoTime,
-    /// What the process at the other end has told of itself.
+    /// The proof that the process at the other end has given of itself.
     pub proof: ProcessProof,
     /// The user timeout before it was raised.
     raised_from: Option<Duration>,
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -123,7 +123,7 @@
         Some(match result.met {
             MetProcess::Expected => EndEvidence::Told,
             MetProcess::Other => EndEvidence::Replaced,
-            // What replies next may be the process that has taken the address.
+            // The next process at the address may reply after that.
             _ if self.monitor.closed_with(end) => EndEvidence::ClosedTogether,
             MetProcess::Untold | MetProcess::Refused if self.replied_before(result, end) => {
                 EndEvidence::StayedOpen
--- a/crates/gateway/src/process_query.rs
+++ b/crates/gateway/src/process_query.rs
@@ -127,7 +127,7 @@
     reason: &'static str,
 }
 
-/// What came of a query.
+/// The outcome of a query.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct QueryOutcome {
     pub(crate) met: MetProcess,
--- a/crates/operator/src/explain/processes.rs
+++ b/crates/operator/src/explain/processes.rs
@@ -8,10 +8,10 @@
 /// Why a process is not asked before a stream goes on there.
 const PROVEN: &str = "was not asked, because its connection was known to lead to it";
 
-/// What follows a finding if the request was sent.
+/// The end of a finding if the request was sent.
 const SENT: &str = ": the request was sent there";
 
-/// What follows a finding if no byte of the request was sent.
+/// The end of a finding if no byte of the request was sent.
 const NOT_SENT: &str = ": the request was not sent there";
 
 /// The outcome of a send that was given up for the time that it took; its query may have taken that time.
--- a/crates/standin/src/users/scripted_engine.rs
+++ b/crates/standin/src/users/scripted_engine.rs
@@ -127,7 +127,7 @@
     RestartLast(Duration),
 }
 
-/// What the engine does when it is asked for its report on itself.
+/// The engine's reaction to a query for its report on itself.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum ReportMode {
     /// Reports after a delay.
