A backend server whose entry has gone is not one that never tells its start

Callers saw short answers that ended as whole. Cause: a reply without a start, asked for at the end of an unframed answer, counted as that of a backend server that never tells it if its entry had gone meanwhile, as when the next process has registered. The connections then decided, and the next process accepts them. Change: without an entry such a reply is a refusal, which is no evidence. Evidence: an_unframed_stream_is_not_whole_if_its_entry_has_gone_when_another_ process_refuses and a_backend_server_without_an_entry_does_not_count_as_one_ that_never_tells_its_start failed before.

--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -323,10 +323,10 @@
     }
 
     /// Notes that a backend server replied without the start time of its process; returns whether it counts as one that
-    /// never tells it.
+    /// never tells it. One whose entry has gone does not: another process may have replied.
     pub fn note_start_untold(&mut self, key: BackendKey) -> bool {
         let Some(member) = self.members.get_mut(&key) else {
-            return true;
+            return false;
         };
         let index = self.by_service.get(&member.entry.service);
         let tells = index.is_some_and(|index| index.telling.contains(&member.version));
--- a/crates/balance/tests/process_starts.rs
+++ b/crates/balance/tests/process_starts.rs
@@ -37,6 +37,15 @@
     assert!(!fleet.note_start_untold(third), "one has told before");
 }
 
+// Guards against a backend server that counts as one that never tells its start because its entry has gone while it was asked.
+#[test]
+fn a_backend_server_without_an_entry_does_not_count_as_one_that_never_tells_its_start() {
+    let mut fleet = FleetTable::default();
+    let gone = join(&mut fleet, "i-1", SERVICE);
+    fleet.remove("i-1");
+    assert!(!fleet.note_start_untold(gone));
+}
+
 // Guards against services whose processes never tell their start and are asked again and again for another service's sake.
 #[test]
 fn each_service_tells_for_itself() {
--- a/crates/entry/tests/gateway_process_identity.rs
+++ b/crates/entry/tests/gateway_process_identity.rs
@@ -544,6 +544,35 @@
     }
 }
 
+// Guards against a broken unframed stream that ends as whole because its engine's entry has been replaced when the next process is
+// asked, and that one refuses.
+#[test]
+fn an_unframed_stream_is_not_whole_if_its_entry_has_gone_when_another_process_refuses() {
+    const DELAY: Duration = Duration::from_millis(100);
+    let store = store_with_manifest();
+    let engine = ScriptedEngine::spawn(|request| EngineReply::Paced {
+        pieces: unframed(request),
+        interval: PACE,
+        end: PacedEnd::RestartLast(DELAY),
+    });
+    engine.set_start(REGISTERED);
+    engine.refuse_reports(404);
+    announce_process(&store, "i-1", &engine, "v1", REGISTERED);
+    let gateway = TestGateway::start(&store);
+    let mut caller = gateway.caller();
+    caller.send(
+        &Call {
+            path: "/draft/x",
+            ..Call::stream("a1")
+        }
+        .text(),
+    );
+    wait_for("it is sent", || !engine.seen().is_empty());
+    announce_process(&store, "i-1", &engine, "v1", RESTARTED);
+    let answer = caller.read().expect("an answer");
+    assert!(!answer.is_whole);
+}
+
 // Guards against whole unframed streams that are cut because their engine replies to no query with its start.
 #[test]
 fn an_unframed_stream_is_whole_if_an_engine_without_a_start_replies_after_the_end() {
