stream-resumed tells the age of the view of the registry

A wrong inference of a stream's version from an old view could not be told from one by a present view: both have the source single-version. The line now has view_age_ms, the time since the view was last known to be complete. Nothing is decided by it.

--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -49,6 +49,8 @@
     source: &'static str,
     asked: usize,
     replied: usize,
+    /// The age of this gateway's view of the registry.
+    view_age_ms: Option<f64>,
     took_ms: f64,
 }
 
@@ -380,6 +382,8 @@
             OriginSource::Unknown => LineKind::Failure,
             _ => LineKind::Normal,
         };
+        let now = monotonic_now();
+        let complete_at = self.core.view.borrow().complete_at;
         let fields = ResumeFields {
             id: self.attempt_id,
             resumed_attempt: self.job.facts.resumed_attempt.as_deref(),
@@ -388,7 +392,8 @@
             source,
             asked: origin.asked,
             replied: origin.replied,
-            took_ms: monotonic_now().since(started).as_millis_f64(),
+            view_age_ms: complete_at.map(|at| now.since(at).as_millis_f64()),
+            took_ms: now.since(started).as_millis_f64(),
         };
         self.core
             .log
