--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod flooding;
 pub mod relaying;
 pub mod scaled;
+pub mod scripted_replica;
 
 use std::ffi::{OsStr, OsString};
 use std::fs::File;
