A single version is inferred only once the registry is known up to the resume

Callers saw a stream of a new software version go on at the one before it, at a gateway that was out of step when the new one joined: cut off from the store and the other gateways, slow to read the store, or standing still. Cause: for a stream whose origin no replica tells, a view of the registry of up to 5/4 of drain_ms counted as the present one, and so did what other gateways replied by views as old; the silence of all replicas counted as agreement. Change: RegistryFence. Before a single version is inferred, an answer of the store that was asked for after the caller came back has to show all versions: by a call made at once, or by the view. Otherwise the stream is refused as not run, with Retry-After. Why it works: a stream can only have begun at an engine whose entry stood in the registry before.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -36,6 +36,7 @@
 use crate::quarantine::CrashQuarantine;
 use crate::read_ahead::ReadAheadTable;
 use crate::registry_contact::RegistryContact;
+use crate::registry_fence::RegistryFence;
 use crate::relay_targets::RelayTargets;
 use crate::shutdown::ShutdownState;
 use crate::slots::{SlotExchange, SlotLease};
@@ -70,6 +71,7 @@
     pub(crate) origins: OriginExchange,
     pub(crate) origin_log: OriginLog,
     pub(crate) registry_contact: RegistryContact,
+    pub(crate) registry_fence: RegistryFence,
     pub(crate) quarantine: CrashQuarantine,
     pub(crate) reach: BackendReach,
     pub(crate) relays: RelayTargets,
@@ -130,6 +132,7 @@
             origins: OriginExchange::default(),
             origin_log: OriginLog::default(),
             registry_contact: RegistryContact::default(),
+            registry_fence: RegistryFence::default(),
             quarantine,
             reach: BackendReach::default(),
             relays: RelayTargets::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod quarantine;
 mod read_ahead;
 mod registry_contact;
+mod registry_fence;
 mod relay_targets;
 mod request;
 mod settings;
--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -23,6 +23,7 @@
 
 use crate::core::GatewayCore;
 use crate::peer_message::{OriginQuery, OriginReply, PeerMessage};
+use crate::port::{StoreItem, StoreSubject};
 use crate::prelude::*;
 
 /// How long records are collected before they are sent.
@@ -98,6 +99,9 @@
     pub(crate) asked: usize,
     /// How many of them replied.
     pub(crate) replied: usize,
+    /// Whether all versions in the registry were known when it was decided whether there is a single one; absent where
+    /// that was not asked.
+    pub(crate) is_registry_known: Option<bool>,
 }
 
 impl ResolvedOrigin {
@@ -107,6 +111,17 @@
             source,
             asked: 0,
             replied: 0,
+            is_registry_known: None,
+        }
+    }
+
+    fn unknown() -> Self {
+        Self {
+            version: None,
+            source: OriginSource::Unknown,
+            asked: 0,
+            replied: 0,
+            is_registry_known: None,
         }
     }
 
@@ -114,12 +129,7 @@
     fn inferred(spans: &[VersionSpan]) -> Self {
         match sole_version(spans) {
             Some(version) => Self::known(version, OriginSource::SingleVersion),
-            None => Self {
-                version: None,
-                source: OriginSource::Unknown,
-                asked: 0,
-                replied: 0,
-            },
+            None => Self::unknown(),
         }
     }
 }
@@ -269,6 +279,26 @@
         }
     }
 
+    /// Notes the versions of all backend servers that are known, and of those in changes of the registry that the view
+    /// may not have yet.
+    pub(crate) fn observe_changes(&self, core: &GatewayCore, changes: &[StoreItem]) {
+        let now = monotonic_now();
+        let mut history = self.history.borrow_mut();
+        for (_, member) in core.fleet.borrow().members() {
+            history.observe(&member.entry.service, member.version, now);
+        }
+        for change in changes {
+            let (StoreSubject::Backend(id), Some(value)) = (&change.subject, &change.value) else {
+                continue;
+            };
+            // The view tells of an entry that cannot be decoded. It names no backend server to use.
+            if let Ok(entry) = core.port.decode_backend(id, value) {
+                let version = VersionId::of(&entry.backend.software);
+                history.observe(&entry.backend.service, version, now);
+            }
+        }
+    }
+
     /// Takes over the record of versions, if it has changed.
     fn adopt_record(&self, core: &GatewayCore, now: MonoTime) {
         let view = core.view.borrow();
@@ -313,15 +343,20 @@
     /// there may be another version that it does not know of. A process that no entry describes was met, whether or not
     /// the store is there.
     fn versions(&self, core: &GatewayCore, service: &str) -> VersionSpan {
+        match self.seen_versions(core, service) {
+            VersionSpan::Single(_) if !is_current(core, monotonic_now()) => VersionSpan::Unknown,
+            span => span,
+        }
+    }
+
+    /// Returns the versions of a service that this gateway has seen, however old its view is.
+    fn seen_versions(&self, core: &GatewayCore, service: &str) -> VersionSpan {
         let now = monotonic_now();
         let is_met = core.fleet.borrow().has_unregistered_process(service);
         if is_met || self.unregistered.borrow().has_gone(service, now) {
             return VersionSpan::Mixed;
         }
-        match self.history.borrow().span(service, now) {
-            VersionSpan::Single(_) if !is_current(core, now) => VersionSpan::Unknown,
-            span => span,
-        }
+        self.history.borrow().span(service, now)
     }
 
     /// Returns whether a service has had several versions in the time that a stream can last.
@@ -348,7 +383,7 @@
             return ResolvedOrigin::known(version, OriginSource::Own);
         }
         let Some(stream) = stream else {
-            return ResolvedOrigin::inferred(&[self.versions(core, service)]);
+            return self.infer(core, service, Vec::new(), now).await;
         };
         let replicas = core.origin_replicas(stream, ASKED_REPLICAS);
         let query = self.ask(core, stream, service, &replicas).await;
@@ -356,12 +391,19 @@
             // The record came here meanwhile.
             query.add_origin(version);
         }
-        let mut spans = query.versions.take();
-        spans.push(self.versions(core, service));
         let mut found = match query.origin.get() {
             Some(version) => ResolvedOrigin::known(version, OriginSource::Replica),
-            None => ResolvedOrigin::inferred(&spans),
+            None => {
+                let spans = query.versions.take();
+                self.infer(core, service, spans, now).await
+            }
         };
+        if query.origin.get().is_none()
+            && let Some(version) = self.table.borrow().get(stream, monotonic_now())
+        {
+            // The record came here meanwhile.
+            found = ResolvedOrigin::known(version, OriginSource::Replica);
+        }
         if found.version.is_none() {
             core.origin_log.wait_loaded().await;
             let stored = self.table.borrow().get(stream, monotonic_now());
@@ -376,6 +418,34 @@
         }
     }
 
+    /// Infers the origin of a stream that a caller resumes at a moment, from the versions that other gateways have seen and
+    /// from the registry. What is known here and there may be older than the stream, so the registry's versions up to
+    /// that moment have to be known.
+    async fn infer(
+        &self,
+        core: &GatewayCore,
+        service: &str,
+        mut spans: Vec<VersionSpan>,
+        moment: MonoTime,
+    ) -> ResolvedOrigin {
+        spans.push(self.seen_versions(core, service));
+        if spans.contains(&VersionSpan::Mixed) {
+            return ResolvedOrigin::unknown();
+        }
+        let limit = core.settings().view_pace().max_contact_age;
+        let is_registry_known = core.registry_fence.pass(core, moment, limit).await;
+        let inferred = if is_registry_known {
+            spans.push(self.seen_versions(core, service));
+            ResolvedOrigin::inferred(&spans)
+        } else {
+            ResolvedOrigin::unknown()
+        };
+        ResolvedOrigin {
+            is_registry_known: Some(is_registry_known),
+            ..inferred
+        }
+    }
+
     /// Asks replicas until all have replied or the time is over. One that has the origin does not end the query at once:
     /// another one may know that the version is not certain.
     async fn ask(
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -29,6 +29,7 @@
 use crate::origin_log::run_origin_log;
 use crate::prelude::*;
 use crate::quarantine::run_quarantine_news;
+use crate::registry_fence::run_registry_fence;
 use crate::store_watch::{RECOVERY_WINDOW, run_store_watch};
 use crate::version_recorder::run_version_recorder;
 
@@ -215,6 +216,7 @@
     spawn_local(run_gossip(Rc::clone(&core), gossip));
     spawn_local(run_origin_exchange(Rc::clone(&core)));
     spawn_local(run_version_recorder(Rc::clone(&core)));
+    spawn_local(run_registry_fence(Rc::clone(&core)));
     spawn_local(run_origin_log(Rc::clone(&core)));
     spawn_local(run_quarantine_news(Rc::clone(&core)));
     spawn_local(accept_callers(Rc::clone(&core), listeners.frontend));
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -51,6 +51,7 @@
     replied: usize,
     /// The age of this gateway's view of the registry.
     view_age_ms: Option<f64>,
+    is_registry_known: Option<bool>,
     took_ms: f64,
 }
 
@@ -393,6 +394,7 @@
             asked: origin.asked,
             replied: origin.replied,
             view_age_ms: complete_at.map(|at| now.since(at).as_millis_f64()),
+            is_registry_known: origin.is_registry_known,
             took_ms: now.since(started).as_millis_f64(),
         };
         self.core
--- a/crates/gateway/src/store_client.rs
+++ b/crates/gateway/src/store_client.rs
@@ -66,6 +66,8 @@
     List,
     /// Changes are read.
     Watch,
+    /// Changes are read at once, for a stream that waits for them.
+    Fence,
     /// A lease is granted.
     Grant,
     /// This gateway is announced.
@@ -93,6 +95,7 @@
         match self {
             Self::List => "list",
             Self::Watch => "watch",
+            Self::Fence => "fence",
             Self::Grant => "grant",
             Self::Announce => "announce",
             Self::Renew => "renew",
@@ -109,7 +112,7 @@
     /// Returns the bound on the answer's body, in bytes. A refused write brings the present values.
     fn max_answer_bytes(self) -> usize {
         match self {
-            Self::List | Self::Watch => MAX_CONTROL_BYTES,
+            Self::List | Self::Watch | Self::Fence => MAX_CONTROL_BYTES,
             Self::DutyRead
             | Self::DutyWrite
             | Self::VersionsRead
