A process without an entry is remembered whenever the entry before it goes

Callers would have seen a stream of unknown origin go on at the only registered version although it began at a process that no entry described. Cause: what was met at an address was looked at with each change of the registry, so that it was forgotten if the entry went with the first one. Change: the table counts such entries as they go.

--- a/crates/balance/src/fleet_table.rs
+++ b/crates/balance/src/fleet_table.rs
@@ -134,6 +134,8 @@
     /// The software versions of which a process has told its start time. One of them that replies without it counts as
     /// refusing for a moment.
     telling: FastSet<VersionId>,
+    /// How many entries have gone at whose addresses a process was known that no entry described.
+    unregistered_gone: u64,
 }
 
 impl ServiceIndex {
@@ -214,7 +216,7 @@
     /// Removes a backend server.
     pub fn remove(&mut self, id: &str) -> Option<BackendKey> {
         let key = *self.by_id.get(id)?;
-        self.remove_key(key);
+        self.drop_entry(key);
         Some(key)
     }
 
@@ -232,7 +234,7 @@
             .map(|(key, _)| *key)
             .collect();
         for key in &expired {
-            self.remove_key(*key);
+            self.drop_entry(*key);
         }
         expired
     }
@@ -423,6 +425,12 @@
             .any(|member| member.state.process.is_replaced())
     }
 
+    /// Returns, for each service, how many entries have gone at whose addresses such a process was known.
+    pub fn unregistered_gone(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        let services = self.by_service.iter();
+        services.map(|(service, index)| (service, index.unregistered_gone))
+    }
+
     /// Notes that each entry, unless it lapsed, is of a process that still ran at a time.
     pub fn confirm_processes(&mut self, ran_at: MonoTime) {
         let members = self.members.values_mut();
@@ -517,6 +525,17 @@
         key
     }
 
+    /// Removes a backend server whose entry has gone.
+    fn drop_entry(&mut self, key: BackendKey) {
+        let member = self.members.get(&key);
+        if let Some(member) = member.filter(|member| member.state.process.is_replaced())
+            && let Some(index) = self.by_service.get_mut(&member.entry.service)
+        {
+            index.unregistered_gone += 1;
+        }
+        self.remove_key(key);
+    }
+
     fn remove_key(&mut self, key: BackendKey) {
         let Some(member) = self.members.remove(&key) else {
             return;
--- a/crates/balance/src/unregistered.rs
+++ b/crates/balance/src/unregistered.rs
@@ -15,27 +15,21 @@
 /// The services at which processes were met that no entry describes.
 #[derive(Debug, Default)]
 pub struct UnregisteredProcesses {
-    /// The services of the backend servers at whose addresses there is one now, by their ids.
-    present: FastMap<Arc<str>, Arc<str>>,
+    /// How many entries of such backend servers had gone at the last look, by service.
+    counts: FastMap<Arc<str>, u64>,
     /// When the entry of such a backend server was last found to be gone, by service.
     gone: FastMap<Arc<str>, MonoTime>,
 }
 
 impl UnregisteredProcesses {
-    /// Takes over what the table shows now. A backend server that has a new entry is described again.
+    /// Takes over what the table shows now.
     pub fn observe(&mut self, fleet: &FleetTable, now: MonoTime) {
-        for (id, service) in self.present.drain() {
-            if fleet.key_of(&id).is_none() {
-                self.gone.insert(service, now);
+        for (service, count) in fleet.unregistered_gone().filter(|(_, count)| *count > 0) {
+            let known = self.counts.insert(Arc::clone(service), count);
+            if known != Some(count) {
+                self.gone.insert(Arc::clone(service), now);
             }
         }
-        let members = fleet.members();
-        let replaced = members.filter(|(_, member)| member.state.process.is_replaced());
-        let names = replaced.map(|(_, member)| {
-            let entry = &member.entry;
-            (Arc::clone(&entry.id), Arc::clone(&entry.service))
-        });
-        self.present.extend(names);
         self.gone
             .retain(|_, gone| now.since(*gone) < ORIGIN_RETENTION);
     }
