--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -7,7 +7,7 @@
 //! that began the stream. Records and queries are datagrams; a query is repeated until all replicas
 //! have replied (docs/PLATFORM.md, "Software versions").
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,16 +15,18 @@
 
 use oleander_balance::{
     OriginTable, StreamId, StreamOrigin, UnregisteredProcesses, VersionHistory, VersionId,
-    VersionRecord, VersionSpan, sole_version,
+    VersionRecord, VersionSpan,
 };
-use oleander_base::{FastMap, FastSet, monotonic_now};
+use oleander_base::{FastMap, monotonic_now};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::core::GatewayCore;
+use crate::origin_query::OpenQuery;
 use crate::peer_message::{OriginQuery, OriginReply, PeerMessage};
 use crate::port::{StoreItem, StoreSubject};
 use crate::prelude::*;
+use crate::resolved_origin::{OriginSource, ResolvedOrigin};
 
 /// How long records are collected before they are sent.
 const RECORD_DELAY: Span = Span::from_millis(20);
@@ -32,13 +34,6 @@
 /// The greatest number of records in one datagram.
 pub(crate) const MAX_RECORDS: usize = 60;
 
-/// How many times a query is sent to a replica that does not reply.
-const QUERY_SENDS: u32 = 3;
-
-/// How many times a query is sent while no replica has replied. Replicas that stand still for a moment reply later, and
-/// meanwhile the registry has the time to name a process that began the stream.
-const SILENT_SENDS: u32 = 20;
-
 /// The time between two sends of a query.
 const QUERY_INTERVAL: Span = Span::from_millis(50);
 
@@ -62,115 +57,6 @@
     pub(crate) any: usize,
 }
 
-/// How the version that a stream goes on at was found.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum OriginSource {
-    /// This gateway has the origin.
-    Own,
-    /// A replica has it.
-    Replica,
-    /// Earlier processes wrote it to the key-value store.
-    Store,
-    /// The service has had a single version.
-    SingleVersion,
-    /// Nobody knows, and the service has or may have had several versions.
-    Unknown,
-}
-
-impl OriginSource {
-    /// Returns the name for logs and metrics.
-    pub(crate) fn as_str(self) -> &'static str {
-        match self {
-            Self::Own => "own",
-            Self::Replica => "replica",
-            Self::Store => "store",
-            Self::SingleVersion => "single-version",
-            Self::Unknown => "unknown",
-        }
-    }
-}
-
-/// The version that a stream goes on at, if it is known.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct ResolvedOrigin {
-    pub(crate) version: Option<VersionId>,
-    pub(crate) source: OriginSource,
-    /// How many replicas were asked.
-    pub(crate) asked: usize,
-    /// How many of them replied.
-    pub(crate) replied: usize,
-    /// Whether all versions in the registry were known when it was decided whether there is a single one; absent where
-    /// that was not asked.
-    pub(crate) is_registry_known: Option<bool>,
-}
-
-impl ResolvedOrigin {
-    fn known(version: VersionId, source: OriginSource) -> Self {
-        Self {
-            version: Some(version),
-            source,
-            asked: 0,
-            replied: 0,
-            is_registry_known: None,
-        }
-    }
-
-    fn unknown() -> Self {
-        Self {
-            version: None,
-            source: OriginSource::Unknown,
-            asked: 0,
-            replied: 0,
-            is_registry_known: None,
-        }
-    }
-
-    /// Returns the origin of a stream that nobody knows, from the versions that gateways have seen.
-    fn inferred(spans: &[VersionSpan]) -> Self {
-        match sole_version(spans) {
-            Some(version) => Self::known(version, OriginSource::SingleVersion),
-            None => Self::unknown(),
-        }
-    }
-}
-
-/// What the replicas replied to one query.
-#[derive(Debug, Default)]
-struct OpenQuery {
-    /// The replicas that have replied.
-    replied: RefCell<FastSet<SocketAddr>>,
-    /// The origin, by all replies that name one.
-    origin: Cell<Option<VersionId>>,
-    versions: RefCell<Vec<VersionSpan>>,
-    changed: Notify,
-}
-
-impl OpenQuery {
-    /// Takes over the origin that a replica knows.
-    fn add_origin(&self, version: VersionId) {
-        let known = self.origin.get();
-        let joined = known.map_or(version, |known| known.joined_with(version));
-        self.origin.set(Some(joined));
-    }
-
-    /// Returns whether no further reply can change the origin.
-    fn is_decided(&self, replicas: &[SocketAddr]) -> bool {
-        let is_uncertain = self.origin.get() == Some(VersionId::UNCERTAIN);
-        is_uncertain || self.replied.borrow().len() >= replicas.len()
-    }
-
-    /// Returns whether the query ends after it was sent a number of times, although a replica has not replied.
-    fn is_over(&self, sends: u32) -> bool {
-        if self.origin.get().is_some() {
-            return true;
-        }
-        match self.replied.borrow().is_empty() {
-            true => sends >= SILENT_SENDS,
-            false => sends >= QUERY_SENDS,
-        }
-    }
-}
-
 /// A record that replicas are to be told.
 #[derive(Debug, Clone, Copy)]
 struct UnsentRecord {
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -13,8 +13,8 @@
 use crate::http::ConnError;
 use crate::log_line::LineKind;
 use crate::metrics::RequestEnd;
-use crate::origin_exchange::{OriginSource, ResolvedOrigin};
 use crate::prelude::*;
+use crate::resolved_origin::{OriginSource, ResolvedOrigin};
 
 #[derive(Debug, Serialize)]
 struct SendFields<'a> {
