--- a/crates/gateway/src/origin_exchange.rs
+++ b/crates/gateway/src/origin_exchange.rs
@@ -7,7 +7,7 @@
 //! that began the stream. Records and queries are datagrams; a query is repeated until all replicas
 //! have replied (docs/PLATFORM.md, "Software versions").
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,15 +15,18 @@
 
 use oleander_balance::{
     OriginTable, StreamId, StreamOrigin, UnregisteredProcesses, VersionHistory, VersionId,
-    VersionRecord, VersionSpan, sole_version,
+    VersionRecord, VersionSpan,
 };
-use oleander_base::{FastMap, FastSet, monotonic_now};
+use oleander_base::{FastMap, monotonic_now};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::core::GatewayCore;
+use crate::origin_query::OpenQuery;
 use crate::peer_message::{OriginQuery, OriginReply, PeerMessage};
+use crate::port::{StoreItem, StoreSubject};
 use crate::prelude::*;
+use crate::resolved_origin::{OriginSource, ResolvedOrigin};
 
 /// How long records are collected before they are sent.
 const RECORD_DELAY: Span = Span::from_millis(20);
@@ -31,13 +34,6 @@
 /// The greatest number of records in one datagram.
 pub(crate) const MAX_RECORDS: usize = 60;
 
-/// How many times a query is sent to a replica that does not reply.
-const QUERY_SENDS: u32 = 3;
-
-/// How many times a query is sent while no replica has replied. Replicas that stand still for a moment reply later, and
-/// meanwhile the registry has the time to name a process that began the stream.
-const SILENT_SENDS: u32 = 20;
-
 /// The time between two sends of a query.
 const QUERY_INTERVAL: Span = Span::from_millis(50);
 
@@ -61,106 +57,6 @@
     pub(crate) any: usize,
 }
 
-/// How the version that a stream goes on at was found.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum OriginSource {
-    /// This gateway has the origin.
-    Own,
-    /// A replica has it.
-    Replica,
-    /// Earlier processes wrote it to the key-value store.
-    Store,
-    /// The service has had a single version.
-    SingleVersion,
-    /// Nobody knows, and the service has or may have had several versions.
-    Unknown,
-}
-
-impl OriginSource {
-    /// Returns the name for logs and metrics.
-    pub(crate) fn as_str(self) -> &'static str {
-        match self {
-            Self::Own => "own",
-            Self::Replica => "replica",
-            Self::Store => "store",
-            Self::SingleVersion => "single-version",
-            Self::Unknown => "unknown",
-        }
-    }
-}
-
-/// The version that a stream goes on at, if it is known.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct ResolvedOrigin {
-    pub(crate) version: Option<VersionId>,
-    pub(crate) source: OriginSource,
-    /// How many replicas were asked.
-    pub(crate) asked: usize,
-    /// How many of them replied.
-    pub(crate) replied: usize,
-}
-
-impl ResolvedOrigin {
-    fn known(version: VersionId, source: OriginSource) -> Self {
-        Self {
-            version: Some(version),
-            source,
-            asked: 0,
-            replied: 0,
-        }
-    }
-
-    /// Returns the origin of a stream that nobody knows, from the versions that gateways have seen.
-    fn inferred(spans: &[VersionSpan]) -> Self {
-        match sole_version(spans) {
-            Some(version) => Self::known(version, OriginSource::SingleVersion),
-            None => Self {
-                version: None,
-                source: OriginSource::Unknown,
-                asked: 0,
-                replied: 0,
-            },
-        }
-    }
-}
-
-/// What the replicas replied to one query.
-#[derive(Debug, Default)]
-struct OpenQuery {
-    /// The replicas that have replied.
-    replied: RefCell<FastSet<SocketAddr>>,
-    /// The origin, by all replies that name one.
-    origin: Cell<Option<VersionId>>,
-    versions: RefCell<Vec<VersionSpan>>,
-    changed: Notify,
-}
-
-impl OpenQuery {
-    /// Takes over the origin that a replica knows.
-    fn add_origin(&self, version: VersionId) {
-        let known = self.origin.get();
-        let joined = known.map_or(version, |known| known.joined_with(version));
-        self.origin.set(Some(joined));
-    }
-
-    /// Returns whether no further reply can change the origin.
-    fn is_decided(&self, replicas: &[SocketAddr]) -> bool {
-        let is_uncertain = self.origin.get() == Some(VersionId::UNCERTAIN);
-        is_uncertain || self.replied.borrow().len() >= replicas.len()
-    }
-
-    /// Returns whether the query ends after it was sent a number of times, although a replica has not replied.
-    fn is_over(&self, sends: u32) -> bool {
-        if self.origin.get().is_some() {
-            return true;
-        }
-        match self.replied.borrow().is_empty() {
-            true => sends >= SILENT_SENDS,
-            false => sends >= QUERY_SENDS,
-        }
-    }
-}
-
 /// A record that replicas are to be told.
 #[derive(Debug, Clone, Copy)]
 struct UnsentRecord {
@@ -269,6 +165,26 @@
         }
     }
 
+    /// Notes the versions of all backend servers that are known, and of those in changes of the registry that the view
+    /// may not have yet.
+    pub(crate) fn observe_changes(&self, core: &GatewayCore, changes: &[StoreItem]) {
+        let now = monotonic_now();
+        let mut history = self.history.borrow_mut();
+        for (_, member) in core.fleet.borrow().members() {
+            history.observe(&member.entry.service, member.version, now);
+        }
+        for change in changes {
+            let (StoreSubject::Backend(id), Some(value)) = (&change.subject, &change.value) else {
+                continue;
+            };
+            // The view tells of an entry that cannot be decoded. It names no backend server to use.
+            if let Ok(entry) = core.port.decode_backend(id, value) {
+                let version = VersionId::of(&entry.backend.software);
+                history.observe(&entry.backend.service, version, now);
+            }
+        }
+    }
+
     /// Takes over the record of versions, if it has changed.
     fn adopt_record(&self, core: &GatewayCore, now: MonoTime) {
         let view = core.view.borrow();
@@ -313,15 +229,20 @@
     /// there may be another version that it does not know of. A process that no entry describes was met, whether or not
     /// the store is there.
     fn versions(&self, core: &GatewayCore, service: &str) -> VersionSpan {
+        match self.seen_versions(core, service) {
+            VersionSpan::Single(_) if !is_current(core, monotonic_now()) => VersionSpan::Unknown,
+            span => span,
+        }
+    }
+
+    /// Returns the versions of a service that this gateway has seen, however old its view is.
+    fn seen_versions(&self, core: &GatewayCore, service: &str) -> VersionSpan {
         let now = monotonic_now();
         let is_met = core.fleet.borrow().has_unregistered_process(service);
         if is_met || self.unregistered.borrow().has_gone(service, now) {
             return VersionSpan::Mixed;
         }
-        match self.history.borrow().span(service, now) {
-            VersionSpan::Single(_) if !is_current(core, now) => VersionSpan::Unknown,
-            span => span,
-        }
+        self.history.borrow().span(service, now)
     }
 
     /// Returns whether a service has had several versions in the time that a stream can last.
@@ -348,7 +269,7 @@
             return ResolvedOrigin::known(version, OriginSource::Own);
         }
         let Some(stream) = stream else {
-            return ResolvedOrigin::inferred(&[self.versions(core, service)]);
+            return self.infer(core, service, Vec::new(), now).await;
         };
         let replicas = core.origin_replicas(stream, ASKED_REPLICAS);
         let query = self.ask(core, stream, service, &replicas).await;
@@ -356,12 +277,19 @@
             // The record came here meanwhile.
             query.add_origin(version);
         }
-        let mut spans = query.versions.take();
-        spans.push(self.versions(core, service));
         let mut found = match query.origin.get() {
             Some(version) => ResolvedOrigin::known(version, OriginSource::Replica),
-            None => ResolvedOrigin::inferred(&spans),
+            None => {
+                let spans = query.versions.take();
+                self.infer(core, service, spans, now).await
+            }
         };
+        if query.origin.get().is_none()
+            && let Some(version) = self.table.borrow().get(stream, monotonic_now())
+        {
+            // The record came here meanwhile.
+            found = ResolvedOrigin::known(version, OriginSource::Replica);
+        }
         if found.version.is_none() {
             core.origin_log.wait_loaded().await;
             let stored = self.table.borrow().get(stream, monotonic_now());
@@ -376,6 +304,34 @@
         }
     }
 
+    /// Infers the origin of a stream that a caller resumes at a moment, from the versions that other gateways have seen and
+    /// from the registry. What is known here and there may be older than the stream, so the registry's versions up to
+    /// that moment have to be known.
+    async fn infer(
+        &self,
+        core: &GatewayCore,
+        service: &str,
+        mut spans: Vec<VersionSpan>,
+        moment: MonoTime,
+    ) -> ResolvedOrigin {
+        spans.push(self.seen_versions(core, service));
+        if spans.contains(&VersionSpan::Mixed) {
+            return ResolvedOrigin::unknown();
+        }
+        let limit = core.settings().view_pace().max_contact_age;
+        let is_registry_known = core.registry_fence.pass(core, moment, limit).await;
+        let inferred = if is_registry_known {
+            spans.push(self.seen_versions(core, service));
+            ResolvedOrigin::inferred(&spans)
+        } else {
+            ResolvedOrigin::unknown()
+        };
+        ResolvedOrigin {
+            is_registry_known: Some(is_registry_known),
+            ..inferred
+        }
+    }
+
     /// Asks replicas until all have replied or the time is over. One that has the origin does not end the query at once:
     /// another one may know that the version is not certain.
     async fn ask(
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -13,8 +13,8 @@
 use crate::http::ConnError;
 use crate::log_line::LineKind;
 use crate::metrics::RequestEnd;
-use crate::origin_exchange::{OriginSource, ResolvedOrigin};
 use crate::prelude::*;
+use crate::resolved_origin::{OriginSource, ResolvedOrigin};
 
 #[derive(Debug, Serialize)]
 struct SendFields<'a> {
@@ -49,6 +49,9 @@
     source: &'static str,
     asked: usize,
     replied: usize,
+    /// The age of this gateway's view of the registry.
+    view_age_ms: Option<f64>,
+    is_registry_known: Option<bool>,
     took_ms: f64,
 }
 
@@ -380,6 +383,8 @@
             OriginSource::Unknown => LineKind::Failure,
             _ => LineKind::Normal,
         };
+        let now = monotonic_now();
+        let complete_at = self.core.view.borrow().complete_at;
         let fields = ResumeFields {
             id: self.attempt_id,
             resumed_attempt: self.job.facts.resumed_attempt.as_deref(),
@@ -388,7 +393,9 @@
             source,
             asked: origin.asked,
             replied: origin.replied,
-            took_ms: monotonic_now().since(started).as_millis_f64(),
+            view_age_ms: complete_at.map(|at| now.since(at).as_millis_f64()),
+            is_registry_known: origin.is_registry_known,
+            took_ms: now.since(started).as_millis_f64(),
         };
         self.core
             .log
