--- a/crates/gateway/src/registry_fence.rs
+++ b/crates/gateway/src/registry_fence.rs
@@ -102,12 +102,12 @@
     }
 }
 
-/// Notes the versions in all changes of the registry up to now.
+/// Notes the versions in all changes of the registry up to now, unless the view has to be listed first.
 async fn read_changes(core: &GatewayCore, client: &mut StoreClient) -> Result<(), StoreError> {
     let known = core.view.borrow().version;
     if known == StoreVersion::default() || known.era < core.store_era() {
-        // The listing that the view waits for tells all versions.
-        return Err(StoreError::EraChanged);
+        // The listing that the view waits for confirms it.
+        return Ok(());
     }
     let request = core.port.watch_request(known.revision, Span::ZERO);
     let asked_at = monotonic_now();
--- a/crates/gateway/src/request/recording.rs
+++ b/crates/gateway/src/request/recording.rs
@@ -49,7 +49,7 @@
     source: &'static str,
     asked: usize,
     replied: usize,
-    /// The age of this gateway's view of the registry.
+    /// The time since this gateway's view of the registry was last known to be complete.
     view_age_ms: Option<f64>,
     is_registry_known: Option<bool>,
     took_ms: f64,
