Tests: fleets of processes take ports that no test has bound to try them

Cause, by reading: a process that another test starts at that moment inherits the probing socket until it runs its program, as ports.rs says for gateways. Change: fleets use the same locked groups of ports as gateways; one copy of that code, moved to common/ports.rs.

--- a/crates/entry/tests/common/fleet.rs
+++ b/crates/entry/tests/common/fleet.rs
@@ -1,11 +1,10 @@
 //! Runs entry VMs as processes, together with the stand-ins of a deployment.
 
 use std::fs::File;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU16, Ordering};
 
 use oleander_decide::PolicyKind;
 use oleander_demo::Deployment;
@@ -17,6 +16,7 @@
 
 use super::http::{PlainAnswer, get, send};
 use super::net::PeerNetwork;
+use super::ports::free_address;
 use super::wait::wait_for;
 
 /// One entry VM and its process.
@@ -163,9 +163,9 @@
             .deployment
             .entry_settings(&name, &centres[centre], &seeds)
             .unwrap();
-        settings.callers.listen = free_tcp();
-        settings.operators.listen = free_tcp();
-        settings.peers.listen = free_udp();
+        settings.callers.listen = free_address();
+        settings.operators.listen = free_address();
+        settings.peers.listen = free_address();
         settings.peers.advertise = Some(self.net.attach(number, settings.peers.listen));
         settings.platform.address = self.platform_proxies[centre].address();
         let file = self
@@ -311,33 +311,3 @@
         report
     }
 }
-
-/// The first port for fleets of test processes; the system assigns none of these ports by itself.
-const FIRST_PORT: u16 = 10_000;
-/// Number of ports that one test process uses before it starts over.
-const PORTS: u16 = 20_000;
-
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-/// Returns a port that is free and that the system does not assign to outgoing connections.
-fn free_port(is_free: impl Fn(SocketAddr) -> bool) -> SocketAddr {
-    let start_offset = (std::process::id() as u16).wrapping_mul(97);
-    loop {
-        let offset = NEXT_PORT
-            .fetch_add(1, Ordering::Relaxed)
-            .wrapping_add(start_offset)
-            % PORTS;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + offset));
-        if is_free(address) {
-            return address;
-        }
-    }
-}
-
-fn free_tcp() -> SocketAddr {
-    free_port(|address| TcpListener::bind(address).is_ok())
-}
-
-fn free_udp() -> SocketAddr {
-    free_port(|address| UdpSocket::bind(address).is_ok())
-}
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -6,4 +6,5 @@
 pub mod fleet;
 pub mod http;
 pub mod net;
+pub mod ports;
 pub mod wait;
