--- a/crates/entry/tests/gateway/mod.rs
+++ b/crates/entry/tests/gateway/mod.rs
@@ -25,7 +25,7 @@
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 
-pub use ports::{free_address, reuse_ports};
+pub use ports::free_address;
 
 /// Time after which a wait for an expected event fails.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(10);
--- a/crates/entry/tests/gateway_order_soak.rs
+++ b/crates/entry/tests/gateway_order_soak.rs
@@ -69,7 +69,7 @@
 
 /// Plays the faults of a plan's seed and returns what callers received.
 fn play(plan: &SoakPlan) -> Outcome {
-    gateway::reuse_ports();
+    gateway::ports::reuse_ports();
     let fleet = Fleet::start(plan.links);
     let (seed, length) = (plan.seed, Duration::from_secs(plan.run_seconds));
     let troubles = TroubleMaker::new(&fleet, seed, &plan.choices);
