Tests: a gateway is stopped while the store holds its watch

By reading: the test needs a watch that the store holds at that moment, and started an engine between the stop and the write, so that the watch could end before.

--- a/crates/entry/tests/gateway_version_ends.rs
+++ b/crates/entry/tests/gateway_version_ends.rs
@@ -9,7 +9,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use gateway::{Call, TestGateway, announce_version, start_engine, store_with_manifest, wait_for};
+use gateway::{
+    Call, TestGateway, announce, announce_version, start_engine, store_with_manifest, wait_for,
+};
 use oleander_standin::users::{
     EngineReply, PacedEnd, ScriptedEngine, SeenRequest, StoreMode, UsersStore, WireMessage,
 };
@@ -25,7 +27,7 @@
 
 /// How long the registry keeps the entry of an engine that has ended, by the gateways' settings.
 const ENTRY_LIFETIME: Duration = Duration::from_millis(4_800);
-/// How long the gateway stands still: less than an answer to a held watch may take.
+/// How long the gateway stands still, or half as much more or less: less than an answer to a held watch may take.
 const PAUSE: Duration = Duration::from_millis(600);
 
 /// Returns the head of a stream and its events after the resume point, up to and including `to`.
@@ -149,6 +151,16 @@
     std::thread::sleep(moment.saturating_duration_since(Instant::now()));
 }
 
+/// Waits until a gateway begins a watch of the store, which holds it for some time.
+fn wait_new_watch(store: &UsersStore) {
+    let known = store.watches();
+    let until = Instant::now() + PAUSE;
+    while store.watches() == known {
+        assert!(Instant::now() < until, "the gateway watches the store");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 fn wait_joined(gateway: &TestGateway, id: &str) {
     gateway.wait_log("belief", |line| {
         line["change"] == "backend-joined" && line["backend"] == id
@@ -214,10 +226,12 @@
     let play = VersionPlay::start(restarts(whole));
     play.end_process();
     let resumed_at = Instant::now() + ENTRY_LIFETIME + PAUSE / 4;
-    sleep_until(resumed_at - PAUSE);
+    let third = ScriptedEngine::spawn(full);
+    sleep_until(resumed_at - PAUSE - PAUSE / 2);
+    wait_new_watch(&play.store);
     play.gateway.signal(libc::SIGSTOP);
     // The change has the store answer the watch that it holds.
-    let _third = start_engine(&play.store, "i-3", "desk", full);
+    announce(&play.store, "i-3", "desk", &third, "available");
     sleep_until(resumed_at - PAUSE / 2);
     play.store.set_mode(StoreMode::Silent);
     sleep_until(resumed_at);
--- a/crates/standin/src/users/users_store.rs
+++ b/crates/standin/src/users/users_store.rs
@@ -72,6 +72,7 @@
     leases: BTreeMap<u64, Lease>,
     next_lease: u64,
     calls: usize,
+    watches: usize,
     loss: Option<AnswerLoss>,
 }
 
@@ -133,6 +134,7 @@
                 leases: BTreeMap::new(),
                 next_lease: 1,
                 calls: 0,
+                watches: 0,
                 loss: None,
             }),
             changed: Condvar::new(),
@@ -227,6 +229,11 @@
             .collect()
     }
 
+    /// Returns the number of watches that were begun.
+    pub fn watches(&self) -> usize {
+        self.shared.state.lock().watches
+    }
+
     /// Returns the number of calls received.
     pub fn calls(&self) -> usize {
         self.shared.state.lock().calls
@@ -435,6 +442,7 @@
     let wait: u64 = query_value(query, "wait_ms").parse().unwrap_or(0);
     let deadline = Instant::now() + Duration::from_millis(wait);
     let mut state = shared.state.lock();
+    state.watches += 1;
     loop {
         state.expire_leases();
         let is_unknown = after < state.compacted_revision || after > state.revision;
