--- a/crates/gateway/src/origin_query.rs
+++ b/crates/gateway/src/origin_query.rs
@@ -1,4 +1,4 @@
-//! Collects what a stream's replicas reply to one query, and decides when the query ends.
+//! Collects the replies of a stream's replicas to one query, and decides when the query ends.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -14,7 +14,7 @@
 /// meanwhile the registry has the time to name a process that began the stream.
 const SILENT_SENDS: u32 = 20;
 
-/// What the replicas replied to one query.
+/// The replies of a stream's replicas to one query.
 #[derive(Debug, Default)]
 pub(crate) struct OpenQuery {
     /// The replicas that have replied.
--- a/crates/gateway/src/resolved_origin.rs
+++ b/crates/gateway/src/resolved_origin.rs
@@ -13,7 +13,7 @@
     Store,
     /// The service has had a single version.
     SingleVersion,
-    /// Nobody knows, and the service has or may have had several versions.
+    /// No record is found, and the service has or may have had several versions.
     Unknown,
 }
 
@@ -65,7 +65,7 @@
         }
     }
 
-    /// Returns the origin of a stream that nobody knows, from the versions that gateways have seen.
+    /// Returns the origin of a stream that no gateway has a record of, from the versions that gateways have seen.
     pub(crate) fn inferred(spans: &[VersionSpan]) -> Self {
         match sole_version(spans) {
             Some(version) => Self::known(version, OriginSource::SingleVersion),
