Review case 6: streams of two versions where an engine fails its reports for a moment (ORDER)

Cause: a report that fails with another status than 408, 429 and 502 to 504 counts as one that never tells the start, and the process is not asked again (KNOWN-RED 23). Nothing is fixed.

--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import struct
@@ -26,10 +27,21 @@
 HOLDS, BROKEN, CANNOT_RUN = 0, 1, 2
 
 
+TAKEN_PORTS = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port below those that the kernel gives to outgoing connections, which could take it meanwhile."""
+    while True:
+        port = random.randrange(12_000, 32_000)
+        if port in TAKEN_PORTS:
+            continue
+        TAKEN_PORTS.add(port)
+        with contextlib.suppress(OSError):
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind(("127.0.0.1", port))
+            return port
 
 
 class Record:
@@ -283,6 +295,8 @@
         self.born = int(time.time() * 1000)
         self.arrivals = []
         self.on_request = None
+        # Returns the status with which the engine refuses to report on itself, if it does.
+        self.on_report = None
         self.reaches_store = True
         self.silent_since = None
         self.writers = set()
@@ -338,6 +352,10 @@
             while True:
                 request = await read_message(reader, True)
                 if request.target == "/report":
+                    if self.on_report is not None and (refusal := self.on_report(self)):
+                        writer.write(encode(f"HTTP/1.1 {refusal} X", []))
+                        await writer.drain()
+                        continue
                     body = json.dumps({"phase_kind": "mixed", "models": [], "busy": False, "seq": 0, "queued": 0,
                                        "active": self.running, "kv_in_use": 0, "kv_size": 90000,
                                        "cache_handles": 0, "born": self.born}).encode()
