--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -31,9 +31,10 @@
 
 
 def free_port():
-    """Returns a port below those that the kernel gives to outgoing connections, which could take it meanwhile."""
+    """Returns a port below those that the kernel gives to outgoing connections, which could take it meanwhile, and above
+    those of the project's tests (crates/entry/tests/common/ports.rs)."""
     while True:
-        port = random.randrange(12_000, 32_000)
+        port = random.randrange(28_100, 32_600)
         if port in TAKEN_PORTS:
             continue
         TAKEN_PORTS.add(port)
@@ -569,9 +570,12 @@
     async def guarded():
         with tempfile.TemporaryDirectory() as scratch:
             gateways = []
+            play = asyncio.ensure_future(case(record, scratch, gateways))
+            for number in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(number, play.cancel)
             try:
-                return await asyncio.wait_for(case(record, scratch, gateways), 115)
-            except (CannotRun, asyncio.TimeoutError, OSError) as error:
+                return await asyncio.wait_for(play, 115)
+            except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
                 record.line(f"the case could not run: {error!r}")
                 return CANNOT_RUN
             finally:
